--- a/scalepick/benchlink.py
+++ b/finchladder/benchlink.py
@@ -1,4 +1,4 @@
-"""Adapter from the bench's text wire to scalepick.api and back. It decides nothing.
+"""Adapter from the bench's text wire to finchladder.api and back. It decides nothing.
 
 Anything it cannot read ends it with one message on standard error and exit status 2; an exception inside
 the decision module is reported on the wire as FATAL.
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, BinaryIO, NoReturn, TextIO
 
-from scalepick import api
-from scalepick.policy import Dispatcher
+from finchladder import api
+from finchladder.policy import Dispatcher
 
 EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 LIST_KINDS = {
--- a/scalepick/policy.py
+++ b/finchladder/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of a scalepick dispatcher; its settings, events and actions are defined in api.py.
+"""All decisions of a finchladder dispatcher; its settings, events and actions are defined in api.py.
 
 Ordinary path: two hashes of a job's key name two ready workers of the needed kind; the one with fewer of this
 dispatcher's own slots in flight wins (a tie goes to the second) and gets the job if it is under its threshold
@@ -12,13 +12,13 @@
 from random import Random
 from typing import Any
 
-from scalepick.api import (
+from finchladder.api import (
     Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
     PeerMessage, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
     WorkerEntry, WorkerList,
 )  # fmt: skip
-from scalepick.pool import SAMPLE, Pool
-from scalepick.records import Attempt, Job, Worker
+from finchladder.pool import SAMPLE, Pool
+from finchladder.records import Attempt, Job, Worker
 
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
 HOT_MIN = 50.0  # requests seen before a key's share of them is believed
--- a/scalepick/records.py
+++ b/finchladder/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from scalepick.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry
+from finchladder.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry
 
 
 class Worker:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from scalepick import Dispatcher, api
+from finchladder import Dispatcher, api
 
 SAFE = api.JobClass("safe", api.Effect.SAFE, aim=1.0, deadline=10.0, late_share=0.2, stretch=2.0)
 UNSAFE = api.JobClass("unsafe", api.Effect.UNSAFE, aim=1.0, deadline=10.0, late_share=0.2, stretch=2.0)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from scalepick import api
-from scalepick.pool import Pool
-from scalepick.records import Worker
+from finchladder import api
+from finchladder.pool import Pool
+from finchladder.records import Worker
 from tests.helpers import Bench, entry, workers
 
 NEVER_OR_NOT = [e for e in api.Ending]
