--- /dev/null
+++ b/finchladder/__main__.py
@@ -0,0 +1,128 @@
+"""Starts one real dispatcher: reads what it is told by NODE_*, wires the actors, handles signals."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import NamedTuple, NoReturn
+
+import msgspec
+from loguru import logger
+
+from finchladder import Dispatcher, api
+from finchladder.net.clients import Clients
+from finchladder.net.flows import Flows
+from finchladder.net.http1 import parse_address
+from finchladder.net.module import Clock, ModuleActor
+from finchladder.net.servers import RealServers
+from finchladder.net.service import News, ServiceActor, read_list
+from finchladder.settings import read_settings
+
+
+class Caps(msgspec.Struct, rename="camel"):
+    """What of the settings concerns connections alone, and so never reaches the module."""
+
+    conn_idle_s: float = 30.0
+    connect_timeout_s: float = 0.25
+
+
+class NetPart(msgspec.Struct):
+    caps: Caps
+
+
+class File(msgspec.Struct):
+    """The file that NODE_CONFIG names."""
+
+    settings: msgspec.Raw
+    seed: str = ""
+    known: msgspec.Raw = msgspec.Raw(b"")
+
+
+class Setup(NamedTuple):
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    known: News | None
+    settings: api.Settings
+    caps: Caps
+
+
+def read_setup(env: Mapping[str, str]) -> Setup:
+    """ValueError says in one line what can't be used."""
+    for name in ("NODE_LISTEN", "NODE_DISCOVERY", "NODE_CONFIG"):
+        if not env.get(name):
+            raise ValueError(f"{name} is not set")
+    try:
+        file = msgspec.json.decode(Path(env["NODE_CONFIG"]).read_bytes(), type=File)
+        caps = msgspec.json.decode(file.settings, type=NetPart).caps
+    except (OSError, msgspec.MsgspecError) as e:
+        raise ValueError(f"{env['NODE_CONFIG']}: {e}") from None
+    if caps.conn_idle_s <= 0 or caps.connect_timeout_s <= 0:
+        raise ValueError("settings: connIdleS and connectTimeoutS must be above 0")
+    known = bytes(file.known)
+    return Setup(
+        env.get("NODE_NAME", "dispatcher"),
+        parse_address(env["NODE_LISTEN"]),
+        parse_address(env["NODE_DISCOVERY"]),
+        int.from_bytes(file.seed.encode(), "big"),
+        read_list(known, api.ListKind.STALE) if known not in (b"", b"null") else None,
+        read_settings(bytes(file.settings)),
+        caps,
+    )
+
+
+class ToLoguru(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        logger.opt(exception=record.exc_info).log(record.levelname, record.getMessage())
+
+
+async def serve(setup: Setup) -> None:
+    loop = asyncio.get_running_loop()
+    left = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, left.set)
+    clock, flows = Clock(), Flows()
+    module = ModuleActor(Dispatcher(setup.settings, setup.seed), flows, clock)
+    servers = RealServers(flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s)
+    module.carrier = servers
+    service = ServiceActor(setup.discovery, servers.update)
+    classes = {c.name for c in setup.settings.classes}
+    clients = Clients(classes, flows, module, clock, lambda: service.up, servers.called_back)
+    clients.listen_on(setup.listen)
+    module.start()
+    servers.start()
+    if setup.known is not None:
+        service.post(setup.known)
+    service.start()
+    logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
+    await left.wait()
+    logger.info("{}: leaving", setup.name)
+    await clients.leave()
+    logger.info("{}: left", setup.name)
+
+
+def fail(message: str) -> NoReturn:
+    print(f"finchladder: {' '.join(message.split())}", file=sys.stderr)
+    sys.exit(2)
+
+
+def main() -> None:
+    try:
+        setup = read_setup(os.environ)
+    except ValueError as e:
+        fail(str(e))
+    logger.remove()
+    logger.add(sys.stderr, level="INFO", backtrace=False, diagnose=False)
+    logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
+    try:
+        asyncio.run(serve(setup))
+    except OSError as e:
+        fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
+
+
+if __name__ == "__main__":
+    main()
--- a/finchladder/benchlink.py
+++ b/finchladder/benchlink.py
@@ -5,15 +5,14 @@
 """
 
 import base64
-import json
 import sys
 from collections.abc import Callable, Iterator
 from typing import Any, BinaryIO, NoReturn, TextIO
 
 from finchladder import api
 from finchladder.policy import Dispatcher
+from finchladder.settings import read_settings
 
-EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 LIST_KINDS = {
     "patch": api.ListKind.PATCH,
     "whole": api.ListKind.WHOLE,
@@ -43,61 +42,6 @@
     return absent if text == "-" else float(text)
 
 
-def read_settings(text: str) -> api.Settings:
-    facts = json.loads(text)
-    caps, rules, family = facts["caps"], facts["invariants"], facts.get("familyInfo", {})
-    return api.Settings(
-        classes=tuple(read_class(c, family, n, facts["flavors"]) for n, c in enumerate(facts["services"])),
-        zones=tuple(facts["zones"]),
-        zone=facts["az"],
-        kinds=tuple(facts["flavors"]),
-        tenants=tuple(api.Tenant(t["name"], t["quotaRps"]) for t in facts.get("accounts", [])),
-        index=facts["selfIndex"],
-        dispatchers=facts["balancers"],
-        max_attempts=caps["tryLimit"],
-        may_cancel=caps["cancel"],
-        may_probe=caps["probes"],
-        may_tell=caps["peers"],
-        may_copy=caps["secondCopies"],
-        must_ask=facts["registryMode"] == "ask",
-        tells_start=bool(family.get("tellsStart", False)),
-        progress_every=family.get("progressS", 0.0),
-        max_retry_after=caps.get("maxRetryAfterS", 0.0) if caps.get("retryAfter") else 0.0,
-        over_share_worth=facts.get("overShareWorth", 1.0),
-        worth_by_work=facts.get("worthBy") == "work",
-        peer_price=facts.get("prices", {}).get("peer", 0.0),
-        tick=facts["tickS"],
-        drain_grace=rules["drainGraceS"],
-        ask_within=rules.get("askWithinS", 10.0),
-        cold_from=rules["coldFrom"],
-        cold_for=rules["coldS"],
-        fall_multiple=rules["fallMultiple"],
-        fall_within=rules["fallS"],
-    )
-
-
-def read_class(c: dict[str, Any], family: dict[str, Any], n: int, kinds: list[str]) -> api.JobClass:
-    def of_class(name: str, absent: float) -> float:
-        values = family.get(name, [])
-        return values[n] if n < len(values) else absent
-
-    kind = int(of_class("classKind", -1))
-    return api.JobClass(
-        name=c["name"],
-        effect=EFFECTS[c["idempotency"]],
-        aim=c["onTimeS"],
-        deadline=c["giveUpS"],
-        worth=c["importance"],
-        late_share=c.get("lateShare", 0.0),
-        stretch=c.get("aimStretch", of_class("classStretch", 0.0)),
-        group=api.Group(c.get("group", "all")),
-        window=c.get("windowS", 0.0),
-        priority=int(of_class("classPriority", 0)),
-        kind=kinds[kind] if kind >= 0 else None,
-        stream=c.get("stream", False),
-    )
-
-
 def read_report(text: str) -> dict[str, float] | None:
     if text == "-" or not text:
         return None
--- /dev/null
+++ b/finchladder/net/clients.py
@@ -0,0 +1,270 @@
+"""Clients: edge connections, their flows, and the real servers' call-backs to this address."""
+
+import asyncio
+import math
+import re
+from collections.abc import Callable
+from hashlib import blake2b
+
+import msgspec
+from loguru import logger
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+from tornado.queues import Queue
+from tornado.tcpserver import TCPServer
+
+from finchladder import api
+from finchladder.net.flows import Answer, Flow, Flows
+from finchladder.net.http1 import (
+    MAX_BODY,
+    BadMessage,
+    Channel,
+    Head,
+    Parser,
+    StreamClosedError,
+    parse_request,
+    write_response,
+)  # fmt: skip
+from finchladder.net.module import Clock, ModuleActor
+from finchladder.net.servers import CallBack
+
+HEALTH, CALL_BACK = "/_health", "/v1/job-events"
+MAX_CALL_BACK = 6 * MAX_BODY + 16 * 1024  # a result of full length in which JSON escapes every byte
+MAX_EDGE, MAX_OPEN = 560, 480  # connections, and flows among them: call-backs must still come through
+FIRST_BYTES_WITHIN = 10.0  # from a message's first byte to its last
+LINGER = 0.5  # for reading what a client still sends of a request that was turned away
+IDLE_STAYS = 0.5  # after SIGTERM; clients use kept connections until they are closed
+LEAVE_AFTER = 1.0
+BACKLOG = 1024
+
+_ID = re.compile(r"[!-~]{1,128}")
+_TIME_LEFT = re.compile(r"[0-9]{1,6}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+
+
+def key_of(text: str) -> int | None:
+    """The same number at every dispatcher and after every start; Python's hash() is neither."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=7).digest(), "big") if text else None
+
+
+def read_target(target: str) -> tuple[str, int | None]:
+    """The class is the path's first part, the key its last where there is more than one."""
+    parts = target.partition("?")[0].split("/")
+    return parts[1] if len(parts) > 1 else "", key_of(parts[-1]) if len(parts) > 2 else None
+
+
+def read_id(head: Head) -> str:
+    value = head.headers.get("x-correlation-id")
+    if value is None or not _ID.fullmatch(value):
+        raise BadMessage(400, "X-Correlation-Id is missing, repeated or unusable")
+    return value
+
+
+def read_time_left(head: Head) -> float:
+    value = head.headers.get("x-time-left") or ""
+    left = float(value) if _TIME_LEFT.fullmatch(value) else 0.0
+    if left <= 0:
+        raise BadMessage(400, "X-Time-Left is missing, repeated or unusable")
+    return left
+
+
+def read_facts(head: Head) -> dict[str, float]:
+    """X-Facts: name=value pairs; of those known here each must be a number that can be."""
+    facts: dict[str, float] = {}
+    for pair in ",".join(head.headers.all("x-facts")).split(","):
+        name, _, value = (part.strip() for part in pair.partition("="))
+        if name not in ("slots", "memory"):
+            continue
+        try:
+            facts[name] = float(value)
+        except ValueError:
+            raise BadMessage(400, f"X-Facts: {name} is no number") from None
+        if not (math.isfinite(facts[name]) and 0 <= facts[name] < 1e6):
+            raise BadMessage(400, f"X-Facts: {name} can't be used")
+    return facts
+
+
+def read_call_back(body: bytes) -> CallBack:
+    try:
+        return _call_backs.decode(body)
+    except msgspec.MsgspecError as e:
+        raise BadMessage(400, str(e)) from None
+
+
+_call_backs = msgspec.json.Decoder(CallBack)
+
+
+def limit_of(head: Head) -> int:
+    return MAX_CALL_BACK if head.target.partition("?")[0] == CALL_BACK else MAX_BODY
+
+
+def write_answer(answer: Answer, close: bool) -> bytes:
+    if answer.kind == "served":
+        return write_response(200, answer.body, close=close)
+    if answer.kind == "refused":
+        after = (f"Retry-After: {answer.retry_after:g}",) if answer.retry_after > 0 else ()
+        return write_response(503, b"refused\n", after, close)
+    return write_response(502, b"failed\n", close=close)
+
+
+class EdgeConnection:
+    """One connection from a client, or from a real server that calls back. Its mailbox brings answers."""
+
+    def __init__(self, stream: IOStream, clients: "Clients") -> None:
+        self.channel = Channel(stream, Parser(parse_request, limit_of))
+        self.clients = clients
+        self.box: Queue[Answer | None] = Queue(2)
+        self.flow: Flow | None = None
+        self.busy = False  # between a message's first byte and its answer's last
+        self.calls_back = False
+        self.since = clients.clock()
+        stream.set_close_callback(self._closed)
+
+    def _closed(self) -> None:
+        """A client that closes has gone away: the module is told, and nobody is answered any more."""
+        flow, self.flow = self.flow, None
+        if flow is not None and flow.answer is None:
+            self.clients.flows.finish(flow, Answer("failed"))
+            self.clients.module.tell(api.ClientGone(flow.id))
+
+    async def serve(self) -> None:
+        try:
+            while await self._one():
+                pass
+        except BadMessage as e:
+            await self._turn_away(e)
+        except TimeoutError:
+            await self._turn_away(BadMessage(408, "the request took too long to come"))
+        except (StreamClosedError, OSError):
+            pass
+        finally:
+            self.channel.close()
+
+    async def _one(self) -> bool:
+        parser = self.channel.parser
+        if not parser.begun:
+            self.busy, self.since = False, self.clients.clock()
+            await self.channel.fill()
+        self.busy = True
+        async with asyncio.timeout(FIRST_BYTES_WITHIN):
+            head, body = await self.channel.message()
+        try:
+            answer = await self._answer(head, body)
+        except BadMessage as e:
+            answer = write_response(e.status, f"{e}\n".encode(), close=self._closes(head))
+        await self.channel.write(answer)
+        return not self._closes(head)
+
+    def _closes(self, head: Head) -> bool:
+        return not head.keeps or (self.clients.leaving and not self.calls_back)
+
+    async def _turn_away(self, e: BadMessage) -> None:
+        """Bytes that were never read would turn the closing into a reset that overtakes the answer."""
+        try:
+            await self.channel.write(write_response(e.status, f"{e}\n".encode(), close=True))
+            async with asyncio.timeout(LINGER):
+                for _ in range(64):
+                    await self.channel.stream.read_bytes(65536, partial=True)
+        except (StreamClosedError, OSError, TimeoutError):
+            pass
+
+    async def _answer(self, head: Head, body: bytes) -> bytes:
+        path = head.target.partition("?")[0]
+        if path == CALL_BACK:
+            self.calls_back = True
+            if head.method != "POST":
+                return write_response(405, b"", ("Allow: POST",), self._closes(head))
+            self.clients.called_back(read_call_back(body))
+            return write_response(204, close=self._closes(head))
+        if path == HEALTH:
+            up = self.clients.ready() and not self.clients.leaving
+            return write_response(
+                200 if up else 503, b"up\n" if up else b"not up\n", close=self._closes(head)
+            )
+        job_class, key = read_target(head.target)
+        if job_class not in self.clients.classes:
+            raise BadMessage(404, "no such class")
+        if head.method != "POST":
+            return write_response(405, b"", ("Allow: POST",), self._closes(head))
+        flow = Flow(
+            read_id(head), job_class, key, read_facts(head), head.method, head.target, head.headers, body,
+            self.clients.clock() + read_time_left(head), self.box.put_nowait,
+        )  # fmt: skip
+        self.flow = flow
+        self.clients.take(flow)
+        answer = await self.box.get()
+        self.flow = None
+        if answer is None or self.channel.stream.closed():
+            raise StreamClosedError()
+        return write_answer(answer, self._closes(head))
+
+
+class Clients(TCPServer):
+    """Listens, and owns all edge connections."""
+
+    def __init__(
+        self, classes: set[str], flows: Flows, module: ModuleActor, clock: Clock, ready: Callable[[], bool],
+        called_back: Callable[[CallBack], None],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
+        self.ready, self.called_back = ready, called_back
+        self.edges: dict[EdgeConnection, None] = {}
+        self.leaving = False
+
+    def listen_on(self, address: tuple[str, int]) -> None:
+        self.listen(address[1], address[0], backlog=BACKLOG)
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        if len(self.edges) >= MAX_EDGE and not self._make_room():
+            stream.close()
+            return
+        edge = EdgeConnection(stream, self)
+        self.edges[edge] = None
+        try:
+            await edge.serve()
+        except Exception:
+            logger.exception("an edge connection died")
+            edge.channel.close()
+        finally:
+            del self.edges[edge]
+
+    def _make_room(self) -> bool:
+        """The connection idle for longest is closed; a client may not hold sockets that others need."""
+        idle = [e for e in self.edges if not e.busy]
+        if not idle:
+            logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
+            return False
+        min(idle, key=lambda e: e.since).channel.close()
+        return True
+
+    def take(self, flow: Flow) -> None:
+        if self.flows.known(flow.id):
+            raise BadMessage(400, "a request with this X-Correlation-Id has come already")
+        self.flows.add(flow)
+        if self.flows.open > MAX_OPEN:
+            self.flows.finish(flow, Answer("refused", retry_after=1.0))
+            return
+        loop = IOLoop.current()
+        handle = loop.call_later(max(0.0, flow.deadline - self.clock()), self._overdue, flow)
+        flow.timer = lambda: loop.remove_timeout(handle)
+        self.module.tell(flow)
+
+    def _overdue(self, flow: Flow) -> None:
+        """The module answers before this; should it ever not, the client still gets its one answer."""
+        if self.flows.finish(flow, Answer("failed")):
+            logger.error("a flow was overdue: the module had not answered it")
+            self.module.tell(api.ClientGone(flow.id))
+
+    async def leave(self) -> None:
+        """After SIGTERM: listens on, answers all that was taken, closes what is idle, returns when done."""
+        began = self.clock()
+        self.leaving = True
+        await asyncio.sleep(IDLE_STAYS)
+        while True:
+            busy = [e for e in self.edges if e.busy]
+            for edge in self.edges:
+                if not edge.busy and not edge.calls_back:
+                    edge.channel.close()
+            if not self.flows.open and not busy and self.clock() >= began + LEAVE_AFTER:
+                return
+            await asyncio.sleep(0.02)
--- /dev/null
+++ b/finchladder/net/flows.py
@@ -0,0 +1,101 @@
+"""Flows and their schedulings: records that the actors share. They know no client protocol."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from finchladder import api
+from finchladder.net.http1 import Channel, Headers
+
+REMEMBERED = 4096  # ids of ended flows: a request that is sent again under its id must not run again
+
+
+class Answer(NamedTuple):
+    """The final answer of a flow; `retry_after` comes with a refusal alone."""
+
+    kind: str  # served, refused, failed
+    body: bytes = b""
+    retry_after: float = 0.0
+
+
+class Scheduling:
+    """One attempt of a flow at one real server. It ends exactly once, in servers.py."""
+
+    __slots__ = (
+        "flow",
+        "number",
+        "worker",
+        "sent",
+        "until",
+        "written",
+        "accepted",
+        "ended",
+        "channel",
+        "timer",
+    )
+
+    def __init__(self, flow: "Flow", number: int, worker: str, sent: float, until: float) -> None:
+        self.flow, self.number, self.worker = flow, number, worker
+        self.sent, self.until = sent, until
+        self.written = self.accepted = self.ended = False
+        self.channel: Channel | None = None  # until the 202
+        self.timer: Callable[[], None] | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """One request of a client, from its last byte to its final answer and its last scheduling's end."""
+
+    id: str
+    job_class: str
+    key: int | None
+    facts: dict[str, float]
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    deadline: float
+    deliver: Callable[[Answer], None]
+    answer: Answer | None = None
+    schedulings: list[Scheduling] = field(default_factory=list)
+    timer: Callable[[], None] | None = None
+
+    def request(self, now: float) -> api.Request:
+        slots, memory = self.facts.get("slots", 1.0), self.facts.get("memory", 0.0)
+        return api.Request(self.id, self.job_class, self.deadline - now, slots, self.key, memory=memory)
+
+
+class Flows:
+    """All flows that are open or have a scheduling out, by the id of their request."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Flow] = {}
+        self.open = 0  # flows without their final answer
+        self.ended: dict[str, None] = {}
+
+    def known(self, id: str) -> bool:
+        return id in self.by_id or id in self.ended
+
+    def add(self, flow: Flow) -> None:
+        self.by_id[flow.id] = flow
+        self.open += 1
+
+    def finish(self, flow: Flow, answer: Answer) -> bool:
+        """Takes the first final answer and passes it to the client's side; whatever comes later is void."""
+        if flow.answer is not None:
+            return False
+        flow.answer = answer
+        self.open -= 1
+        if flow.timer is not None:
+            flow.timer()
+        flow.deliver(answer)
+        self.forget_if_over(flow)
+        return True
+
+    def forget_if_over(self, flow: Flow) -> None:
+        if flow.answer is None or any(not s.ended for s in flow.schedulings):
+            return
+        if self.by_id.pop(flow.id, None) is not None:
+            self.ended[flow.id] = None
+            if len(self.ended) > REMEMBERED:
+                del self.ended[next(iter(self.ended))]
--- /dev/null
+++ b/finchladder/net/http1.py
@@ -0,0 +1,301 @@
+"""HTTP/1.1 as this project speaks it: parsers that take bytes however they are split, and writers."""
+
+import re
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tornado.iostream import IOStream, StreamClosedError
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+PIECE = 64 * 1024
+REASONS = {
+    100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+    405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+
+_REQUEST = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
+_STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
+_FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*")
+_LENGTH = re.compile(r"[0-9]{1,15}")
+_CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+
+
+class BadMessage(Exception):
+    """The peer's bytes are no message; `status` is what a client is answered."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Headers:
+    """Header fields in the order in which they came; names match in any case."""
+
+    def __init__(self, fields: list[tuple[str, str]]) -> None:
+        self.fields = fields
+
+    def all(self, name: str) -> list[str]:
+        return [v for n, v in self.fields if n.lower() == name]
+
+    def get(self, name: str) -> str | None:
+        """The value of a field, None unless it came exactly once."""
+        values = self.all(name)
+        return values[0] if len(values) == 1 else None
+
+    def lists(self, name: str, word: str) -> bool:
+        return any(word == part.strip().lower() for v in self.all(name) for part in v.split(","))
+
+
+class Head(NamedTuple):
+    """A start line and its fields: `method` and `target` of a request, or the `status` of a response."""
+
+    minor: int
+    headers: Headers
+    method: str = ""
+    target: str = ""
+    status: int = 0
+
+    @property
+    def keeps(self) -> bool:
+        if self.headers.lists("connection", "close"):
+            return False
+        return self.minor == 1 or self.headers.lists("connection", "keep-alive")
+
+
+def _headers(lines: list[bytes]) -> Headers:
+    fields = []
+    for line in lines:
+        m = _FIELD.fullmatch(line)
+        if m is None:
+            raise BadMessage(400, "malformed header field")
+        fields.append((m[1].decode("ascii"), m[2].decode("latin-1")))
+    return Headers(fields)
+
+
+def parse_request(head: bytes) -> Head:
+    start, *lines = head.split(b"\r\n")
+    m = _REQUEST.fullmatch(start)
+    if m is None:
+        raise BadMessage(400, "malformed request line")
+    return Head(int(m[3]), _headers(lines), m[1].decode(), m[2].decode())
+
+
+def parse_response(head: bytes) -> Head:
+    start, *lines = head.split(b"\r\n")
+    m = _STATUS.fullmatch(start)
+    if m is None:
+        raise BadMessage(400, "malformed status line")
+    return Head(int(m[1]), _headers(lines), status=int(m[2]))
+
+
+class Body:
+    """Takes one message's body off the front of a buffer."""
+
+    def __init__(self, head: Head) -> None:
+        codings, lengths = head.headers.all("transfer-encoding"), set(head.headers.all("content-length"))
+        self.chunked = bool(codings)
+        self.until_close = False
+        self.left = 0
+        self.trailer = False
+        if codings and (lengths or [c.lower() for c in codings] != ["chunked"]):
+            raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
+        if lengths:
+            length = lengths.pop()
+            if lengths or not _LENGTH.fullmatch(length):
+                raise BadMessage(400, "unusable content length")
+            self.left = int(length)
+        elif head.status and head.status not in (204, 304) and head.status >= 200:
+            self.until_close = not codings
+        self.done = not (self.chunked or self.left or self.until_close)
+
+    def take(self, buffer: bytearray) -> bytes:
+        if not self.chunked:
+            piece = bytes(buffer if self.until_close else buffer[: self.left])
+            del buffer[: len(piece)]
+            self.left -= 0 if self.until_close else len(piece)
+            self.done = not (self.left or self.until_close)
+            return piece
+        out = bytearray()
+        while not self.done and self._chunk(buffer, out):
+            pass
+        return bytes(out)
+
+    def _chunk(self, buffer: bytearray, out: bytearray) -> bool:
+        """One step through the chunks; `left` counts a chunk's data with its closing CRLF."""
+        if self.left:
+            part = bytes(buffer[: self.left])
+            del buffer[: len(part)]
+            data = max(0, self.left - 2)
+            out += part[:data]
+            if any(c != want for c, want in zip(part[data:], b"\r\n"[-min(2, self.left) :], strict=False)):
+                raise BadMessage(400, "chunk without its end")
+            self.left -= len(part)
+            return not self.left
+        end = buffer.find(b"\r\n")
+        if end < 0 or end > MAX_HEAD:
+            if len(buffer) > MAX_HEAD:
+                raise BadMessage(400, "chunk head too long")
+            return False
+        line = bytes(buffer[:end])
+        del buffer[: end + 2]
+        if self.trailer:
+            self.done = not line
+        elif (m := _CHUNK.fullmatch(line)) is None:
+            raise BadMessage(400, "malformed chunk head")
+        else:
+            size = int(m[1], 16)
+            self.trailer, self.left = not size, size + 2 if size else 0
+        return True
+
+
+class Parser:
+    """Messages off one connection. `limit` says how long the body of a head may be."""
+
+    def __init__(self, parse: Callable[[bytes], Head], limit: Callable[[Head], int]) -> None:
+        self.parse, self.limit = parse, limit
+        self.buffer = bytearray()
+        self.head: Head | None = None
+        self.body: Body | None = None
+        self.got = bytearray()
+
+    @property
+    def begun(self) -> bool:
+        return bool(self.buffer or self.head)
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def take_head(self) -> Head | None:
+        """The next head, once; its body is to be taken before the next."""
+        if self.head is not None:
+            return self.head
+        while self.buffer.startswith(b"\r\n"):  # an empty line before a message is let pass
+            del self.buffer[:2]
+        end = self.buffer.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
+        if end < 0:
+            if len(self.buffer) > MAX_HEAD:
+                raise BadMessage(400, "head too long")
+            return None
+        head = self.parse(bytes(self.buffer[:end]))
+        self.body = Body(head)
+        if self.body.left > self.limit(head):
+            raise BadMessage(413, "body too long")
+        del self.buffer[: end + 4]
+        self.head = head
+        return head
+
+    def take_piece(self) -> bytes:
+        return self.body.take(self.buffer) if self.body else b""
+
+    def poll(self) -> tuple[Head, bytes] | None:
+        """The next whole message, or None until more bytes have come."""
+        head = self.take_head()
+        if head is None or self.body is None:
+            return None
+        self.got += self.take_piece()
+        if len(self.got) > self.limit(head):
+            raise BadMessage(413, "body too long")
+        if not self.body.done:
+            return None
+        message = head, bytes(self.got)
+        self.head, self.body, self.got = None, None, bytearray()
+        return message
+
+
+class Channel:
+    """One connection: a stream and the parser of what comes on it."""
+
+    def __init__(self, stream: IOStream, parser: Parser) -> None:
+        self.stream, self.parser = stream, parser
+        stream.set_nodelay(True)
+
+    async def fill(self) -> None:
+        self.parser.feed(await self.stream.read_bytes(PIECE, partial=True))
+
+    async def head(self) -> Head:
+        while (head := self.parser.take_head()) is None:
+            await self.fill()
+        return head
+
+    async def message(self) -> tuple[Head, bytes]:
+        invited = False
+        while (message := self.parser.poll()) is None:
+            if not invited and (head := self.parser.head) and head.headers.lists("expect", "100-continue"):
+                invited = True
+                await self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            await self.fill()
+        return message
+
+    async def write(self, data: bytes) -> None:
+        await self.stream.write(data)
+
+    def usable(self) -> bool:
+        """Whether a kept connection still stands: what the peer sent while it was idle ends it."""
+        if self.stream.closed() or self.parser.begun:
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        self.stream.close()
+
+
+def server_parser() -> Parser:
+    return Parser(parse_response, lambda head: MAX_BODY)
+
+
+async def connect(address: tuple[str, int]) -> Channel:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    stream = IOStream(socket.socket(family))
+    try:
+        await stream.connect(address)
+    except BaseException:
+        stream.close()
+        raise
+    return Channel(stream, server_parser())
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`host:port` with the host as numbers: there is no DNS here."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        socket.inet_pton(family, host)
+    except OSError:
+        raise ValueError(f"unusable address {text!r}") from None
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"unusable port in {text!r}")
+    return host, int(port)
+
+
+def write_request(method: str, target: str, fields: list[tuple[str, str]], body: bytes = b"") -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", *(f"{n}: {v}" for n, v in fields)]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def write_response(
+    status: int, body: bytes = b"", fields: tuple[str, ...] = (), close: bool = False
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}", *fields]
+    if status != 204:
+        lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+__all__ = [
+    "MAX_BODY", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "StreamClosedError", "connect",
+    "parse_address", "parse_request", "parse_response", "write_request", "write_response",
+]  # fmt: skip
--- /dev/null
+++ b/finchladder/net/module.py
@@ -0,0 +1,117 @@
+"""The decision module's actor: the only caller of Dispatcher.handle. It keeps the clock and the timers."""
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+from tornado.ioloop import IOLoop
+from tornado.queues import PriorityQueue
+
+from finchladder import Dispatcher, api
+from finchladder.net.actor import Actor
+from finchladder.net.flows import Answer, Flow, Flows, Scheduling
+
+ROOM = 16384
+NEWS, WORK = 0, 1  # the list goes ahead of queued work: nothing is to be decided on a list known to be old
+
+
+class Clock:
+    """Wall time at the start plus what the monotonic clock has gone since: a start in `since_ms` compares."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return self.offset + time.monotonic()
+
+
+class Carrier(Protocol):
+    """Where sends and cancels go."""
+
+    def schedule(self, scheduling: Scheduling) -> None: ...
+    def withdraw(self, scheduling: Scheduling) -> None: ...
+
+
+class Ending:
+    """A scheduling's end on its way to the module; whether the flow is finished shows when it is handled."""
+
+    __slots__ = ("scheduling", "ending", "took", "report")
+
+    def __init__(
+        self, s: Scheduling, ending: api.Ending, took: float, report: dict[str, float] | None
+    ) -> None:
+        self.scheduling, self.ending, self.took, self.report = s, ending, took, report
+
+
+Item = api.Event | Flow | Ending
+
+
+class ModuleActor(Actor[tuple[int, int, Item]]):
+    def __init__(self, dispatcher: Dispatcher, flows: Flows, clock: Clock) -> None:
+        super().__init__("module", PriorityQueue(ROOM))
+        self.dispatcher, self.flows, self.clock = dispatcher, flows, clock
+        self.carrier: Carrier | None = None
+        self.serial = 0
+        self.subscribe: Callable[[bool], None] = lambda on: None  # where the list must be asked for
+
+    def tell(self, item: Item) -> None:
+        self.serial += 1
+        self.post((NEWS if isinstance(item, api.WorkerList) else WORK, self.serial, item))
+
+    def receive(self, entry: tuple[int, int, Item]) -> None:
+        item, now = entry[2], self.clock()
+        if isinstance(item, Flow):
+            if item.answer is not None:  # the client left before its request was looked at
+                return
+            event: api.Event = item.request(now)
+        elif isinstance(item, Ending):
+            s = item.scheduling
+            finished = s.flow.answer is not None
+            event = api.Ended(s.flow.id, s.number, item.ending, finished, item.took, item.report)
+        else:
+            event = item
+        for action in self.dispatcher.handle(now, event):
+            self._carry_out(action, now)
+
+    def _carry_out(self, action: api.Action, now: float) -> None:
+        if isinstance(action, api.SetTimer):
+            IOLoop.current().call_later(max(0.0, action.after), self.tell, api.Timer(action.token))
+        elif isinstance(action, api.Log):
+            logger.info("module: {}", action.text)
+        elif isinstance(action, api.Subscribe):
+            self.subscribe(action.on)
+        elif isinstance(action, api.Tell):
+            logger.warning("module: no peers can be told anything here")
+        elif (flow := self.flows.by_id.get(action.request)) is not None:
+            self._for_flow(flow, action, now)
+
+    def _for_flow(
+        self, flow: Flow, action: api.Send | api.Cancel | api.Refuse | api.Fail, now: float
+    ) -> None:
+        assert self.carrier is not None
+        if isinstance(action, api.Send):
+            until = min(flow.deadline, now + action.timeout) if action.timeout > 0 else flow.deadline
+            scheduling = Scheduling(flow, len(flow.schedulings), action.worker, now, until)
+            flow.schedulings.append(scheduling)
+            self.carrier.schedule(scheduling)
+        elif isinstance(action, api.Cancel):
+            if action.attempt < len(flow.schedulings):
+                self.carrier.withdraw(flow.schedulings[action.attempt])
+        elif isinstance(action, api.Refuse):
+            self.flows.finish(flow, Answer("refused", retry_after=action.retry_after))
+        else:
+            self.flows.finish(flow, Answer("failed"))
+
+    def failed(self, entry: tuple[int, int, Item]) -> None:
+        """An error inside the decisions must not leave the flow that it concerns without an answer."""
+        item = entry[2]
+        flow = item if isinstance(item, Flow) else None
+        if isinstance(item, Ending):
+            flow = item.scheduling.flow
+        elif isinstance(item, api.Started | api.Progress):
+            flow = self.flows.by_id.get(item.request)
+        if flow is not None:
+            self.flows.finish(flow, Answer("failed"))
+        if isinstance(item, api.Timer):  # the module lives on its timers: one lost would leave it deaf
+            IOLoop.current().call_later(self.dispatcher.s.tick, self.tell, item)
--- /dev/null
+++ b/finchladder/net/servers.py
@@ -0,0 +1,337 @@
+"""Real servers: an actor for each, with its connections, its schedulings and their ends."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import NamedTuple
+
+import msgspec
+from loguru import logger
+from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.queues import Queue
+
+from finchladder import api
+from finchladder.api import Ending as E
+from finchladder.net import http1
+from finchladder.net.actor import Actor
+from finchladder.net.flows import Answer, Flows, Scheduling
+from finchladder.net.http1 import BadMessage, Channel, Head, StreamClosedError
+from finchladder.net.module import Clock, Ending, ModuleActor
+
+ROOM = 8192
+IN_USE, IN_USE_EACH = 240, 24  # connections at once; a silent real server must not take those of the rest
+KEPT = 120  # idle connections to all real servers together: most sockets belong to the clients
+IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
+ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
+HOP = frozenset({
+    "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection",
+    "proxy-authorization", "content-length", "host", "expect", "x-time-left",
+})  # fmt: skip
+
+
+class CallBack(msgspec.Struct, rename={"sender": "from"}):
+    """What a real server tells of a job."""
+
+    id: str
+    sender: str
+    state: str
+    share: float = 0.0
+    result: str = ""
+    load: object = None
+
+    def report(self) -> dict[str, float] | None:
+        pairs = self.load.items() if isinstance(self.load, dict) else ()
+        return {str(n): float(v) for n, v in pairs if isinstance(v, int | float)} or None
+
+
+class Withdrawal(NamedTuple):
+    scheduling: Scheduling
+
+
+def load_report(head: Head) -> dict[str, float] | None:
+    """X-Backend-Load: name=value pairs. What is unusable in it is left out; it only informs."""
+    report = {}
+    for pair in (head.headers.get("x-backend-load") or "").split(","):
+        name, _, value = pair.partition("=")
+        try:
+            report[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return report or None
+
+
+def outcome(head: Head) -> E | None:
+    """PROTOCOL's table for what is answered to a request; None: the job was taken."""
+    if head.status == 202:
+        return None
+    if head.status in (503, 504) and head.headers.get("x-unprocessed") == "1":
+        return E.OVERLOADED
+    return E.ERROR  # it may have run, whatever else the answer says
+
+
+CALL_BACK_ENDS = {"done": E.OK, "failed": E.ERROR, "returned": E.OVERLOADED, "lost": E.BROKEN}
+
+
+class NotReady(Exception):
+    """The real server drains or is gone since the module named it."""
+
+
+class RealServer(Actor[Scheduling | Withdrawal | CallBack]):
+    def __init__(
+        self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, clock: Clock,
+        connect_timeout: float, idle_most: float, all_in_use: asyncio.Semaphore,
+    ) -> None:  # fmt: skip
+        super().__init__(f"real server {name}", Queue(ROOM))
+        self.server, self.address = name, address
+        self.flows, self.module, self.clock = flows, module, clock
+        self.connect_timeout, self.idle_most = connect_timeout, idle_most
+        self.ready = True
+        self.live: dict[str, Scheduling] = {}
+        self.idle: list[tuple[Channel, float]] = []
+        self.busy, self.kept_most = 0, 1
+        self.in_use, self.all_in_use = asyncio.Semaphore(IN_USE_EACH), all_in_use
+
+    # --- what the mailbox brings --------------------------------------------------------------------------
+
+    def receive(self, item: Scheduling | Withdrawal | CallBack) -> None:
+        if isinstance(item, Scheduling):
+            self._begin(item)
+        elif isinstance(item, Withdrawal):
+            self._end(item.scheduling, E.CANCELLED)
+        else:
+            self._called_back(item)
+
+    def failed(self, item: Scheduling | Withdrawal | CallBack) -> None:
+        if isinstance(item, CallBack):
+            s = self.live.get(item.id)
+        else:
+            s = item.scheduling if isinstance(item, Withdrawal) else item
+        if s is not None:
+            self._end(s, E.BROKEN if s.written else E.UNREACHABLE)
+
+    def _begin(self, s: Scheduling) -> None:
+        if (
+            not self.ready
+            or s.flow.id in self.live
+            or any(other is not s and other.worker == s.worker for other in s.flow.schedulings)
+        ):
+            # a late call-back about the first scheduling here could not be told from one about the second
+            return self._end(s, E.VOID)
+        self.live[s.flow.id] = s
+        loop = IOLoop.current()
+        handle = loop.call_later(max(0.0, s.until - self.clock()), self._end, s, E.TIMED_OUT)
+        s.timer = lambda: loop.remove_timeout(handle)
+        self.spawn(self._guard(s))
+
+    def _called_back(self, c: CallBack) -> None:
+        """Matched by id and sender: it may come before the 202, again, or about a job nobody knows here."""
+        s = self.live.get(c.id)
+        if s is None or not s.written:
+            return
+        if c.state == "started":
+            self.module.tell(api.Started(c.id, s.number))
+        elif c.state == "running":
+            self.module.tell(api.Progress(c.id, s.number, c.share))
+        elif c.state in CALL_BACK_ENDS:
+            self._end(s, CALL_BACK_ENDS[c.state], c.report(), c.result.encode("utf-8", "replace"))
+        else:
+            logger.warning("{}: unknown job state {!r}", self.name, c.state[:40])
+
+    # --- the life of a scheduling -------------------------------------------------------------------------
+
+    async def _guard(self, s: Scheduling) -> None:
+        try:
+            await self._carry(s)
+        except Exception:
+            logger.exception("{}: a scheduling died", self.name)
+            self._end(s, E.BROKEN if s.written else E.UNREACHABLE)
+
+    async def _carry(self, s: Scheduling) -> None:
+        try:
+            await self._with_channel(lambda channel: self._exchange(s, channel))
+        except NotReady:
+            self._end(s, E.VOID)
+        except (StreamClosedError, OSError, TimeoutError, BadMessage):
+            # nothing is sent again here: the last byte written means that it may have run
+            self._end(s, E.BROKEN if s.written else E.UNREACHABLE)
+
+    async def _exchange(self, s: Scheduling, channel: Channel) -> bool:
+        """One request and its answer's head; True: the connection may be kept."""
+        if s.ended:
+            return True
+        if not self.ready:  # looked at again right before the write: waiting for a connection took time
+            raise NotReady
+        s.channel = channel
+        try:
+            data = self._request(s)
+            s.written = True  # unless the write says otherwise: when unsure, it may have run
+            try:
+                await channel.write(data)
+            except StreamClosedError:
+                s.written = False
+                raise
+            head = await channel.head()
+        finally:
+            s.channel = None
+        ending = outcome(head)
+        s.accepted = ending is None
+        if ending is not None:
+            self._end(s, ending, load_report(head))
+        return await self._settle(channel, head)
+
+    async def _settle(self, channel: Channel, head: Head) -> bool:
+        if channel.parser.body is not None and channel.parser.body.until_close:
+            return False
+        try:
+            async with asyncio.timeout(ANSWER_WITHIN):
+                await channel.message()
+        except (TimeoutError, BadMessage, StreamClosedError):
+            return False
+        return head.keeps
+
+    def _request(self, s: Scheduling) -> bytes:
+        flow = s.flow
+        fields = [(n, v) for n, v in flow.headers.fields if n.lower() not in HOP]
+        fields += [("Host", self._host()), ("X-Time-Left", f"{max(0.0, s.until - self.clock()):.3f}")]
+        return http1.write_request(flow.method, flow.target, fields, flow.body)
+
+    def _host(self) -> str:
+        host, port = self.address
+        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+    def _end(
+        self, s: Scheduling, ending: E, report: dict[str, float] | None = None, result: bytes = b""
+    ) -> None:
+        """Every scheduling ends here, and only its first end counts."""
+        if s.ended:
+            return
+        s.ended = True
+        if s.timer is not None:
+            s.timer()
+        if self.live.get(s.flow.id) is s:
+            del self.live[s.flow.id]
+        if ending is E.OK:
+            self.flows.finish(s.flow, Answer("served", result))
+        elif ending in (E.CANCELLED, E.TIMED_OUT):
+            if s.accepted:
+                self.spawn(self._give_up(s.flow.id))
+            elif s.channel is not None:
+                s.channel.close()
+        self.module.tell(Ending(s, ending, self.clock() - s.sent, report))
+        self.flows.forget_if_over(s.flow)
+
+    async def _give_up(self, id: str) -> None:
+        async def ask(channel: Channel) -> bool:
+            await channel.write(http1.write_request("DELETE", f"/jobs/{id}", [("Host", self._host())]))
+            return await self._settle(channel, await channel.head())
+
+        try:
+            async with asyncio.timeout(ANSWER_WITHIN):
+                await self._with_channel(ask)
+        except (StreamClosedError, OSError, TimeoutError, BadMessage):
+            pass  # the real server is gone or busy; the job was given up all the same
+
+    # --- connections --------------------------------------------------------------------------------------
+
+    async def _with_channel(self, use: Callable[[Channel], Awaitable[bool]]) -> None:
+        """One user at a time for each connection; it is kept only after a whole exchange."""
+        async with AsyncExitStack() as held:
+            async with asyncio.timeout(self.connect_timeout):
+                await held.enter_async_context(self.in_use)
+                await held.enter_async_context(self.all_in_use)
+                channel = self._kept() or await http1.connect(self.address)
+            keep = False
+            self.busy += 1
+            try:
+                keep = await use(channel)
+            finally:
+                self.busy -= 1
+                if keep and len(self.idle) < self.kept_most and channel.usable():
+                    self.idle.append((channel, self.clock()))
+                else:
+                    channel.close()
+
+    def _kept(self) -> Channel | None:
+        while self.idle:
+            channel, since = self.idle.pop()
+            if self.clock() - since < self.idle_most and channel.usable():
+                return channel
+            channel.close()
+        return None
+
+    def drop_idle(self, before: float) -> None:
+        for channel, since in self.idle:
+            if since <= before or channel.stream.closed():
+                channel.close()
+        self.idle = [(c, t) for c, t in self.idle if not c.stream.closed()]
+
+
+class RealServers:
+    """The actors of all real servers that were ever named and still matter."""
+
+    def __init__(
+        self, flows: Flows, module: ModuleActor, clock: Clock, connect_timeout: float, conn_idle: float
+    ) -> None:
+        self.flows, self.module, self.clock = flows, module, clock
+        self.connect_timeout, self.idle_most = connect_timeout, conn_idle * IDLE_PART
+        self.actors: dict[str, RealServer] = {}
+        self.starts: dict[str, float] = {}
+        self.all_in_use = asyncio.Semaphore(IN_USE)
+        self.reaper = PeriodicCallback(self._reap, 1000)
+
+    def start(self) -> None:
+        self.reaper.start()
+
+    def update(self, worker_list: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
+        """Readiness and addresses apply at once, ahead of every mailbox; then the module is told."""
+        if worker_list.kind is not api.ListKind.PATCH:
+            named = {e.worker for e in worker_list.entries}
+            for name, actor in self.actors.items():
+                actor.ready = actor.ready and name in named
+        for e in worker_list.entries:
+            actor = self.actors.get(e.worker)
+            if actor is None:
+                if e.state is api.State.GONE:
+                    continue
+                actor = self._add(e.worker, addresses[e.worker])
+            actor.ready = e.state is api.State.READY
+            address = addresses.get(e.worker, actor.address)
+            if actor.address != address or self.starts.get(e.worker, e.born) != e.born:
+                actor.drop_idle(self.clock())  # connections to a process that is no more
+            actor.address, self.starts[e.worker] = address, e.born
+        for actor in self.actors.values():
+            actor.kept_most = max(1, KEPT // len(self.actors))
+        self.module.tell(worker_list)
+
+    def _add(self, name: str, address: tuple[str, int]) -> RealServer:
+        actor = self.actors[name] = RealServer(
+            name, address, self.flows, self.module, self.clock,
+            self.connect_timeout, self.idle_most, self.all_in_use,
+        )  # fmt: skip
+        actor.start()
+        return actor
+
+    def schedule(self, scheduling: Scheduling) -> None:
+        actor = self.actors.get(scheduling.worker)
+        if actor is not None:
+            actor.post(scheduling)
+        else:
+            scheduling.ended = True
+            self.module.tell(Ending(scheduling, E.VOID, 0.0, None))
+
+    def withdraw(self, scheduling: Scheduling) -> None:
+        if (actor := self.actors.get(scheduling.worker)) is not None:
+            actor.post(Withdrawal(scheduling))
+
+    def called_back(self, c: CallBack) -> None:
+        if (actor := self.actors.get(c.sender)) is not None:
+            actor.post(c)
+
+    def _reap(self) -> None:
+        now = self.clock()
+        for name, actor in list(self.actors.items()):
+            actor.drop_idle(now - self.idle_most if actor.ready else now)
+            if not (actor.ready or actor.live or actor.busy or actor.box.qsize()):
+                actor.stop()
+                del self.actors[name]
+                self.starts.pop(name, None)
--- /dev/null
+++ b/finchladder/net/service.py
@@ -0,0 +1,159 @@
+"""Discovery: the service entries, and the reader that watches the list of them."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+import msgspec
+from loguru import logger
+from tornado.queues import Queue
+
+from finchladder import api
+from finchladder.net import http1
+from finchladder.net.actor import Actor
+from finchladder.net.http1 import BadMessage, Channel, StreamClosedError
+
+PATH = "/catalog/members"
+SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
+BACKOFF, BACKOFF_MOST = 0.1, 0.8  # news counts as told after 6 s: no longer wait may lie between two tries
+MAX_LINE = 8 * 1024 * 1024
+STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
+
+Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
+
+
+class ServiceEntry(msgspec.Struct):
+    name: str
+    address: str
+    status: Literal["ready", "draining", "gone"]
+    zone: str = ""
+    type: str = ""
+    group: int = 0
+    weight: float = 1.0
+    since_ms: float = 0.0
+
+    def worker(self) -> api.WorkerEntry:
+        # the name, never the address, is the worker's id: it is the same everywhere, so all hashes agree
+        return api.WorkerEntry(
+            self.name,
+            STATES[self.status],
+            self.zone,
+            self.type,
+            self.group,
+            self.since_ms / 1000,
+            self.weight,
+        )
+
+
+class ServiceList(msgspec.Struct):
+    index: int
+    snapshot: bool
+    endpoints: list[ServiceEntry]
+
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        return {e.name: http1.parse_address(e.address) for e in self.endpoints if e.status != "gone"}
+
+    def workers(self, kind: api.ListKind | None = None) -> api.WorkerList:
+        found = kind or (api.ListKind.WHOLE if self.snapshot else api.ListKind.PATCH)
+        return api.WorkerList(found, tuple(e.worker() for e in self.endpoints))
+
+
+class News(NamedTuple):
+    """A list that has been read and found usable."""
+
+    version: int
+    workers: api.WorkerList
+    addresses: dict[str, tuple[str, int]]
+
+
+_decoder = msgspec.json.Decoder(ServiceList)
+
+
+def read_list(line: bytes, kind: api.ListKind | None = None) -> News:
+    """One line of the list; ValueError says what is wrong with it."""
+    try:
+        found = _decoder.decode(line)
+        return News(found.index, found.workers(kind), found.addresses())
+    except msgspec.MsgspecError as e:
+        raise ValueError(str(e)) from None
+
+
+class Lines:
+    """Lines out of pieces that end anywhere."""
+
+    def __init__(self) -> None:
+        self.rest = bytearray()
+
+    def feed(self, piece: bytes) -> list[bytes]:
+        self.rest += piece
+        if len(self.rest) > MAX_LINE:
+            raise ValueError("line too long")
+        *lines, rest = self.rest.split(b"\n")
+        self.rest = bytearray(rest)
+        return [bytes(line).strip() for line in lines]
+
+
+class ServiceActor(Actor[News]):
+    """Keeps the version of the list last applied, and watches for what comes after it."""
+
+    def __init__(self, address: tuple[str, int], apply: Apply) -> None:
+        super().__init__("service list", Queue(64))
+        self.address, self.apply = address, apply
+        self.index = 0
+        self.up = False
+
+    def receive(self, news: News) -> None:
+        self.apply(news.workers, news.addresses)
+        self.index, self.up = news.version, True
+
+    def start(self) -> None:
+        super().start()
+        self.spawn(self._watch_on())
+
+    async def _watch_on(self) -> None:
+        wait, down = BACKOFF, False
+        while True:
+            before = self.index
+            try:
+                await self._watch()
+                why = "ended"
+            except (StreamClosedError, OSError, TimeoutError, BadMessage, ValueError) as e:
+                why = f"{type(e).__name__}: {e}"
+            except Exception:  # whatever a peer sent, the list must be watched again
+                logger.exception("service list: the watch died")
+                why = "died"
+            if not down or self.index != before:
+                logger.warning("service list: watch over ({}), the last list stays in use", why)
+            wait = BACKOFF if self.index != before else min(2 * wait, BACKOFF_MOST)
+            down = self.index == before
+            await asyncio.sleep(wait)
+
+    async def _watch(self) -> None:
+        channel: Channel | None = None
+        try:
+            async with asyncio.timeout(SILENCE):
+                channel = await http1.connect(self.address)
+                channel.parser.limit = lambda head: MAX_LINE
+                await channel.write(
+                    http1.write_request(
+                        "GET", f"{PATH}?stream=1&index={self.index}", [("Host", self._host())]
+                    )
+                )
+                head = await channel.head()
+            if head.status != 200:
+                raise BadMessage(502, f"discovery answered {head.status}")
+            lines = Lines()
+            while True:
+                for line in lines.feed(channel.parser.take_piece()):
+                    if line:
+                        await self.box.put(read_list(line))
+                if channel.parser.body is None or channel.parser.body.done:
+                    return
+                async with asyncio.timeout(SILENCE):
+                    await channel.fill()
+        finally:
+            if channel is not None:
+                channel.close()
+
+    def _host(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
--- /dev/null
+++ b/finchladder/settings.py
@@ -0,0 +1,89 @@
+"""The one reader of the operators' facts: from their JSON to api.Settings, checked by msgspec."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from finchladder import api
+
+EFFECTS = {"retryable": "safe", "dedup": "keyed", "fragile": "unsafe"}
+FIELDS: dict[str, tuple[str, ...]] = {  # of api.Settings, and where the facts hold them
+    "zones": ("zones",),
+    "zone": ("az",),
+    "kinds": ("flavors",),
+    "index": ("selfIndex",),
+    "dispatchers": ("balancers",),
+    "max_attempts": ("caps", "tryLimit"),
+    "may_cancel": ("caps", "cancel"),
+    "may_probe": ("caps", "probes"),
+    "may_tell": ("caps", "peers"),
+    "may_copy": ("caps", "secondCopies"),
+    "tick": ("tickS",),
+    "drain_grace": ("invariants", "drainGraceS"),
+    "cold_from": ("invariants", "coldFrom"),
+    "cold_for": ("invariants", "coldS"),
+    "fall_multiple": ("invariants", "fallMultiple"),
+    "fall_within": ("invariants", "fallS"),
+}
+OPTIONAL: dict[str, tuple[str, ...]] = {
+    "tells_start": ("familyInfo", "tellsStart"),
+    "progress_every": ("familyInfo", "progressS"),
+    "over_share_worth": ("overShareWorth",),
+    "peer_price": ("prices", "peer"),
+    "ask_within": ("invariants", "askWithinS"),
+}
+CLASS_FIELDS = {"name": "name", "aim": "onTimeS", "deadline": "giveUpS", "worth": "importance"}
+CLASS_OPTIONAL = {"late_share": "lateShare", "group": "group", "window": "windowS", "stream": "stream"}
+Facts = Mapping[str, Any]
+
+
+class SettingsError(ValueError):
+    """The facts can't be used; the message says why in one line."""
+
+
+def read_settings(facts: str | bytes) -> api.Settings:
+    try:
+        return msgspec.convert(_named(msgspec.json.decode(facts)), api.Settings)
+    except KeyError as e:
+        raise SettingsError(f"settings: {e.args[0]} is missing") from None
+    except (msgspec.MsgspecError, ValueError, TypeError, AttributeError, IndexError) as e:
+        raise SettingsError(f"settings: {' '.join(str(e).split())}") from None
+
+
+def _at(facts: Any, path: tuple[str, ...]) -> Any:
+    for name in path:
+        facts = facts[name]
+    return facts
+
+
+def _named(facts: Facts) -> dict[str, Any]:
+    named = {field: _at(facts, path) for field, path in FIELDS.items()}
+    for field, path in OPTIONAL.items():
+        try:
+            named[field] = _at(facts, path)
+        except KeyError:
+            continue  # absent: api.Settings has what holds then
+    family, caps = facts.get("familyInfo", {}), facts["caps"]
+    named["classes"] = [_class(c, family, n, facts["flavors"]) for n, c in enumerate(facts["services"])]
+    named["tenants"] = [{"name": t["name"], "quota": t["quotaRps"]} for t in facts.get("accounts", [])]
+    named["must_ask"] = facts["registryMode"] == "ask"
+    named["worth_by_work"] = facts.get("worthBy") == "work"
+    named["max_retry_after"] = caps.get("maxRetryAfterS", 0.0) if caps.get("retryAfter") else 0.0
+    return named
+
+
+def _class(c: Facts, family: Facts, n: int, kinds: list[str]) -> dict[str, Any]:
+    def of_class(name: str, absent: float) -> Any:
+        values = family.get(name, [])
+        return values[n] if n < len(values) else absent
+
+    kind = of_class("classKind", -1)
+    return {
+        **{field: c[name] for field, name in CLASS_FIELDS.items()},
+        **{field: c[name] for field, name in CLASS_OPTIONAL.items() if name in c},
+        "effect": EFFECTS[c["idempotency"]],
+        "stretch": c.get("aimStretch", of_class("classStretch", 0.0)),
+        "priority": of_class("classPriority", 0),
+        "kind": kinds[kind] if kind >= 0 else None,
+    }
