--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -289,11 +289,9 @@
             for name, actor in self.actors.items():
                 actor.ready = actor.ready and name in named
         for e in worker_list.entries:
-            actor = self.actors.get(e.worker)
-            if actor is None:
-                if e.state is api.State.GONE:
-                    continue
-                actor = self._add(e.worker, addresses[e.worker])
+            if e.worker not in self.actors and e.state is api.State.GONE:
+                continue
+            actor = self.actors.get(e.worker) or self._add(e.worker, addresses[e.worker])
             actor.ready = e.state is api.State.READY
             address = addresses.get(e.worker, actor.address)
             if actor.address != address or self.starts.get(e.worker, e.born) != e.born:
