Bounds follow the socket limit of the configuration; an actor reads on whatever goes wrong

Now they are parts of the limit that the configuration names. connIdleS and connectTimeoutS are required: a default would have hidden a name that does not match. Tests: a flow is answered without the module, a scheduling that dies is loud, a drain that comes while connecting (fails without the look right before the write; tried).

--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -21,24 +21,31 @@
 from finchladder.net.service import News, ServiceActor, read_list
 from finchladder.settings import read_settings
 
+LEAST_SOCKETS, MOST_SOCKETS = 128, 1024
+
 
 class Caps(msgspec.Struct, rename="camel"):
     """What of the settings concerns connections alone, and so never reaches the module."""
 
-    conn_idle_s: float = 30.0
-    connect_timeout_s: float = 0.25
+    conn_idle_s: float
+    connect_timeout_s: float
 
 
 class NetPart(msgspec.Struct):
     caps: Caps
 
 
+class Limits(msgspec.Struct):
+    sockets: int = 1024
+
+
 class File(msgspec.Struct):
     """The file that NODE_CONFIG names."""
 
     settings: msgspec.Raw
     seed: str = ""
     known: msgspec.Raw = msgspec.Raw(b"")
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
 class Setup(NamedTuple):
@@ -49,6 +56,7 @@
     known: News | None
     settings: api.Settings
     caps: Caps
+    sockets: int
 
 
 def read_setup(env: Mapping[str, str]) -> Setup:
@@ -63,6 +71,8 @@
         raise ValueError(f"{env['NODE_CONFIG']}: {e}") from None
     if caps.conn_idle_s <= 0 or caps.connect_timeout_s <= 0:
         raise ValueError("settings: connIdleS and connectTimeoutS must be above 0")
+    if file.limits.sockets < LEAST_SOCKETS:
+        raise ValueError(f"limits: sockets must be {LEAST_SOCKETS} or more")
     known = bytes(file.known)
     return Setup(
         env.get("NODE_NAME", "dispatcher"),
@@ -72,6 +82,7 @@
         read_list(known, api.ListKind.STALE) if known not in (b"", b"null") else None,
         read_settings(bytes(file.settings)),
         caps,
+        min(file.limits.sockets, MOST_SOCKETS),
     )
 
 
@@ -87,11 +98,13 @@
         loop.add_signal_handler(number, left.set)
     clock, flows = Clock(), Flows()
     module = ModuleActor(Dispatcher(setup.settings, setup.seed), flows, clock)
-    servers = RealServers(flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s)
+    servers = RealServers(
+        flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s, setup.sockets
+    )
     module.carrier = servers
     service = ServiceActor(setup.discovery, servers.update)
     classes = {c.name for c in setup.settings.classes}
-    clients = Clients(classes, flows, module, clock, lambda: service.up, servers.called_back)
+    clients = Clients(classes, flows, module, clock, lambda: service.up, servers.called_back, setup.sockets)
     clients.listen_on(setup.listen)
     module.start()
     servers.start()
--- a/finchladder/net/actor.py
+++ b/finchladder/net/actor.py
@@ -49,7 +49,10 @@
                 self.receive(item)
             except Exception:
                 logger.exception("{}: died on {}", self.name, type(item).__name__)
-                self.failed(item)
+                try:
+                    self.failed(item)
+                except Exception:  # the mailbox must be read on, else all that comes after hangs too
+                    logger.exception("{}: could not clear up", self.name)
 
     def receive(self, item: T) -> None:
         raise NotImplementedError
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -30,7 +30,7 @@
 
 HEALTH, CALL_BACK = "/_health", "/v1/job-events"
 MAX_CALL_BACK = 6 * MAX_BODY + 16 * 1024  # a result of full length in which JSON escapes every byte
-MAX_EDGE, MAX_OPEN = 560, 480  # connections, and flows among them: call-backs must still come through
+EDGE, OPEN = 0.55, 0.47  # parts of all sockets: edge connections, and flows on them; call-backs need the rest
 MESSAGE_WITHIN = 10.0  # from a message's first byte to its last, either way
 LINGER = 0.5  # for reading what a client still sends of a request that was turned away
 IDLE_STAYS = 0.5  # after SIGTERM; clients use kept connections until they are closed
@@ -205,11 +205,12 @@
 
     def __init__(
         self, classes: set[str], flows: Flows, module: ModuleActor, clock: Clock, ready: Callable[[], bool],
-        called_back: Callable[[CallBack], None],
+        called_back: Callable[[CallBack], None], sockets: int,
     ) -> None:  # fmt: skip
         super().__init__()
         self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
         self.ready, self.called_back = ready, called_back
+        self.most_edges, self.most_open = int(EDGE * sockets), int(OPEN * sockets)
         self.edges: dict[EdgeConnection, None] = {}
         self.leaving = False
 
@@ -217,7 +218,7 @@
         self.listen(address[1], address[0], backlog=BACKLOG)
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
-        if len(self.edges) >= MAX_EDGE and not self._make_room():
+        if len(self.edges) >= self.most_edges and not self._make_room():
             stream.close()
             return
         edge = EdgeConnection(stream, self)
@@ -243,7 +244,7 @@
         if self.flows.known(flow.id):
             raise BadMessage(400, "a request with this X-Correlation-Id has come already")
         self.flows.add(flow)
-        if self.flows.open > MAX_OPEN:
+        if self.flows.open > self.most_open:
             self.flows.finish(flow, Answer("refused", retry_after=1.0))
             return
         loop = IOLoop.current()
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -19,8 +19,8 @@
 from finchladder.net.module import Clock, Ending, ModuleActor
 
 ROOM = 8192
-IN_USE, IN_USE_EACH = 240, 24  # connections at once; a silent real server must not take those of the rest
-KEPT = 120  # idle connections to all real servers together: most sockets belong to the clients
+IN_USE, KEPT = 0.23, 0.11  # parts of all sockets, for busy and idle connections to the real servers together
+IN_USE_EACH = 24  # a silent real server must not take the connections of the rest
 IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
 ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
 HOP = frozenset({
@@ -270,13 +270,15 @@
     """The actors of all real servers that were ever named and still matter."""
 
     def __init__(
-        self, flows: Flows, module: ModuleActor, clock: Clock, connect_timeout: float, conn_idle: float
-    ) -> None:
+        self, flows: Flows, module: ModuleActor, clock: Clock, connect_timeout: float, conn_idle: float,
+        sockets: int,
+    ) -> None:  # fmt: skip
         self.flows, self.module, self.clock = flows, module, clock
         self.connect_timeout, self.idle_most = connect_timeout, conn_idle * IDLE_PART
         self.actors: dict[str, RealServer] = {}
         self.starts: dict[str, float] = {}
-        self.all_in_use = asyncio.Semaphore(IN_USE)
+        self.all_in_use = asyncio.Semaphore(int(IN_USE * sockets))
+        self.kept = int(KEPT * sockets)
         self.reaper = PeriodicCallback(self._reap, 1000)
 
     def start(self) -> None:
@@ -298,7 +300,7 @@
                 actor.drop_idle(self.clock())  # connections to a process that is no more
             actor.address, self.starts[e.worker] = address, e.born
         for actor in self.actors.values():
-            actor.kept_most = max(1, KEPT // len(self.actors))
+            actor.kept_most = max(1, self.kept // len(self.actors))
         self.module.tell(worker_list)
 
     def _add(self, name: str, address: tuple[str, int]) -> RealServer:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -209,22 +209,40 @@
     assert seen == [api.WorkerList, api.Timer]
 
 
-def test_a_real_server_that_left_the_list_before_the_write_ends_it_as_never_run() -> None:
+@pytest.mark.parametrize("connecting", [False, True])
+def test_a_drain_before_the_write_ends_it_as_never_run(
+    connecting: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def play() -> None:
+        listener = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         flows, told = Flows(), list[object]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        group = servers.RealServers(flows, module, Clock(), 0.3, 30.0)
-        address = {"w1": ("127.0.0.1", 9)}
+        group = servers.RealServers(flows, module, Clock(), 5, 30.0, 128)
+        address = {"w1": listener.sockets[0].getsockname()[:2]}
         group.update(api.WorkerList(api.ListKind.WHOLE, (entry("w1"),)), address)
+
+        def drain() -> None:
+            group.update(api.WorkerList(api.ListKind.PATCH, (entry("w1", api.State.DRAINING),)), address)
+
+        async def connect_late(to: tuple[str, int]) -> http1.Channel:
+            channel = await connect(to)
+            drain()
+            return channel
+
+        connect = http1.connect
+        monkeypatch.setattr(http1, "connect", connect_late)
         scheduling = Scheduling(flow_of(flows, []), 0, "w1", 0.0, 1e12)
         group.schedule(scheduling)
-        group.update(api.WorkerList(api.ListKind.PATCH, (entry("w1", api.State.DRAINING),)), address)
-        await asyncio.sleep(0.01)
+        if not connecting:
+            drain()
+        while not scheduling.ended:
+            await asyncio.sleep(0.01)
         [end] = [t for t in told if isinstance(t, Ending)]
-        assert end.ending is api.Ending.VOID and scheduling.ended
+        assert end.ending is api.Ending.VOID and not scheduling.written
+        listener.close()
 
-    asyncio.run(play())
+    asyncio.run(asyncio.wait_for(play(), 20))
 
 
 def test_a_scheduling_ends_once_and_a_flow_is_answered_once() -> None:
@@ -232,7 +250,7 @@
         flows, told, answers = Flows(), list[object](), list[Answer]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        group = servers.RealServers(flows, module, Clock(), 1, 1)
+        group = servers.RealServers(flows, module, Clock(), 1, 1, 128)
         server = group._add("w1", ("127.0.0.1", 9))
         flow = flow_of(flows, answers)
         scheduling = Scheduling(flow, 0, "w1", 0.0, 1e12)
@@ -245,3 +263,49 @@
         assert flows.known("r1") and not flows.by_id
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("sockets", "kind", "log"), [(128, "failed", ["a flow was overdue"]), (0, "refused", [])]
+)
+def test_a_flow_is_answered_without_the_module(sockets: int, kind: str, log: list[str]) -> None:
+    """At its deadline, should the module never answer; at once, when more are open than sockets allow."""
+
+    async def play() -> None:
+        flows, answers, seen = Flows(), list[Answer](), list[str]()
+        sink = logger.add(seen.append, format="{message}", level="ERROR")
+        module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
+        module.tell = lambda item: None  # type: ignore[method-assign]
+        edge = clients.Clients({"unsafe"}, flows, module, Clock(), lambda: True, lambda c: None, sockets)
+        flow = flow_of(Flows(), answers, Clock()() + 0.02)
+        edge.take(flow)
+        while not answers:
+            await asyncio.sleep(0.01)
+        logger.remove(sink)
+        assert [a.kind for a in answers] == [kind] and not flows.by_id
+        assert [line[: len(want)] for line, want in zip(seen, log, strict=True)] == log
+        with pytest.raises(BadMessage):
+            edge.take(flow)  # its id stays known: what may have run must not run again
+
+    asyncio.run(play())
+
+
+def test_a_scheduling_that_dies_is_loud_and_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(self: servers.RealServer, s: Scheduling) -> None:
+        raise RuntimeError("broken")
+
+    async def play() -> None:
+        flows, told, log = Flows(), list[object](), list[str]()
+        sink = logger.add(log.append, format="{message}")
+        module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
+        module.tell = told.append  # type: ignore[assignment]
+        server = servers.RealServers(flows, module, Clock(), 1, 1, 128)._add("w1", ("127.0.0.1", 9))
+        server.post(Scheduling(flow_of(flows, []), 0, "w1", 0.0, 1e12))
+        while not told:
+            await asyncio.sleep(0.01)
+        logger.remove(sink)
+        assert isinstance(told[0], Ending) and told[0].ending is api.Ending.UNREACHABLE
+        assert any("died on Scheduling" in line for line in log)
+
+    monkeypatch.setattr(servers.RealServer, "_begin", broken)
+    asyncio.run(play())
