A repeated id that is turned away no longer ends the first request with that id

Found on reading clients.py: the edge connection took note of the flow before Clients.take refused it as repeated. When that connection closed, _closed finished a flow that was never in the table: it dropped the first flow of that id from the table, told the module that its client had gone, and counted one open flow too few. A test over a real socket shows it (fails with the two lines in the old order, passes now). A test through the whole program did not show it and was left out: the first client still got its result from the live scheduling. Also: an answer that can't be written in 10 s closes the connection and is not followed by a 408; a watch lost after it stood is logged each time.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -152,8 +152,11 @@
             answer = await self._answer(head, body)
         except BadMessage as e:
             answer = write_response(e.status, f"{e}\n".encode(), close=self._closes(head))
-        async with asyncio.timeout(MESSAGE_WITHIN):  # a client that reads nothing holds no socket for ever
-            await self.channel.write(answer)
+        try:
+            async with asyncio.timeout(MESSAGE_WITHIN):  # a client must read
+                await self.channel.write(answer)
+        except TimeoutError:
+            raise StreamClosedError() from None  # no second answer may follow half of the first
         return not self._closes(head)
 
     def _closes(self, head: Head) -> bool:
@@ -191,8 +194,8 @@
             read_id(head), job_class, key, read_facts(head), head.method, head.target, head.headers, body,
             self.clients.clock() + read_time_left(head), self.box.put_nowait,
         )  # fmt: skip
-        self.flow = flow
         self.clients.take(flow)
+        self.flow = flow  # only once it is taken: this closing must not end another flow with its id
         answer = await self.box.get()
         self.flow = None
         if answer is None or self.channel.stream.closed():
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -100,7 +100,7 @@
         super().__init__("service list", Queue(64))
         self.address, self.apply = address, apply
         self.index = 0
-        self.up = False
+        self.up = self.established = False
 
     def receive(self, news: News) -> None:
         self.apply(news.workers, news.addresses)
@@ -116,6 +116,7 @@
         wait, down = BACKOFF, False
         while True:
             before = self.index
+            self.established = False
             try:
                 await self._watch()
                 why = "ended"
@@ -124,10 +125,10 @@
             except Exception:  # whatever a peer sent, the list must be watched again
                 logger.exception("service list: the watch died")
                 why = "died"
-            if not down or self.index != before:
+            if not down or self.established:
                 logger.warning("service list: watch over ({}), the last list stays in use", why)
             wait = BACKOFF if self.index != before else min(2 * wait, BACKOFF_MOST)
-            down = self.index == before
+            down = True
             await asyncio.sleep(wait)
 
     async def _watch(self) -> None:
@@ -144,6 +145,7 @@
                 head = await channel.head()
             if head.status != 200:
                 raise BadMessage(502, f"discovery answered {head.status}")
+            self.established = True
             lines = Lines()
             while True:
                 for line in lines.feed(channel.parser.take_piece()):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -5,6 +5,7 @@
 
 import pytest
 from loguru import logger
+from tornado.netutil import bind_sockets
 
 from finchladder import Dispatcher, api
 from finchladder.net import clients, http1, servers, service
@@ -12,6 +13,7 @@
 from finchladder.net.http1 import BadMessage, Head, Headers, Parser
 from finchladder.net.module import Clock, Ending, ModuleActor
 from tests.helpers import entry, settings
+from tests.peers import exchange, request
 
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 MESSAGES = [
@@ -290,6 +292,29 @@
     asyncio.run(play())
 
 
+def test_a_repeated_id_that_is_turned_away_leaves_the_first_request_alone() -> None:
+    async def play() -> None:
+        flows, told = Flows(), list[object]()
+        module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
+        module.tell = told.append  # type: ignore[assignment]
+        edge = clients.Clients({"s"}, flows, module, Clock(), lambda: True, lambda c: None, 128)
+        [sock] = bind_sockets(0, "127.0.0.1")
+        edge.add_socket(sock)
+        first = asyncio.create_task(exchange(sock.getsockname()[1], request("a1")))
+        while not told:
+            await asyncio.sleep(0.01)
+        assert (await exchange(sock.getsockname()[1], request("a1"))).status == 400
+        while len(edge.edges) > 1:  # its connection is closed, and that has been seen
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        assert len(told) == 1 and flows.open == 1 and flows.by_id["a1"].answer is None
+        flows.finish(flows.by_id["a1"], Answer("served", b"x"))
+        assert (await first).body == b"x"
+        edge.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 20))
+
+
 def test_a_scheduling_that_dies_is_loud_and_ends(monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(self: servers.RealServer, s: Scheduling) -> None:
         raise RuntimeError("broken")
