--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from typing import NamedTuple
+from urllib.parse import quote
 
 import msgspec
 from loguru import logger
@@ -222,7 +223,8 @@
 
     async def _give_up(self, id: str) -> None:
         async def ask(channel: Channel) -> bool:
-            await channel.write(http1.write_request("DELETE", f"/jobs/{id}", [("Host", self._host())]))
+            path = f"/jobs/{quote(id, safe='')}"  # an id is the client's text: it must not make another path
+            await channel.write(http1.write_request("DELETE", path, [("Host", self._host())]))
             return await self._settle(channel, await channel.head())
 
         try:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from finchladder.__main__ import read_setup
 from tests.peers import (
     HEALTH,
     ROOT,
@@ -136,10 +137,10 @@
     async def play() -> None:
         server, mute = RealServer("w1", accept_only), RealServer("w2", say_nothing)
         async with node(tmp_path, server) as n:
-            assert (await n.ask("a1", "/u/k", left="0.5")).status == 502
+            assert (await n.ask("a/1?", "/u/k", left="0.5")).status == 502
             while not server.deleted:
                 await asyncio.sleep(0.02)
-            assert server.deleted == ["/jobs/a1"]  # after the 202 an attempt is given up by DELETE
+            assert server.deleted == ["/jobs/a%2F1%3F"]  # after the 202 an attempt is given up by DELETE
             await mute.open()
             await n.list(server.entry("gone"), mute.entry())
             assert (await n.ask("a2", "/u/k", left="0.5")).status == 502
@@ -270,6 +271,14 @@
     run(play())
 
 
+def test_the_example_is_a_configuration() -> None:
+    config = str(ROOT / "example" / "config.json")
+    listen = {"NODE_LISTEN": "127.0.0.1:1", "NODE_DISCOVERY": "[::1]:2", "NODE_CONFIG": config}
+    setup = read_setup(listen)
+    assert (setup.caps.connect_timeout_s, setup.settings.classes[1].worth) == (0.12, 10.0)
+    assert (setup.listen, setup.discovery) == (("127.0.0.1", 1), ("::1", 2))
+
+
 @pytest.mark.parametrize(
     "text", ["", "{", "{}", '{"settings":{}}', json.dumps({"settings": SETTINGS, "known": {"index": 1}})]
 )
