SIGHUP rereads the configuration and follows discovery to its new address

Ruled out by reading the exit status: no fault of a handler, for __main__.serve had none (lines 103-104 handled SIGTERM and SIGINT alone). Now the file is read and checked as at the start; unusable, it is logged and the old one stays. The watch goes on at the new address from the version last applied. The file's discovery goes before NODE_DISCOVERY.

--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -43,6 +43,7 @@
     """The file that NODE_CONFIG names."""
 
     settings: msgspec.Raw
+    discovery: str = ""  # goes before NODE_DISCOVERY, which a file written later can't change
     seed: str = ""
     known: msgspec.Raw = msgspec.Raw(b"")
     limits: Limits = msgspec.field(default_factory=Limits)
@@ -61,7 +62,7 @@
 
 def read_setup(env: Mapping[str, str]) -> Setup:
     """ValueError says in one line what can't be used."""
-    for name in ("NODE_LISTEN", "NODE_DISCOVERY", "NODE_CONFIG"):
+    for name in ("NODE_LISTEN", "NODE_CONFIG"):
         if not env.get(name):
             raise ValueError(f"{name} is not set")
     try:
@@ -73,11 +74,14 @@
         raise ValueError("settings: connIdleS and connectTimeoutS must be above 0")
     if file.limits.sockets < LEAST_SOCKETS:
         raise ValueError(f"limits: sockets must be {LEAST_SOCKETS} or more")
+    discovery = file.discovery or env.get("NODE_DISCOVERY")
+    if not discovery:
+        raise ValueError("neither the configuration nor NODE_DISCOVERY names discovery")
     known = bytes(file.known)
     return Setup(
         env.get("NODE_NAME", "dispatcher"),
         parse_address(env["NODE_LISTEN"]),
-        parse_address(env["NODE_DISCOVERY"]),
+        parse_address(discovery),
         int.from_bytes(file.seed.encode(), "big"),
         read_list(known, api.ListKind.STALE) if known not in (b"", b"null") else None,
         read_settings(bytes(file.settings)),
@@ -91,6 +95,17 @@
         logger.opt(exception=record.exc_info).log(record.levelname, record.getMessage())
 
 
+def reread(env: Mapping[str, str], service: ServiceActor) -> None:
+    """What SIGHUP asks for: the file's discovery is followed, all else holds from the next start."""
+    try:
+        discovery = read_setup(env).discovery
+    except (ValueError, RecursionError) as e:
+        logger.error("SIGHUP: {}; what was read before stays in force", " ".join(str(e).split()))
+        return
+    logger.info("SIGHUP: discovery is at {}:{}", *discovery)
+    service.follow(discovery)
+
+
 async def serve(setup: Setup) -> None:
     loop = asyncio.get_running_loop()
     left = asyncio.Event()
@@ -111,6 +126,8 @@
     if setup.known is not None:
         service.post(setup.known)
     service.start()
+    # a SIGHUP with nobody to handle it would end the process, and with it all open flows
+    loop.add_signal_handler(signal.SIGHUP, reread, os.environ, service)
     logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
     await left.wait()
     logger.info("{}: leaving", setup.name)
@@ -124,6 +141,7 @@
 
 
 def main() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     try:
         setup = read_setup(os.environ)
     except ValueError as e:
--- a/finchladder/net/actor.py
+++ b/finchladder/net/actor.py
@@ -28,10 +28,11 @@
     def post(self, item: T) -> None:
         self.box.put_nowait(item)
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work, name=self.name)
         self.tasks.add(task)
         task.add_done_callback(self._over)
+        return task
 
     def _over(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -101,6 +101,7 @@
         self.address, self.apply = address, apply
         self.index = 0
         self.up = self.established = False
+        self.watching: asyncio.Task[None]
 
     def receive(self, news: News) -> None:
         self.apply(news.workers, news.addresses)
@@ -110,7 +111,15 @@
 
     def start(self) -> None:
         super().start()
-        self.spawn(self._watch_on())
+        self.watching = self.spawn(self._watch_on())
+
+    def follow(self, address: tuple[str, int]) -> None:
+        """Watches at another address from the version last applied; the list stays in use meanwhile."""
+        if address != self.address:
+            self.address = address
+            # whatever the old watch waits for, a silent connection or the next try, must not delay the new
+            self.watching.cancel()
+            self.watching = self.spawn(self._watch_on())
 
     async def _watch_on(self) -> None:
         wait, down = BACKOFF, False
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -141,8 +141,10 @@
 
 
 class Node:
-    def __init__(self, port: int, process: asyncio.subprocess.Process, discovery: Discovery) -> None:
-        self.port, self.process, self.discovery = port, process, discovery
+    def __init__(
+        self, port: int, process: asyncio.subprocess.Process, discovery: Discovery, config: Path
+    ) -> None:
+        self.port, self.process, self.discovery, self.config = port, process, discovery, config
 
     async def ask(self, *args: Any, **more: Any) -> Message:
         return await exchange(self.port, request(*args, **more))
@@ -184,7 +186,7 @@
             await asyncio.sleep(0.05)
         while not discovery.watches:
             await asyncio.sleep(0.02)
-        yield Node(free.port, process, discovery)
+        yield Node(free.port, process, discovery, config)
     finally:
         if process.returncode is None:
             process.kill()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,6 +15,7 @@
     HEALTH,
     ROOT,
     SETTINGS,
+    Discovery,
     Message,
     RealServer,
     exchange,
@@ -271,6 +272,39 @@
     run(play())
 
 
+def test_sighup_follows_discovery_to_its_new_address_and_harms_no_open_flow(tmp_path: Path) -> None:
+    async def play() -> None:
+        server, late = RealServer("w1", accept_only), RealServer("w2")
+        await late.open()
+        async with node(tmp_path, server) as n:
+            late.node = n.port
+            flow = asyncio.create_task(n.ask("a1", left="20"))
+            while not server.got:
+                await asyncio.sleep(0.02)
+            file, new = json.loads(n.config.read_text()), Discovery()
+            await new.open()
+            new.first = list_line(7, [late.entry()], True)
+            for text in ("{", json.dumps(file | {"discovery": "nowhere"})):  # unusable: the old one stays
+                n.config.write_text(text)
+                n.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.2)
+            await n.list(server.entry(), index=5)
+            assert not new.asked
+            n.config.write_text(json.dumps(file | {"discovery": f"127.0.0.1:{new.port}"}))
+            n.process.send_signal(signal.SIGHUP)
+            while not new.asked:
+                await asyncio.sleep(0.02)
+            assert new.asked == ["/catalog/members?stream=1&index=5"]  # from the version last applied
+            assert (await n.ask("a2")).body == b"w2 ran a2"
+            assert await server.call_back("a1", state="done", result="a1") == 204
+            assert (await flow).body == b"a1"
+            n.discovery.watches[-1].write(b"0\r\n\r\n")  # nobody listens to the old one
+            await asyncio.sleep(0.2)
+            assert (n.process.returncode, len(new.asked)) == (None, 1)
+
+    run(play())
+
+
 def test_the_example_is_a_configuration() -> None:
     config = str(ROOT / "example" / "config.json")
     listen = {"NODE_LISTEN": "127.0.0.1:1", "NODE_DISCOVERY": "[::1]:2", "NODE_CONFIG": config}
