Edge connections are counted as they come, and those of least use make room for others

Cause, read and held against the descriptor count: Clients._make_room closed an edge that stayed in the table until its coroutine had run on, so all 128 connections accepted in one turn of the loop 'made room' by closing the same one; and handle_stream, a coroutine, was not counted before the next turn. Now counting and closing are done on the spot.

--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -21,7 +21,7 @@
 from finchladder.net.service import News, ServiceActor, read_list
 from finchladder.settings import read_settings
 
-LEAST_SOCKETS, MOST_SOCKETS = 128, 1024
+LEAST_SOCKETS, MOST_SOCKETS, LEAST_MEMORY = 128, 1024, 32
 
 
 class Caps(msgspec.Struct, rename="camel"):
@@ -37,6 +37,7 @@
 
 class Limits(msgspec.Struct):
     sockets: int = 1024
+    memory_mb: int = 192
 
 
 class File(msgspec.Struct):
@@ -57,7 +58,7 @@
     known: News | None
     settings: api.Settings
     caps: Caps
-    sockets: int
+    limits: Limits
 
 
 def read_setup(env: Mapping[str, str]) -> Setup:
@@ -72,8 +73,8 @@
         raise ValueError(f"{env['NODE_CONFIG']}: {e}") from None
     if caps.conn_idle_s <= 0 or caps.connect_timeout_s <= 0:
         raise ValueError("settings: connIdleS and connectTimeoutS must be above 0")
-    if file.limits.sockets < LEAST_SOCKETS:
-        raise ValueError(f"limits: sockets must be {LEAST_SOCKETS} or more")
+    if file.limits.sockets < LEAST_SOCKETS or file.limits.memory_mb < LEAST_MEMORY:
+        raise ValueError(f"limits: {LEAST_SOCKETS} sockets and {LEAST_MEMORY} MB are the least")
     discovery = file.discovery or env.get("NODE_DISCOVERY")
     if not discovery:
         raise ValueError("neither the configuration nor NODE_DISCOVERY names discovery")
@@ -86,7 +87,7 @@
         read_list(known, api.ListKind.STALE) if known not in (b"", b"null") else None,
         read_settings(bytes(file.settings)),
         caps,
-        min(file.limits.sockets, MOST_SOCKETS),
+        file.limits,
     )
 
 
@@ -112,14 +113,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, left.set)
     clock, flows = Clock(), Flows()
+    sockets = min(setup.limits.sockets, MOST_SOCKETS)
     module = ModuleActor(Dispatcher(setup.settings, setup.seed), flows, clock)
-    servers = RealServers(
-        flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s, setup.sockets
-    )
+    servers = RealServers(flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s, sockets)
     module.carrier = servers
     service = ServiceActor(setup.discovery, servers.update)
     classes = {c.name for c in setup.settings.classes}
-    clients = Clients(classes, flows, module, clock, lambda: service.up, servers.called_back, setup.sockets)
+    memory = setup.limits.memory_mb
+    clients = Clients(classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory)
     clients.listen_on(setup.listen)
     module.start()
     servers.start()
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -17,6 +17,7 @@
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import (
     MAX_BODY,
+    PIECE,
     BadMessage,
     Channel,
     Head,
@@ -30,13 +31,18 @@
 
 HEALTH, CALL_BACK = "/_health", "/v1/job-events"
 MAX_CALL_BACK = 6 * MAX_BODY + 16 * 1024  # a result of full length in which JSON escapes every byte
-EDGE, OPEN = 0.55, 0.47  # parts of all sockets: edge connections, and flows on them; call-backs need the rest
-MESSAGE_WITHIN = 10.0  # from a message's first byte to its last, either way
+EDGE, OPEN = 0.55, 1 / 3  # parts of all sockets: edge connections, and flows; call-backs need the rest
+BODIES = 0.25  # part of the memory for the bodies of what is being read or is open
+FIRST_WITHIN = 2.0  # from a connection's start to its first message's last byte; 3 s are owed
+MESSAGE_WITHIN = 2.0  # from a message's first byte to its last
+ANSWER_WITHIN = 10.0  # a client must read
+YOUNG = 0.25  # whoever has connected since may be about to send, and is not closed to make room for others
 LINGER = 0.5  # for reading what a client still sends of a request that was turned away
 IDLE_STAYS = 0.5  # after SIGTERM; clients use kept connections until they are closed
 JUST_CAME = 0.25
 LEAVE_AFTER = 1.0
 BACKLOG = 1024
+NEW, ASKED, OF_USE = 0, 1, 2  # an edge connection's worth: it has carried nothing yet, a question, a job
 
 _ID = re.compile(r"[!-~]{1,128}")
 _TIME_LEFT = re.compile(r"[0-9]{1,6}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
@@ -117,6 +123,8 @@
         self.flow: Flow | None = None
         self.busy = False  # between a message's first byte and its answer's last
         self.calls_back = False
+        self.worth = NEW
+        self.held = 0  # bytes that the body being read or worked on may take
         self.since = clients.clock()
         stream.set_close_callback(self._closed)
 
@@ -129,31 +137,38 @@
 
     async def serve(self) -> None:
         try:
-            while await self._one():
-                pass
+            async with asyncio.timeout(FIRST_WITHIN):
+                message = await self._read()
+            while await self._work(*message):
+                message = await self._read()
         except BadMessage as e:
             await self._turn_away(e)
         except TimeoutError:
-            await self._turn_away(BadMessage(408, "the request took too long to come"))
+            if self.busy:  # a connection on which nothing came is closed without a word
+                await self._turn_away(BadMessage(408, "the request took too long to come"))
         except (StreamClosedError, OSError):
             pass
         finally:
             self.channel.close()
 
-    async def _one(self) -> bool:
-        parser = self.channel.parser
-        if not parser.begun:
+    async def _read(self) -> tuple[Head, bytes]:
+        self.clients.hold(self, 0)
+        if not self.channel.parser.begun:
             self.busy, self.since = False, self.clients.clock()
+            self.clients.may_close(self)
             await self.channel.fill()
         self.busy = True
         async with asyncio.timeout(MESSAGE_WITHIN):
-            head, body = await self.channel.message()
+            head = await self.channel.head()
+            self.clients.hold(self, self.channel.parser.most)
+            message = head, (await self.channel.message())[1]
+        self.clients.may_not_close(self)
+        return message
+
+    async def _work(self, head: Head, body: bytes) -> bool:
+        answer = await self._answer(head, body)
         try:
-            answer = await self._answer(head, body)
-        except BadMessage as e:
-            answer = write_response(e.status, f"{e}\n".encode(), close=self._closes(head))
-        try:
-            async with asyncio.timeout(MESSAGE_WITHIN):  # a client must read
+            async with asyncio.timeout(ANSWER_WITHIN):
                 await self.channel.write(answer)
         except TimeoutError:
             raise StreamClosedError() from None  # no second answer may follow half of the first
@@ -163,9 +178,16 @@
         return not head.keeps or (self.clients.leaving and not self.calls_back)
 
     async def _turn_away(self, e: BadMessage) -> None:
-        """Bytes that were never read would turn the closing into a reset that overtakes the answer."""
+        """Bytes that were never read would turn the closing into a reset that overtakes the answer.
+
+        The connection is closed: whoever sends again as soon as it is turned away has to connect again.
+        """
+        self.worth = NEW
+        self.clients.hold(self, 0)
+        self.clients.may_close(self)
+        fields = ("Allow: POST",) if e.status == 405 else ()
         try:
-            await self.channel.write(write_response(e.status, f"{e}\n".encode(), close=True))
+            await self.channel.write(write_response(e.status, f"{e}\n".encode(), fields, close=True))
             async with asyncio.timeout(LINGER):
                 for _ in range(64):
                     await self.channel.stream.read_bytes(65536, partial=True)
@@ -177,11 +199,13 @@
         if path == CALL_BACK:
             self.calls_back = True
             if head.method != "POST":
-                return write_response(405, b"", ("Allow: POST",), self._closes(head))
+                raise BadMessage(405, "call-backs come by POST")
             self.clients.called_back(read_call_back(body))
+            self.worth = OF_USE
             return write_response(204, close=self._closes(head))
         if path == HEALTH:
             up = self.clients.ready() and not self.clients.leaving
+            self.worth = max(self.worth, ASKED)
             return write_response(
                 200 if up else 503, b"up\n" if up else b"not up\n", close=self._closes(head)
             )
@@ -189,7 +213,9 @@
         if job_class not in self.clients.classes:
             raise BadMessage(404, "no such class")
         if head.method != "POST":
-            return write_response(405, b"", ("Allow: POST",), self._closes(head))
+            raise BadMessage(405, "jobs come by POST")
+        if self.channel.parser.more:  # what follows unasked may be a request hidden in this one's body
+            raise BadMessage(400, "one request at a time")
         flow = Flow(
             read_id(head), job_class, key, read_facts(head), head.method, head.target, head.headers, body,
             self.clients.clock() + read_time_left(head), self.box.put_nowait,
@@ -198,6 +224,7 @@
         self.flow = flow  # only once it is taken: this closing must not end another flow with its id
         answer = await self.box.get()
         self.flow = None
+        self.worth = OF_USE if answer is not None and answer.kind == "served" else max(self.worth, ASKED)
         if answer is None or self.channel.stream.closed():
             raise StreamClosedError()
         return write_answer(answer, self._closes(head))
@@ -208,39 +235,78 @@
 
     def __init__(
         self, classes: set[str], flows: Flows, module: ModuleActor, clock: Clock, ready: Callable[[], bool],
-        called_back: Callable[[CallBack], None], sockets: int,
+        called_back: Callable[[CallBack], None], sockets: int, memory_mb: int,
     ) -> None:  # fmt: skip
-        super().__init__()
+        super().__init__(max_buffer_size=4 * PIECE)
         self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
         self.ready, self.called_back = ready, called_back
         self.most_edges, self.most_open = int(EDGE * sockets), int(OPEN * sockets)
-        self.edges: dict[EdgeConnection, None] = {}
+        self.room = int(BODIES * memory_mb * 1024 * 1024)
+        self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
+        # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
+        self.waiting: tuple[dict[EdgeConnection, None], ...] = ({}, {}, {})
         self.leaving = False
 
     def listen_on(self, address: tuple[str, int]) -> None:
         self.listen(address[1], address[0], backlog=BACKLOG)
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
+    def handle_stream(self, stream: IOStream, address: object) -> None:
+        """Counts at once, as many connections come in one turn of the loop: a count that lags runs over."""
         if len(self.edges) >= self.most_edges and not self._make_room():
             stream.close()
             return
         edge = EdgeConnection(stream, self)
-        self.edges[edge] = None
+        self.edges[edge] = asyncio.get_running_loop().create_task(self._serve(edge))
+        self.may_close(edge)
+
+    async def _serve(self, edge: EdgeConnection) -> None:
         try:
             await edge.serve()
         except Exception:
             logger.exception("an edge connection died")
             edge.channel.close()
         finally:
-            del self.edges[edge]
+            self._drop(edge)
+
+    def _drop(self, edge: EdgeConnection) -> None:
+        self.hold(edge, 0)
+        self.may_not_close(edge)
+        self.edges.pop(edge, None)
+
+    def may_close(self, edge: EdgeConnection) -> None:
+        if edge in self.edges:
+            self.may_not_close(edge)
+            self.waiting[edge.worth][edge] = None
+
+    def may_not_close(self, edge: EdgeConnection) -> None:
+        for edges in self.waiting:
+            edges.pop(edge, None)
+
+    def hold(self, edge: EdgeConnection, size: int) -> None:
+        """Reserves memory for a body before it is read; many at once must not pass the memory limit."""
+        self.room += edge.held - size
+        edge.held = size
+        if self.room < 0:
+            raise BadMessage(503, "too much is being sent at once")
 
     def _make_room(self) -> bool:
-        """The connection idle for longest is closed; a client may not hold sockets that others need."""
-        idle = [e for e in self.edges if not e.busy]
-        if not idle:
-            logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
-            return False
-        min(idle, key=lambda e: e.since).channel.close()
+        """Closes the connection of least use that waits for longest: none may hold what others need."""
+        now = self.clock()
+        for edges in self.waiting:
+            for edge in edges:
+                if now < edge.since + YOUNG:
+                    break  # the rest came later still
+                if edge.channel.quiet():
+                    return self._close(edge)
+        for edge in (e for edges in self.waiting for e in edges):
+            if edge.channel.quiet():
+                return self._close(edge)
+        logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
+        return False
+
+    def _close(self, edge: EdgeConnection) -> bool:
+        edge.channel.close()
+        self._drop(edge)
         return True
 
     def take(self, flow: Flow) -> None:
@@ -268,7 +334,7 @@
         await asyncio.sleep(IDLE_STAYS)
         while True:
             busy = [e for e in self.edges if e.busy]
-            for edge in self.edges:
+            for edge in list(self.edges):
                 # one just accepted is not idle: a call-back, and a result in it, may be on its way
                 if not edge.busy and not edge.calls_back and self.clock() > edge.since + JUST_CAME:
                     edge.channel.close()
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -7,18 +7,24 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-MAX_HEAD = 16 * 1024
+MAX_HEAD = 8 * 1024
+MAX_FIELDS = 64
 MAX_BODY = 64 * 1024
 PIECE = 64 * 1024
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
     405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+    431: "Request Header Fields Too Large",
     500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 
-_REQUEST = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
+# what is passed on must be readable to the strictest peer: a path of RFC 3986, fields of visible ASCII
+_REQUEST = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) (/(?:[\w.~:/?@!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*) HTTP/1\.([01])", re.ASCII
+)
 _STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
-_FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*")
+_FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)")
+_PLAIN = re.compile(r"[\t -~]*")
 _LENGTH = re.compile(r"[0-9]{1,15}")
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
 
@@ -45,8 +51,8 @@
         values = self.all(name)
         return values[0] if len(values) == 1 else None
 
-    def lists(self, name: str, word: str) -> bool:
-        return any(word == part.strip().lower() for v in self.all(name) for part in v.split(","))
+    def words(self, name: str) -> set[str]:
+        return {part.strip().lower() for v in self.all(name) for part in v.split(",")}
 
 
 class Head(NamedTuple):
@@ -60,18 +66,19 @@
 
     @property
     def keeps(self) -> bool:
-        if self.headers.lists("connection", "close"):
-            return False
-        return self.minor == 1 or self.headers.lists("connection", "keep-alive")
+        words = self.headers.words("connection")
+        return "close" not in words and (self.minor == 1 or "keep-alive" in words)
 
 
 def _headers(lines: list[bytes]) -> Headers:
+    if len(lines) > MAX_FIELDS:
+        raise BadMessage(431, "too many header fields")
     fields = []
     for line in lines:
         m = _FIELD.fullmatch(line)
         if m is None:
             raise BadMessage(400, "malformed header field")
-        fields.append((m[1].decode("ascii"), m[2].decode("latin-1")))
+        fields.append((m[1].decode("ascii"), m[2].decode("latin-1").strip(" \t")))
     return Headers(fields)
 
 
@@ -80,7 +87,10 @@
     m = _REQUEST.fullmatch(start)
     if m is None:
         raise BadMessage(400, "malformed request line")
-    return Head(int(m[3]), _headers(lines), m[1].decode(), m[2].decode())
+    headers = _headers(lines)
+    if not all(_PLAIN.fullmatch(value) for _, value in headers.fields):
+        raise BadMessage(400, "a header field holds what is not visible ASCII")
+    return Head(int(m[3]), headers, m[1].decode(), m[2].decode())
 
 
 def parse_response(head: bytes) -> Head:
@@ -100,7 +110,7 @@
         self.until_close = False
         self.left = 0
         self.trailer = False
-        if codings and (lengths or [c.lower() for c in codings] != ["chunked"]):
+        if codings and (lengths or not head.minor or [c.lower() for c in codings] != ["chunked"]):
             raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
         if lengths:
             length = lengths.pop()
@@ -165,6 +175,18 @@
     def begun(self) -> bool:
         return bool(self.buffer or self.head)
 
+    @property
+    def most(self) -> int:
+        """The bytes that the body of the head just taken may need."""
+        if self.head is None or self.body is None or self.body.done:
+            return 0
+        return self.limit(self.head) if self.body.chunked else self.body.left
+
+    @property
+    def more(self) -> bool:
+        """Whether the peer went on after the message that was taken last; an empty line is nothing."""
+        return bool(self.buffer.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> None:
         self.buffer += data
 
@@ -177,7 +199,7 @@
         end = self.buffer.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
         if end < 0:
             if len(self.buffer) > MAX_HEAD:
-                raise BadMessage(400, "head too long")
+                raise BadMessage(431, "head too long")
             return None
         head = self.parse(bytes(self.buffer[:end]))
         self.body = Body(head)
@@ -223,7 +245,7 @@
     async def message(self) -> tuple[Head, bytes]:
         invited = False
         while (message := self.parser.poll()) is None:
-            if not invited and (head := self.parser.head) and head.headers.lists("expect", "100-continue"):
+            if not invited and (head := self.parser.head) and "100-continue" in head.headers.words("expect"):
                 invited = True
                 await self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             await self.fill()
@@ -234,14 +256,16 @@
 
     def usable(self) -> bool:
         """Whether a kept connection still stands: what the peer sent while it was idle ends it."""
-        if self.stream.closed() or self.parser.begun:
-            return False
+        return not (self.stream.closed() or self.parser.begun) and self.quiet()
+
+    def quiet(self) -> bool:
+        """Whether nothing has come that was not yet read, not even the other side's end."""
         try:
             self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
         except OSError:
-            return False
+            pass
         return False
 
     def close(self) -> None:
@@ -296,6 +320,6 @@
 
 
 __all__ = [
-    "MAX_BODY", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "StreamClosedError", "connect",
-    "parse_address", "parse_request", "parse_response", "write_request", "write_response",
+    "MAX_BODY", "PIECE", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "StreamClosedError",
+    "connect", "parse_address", "parse_request", "parse_response", "write_request", "write_response",
 ]  # fmt: skip
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -192,7 +192,8 @@
 
     def _request(self, s: Scheduling) -> bytes:
         flow = s.flow
-        fields = [(n, v) for n, v in flow.headers.fields if n.lower() not in HOP]
+        dropped = HOP | flow.headers.words("connection")
+        fields = [(n, v) for n, v in flow.headers.fields if n.lower() not in dropped]
         fields += [("Host", self._host()), ("X-Time-Left", f"{max(0.0, s.until - self.clock()):.3f}")]
         return http1.write_request(flow.method, flow.target, fields, flow.body)
 
