A request that took too long is answered 408 and closed, without a second read

Cause: the read that the time limit had cancelled still stands in the stream, and _turn_away began another to linger. The test now reads the program's log.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -188,6 +188,8 @@
         fields = ("Allow: POST",) if e.status == 405 else ()
         try:
             await self.channel.write(write_response(e.status, f"{e}\n".encode(), fields, close=True))
+            if self.channel.stream.reading():  # given up when its time was over: no other read may begin
+                return
             async with asyncio.timeout(LINGER):
                 for _ in range(64):
                     await self.channel.stream.read_bytes(65536, partial=True)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -175,7 +175,9 @@
         "NODE_DISCOVERY": f"127.0.0.1:{discovery.port}",
         "NODE_CONFIG": str(config),
     }
-    process = await asyncio.create_subprocess_exec(sys.executable, "-m", "finchladder", env=env, cwd=ROOT)
+    with (tmp_path / "log").open("wb") as log:
+        command = (sys.executable, "-m", "finchladder")
+        process = await asyncio.create_subprocess_exec(*command, env=env, cwd=ROOT, stderr=log)
     try:
         while True:
             try:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -249,6 +249,7 @@
             assert (await n.ask("a1")).status == 200
             assert (await n.ask("a1")).status == 400  # the same id again
             assert len(server.got) == 1
+            assert " died" not in (tmp_path / "log").read_text()
 
     run(play())
 
