A kept connection that proves dead halves the idle time at which others are still used

Ruled out: deaths (the same servers serve on) and a closing that could be seen (usable() peeks right before each use). Cause: RealServer._kept trusts 0.6 x connIdleS whatever the sockets have shown.

--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -232,6 +232,7 @@
 
     def __init__(self, stream: IOStream, parser: Parser) -> None:
         self.stream, self.parser = stream, parser
+        self.idle = 0.0  # how long it was kept before its present use
         stream.set_nodelay(True)
 
     async def fill(self) -> None:
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -22,6 +22,7 @@
 ROOM = 8192
 IN_USE, KEPT = 0.23, 0.11  # parts of all sockets, for busy and idle connections to the real servers together
 IN_USE_EACH = 24  # a silent real server must not take the connections of the rest
+RELEARN = 30.0  # without a kept connection found dead, for it to be trusted twice as long again
 IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
 ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
 HOP = frozenset({
@@ -73,6 +74,27 @@
 CALL_BACK_ENDS = {"done": E.OK, "failed": E.ERROR, "returned": E.OVERLOADED, "lost": E.BROKEN}
 
 
+class Trust:
+    """How long an idle connection may still be used.
+
+    Some machine on the way may drop idle connections long before the time in the settings, and says so only
+    when the next request comes: that one ends as a reset, and may not be sent again. So each such end halves
+    the idle time at which a connection is still used.
+    """
+
+    def __init__(self, most: float, clock: Clock) -> None:
+        self.most, self.clock = most, clock
+        self.value, self.since = most, clock()
+
+    def lost(self, idle: float) -> None:
+        self.value, self.since = min(self.value, idle / 2), self.clock()
+
+    def __call__(self) -> float:
+        if self.value < self.most and self.clock() > self.since + RELEARN:
+            self.value, self.since = min(self.most, 2 * max(self.value, 0.05)), self.clock()
+        return self.value
+
+
 class NotReady(Exception):
     """The real server drains or is gone since the module named it."""
 
@@ -80,12 +102,12 @@
 class RealServer(Actor[Scheduling | Withdrawal | CallBack]):
     def __init__(
         self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, clock: Clock,
-        connect_timeout: float, idle_most: float, all_in_use: asyncio.Semaphore,
+        connect_timeout: float, trust: Trust, all_in_use: asyncio.Semaphore,
     ) -> None:  # fmt: skip
         super().__init__(f"real server {name}", Queue(ROOM))
         self.server, self.address = name, address
         self.flows, self.module, self.clock = flows, module, clock
-        self.connect_timeout, self.idle_most = connect_timeout, idle_most
+        self.connect_timeout, self.trust = connect_timeout, trust
         self.ready = True
         self.live: dict[str, Scheduling] = {}
         self.idle: list[tuple[Channel, float]] = []
@@ -171,7 +193,12 @@
             except StreamClosedError:
                 s.written = False
                 raise
-            head = await channel.head()
+            try:
+                head = await channel.head()
+            except StreamClosedError:
+                if channel.idle and not s.ended:  # not closed from this side
+                    self.trust.lost(channel.idle)
+                raise
         finally:
             s.channel = None
         ending = outcome(head)
@@ -257,7 +284,8 @@
     def _kept(self) -> Channel | None:
         while self.idle:
             channel, since = self.idle.pop()
-            if self.clock() - since < self.idle_most and channel.usable():
+            channel.idle = self.clock() - since
+            if channel.idle < self.trust() and channel.usable():
                 return channel
             channel.close()
         return None
@@ -277,7 +305,7 @@
         sockets: int,
     ) -> None:  # fmt: skip
         self.flows, self.module, self.clock = flows, module, clock
-        self.connect_timeout, self.idle_most = connect_timeout, conn_idle * IDLE_PART
+        self.connect_timeout, self.trust = connect_timeout, Trust(conn_idle * IDLE_PART, clock)
         self.actors: dict[str, RealServer] = {}
         self.starts: dict[str, float] = {}
         self.all_in_use = asyncio.Semaphore(int(IN_USE * sockets))
@@ -309,7 +337,7 @@
     def _add(self, name: str, address: tuple[str, int]) -> RealServer:
         actor = self.actors[name] = RealServer(
             name, address, self.flows, self.module, self.clock,
-            self.connect_timeout, self.idle_most, self.all_in_use,
+            self.connect_timeout, self.trust, self.all_in_use,
         )  # fmt: skip
         actor.start()
         return actor
@@ -333,7 +361,7 @@
     def _reap(self) -> None:
         now = self.clock()
         for name, actor in list(self.actors.items()):
-            actor.drop_idle(now - self.idle_most if actor.ready else now)
+            actor.drop_idle(now - self.trust() if actor.ready else now)
             if not (actor.ready or actor.live or actor.busy or actor.box.qsize()):
                 actor.stop()
                 del self.actors[name]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -167,6 +167,29 @@
     run(play())
 
 
+def test_a_kept_connection_that_proves_dead_is_a_lesson_for_the_rest(tmp_path: Path) -> None:
+    """A path that drops idle connections shows it only when the next request is reset."""
+
+    class Forgetful(RealServer):
+        async def handle(self, message: Message, writer: asyncio.StreamWriter) -> None:
+            if writer in used:
+                return writer.transport.abort()
+            used.add(writer)
+            await super().handle(message, writer)
+
+    used = set[asyncio.StreamWriter]()
+
+    async def play() -> None:
+        async with node(tmp_path, Forgetful("w1")) as n:
+            answers = []
+            for i in range(8):
+                answers.append((await n.ask(f"a{i}", "/u/k")).status)
+                await asyncio.sleep(0.2)
+            assert answers == [200, 502] + [200] * 6
+
+    run(play())
+
+
 @pytest.mark.parametrize("status", ["draining", "gone"])
 def test_nothing_new_goes_to_a_real_server_that_drains_or_is_gone(tmp_path: Path, status: str) -> None:
     async def play() -> None:
