At equal load the candidate in the dispatcher's own zone is named second, and so wins the tie

Two thirds of the sends crossed zones at a price of 0.04; loads are small whole numbers, so ties are common. Strictly lower load wins as before.

--- a/finchladder/policy.py
+++ b/finchladder/policy.py
@@ -201,13 +201,17 @@
             for pair in self._pairs(pool, job.key):
                 able = [w for w in pair if self._permitted(job, w)]
                 found = found or bool(able)
-                able = [w for w in able if self._under_t(w)]
+                able = sorted((w for w in able if self._under_t(w)), key=self._is_near)
                 if able:
                     return able[0] if able[0].load < able[-1].load else able[-1]
             if found:
                 return None  # worth waiting for: anywhere else it would fetch
         able = [w for w in pool.sample() if self._under_t(w) and self._permitted(job, w)]
-        return min(able, key=lambda w: w.load, default=None)
+        return min(able, key=lambda w: (w.load, not self._is_near(w)), default=None)
+
+    def _is_near(self, w: Worker) -> bool:
+        """In this dispatcher's zone: of two alike, the one that costs no crossing."""
+        return w.zone == self.s.zone
 
     def _pairs(self, pool: Pool, key: int) -> list[list[Worker]]:
         """The key's pair, then the pair next on its rings; a hot key has as many homes as its traffic needs.
