--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -25,6 +25,17 @@
     assert sent[0].worker == pair_of(b, key)[1]
 
 
+def test_a_tie_goes_to_the_candidate_in_the_own_zone() -> None:
+    """Each crossing has its price; strictly lower load still wins."""
+    for near in range(2):
+        b = Bench(workers(8), zone="here")
+        pair = pair_of(b, key := key_with_pair(b, 2))
+        b.patch(entry(pair[near], zone="here"))
+        assert [b.ask(key=key)[1][0].worker for _ in range(2)] == [pair[near], pair[1 - near]]
+        b.patch(*(entry(w, zone="here" if w == "w3" else "") for w in workers(8)))
+        assert b.ask()[1][0].worker == "w3" or b.d.workers["w3"].load
+
+
 def test_strictly_lower_load_wins() -> None:
     b = Bench(workers(8))
     key = key_with_pair(b, 2)
