--- a/finchladder/policy.py
+++ b/finchladder/policy.py
@@ -14,7 +14,7 @@
 
 from finchladder.api import (
     Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
-    PeerMessage, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
+    PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
     WorkerEntry, WorkerList,
 )  # fmt: skip
 from finchladder.pool import SAMPLE, Pool
@@ -24,6 +24,9 @@
 HOT_MIN = 50.0  # requests seen before a key's share of them is believed
 T_START = 2.0  # threshold t before anything is known of a worker
 SICK = 0.5  # ejected when the moving share of bad endings passes this
+SUSPECT = 0.15  # above this it gets no job that may not be repeated: what fails there is lost for good
+BACK = 0.4  # the share after a trial that went well: one good ending is no proof yet
+STALL = 3.0  # of the shortest aim: a job that waits so long at a silent worker is taken elsewhere
 EJECT_SHARE = 0.5  # more sick workers than this share of the ready: the signal is wrong, not the fleet
 COLD_SHARE = 0.3  # part of the cold rule's allowance that is used; the rest is for skew and stale views
 FETCH = 2.0  # a first job of a key counts as so many mean jobs more: the worker must fetch what it needs
@@ -57,8 +60,10 @@
         self.s = settings
         self.random = Random(seed)
         self.classes = {c.name: c for c in settings.classes}
+        self.spares_unsafe = any(c.effect is not Effect.UNSAFE for c in settings.classes)
         self.sweep = min(c.aim for c in settings.classes) / SWEEPS
         self.start_grace = START_GRACE * self.sweep * SWEEPS
+        self.stall = STALL * self.sweep * SWEEPS
         self.run = {c.name: c.aim for c in settings.classes}  # mean running time, learned
         self.workers: dict[str, Worker] = {}
         self.pools: dict[str | None, Pool] = {}
@@ -80,7 +85,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
             Timer: self._on_timer, WorkerList: self._on_list, ClientGone: self._on_gone,
-            PeerMessage: self._on_peer,
+            PeerMessage: self._on_peer, Progress: self._on_progress,
         }  # fmt: skip
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -109,10 +114,14 @@
         attempt = self._attempt(e.request, e.attempt)
         if attempt is None or attempt.started is not None:
             return
-        attempt.started = self.now
+        attempt.started = attempt.worker.heard = self.now
         attempt.worker.unstarted.pop(attempt, None)
         self._learn_delay(attempt.worker, self.now - attempt.sent > self.start_grace)
 
+    def _on_progress(self, e: Progress) -> None:
+        if (attempt := self._attempt(e.request, e.attempt)) is not None:
+            attempt.worker.heard = self.now
+
     def _on_ended(self, e: Ended) -> None:
         job = self.jobs.get(e.request)
         attempt = self._attempt(e.request, e.attempt)
@@ -146,6 +155,8 @@
             late = self.now >= job.deadline - (SCAN + 1) * self.sweep - 2 * self.s.tick
             if not job.done and (late or (not job.out and self._hopeless(job))):
                 self._give_up(job)
+            elif not job.done and self.s.tells_start and self.s.may_cancel:
+                self._unstall(job)
         self.held = {n: self.held[n] for n in sorted(self.held, key=self._rank, reverse=True)}
         self._learn_warm_rate()
         self._count_tenants()
@@ -233,6 +244,18 @@
             return self.now - next(iter(w.unstarted.values())) <= self.start_grace
         return True
 
+    def _unstall(self, job: Job) -> None:
+        """A silent machine keeps its jobs to the end; one that may be repeated is taken elsewhere.
+
+        A busy machine is not silent: it tells of other jobs meanwhile.
+        """
+        a = job.attempts[-1] if job.out == 1 else None
+        if a is None or a.started or a.stalled or self.now <= max(a.sent, a.worker.heard) + self.stall:
+            return
+        if job.cls.effect is Effect.SAFE and self._resend_allowed(job):
+            a.stalled = True
+            self.actions.append(Cancel(job.id, len(job.attempts) - 1))
+
     def _hopeless(self, job: Job) -> bool:
         """Held past its aim, so that it could hardly be in time any more, or not allowed to be sent again."""
         return self.now > job.arrived + job.cls.aim or not self._resend_allowed(job)
@@ -243,7 +266,7 @@
         """Whether the rules and the worker's health let this job go there at all."""
         if not w.ready or any(a.worker is w for a in job.attempts):
             return False
-        if w.ejected_until and not self._trial_allowed(w):
+        if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
         if self._is_cold(w) and self._cold_credit(w) < self._cold_cost(job, w):
             return False
@@ -318,6 +341,8 @@
 
     def _learn_ending(self, job: Job, a: Attempt, e: Ended) -> None:
         w = a.worker
+        if e.ending in (Ending.OK, Ending.ERROR, Ending.OVERLOADED):
+            w.heard = self.now
         if e.ending is Ending.OVERLOADED:
             self.strain += SMOOTH * (1 - self.strain)
             self._learn_delay(w, True)
@@ -329,24 +354,32 @@
             self._judge(w, 0.0)
             if not self.s.tells_start:
                 self._learn_delay(w, False)
-        elif e.ending in (Ending.ERROR, Ending.BROKEN, Ending.UNREACHABLE, Ending.TIMED_OUT):
+        elif a.stalled or e.ending in (Ending.ERROR, Ending.BROKEN, Ending.UNREACHABLE, Ending.TIMED_OUT):
             self._judge(w, 1.0)
 
     def _judge(self, w: Worker, bad: float) -> None:
         """Outlier ejection: a fast failer looks idle and would win every comparison."""
         w.sick += 0.3 * (bad - w.sick)
         if not bad and w.ejected_until:
-            w.ejected_until, w.ejections, w.sick = 0.0, 0, 0.0
+            w.ejected_until, w.sick = 0.0, min(w.sick, BACK)
             self.ejected.pop(w.address, None)
+        elif not bad:
+            w.ejections = 0 if w.sick <= SUSPECT else w.ejections
         elif w.sick > SICK or w.ejected_until:
             w.ejected_until = self.now + self.sweep * SWEEPS * 2 ** min(w.ejections + 1, 4)
             w.ejections += 1
             self.ejected[w.address] = w
 
-    def _trial_allowed(self, w: Worker) -> bool:
-        """An ejected worker comes back through one trial job; too many ejected means a wrong signal."""
-        overdone = len(self.ejected) > EJECT_SHARE * len(self.workers)
-        return overdone or (self.now >= w.ejected_until and w.load == 0)
+    def _healthy_enough(self, job: Job, w: Worker) -> bool:
+        """An ejected worker comes back through one trial job, and a job that may not be repeated is no trial.
+
+        Too many in trouble means a wrong signal, not a sick fleet.
+        """
+        if len(self.ejected) > EJECT_SHARE * len(self.workers):
+            return True
+        if job.cls.effect is Effect.UNSAFE and self.spares_unsafe:
+            return sum(x.sick > SUSPECT for x in self.workers.values()) > EJECT_SHARE * len(self.workers)
+        return not w.ejected_until or (self.now >= w.ejected_until and w.load == 0)
 
     def _count_tenants(self) -> None:
         """Rates of each tenant, told to the peers once a period; unable to tell, it takes all as alike."""
--- a/finchladder/records.py
+++ b/finchladder/records.py
@@ -8,10 +8,11 @@
 class Worker:
     __slots__ = ("address", "zone", "kind", "cell", "born", "ready", "load", "t", "rest_until", "unstarted",
                  "sick", "ejected_until", "ejections", "cold_credit", "credit_at", "rests",
-                 "points", "fetched")  # fmt: skip
+                 "points", "fetched", "heard")  # fmt: skip
 
     def __init__(self, e: WorkerEntry, t: float) -> None:
         self.address, self.zone, self.kind, self.cell = e.worker, e.zone, e.kind, e.cell
+        self.heard = 0.0  # when it last told of any job
         self.load = 0.0  # own slots in flight
         self.unstarted: dict[Attempt, float] = {}  # attempts sent and not known to have started
         self.ready = False
@@ -28,12 +29,13 @@
 
 
 class Attempt:
-    __slots__ = ("worker", "sent", "started", "ending")
+    __slots__ = ("worker", "sent", "started", "ending", "stalled")
 
     def __init__(self, worker: Worker, sent: float) -> None:
         self.worker, self.sent = worker, sent
         self.started: float | None = None
         self.ending: Ending | None = None
+        self.stalled = False  # called off, as it was not started in time
 
 
 class Job:
