After SIGTERM kept connections of clients stay in use for 1.5 s, not 0.5

From the logs: one dispatcher has been told to go and the other, told 3 s before, is not back: for 1.5 s no dispatcher takes a request. Ruled out: lost flows (each that came was answered; 0 not taken) and our own start (0.4 s). Cause: IDLE_STAYS closed what clients would have used on. What comes later than 0.6 s after SIGTERM is answered within 3.5 s of it, before SIGKILL may come.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -38,7 +38,8 @@
 ANSWER_WITHIN = 10.0  # a client must read
 YOUNG = 0.25  # whoever has connected since may be about to send, and is not closed to make room for others
 LINGER = 0.5  # for reading what a client still sends of a request that was turned away
-IDLE_STAYS = 0.5  # after SIGTERM; clients use kept connections until they are closed
+IDLE_STAYS = 1.5  # after SIGTERM: clients use kept connections until then; others may be leaving as well
+AT_EASE, GONE_BY = 0.6, 3.5  # what comes later than the one after SIGTERM must be answered before the other
 JUST_CAME = 0.25
 LEAVE_AFTER = 1.0
 BACKLOG = 1024
@@ -175,7 +176,7 @@
         return not self._closes(head)
 
     def _closes(self, head: Head) -> bool:
-        return not head.keeps or (self.clients.leaving and not self.calls_back)
+        return not head.keeps or (self.clients.closing and not self.calls_back)
 
     async def _turn_away(self, e: BadMessage) -> None:
         """Bytes that were never read would turn the closing into a reset that overtakes the answer.
@@ -220,7 +221,7 @@
             raise BadMessage(400, "one request at a time")
         flow = Flow(
             read_id(head), job_class, key, read_facts(head), head.method, head.target, head.headers, body,
-            self.clients.clock() + read_time_left(head), self.box.put_nowait,
+            self.clients.latest(self.clients.clock() + read_time_left(head)), self.box.put_nowait,
         )  # fmt: skip
         self.clients.take(flow)
         self.flow = flow  # only once it is taken: this closing must not end another flow with its id
@@ -247,7 +248,7 @@
         self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
         # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
         self.waiting: tuple[dict[EdgeConnection, None], ...] = ({}, {}, {})
-        self.leaving = False
+        self.leaving, self.left_at = False, 0.0
 
     def listen_on(self, address: tuple[str, int]) -> None:
         self.listen(address[1], address[0], backlog=BACKLOG)
@@ -311,6 +312,16 @@
         self._drop(edge)
         return True
 
+    @property
+    def closing(self) -> bool:
+        return self.leaving and self.clock() > self.left_at + IDLE_STAYS
+
+    def latest(self, deadline: float) -> float:
+        """When SIGTERM came a while ago, SIGKILL may come before the client's time is up."""
+        if self.leaving and self.clock() > self.left_at + AT_EASE:
+            return min(deadline, self.left_at + GONE_BY)
+        return deadline
+
     def take(self, flow: Flow) -> None:
         if self.flows.known(flow.id):
             raise BadMessage(400, "a request with this X-Correlation-Id has come already")
@@ -331,8 +342,7 @@
 
     async def leave(self) -> None:
         """After SIGTERM: listens on, answers all that was taken, closes what is idle, returns when done."""
-        began = self.clock()
-        self.leaving = True
+        self.left_at, self.leaving = self.clock(), True
         await asyncio.sleep(IDLE_STAYS)
         while True:
             busy = [e for e in self.edges if e.busy]
@@ -340,6 +350,6 @@
                 # one just accepted is not idle: a call-back, and a result in it, may be on its way
                 if not edge.busy and not edge.calls_back and self.clock() > edge.since + JUST_CAME:
                     edge.channel.close()
-            if not self.flows.open and not busy and self.clock() >= began + LEAVE_AFTER:
+            if not self.flows.open and not busy and self.clock() >= self.left_at + LEAVE_AFTER:
                 return
             await asyncio.sleep(0.02)
