--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -194,3 +194,37 @@
     assert b.d.workers["w"].t >= 2.0
     b.run_until(100.55)
     assert b.ask()[1] == []  # the second job has not started yet, in more than that
+
+
+def test_what_may_not_be_repeated_avoids_a_suspect_and_is_no_trial() -> None:
+    """A worker that fails a part of its jobs is found out by jobs that can be sent again."""
+    b = Bench(["bad", "good", "fine"])
+    name, sent = b.ask("safe")
+    suspect = sent[0].worker
+    b.end(name, api.Ending.ERROR)
+    assert all(s.worker != suspect for _ in range(4) for s in b.ask("unsafe")[1])
+    w = b.d.workers[suspect]
+    w.sick, w.ejected_until, b.d.ejected[suspect] = 0.9, b.now, w  # ejected, and due for its trial
+    assert all(s.worker != suspect for s in b.ask("unsafe")[1])
+    name, sent = b.ask("safe")
+    assert sent[0].worker == suspect
+    b.serve(name)
+    assert not w.ejected_until and w.sick > 0.3  # back, but one good job is no proof
+    assert all(s.worker != suspect for s in b.ask("unsafe")[1])
+
+
+def test_a_job_that_may_be_repeated_leaves_a_silent_worker_but_not_a_busy_one() -> None:
+    b = Bench(["w1", "w2"])
+    (name, sent), (other, _) = b.ask("safe"), b.ask("unsafe")
+    b.start(other)  # the other worker tells of itself, this one does not
+    assert api.Cancel(name, 0) in b.run_until(103.5) and api.Cancel(other, 0) not in [a for _, a in b.log]
+    b.end(name, api.Ending.CANCELLED)
+    assert [s.worker for s in b.sends(name)] == [sent[0].worker, "w2" if sent[0].worker == "w1" else "w1"]
+    assert b.d.workers[sent[0].worker].sick > 0
+    busy = Bench(["w1"])
+    (name, _), (other, _) = busy.ask("safe"), busy.ask("safe")
+    busy.start(name)
+    for second in range(1, 8):
+        busy.run_until(100.0 + second)
+        busy.feed(api.Progress(name, 0, 0.1 * second))
+    assert not any(isinstance(a, api.Cancel) for _, a in busy.log[:-1])
