--- a/finchladder/policy.py
+++ b/finchladder/policy.py
@@ -258,7 +258,8 @@
 
     def _hopeless(self, job: Job) -> bool:
         """Held past its aim, so that it could hardly be in time any more, or not allowed to be sent again."""
-        return self.now > job.arrived + job.cls.aim or not self._resend_allowed(job)
+        waits = job.cls.aim + max(0.0, job.cls.stretch - 1) * self.run[job.cls.name]
+        return self.now > job.arrived + waits or not self._resend_allowed(job)
 
     # --- the rules: one way out, one way to end -------------------------------------------------------------
 
