A job unstarted at a silent real server frees its slot and makes the server suspect

Ruled out: full servers (reports, load 0.0), errors and resets (none). Cause: _under_t goes by the oldest unstarted attempt, which ended only at its deadline. Now silence of three shortest aims ends its hold.

--- a/finchladder/policy.py
+++ b/finchladder/policy.py
@@ -115,6 +115,9 @@
         if attempt is None or attempt.started is not None:
             return
         attempt.started = attempt.worker.heard = self.now
+        if attempt.stalled and attempt.ending is None:
+            attempt.stalled = False
+            attempt.worker.load += self.jobs[e.request].slots
         attempt.worker.unstarted.pop(attempt, None)
         self._learn_delay(attempt.worker, self.now - attempt.sent > self.start_grace)
 
@@ -129,7 +132,7 @@
             return
         attempt.ending = e.ending
         job.out -= 1
-        attempt.worker.load -= job.slots
+        attempt.worker.load -= 0 if attempt.stalled else job.slots
         attempt.worker.unstarted.pop(attempt, None)
         self._learn_ending(job, attempt, e)
         if e.finished:
@@ -155,7 +158,7 @@
             late = self.now >= job.deadline - (SCAN + 1) * self.sweep - 2 * self.s.tick
             if not job.done and (late or (not job.out and self._hopeless(job))):
                 self._give_up(job)
-            elif not job.done and self.s.tells_start and self.s.may_cancel:
+            elif not job.done and self.s.tells_start:
                 self._unstall(job)
         self.held = {n: self.held[n] for n in sorted(self.held, key=self._rank, reverse=True)}
         self._learn_warm_rate()
@@ -245,15 +248,19 @@
         return True
 
     def _unstall(self, job: Job) -> None:
-        """A silent machine keeps its jobs to the end; one that may be repeated is taken elsewhere.
+        """A job unstarted at a silent worker holds no slot there as far as anyone can see.
 
-        A busy machine is not silent: it tells of other jobs meanwhile.
+        It must not keep the worker looking full to its deadline; one that may be repeated is taken
+        elsewhere. A busy worker is not silent: it tells of other jobs meanwhile.
         """
         a = job.attempts[-1] if job.out == 1 else None
         if a is None or a.started or a.stalled or self.now <= max(a.sent, a.worker.heard) + self.stall:
             return
-        if job.cls.effect is Effect.SAFE and self._resend_allowed(job):
-            a.stalled = True
+        a.stalled = True
+        a.worker.load -= job.slots
+        a.worker.unstarted.pop(a, None)
+        self._judge(a.worker, 1.0)
+        if job.cls.effect is Effect.SAFE and self.s.may_cancel and self._resend_allowed(job):
             self.actions.append(Cancel(job.id, len(job.attempts) - 1))
 
     def _hopeless(self, job: Job) -> bool:
@@ -355,7 +362,7 @@
             self._judge(w, 0.0)
             if not self.s.tells_start:
                 self._learn_delay(w, False)
-        elif a.stalled or e.ending in (Ending.ERROR, Ending.BROKEN, Ending.UNREACHABLE, Ending.TIMED_OUT):
+        elif e.ending in (Ending.ERROR, Ending.BROKEN, Ending.UNREACHABLE, Ending.TIMED_OUT):
             self._judge(w, 1.0)
 
     def _judge(self, w: Worker, bad: float) -> None:
--- a/finchladder/records.py
+++ b/finchladder/records.py
@@ -35,7 +35,7 @@
         self.worker, self.sent = worker, sent
         self.started: float | None = None
         self.ending: Ending | None = None
-        self.stalled = False  # called off, as it was not started in time
+        self.stalled = False  # given up for lost: unstarted, and its worker silent
 
 
 class Job:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -229,3 +229,17 @@
         busy.run_until(100.0 + second)
         busy.feed(api.Progress(name, 0, 0.1 * second))
     assert not any(isinstance(a, api.Cancel) for _, a in busy.log[:-1])
+
+
+def test_a_lost_job_does_not_keep_its_worker_looking_full_to_its_deadline() -> None:
+    """Some workers take a job and never tell of it again; one such must not idle the worker for seconds."""
+    b = Bench(["w1"])
+    lost, _ = b.ask("unsafe")
+    b.run_until(102.9)
+    assert b.d.workers["w1"].load == 1  # unstarted for less than three aims: the worker may be full
+    b.run_until(103.4)
+    assert b.d.workers["w1"].load == 0 and b.ask("safe")[1]
+    b.start(lost)  # not lost after all
+    assert b.d.workers["w1"].load == 2
+    b.end(lost, api.Ending.OK)
+    assert b.d.workers["w1"].load == 1
