A started job of which no progress is told any more counts as lost, and frees its slot

Ruled out: full real servers and waiting for room (held 0). Cause: nothing but the deadline ended a started attempt.

--- a/finchladder/policy.py
+++ b/finchladder/policy.py
@@ -82,10 +82,10 @@
         self.subscribed, self.ask_at, self.failures = not settings.must_ask, 0.0, 0
         self.now, self.timer_due = 0.0, False
         self.actions: list[Action] = []
-        self.handlers: dict[type, Callable[[Any], None]] = {
+        self.handlers: dict[type, Callable[[Any], object]] = {
             Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
             Timer: self._on_timer, WorkerList: self._on_list, ClientGone: self._on_gone,
-            PeerMessage: self._on_peer, Progress: self._on_progress,
+            PeerMessage: self._on_peer, Progress: self._on_news,
         }  # fmt: skip
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -111,19 +111,21 @@
         self._place(job)
 
     def _on_started(self, e: Started) -> None:
-        attempt = self._attempt(e.request, e.attempt)
+        attempt = self._on_news(e)
         if attempt is None or attempt.started is not None:
             return
-        attempt.started = attempt.worker.heard = self.now
-        if attempt.stalled and attempt.ending is None:
-            attempt.stalled = False
-            attempt.worker.load += self.jobs[e.request].slots
+        attempt.started = self.now
         attempt.worker.unstarted.pop(attempt, None)
         self._learn_delay(attempt.worker, self.now - attempt.sent > self.start_grace)
 
-    def _on_progress(self, e: Progress) -> None:
-        if (attempt := self._attempt(e.request, e.attempt)) is not None:
-            attempt.worker.heard = self.now
+    def _on_news(self, e: Started | Progress) -> Attempt | None:
+        attempt = self._attempt(e.request, e.attempt)
+        if attempt is not None:
+            attempt.told = attempt.worker.heard = self.now
+            if attempt.stalled and attempt.ending is None:  # not lost after all
+                attempt.stalled = False
+                attempt.worker.load += self.jobs[e.request].slots
+        return attempt
 
     def _on_ended(self, e: Ended) -> None:
         job = self.jobs.get(e.request)
@@ -248,13 +250,16 @@
         return True
 
     def _unstall(self, job: Job) -> None:
-        """A job unstarted at a silent worker holds no slot there as far as anyone can see.
+        """A job of which nothing more is told holds no slot as far as anyone can see.
 
-        It must not keep the worker looking full to its deadline; one that may be repeated is taken
-        elsewhere. A busy worker is not silent: it tells of other jobs meanwhile.
+        It must not keep its worker looking full to its deadline; one that may be repeated is taken elsewhere.
+        A busy worker with a job still unstarted is not silent, but tells of its other jobs.
         """
         a = job.attempts[-1] if job.out == 1 else None
-        if a is None or a.started or a.stalled or self.now <= max(a.sent, a.worker.heard) + self.stall:
+        if a is None or a.stalled or (a.started and not self.s.progress_every):
+            return
+        told = a.told + self.s.progress_every if a.started else max(a.sent, a.worker.heard)
+        if self.now <= told + self.stall:
             return
         a.stalled = True
         a.worker.load -= job.slots
--- a/finchladder/records.py
+++ b/finchladder/records.py
@@ -29,13 +29,14 @@
 
 
 class Attempt:
-    __slots__ = ("worker", "sent", "started", "ending", "stalled")
+    __slots__ = ("worker", "sent", "started", "ending", "stalled", "told")
 
     def __init__(self, worker: Worker, sent: float) -> None:
         self.worker, self.sent = worker, sent
         self.started: float | None = None
         self.ending: Ending | None = None
-        self.stalled = False  # given up for lost: unstarted, and its worker silent
+        self.stalled = False  # given up for lost: nothing more is told of it
+        self.told = sent  # when anything was last told of it
 
 
 class Job:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -243,3 +243,16 @@
     assert b.d.workers["w1"].load == 2
     b.end(lost, api.Ending.OK)
     assert b.d.workers["w1"].load == 1
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_started_job_of_which_nothing_more_is_told_is_taken_elsewhere(told: bool) -> None:
+    b = Bench(["w1", "w2"])
+    name, _ = b.ask("safe")
+    b.start(name)
+    for second in range(1, 6):
+        b.run_until(100.0 + second)
+        if told or second == 1:
+            b.feed(api.Progress(name, 0, 0.1 * second))
+    assert (api.Cancel(name, 0) in b.run_until(105.5)) is not told
+    assert b.d.workers[b.sends(name)[0].worker].load == told
