--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -186,7 +186,7 @@
         self.worth = NEW
         self.clients.hold(self, 0)
         self.clients.may_close(self)
-        fields = ("Allow: POST",) if e.status == 405 else ()
+        fields = {405: ("Allow: POST",), 503: ("Retry-After: 1",)}.get(e.status, ())
         try:
             await self.channel.write(write_response(e.status, f"{e}\n".encode(), fields, close=True))
             if self.channel.stream.reading():  # given up when its time was over: no other read may begin
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -299,6 +299,27 @@
     asyncio.run(play())
 
 
+def test_bodies_sent_at_once_stay_within_their_part_of_the_memory() -> None:
+    """Beyond it a body is turned away before it is read, with word when to come back."""
+
+    async def play() -> None:
+        flows = Flows()
+        module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
+        edge = clients.Clients({"s"}, flows, module, Clock(), lambda: True, lambda c: None, 128, 32)
+        room, edge.room = edge.room, 10
+        assert room == 8 * 1024 * 1024
+        [sock] = bind_sockets(0, "127.0.0.1")
+        edge.add_socket(sock)
+        answer = await exchange(sock.getsockname()[1], request("a1", body=b"x" * 11))
+        assert (answer.status, answer.headers["retry-after"]) == (503, "1")
+        while edge.edges:
+            await asyncio.sleep(0.01)
+        assert edge.room == 10 and not flows.by_id  # what was reserved is free again
+        edge.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 20))
+
+
 def test_a_repeated_id_that_is_turned_away_leaves_the_first_request_alone() -> None:
     async def play() -> None:
         flows, told = Flows(), list[object]()
