Door limits: token buckets by client address, set by the operator's own INI file

New: options.py reads the operator's file with configparser into msgspec structs (an unusable one: one line, exit 2); door.py holds the buckets; the edge connection asks the door before there is a flow and answers 429 on a connection that is kept. Command line by argparse, and a console script that build installs.

An address takes 193 bytes measured; 256 are reckoned.

Off, nothing changes: the order of the checks on a request is as before.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 .PHONY: build test lint run
 
 build:
-	cmp -s requirements.txt .venv/installed || { python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/installed; }
+	cmp -s requirements.txt .venv/installed && test -x .venv/bin/finchladder || { python3 -m venv .venv && \
+		.venv/bin/pip -q install -r requirements.txt && \
+		.venv/bin/pip -q install --no-deps --config-settings editable_mode=compat -e . && \
+		cp requirements.txt .venv/installed; }
 
 .venv-dev/installed: requirements.txt requirements-dev.txt
 	test -x .venv-dev/bin/python || python3 -m venv .venv-dev
--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -1,11 +1,12 @@
-"""Starts one real dispatcher: reads what it is told by NODE_*, wires the actors, handles signals."""
+"""The command line. By default it starts one real dispatcher: reads what it is told, wires the actors."""
 
+import argparse
 import asyncio
 import logging
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import NamedTuple, NoReturn
 
@@ -19,6 +20,7 @@
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.servers import RealServers
 from finchladder.net.service import News, ServiceActor, read_list
+from finchladder.options import Options, read_options
 from finchladder.settings import read_settings
 
 LEAST_SOCKETS, MOST_SOCKETS, LEAST_MEMORY = 128, 1024, 32
@@ -107,7 +109,7 @@
     service.follow(discovery)
 
 
-async def serve(setup: Setup) -> None:
+async def serve(setup: Setup, options: Options) -> None:
     loop = asyncio.get_running_loop()
     left = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -120,7 +122,9 @@
     service = ServiceActor(setup.discovery, servers.update)
     classes = {c.name for c in setup.settings.classes}
     memory = setup.limits.memory_mb
-    clients = Clients(classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory)
+    clients = Clients(
+        classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory, options
+    )
     clients.listen_on(setup.listen)
     module.start()
     servers.start()
@@ -141,20 +145,41 @@
     sys.exit(2)
 
 
-def main() -> None:
+def run_serve(args: argparse.Namespace) -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     try:
-        setup = read_setup(os.environ)
+        setup, options = read_setup(os.environ), read_options(args.config)
+        options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb)
     except ValueError as e:
         fail(str(e))
     logger.remove()
     logger.add(sys.stderr, level="INFO", backtrace=False, diagnose=False)
     logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
     try:
-        asyncio.run(serve(setup))
+        asyncio.run(serve(setup, options))
     except OSError as e:
         fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
 
 
+def takes_config(parser: argparse.ArgumentParser, default: str | None) -> argparse.ArgumentParser:
+    parser.add_argument("--config", metavar="FILE", default=default, help="the operator's INI file")
+    return parser
+
+
+def front() -> argparse.ArgumentParser:
+    """Without a command it serves; --config may stand before the command or after it."""
+    top = argparse.ArgumentParser("finchladder", description="A dispatcher for roster jobs.")
+    takes_config(top, None).set_defaults(run=run_serve)
+    commands = top.add_subparsers(title="commands", metavar="COMMAND")
+    serving = commands.add_parser("serve", help="start one dispatcher (the default)")
+    takes_config(serving, argparse.SUPPRESS).set_defaults(run=run_serve)
+    return top
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    args = front().parse_args(argv)
+    args.run(args)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/finchladder/door.py
@@ -0,0 +1,45 @@
+"""Door limits: token buckets by client address. No clock, no sockets: times and addresses are handed in."""
+
+from collections import OrderedDict
+
+from finchladder.options import DoorOptions, Options
+
+SLACK = 1e-6  # seconds: a client that comes back exactly when told to must not be early by a rounding
+
+
+class Buckets:
+    """A bucket for each address, kept as the time at which it is full again: full buckets need no entry."""
+
+    def __init__(self, options: DoorOptions) -> None:
+        self.interval = 1 / options.rate
+        self.room = (options.burst - 1) * self.interval + SLACK
+        self.max_keys = options.max_keys
+        self.full_at: OrderedDict[str, float] = OrderedDict()  # the least recently seen first
+        # counted from the first request on: at 1.7e9 s, added intervals would each lose up to 2e-7 s
+        self.start: float | None = None
+
+    def take(self, now: float, address: str) -> float:
+        """Takes a token: 0.0, or the seconds until the next one returns where there is none."""
+        if self.start is None:
+            self.start = now
+        now -= self.start
+        full_at = self.full_at.get(address)
+        if full_at is None:
+            full_at = now
+            if len(self.full_at) >= self.max_keys:
+                self.full_at.popitem(last=False)
+        admitted = full_at - now <= self.room
+        self.full_at[address] = max(full_at, now) + self.interval if admitted else full_at
+        self.full_at.move_to_end(address)
+        return 0.0 if admitted else self.interval
+
+
+class Door:
+    def __init__(self, options: Options) -> None:
+        self.general = Buckets(options.door) if options.door is not None else None
+        self.of_class = {name: Buckets(o) for name, o in options.door_of.items()}
+
+    def turn_away(self, now: float, address: str, job_class: str) -> float:
+        """0.0: come in; else the seconds after which a token is back."""
+        buckets = self.of_class.get(job_class, self.general)
+        return buckets.take(now, address) if buckets is not None else 0.0
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable
 from hashlib import blake2b
+from typing import Any
 
 import msgspec
 from loguru import logger
@@ -14,6 +15,7 @@
 from tornado.tcpserver import TCPServer
 
 from finchladder import api
+from finchladder.door import Door
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import (
     MAX_BODY,
@@ -28,11 +30,13 @@
 )  # fmt: skip
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.servers import CallBack
+from finchladder.options import OFF, Options
 
 HEALTH, CALL_BACK = "/_health", "/v1/job-events"
 MAX_CALL_BACK = 6 * MAX_BODY + 16 * 1024  # a result of full length in which JSON escapes every byte
 EDGE, OPEN = 0.55, 1 / 3  # parts of all sockets: edge connections, and flows; call-backs need the rest
 BODIES = 0.25  # part of the memory for the bodies of what is being read or is open
+BODIES_LEAST = 0.0625  # and with the features on, whatever they hold
 FIRST_WITHIN = 2.0  # from a connection's start to its first message's last byte; 3 s are owed
 MESSAGE_WITHIN = 2.0  # from a message's first byte to its last
 ANSWER_WITHIN = 10.0  # a client must read
@@ -117,8 +121,9 @@
 class EdgeConnection:
     """One connection from a client, or from a real server that calls back. Its mailbox brings answers."""
 
-    def __init__(self, stream: IOStream, clients: "Clients") -> None:
+    def __init__(self, stream: IOStream, client: str, clients: "Clients") -> None:
         self.channel = Channel(stream, Parser(parse_request, limit_of))
+        self.client = client  # the peer's IP address
         self.clients = clients
         self.box: Queue[Answer | None] = Queue(2)
         self.flow: Flow | None = None
@@ -219,9 +224,15 @@
             raise BadMessage(405, "jobs come by POST")
         if self.channel.parser.more:  # what follows unasked may be a request hidden in this one's body
             raise BadMessage(400, "one request at a time")
+        id, facts, left = read_id(head), read_facts(head), read_time_left(head)
+        if (wait := self.clients.turn_away(self.client, job_class)) > 0:  # before there is a flow
+            self.worth = max(self.worth, ASKED)
+            return write_response(
+                429, b"too many requests\n", (f"Retry-After: {wait:g}",), close=self._closes(head)
+            )
         flow = Flow(
-            read_id(head), job_class, key, read_facts(head), head.method, head.target, head.headers, body,
-            self.clients.latest(self.clients.clock() + read_time_left(head)), self.box.put_nowait,
+            id, job_class, key, facts, head.method, head.target, head.headers, body,
+            self.clients.latest(self.clients.clock() + left), self.box.put_nowait,
         )  # fmt: skip
         self.clients.take(flow)
         self.flow = flow  # only once it is taken: this closing must not end another flow with its id
@@ -238,13 +249,16 @@
 
     def __init__(
         self, classes: set[str], flows: Flows, module: ModuleActor, clock: Clock, ready: Callable[[], bool],
-        called_back: Callable[[CallBack], None], sockets: int, memory_mb: int,
+        called_back: Callable[[CallBack], None], sockets: int, memory_mb: int, options: Options = OFF,
     ) -> None:  # fmt: skip
         super().__init__(max_buffer_size=4 * PIECE)
         self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
         self.ready, self.called_back = ready, called_back
         self.most_edges, self.most_open = int(EDGE * sockets), int(OPEN * sockets)
-        self.room = int(BODIES * memory_mb * 1024 * 1024)
+        memory = memory_mb * 1024 * 1024
+        # what the features may hold comes off the room for bodies: all together stay as they were without
+        self.room = max(int(BODIES * memory) - options.memory(), int(BODIES_LEAST * memory))
+        self.door = Door(options) if options.door or options.door_of else None
         self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
         # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
         self.waiting: tuple[dict[EdgeConnection, None], ...] = ({}, {}, {})
@@ -253,12 +267,12 @@
     def listen_on(self, address: tuple[str, int]) -> None:
         self.listen(address[1], address[0], backlog=BACKLOG)
 
-    def handle_stream(self, stream: IOStream, address: object) -> None:
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Counts at once, as many connections come in one turn of the loop: a count that lags runs over."""
         if len(self.edges) >= self.most_edges and not self._make_room():
             stream.close()
             return
-        edge = EdgeConnection(stream, self)
+        edge = EdgeConnection(stream, str(address[0]), self)
         self.edges[edge] = asyncio.get_running_loop().create_task(self._serve(edge))
         self.may_close(edge)
 
@@ -322,6 +336,10 @@
             return min(deadline, self.left_at + GONE_BY)
         return deadline
 
+    def turn_away(self, client: str, job_class: str) -> float:
+        """0.0: come in; else the seconds after which to come back."""
+        return self.door.turn_away(self.clock(), client, job_class) if self.door is not None else 0.0
+
     def take(self, flow: Flow) -> None:
         if self.flows.known(flow.id):
             raise BadMessage(400, "a request with this X-Correlation-Id has come already")
--- /dev/null
+++ b/finchladder/options.py
@@ -0,0 +1,95 @@
+"""The operator's own file (INI): which features are on, and their settings. A section there turns one on.
+
+The platform's settings are another matter: settings.py alone reads those.
+"""
+
+from collections.abc import Iterable, Mapping
+from configparser import ConfigParser
+from configparser import Error as IniError
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
+PART = 5  # all features together may take 1/5 of the memory; the room for bodies gives way to them
+
+T = TypeVar("T")
+Rate = Annotated[float, Meta(gt=0, le=10_000)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class DoorOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    rate: Rate = 20.0
+    burst: Annotated[float, Meta(ge=1, le=1_000_000)] = 40.0
+    max_keys: Count = 4096
+
+    def __post_init__(self) -> None:
+        if self.burst < self.rate:
+            raise ValueError(f"burst {self.burst:g} is below rate {self.rate:g}")
+
+
+class Options(msgspec.Struct, frozen=True):
+    """None, or no entry: the feature is off."""
+
+    door: DoorOptions | None = None
+    door_of: dict[str, DoorOptions] = {}  # by class, in place of the general one
+
+    def memory(self) -> int:
+        """Bytes that the features may come to hold."""
+        doors = [*self.door_of.values(), *([self.door] if self.door else [])]
+        return sum(d.max_keys for d in doors) * ADDRESS_BYTES
+
+    def check(self, classes: Iterable[str], memory_mb: int) -> None:
+        """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
+        known = set(classes)
+        for name in self.door_of:
+            if name not in known:
+                raise ValueError(f"[door.{name}]: no such class; there are {', '.join(sorted(known))}")
+        if (most := memory_mb * 1024 * 1024 // PART) < self.memory():
+            raise ValueError(f"the features may take {self.memory()} bytes, and here {most} is the most")
+
+
+OFF = Options()
+
+
+def read_options(path: str | None) -> Options:
+    """ValueError says in one line what can't be used."""
+    if path is None:
+        return OFF
+    # no interpolation, as a key may hold a %, and no section whose values leak into all others
+    parser = ConfigParser(interpolation=None, default_section="\0")
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    try:
+        parser.read_string(Path(path).read_text("utf-8"), path)
+        return _options({name: dict(parser[name]) for name in parser.sections()})
+    except OSError as e:
+        raise ValueError(f"{path}: {e.strerror}") from None
+    except (IniError, ValueError) as e:
+        raise ValueError(f"{path}: {e}") from None
+
+
+def _options(sections: Mapping[str, Mapping[str, str]]) -> Options:
+    found: dict[str, object] = {}
+    classes: dict[str, DoorOptions] = {}
+    for name, values in sections.items():
+        part, dot, job_class = name.partition(".")
+        if part == "door" and dot and job_class:
+            # what a class does not say holds as for all: its burst must not fall back below a raised rate
+            classes[job_class] = _section(name, {**sections.get("door", {}), **values}, DoorOptions)
+        elif name in SECTIONS:
+            found[name] = _section(name, values, SECTIONS[name])
+        else:
+            raise ValueError(f"[{name}]: unknown section")
+    return msgspec.convert(found | {"door_of": classes}, Options)
+
+
+def _section(name: str, values: Mapping[str, str], kind: type[T]) -> T:
+    try:
+        return msgspec.convert(dict(values), kind, strict=False)
+    except msgspec.ValidationError as e:
+        raise ValueError(f"[{name}]: {e}") from None
+
+
+SECTIONS: dict[str, type[msgspec.Struct]] = {"door": DoorOptions}
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -42,9 +42,9 @@
     return Message(start, headers, await reader.readexactly(int(headers.get("content-length", "0"))))
 
 
-async def exchange(port: int, data: bytes, pieces: int = 1) -> Message:
+async def exchange(port: int, data: bytes, pieces: int = 1, client: str = "127.0.0.1") -> Message:
     """One message to the dispatcher on a connection of its own, in so many pieces."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=(client, 0))
     size = -(-len(data) // pieces)
     for at in range(0, len(data), size):
         writer.write(data[at : at + size])
@@ -158,7 +158,7 @@
 
 
 @asynccontextmanager
-async def node(tmp_path: Path, *servers: RealServer, **more: object) -> AsyncIterator[Node]:
+async def node(tmp_path: Path, *servers: RealServer, ini: str = "", **more: object) -> AsyncIterator[Node]:
     """The program as it is deployed, with these real servers in the list that it knows from before."""
     discovery = Discovery()
     free = Listener()
@@ -176,7 +176,10 @@
         "NODE_CONFIG": str(config),
     }
     with (tmp_path / "log").open("wb") as log:
-        command = (sys.executable, "-m", "finchladder")
+        command = [sys.executable, "-m", "finchladder"]
+        if ini:
+            (tmp_path / "operator.ini").write_text(ini)
+            command += ["--config", str(tmp_path / "operator.ini")]
         process = await asyncio.create_subprocess_exec(*command, env=env, cwd=ROOT, stderr=log)
     try:
         while True:
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,79 @@
+"""The operator's file: what it gives, and how one that can't be used ends the program."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from finchladder.options import OFF, DoorOptions, Options, read_options
+from tests.peers import ROOT
+
+ENV = {
+    "NODE_LISTEN": "127.0.0.1:1",
+    "NODE_DISCOVERY": "127.0.0.1:1",
+    "NODE_CONFIG": str(ROOT / "example" / "config.json"),
+}
+
+
+def read(tmp_path: Path, text: str) -> Options:
+    (tmp_path / "o.ini").write_text(text)
+    return read_options(str(tmp_path / "o.ini"))
+
+
+@pytest.mark.parametrize(
+    ("text", "options"),
+    [
+        ("", OFF),
+        ("[door]", Options(door=DoorOptions(20, 40, 4096))),
+        ("[door]\nrate = 5\nmax_keys = 9", Options(door=DoorOptions(5, 40, 9))),
+        ("[door.a]\nrate = 5", Options(door_of={"a": DoorOptions(5, 40, 4096)})),
+        (  # what a class leaves unsaid holds as for all, also where its section stands first
+            "[door.a]\nrate = 50\n[door]\nrate = 60\nburst = 90",
+            Options(door=DoorOptions(60, 90, 4096), door_of={"a": DoorOptions(50, 90, 4096)}),
+        ),
+    ],
+)
+def test_a_section_turns_its_feature_on(tmp_path: Path, text: str, options: Options) -> None:
+    assert read(tmp_path, text) == options
+
+
+@pytest.mark.parametrize("file", sorted((ROOT / "deploy").glob("*.ini")), ids=lambda p: p.name)
+def test_the_files_of_the_operators_can_be_used(file: Path) -> None:
+    read_options(str(file)).check(["roster-view", "roster-confirm"], 32)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("rate = 1", "section"),
+        ("[nope]", "[nope]: unknown section"),
+        ("[DEFAULT]\nrate = 1", "[DEFAULT]: unknown section"),  # configparser would give it to all others
+        ("[door.]", "[door.]: unknown section"),
+        ("[door]\nrates = 1", "`rates`"),
+        ("[door]\nRate = 1", "`Rate`"),
+        ("[door]\nrate = 1\nrate = 2", "already exists"),
+        ("[door]\nrate =", "`float`"),
+        ("[door]\nrate = 0", "> 0"),
+        ("[door]\nrate = nan", "> 0"),
+        ("[door]\nburst = inf", "<= "),
+        ("[door]\nburst = 19", "burst 19 is below rate 20"),
+        ("[door.roster-view]\nrate = 41", "burst 40 is below rate 41"),
+        ("[door.nosuch]", "no such class"),
+        ("[door]\nmax_keys = 1.5", "`int`"),
+        ("[door]\nmax_keys = 100000000", "is the most"),  # memory stays bounded, whatever is asked for
+        ("\xff", "utf-8"),
+        (None, "No such file"),
+    ],
+)
+def test_an_unusable_file_ends_with_one_line(tmp_path: Path, text: str | None, said: str) -> None:
+    file = tmp_path / "o.ini"
+    if text is not None:
+        file.write_bytes(text.encode("latin-1"))
+    command = [sys.executable, "-m", "finchladder", "--config", str(file)]
+    done = subprocess.run(
+        command, env=os.environ | ENV, capture_output=True, text=True, cwd=ROOT, timeout=20, check=False
+    )
+    assert (done.returncode, done.stderr.count("\n"), done.stderr[:13]) == (2, 1, "finchladder: ")
+    assert said in done.stderr
