Job status: GET /_status/ID follows a job through retries to its end

New: status.py, a table without clock or sockets, told by flows, the module's actor and the real servers' actors of each step; net/control.py answers the call. Entries are kept from their end on; the oldest finished goes first in O(1); if all are unfinished a job runs untracked.

An answer kind 'left' tells a client's leaving from a failure; nothing is written for either, as before. A job given up whose real server still tells of its end shows that end.

--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -22,6 +22,7 @@
 from finchladder.net.service import News, ServiceActor, read_list
 from finchladder.options import Options, read_options
 from finchladder.settings import read_settings
+from finchladder.status import JobStatus
 
 LEAST_SOCKETS, MOST_SOCKETS, LEAST_MEMORY = 128, 1024, 32
 
@@ -114,7 +115,8 @@
     left = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, left.set)
-    clock, flows = Clock(), Flows()
+    clock = Clock()
+    flows = Flows(JobStatus(options.status) if options.status is not None else None, clock)
     sockets = min(setup.limits.sockets, MOST_SOCKETS)
     module = ModuleActor(Dispatcher(setup.settings, setup.seed), flows, clock)
     servers = RealServers(flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s, sockets)
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -16,6 +16,7 @@
 
 from finchladder import api
 from finchladder.door import Door
+from finchladder.net.control import Controls
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import (
     MAX_BODY,
@@ -138,7 +139,7 @@
         """A client that closes has gone away: the module is told, and nobody is answered any more."""
         flow, self.flow = self.flow, None
         if flow is not None and flow.answer is None:
-            self.clients.flows.finish(flow, Answer("failed"))
+            self.clients.flows.finish(flow, Answer("left"))
             self.clients.module.tell(api.ClientGone(flow.id))
 
     async def serve(self) -> None:
@@ -191,7 +192,7 @@
         self.worth = NEW
         self.clients.hold(self, 0)
         self.clients.may_close(self)
-        fields = {405: ("Allow: POST",), 503: ("Retry-After: 1",)}.get(e.status, ())
+        fields = {405: (f"Allow: {e.allow}",), 503: ("Retry-After: 1",)}.get(e.status, ())
         try:
             await self.channel.write(write_response(e.status, f"{e}\n".encode(), fields, close=True))
             if self.channel.stream.reading():  # given up when its time was over: no other read may begin
@@ -217,6 +218,9 @@
             return write_response(
                 200 if up else 503, b"up\n" if up else b"not up\n", close=self._closes(head)
             )
+        if (reply := self.clients.controls.answer(head, body)) is not None:
+            self.worth = max(self.worth, ASKED)
+            return write_response(reply.status, reply.body, reply.fields, self._closes(head))
         job_class, key = read_target(head.target)
         if job_class not in self.clients.classes:
             raise BadMessage(404, "no such class")
@@ -259,6 +263,7 @@
         # what the features may hold comes off the room for bodies: all together stay as they were without
         self.room = max(int(BODIES * memory) - options.memory(), int(BODIES_LEAST * memory))
         self.door = Door(options) if options.door or options.door_of else None
+        self.controls = Controls(clock, flows.status)
         self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
         # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
         self.waiting: tuple[dict[EdgeConnection, None], ...] = ({}, {}, {})
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -1,11 +1,13 @@
 """Flows and their schedulings: records that the actors share. They know no client protocol."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from finchladder import api
 from finchladder.net.http1 import Channel, Headers
+from finchladder.status import JobStatus
 
 REMEMBERED = 4096  # ids of ended flows: a request that is sent again under its id must not run again
 
@@ -13,7 +15,7 @@
 class Answer(NamedTuple):
     """The final answer of a flow; `retry_after` comes with a refusal alone."""
 
-    kind: str  # served, refused, failed
+    kind: str  # served, refused, failed; left: the client has gone, and nobody is answered
     body: bytes = b""
     retry_after: float = 0.0
 
@@ -68,7 +70,10 @@
 class Flows:
     """All flows that are open or have a scheduling out, by the id of their request."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, status: JobStatus | None = None, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.status, self.clock = status, clock  # the status is told of each step, where it is on
         self.by_id: dict[str, Flow] = {}
         self.open = 0  # flows without their final answer
         self.ended: dict[str, None] = {}
@@ -79,6 +84,8 @@
     def add(self, flow: Flow) -> None:
         self.by_id[flow.id] = flow
         self.open += 1
+        if self.status is not None:
+            self.status.taken(self.clock(), flow.id, flow.job_class)
 
     def finish(self, flow: Flow, answer: Answer) -> bool:
         """Takes the first final answer and passes it to the client's side; whatever comes later is void."""
@@ -97,5 +104,7 @@
             return
         if self.by_id.pop(flow.id, None) is not None:
             self.ended[flow.id] = None
+            if self.status is not None:
+                self.status.finished(self.clock(), flow.id, flow.answer.kind)
             if len(self.ended) > REMEMBERED:
                 del self.ended[next(iter(self.ended))]
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -30,11 +30,11 @@
 
 
 class BadMessage(Exception):
-    """The peer's bytes are no message; `status` is what a client is answered."""
+    """The peer's bytes are no message; `status` is what a client is answered, with 405 what is allowed."""
 
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, allow: str = "POST") -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.allow = status, allow
 
 
 class Headers:
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -94,6 +94,8 @@
             until = min(flow.deadline, now + action.timeout) if action.timeout > 0 else flow.deadline
             scheduling = Scheduling(flow, len(flow.schedulings), action.worker, now, until)
             flow.schedulings.append(scheduling)
+            if self.flows.status is not None:
+                self.flows.status.sent(flow.id, action.worker)
             self.carrier.schedule(scheduling)
         elif isinstance(action, api.Cancel):
             if action.attempt < len(flow.schedulings):
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -149,6 +149,8 @@
     def _called_back(self, c: CallBack) -> None:
         """Matched by id and sender: it may come before the 202, again, or about a job nobody knows here."""
         s = self.live.get(c.id)
+        if self.flows.status is not None and (s is None or s.written):  # also of one given up here
+            self.flows.status.told(self.clock(), c.id, self.server, c.state, c.share)
         if s is None or not s.written:
             return
         if c.state == "started":
@@ -235,6 +237,8 @@
         if s.ended:
             return
         s.ended = True
+        if self.flows.status is not None:
+            self.flows.status.ended(s.flow.id, self.server, ending)
         if s.timer is not None:
             s.timer()
         if self.live.get(s.flow.id) is s:
@@ -348,6 +352,8 @@
             actor.post(scheduling)
         else:
             scheduling.ended = True
+            if self.flows.status is not None:
+                self.flows.status.ended(scheduling.flow.id, scheduling.worker, E.VOID)
             self.module.tell(Ending(scheduling, E.VOID, 0.0, None))
 
     def withdraw(self, scheduling: Scheduling) -> None:
--- a/finchladder/options.py
+++ b/finchladder/options.py
@@ -13,6 +13,7 @@
 from msgspec import Meta
 
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
+ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
 PART = 5  # all features together may take 1/5 of the memory; the room for bodies gives way to them
 
 T = TypeVar("T")
@@ -30,16 +31,23 @@
             raise ValueError(f"burst {self.burst:g} is below rate {self.rate:g}")
 
 
+class StatusOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    retain_ms: Annotated[float, Meta(gt=0, le=86_400_000)] = 60_000.0
+    max_entries: Count = 2000
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
     door: DoorOptions | None = None
     door_of: dict[str, DoorOptions] = {}  # by class, in place of the general one
+    status: StatusOptions | None = None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
         doors = [*self.door_of.values(), *([self.door] if self.door else [])]
-        return sum(d.max_keys for d in doors) * ADDRESS_BYTES
+        tracked = sum(d.max_keys for d in doors) * ADDRESS_BYTES
+        return tracked + (self.status.max_entries * ENTRY_BYTES if self.status is not None else 0)
 
     def check(self, classes: Iterable[str], memory_mb: int) -> None:
         """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
@@ -92,4 +100,4 @@
         raise ValueError(f"[{name}]: {e}") from None
 
 
-SECTIONS: dict[str, type[msgspec.Struct]] = {"door": DoorOptions}
+SECTIONS: dict[str, type[msgspec.Struct]] = {"door": DoorOptions, "status": StatusOptions}
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,133 @@
+"""Job status: the table with times handed in, and the call on real sockets."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from finchladder.api import Ending as E
+from finchladder.options import StatusOptions
+from finchladder.status import JobStatus, Shown
+from tests.peers import Message, RealServer, exchange, node, request, run
+from tests.test_sockets import ACCEPT
+
+FIRST = [("taken", 0.0, "a", "u")]
+SENT = [*FIRST, ("sent", "a", "w1")]
+RUNS = [*SENT, ("told", 1.0, "a", "w1", "started", 0.0), ("told", 1.0, "a", "w1", "running", 0.4)]
+CASES = [  # the steps of one job, and what is shown after them: state, server, share
+    (FIRST, ("waiting", None, 0.0)),
+    (SENT, ("waiting", "w1", 0.0)),
+    (RUNS[:3], ("started", "w1", 0.0)),
+    (RUNS, ("running", "w1", 0.4)),
+    ([*RUNS, ("told", 1.0, "a", "w1", "started", 0.0)], ("running", "w1", 0.4)),  # call-backs may overtake
+    ([*RUNS, ("told", 1.0, "a", "w2", "running", 0.9)], ("running", "w1", 0.4)),
+    ([*RUNS, ("ended", "a", "w1", E.BROKEN)], ("waiting", None, 0.0)),  # a retry may follow
+    ([*RUNS, ("ended", "a", "w1", E.BROKEN), ("sent", "a", "w2")], ("waiting", "w2", 0.0)),
+    ([*RUNS, ("sent", "a", "w2"), ("ended", "a", "w1", E.CANCELLED)], ("waiting", "w2", 0.0)),
+    ([*RUNS, ("sent", "a", "w2"), ("ended", "a", "w1", E.OK)], ("done", "w1", 1.0)),  # the first copy won
+    ([*RUNS, ("ended", "a", "w1", E.OK), ("finished", 2.0, "a", "served")], ("done", "w1", 1.0)),
+    ([*RUNS, ("ended", "a", "w1", E.ERROR), ("finished", 2.0, "a", "failed")], ("failed", "w1", 0.4)),
+    ([*RUNS, ("ended", "a", "w1", E.BROKEN), ("finished", 2.0, "a", "refused")], ("lost", "w1", 0.4)),
+    ([*SENT, ("ended", "a", "w1", E.OVERLOADED), ("finished", 2.0, "a", "refused")], ("returned", "w1", 0.0)),
+    ([*RUNS, ("ended", "a", "w1", E.TIMED_OUT), ("finished", 2.0, "a", "failed")], ("timed_out", "w1", 0.4)),
+    # the client's leaving is no end while a scheduling is out: what it comes to is shown
+    ([*RUNS, ("ended", "a", "w1", E.OK), ("finished", 2.0, "a", "left")], ("done", "w1", 1.0)),
+    ([*RUNS, ("ended", "a", "w1", E.CANCELLED), ("finished", 2.0, "a", "left")], ("timed_out", "w1", 0.4)),
+    ([*FIRST, ("finished", 2.0, "a", "left")], ("timed_out", None, 0.0)),
+    # an answer before any send: refused shows as handed back unstarted
+    ([*FIRST, ("finished", 2.0, "a", "refused")], ("returned", None, 0.0)),
+    ([*FIRST, ("finished", 2.0, "a", "failed")], ("failed", None, 0.0)),
+]
+
+
+def played(steps: list[tuple[object, ...]], **options: float) -> JobStatus:
+    table = JobStatus(StatusOptions(**options))  # type: ignore[arg-type]
+    for name, *args in steps:
+        getattr(table, str(name))(*args)
+    return table
+
+
+@pytest.mark.parametrize(("steps", "shown"), CASES)
+def test_what_is_shown_follows_the_job(
+    steps: list[tuple[object, ...]], shown: tuple[str, str | None, float]
+) -> None:
+    assert played(steps).look(2.0, "a") == Shown(*shown, job_class="u")
+
+
+@pytest.mark.parametrize("state", ["done", "failed", "lost"])
+def test_a_job_given_up_that_ends_all_the_same_shows_how(state: str) -> None:
+    given_up = [*RUNS, ("ended", "a", "w1", E.CANCELLED), ("finished", 2.0, "a", "left")]
+    table = played([*given_up, ("told", 3.0, "a", "w2", state, 0.0)])
+    assert table.look(3.0, "a") == Shown("timed_out", "w1", 0.4, "u")  # not the one that has it
+    table.told(3.0, "a", "w1", state, 0.0)
+    shown = table.look(62.9, "a")
+    assert shown is not None and shown.state == state
+    assert table.look(63.0, "a") is None
+
+
+def test_an_entry_is_kept_from_its_end_on_and_not_from_its_start() -> None:
+    table = played([*FIRST, ("finished", 500.0, "a", "refused")], retain_ms=1000)
+    assert table.look(500.9, "a") and not table.look(501.0, "a") and not table.over
+
+
+def test_the_oldest_finished_goes_first_and_no_unfinished_one_ever() -> None:
+    table = JobStatus(StatusOptions(max_entries=3))
+    for id in "abc":
+        table.taken(0.0, id, "u")
+    table.taken(0.0, "d", "u")  # not tracked: all are unfinished
+    table.sent("d", "w1")
+    table.finished(0.0, "d", "served")
+    for id in "ba":
+        table.finished(1.0, id, "served")
+    table.taken(2.0, "e", "u")
+    assert [bool(table.look(2.0, id)) for id in "abcde"] == [True, False, True, False, True]
+
+
+def test_a_job_is_followed_from_waiting_to_done_and_then_forgotten(tmp_path: Path) -> None:
+    """The check of the operators, on real sockets; the result's body never shows."""
+
+    async def accept(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(ACCEPT)
+
+    async def play() -> None:
+        server = RealServer("w1", accept)
+        async with node(tmp_path, server, ini="[status]\nretain_ms = 1500\n") as n:
+
+            async def look(id: str = "a%2F1") -> Message:
+                return await exchange(n.port, f"GET /_status/{id} HTTP/1.1\r\n\r\n".encode())
+
+            async def until(state: str) -> dict[str, object]:
+                while True:
+                    if (m := await look()).status == 200 and json.loads(m.body)["state"] == state:
+                        return dict(json.loads(m.body))
+                    await asyncio.sleep(0.01)
+
+            assert (await look()).status == 404
+            flow = asyncio.create_task(n.ask("a/1", "/u/k"))
+            while not server.got:
+                await asyncio.sleep(0.01)
+            assert await until("waiting") == {"state": "waiting", "server": "w1", "share": 0.0, "class": "u"}
+            for state, share in (("started", 0.0), ("running", 0.4)):
+                await server.call_back("a/1", state=state, share=share)
+                assert await until(state) == {"state": state, "server": "w1", "share": share, "class": "u"}
+            await server.call_back("a/1", state="done", result="the roster")
+            done = await until("done")
+            assert done == {"state": "done", "server": "w1", "share": 1.0, "class": "u"}
+            assert (await flow).body == b"the roster"
+            while (await look()).status != 404:
+                await asyncio.sleep(0.02)
+            assert (await exchange(n.port, request(path="/_status/a"))).status == 405
+            # past its client's leaving: given up, then done all the same
+            _, writer = await asyncio.open_connection("127.0.0.1", n.port)
+            writer.write(request("a/1x", "/u/k"))
+            while len(server.got) < 2:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while (m := await look("a%2F1x")).status != 200 or b"timed_out" not in m.body:
+                await asyncio.sleep(0.01)
+            await server.call_back("a/1x", state="done", result="late")
+            while b'"done"' not in (await look("a%2F1x")).body:
+                await asyncio.sleep(0.01)
+
+    run(play())
