Drills: delays and aborts by class for a while, posted with a key

New: drills.py draws by a generator of its own from the seed; arrivals.py puts door and drills before the flow; a held flow keeps its timers and is forgotten when its client leaves; calls.py posts the drill that the command line asks for, with the key from the environment or the operator's file. Counter at GET /_metrics.

Seen: a delay as long as the client's time would have ended as 'overdue' with an error in the log; such a job is now answered 503 at least 50 ms before. http.client costs 0.8 MB (measured 8166 against 7940 pages), so only the command loads it.

POST /_drill without a configured key is 403: the one answer that is new with all features off; the test of it also shows that the other paths stay 404.

--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -14,6 +14,8 @@
 from loguru import logger
 
 from finchladder import Dispatcher, api
+from finchladder.arrivals import Arrivals
+from finchladder.drills import Order
 from finchladder.net.clients import Clients
 from finchladder.net.flows import Flows
 from finchladder.net.http1 import parse_address
@@ -125,8 +127,9 @@
     classes = {c.name for c in setup.settings.classes}
     memory = setup.limits.memory_mb
     clients = Clients(
-        classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory, options
-    )
+        classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory, options,
+        Arrivals(options, setup.seed),
+    )  # fmt: skip
     clients.listen_on(setup.listen)
     module.start()
     servers.start()
@@ -142,9 +145,9 @@
     logger.info("{}: left", setup.name)
 
 
-def fail(message: str) -> NoReturn:
+def fail(message: str, status: int = 2) -> NoReturn:
     print(f"finchladder: {' '.join(message.split())}", file=sys.stderr)
-    sys.exit(2)
+    sys.exit(status)
 
 
 def run_serve(args: argparse.Namespace) -> None:
@@ -163,6 +166,26 @@
         fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
 
 
+def run_drill(args: argparse.Namespace) -> None:
+    from finchladder import calls  # its HTTP client takes 0.8 MB, which a dispatcher has no use for
+
+    try:
+        options = read_options(args.config)
+        key = os.environ.get(calls.KEY) or (options.drill.key if options.drill is not None else None)
+        if not key:
+            raise ValueError(f"{calls.KEY} is not set, and no file named by --config has a key in [drill]")
+        order = msgspec.convert(
+            {"class": args.job_class, "share": args.share, "delay_ms": args.delay_ms, "for_s": args.for_s}
+            | ({"abort_share": args.abort_share} if args.abort_share is not None else {}),
+            Order,
+        )
+        print(calls.drill(order, key), end="")
+    except (ValueError, msgspec.ValidationError) as e:
+        fail(str(e))
+    except calls.CallError as e:
+        fail(str(e), 1)
+
+
 def takes_config(parser: argparse.ArgumentParser, default: str | None) -> argparse.ArgumentParser:
     parser.add_argument("--config", metavar="FILE", default=default, help="the operator's INI file")
     return parser
@@ -175,6 +198,13 @@
     commands = top.add_subparsers(title="commands", metavar="COMMAND")
     serving = commands.add_parser("serve", help="start one dispatcher (the default)")
     takes_config(serving, argparse.SUPPRESS).set_defaults(run=run_serve)
+    drill = commands.add_parser("drill", help="rehearse slow or broken jobs at the running dispatcher")
+    takes_config(drill, argparse.SUPPRESS).set_defaults(run=run_drill)
+    drill.add_argument("--class", dest="job_class", required=True, metavar="CLASS")
+    drill.add_argument("--share", type=float, required=True, help="part of the class's requests, 0 to 1")
+    drill.add_argument("--delay-ms", type=float, default=0.0, help="hold them for so long (default: not)")
+    drill.add_argument("--abort-share", type=float, help="answered 503 (default: --share, or 0 with a delay)")
+    drill.add_argument("--for-s", type=float, required=True, help="seconds until it ends, at most 600")
     return top
 
 
--- /dev/null
+++ b/finchladder/arrivals.py
@@ -0,0 +1,37 @@
+"""What is decided on a job before it becomes a flow: first the door, then drills. No clock, no sockets."""
+
+from typing import NamedTuple
+
+from finchladder.door import Door
+from finchladder.drills import Drills, Effect, Order
+from finchladder.options import Options
+
+
+class Verdict(NamedTuple):
+    wait: float = 0.0  # above 0: turned away, a token is back after so many seconds
+    drill: Effect | None = None
+
+
+PASS = Verdict()
+
+
+class Arrivals:
+    def __init__(self, options: Options, seed: int) -> None:
+        self.door = Door(options) if options.door or options.door_of else None
+        self.drills = Drills(seed) if options.drill is not None else None
+
+    def judge(self, now: float, client: str, job_class: str, patience: float) -> Verdict:
+        if self.door is not None and (wait := self.door.turn_away(now, client, job_class)) > 0:
+            return Verdict(wait)
+        if self.drills is not None and (effect := self.drills.apply(now, job_class, patience)) is not None:
+            return Verdict(drill=effect)
+        return PASS
+
+    def order(self, now: float, order: Order) -> float | None:
+        """When the drill ends; None where there are none."""
+        return self.drills.order(now, order) if self.drills is not None else None
+
+    def leave(self) -> None:
+        """The dispatcher leaves: what it still takes is answered as soon as may be."""
+        if self.drills is not None:
+            self.drills.stop()
--- /dev/null
+++ b/finchladder/calls.py
@@ -0,0 +1,46 @@
+"""The command line's control calls to a running dispatcher, at the address that NODE_LISTEN gives."""
+
+import http.client
+import os
+
+import msgspec
+
+from finchladder.drills import Order
+from finchladder.net.http1 import parse_address
+
+KEY = "NODE_DRILL_KEY"  # not an argument: every user of the machine can read those
+WITHIN = 10.0
+
+
+class CallError(Exception):
+    """The dispatcher could not be asked or did not do it; the message says why in one line."""
+
+
+def connect() -> http.client.HTTPConnection:
+    if not os.environ.get("NODE_LISTEN"):
+        raise ValueError("NODE_LISTEN is not set")
+    return http.client.HTTPConnection(*parse_address(os.environ["NODE_LISTEN"]), timeout=WITHIN)
+
+
+def ask(
+    connection: http.client.HTTPConnection, method: str, path: str, body: bytes | None, fields: dict[str, str]
+) -> http.client.HTTPResponse:
+    """The answer, if it is a 200; its body is still to be read."""
+    try:
+        connection.request(method, path, body, fields)
+        response = connection.getresponse()
+        if response.status != 200:
+            said = response.read(1024).decode("utf-8", "replace").strip()
+            raise CallError(f"the dispatcher answered {response.status}: {said}")
+        return response
+    except (OSError, http.client.HTTPException) as e:
+        raise CallError(f"no answer from {os.environ['NODE_LISTEN']}: {e}") from None
+
+
+def drill(order: Order, key: str) -> str:
+    connection = connect()
+    try:
+        body = msgspec.json.encode(order)
+        return ask(connection, "POST", "/_drill", body, {"X-Drill-Key": key}).read().decode()
+    finally:
+        connection.close()
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -15,7 +15,8 @@
 from tornado.tcpserver import TCPServer
 
 from finchladder import api
-from finchladder.door import Door
+from finchladder.arrivals import Arrivals, Verdict
+from finchladder.drills import Effect
 from finchladder.net.control import Controls
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import (
@@ -48,6 +49,7 @@
 JUST_CAME = 0.25
 LEAVE_AFTER = 1.0
 BACKLOG = 1024
+REPEATED = "a request with this X-Correlation-Id has come already"
 NEW, ASKED, OF_USE = 0, 1, 2  # an edge connection's worth: it has carried nothing yet, a question, a job
 
 _ID = re.compile(r"[!-~]{1,128}")
@@ -229,16 +231,16 @@
         if self.channel.parser.more:  # what follows unasked may be a request hidden in this one's body
             raise BadMessage(400, "one request at a time")
         id, facts, left = read_id(head), read_facts(head), read_time_left(head)
-        if (wait := self.clients.turn_away(self.client, job_class)) > 0:  # before there is a flow
+        verdict = self.clients.arrive(self.client, id, job_class, left)
+        if verdict.wait > 0:  # before there is a flow
             self.worth = max(self.worth, ASKED)
-            return write_response(
-                429, b"too many requests\n", (f"Retry-After: {wait:g}",), close=self._closes(head)
-            )
+            after = f"Retry-After: {verdict.wait:g}"
+            return write_response(429, b"too many requests\n", (after,), self._closes(head))
         flow = Flow(
             id, job_class, key, facts, head.method, head.target, head.headers, body,
             self.clients.latest(self.clients.clock() + left), self.box.put_nowait,
         )  # fmt: skip
-        self.clients.take(flow)
+        self.clients.take(flow, verdict.drill)
         self.flow = flow  # only once it is taken: this closing must not end another flow with its id
         answer = await self.box.get()
         self.flow = None
@@ -254,6 +256,7 @@
     def __init__(
         self, classes: set[str], flows: Flows, module: ModuleActor, clock: Clock, ready: Callable[[], bool],
         called_back: Callable[[CallBack], None], sockets: int, memory_mb: int, options: Options = OFF,
+        arrivals: Arrivals | None = None,
     ) -> None:  # fmt: skip
         super().__init__(max_buffer_size=4 * PIECE)
         self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
@@ -262,8 +265,9 @@
         memory = memory_mb * 1024 * 1024
         # what the features may hold comes off the room for bodies: all together stay as they were without
         self.room = max(int(BODIES * memory) - options.memory(), int(BODIES_LEAST * memory))
-        self.door = Door(options) if options.door or options.door_of else None
-        self.controls = Controls(clock, flows.status)
+        self.arrivals = arrivals or Arrivals(options, 0)
+        self.controls = Controls(clock, classes, options, flows.status, self.arrivals)
+        self.held: dict[Flow, Effect] = {}  # by a drill
         self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
         # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
         self.waiting: tuple[dict[EdgeConnection, None], ...] = ({}, {}, {})
@@ -341,13 +345,14 @@
             return min(deadline, self.left_at + GONE_BY)
         return deadline
 
-    def turn_away(self, client: str, job_class: str) -> float:
-        """0.0: come in; else the seconds after which to come back."""
-        return self.door.turn_away(self.clock(), client, job_class) if self.door is not None else 0.0
+    def arrive(self, client: str, id: str, job_class: str, left: float) -> Verdict:
+        if self.flows.known(id):
+            raise BadMessage(400, REPEATED)
+        return self.arrivals.judge(self.clock(), client, job_class, left)
 
-    def take(self, flow: Flow) -> None:
+    def take(self, flow: Flow, drill: Effect | None = None) -> None:
         if self.flows.known(flow.id):
-            raise BadMessage(400, "a request with this X-Correlation-Id has come already")
+            raise BadMessage(400, REPEATED)
         self.flows.add(flow)
         if self.flows.open > self.most_open:
             self.flows.finish(flow, Answer("refused", retry_after=1.0))
@@ -355,7 +360,35 @@
         loop = IOLoop.current()
         handle = loop.call_later(max(0.0, flow.deadline - self.clock()), self._overdue, flow)
         flow.timer = lambda: loop.remove_timeout(handle)
-        self.module.tell(flow)
+        if drill is None:
+            self.module.tell(flow)
+        else:
+            self._drill(flow, drill)
+
+    def _drill(self, flow: Flow, drill: Effect) -> None:
+        what = "delay" if drill.hold else "abort"
+        logger.info("drill={} class={} id={} hold={:g}", what, flow.job_class, flow.id, drill.hold)
+        self.held[flow] = drill
+        if not drill.hold:
+            return self._release(flow)
+        loop, overdue = IOLoop.current(), flow.timer
+        handle = loop.call_later(drill.hold, self._release, flow)
+
+        def forget() -> None:  # also when the client leaves: nothing may be kept of its flow
+            if overdue is not None:
+                overdue()
+            loop.remove_timeout(handle)
+            self.held.pop(flow, None)
+
+        flow.timer = forget
+
+    def _release(self, flow: Flow) -> None:
+        if (drill := self.held.pop(flow, None)) is None or flow.answer is not None:
+            return
+        if drill.abort:
+            self.flows.finish(flow, Answer("refused"))
+        else:
+            self.module.tell(flow)
 
     def _overdue(self, flow: Flow) -> None:
         """The module answers before this; should it ever not, the client still gets its one answer."""
@@ -366,6 +399,10 @@
     async def leave(self) -> None:
         """After SIGTERM: listens on, answers all that was taken, closes what is idle, returns when done."""
         self.left_at, self.leaving = self.clock(), True
+        self.arrivals.leave()
+        for flow in list(self.held):  # no drill is worth a job that SIGKILL finds unanswered
+            self.held[flow] = Effect()
+            self._release(flow)
         await asyncio.sleep(IDLE_STAYS)
         while True:
             busy = [e for e in self.edges if e.busy]
--- a/finchladder/net/control.py
+++ b/finchladder/net/control.py
@@ -1,16 +1,20 @@
 """Control calls: what is asked of a running dispatcher at its one address, beside jobs and call-backs."""
 
 from collections.abc import Callable
+from hmac import compare_digest
 from typing import NamedTuple
 from urllib.parse import unquote
 
 import msgspec
 
+from finchladder.arrivals import Arrivals
+from finchladder.drills import Order
 from finchladder.net.http1 import BadMessage, Head
 from finchladder.net.module import Clock
+from finchladder.options import Options
 from finchladder.status import JobStatus
 
-STATUS = "/_status/"
+STATUS, DRILL, METRICS = "/_status/", "/_drill", "/_metrics"
 JSON = "Content-Type: application/json"
 
 
@@ -23,14 +27,22 @@
 class Controls:
     """Knows the features that are on; a path that belongs to none of them is none of its business."""
 
-    def __init__(self, clock: Clock, status: JobStatus | None) -> None:
-        self.clock, self.status = clock, status
+    def __init__(
+        self, clock: Clock, classes: set[str], options: Options, status: JobStatus | None, arrivals: Arrivals
+    ) -> None:
+        self.clock, self.classes = clock, classes
+        self.status, self.arrivals = status, arrivals
+        self.key = options.drill.key if options.drill is not None else None
 
     def answer(self, head: Head, body: bytes) -> Reply | None:
         """None: no control call. BadMessage: one that can't be used."""
         path = head.target.partition("?")[0]
         if self.status is not None and path.startswith(STATUS):
             return self._by_get(head, lambda: self._status(unquote(path.removeprefix(STATUS))))
+        if self.arrivals.drills is not None and path == METRICS:
+            return self._by_get(head, self._metrics)
+        if path == DRILL and head.method == "POST":
+            return self._drill(head, body)
         return None
 
     def _by_get(self, head: Head, answer: Callable[[], Reply]) -> Reply:
@@ -44,3 +56,30 @@
         if shown is None:
             return Reply(404, b"no job of this id is known here\n")
         return Reply(200, msgspec.json.encode(shown), (JSON,))
+
+    def _metrics(self) -> Reply:
+        assert self.arrivals.drills is not None
+        lines = [
+            "# HELP drill_applied_total Requests that a drill delayed or aborted.",
+            "# TYPE drill_applied_total counter",
+        ]
+        for name, count in self.arrivals.drills.applied.items():
+            label = name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+            lines.append(f'drill_applied_total{{class="{label}"}} {count}')
+        text = "".join(f"{line}\n" for line in lines)
+        return Reply(200, text.encode(), ("Content-Type: text/plain; version=0.0.4; charset=utf-8",))
+
+    def _drill(self, head: Head, body: bytes) -> Reply:
+        given = (head.headers.get("x-drill-key") or "").encode()
+        # in constant time: how long the answer takes must not tell how much of the key was right
+        if self.key is None or not compare_digest(given, self.key.encode()):
+            return Reply(403, b"no drill without the key\n")
+        try:
+            order = msgspec.json.decode(body, type=Order)
+        except msgspec.MsgspecError as e:
+            raise BadMessage(400, f"drill: {e}") from None
+        if order.job_class not in self.classes:
+            raise BadMessage(400, f"drill: no such class; there are {', '.join(sorted(self.classes))}")
+        order = msgspec.structs.replace(order, abort_share=order.aborts)
+        self.arrivals.order(self.clock(), order)
+        return Reply(200, msgspec.json.encode(order) + b"\n", (JSON,))
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -12,7 +12,8 @@
 MAX_BODY = 64 * 1024
 PIECE = 64 * 1024
 REASONS = {
-    100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+    100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 403: "Forbidden",
+    404: "Not Found",
     405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
--- a/finchladder/options.py
+++ b/finchladder/options.py
@@ -36,12 +36,18 @@
     max_entries: Count = 2000
 
 
+class DrillOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    # a header field's value: visible, and not empty. Without one all drills are refused
+    key: Annotated[str, Meta(pattern=r"\A[!-~]([ -~]{0,254}[!-~])?\Z")] | None = None
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
     door: DoorOptions | None = None
     door_of: dict[str, DoorOptions] = {}  # by class, in place of the general one
     status: StatusOptions | None = None
+    drill: DrillOptions | None = None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
@@ -100,4 +106,6 @@
         raise ValueError(f"[{name}]: {e}") from None
 
 
-SECTIONS: dict[str, type[msgspec.Struct]] = {"door": DoorOptions, "status": StatusOptions}
+SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
+}  # fmt: skip
--- /dev/null
+++ b/tests/test_drills.py
@@ -0,0 +1,189 @@
+"""Drills: who is drawn, with times handed in; and the call, the command and the effects on real sockets."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from finchladder.arrivals import Arrivals
+from finchladder.drills import Drills, Effect, Order
+from finchladder.net.control import Controls
+from finchladder.net.http1 import BadMessage, Head, Headers
+from finchladder.net.module import Clock
+from finchladder.options import DrillOptions, Options
+from tests.peers import ROOT, Node, RealServer, exchange, node, request, run
+
+KEY = "s3 cret%"
+INI = f"[drill]\nkey = {KEY}\n[status]\n"
+
+
+def drilled(**order: float) -> Drills:
+    drills = Drills(1)
+    drills.order(0.0, msgspec.convert({"class": "u", "for_s": 10} | order, Order))
+    return drills
+
+
+@pytest.mark.parametrize(
+    ("order", "aborted", "held"),
+    [
+        ({"share": 0.1, "delay_ms": 2000, "abort_share": 0.02}, 0.02, 0.1),
+        ({"share": 1.0, "delay_ms": 2000, "abort_share": 0.3}, 0.3, 0.7),
+        ({"share": 0.4}, 0.4, 0.0),  # nothing else to do to them
+        ({"share": 0.4, "abort_share": 0.1}, 0.1, 0.0),
+        ({"share": 0.4, "delay_ms": 2000}, 0.0, 0.4),
+        ({"share": 0.0}, 0.0, 0.0),
+    ],
+)
+def test_both_shares_are_of_all_requests_of_the_class(
+    order: dict[str, float], aborted: float, held: float
+) -> None:
+    drills = drilled(**order)
+    got = [drills.apply(1.0, "u", 5.0) for _ in range(4000)]
+    assert got.count(Effect(abort=True)) / 4000 == pytest.approx(aborted, abs=0.03)
+    assert got.count(Effect(hold=2.0)) / 4000 == pytest.approx(held, abs=0.03)
+    assert drills.applied == {"u": 4000 - got.count(None)}
+    assert drills.apply(1.0, "s", 5.0) is None
+    again = drilled(**order)
+    assert got == [again.apply(1.0, "u", 5.0) for _ in range(4000)]  # the seed decides the draws
+
+
+def test_a_drill_ends_at_its_time_and_a_second_one_replaces_the_first() -> None:
+    drills = drilled(share=1.0)
+    assert drills.apply(9.9, "u", 5.0) and not drills.apply(10.0, "u", 5.0) and not drills.running
+    drills = drilled(share=1.0)
+    drills.order(5.0, Order("u", 1.0, 2.0, delay_ms=100))
+    assert drills.apply(6.9, "u", 5.0) == Effect(hold=0.1) and drills.apply(7.0, "u", 5.0) is None
+
+
+@pytest.mark.parametrize(("patience", "hold"), [(2.04, 1.99), (1.0, 0.95), (0.02, 0.01)])
+def test_a_delay_never_outlives_the_clients_time(patience: float, hold: float) -> None:
+    effect = drilled(share=1.0, delay_ms=2000).apply(0.0, "u", patience)
+    assert effect is not None and effect.abort and effect.hold == pytest.approx(hold)
+
+
+def post(body: dict[str, object], key: str = KEY, **more: str) -> bytes:
+    return request(path="/_drill", body=json.dumps(body).encode(), more=f"X-Drill-Key: {key}\r\n", **more)
+
+
+GOOD: dict[str, object] = {"class": "u", "share": 1.0, "for_s": 600}
+
+
+@pytest.mark.parametrize(("ini", "status"), [("", 404), ("[drill]\n", 200)])
+def test_without_a_key_drills_are_refused(tmp_path: Path, ini: str, status: int) -> None:
+    """And without the sections nothing else is new."""
+
+    async def play() -> None:
+        server = RealServer("w1")
+        async with node(tmp_path, server, ini=ini) as n:
+            assert (await exchange(n.port, post(GOOD, ""))).status == 403
+            assert (await exchange(n.port, request(path="/_drill"))).status == 403
+            assert (await exchange(n.port, request(path="/_metrics", method="GET"))).status == status
+            for path in ("/_drill", "/_status/1", "/_capture"):
+                answer = await exchange(n.port, request(path=path, method="GET"))
+                assert (answer.status, answer.body) == (404, b"no such class\n")
+            assert (await n.ask("a1", "/u/k")).status == 200
+
+    run(play())
+
+
+async def command(n: Node, *args: str, key: str = KEY) -> tuple[int, str, str]:
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "finchladder", "drill", *args), cwd=ROOT,
+        env=os.environ | {"NODE_LISTEN": f"127.0.0.1:{n.port}", "NODE_DRILL_KEY": key},
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    out, err = await process.communicate()
+    return process.returncode or 0, out.decode(), err.decode()
+
+
+def test_a_drill_from_the_command_line_aborts_logs_counts_and_ends(tmp_path: Path) -> None:
+    """The check of the operators."""
+
+    async def play() -> None:
+        server = RealServer("w1")
+        async with node(tmp_path, server, ini=INI) as n:
+            drill = ("--class", "u", "--share", "1.0", "--for-s")
+            code, out, err = await command(n, *drill, "600")
+            assert (code, json.loads(out)["abort_share"], err) == (0, 1.0, "")
+            assert [(await n.ask(f"a{i}", "/u/k")).status for i in range(3)] == [503] * 3
+            assert (await n.ask("s1", "/s/k")).status == 200 and len(server.got) == 1
+            answer = await exchange(n.port, b"GET /_metrics HTTP/1.1\r\n\r\n")
+            assert answer.headers["content-type"].startswith("text/plain; version=0.0.4")
+            assert 'drill_applied_total{class="u"} 3\n' in answer.body.decode()
+            assert (tmp_path / "log").read_text().count("drill=abort class=u") == 3
+            shown = await exchange(n.port, b"GET /_status/a1 HTTP/1.1\r\n\r\n")
+            assert json.loads(shown.body)["state"] == "returned"
+            for args, key, said in (
+                ((*drill, "601"), KEY, "600"),
+                ((*drill, "600"), "wrong", "403"),
+                ((*drill, "9", "--class", "x"), KEY, "no such class"),
+            ):
+                code, out, err = await command(n, *args, key=key)
+                assert code and not out and err.count("\n") == 1 and said in err
+            assert (await command(n, *drill, "0.1"))[0] == 0  # replaces the first
+            tries = 0
+            while (answer := await n.ask(f"b{tries}", "/u/k")).status == 503:
+                tries += 1
+                await asyncio.sleep(0.02)
+            assert answer.body.startswith(b"w1 ran b")
+
+    run(play())
+
+
+def test_a_delayed_job_goes_on_in_its_time_or_frees_its_flow(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = RealServer("w1")
+        async with node(tmp_path, server, ini=INI) as n:
+
+            async def status(id: str) -> str:
+                m = await exchange(n.port, f"GET /_status/{id} HTTP/1.1\r\n\r\n".encode())
+                return str(json.loads(m.body)["state"]) if m.status == 200 else ""
+
+            async def wait_for(id: str, state: str) -> None:
+                while await status(id) != state:
+                    await asyncio.sleep(0.01)
+
+            assert (await exchange(n.port, post(GOOD | {"delay_ms": 300}))).status == 200
+            assert (await n.ask("a1", "/u/k")).body == b"w1 ran a1"
+            assert (await exchange(n.port, post(GOOD | {"delay_ms": 600_000}))).status == 200
+            assert (await n.ask("a2", "/u/k", left="0.4")).status == 503
+            assert len(server.got) == 1
+            _, writer = await asyncio.open_connection("127.0.0.1", n.port)
+            writer.write(request("a3", "/u/k", left="600"))
+            await wait_for("a3", "waiting")
+            writer.close()
+            await wait_for("a3", "timed_out")
+            late = asyncio.create_task(n.ask("a4", "/u/k", left="600"))
+            await wait_for("a4", "waiting")
+            n.process.send_signal(signal.SIGTERM)  # no drill keeps a job back from a dispatcher that leaves
+            assert (await late).body == b"w1 ran a4"
+            assert (await exchange(n.port, post(GOOD))).status == 200  # and none begins
+            assert (await n.ask("a5", "/u/k")).body == b"w1 ran a5"
+            assert await n.process.wait() == 0
+            assert [m.id for m in server.got] == ["a1", "a4", "a5"]
+            assert (tmp_path / "log").read_text().count("drill=delay class=u") == 4
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b'{"class":"u"}']
+    + [json.dumps(GOOD | bad).encode() for bad in (
+        {"for_s": 601}, {"for_s": 0}, {"share": 1.1}, {"share": -1}, {"share": "1"}, {"delay_ms": -1},
+        {"abort_share": 2}, {"class": "nosuch"}, {"more": 1},
+    )],
+)  # fmt: skip
+def test_an_unusable_order_is_refused(body: bytes) -> None:
+    options = Options(drill=DrillOptions(KEY))
+    arrivals = Arrivals(options, 1)
+    controls = Controls(Clock(), {"u"}, options, None, arrivals)
+    with pytest.raises(BadMessage) as e:
+        controls.answer(Head(1, Headers([("X-Drill-Key", KEY)]), "POST", "/_drill"), body)
+    assert arrivals.drills is not None
+    assert (e.value.status, arrivals.drills.running) == (400, {})
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from finchladder.options import OFF, DoorOptions, Options, read_options
+from finchladder.options import OFF, DoorOptions, DrillOptions, Options, read_options
 from tests.peers import ROOT
 
 ENV = {
@@ -27,6 +27,7 @@
     [
         ("", OFF),
         ("[door]", Options(door=DoorOptions(20, 40, 4096))),
+        ("[drill]\nkey = 50%% of \"it\"", Options(drill=DrillOptions('50%% of "it"'))),
         ("[door]\nrate = 5\nmax_keys = 9", Options(door=DoorOptions(5, 40, 9))),
         ("[door.a]\nrate = 5", Options(door_of={"a": DoorOptions(5, 40, 4096)})),
         (  # what a class leaves unsaid holds as for all, also where its section stands first
@@ -62,6 +63,9 @@
         ("[door.roster-view]\nrate = 41", "burst 40 is below rate 41"),
         ("[door.nosuch]", "no such class"),
         ("[door]\nmax_keys = 1.5", "`int`"),
+        ("[status]\nretain_ms = 0", "> 0"),
+        ("[status]\nmax_entries = 0", ">= 1"),
+        ("[drill]\nkey =", "`str` matching"),  # an empty key would let everybody in
         ("[door]\nmax_keys = 100000000", "is the most"),  # memory stays bounded, whatever is asked for
         ("\xff", "utf-8"),
         (None, "No such file"),
