Capture on in service: a ring of the decisions' inputs and outputs; dump and replay

A ring that has lost its start begins with the state of then. Ruled out: a replay from the seed alone there, which prints false differences; pickle, as replay would run whatever a file holds.

--- a/finchladder/calls.py
+++ b/finchladder/calls.py
@@ -2,12 +2,14 @@
 
 import http.client
 import os
+from collections.abc import Iterator
 
 import msgspec
 
 from finchladder.drills import Order
 from finchladder.net.http1 import parse_address
 
+PIECE = 64 * 1024
 KEY = "NODE_DRILL_KEY"  # not an argument: every user of the machine can read those
 WITHIN = 10.0
 
@@ -44,3 +46,20 @@
         return ask(connection, "POST", "/_drill", body, {"X-Drill-Key": key}).read().decode()
     finally:
         connection.close()
+
+
+def capture_dump() -> Iterator[bytes]:
+    """The ring of the running dispatcher, piece by piece; a cut one is an error."""
+    connection = connect()
+    try:
+        response = ask(connection, "GET", "/_capture", None, {})
+        left = response.length or 0
+        while piece := response.read(PIECE):
+            left -= len(piece)
+            yield piece
+        if left:
+            raise CallError("the dispatcher broke off")
+    except (OSError, http.client.HTTPException) as e:
+        raise CallError(f"the dispatcher broke off: {e}") from None
+    finally:
+        connection.close()
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -16,8 +16,9 @@
 
 from finchladder import api
 from finchladder.arrivals import Arrivals, Verdict
+from finchladder.capture import Capture
 from finchladder.drills import Effect
-from finchladder.net.control import Controls
+from finchladder.net.control import Controls, Dump, Reply
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import (
     MAX_BODY,
@@ -28,6 +29,7 @@
     Parser,
     StreamClosedError,
     parse_request,
+    write_head,
     write_response,
 )  # fmt: skip
 from finchladder.net.module import Clock, ModuleActor
@@ -222,6 +224,8 @@
             )
         if (reply := self.clients.controls.answer(head, body)) is not None:
             self.worth = max(self.worth, ASKED)
+            if reply.dump is not None:
+                return await self._dump(reply, reply.dump, self._closes(head))
             return write_response(reply.status, reply.body, reply.fields, self._closes(head))
         job_class, key = read_target(head.target)
         if job_class not in self.clients.classes:
@@ -250,13 +254,27 @@
         return write_answer(answer, self._closes(head))
 
 
+    async def _dump(self, reply: Reply, dump: Dump, close: bool) -> bytes:
+        """In pieces, each written before the next is made; returns the last one's rest, which is none."""
+        try:
+            async with asyncio.timeout(ANSWER_WITHIN):
+                await self.channel.write(write_head(reply.status, dump.size, reply.fields, close))
+                for piece in dump.pieces():
+                    await self.channel.write(piece)
+        except TimeoutError:
+            raise StreamClosedError() from None
+        finally:
+            dump.over()
+        return b""
+
+
 class Clients(TCPServer):
     """Listens, and owns all edge connections."""
 
     def __init__(
         self, classes: set[str], flows: Flows, module: ModuleActor, clock: Clock, ready: Callable[[], bool],
         called_back: Callable[[CallBack], None], sockets: int, memory_mb: int, options: Options = OFF,
-        arrivals: Arrivals | None = None,
+        arrivals: Arrivals | None = None, capture: Capture | None = None,
     ) -> None:  # fmt: skip
         super().__init__(max_buffer_size=4 * PIECE)
         self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
@@ -266,7 +284,7 @@
         # what the features may hold comes off the room for bodies: all together stay as they were without
         self.room = max(int(BODIES * memory) - options.memory(), int(BODIES_LEAST * memory))
         self.arrivals = arrivals or Arrivals(options, 0)
-        self.controls = Controls(clock, classes, options, flows.status, self.arrivals)
+        self.controls = Controls(clock, classes, options, flows.status, self.arrivals, capture)
         self.held: dict[Flow, Effect] = {}  # by a drill
         self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
         # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
@@ -348,7 +366,7 @@
     def arrive(self, client: str, id: str, job_class: str, left: float) -> Verdict:
         if self.flows.known(id):
             raise BadMessage(400, REPEATED)
-        return self.arrivals.judge(self.clock(), client, job_class, left)
+        return self.arrivals.judge(self.clock(), client, id, job_class, left)
 
     def take(self, flow: Flow, drill: Effect | None = None) -> None:
         if self.flows.known(flow.id):
@@ -399,7 +417,7 @@
     async def leave(self) -> None:
         """After SIGTERM: listens on, answers all that was taken, closes what is idle, returns when done."""
         self.left_at, self.leaving = self.clock(), True
-        self.arrivals.leave()
+        self.arrivals.leave(self.left_at)
         for flow in list(self.held):  # no drill is worth a job that SIGKILL finds unanswered
             self.held[flow] = Effect()
             self._release(flow)
--- a/finchladder/net/control.py
+++ b/finchladder/net/control.py
@@ -1,6 +1,6 @@
 """Control calls: what is asked of a running dispatcher at its one address, beside jobs and call-backs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from hmac import compare_digest
 from typing import NamedTuple
 from urllib.parse import unquote
@@ -8,30 +8,45 @@
 import msgspec
 
 from finchladder.arrivals import Arrivals
+from finchladder.capture import Capture, pieces
 from finchladder.drills import Order
 from finchladder.net.http1 import BadMessage, Head
 from finchladder.net.module import Clock
 from finchladder.options import Options
 from finchladder.status import JobStatus
 
-STATUS, DRILL, METRICS = "/_status/", "/_drill", "/_metrics"
+STATUS, DRILL, METRICS, CAPTURE = "/_status/", "/_drill", "/_metrics", "/_capture"
 JSON = "Content-Type: application/json"
 
 
+class Dump:
+    """The ring as it was when it was asked for. It is held until it is sent, so there is one at a time."""
+
+    def __init__(self, lines: list[bytes], over: Callable[[], None]) -> None:
+        self.lines, self.over = lines, over
+        self.size = sum(map(len, lines))
+
+    def pieces(self) -> Iterator[bytes]:
+        return pieces(self.lines)
+
+
 class Reply(NamedTuple):
     status: int
-    body: bytes
+    body: bytes = b""
     fields: tuple[str, ...] = ()
+    dump: Dump | None = None  # in place of the body
 
 
 class Controls:
     """Knows the features that are on; a path that belongs to none of them is none of its business."""
 
     def __init__(
-        self, clock: Clock, classes: set[str], options: Options, status: JobStatus | None, arrivals: Arrivals
-    ) -> None:
+        self, clock: Clock, classes: set[str], options: Options, status: JobStatus | None, arrivals: Arrivals,
+        capture: Capture | None,
+    ) -> None:  # fmt: skip
         self.clock, self.classes = clock, classes
-        self.status, self.arrivals = status, arrivals
+        self.status, self.arrivals, self.capture = status, arrivals, capture
+        self.dumping = False
         self.key = options.drill.key if options.drill is not None else None
 
     def answer(self, head: Head, body: bytes) -> Reply | None:
@@ -41,6 +56,8 @@
             return self._by_get(head, lambda: self._status(unquote(path.removeprefix(STATUS))))
         if self.arrivals.drills is not None and path == METRICS:
             return self._by_get(head, self._metrics)
+        if self.capture is not None and path == CAPTURE:
+            return self._by_get(head, self._dump)
         if path == DRILL and head.method == "POST":
             return self._drill(head, body)
         return None
@@ -69,6 +86,17 @@
         text = "".join(f"{line}\n" for line in lines)
         return Reply(200, text.encode(), ("Content-Type: text/plain; version=0.0.4; charset=utf-8",))
 
+    def _dump(self) -> Reply:
+        assert self.capture is not None
+        if self.dumping:
+            return Reply(503, b"another dump is being sent\n", ("Retry-After: 1",))
+        self.dumping = True
+        dump = Dump(self.capture.dump(self.clock()), self._dumped)
+        return Reply(200, fields=("Content-Type: application/jsonl",), dump=dump)
+
+    def _dumped(self) -> None:
+        self.dumping = False
+
     def _drill(self, head: Head, body: bytes) -> Reply:
         given = (head.headers.get("x-drill-key") or "").encode()
         # in constant time: how long the answer takes must not tell how much of the key was right
--- /dev/null
+++ b/finchladder/net/disk.py
@@ -0,0 +1,102 @@
+"""The disk that capture files go to. A thread writes them: nobody may have to wait for a disk that hangs."""
+
+import re
+import threading
+from contextlib import suppress
+from io import FileIO
+from pathlib import Path
+
+from loguru import logger
+
+TURN = 0.1  # seconds between two looks at what has come: many small blocks make one write
+LAST_WORDS = 1.0  # seconds at the end for what is not yet written
+
+
+class CaptureFiles(threading.Thread):
+    """Writes blocks in the order in which they come, and keeps the newest files. Nothing waits for it."""
+
+    def __init__(self, folder: str, name: str, start_ms: int, keep: int, room: int) -> None:
+        super().__init__(name="capture files", daemon=True)
+        self.folder, self.keep, self.room = Path(folder), keep, room
+        self.stem = "capture-" + re.sub(r"[^\w.-]", "_", name, flags=re.ASCII)
+        self.start_ms, self.number = start_ms, 0
+        self.lock, self.closing = threading.Lock(), threading.Event()
+        self.queue: list[tuple[bool, bytes]] = []  # True: a new file begins with it
+        self.waiting, self.failed = 0, False  # bytes that wait, those being written included
+        self.told = False  # a failing disk is told of once, until it works again
+        self.file: FileIO | None = None
+
+    def open(self, data: bytes) -> bool:
+        with self.lock:
+            self.failed = False
+        return self._put(True, data)
+
+    def write(self, data: bytes) -> bool:
+        return self._put(False, data)
+
+    def _put(self, new: bool, data: bytes) -> bool:
+        with self.lock:
+            # a disk that can't keep up, or hangs, is as good as one that fails
+            self.failed = self.failed or self.waiting + len(data) > self.room
+            if not self.failed:
+                self.queue.append((new, data))
+                self.waiting += len(data)
+            return not self.failed
+
+    def close(self) -> None:
+        self.closing.set()
+        self.join(LAST_WORDS)
+
+    def run(self) -> None:
+        while not self.closing.wait(TURN):
+            self._work()
+        self._work()
+        self._end_file()
+
+    def _work(self) -> None:
+        with self.lock:
+            queue, self.queue = self.queue, []
+        at = 0
+        for n, (new, _) in enumerate([*queue, (True, b"")]):
+            if new and n > at:
+                self._write(queue[at][0], b"".join(data for _, data in queue[at:n]))
+                at = n
+        with self.lock:
+            self.waiting -= sum(len(data) for _, data in queue)
+
+    def _write(self, new: bool, data: bytes) -> None:
+        try:
+            if new:
+                self._new_file()
+            if self.file is not None:
+                rest = memoryview(data)
+                while rest:
+                    rest = rest[self.file.write(rest) :]
+                if self.told:
+                    self.told = False
+                    logger.info("capture: files can be written again")
+        except OSError as e:
+            with self.lock:
+                self.failed = True
+            self._end_file()
+            if not self.told:
+                self.told = True
+                logger.error("capture: no file can be written in {}: {}", self.folder, e.strerror)
+
+    def _new_file(self) -> None:
+        self._end_file()
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.number += 1
+        name = f"{self.stem}-{self.start_ms:013}-{self.number:06}.jsonl"
+        self.file = FileIO(self.folder / name, "x")
+        # of this dispatcher's own, also from before its start; another's may lie in the same folder
+        own = re.compile(re.escape(self.stem) + r"-\d{13}-\d{6}\.jsonl")
+        files = sorted(f for f in self.folder.iterdir() if own.fullmatch(f.name))
+        for file in files[: -self.keep]:
+            file.unlink(missing_ok=True)
+
+    def _end_file(self) -> None:
+        if self.file is not None:
+            with suppress(OSError):
+                self.file.close()
+            self.file = None
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -310,18 +310,23 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def write_response(
-    status: int, body: bytes = b"", fields: tuple[str, ...] = (), close: bool = False
-) -> bytes:
+def write_head(status: int, length: int, fields: tuple[str, ...] = (), close: bool = False) -> bytes:
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}", *fields]
     if status != 204:
-        lines.append(f"Content-Length: {len(body)}")
+        lines.append(f"Content-Length: {length}")
     if close:
         lines.append("Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
+def write_response(
+    status: int, body: bytes = b"", fields: tuple[str, ...] = (), close: bool = False
+) -> bytes:
+    return write_head(status, len(body), fields, close) + body
 
 
 __all__ = [
     "MAX_BODY", "PIECE", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "StreamClosedError",
-    "connect", "parse_address", "parse_request", "parse_response", "write_request", "write_response",
+    "connect", "parse_address", "parse_request", "parse_response", "write_head", "write_request",
+    "write_response",
 ]  # fmt: skip
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -1,7 +1,7 @@
 """The decision module's actor: the only caller of Dispatcher.handle. It keeps the clock and the timers."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from loguru import logger
@@ -33,6 +33,14 @@
     def withdraw(self, scheduling: Scheduling) -> None: ...
 
 
+class Tap(Protocol):
+    """Is told of each event and of what was decided on it."""
+
+    def decided(
+        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
+    ) -> None: ...
+
+
 class Ending:
     """A scheduling's end on its way to the module; whether the flow is finished shows when it is handled."""
 
@@ -52,6 +60,7 @@
         super().__init__("module", PriorityQueue(ROOM))
         self.dispatcher, self.flows, self.clock = dispatcher, flows, clock
         self.carrier: Carrier | None = None
+        self.tap: Tap | None = None
         self.serial = 0
         self.subscribe: Callable[[bool], None] = lambda on: None  # where the list must be asked for
 
@@ -71,9 +80,20 @@
             event = api.Ended(s.flow.id, s.number, item.ending, finished, item.took, item.report)
         else:
             event = item
-        for action in self.dispatcher.handle(now, event):
+        for action in self._handle(now, event):
             self._carry_out(action, now)
 
+    def _handle(self, now: float, event: api.Event) -> list[api.Action]:
+        try:
+            actions = self.dispatcher.handle(now, event)
+        except Exception as e:
+            if self.tap is not None:
+                self.tap.decided(now, event, [], e)
+            raise
+        if self.tap is not None:
+            self.tap.decided(now, event, actions)
+        return actions
+
     def _carry_out(self, action: api.Action, now: float) -> None:
         if isinstance(action, api.SetTimer):
             IOLoop.current().call_later(max(0.0, action.after), self.tell, api.Timer(action.token))
--- /dev/null
+++ b/finchladder/net/recorder.py
@@ -0,0 +1,42 @@
+"""The tap round the decisions: hands to the capture what the actors hand to them, and never harms service."""
+
+from collections.abc import Callable, Sequence
+
+from loguru import logger
+
+from finchladder import api
+from finchladder.arrivals import Verdict
+from finchladder.capture import Capture
+from finchladder.drills import Order
+
+
+class Recorder:
+    def __init__(self, capture: Capture) -> None:
+        self.capture = capture
+        self.told = False
+
+    def decided(
+        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
+    ) -> None:
+        self._guard(lambda: self.capture.decided(t, event, actions, error))
+
+    def judged(
+        self, t: float, client: str, id: str, job_class: str, patience: float, verdict: Verdict
+    ) -> None:
+        self._guard(lambda: self.capture.judged(t, client, id, job_class, patience, verdict))
+
+    def ordered(self, t: float, order: Order, until: float | None) -> None:
+        self._guard(lambda: self.capture.ordered(t, order, until))
+
+    def left(self, t: float) -> None:
+        self._guard(lambda: self.capture.left(t))
+
+    def _guard(self, record: Callable[[], None]) -> None:
+        """A record that can't be made is a gap, after which the capture begins anew; the job goes on."""
+        try:
+            record()
+        except Exception:
+            if not self.told:
+                self.told = True
+                logger.exception("capture: an input could not be recorded")
+            self.capture.gap()
--- a/finchladder/options.py
+++ b/finchladder/options.py
@@ -14,7 +14,8 @@
 
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
-PART = 5  # all features together may take 1/5 of the memory; the room for bodies gives way to them
+RING_TAKES = 3  # bytes for each of the ring: 1.4 measured with its objects, and as much while it is dumped
+PART = 4  # all features together may take 1/4 of the memory; the room for bodies gives way to them
 
 T = TypeVar("T")
 Rate = Annotated[float, Meta(gt=0, le=10_000)]
@@ -41,6 +42,17 @@
     key: Annotated[str, Meta(pattern=r"\A[!-~]([ -~]{0,254}[!-~])?\Z")] | None = None
 
 
+class CaptureOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    ring_bytes: Annotated[int, Meta(ge=1024)] = 786_432
+    folder: Annotated[str, Meta(min_length=1)] | None = None
+    file_bytes: Annotated[int, Meta(ge=4096)] = 262_144
+    files: Count = 8
+
+    def memory(self) -> int:
+        waiting = 2 * self.file_bytes if self.folder is not None else 0  # for the disk
+        return RING_TAKES * self.ring_bytes + waiting
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -48,12 +60,14 @@
     door_of: dict[str, DoorOptions] = {}  # by class, in place of the general one
     status: StatusOptions | None = None
     drill: DrillOptions | None = None
+    capture: CaptureOptions | None = None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
         doors = [*self.door_of.values(), *([self.door] if self.door else [])]
         tracked = sum(d.max_keys for d in doors) * ADDRESS_BYTES
-        return tracked + (self.status.max_entries * ENTRY_BYTES if self.status is not None else 0)
+        entries = self.status.max_entries * ENTRY_BYTES if self.status is not None else 0
+        return tracked + entries + (self.capture.memory() if self.capture is not None else 0)
 
     def check(self, classes: Iterable[str], memory_mb: int) -> None:
         """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
@@ -108,4 +122,5 @@
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
+    "capture": CaptureOptions,
 }  # fmt: skip
--- a/finchladder/settings.py
+++ b/finchladder/settings.py
@@ -42,6 +42,10 @@
     """The facts can't be used; the message says why in one line."""
 
 
+def read_seed(text: str) -> int:
+    return int.from_bytes(text.encode(), "big")
+
+
 def read_settings(facts: str | bytes) -> api.Settings:
     try:
         return msgspec.convert(_named(msgspec.json.decode(facts)), api.Settings)
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,383 @@
+"""Capture and replay: a long play with times handed in, the ring's bounds, broken files, the command line."""
+
+import asyncio
+import json
+import os
+import sys
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from finchladder import Dispatcher, api, snapshot
+from finchladder.api import Ending as E
+from finchladder.arrivals import Arrivals
+from finchladder.capture import OPENING, PARTS, Capture, Ring, Sink, in_line, pieces
+from finchladder.drills import Order
+from finchladder.net.control import Controls
+from finchladder.net.disk import CaptureFiles
+from finchladder.net.http1 import Head, Headers
+from finchladder.net.module import Clock
+from finchladder.net.recorder import Recorder
+from finchladder.options import CaptureOptions, DoorOptions, DrillOptions, Options
+from finchladder.replay import EventIn, ListIn, Replay, RequestIn
+from finchladder.settings import read_seed
+from tests.helpers import Bench, entry, settings
+from tests.peers import ROOT, SETTINGS, Node, RealServer, exchange, node, run
+from tests.test_sockets import turn_away
+
+SEED = "8c1f30d27a5be964"
+FEATURES = Options(door=DoorOptions(rate=1, burst=3, max_keys=40), drill=DrillOptions("k"))
+TENANTS = (api.Tenant("t1", 0.5), api.Tenant("t2", 5.0))
+OUTCOMES = (E.OK, E.OK, E.OK, E.ERROR, E.OVERLOADED, E.BROKEN, E.UNREACHABLE, E.TIMED_OUT, E.VOID)
+
+
+class Play(Bench):
+    """A day with trouble of every kind, all of it recorded."""
+
+    def __init__(self, sink: Sink | None = None, options: Options = FEATURES, **of_capture: Any) -> None:
+        super().__init__()
+        self.d = Dispatcher(settings(tenants=TENANTS, may_tell=True), read_seed(SEED))
+        self.arrivals = Arrivals(options, read_seed(SEED))
+        state = partial(snapshot.take, self.d, self.arrivals)
+        self.capture = Capture(CaptureOptions(**of_capture), SEED, state, sink)
+        self.capture.begin(self.now)
+        self.arrivals.tap = self.capture
+        self.chance = Random(3)
+        self.out: dict[tuple[str, int], None] = {}
+        self.sent = Counter[str]()
+
+    def feed(self, event: api.Event) -> list[api.Action]:
+        if not hasattr(self, "capture"):
+            return []
+        actions = super().feed(event)
+        self.capture.decided(self.now, event, actions)
+        for a in actions:
+            if isinstance(a, api.Send):
+                self.out[a.request, self.sent[a.request]] = None
+                self.sent[a.request] += 1
+        return actions
+
+    def play(self, steps: int) -> None:
+        pick, names = self.chance, [f"w{i}" for i in range(8)]
+        self.feed(api.WorkerList(api.ListKind.WHOLE, tuple(entry(n) for n in names)))
+        for step in range(steps):
+            self.run_until(self.now + pick.expovariate(20.0))
+            todo = pick.random()
+            if todo < 0.4 or not self.out:
+                client = f"10.0.0.{pick.randrange(50)}"
+                verdict = self.arrivals.judge(self.now, client, f"r{step}", "safe", 3.0)
+                if not verdict.wait:
+                    kind = pick.choice(("safe", "unsafe", "keyed"))
+                    self.ask(kind, 0.2 + 4 * pick.random(), key=pick.choice((None, pick.randrange(30))),
+                             tenant=pick.choice(("t1", "t2", None)))  # fmt: skip
+            elif todo < 0.9:
+                id, attempt = pick.choice(list(self.out))
+                if pick.random() < 0.4:
+                    self.start(id, attempt)
+                elif pick.random() < 0.3:
+                    self.feed(api.Progress(id, attempt, pick.random()))
+                else:
+                    del self.out[id, attempt]
+                    self.end(id, pick.choice(OUTCOMES), attempt, pick.random())
+            elif todo < 0.93:
+                self.feed(api.ClientGone(f"r{pick.randrange(self.serial + 1)}"))
+            elif todo < 0.97:
+                state = pick.choice(list(api.State))
+                self.patch(entry(pick.choice(names), state, born=pick.choice((0.0, self.now)), zone="a"))
+            elif todo < 0.98:
+                self.feed(api.WorkerList(api.ListKind.BROKEN))
+            else:
+                self.feed(api.WorkerList(api.ListKind.WHOLE, tuple(entry(n) for n in names)))
+                self.arrivals.order(self.now, Order("safe", 0.3, 1.0, delay_ms=100, abort_share=0.2))
+
+    def dumped(self) -> bytes:
+        return b"".join(self.capture.dump(self.now))
+
+
+def replayed(
+    data: bytes, options: Options = FEATURES, **changes: object
+) -> tuple[list[str], list[str], Replay]:
+    said, warned = list[str](), list[str]()
+    replay = Replay(
+        settings(**({"tenants": TENANTS, "may_tell": True} | changes)), options, said.append, warned.append
+    )
+    replay.run(data.splitlines(keepends=True))
+    return said, warned, replay
+
+
+@pytest.mark.parametrize(("ring", "lost"), [(50_000_000, False), (200_000, True), (60_000, True)])
+def test_a_play_is_decided_alike_in_a_replay_also_from_a_ring_that_lost_its_start(
+    ring: int, lost: bool
+) -> None:
+    """Not from the seed then, but from the state that stands where the ring begins."""
+    play = Play(ring_bytes=ring)
+    play.play(6000)
+    data = play.dumped()
+    opening = json.loads(data.partition(b"\n")[0])
+    assert (opening["seed"], opening["lost"] > 0) == (SEED, lost) and len(data) <= ring
+    said, warned, replay = replayed(data)
+    assert (said, warned) == ([], []) and replay.compared > (100 if lost else 10_000)
+    assert opening["lost"] + replay.inputs == play.capture.inputs
+    assert replayed(data, max_attempts=1)[0]
+    if lost:  # the state holds jobs of that class
+        with pytest.raises(ValueError, match="line 2: it holds a job of class 'keyed'"):
+            replayed(data, classes=settings().classes[:2])
+    else:
+        assert any("KeyError" in line for line in replayed(data, classes=settings().classes[:2])[0])
+    assert replayed(data, Options(door=DoorOptions(rate=1, burst=1), drill=DrillOptions("k")))[0]
+
+
+def test_every_field_of_the_decisions_is_carried() -> None:
+    """The state taken from what was restored is the same again, to the last digit."""
+    play = Play()
+    play.play(4000)
+    state = snapshot.take(play.d, play.arrivals)
+    text = msgspec.json.encode(state)
+    assert play.d.jobs and play.d.ejected and play.d.key_counts and state["door"] and state["drills"]
+    other, arrivals = Dispatcher(play.d.s, 5), Arrivals(FEATURES, 5)
+    assert snapshot.restore(msgspec.json.decode(text), other, arrivals) == []
+    assert msgspec.json.encode(snapshot.take(other, arrivals)) == text
+    assert vars(other).keys() == vars(play.d).keys()
+
+
+def test_a_state_that_cant_be_carried_is_said_and_prints_no_false_differences() -> None:
+    play = Play(options=Options(door=DoorOptions(max_keys=2000)), ring_bytes=100_000)
+    for n in range(1500):  # more addresses than are carried
+        play.arrivals.judge(play.now, f"10.1.{n // 250}.{n % 250}", f"a{n}", "safe", 1.0)
+    play.play(1500)
+    said, warned, replay = replayed(play.dumped(), Options(door=DoorOptions(max_keys=2000)))
+    assert said == [] and "door's table was too large" in warned[0] and replay.compared > 100
+    small = Play(ring_bytes=2000)  # too small for a state
+    small.play(500)
+    assert len(small.dumped()) <= 2000
+    said, warned, replay = replayed(small.dumped())
+    assert (said, replay.compared) == ([], 0) and "none of its decisions can be compared" in warned[-1]
+
+
+def test_the_ring_counts_its_bytes_and_drops_the_oldest() -> None:
+    ring = Ring(OPENING + 800)
+    for n in range(1000):
+        ring.add(b"%05d\n" % n)
+        if ring.wants_state():
+            ring.begin(b"state %05d\n" % n)
+        lost, lines = ring.content()
+        size = sum(map(len, lines))
+        assert size <= 800 and ring.size >= size and lost + sum(len(x) == 6 for x in lines) == n + 1
+        assert n < 130 or size >= 800 * (PARTS - 2) // PARTS
+        assert not lost or lines[0] == b"state %05d\n" % (lost - 1)
+    ring.gap()  # what was missed leads nowhere
+    assert ring.content() == (1001, [])
+    ring.add(b"x" * 900)
+    assert ring.size == 0 and ring.wants_state()
+
+
+def test_what_can_be_recorded_comes_back_as_it_was_given() -> None:
+    t = 1764585417.1234567
+    cases: list[tuple[api.Event, Any]] = [
+        (api.Request("a", "u", 3.999871015548706, 2.0, 64089261806754544, "t", 0.5, 0.1), RequestIn),
+        (api.Started("a", 1), EventIn),
+        (api.Progress("a", 1, 0.1 + 0.2), EventIn),
+        *((api.Ended("a", 1, ending, True, 1 / 3, {"util": 0.1}), EventIn) for ending in E),
+        (api.WorkerList(api.ListKind.PATCH, (entry("w", zone="z", born=t, weight=1 / 3),)), ListIn),
+    ]
+    for e, kind in cases:
+        record = msgspec.json.decode(msgspec.json.encode(in_line(t, e)), type=kind)
+        assert (record.t, record.event()) == (t, e)
+    assert [len(p) for p in pieces([b"x" * 40_000, b"y" * 100_000])] == [40_000, 65_536, 34_464]
+
+
+def short_capture() -> list[bytes]:
+    play = Play()
+    play.play(40)
+    return play.dumped().splitlines(keepends=True)
+
+
+CUTS: list[tuple[str, Callable[[list[bytes]], list[bytes]], str]] = [  # what it is, and a word of the error
+    ("cut", lambda x: [*x[:-1], x[-1][:-9]], ""),
+    ("cut between lines", lambda x: x[: next(n for n, y in enumerate(x) if b'"out"' in y)], ""),
+    ("no line end", lambda x: [*x[:-1], x[-1][:-1]], ""),
+    ("cut inside", lambda x: [*x[:9], x[9][:-9] + b"\n", *x[10:]], "line 10: "),
+    ("no JSON", lambda x: [*x[:9], b"hello\n", *x[10:]], "line 10: "),
+    ("no JSON at the end", lambda x: [*x, b"hello\n"], f"line {len(short_capture()) + 1}: "),
+    ("not UTF-8", lambda x: [*x[:9], b'{"in":"\xff"}\n', *x[10:]], "line 10: "),
+    ("unknown", lambda x: [*x[:9], b'{"t":1,"in":"tea"}\n', *x[10:]], "line 10: "),
+    ("lacking", lambda x: [*x[:9], b'{"t":1,"in":"request","id":"a"}\n', *x[10:]], "line 10: "),
+    ("no state", lambda x: [*x[:9], b'{"t":1,"in":"event","id":"a","state":"","attempt":0}\n'], "line 10: "),
+    ("an empty line", lambda x: [*x[:9], b"\n", *x[10:]], "line 10: "),
+    ("no opening", lambda x: x[1:], "line 1: a capture begins with its seed"),
+    ("a decision first", lambda x: [x[0], b'{"t":1,"out":"fail","id":"a"}\n'], "line 2: "),
+    ("empty", lambda x: [], "empty"),
+]
+
+
+@pytest.mark.parametrize(("change", "error"), [c[1:] for c in CUTS], ids=[c[0] for c in CUTS])
+def test_a_cut_last_line_is_a_warning_and_any_other_broken_line_an_error(
+    change: Callable[[list[bytes]], list[bytes]], error: str
+) -> None:
+    data = b"".join(change(short_capture()))
+    if error:
+        with pytest.raises(ValueError, match=error):
+            replayed(data)
+    else:
+        said, warned, _ = replayed(data)
+        assert said == [] and (len(warned) == 1 or data.endswith(b"}"))
+
+
+def test_files_of_bounded_size_each_replay_alone_and_the_newest_stay(tmp_path: Path) -> None:
+    def files() -> list[Path]:
+        return sorted(tmp_path.glob("capture-n_1-*.jsonl"))
+
+    foreign = tmp_path / "capture-n_1-x-0000000000001-000001.jsonl"
+    foreign.write_text("another dispatcher's")
+    for start in (1, 2):  # the second start goes on from what the first left
+        disk = CaptureFiles(str(tmp_path), "n/1", start, 3, 100_000_000)
+        play = Play(disk, file_bytes=60_000)
+        disk.start()
+        play.play(3000)
+        disk.close()
+        assert not disk.is_alive()
+        own = [f for f in files() if f != foreign]
+        assert len(own) == 3 and all(f"-{start:013}-" in f.name for f in own)
+        compared = 0
+        for file in own:
+            assert file.stat().st_size <= 60_000
+            said, warned, replay = replayed(file.read_bytes())
+            assert (said, warned) == ([], [])
+            compared += replay.compared
+        assert compared > 300
+        assert replayed(b"".join(f.read_bytes() for f in own))[0] == []  # and one after the other
+    assert foreign.exists()
+
+
+def test_a_disk_that_fails_or_hangs_loses_files_and_nothing_else(tmp_path: Path) -> None:
+    class Flaky:
+        ok, opened, blocks = True, 0, list[bytes]()
+
+        def open(self, data: bytes) -> bool:
+            self.opened += self.ok
+            self.blocks = [data] if self.ok else self.blocks
+            return self.ok
+
+        def write(self, data: bytes) -> bool:
+            self.blocks += [data] if self.ok else []
+            return self.ok
+
+    disk = Flaky()
+    play = Play(disk)
+    play.play(100)
+    disk.ok = False
+    play.play(100)
+    disk.ok = True
+    play.play(2000)
+    assert disk.opened > 1  # a gap can't be replayed over, so a new file begins with the state
+    said, warned, replay = replayed(b"".join(disk.blocks))
+    assert (said, warned) == ([], []) and replay.compared > 100
+    assert replayed(play.dumped())[:2] == ([], [])  # the ring missed nothing
+    # nothing reads what waits for a disk that hangs: it is bounded, and no call waits
+    hanging = CaptureFiles(str(tmp_path), "n", 1, 3, 1000)
+    assert [hanging.write(b"x" * 400) for _ in range(4)] == [True, True, False, False]
+    blocked = tmp_path / "file"
+    blocked.write_text("no folder")
+    failing = CaptureFiles(str(blocked), "n", 1, 3, 1000)
+    failing.start()
+    assert failing.open(b"x")
+    failing.close()
+    assert failing.failed and not failing.write(b"x")
+
+
+def test_what_cant_be_recorded_is_a_gap_and_harms_nobody() -> None:
+    play = Play()
+    recorder = Recorder(play.capture)
+    play.play(50)
+    recorder.decided(play.now, api.Probed("w", E.OK, 0.1), [])  # has no line
+    play.play(2000)
+    data = play.dumped()
+    assert json.loads(data.partition(b"\n")[0])["lost"] > 50
+    assert replayed(data)[:2] == ([], [])
+
+
+async def command(n: Node, *args: str, config: Path | None = None) -> tuple[int, bytes, str]:
+    env = {"NODE_LISTEN": f"127.0.0.1:{n.port}", "NODE_CONFIG": str(config or n.config)}
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "finchladder", *args), cwd=ROOT, env=os.environ | env,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    out, err = await process.communicate()
+    return process.returncode or 0, out, err.decode()
+
+
+def test_a_run_is_dumped_and_replayed_without_differences_until_the_configuration_changes(
+    tmp_path: Path,
+) -> None:
+    """The check of the operators, from the command line; no body of a request or result is recorded."""
+
+    async def play() -> None:
+        servers = [RealServer("w1"), RealServer("w2", turn_away), RealServer("w3")]
+        ini = f"[capture]\nfolder = {tmp_path / 'files'}\n[door.s]\nrate = 0.01\nburst = 30\n"
+        async with node(tmp_path, *servers, ini=ini) as n:
+            for i in range(40):
+                await n.ask(f"a{i}", f"/{'us'[i % 2]}/k{i}", body=b"the carer's name")
+            await n.list(servers[0].entry("draining"))
+            await n.ask("b1")
+            code, data, err = await command(n, "capture", "dump")
+            assert (code, err) == (0, "") and b"carer" not in data and b" ran " not in data
+            records = [json.loads(line) for line in data.splitlines()]
+            assert (records[0]["in"], records[0]["seed"]) == ("capture", "5")
+            done = {"in": "event", "id": "a0", "state": "done"}
+            assert any(done.items() <= r.items() for r in records)
+            assert sum(r.get("out") == "send" for r in records) >= 41
+            (tmp_path / "dump").write_bytes(data)
+            operator = ("--config", str(tmp_path / "operator.ini"))
+            code, out, err = await command(n, "replay", str(tmp_path / "dump"), *operator)
+            assert (code, out) == (0, b"") and err.endswith(" 0 differ\n")
+            changed = tmp_path / "changed.json"
+            one = SETTINGS | {"caps": SETTINGS["caps"] | {"tryLimit": 1}}
+            changed.write_text(json.dumps({"settings": one}))
+            code, out, err = await command(n, "replay", str(tmp_path / "dump"), *operator, config=changed)
+            assert code == 1 and b": - {" in out and b": + {" in out
+            (tmp_path / "broken").write_bytes(data[:3000] + b"\n" + data[3000:])
+            code, out, err = await command(n, "replay", str(tmp_path / "broken"), *operator)
+            assert code == 2 and "line " in err and err.count("\n") == 1
+            assert (await exchange(n.port, b"POST /_capture HTTP/1.1\r\n\r\n")).status == 405
+            n.process.terminate()
+            assert await n.process.wait() == 0
+            [file] = (tmp_path / "files").iterdir()
+            assert (await command(n, "replay", str(file), *operator))[0] == 0
+            assert (await command(n, "capture", "dump"))[0] == 1  # nobody answers
+
+    run(play())
+
+
+def test_the_ring_is_dumped_in_bounded_pieces_to_one_reader_at_a_time() -> None:
+    """What is being sent is held until it is sent, though the ring goes on: a second would be held too."""
+    play = Play()
+    play.play(2000)
+    controls = Controls(Clock(), set(), FEATURES, None, play.arrivals, play.capture)
+    head = Head(1, Headers([]), "GET", "/_capture")
+    first, second = controls.answer(head, b""), controls.answer(head, b"")
+    assert first and first.dump and second and (second.status, second.dump) == (503, None)
+    sent = list(first.dump.pieces())
+    assert len(sent) > 1 and max(map(len, sent)) <= 65536 and sum(map(len, sent)) == first.dump.size
+    first.dump.over()
+    again = controls.answer(head, b"")
+    assert again and again.dump
+
+
+def test_a_reader_that_leaves_halfway_holds_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with node(tmp_path, RealServer("w1"), ini="[capture]\n") as n:
+            dump = b"GET /_capture HTTP/1.1\r\n\r\n"
+            for _ in range(3):
+                _, writer = await asyncio.open_connection("127.0.0.1", n.port)
+                writer.write(dump)
+                writer.transport.abort()
+            while (await exchange(n.port, dump)).status != 200:
+                await asyncio.sleep(0.02)
+
+    run(play())
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -183,7 +183,7 @@
 def test_an_unusable_order_is_refused(body: bytes) -> None:
     options = Options(drill=DrillOptions(KEY))
     arrivals = Arrivals(options, 1)
-    controls = Controls(Clock(), {"u"}, options, None, arrivals)
+    controls = Controls(Clock(), {"u"}, options, None, arrivals, None)
     with pytest.raises(BadMessage) as e:
         controls.answer(Head(1, Headers([("X-Drill-Key", KEY)]), "POST", "/_drill"), body)
     assert arrivals.drills is not None
