--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,13 +1,16 @@
 """The operator's file: what it gives, and how one that can't be used ends the program."""
 
 import os
+import shlex
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
 
-from finchladder.options import OFF, DoorOptions, DrillOptions, Options, read_options
+from finchladder.__main__ import front, main, run_serve
+from finchladder.options import OFF, CaptureOptions, DoorOptions, DrillOptions, Options, read_options
 from tests.peers import ROOT
 
 ENV = {
@@ -40,6 +43,26 @@
     assert read(tmp_path, text) == options
 
 
+def test_in_service_capture_alone_is_on_and_every_unit_is_named() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    command = shlex.split(deploy["run"])
+    assert command[:4] == ["exec", ".venv/bin/python", "-m", "finchladder"]
+    options = read_options(front().parse_args(command[4:]).config)
+    assert options == Options(capture=CaptureOptions()) and options.memory() > 3 * 786_432 - 1
+    sim = {f"finchladder/{name}.py" for name in ("__init__", "benchlink", "api", "records")}
+    units = {f"finchladder/{f.name}" for f in (ROOT / "finchladder").glob("*.py")}
+    assert units == sim | {n for n in deploy["node"] + deploy["policy"] if n.endswith(".py")}
+    script = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["scripts"]["finchladder"]
+    assert script == f"{main.__module__}:{main.__name__}" and "-e ." in deploy["build"]
+
+
+@pytest.mark.parametrize("args", [["--config", "a"], ["serve", "--config", "a"], ["--config", "a", "serve"]])
+def test_the_file_may_be_named_before_the_command_or_after_it(args: list[str]) -> None:
+    parsed = front().parse_args(args)
+    assert (parsed.config, parsed.run) == ("a", run_serve)
+    assert front().parse_args([]).config is None
+
+
 @pytest.mark.parametrize("file", sorted((ROOT / "deploy").glob("*.ini")), ids=lambda p: p.name)
 def test_the_files_of_the_operators_can_be_used(file: Path) -> None:
     read_options(str(file)).check(["roster-view", "roster-confirm"], 32)
@@ -63,6 +86,9 @@
         ("[door.roster-view]\nrate = 41", "burst 40 is below rate 41"),
         ("[door.nosuch]", "no such class"),
         ("[door]\nmax_keys = 1.5", "`int`"),
+        ("[capture]\nring_bytes = 1000", ">= 1024"),
+        ("[capture]\nfolder =", "length >= 1"),
+        ("[capture]\nring_bytes = 100000000", "is the most"),
         ("[status]\nretain_ms = 0", "> 0"),
         ("[status]\nmax_entries = 0", ">= 1"),
         ("[drill]\nkey =", "`str` matching"),  # an empty key would let everybody in
