--- a/finchladder/__main__.py
+++ b/finchladder/__main__.py
@@ -201,9 +201,8 @@
 
     try:
         options = read_options(args.config)
-        key = os.environ.get(calls.KEY) or (options.drill.key if options.drill is not None else None)
-        if not key:
-            raise ValueError(f"{calls.KEY} is not set, and no file named by --config has a key in [drill]")
+        # without one the dispatcher says what it says to all who have no key
+        key = os.environ.get(calls.KEY) or (options.drill and options.drill.key) or ""
         order = msgspec.convert(
             {"class": args.job_class, "share": args.share, "delay_ms": args.delay_ms, "for_s": args.for_s}
             | ({"abort_share": args.abort_share} if args.abort_share is not None else {}),
--- a/finchladder/calls.py
+++ b/finchladder/calls.py
@@ -40,10 +40,15 @@
 
 
 def drill(order: Order, key: str) -> str:
+    if not all(" " <= c <= "~" for c in key):
+        raise ValueError("the key holds what is not visible ASCII")  # and is not to be printed
     connection = connect()
     try:
-        body = msgspec.json.encode(order)
-        return ask(connection, "POST", "/_drill", body, {"X-Drill-Key": key}).read().decode()
+        body, fields = msgspec.json.encode(order), {"X-Drill-Key": key} if key else {}
+        return ask(connection, "POST", "/_drill", body, fields).read().decode()
+    except CallError as e:
+        hint = f"; {KEY} is not set, and no file named by --config has a key in [drill]" if not key else ""
+        raise CallError(f"{e}{hint}") from None
     finally:
         connection.close()
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -241,7 +241,7 @@
         disk.start()
         play.play(3000)
         disk.close()
-        assert not disk.is_alive()
+        disk.join()
         own = [f for f in files() if f != foreign]
         assert len(own) == 3 and all(f"-{start:013}-" in f.name for f in own)
         compared = 0
@@ -288,6 +288,7 @@
     failing.start()
     assert failing.open(b"x")
     failing.close()
+    failing.join()
     assert failing.failed and not failing.write(b"x")
 
 
@@ -319,7 +320,8 @@
 
     async def play() -> None:
         servers = [RealServer("w1"), RealServer("w2", turn_away), RealServer("w3")]
-        ini = f"[capture]\nfolder = {tmp_path / 'files'}\n[door.s]\nrate = 0.01\nburst = 30\n"
+        ini = f"[capture]\nring_bytes = 8000000\nfolder = {tmp_path / 'files'}\n"
+        ini += "[door.s]\nrate = 0.01\nburst = 30\n"
         async with node(tmp_path, *servers, ini=ini) as n:
             for i in range(40):
                 await n.ask(f"a{i}", f"/{'us'[i % 2]}/k{i}", body=b"the carer's name")
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -123,7 +123,9 @@
             assert json.loads(shown.body)["state"] == "returned"
             for args, key, said in (
                 ((*drill, "601"), KEY, "600"),
-                ((*drill, "600"), "wrong", "403"),
+                ((*drill, "600"), "wrong", "403: no drill without the key"),
+                ((*drill, "600"), "", "403: no drill without the key; NODE_DRILL_KEY is not set"),
+                ((*drill, "9"), "s3\ncret", "not visible ASCII"),
                 ((*drill, "9", "--class", "x"), KEY, "no such class"),
             ):
                 code, out, err = await command(n, *args, key=key)
