--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -10,12 +10,16 @@
 import msgspec
 import pytest
 
+from finchladder import Dispatcher
 from finchladder.arrivals import Arrivals
 from finchladder.drills import Drills, Effect, Order
+from finchladder.net.clients import Clients
 from finchladder.net.control import Controls
+from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import BadMessage, Head, Headers
-from finchladder.net.module import Clock
+from finchladder.net.module import Clock, ModuleActor
 from finchladder.options import DrillOptions, Options
+from tests.helpers import settings
 from tests.peers import ROOT, Node, RealServer, exchange, node, request, run
 
 KEY = "s3 cret%"
@@ -190,3 +194,17 @@
         controls.answer(Head(1, Headers([("X-Drill-Key", KEY)]), "POST", "/_drill"), body)
     assert arrivals.drills is not None
     assert (e.value.status, arrivals.drills.running) == (400, {})
+
+
+def test_nothing_is_held_of_a_flow_whose_client_has_left() -> None:
+    async def play() -> None:
+        flows = Flows()
+        module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
+        clients = Clients({"u"}, flows, module, Clock(), lambda: True, lambda c: None, 128, 32)
+        flow = Flow("a", "u", None, {}, "POST", "/u", Headers([]), b"", Clock()() + 900, lambda answer: None)
+        clients.take(flow, Effect(600.0))
+        assert clients.held and module.box.empty()
+        flows.finish(flow, Answer("left"))
+        assert not clients.held and not flows.by_id
+
+    run(play())
