--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -143,7 +143,8 @@
     other, arrivals = Dispatcher(play.d.s, 5), Arrivals(FEATURES, 5)
     assert snapshot.restore(msgspec.json.decode(text), other, arrivals) == []
     assert msgspec.json.encode(snapshot.take(other, arrivals)) == text
-    assert vars(other).keys() == vars(play.d).keys()
+    plain = [{n: v for n, v in vars(d).items() if isinstance(v, int | float)} for d in (other, play.d)]
+    assert plain[0] == plain[1] and plain[0].keys() >= {"retry_tokens", "strain", "warm_rate"}
 
 
 def test_a_state_that_cant_be_carried_is_said_and_prints_no_false_differences() -> None:
@@ -269,7 +270,7 @@
             return self.ok
 
     disk = Flaky()
-    play = Play(disk)
+    play = Play(disk, file_bytes=50_000_000)  # so that no file is ended for its size
     play.play(100)
     disk.ok = False
     play.play(100)
