Lab codec: types that mypy can follow

Need: the strict check of types named three places of the codec. Change: which parser is in use is asked of the parser. mypy and ruff clean.

--- a/finchladder/lab/wire.py
+++ b/finchladder/lab/wire.py
@@ -16,7 +16,7 @@
 
 
 class Message(NamedTuple):
-    """A whole request (`method`, `target`) or response (`status`). Header names in lower case; the last wins."""
+    """A whole request (`method`, `target`) or response (`status`). Names in lower case; the last field wins."""
 
     headers: dict[str, str]
     body: bytes
@@ -57,15 +57,17 @@
     """Feed it; it returns the messages that became whole. `begun`: some of a message has come."""
 
     def __init__(self, responses: bool) -> None:
-        self.responses = responses
         calls = _Callbacks(self)
-        self.raw = httptools.HttpResponseParser(calls) if responses else httptools.HttpRequestParser(calls)
+        self.raw: httptools.HttpResponseParser | httptools.HttpRequestParser = (
+            httptools.HttpResponseParser(calls) if responses else httptools.HttpRequestParser(calls)
+        )
         self.whole: list[Message] = []
         self._begin()
         self.begun = False
 
     def _begin(self) -> None:
-        self.target, self.headers, self.body = b"", {}, b""
+        self.target, self.body = b"", b""
+        self.headers: dict[str, str] = {}
         self.size, self.begun, self.head_done = 0, True, False
 
     def _grow(self, size: int) -> None:
@@ -75,7 +77,7 @@
 
     def _complete(self) -> None:
         keeps = bool(self.raw.should_keep_alive())
-        if self.responses:
+        if isinstance(self.raw, httptools.HttpResponseParser):
             status = self.raw.get_status_code()
             self.whole.append(Message(self.headers, self.body, keeps, status=status))
         else:
