--- a/finchladder/lab/control.py
+++ b/finchladder/lab/control.py
@@ -39,14 +39,15 @@
 class Order(msgspec.Struct, omit_defaults=True):
     """what:
     - addresses: `data` {dispatcher: {server: host:port}} for registry (key "" holds for all dispatchers)
-    - links: relay: `data` is the list of links to open
+    - states: registry: `data` {server: [state, born]} as the fleet said it in its Word of that name
+    - links: relay: `data` [{"name", "from", "to" (zones), "address"}] of links to open; answered by `ready`
     - go: arrivals begin at `at` (monotonic)
     - fault: `data` holds a Fault as mapping plus "targets": names it strikes, and "end": true when it ends
     - up / down: dispatcher `data["name"]` was started / found dead: what the front may be told
     - stop: finish, flush the ledger, say `done`, end
     """
 
-    what: Literal["addresses", "links", "go", "fault", "up", "down", "stop"]
+    what: Literal["addresses", "states", "links", "go", "fault", "up", "down", "stop"]
     at: float = 0.0
     data: Any = None
 
@@ -54,11 +55,14 @@
 class Word(msgspec.Struct, omit_defaults=True):
     """what:
     - ready: `data` is what it opened: {server | dispatcher | link: host:port} of fleet, registry, relay
+    - states: fleet: `data` {server: ["ready" | "draining" | "gone", born]}: what became of real servers, for
+      the registry (born: monotonic time of the last start, 0: long ago); the first holds them all
+    - moved: registry: `data` {dispatcher: host:port} after discovery has moved
     - live: `data` holds figures for the progress line
     - done: all arrivals are answered or given up
     - failed: `text` says why in one line
     """
 
-    what: Literal["ready", "live", "done", "failed"]
+    what: Literal["ready", "states", "moved", "live", "done", "failed"]
     text: str = ""
     data: Any = None
