--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -53,6 +53,8 @@
         default_factory=lambda: [1.0]
     )  # shares of jobs that take 1, 2, 4, 8 slots
     patience_s: Seconds = 0.0  # of one try; 0: what is left of the deadline
+    group: Literal["all", "zone", "cell"] = "all"  # dedup: real servers that drop each other's repeats
+    window_s: Seconds = 5.0  # dedup: how long, from the first send that may have run
 
 
 class Keys(Part):
--- a/finchladder/lab/records.py
+++ b/finchladder/lab/records.py
@@ -5,6 +5,7 @@
 which `read` cuts off. Nothing that a dispatcher says of itself is in here.
 """
 
+import zlib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import BinaryIO, Literal
@@ -33,6 +34,8 @@
     patience: float  # seconds it waits, from `sent`
     work: float  # running time on one core at speed 1, in seconds
     slots: float = 1.0
+    begun: float = 0.0  # the generator took it up: `begun - due` is its own lateness; 0: not kept
+    digest: int = 0  # of method, target and body as sent; 0: not kept
 
 
 End = Literal["answer", "reset", "closed", "silent", "unconnected", "left"]
@@ -75,6 +78,7 @@
     zone: str = ""
     cold_from: float = 1.0  # part of the capacity at the start
     cold_for: float = 0.0  # seconds until it is warm
+    group: int = 0  # those that drop each other's repeats, where a class's group is "cell"
 
 
 class Died(Record, tag="died"):
@@ -93,6 +97,7 @@
     first: float  # first byte of it came
     last: float  # last byte of it came
     verdict: Literal["accepted", "full", "error", "silent", "reset", "unknown"]
+    digest: int = 0  # of method, target and body as they came; 0: not kept
 
 
 class Began(Record, tag="began"):
@@ -148,6 +153,13 @@
 
 
 Any = Asked | Answered | Told | Born | Died | Taken | Began | Ended | Struck | Sample | Lateness | Mark
+
+
+def digest(method: str, target: str, body: bytes) -> int:
+    """CRC-32 of what a dispatcher has to pass on unchanged: shows an altered request, not a forged one."""
+    return zlib.crc32(body, zlib.crc32(f"{method} {target}\n".encode("latin-1")))
+
+
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Any).decode
 
