--- a/finchladder/lab/records.py
+++ b/finchladder/lab/records.py
@@ -79,6 +79,7 @@
     cold_from: float = 1.0  # part of the capacity at the start
     cold_for: float = 0.0  # seconds until it is warm
     group: int = 0  # those that drop each other's repeats, where a class's group is "cell"
+    warm_work: float = 0.0  # work done, in seconds at speed 1, that also makes it warm; 0: only time does
 
 
 class Died(Record, tag="died"):
