The package in rooms: core, config, features, net, cli, held apart by import-linter

Need: the root was flat, so a decision, a record and a command's client lay side by side, and nothing said what may import what. Change: files moved, none rewritten, but for the command line, which is cut by command (front finds it and imports that command's file alone), and the readers of addresses and service entries, which go from net/ down to config/.

--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,18 @@
 		.venv/bin/pip -q install --no-deps --config-settings editable_mode=compat -e . && \
 		cp requirements.txt .venv/installed; }
 
-.venv-dev/installed: requirements.txt requirements-dev.txt
+.venv-dev/installed: requirements.txt requirements-dev.txt requirements-lab.txt
 	test -x .venv-dev/bin/python || python3 -m venv .venv-dev
-	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt -r requirements-lab.txt
 	touch $@
 
 test: .venv-dev/installed
-	.venv-dev/bin/python -m pytest -q
+	.venv-dev/bin/python -m pytest -q -n 4
 
 lint: .venv-dev/installed
 	.venv-dev/bin/ruff check .
 	.venv-dev/bin/mypy
+	.venv-dev/bin/lint-imports --no-cache
 
 run: build
 	NODE_NAME=example NODE_LISTEN=127.0.0.1:8081 NODE_DISCOVERY=127.0.0.1:8500 NODE_CONFIG=example/config.json \
--- a/finchladder/benchlink.py
+++ b/finchladder/cli/benchlink.py
@@ -1,4 +1,4 @@
-"""Adapter from the bench's text wire to finchladder.api and back. It decides nothing.
+"""Adapter from the bench's text wire to finchladder.core.api and back. It decides nothing.
 
 Anything it cannot read ends it with one message on standard error and exit status 2; an exception inside
 the decision module is reported on the wire as FATAL.
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any, BinaryIO, NoReturn, TextIO
 
-from finchladder import api
-from finchladder.policy import Dispatcher
-from finchladder.settings import read_settings
+from finchladder.config.settings import read_settings
+from finchladder.core import api
+from finchladder.core.policy import Dispatcher
 
 LIST_KINDS = {
     "patch": api.ListKind.PATCH,
--- a/finchladder/calls.py
+++ b/finchladder/cli/calls.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from finchladder.drills import Order
-from finchladder.net.http1 import parse_address
+from finchladder.config.addresses import parse_address
+from finchladder.features.drills import Order
 
 PIECE = 64 * 1024
 KEY = "NODE_DRILL_KEY"  # not an argument: every user of the machine can read those
--- /dev/null
+++ b/finchladder/cli/drill.py
@@ -0,0 +1,39 @@
+"""`finchladder drill`: rehearses slow or broken jobs at the running dispatcher."""
+
+import argparse
+import os
+
+import msgspec
+
+from finchladder.cli import calls
+from finchladder.cli.front import fail, takes_config
+from finchladder.config.options import read_options
+from finchladder.features.drills import Order
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    takes_config(parser)
+    parser.add_argument("--class", dest="job_class", required=True, metavar="CLASS")
+    parser.add_argument("--share", type=float, required=True, help="part of the class's requests, 0 to 1")
+    parser.add_argument("--delay-ms", type=float, default=0.0, help="hold them for so long (default: not)")
+    parser.add_argument(
+        "--abort-share", type=float, help="answered 503 (default: --share, or 0 with a delay)"
+    )
+    parser.add_argument("--for-s", type=float, required=True, help="seconds until it ends, at most 600")
+
+
+def run(args: argparse.Namespace) -> None:
+    try:
+        options = read_options(args.config)
+        # without one the dispatcher says what it says to all who have no key
+        key = os.environ.get(calls.KEY) or (options.drill and options.drill.key) or ""
+        order = msgspec.convert(
+            {"class": args.job_class, "share": args.share, "delay_ms": args.delay_ms, "for_s": args.for_s}
+            | ({"abort_share": args.abort_share} if args.abort_share is not None else {}),
+            Order,
+        )
+        print(calls.drill(order, key), end="")
+    except (ValueError, msgspec.ValidationError) as e:
+        fail(str(e))
+    except calls.CallError as e:
+        fail(str(e), 1)
--- /dev/null
+++ b/finchladder/cli/front.py
@@ -0,0 +1,68 @@
+"""The command line's front: finds the command, has its file read the arguments, and runs it."""
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+from importlib import import_module
+from typing import NoReturn, Protocol, cast
+
+COMMANDS = {  # each a file beside this one
+    "serve": "start one dispatcher (the default)",
+    "capture": "what the running dispatcher has recorded",
+    "replay": "decide a capture anew, and print what differs",
+    "drill": "rehearse slow or broken jobs at the running dispatcher",
+}
+
+
+class Command(Protocol):
+    """What a command's file holds."""
+
+    def arguments(self, parser: argparse.ArgumentParser) -> None: ...
+    def run(self, args: argparse.Namespace) -> None: ...
+
+
+def fail(message: str, status: int = 2) -> NoReturn:
+    """Ends the program with one line on standard error."""
+    print(f"finchladder: {' '.join(message.split())}", file=sys.stderr)
+    sys.exit(status)
+
+
+def takes_config(parser: argparse.ArgumentParser) -> None:
+    # no default: what stands before the command must not be undone by what does not stand after it
+    parser.add_argument(
+        "--config", metavar="FILE", default=argparse.SUPPRESS, help="the operator's INI file"
+    )
+
+
+def parse(argv: Sequence[str] | None = None) -> tuple[Command, argparse.Namespace]:
+    """Without a command it serves; --config may stand before the command or after it.
+
+    Only the file of the command that was asked for is imported: a dispatcher lives in 32 MB.
+    """
+    lines = "\n".join(f"  {name:12}{text}" for name, text in COMMANDS.items())
+    top = argparse.ArgumentParser(
+        "finchladder",
+        description="A dispatcher for roster jobs.",
+        epilog=f"commands:\n{lines}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    takes_config(top)
+    top.add_argument("command", nargs="?", default="serve", choices=COMMANDS, metavar="COMMAND")
+    top.add_argument("rest", nargs=argparse.REMAINDER, help=argparse.SUPPRESS)
+    first = top.parse_args(argv)
+    command = cast(Command, import_module(f"finchladder.cli.{first.command}"))
+    parser = argparse.ArgumentParser(f"finchladder {first.command}", description=COMMANDS[first.command])
+    command.arguments(parser)
+    found = argparse.Namespace(config=getattr(first, "config", None))
+    return command, parser.parse_args(first.rest, found)
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    command, args = parse(argv)
+    try:
+        command.run(args)
+        sys.stdout.flush()
+    except BrokenPipeError:  # whoever read the output has read enough
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(1)
--- /dev/null
+++ b/finchladder/cli/replay.py
@@ -0,0 +1,38 @@
+"""`finchladder replay`: decides a capture anew, and prints what differs."""
+
+import argparse
+import os
+import sys
+
+from finchladder.cli.front import fail, takes_config
+from finchladder.config.options import read_options
+from finchladder.config.platform import read_file
+from finchladder.config.settings import read_settings
+from finchladder.features.replay import Replay
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    takes_config(parser)
+    parser.add_argument("file", metavar="FILE", help="a capture, or - for standard input")
+
+
+def run(args: argparse.Namespace) -> None:
+    """Exit status as diff's: 0 all as it was, 1 some differs, 2 it can't be read."""
+    def warn(text: str) -> None:
+        print(f"finchladder: {args.file}: {' '.join(text.split())}", file=sys.stderr)
+
+    try:
+        file, options = read_file(os.environ), read_options(args.config)
+        settings = read_settings(bytes(file.settings))
+        options.check([c.name for c in settings.classes], file.limits.memory_mb)
+        replay = Replay(settings, options, print, warn)
+        lines = sys.stdin.buffer if args.file == "-" else open(args.file, "rb")  # noqa: SIM115
+    except (ValueError, OSError) as e:
+        fail(str(e))
+    with lines:
+        try:
+            replay.run(lines)
+        except ValueError as e:
+            fail(f"{args.file}: {e}")
+    warn(f"{replay.inputs} inputs, {replay.compared} decisions compared, {replay.differ} differ")
+    sys.exit(1 if replay.differ else 0)
--- /dev/null
+++ b/finchladder/cli/serve.py
@@ -0,0 +1,119 @@
+"""`finchladder serve`, the default: starts one real dispatcher. Reads what it is told, wires the actors."""
+
+import argparse
+import asyncio
+import logging
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from functools import partial
+
+from loguru import logger
+
+from finchladder.cli.front import fail, takes_config
+from finchladder.config.options import CaptureOptions, Options, read_options
+from finchladder.config.platform import Setup, read_setup
+from finchladder.config.settings import read_seed
+from finchladder.core.policy import Dispatcher
+from finchladder.features import snapshot
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import Capture
+from finchladder.features.status import JobStatus
+from finchladder.net.clients import Clients
+from finchladder.net.disk import CaptureFiles
+from finchladder.net.flows import Flows
+from finchladder.net.module import Clock, ModuleActor
+from finchladder.net.recorder import Recorder
+from finchladder.net.servers import RealServers
+from finchladder.net.service import ServiceActor
+
+MOST_SOCKETS = 1024
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    takes_config(parser)
+
+
+class ToLoguru(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        logger.opt(exception=record.exc_info).log(record.levelname, record.getMessage())
+
+
+def reread(env: Mapping[str, str], service: ServiceActor) -> None:
+    """What SIGHUP asks for: the file's discovery is followed, all else holds from the next start."""
+    try:
+        discovery = read_setup(env).discovery
+    except (ValueError, RecursionError) as e:
+        logger.error("SIGHUP: {}; what was read before stays in force", " ".join(str(e).split()))
+        return
+    logger.info("SIGHUP: discovery is at {}:{}", *discovery)
+    service.follow(discovery)
+
+
+def capture_files(options: CaptureOptions, name: str, clock: Clock) -> CaptureFiles | None:
+    if options.folder is None:
+        return None
+    files = CaptureFiles(options.folder, name, int(clock() * 1000), options.files, 2 * options.file_bytes)
+    files.start()
+    return files
+
+
+async def serve(setup: Setup, options: Options) -> None:
+    loop = asyncio.get_running_loop()
+    left = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, left.set)
+    clock = Clock()
+    flows = Flows(JobStatus(options.status) if options.status is not None else None, clock)
+    sockets = min(setup.limits.sockets, MOST_SOCKETS)
+    seed = read_seed(setup.seed)
+    dispatcher, arrivals = Dispatcher(setup.settings, seed), Arrivals(options, seed)
+    module = ModuleActor(dispatcher, flows, clock)
+    capture, files = None, None
+    if options.capture is not None:
+        files = capture_files(options.capture, setup.name, clock)
+        state = partial(snapshot.take, dispatcher, arrivals)
+        capture = Capture(options.capture, setup.seed, state, files)
+        capture.begin(clock())
+        module.tap = arrivals.tap = Recorder(capture)
+    servers = RealServers(flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s, sockets)
+    module.carrier = servers
+    service = ServiceActor(setup.discovery, servers.update)
+    classes = {c.name for c in setup.settings.classes}
+    memory = setup.limits.memory_mb
+    clients = Clients(
+        classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory, options,
+        arrivals, capture,
+    )  # fmt: skip
+    clients.listen_on(setup.listen)
+    module.start()
+    servers.start()
+    if setup.known is not None:
+        service.post(setup.known)
+    service.start()
+    # a SIGHUP with nobody to handle it would end the process, and with it all open flows
+    loop.add_signal_handler(signal.SIGHUP, reread, os.environ, service)
+    logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
+    await left.wait()
+    logger.info("{}: leaving", setup.name)
+    await clients.leave()
+    if files is not None:
+        files.close()
+    logger.info("{}: left", setup.name)
+
+
+def run(args: argparse.Namespace) -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
+    try:
+        setup, options = read_setup(os.environ), read_options(args.config)
+        options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb)
+    except ValueError as e:
+        fail(str(e))
+    logger.remove()
+    logger.add(sys.stderr, level="INFO", backtrace=False, diagnose=False)
+    logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
+    try:
+        asyncio.run(serve(setup, options))
+    except OSError as e:
+        fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
--- /dev/null
+++ b/finchladder/config/platform.py
@@ -0,0 +1,88 @@
+"""The platform's configuration: the environment's variables and the JSON file that NODE_CONFIG names."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from finchladder.config.addresses import parse_address
+from finchladder.config.entries import News, read_list
+from finchladder.config.settings import read_settings
+from finchladder.core import api
+
+LEAST_SOCKETS, LEAST_MEMORY = 128, 32
+
+
+class Caps(msgspec.Struct, rename="camel"):
+    """What of the settings concerns connections alone, and so never reaches the module."""
+
+    conn_idle_s: float
+    connect_timeout_s: float
+
+
+class NetPart(msgspec.Struct):
+    caps: Caps
+
+
+class Limits(msgspec.Struct):
+    sockets: int = 1024
+    memory_mb: int = 192
+
+
+class File(msgspec.Struct):
+    """The file that NODE_CONFIG names."""
+
+    settings: msgspec.Raw
+    discovery: str = ""  # goes before NODE_DISCOVERY, which a file written later can't change
+    seed: str = ""
+    known: msgspec.Raw = msgspec.Raw(b"")
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+class Setup(NamedTuple):
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: str
+    known: News | None
+    settings: api.Settings
+    caps: Caps
+    limits: Limits
+
+
+def read_file(env: Mapping[str, str], *needed: str) -> File:
+    for name in (*needed, "NODE_CONFIG"):
+        if not env.get(name):
+            raise ValueError(f"{name} is not set")
+    try:
+        return msgspec.json.decode(Path(env["NODE_CONFIG"]).read_bytes(), type=File)
+    except (OSError, msgspec.MsgspecError) as e:
+        raise ValueError(f"{env['NODE_CONFIG']}: {e}") from None
+
+
+def read_setup(env: Mapping[str, str]) -> Setup:
+    """ValueError says in one line what can't be used."""
+    file = read_file(env, "NODE_LISTEN")
+    try:
+        caps = msgspec.json.decode(file.settings, type=NetPart).caps
+    except msgspec.MsgspecError as e:
+        raise ValueError(f"{env['NODE_CONFIG']}: {e}") from None
+    if caps.conn_idle_s <= 0 or caps.connect_timeout_s <= 0:
+        raise ValueError("settings: connIdleS and connectTimeoutS must be above 0")
+    if file.limits.sockets < LEAST_SOCKETS or file.limits.memory_mb < LEAST_MEMORY:
+        raise ValueError(f"limits: {LEAST_SOCKETS} sockets and {LEAST_MEMORY} MB are the least")
+    discovery = file.discovery or env.get("NODE_DISCOVERY")
+    if not discovery:
+        raise ValueError("neither the configuration nor NODE_DISCOVERY names discovery")
+    known = bytes(file.known)
+    return Setup(
+        env.get("NODE_NAME", "dispatcher"),
+        parse_address(env["NODE_LISTEN"]),
+        parse_address(discovery),
+        file.seed,
+        read_list(known, api.ListKind.STALE) if known not in (b"", b"null") else None,
+        read_settings(bytes(file.settings)),
+        caps,
+        file.limits,
+    )
--- a/finchladder/settings.py
+++ b/finchladder/config/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from finchladder import api
+from finchladder.core import api
 
 EFFECTS = {"retryable": "safe", "dedup": "keyed", "fragile": "unsafe"}
 FIELDS: dict[str, tuple[str, ...]] = {  # of api.Settings, and where the facts hold them
--- a/finchladder/policy.py
+++ b/finchladder/core/policy.py
@@ -12,13 +12,13 @@
 from random import Random
 from typing import Any
 
-from finchladder.api import (
+from finchladder.core.api import (
     Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
     PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
     WorkerEntry, WorkerList,
 )  # fmt: skip
-from finchladder.pool import SAMPLE, Pool
-from finchladder.records import Attempt, Job, Worker
+from finchladder.core.pool import SAMPLE, Pool
+from finchladder.core.records import Attempt, Job, Worker
 
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
 HOT_MIN = 50.0  # requests seen before a key's share of them is believed
--- a/finchladder/pool.py
+++ b/finchladder/core/pool.py
@@ -3,7 +3,7 @@
 from bisect import bisect_right
 from hashlib import blake2b
 
-from finchladder.records import Worker
+from finchladder.core.records import Worker
 
 POINTS = 32  # ring points a worker and hash: evens out the arcs of neighbours
 CACHED_KEYS = 4096
--- a/finchladder/records.py
+++ b/finchladder/core/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from finchladder.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry
+from finchladder.core.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry
 
 
 class Worker:
--- a/finchladder/arrivals.py
+++ b/finchladder/features/arrivals.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple, Protocol
 
-from finchladder.door import Door
-from finchladder.drills import Drills, Effect, Order
-from finchladder.options import Options
+from finchladder.config.options import Options
+from finchladder.features.door import Door
+from finchladder.features.drills import Drills, Effect, Order
 
 
 class Verdict(NamedTuple):
--- a/finchladder/capture.py
+++ b/finchladder/features/capture.py
@@ -11,11 +11,11 @@
 
 import msgspec
 
-from finchladder import api
-from finchladder.api import Ending
-from finchladder.arrivals import Verdict
-from finchladder.drills import Order
-from finchladder.options import CaptureOptions
+from finchladder.config.options import CaptureOptions
+from finchladder.core import api
+from finchladder.core.api import Ending
+from finchladder.features.arrivals import Verdict
+from finchladder.features.drills import Order
 
 PARTS = 8  # segments in a full ring: what is lost at once when the oldest goes
 OPENING = 256  # bytes kept free for the first line of a dump
--- a/finchladder/door.py
+++ b/finchladder/features/door.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from finchladder.options import DoorOptions, Options
+from finchladder.config.options import DoorOptions, Options
 
 SLACK = 1e-6  # seconds: a client that comes back exactly when told to must not be early by a rounding
 
--- a/finchladder/replay.py
+++ b/finchladder/features/replay.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from finchladder import api, snapshot
-from finchladder.arrivals import Arrivals
-from finchladder.capture import STATES, Line, decided_lines, encode, judged_lines, ordered_lines
-from finchladder.drills import Order
-from finchladder.options import Options
-from finchladder.policy import Dispatcher
-from finchladder.settings import read_seed
+from finchladder.config.options import Options
+from finchladder.config.settings import read_seed
+from finchladder.core import api
+from finchladder.core.policy import Dispatcher
+from finchladder.features import snapshot
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import STATES, Line, decided_lines, encode, judged_lines, ordered_lines
+from finchladder.features.drills import Order
 
 ENDINGS = {state: ending for ending, state in STATES.items()}
 
--- a/finchladder/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -14,13 +14,13 @@
 
 import msgspec
 
-from finchladder.api import Ending, JobClass
-from finchladder.arrivals import Arrivals
-from finchladder.door import Buckets
-from finchladder.drills import Order
-from finchladder.policy import Dispatcher
-from finchladder.pool import Pool
-from finchladder.records import Attempt, Job, Worker
+from finchladder.core.api import Ending, JobClass
+from finchladder.core.policy import Dispatcher
+from finchladder.core.pool import Pool
+from finchladder.core.records import Attempt, Job, Worker
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.door import Buckets
+from finchladder.features.drills import Order
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
 RECORDS: tuple[type, ...] = (Worker, Attempt, Job)
--- a/finchladder/status.py
+++ b/finchladder/features/status.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from finchladder.api import Ending
-from finchladder.options import StatusOptions
+from finchladder.config.options import StatusOptions
+from finchladder.core.api import Ending
 
 NEWS, TOLD_ENDS = ("started", "running"), ("done", "failed", "returned", "lost")
 ENDS = {
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -14,10 +14,11 @@
 from tornado.queues import Queue
 from tornado.tcpserver import TCPServer
 
-from finchladder import api
-from finchladder.arrivals import Arrivals, Verdict
-from finchladder.capture import Capture
-from finchladder.drills import Effect
+from finchladder.config.options import OFF, Options
+from finchladder.core import api
+from finchladder.features.arrivals import Arrivals, Verdict
+from finchladder.features.capture import Capture
+from finchladder.features.drills import Effect
 from finchladder.net.control import Controls, Dump, Reply
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import (
@@ -34,7 +35,6 @@
 )  # fmt: skip
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.servers import CallBack
-from finchladder.options import OFF, Options
 
 HEALTH, CALL_BACK = "/_health", "/v1/job-events"
 MAX_CALL_BACK = 6 * MAX_BODY + 16 * 1024  # a result of full length in which JSON escapes every byte
--- a/finchladder/net/control.py
+++ b/finchladder/net/control.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from finchladder.arrivals import Arrivals
-from finchladder.capture import Capture, pieces
-from finchladder.drills import Order
+from finchladder.config.options import Options
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import Capture, pieces
+from finchladder.features.drills import Order
+from finchladder.features.status import JobStatus
 from finchladder.net.http1 import BadMessage, Head
 from finchladder.net.module import Clock
-from finchladder.options import Options
-from finchladder.status import JobStatus
 
 STATUS, DRILL, METRICS, CAPTURE = "/_status/", "/_drill", "/_metrics", "/_capture"
 JSON = "Content-Type: application/json"
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from finchladder import api
+from finchladder.core import api
+from finchladder.features.status import JobStatus
 from finchladder.net.http1 import Channel, Headers
-from finchladder.status import JobStatus
 
 REMEMBERED = 4096  # ids of ended flows: a request that is sent again under its id must not run again
 
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -289,20 +289,6 @@
     return Channel(stream, server_parser())
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """`host:port` with the host as numbers: there is no DNS here."""
-    host, _, port = text.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    try:
-        socket.inet_pton(family, host)
-    except OSError:
-        raise ValueError(f"unusable address {text!r}") from None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"unusable port in {text!r}")
-    return host, int(port)
-
-
 def write_request(method: str, target: str, fields: list[tuple[str, str]], body: bytes = b"") -> bytes:
     lines = [f"{method} {target} HTTP/1.1", *(f"{n}: {v}" for n, v in fields)]
     if body or method == "POST":
@@ -327,6 +313,6 @@
 
 __all__ = [
     "MAX_BODY", "PIECE", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "StreamClosedError",
-    "connect", "parse_address", "parse_request", "parse_response", "write_head", "write_request",
+    "connect", "parse_request", "parse_response", "write_head", "write_request",
     "write_response",
 ]  # fmt: skip
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -8,7 +8,8 @@
 from tornado.ioloop import IOLoop
 from tornado.queues import PriorityQueue
 
-from finchladder import Dispatcher, api
+from finchladder.core import api
+from finchladder.core.policy import Dispatcher
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 
--- a/finchladder/net/recorder.py
+++ b/finchladder/net/recorder.py
@@ -4,10 +4,10 @@
 
 from loguru import logger
 
-from finchladder import api
-from finchladder.arrivals import Verdict
-from finchladder.capture import Capture
-from finchladder.drills import Order
+from finchladder.core import api
+from finchladder.features.arrivals import Verdict
+from finchladder.features.capture import Capture
+from finchladder.features.drills import Order
 
 
 class Recorder:
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -11,8 +11,8 @@
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.queues import Queue
 
-from finchladder import api
-from finchladder.api import Ending as E
+from finchladder.core import api
+from finchladder.core.api import Ending as E
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flows, Scheduling
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -1,14 +1,13 @@
-"""Discovery: the service entries, and the reader that watches the list of them."""
+"""Discovery: the reader that watches the list of service entries."""
 
 import asyncio
 from collections.abc import Callable
-from typing import Literal, NamedTuple
 
-import msgspec
 from loguru import logger
 from tornado.queues import Queue
 
-from finchladder import api
+from finchladder.config.entries import News, read_list
+from finchladder.core import api
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.http1 import BadMessage, Channel, StreamClosedError
@@ -17,67 +16,10 @@
 SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
 BACKOFF, BACKOFF_MOST = 0.1, 0.8  # news counts as told after 6 s: no longer wait may lie between two tries
 MAX_LINE = 8 * 1024 * 1024
-STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
 
 Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
 
 
-class ServiceEntry(msgspec.Struct):
-    name: str
-    address: str
-    status: Literal["ready", "draining", "gone"]
-    zone: str = ""
-    type: str = ""
-    group: int = 0
-    weight: float = 1.0
-    since_ms: float = 0.0
-
-    def worker(self) -> api.WorkerEntry:
-        # the name, never the address, is the worker's id: it is the same everywhere, so all hashes agree
-        return api.WorkerEntry(
-            self.name,
-            STATES[self.status],
-            self.zone,
-            self.type,
-            self.group,
-            self.since_ms / 1000,
-            self.weight,
-        )
-
-
-class ServiceList(msgspec.Struct):
-    index: int
-    snapshot: bool
-    endpoints: list[ServiceEntry]
-
-    def addresses(self) -> dict[str, tuple[str, int]]:
-        return {e.name: http1.parse_address(e.address) for e in self.endpoints if e.status != "gone"}
-
-    def workers(self, kind: api.ListKind | None = None) -> api.WorkerList:
-        found = kind or (api.ListKind.WHOLE if self.snapshot else api.ListKind.PATCH)
-        return api.WorkerList(found, tuple(e.worker() for e in self.endpoints))
-
-
-class News(NamedTuple):
-    """A list that has been read and found usable."""
-
-    version: int
-    workers: api.WorkerList
-    addresses: dict[str, tuple[str, int]]
-
-
-_decoder = msgspec.json.Decoder(ServiceList)
-
-
-def read_list(line: bytes, kind: api.ListKind | None = None) -> News:
-    """One line of the list; ValueError says what is wrong with it."""
-    try:
-        found = _decoder.decode(line)
-        return News(found.index, found.workers(kind), found.addresses())
-    except msgspec.MsgspecError as e:
-        raise ValueError(str(e)) from None
-
-
 class Lines:
     """Lines out of pieces that end anywhere."""
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,11 +1,13 @@
 """Peers on real sockets: real servers, discovery and clients that do what a test says."""
 
 import asyncio
+import itertools
 import json
 import os
+import socket
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -140,6 +142,24 @@
     return json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}).encode()
 
 
+_ports = itertools.cycle(range(10_000, 30_000))
+for _ in range(os.getpid() * 97 % 20_000):
+    next(_ports)
+
+
+def free_port() -> int:
+    """For a process that is yet to listen there.
+
+    Below the range from which the system takes ports for connections, and at a place of this process's own:
+    else another test that plays at the same time may be given the port before it is listened on.
+    """
+    for port in _ports:
+        with socket.socket() as s, suppress(OSError):
+            s.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError("unreachable")
+
+
 class Node:
     def __init__(
         self, port: int, process: asyncio.subprocess.Process, discovery: Discovery, config: Path
@@ -160,18 +180,16 @@
 @asynccontextmanager
 async def node(tmp_path: Path, *servers: RealServer, ini: str = "", **more: object) -> AsyncIterator[Node]:
     """The program as it is deployed, with these real servers in the list that it knows from before."""
-    discovery = Discovery()
-    free = Listener()
-    for listener in (discovery, free, *servers):
+    discovery, port = Discovery(), free_port()
+    for listener in (discovery, *servers):
         await listener.open()
-    free.server.close()
     for s in servers:
-        s.node = free.port
+        s.node = port
     known = json.loads(list_line(1, [s.entry() for s in servers], True))
     config = tmp_path / "config.json"
     config.write_text(json.dumps({"seed": "5", "known": known, "settings": SETTINGS} | more))
     env = os.environ | {
-        "NODE_LISTEN": f"127.0.0.1:{free.port}",
+        "NODE_LISTEN": f"127.0.0.1:{port}",
         "NODE_DISCOVERY": f"127.0.0.1:{discovery.port}",
         "NODE_CONFIG": str(config),
     }
@@ -184,14 +202,14 @@
     try:
         while True:
             try:
-                if (await exchange(free.port, HEALTH)).status == (200 if servers else 503):
+                if (await exchange(port, HEALTH)).status == (200 if servers else 503):
                     break
             except OSError:
                 pass
             await asyncio.sleep(0.05)
         while not discovery.watches:
             await asyncio.sleep(0.02)
-        yield Node(free.port, process, discovery, config)
+        yield Node(port, process, discovery, config)
     finally:
         if process.returncode is None:
             process.kill()
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -56,7 +56,7 @@
 
 
 def run(text: str) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "finchladder.benchlink"]
+    command = [sys.executable, "-m", "finchladder.cli.benchlink"]
     return subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, check=False)
 
 
@@ -113,7 +113,7 @@
 
 def test_a_broken_decision_is_reported_on_the_wire() -> None:
     code = (
-        "from finchladder import benchlink\n"
+        "from finchladder.cli import benchlink\n"
         "def broken(self, now, event): raise RuntimeError('two\\nlines')\n"
         "benchlink.Dispatcher.handle = broken\n"
         "benchlink.main()\n"
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -14,19 +14,20 @@
 import msgspec
 import pytest
 
-from finchladder import Dispatcher, api, snapshot
-from finchladder.api import Ending as E
-from finchladder.arrivals import Arrivals
-from finchladder.capture import OPENING, PARTS, Capture, Ring, Sink, in_line, pieces
-from finchladder.drills import Order
+from finchladder import Dispatcher, api
+from finchladder.config.options import CaptureOptions, DoorOptions, DrillOptions, Options
+from finchladder.config.settings import read_seed
+from finchladder.core.api import Ending as E
+from finchladder.features import snapshot
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import OPENING, PARTS, Capture, Ring, Sink, in_line, pieces
+from finchladder.features.drills import Order
+from finchladder.features.replay import EventIn, ListIn, Replay, RequestIn
 from finchladder.net.control import Controls
 from finchladder.net.disk import CaptureFiles
 from finchladder.net.http1 import Head, Headers
 from finchladder.net.module import Clock
 from finchladder.net.recorder import Recorder
-from finchladder.options import CaptureOptions, DoorOptions, DrillOptions, Options
-from finchladder.replay import EventIn, ListIn, Replay, RequestIn
-from finchladder.settings import read_seed
 from tests.helpers import Bench, entry, settings
 from tests.peers import ROOT, SETTINGS, Node, RealServer, exchange, node, run
 from tests.test_sockets import turn_away
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from finchladder.door import Buckets, Door
-from finchladder.options import DoorOptions, Options
+from finchladder.config.options import DoorOptions, Options
+from finchladder.features.door import Buckets, Door
 from tests.peers import HEALTH, RealServer, exchange, node, read_message, request, run
 
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -11,14 +11,14 @@
 import pytest
 
 from finchladder import Dispatcher
-from finchladder.arrivals import Arrivals
-from finchladder.drills import Drills, Effect, Order
+from finchladder.config.options import DrillOptions, Options
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.drills import Drills, Effect, Order
 from finchladder.net.clients import Clients
 from finchladder.net.control import Controls
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import BadMessage, Head, Headers
 from finchladder.net.module import Clock, ModuleActor
-from finchladder.options import DrillOptions, Options
 from tests.helpers import settings
 from tests.peers import ROOT, Node, RealServer, exchange, node, request, run
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,8 +3,8 @@
 import pytest
 
 from finchladder import api
-from finchladder.pool import Pool
-from finchladder.records import Worker
+from finchladder.core.pool import Pool
+from finchladder.core.records import Worker
 from tests.helpers import Bench, entry, workers
 
 NEVER_OR_NOT = [e for e in api.Ending]
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from finchladder.__main__ import front, main, run_serve
-from finchladder.options import OFF, CaptureOptions, DoorOptions, DrillOptions, Options, read_options
+from finchladder import __main__
+from finchladder.cli import front, serve
+from finchladder.config.options import OFF, CaptureOptions, DoorOptions, DrillOptions, Options, read_options
 from tests.peers import ROOT
 
 ENV = {
@@ -43,24 +44,42 @@
     assert read(tmp_path, text) == options
 
 
-def test_in_service_capture_alone_is_on_and_every_unit_is_named() -> None:
+def test_in_service_capture_alone_is_on() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     command = shlex.split(deploy["run"])
     assert command[:4] == ["exec", ".venv/bin/python", "-m", "finchladder"]
-    options = read_options(front().parse_args(command[4:]).config)
+    options = read_options(front.parse(command[4:])[1].config)
     assert options == Options(capture=CaptureOptions()) and options.memory() > 3 * 786_432 - 1
-    sim = {f"finchladder/{name}.py" for name in ("__init__", "benchlink", "api", "records")}
-    units = {f"finchladder/{f.name}" for f in (ROOT / "finchladder").glob("*.py")}
-    assert units == sim | {n for n in deploy["node"] + deploy["policy"] if n.endswith(".py")}
     script = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["scripts"]["finchladder"]
-    assert script == f"{main.__module__}:{main.__name__}" and "-e ." in deploy["build"]
+    assert script == f"{__main__.__name__}:main" and __main__.main is front.main
+    assert "-e ." in deploy["build"]
+
+
+def test_what_serves_is_named_in_deploy_and_loads_no_other_command() -> None:
+    """Nor the standard library's HTTP client or difflib, and nothing of the lab: it lives in 32 MB."""
+    code = """if True:
+        import sys
+        from finchladder.cli.front import parse
+        parse([])
+        for name, module in sys.modules.items():
+            print(name, module.__file__ if name.startswith("finchladder") else "")
+    """
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    loaded = dict(line.split(" ", 1) for line in done.stdout.splitlines())
+    commands = {m for m in loaded if m.startswith("finchladder.cli.")}
+    assert commands == {"finchladder.cli.front", "finchladder.cli.serve"}
+    assert not loaded.keys() & {"http.client", "difflib", "finchladder.lab", "finchladder.features.replay"}
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    named = [ROOT / name for name in deploy["node"] + deploy["policy"]]
+    units = {f for name in named for f in ([name] if name.suffix else name.rglob("*.py"))}
+    assert {Path(file) for file in loaded.values() if file} <= units and all(f.is_file() for f in units)
 
 
 @pytest.mark.parametrize("args", [["--config", "a"], ["serve", "--config", "a"], ["--config", "a", "serve"]])
 def test_the_file_may_be_named_before_the_command_or_after_it(args: list[str]) -> None:
-    parsed = front().parse_args(args)
-    assert (parsed.config, parsed.run) == ("a", run_serve)
-    assert front().parse_args([]).config is None
+    command, parsed = front.parse(args)
+    assert (parsed.config, command) == ("a", serve)
+    assert front.parse([])[1].config is None
 
 
 @pytest.mark.parametrize("file", sorted((ROOT / "deploy").glob("*.ini")), ids=lambda p: p.name)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -8,6 +8,7 @@
 from tornado.netutil import bind_sockets
 
 from finchladder import Dispatcher, api
+from finchladder.config.entries import read_list
 from finchladder.net import clients, http1, servers, service
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 from finchladder.net.http1 import BadMessage, Head, Headers, Parser
@@ -157,9 +158,9 @@
 def test_list_lines(line: bytes, good: bool) -> None:
     if not good:
         with pytest.raises(ValueError):
-            service.read_list(line)
+            read_list(line)
         return
-    news = service.read_list(line)
+    news = read_list(line)
     assert (news.version, [e.born for e in news.workers.entries] in ([1.5], [])) == (1, True)
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,8 +3,8 @@
 import pytest
 
 from finchladder import api
-from finchladder.api import Effect, Ending, Group, State
-from finchladder.policy import Dispatcher
+from finchladder.core.api import Effect, Ending, Group, State
+from finchladder.core.policy import Dispatcher
 from tests.helpers import Bench, entry, settings, workers
 
 MAY_HAVE_RUN = [e for e in Ending if e not in api.NEVER_RAN and e is not Ending.OK]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from finchladder.__main__ import read_setup
+from finchladder.config.platform import read_setup
 from tests.peers import (
     HEALTH,
     ROOT,
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from finchladder.api import Ending as E
-from finchladder.options import StatusOptions
-from finchladder.status import JobStatus, Shown
+from finchladder.config.options import StatusOptions
+from finchladder.core.api import Ending as E
+from finchladder.features.status import JobStatus, Shown
 from tests.peers import Message, RealServer, exchange, node, request, run
 from tests.test_sockets import ACCEPT
 
