--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -30,6 +30,7 @@
     memory_mb: Annotated[int, Meta(ge=32, le=65_536)] = 192
     sockets: Annotated[int, Meta(ge=128, le=1_000_000)] = 1024
     cpus: list[int] = []  # pinned to these processors; empty: to none
+    back_after_s: Seconds = 0.0  # one that died by itself is started again after this; 0: it stays away
     null: bool = False  # a target that answers 200 at once, without real servers: measures the load
 
 
@@ -88,6 +89,7 @@
     crowd: Share = 0.0  # part of the capacity lost when slots and queue are full
     handshake_s: Seconds = 0.0  # delay of the first request on a connection
     connections: Annotated[int, Meta(ge=1)] = 1_000_000  # held at once; more are closed unread
+    idle_s: Above = 30.0  # a connection without a request for so long is closed
     error_rate: Share = 0.0  # jobs that end as `failed` after they ran
     drain_returns: bool = True  # hands back what has not begun when it drains
     cancel_stops: bool = True  # DELETE stops the work; else it goes on unseen
@@ -100,6 +102,15 @@
     answers_at_once: bool = False  # takes no time at all: for measuring the dispatcher alone
 
 
+class Callbacks(Part):
+    """How the real servers' call-backs go astray; each share is drawn for each job."""
+
+    early: Share = 0.02  # the first call-back is answered before the 202 is written
+    twice: Share = 0.01  # a call-back is told once more
+    lost: Share = 0.8  # of the jobs that died with their server: its machine's agent tells so
+    unknown_per_s: Annotated[float, Meta(ge=0, le=10_000)] = 0.0  # for jobs nobody knows, each fleet process
+
+
 class Store(Part):
     """The central store that all real servers fetch keys from."""
 
@@ -140,6 +151,7 @@
     doubles: bool = True
     honour: Share = 1.0  # part of the clients that honour Retry-After
     after_failure: bool = True  # also after 502 and lost connections, where the class may be repeated
+    fragile_too: bool = False  # repeats fragile jobs as well, though they may have run: a client at fault
 
 
 class Phase(Part):
@@ -234,6 +246,7 @@
     fleet_processes: Annotated[int, Meta(ge=1, le=64)] = 1
     program: Program = msgspec.field(default_factory=Program)
     pool: list[Pool] = []
+    callbacks: Callbacks = msgspec.field(default_factory=Callbacks)
     store: Store = msgspec.field(default_factory=Store)
     discovery: Discovery = msgspec.field(default_factory=Discovery)
     front: Front = msgspec.field(default_factory=Front)
