What net/ decided on connections is plain modules of core/: EdgeTable and Trust

Need: which edge connection is closed to make room, and how long an idle connection is trusted, were decided among sockets, where only whole-program tests reached them. Change: core/edges.py and core/trust.py get the time and what is unread handed in; net/ asks them and closes.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -16,6 +16,7 @@
 
 from finchladder.config.options import OFF, Options
 from finchladder.core import api
+from finchladder.core.edges import EdgeTable, Worth
 from finchladder.features.arrivals import Arrivals, Verdict
 from finchladder.features.capture import Capture
 from finchladder.features.drills import Effect
@@ -44,7 +45,6 @@
 FIRST_WITHIN = 2.0  # from a connection's start to its first message's last byte; 3 s are owed
 MESSAGE_WITHIN = 2.0  # from a message's first byte to its last
 ANSWER_WITHIN = 10.0  # a client must read
-YOUNG = 0.25  # whoever has connected since may be about to send, and is not closed to make room for others
 LINGER = 0.5  # for reading what a client still sends of a request that was turned away
 IDLE_STAYS = 1.8  # after SIGTERM: clients use kept connections until then; others may be leaving as well
 AT_EASE, GONE_BY = 0.6, 3.5  # what comes later than the one after SIGTERM must be answered before the other
@@ -52,7 +52,6 @@
 LEAVE_AFTER = 1.0
 BACKLOG = 1024
 REPEATED = "a request with this X-Correlation-Id has come already"
-NEW, ASKED, OF_USE = 0, 1, 2  # an edge connection's worth: it has carried nothing yet, a question, a job
 
 _ID = re.compile(r"[!-~]{1,128}")
 _TIME_LEFT = re.compile(r"[0-9]{1,6}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
@@ -134,9 +133,8 @@
         self.flow: Flow | None = None
         self.busy = False  # between a message's first byte and its answer's last
         self.calls_back = False
-        self.worth = NEW
+        self.worth = Worth.NEW
         self.held = 0  # bytes that the body being read or worked on may take
-        self.since = clients.clock()
         stream.set_close_callback(self._closed)
 
     def _closed(self) -> None:
@@ -165,15 +163,15 @@
     async def _read(self) -> tuple[Head, bytes]:
         self.clients.hold(self, 0)
         if not self.channel.parser.begun:
-            self.busy, self.since = False, self.clients.clock()
-            self.clients.may_close(self)
+            self.busy = False
+            self.clients.edges.idle(self.clients.clock(), self, self.worth)
             await self.channel.fill()
         self.busy = True
         async with asyncio.timeout(MESSAGE_WITHIN):
             head = await self.channel.head()
             self.clients.hold(self, self.channel.parser.most)
             message = head, (await self.channel.message())[1]
-        self.clients.may_not_close(self)
+        self.clients.edges.work(self)
         return message
 
     async def _work(self, head: Head, body: bytes) -> bool:
@@ -193,9 +191,9 @@
 
         The connection is closed: whoever sends again as soon as it is turned away has to connect again.
         """
-        self.worth = NEW
+        self.worth = Worth.NEW
         self.clients.hold(self, 0)
-        self.clients.may_close(self)
+        self.clients.edges.wait(self, self.worth)
         fields = {405: (f"Allow: {e.allow}",), 503: ("Retry-After: 1",)}.get(e.status, ())
         try:
             await self.channel.write(write_response(e.status, f"{e}\n".encode(), fields, close=True))
@@ -214,16 +212,16 @@
             if head.method != "POST":
                 raise BadMessage(405, "call-backs come by POST")
             self.clients.called_back(read_call_back(body))
-            self.worth = OF_USE
+            self.worth = Worth.OF_USE
             return write_response(204, close=self._closes(head))
         if path == HEALTH:
             up = self.clients.ready() and not self.clients.leaving
-            self.worth = max(self.worth, ASKED)
+            self.worth = max(self.worth, Worth.ASKED)
             return write_response(
                 200 if up else 503, b"up\n" if up else b"not up\n", close=self._closes(head)
             )
         if (reply := self.clients.controls.answer(head, body)) is not None:
-            self.worth = max(self.worth, ASKED)
+            self.worth = max(self.worth, Worth.ASKED)
             if reply.dump is not None:
                 return await self._dump(reply, reply.dump, self._closes(head))
             return write_response(reply.status, reply.body, reply.fields, self._closes(head))
@@ -237,7 +235,7 @@
         id, facts, left = read_id(head), read_facts(head), read_time_left(head)
         verdict = self.clients.arrive(self.client, id, job_class, left)
         if verdict.wait > 0:  # before there is a flow
-            self.worth = max(self.worth, ASKED)
+            self.worth = max(self.worth, Worth.ASKED)
             after = f"Retry-After: {verdict.wait:g}"
             return write_response(429, b"too many requests\n", (after,), self._closes(head))
         flow = Flow(
@@ -248,7 +246,8 @@
         self.flow = flow  # only once it is taken: this closing must not end another flow with its id
         answer = await self.box.get()
         self.flow = None
-        self.worth = OF_USE if answer is not None and answer.kind == "served" else max(self.worth, ASKED)
+        served = answer is not None and answer.kind == "served"
+        self.worth = Worth.OF_USE if served else max(self.worth, Worth.ASKED)
         if answer is None or self.channel.stream.closed():
             raise StreamClosedError()
         return write_answer(answer, self._closes(head))
@@ -279,16 +278,15 @@
         super().__init__(max_buffer_size=4 * PIECE)
         self.classes, self.flows, self.module, self.clock = classes, flows, module, clock
         self.ready, self.called_back = ready, called_back
-        self.most_edges, self.most_open = int(EDGE * sockets), int(OPEN * sockets)
+        self.most_open = int(OPEN * sockets)
         memory = memory_mb * 1024 * 1024
         # what the features may hold comes off the room for bodies: all together stay as they were without
         self.room = max(int(BODIES * memory) - options.memory(), int(BODIES_LEAST * memory))
         self.arrivals = arrivals or Arrivals(options, 0)
         self.controls = Controls(clock, classes, options, flows.status, self.arrivals, capture)
         self.held: dict[Flow, Effect] = {}  # by a drill
-        self.edges: dict[EdgeConnection, asyncio.Task[None]] = {}
-        # those that wait for a message or its rest, by their worth; in each the one waiting longest is first
-        self.waiting: tuple[dict[EdgeConnection, None], ...] = ({}, {}, {})
+        self.edges: EdgeTable[EdgeConnection] = EdgeTable(int(EDGE * sockets))
+        self.tasks: set[asyncio.Task[None]] = set()
         self.leaving, self.left_at = False, 0.0
 
     def listen_on(self, address: tuple[str, int]) -> None:
@@ -296,12 +294,14 @@
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Counts at once, as many connections come in one turn of the loop: a count that lags runs over."""
-        if len(self.edges) >= self.most_edges and not self._make_room():
+        if self.edges.full and not self._make_room():
             stream.close()
             return
         edge = EdgeConnection(stream, str(address[0]), self)
-        self.edges[edge] = asyncio.get_running_loop().create_task(self._serve(edge))
-        self.may_close(edge)
+        self.edges.begin(self.clock(), edge)
+        task = asyncio.get_running_loop().create_task(self._serve(edge))
+        self.tasks.add(task)  # the loop alone would let go of it
+        task.add_done_callback(self.tasks.discard)
 
     async def _serve(self, edge: EdgeConnection) -> None:
         try:
@@ -314,17 +314,7 @@
 
     def _drop(self, edge: EdgeConnection) -> None:
         self.hold(edge, 0)
-        self.may_not_close(edge)
-        self.edges.pop(edge, None)
-
-    def may_close(self, edge: EdgeConnection) -> None:
-        if edge in self.edges:
-            self.may_not_close(edge)
-            self.waiting[edge.worth][edge] = None
-
-    def may_not_close(self, edge: EdgeConnection) -> None:
-        for edges in self.waiting:
-            edges.pop(edge, None)
+        self.edges.drop(edge)
 
     def hold(self, edge: EdgeConnection, size: int) -> None:
         """Reserves memory for a body before it is read; many at once must not pass the memory limit."""
@@ -334,21 +324,10 @@
             raise BadMessage(503, "too much is being sent at once")
 
     def _make_room(self) -> bool:
-        """Closes the connection of least use that waits for longest: none may hold what others need."""
-        now = self.clock()
-        for edges in self.waiting:
-            for edge in edges:
-                if now < edge.since + YOUNG:
-                    break  # the rest came later still
-                if edge.channel.quiet():
-                    return self._close(edge)
-        for edge in (e for edges in self.waiting for e in edges):
-            if edge.channel.quiet():
-                return self._close(edge)
-        logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
-        return False
-
-    def _close(self, edge: EdgeConnection) -> bool:
+        edge = self.edges.make_room(self.clock(), lambda e: e.channel.quiet())
+        if edge is None:
+            logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
+            return False
         edge.channel.close()
         self._drop(edge)
         return True
@@ -426,7 +405,7 @@
             busy = [e for e in self.edges if e.busy]
             for edge in list(self.edges):
                 # one just accepted is not idle: a call-back, and a result in it, may be on its way
-                if not edge.busy and not edge.calls_back and self.clock() > edge.since + JUST_CAME:
+                if not edge.busy and not edge.calls_back and self.edges.older(self.clock(), edge, JUST_CAME):
                     edge.channel.close()
             if not self.flows.open and not busy and self.clock() >= self.left_at + LEAVE_AFTER:
                 return
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -13,6 +13,7 @@
 
 from finchladder.core import api
 from finchladder.core.api import Ending as E
+from finchladder.core.trust import Trust
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flows, Scheduling
@@ -22,7 +23,6 @@
 ROOM = 8192
 IN_USE, KEPT = 0.23, 0.11  # parts of all sockets, for busy and idle connections to the real servers together
 IN_USE_EACH = 24  # a silent real server must not take the connections of the rest
-RELEARN = 30.0  # without a kept connection found dead, for it to be trusted twice as long again
 IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
 ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
 HOP = frozenset({
@@ -74,27 +74,6 @@
 CALL_BACK_ENDS = {"done": E.OK, "failed": E.ERROR, "returned": E.OVERLOADED, "lost": E.BROKEN}
 
 
-class Trust:
-    """How long an idle connection may still be used.
-
-    Some machine on the way may drop idle connections long before the time in the settings, and says so only
-    when the next request comes: that one ends as a reset, and may not be sent again. So each such end halves
-    the idle time at which a connection is still used.
-    """
-
-    def __init__(self, most: float, clock: Clock) -> None:
-        self.most, self.clock = most, clock
-        self.value, self.since = most, clock()
-
-    def lost(self, idle: float) -> None:
-        self.value, self.since = min(self.value, idle / 2), self.clock()
-
-    def __call__(self) -> float:
-        if self.value < self.most and self.clock() > self.since + RELEARN:
-            self.value, self.since = min(self.most, 2 * max(self.value, 0.05)), self.clock()
-        return self.value
-
-
 class NotReady(Exception):
     """The real server drains or is gone since the module named it."""
 
@@ -199,7 +178,7 @@
                 head = await channel.head()
             except StreamClosedError:
                 if channel.idle and not s.ended:  # not closed from this side
-                    self.trust.lost(channel.idle)
+                    self.trust.lost(self.clock(), channel.idle)
                 raise
         finally:
             s.channel = None
@@ -288,8 +267,9 @@
     def _kept(self) -> Channel | None:
         while self.idle:
             channel, since = self.idle.pop()
-            channel.idle = self.clock() - since
-            if channel.idle < self.trust() and channel.usable():
+            now = self.clock()
+            channel.idle = now - since
+            if channel.idle < self.trust.limit(now) and channel.usable():
                 return channel
             channel.close()
         return None
@@ -309,7 +289,7 @@
         sockets: int,
     ) -> None:  # fmt: skip
         self.flows, self.module, self.clock = flows, module, clock
-        self.connect_timeout, self.trust = connect_timeout, Trust(conn_idle * IDLE_PART, clock)
+        self.connect_timeout, self.trust = connect_timeout, Trust(clock(), conn_idle * IDLE_PART)
         self.actors: dict[str, RealServer] = {}
         self.starts: dict[str, float] = {}
         self.all_in_use = asyncio.Semaphore(int(IN_USE * sockets))
@@ -367,7 +347,7 @@
     def _reap(self) -> None:
         now = self.clock()
         for name, actor in list(self.actors.items()):
-            actor.drop_idle(now - self.trust() if actor.ready else now)
+            actor.drop_idle(now - self.trust.limit(now) if actor.ready else now)
             if not (actor.ready or actor.live or actor.busy or actor.box.qsize()):
                 actor.stop()
                 del self.actors[name]
