A flow holds its message whole and knows no protocol; HTTP reads and writes its own

Need: Flow said that it knew no protocol and held method, target, headers and body; a second client protocol could not have made one. Change: flows.py has a Message, which writes itself for a real server, and a Connection, which can be closed; HttpMessage in messages.py is HTTP's, with the fields of one hop left out.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -34,6 +34,7 @@
     write_head,
     write_response,
 )  # fmt: skip
+from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.servers import CallBack
 
@@ -239,7 +240,7 @@
             after = f"Retry-After: {verdict.wait:g}"
             return write_response(429, b"too many requests\n", (after,), self._closes(head))
         flow = Flow(
-            id, job_class, key, facts, head.method, head.target, head.headers, body,
+            id, job_class, key, facts, HttpMessage(head.method, head.target, head.headers, body),
             self.clients.latest(self.clients.clock() + left), self.box.put_nowait,
         )  # fmt: skip
         self.clients.take(flow, verdict.drill)
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -3,11 +3,10 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from finchladder.core import api
 from finchladder.features.status import JobStatus
-from finchladder.net.http1 import Channel, Headers
 
 REMEMBERED = 4096  # ids of ended flows: a request that is sent again under its id must not run again
 
@@ -20,6 +19,20 @@
     retry_after: float = 0.0
 
 
+class Message(Protocol):
+    """What a client handed in, as the side of its own protocol read it."""
+
+    def request(self, host: str, time_left_s: float) -> bytes:
+        """The same job as a whole request to the real server at `host`."""
+        ...
+
+
+class Connection(Protocol):
+    """What a job is being written on. Closing it withdraws a job that was not accepted yet."""
+
+    def close(self) -> None: ...
+
+
 class Scheduling:
     """One attempt of a flow at one real server. It ends exactly once, in servers.py."""
 
@@ -32,7 +45,7 @@
         "written",
         "accepted",
         "ended",
-        "channel",
+        "connection",
         "timer",
     )
 
@@ -40,7 +53,7 @@
         self.flow, self.number, self.worker = flow, number, worker
         self.sent, self.until = sent, until
         self.written = self.accepted = self.ended = False
-        self.channel: Channel | None = None  # until the 202
+        self.connection: Connection | None = None  # until the job is accepted
         self.timer: Callable[[], None] | None = None
 
 
@@ -52,10 +65,7 @@
     job_class: str
     key: int | None
     facts: dict[str, float]
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
+    message: Message
     deadline: float
     deliver: Callable[[Answer], None]
     answer: Answer | None = None
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -25,11 +25,6 @@
 IN_USE_EACH = 24  # a silent real server must not take the connections of the rest
 IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
 ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
-HOP = frozenset({
-    "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection",
-    "proxy-authorization", "content-length", "host", "expect", "x-time-left",
-})  # fmt: skip
-
 
 class CallBack(msgspec.Struct, rename={"sender": "from"}):
     """What a real server tells of a job."""
@@ -165,9 +160,9 @@
             return True
         if not self.ready:  # looked at again right before the write: waiting for a connection took time
             raise NotReady
-        s.channel = channel
+        s.connection = channel
         try:
-            data = self._request(s)
+            data = s.flow.message.request(self._host(), max(0.0, s.until - self.clock()))
             s.written = True  # unless the write says otherwise: when unsure, it may have run
             try:
                 await channel.write(data)
@@ -181,7 +176,7 @@
                     self.trust.lost(self.clock(), channel.idle)
                 raise
         finally:
-            s.channel = None
+            s.connection = None
         ending = outcome(head)
         s.accepted = ending is None
         if ending is not None:
@@ -198,13 +193,6 @@
             return False
         return head.keeps
 
-    def _request(self, s: Scheduling) -> bytes:
-        flow = s.flow
-        dropped = HOP | flow.headers.words("connection")
-        fields = [(n, v) for n, v in flow.headers.fields if n.lower() not in dropped]
-        fields += [("Host", self._host()), ("X-Time-Left", f"{max(0.0, s.until - self.clock()):.3f}")]
-        return http1.write_request(flow.method, flow.target, fields, flow.body)
-
     def _host(self) -> str:
         host, port = self.address
         return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
@@ -227,8 +215,8 @@
         elif ending in (E.CANCELLED, E.TIMED_OUT):
             if s.accepted:
                 self.spawn(self._give_up(s.flow.id))
-            elif s.channel is not None:
-                s.channel.close()
+            elif s.connection is not None:
+                s.connection.close()
         self.module.tell(Ending(s, ending, self.clock() - s.sent, report))
         self.flows.forget_if_over(s.flow)
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -18,6 +18,7 @@
 from finchladder.net.control import Controls
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import BadMessage, Head, Headers
+from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, ModuleActor
 from tests.helpers import settings
 from tests.peers import ROOT, Node, RealServer, exchange, node, request, run
@@ -201,7 +202,8 @@
         flows = Flows()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         clients = Clients({"u"}, flows, module, Clock(), lambda: True, lambda c: None, 128, 32)
-        flow = Flow("a", "u", None, {}, "POST", "/u", Headers([]), b"", Clock()() + 900, lambda answer: None)
+        message = HttpMessage("POST", "/u", Headers([]), b"")
+        flow = Flow("a", "u", None, {}, message, Clock()() + 900, lambda answer: None)
         clients.take(flow, Effect(600.0))
         assert clients.held and module.box.empty()
         flows.finish(flow, Answer("left"))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,6 +12,7 @@
 from finchladder.net import clients, http1, servers, service
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 from finchladder.net.http1 import BadMessage, Head, Headers, Parser
+from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, Ending, ModuleActor
 from tests.helpers import entry, settings
 from tests.peers import exchange, request
@@ -139,6 +140,23 @@
             read(Head(1, Headers([(name, value)])))
 
 
+@pytest.mark.parametrize(
+    ("fields", "passed"),
+    [
+        ([("X-Facts", "slots=1"), ("x-own", "a, b")], b"X-Facts: slots=1\r\nx-own: a, b\r\n"),
+        ([("Host", "here"), ("X-Time-Left", "9"), ("Content-Length", "2"), ("EXPECT", "100-continue")], b""),
+        ([("Connection", "close, X-Mine"), ("x-mine", "1"), ("X-Yours", "2")], b"X-Yours: 2\r\n"),
+        ([("Transfer-Encoding", "chunked"), ("Trailer", "T"), ("TE", "trailers")], b""),
+    ],
+)
+def test_a_job_is_passed_on_but_for_what_concerns_one_hop(
+    fields: list[tuple[str, str]], passed: bytes
+) -> None:
+    sent = HttpMessage("POST", "/a?b", Headers(fields), b"xy").request("[::1]:80", 1.25)
+    last = b"Host: [::1]:80\r\nX-Time-Left: 1.250\r\nContent-Length: 2\r\n\r\nxy"
+    assert sent == b"POST /a?b HTTP/1.1\r\n" + passed + last
+
+
 ENTRY = b'{"name":"s-1","address":"127.0.0.1:80","zone":"a","status":"ready","since_ms":1500,"new":1}'
 
 
@@ -175,7 +193,8 @@
 
 
 def flow_of(flows: Flows, answers: list[Answer], deadline: float = 1e12) -> Flow:
-    flow = Flow("r1", "unsafe", 1, {}, "POST", "/unsafe/k", Headers([]), b"", deadline, answers.append)
+    message = HttpMessage("POST", "/unsafe/k", Headers([]), b"")
+    flow = Flow("r1", "unsafe", 1, {}, message, deadline, answers.append)
     flows.add(flow)
     return flow
 
