--- a/finchladder/cli/front.py
+++ b/finchladder/cli/front.py
@@ -12,6 +12,7 @@
     "capture": "what the running dispatcher has recorded",
     "replay": "decide a capture anew, and print what differs",
     "drill": "rehearse slow or broken jobs at the running dispatcher",
+    "lab": "play experiments against dispatchers on loopback, and judge them",
 }
 
 
--- /dev/null
+++ b/finchladder/cli/lab.py
@@ -0,0 +1,238 @@
+"""`finchladder lab`: plays experiments against dispatchers on loopback, judges and shows them."""
+
+import argparse
+import sys
+import tomllib
+from collections.abc import Iterable
+from itertools import count
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from finchladder.cli.front import fail
+
+if TYPE_CHECKING:
+    from finchladder.lab.check import Variant
+    from finchladder.lab.show import Show
+
+RUNS = Path("lab-runs")  # where runs go unless --out says otherwise
+SHIPPED = Path(__file__).resolve().parents[2] / "benchmarks"
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    commands = parser.add_subparsers(dest="lab", required=True, metavar="COMMAND")
+
+    def command(name: str, text: str) -> argparse.ArgumentParser:
+        return commands.add_parser(name, help=text, description=text)
+
+    def plays(one: argparse.ArgumentParser) -> None:
+        one.add_argument(
+            "--out", type=Path, metavar="DIR", help="an empty or new folder (default: lab-runs/NAME-N)"
+        )
+        one.add_argument("--seed", type=int, help="in place of the file's")
+        one.add_argument("--set", dest="sets", action="append", default=[], metavar="KEY=VALUE",
+                         help="in place of the file's, by dotted name: load.phase.0.rate=100")  # fmt: skip
+        one.add_argument("--quiet", action="store_true", help="no progress")
+
+    run = command("run", "play an experiment")
+    run.add_argument("file", type=Path, metavar="FILE")
+    run.add_argument("--repeats", type=int, metavar="N", help="in place of the file's")
+    plays(run)
+    compare = command("compare", "play two experiments, revisions or settings in turn, and compare them")
+    compare.add_argument("a", type=Path, metavar="A")
+    compare.add_argument("b", type=Path, metavar="B", nargs="?", help="a second file (default: A again)")
+    compare.add_argument("--pairs", type=int, default=5, metavar="N", help="ABAB.., at least 3 (default: 5)")
+    for side in "ab":
+        compare.add_argument(
+            f"--rev-{side}", metavar="REV", help=f"git revision of the program in {side.upper()}"
+        )
+        compare.add_argument(f"--set-{side}", action="append", default=[], metavar="KEY=VALUE",
+                             help=f"a setting of {side.upper()} alone")  # fmt: skip
+    plays(compare)
+    for name, text in (
+        ("report", "write summary.json and report.html anew from a run's ledger"),
+        ("judge", "judge a run's ledger by the four rules; status 1 where one is broken"),
+    ):
+        command(name, text).add_argument("folder", type=Path, metavar="DIR")
+    serving = command("serve", "start an experiment's deployment without load, until Ctrl-C")
+    serving.add_argument("file", type=Path, metavar="FILE")
+    plays(serving)
+    command("list", "the experiments that are shipped")
+
+
+def run(args: argparse.Namespace) -> None:
+    """Status 0: played, and valid; 1: it failed or is no result; 2: unusable; 128 + number: a signal."""
+    if args.lab == "list":
+        list_shipped()
+        return
+    try:
+        from finchladder.lab.check import Unusable
+        from finchladder.lab.run import Interrupted, LabError
+        from finchladder.lab.show import Show
+    except ModuleNotFoundError as e:
+        fail(f"the lab needs {e.name}, which is not installed: pip install 'finchladder[lab]'")
+    show = Show(getattr(args, "quiet", True))
+    try:
+        ok = COMMANDS[args.lab](args, show)
+    except Unusable as e:
+        show.close()
+        fail(str(e))
+    except LabError as e:
+        show.close()
+        fail(str(e), 1)
+    except Interrupted as e:
+        show.close()
+        fail(f"{e}: the run was given up", 128 + e.number)
+    finally:
+        show.close()
+    if not ok:
+        sys.stdout.flush()
+        sys.exit(1)
+
+
+def list_shipped() -> None:
+    for path in sorted(SHIPPED.glob("*.toml")):
+        about = str(tomllib.loads(path.read_text("utf-8")).get("about", "")).split("\n")[0]
+        print(f"benchmarks/{path.name:24} {about}")
+
+
+def place(out: Path | None, name: str) -> Path:
+    """The folder that was asked for, or the next one that is free."""
+    from finchladder.lab.check import Unusable
+
+    try:
+        if out is None:
+            out = next(p for n in count(1) if not (p := RUNS / f"{name}-{n}").exists())
+        elif out.is_dir() and any(out.iterdir()):
+            raise Unusable(f"{out}: holds something already; --out takes an empty or new folder")
+        out.mkdir(parents=True, exist_ok=True)
+    except OSError as e:
+        raise Unusable(f"{out}: {e.strerror}") from None
+    return out.resolve()
+
+
+def play_all(variants: Iterable["Variant"], out: Path, show: "Show") -> list[dict[str, Any]]:
+    """Plays them in their order, a folder each where there are several; their summaries."""
+    from finchladder.lab.run import play
+
+    summaries = []
+    for variant in variants:
+        folder = out / variant.label if variant.label else out
+        folder.mkdir(exist_ok=True)
+        play(variant.experiment, variant.folder, folder, show)
+        summaries.append(write(folder))
+        tell(summaries[-1], folder, variant.label)
+    return summaries
+
+
+def write(folder: Path) -> dict[str, Any]:
+    """summary.json and report.html of a run's folder. Unusable: it holds no run."""
+    from finchladder.lab import figures, report
+    from finchladder.lab.check import Unusable
+
+    try:
+        summary = figures.write(folder)
+        report.write(folder)
+    except (OSError, ValueError) as e:
+        raise Unusable(f"{folder}: {e}") from None
+    return summary
+
+
+def tell(summary: dict[str, Any], folder: Path, label: str) -> None:
+    """A run in about ten lines."""
+    s = summary
+    rules = ", ".join(f"{name} {n}" for name, n in s["rules"].items())
+    name = f"{s['name']} {label}".strip()
+    lines = [f"{name}: {'valid' if s['valid'] else 'NO RESULT'}, seed {s['seed']}"]
+    lines += [f"  not valid: {reason}" for reason in s["invalid"]]
+    ends = f"served {s['served']}, refused {s['refused']}, failed {s['failed']}"
+    lines.append(f"  offered {s['offered']}, answered {s['answered']}: {ends}")
+    lines.append(f"  lost {s['lost']}, run twice against the rules {s['duplicates']}; rules broken: {rules}")
+    lines.append(f"  goodput {s['goodput_per_s']:.1f} jobs/s, G {s['g']:.3f}")
+    for name, c in s["latency"].items():
+        lines.append(f"  {name}: p50 {c['p50_ms']:.0f} ms, p99 {c['p99_ms']:.0f} ms")
+    for name, d in s["dispatchers"].items():
+        used = f"CPU {d['cpu']:.2f} of a core, {d['rss_mb']:.0f} MB, {d['fds']} descriptors"
+        lines.append(f"  {name}: {used}, {d['starts']} starts")
+    print("\n".join([*lines, f"  report: {folder / 'report.html'}"]), flush=True)
+
+
+def run_file(args: argparse.Namespace, show: "Show") -> bool:
+    from finchladder.lab.check import Unusable, load
+
+    if args.repeats is not None and args.repeats < 1:
+        raise Unusable("--repeats: at least 1")
+    variants = load(args.file, args.sets, args.seed, args.repeats)
+    out = place(args.out, variants[0].experiment.name)
+    return all(s["valid"] for s in play_all(variants, out, show))
+
+
+def compare_two(args: argparse.Namespace, show: "Show") -> bool:
+    """In turn: A, B, A, B.., pair k of both with the seed plus k."""
+    from finchladder.lab import compare
+    from finchladder.lab.check import Unusable, load
+
+    if args.pairs < compare.LEAST_PAIRS:
+        raise Unusable(f"--pairs: at least {compare.LEAST_PAIRS}, or there is no interval")
+    sides = []
+    for side, file in (("a", args.a), ("b", args.b or args.a)):
+        sets = [*args.sets, *getattr(args, f"set_{side}")]
+        if revision := getattr(args, f"rev_{side}"):
+            sets.append(f'program.revision="{revision}"')
+        sides.append(load(file, sets, args.seed, args.pairs))
+    a, b = sides
+    if [v.label for v in a] != [v.label for v in b]:
+        raise Unusable(f"{args.b or args.a}: its matrix is not that of {args.a}, so there are no pairs")
+    if args.b is None and args.rev_a == args.rev_b and args.set_a == args.set_b:
+        raise Unusable(
+            "compare: A and B are the same; a second file, --rev-a/-b or --set-a/-b tells them apart"
+        )
+    out = place(args.out, f"{a[0].experiment.name}-compare")
+    pairs: dict[str, list[tuple[dict[str, Any], dict[str, Any]]]] = {}
+    for va, vb in zip(a, b, strict=True):
+        found = []
+        for side, variant in (("a", va), ("b", vb)):
+            (out / side).mkdir(exist_ok=True)
+            found += play_all([variant], out / side, show)
+        point = ", ".join(f"{name} {value}" for name, value in va.settings.items())
+        pairs.setdefault(point, []).append((found[0], found[1]))
+    text = ""
+    for point, of_point in pairs.items():
+        rows = compare.compare(of_point, a[0].experiment.seed)
+        text += (f"{point}\n" if point else "") + compare.table(rows, compare.doubts(of_point)) + "\n"
+    (out / "compare.txt").write_text(text, "utf-8")
+    print(text + f"{out / 'compare.txt'}")
+    return all(s["valid"] for of_point in pairs.values() for pair in of_point for s in pair)
+
+
+def report_folder(args: argparse.Namespace, show: "Show") -> bool:
+    tell(write(args.folder.resolve()), args.folder, "")
+    return True
+
+
+def judge_folder(args: argparse.Namespace, show: "Show") -> bool:
+    from finchladder.lab import judge, ledger
+    from finchladder.lab.check import Unusable
+
+    try:
+        verdict = judge.judge(ledger.load(args.folder))
+    except (OSError, ValueError) as e:
+        raise Unusable(f"{args.folder}: {e}") from None
+    for finding in verdict.findings:
+        print(f"{finding.at:9.3f} s  {finding.rule}  {finding.kind}  {finding.text}")
+    print(", ".join(f"{name} {n}" for name, n in verdict.rules.items()))
+    return not any(verdict.rules.values())
+
+
+def serve_file(args: argparse.Namespace, show: "Show") -> bool:
+    from finchladder.lab.check import load
+    from finchladder.lab.run import serve
+
+    variant = load(args.file, args.sets, args.seed, 1)[0]
+    serve(variant.experiment, variant.folder, place(args.out, f"{variant.experiment.name}-serve"), show)
+    return True
+
+
+COMMANDS = {
+    "run": run_file, "compare": compare_two, "report": report_folder, "judge": judge_folder,
+    "serve": serve_file,
+}  # fmt: skip
