The stages of a scheduling are one enum and one table of what can follow what

Need: written, accepted and ended were flags, set in two files; which combinations can be had to be read out of the code. Change: core/stages.py has the table of stages and steps, and of what each stage means when the connection breaks, the job is given up or a call-back comes; net/ takes steps and asks. A pair that cannot be raises. Behaviour as before; all 16 pairs are tested.

--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from finchladder.core import api
+from finchladder.core.stages import Stage, Step, follow
 from finchladder.features.status import JobStatus
 
 REMEMBERED = 4096  # ids of ended flows: a request that is sent again under its id must not run again
@@ -42,9 +43,7 @@
         "worker",
         "sent",
         "until",
-        "written",
-        "accepted",
-        "ended",
+        "stage",
         "connection",
         "timer",
     )
@@ -52,10 +51,17 @@
     def __init__(self, flow: "Flow", number: int, worker: str, sent: float, until: float) -> None:
         self.flow, self.number, self.worker = flow, number, worker
         self.sent, self.until = sent, until
-        self.written = self.accepted = self.ended = False
+        self.stage = Stage.WAITING
         self.connection: Connection | None = None  # until the job is accepted
         self.timer: Callable[[], None] | None = None
 
+    @property
+    def ended(self) -> bool:
+        return self.stage is Stage.ENDED
+
+    def step(self, step: Step) -> None:
+        self.stage = follow(self.stage, step)
+
 
 @dataclass(slots=True, eq=False)
 class Flow:
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -13,6 +13,7 @@
 
 from finchladder.core import api
 from finchladder.core.api import Ending as E
+from finchladder.core.stages import MEANINGS, GiveUp, Step
 from finchladder.core.trust import Trust
 from finchladder.net import http1
 from finchladder.net.actor import Actor
@@ -104,7 +105,7 @@
         else:
             s = item.scheduling if isinstance(item, Withdrawal) else item
         if s is not None:
-            self._end(s, E.BROKEN if s.written else E.UNREACHABLE)
+            self._broke(s)
 
     def _begin(self, s: Scheduling) -> None:
         if (
@@ -123,9 +124,11 @@
     def _called_back(self, c: CallBack) -> None:
         """Matched by id and sender: it may come before the 202, again, or about a job nobody knows here."""
         s = self.live.get(c.id)
-        if self.flows.status is not None and (s is None or s.written):  # also of one given up here
+        if s is not None and not MEANINGS[s.stage].told:
+            return
+        if self.flows.status is not None:  # is told also of one given up here
             self.flows.status.told(self.clock(), c.id, self.server, c.state, c.share)
-        if s is None or not s.written:
+        if s is None:
             return
         if c.state == "started":
             self.module.tell(api.Started(c.id, s.number))
@@ -143,7 +146,7 @@
             await self._carry(s)
         except Exception:
             logger.exception("{}: a scheduling died", self.name)
-            self._end(s, E.BROKEN if s.written else E.UNREACHABLE)
+            self._broke(s)
 
     async def _carry(self, s: Scheduling) -> None:
         try:
@@ -151,8 +154,11 @@
         except NotReady:
             self._end(s, E.VOID)
         except (StreamClosedError, OSError, TimeoutError, BadMessage):
-            # nothing is sent again here: the last byte written means that it may have run
-            self._end(s, E.BROKEN if s.written else E.UNREACHABLE)
+            self._broke(s)  # nothing is sent again here
+
+    def _broke(self, s: Scheduling) -> None:
+        if not s.ended:
+            self._end(s, MEANINGS[s.stage].broken)
 
     async def _exchange(self, s: Scheduling, channel: Channel) -> bool:
         """One request and its answer's head; True: the connection may be kept."""
@@ -163,11 +169,11 @@
         s.connection = channel
         try:
             data = s.flow.message.request(self._host(), max(0.0, s.until - self.clock()))
-            s.written = True  # unless the write says otherwise: when unsure, it may have run
+            s.step(Step.WRITE)
             try:
                 await channel.write(data)
             except StreamClosedError:
-                s.written = False
+                s.step(Step.BREAK)
                 raise
             try:
                 head = await channel.head()
@@ -178,8 +184,9 @@
         finally:
             s.connection = None
         ending = outcome(head)
-        s.accepted = ending is None
-        if ending is not None:
+        if ending is None:
+            s.step(Step.ACCEPT)
+        else:
             self._end(s, ending, load_report(head))
         return await self._settle(channel, head)
 
@@ -203,7 +210,8 @@
         """Every scheduling ends here, and only its first end counts."""
         if s.ended:
             return
-        s.ended = True
+        give_up = MEANINGS[s.stage].give_up
+        s.step(Step.END)
         if self.flows.status is not None:
             self.flows.status.ended(s.flow.id, self.server, ending)
         if s.timer is not None:
@@ -213,9 +221,9 @@
         if ending is E.OK:
             self.flows.finish(s.flow, Answer("served", result))
         elif ending in (E.CANCELLED, E.TIMED_OUT):
-            if s.accepted:
+            if give_up is GiveUp.DELETE:
                 self.spawn(self._give_up(s.flow.id))
-            elif s.connection is not None:
+            elif give_up is GiveUp.CLOSE and s.connection is not None:
                 s.connection.close()
         self.module.tell(Ending(s, ending, self.clock() - s.sent, report))
         self.flows.forget_if_over(s.flow)
@@ -319,7 +327,7 @@
         if actor is not None:
             actor.post(scheduling)
         else:
-            scheduling.ended = True
+            scheduling.step(Step.END)
             if self.flows.status is not None:
                 self.flows.status.ended(scheduling.flow.id, scheduling.worker, E.VOID)
             self.module.tell(Ending(scheduling, E.VOID, 0.0, None))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 from loguru import logger
@@ -9,6 +10,7 @@
 
 from finchladder import Dispatcher, api
 from finchladder.config.entries import read_list
+from finchladder.core.stages import Step
 from finchladder.net import clients, http1, servers, service
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 from finchladder.net.http1 import BadMessage, Head, Headers, Parser
@@ -199,6 +201,16 @@
     return flow
 
 
+class Watched(Scheduling):
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.steps: list[Step] = []
+
+    def step(self, step: Step) -> None:
+        self.steps.append(step)
+        super().step(step)
+
+
 class Broken(Dispatcher):
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         raise RuntimeError("the decisions broke")
@@ -261,14 +273,14 @@
 
         connect = http1.connect
         monkeypatch.setattr(http1, "connect", connect_late)
-        scheduling = Scheduling(flow_of(flows, []), 0, "w1", 0.0, 1e12)
+        scheduling = Watched(flow_of(flows, []), 0, "w1", 0.0, 1e12)
         group.schedule(scheduling)
         if not connecting:
             drain()
         while not scheduling.ended:
             await asyncio.sleep(0.01)
         [end] = [t for t in told if isinstance(t, Ending)]
-        assert end.ending is api.Ending.VOID and not scheduling.written
+        assert end.ending is api.Ending.VOID and scheduling.steps == [Step.END]  # and was never written
         listener.close()
 
     asyncio.run(asyncio.wait_for(play(), 20))
@@ -284,7 +296,8 @@
         flow = flow_of(flows, answers)
         scheduling = Scheduling(flow, 0, "w1", 0.0, 1e12)
         flow.schedulings.append(scheduling)
-        server.live[flow.id], scheduling.written = scheduling, True
+        server.live[flow.id] = scheduling
+        scheduling.step(Step.WRITE)
         for state in ("done", "lost", "done"):
             server.receive(servers.CallBack("r1", "w1", state, result="x"))
         assert not flows.finish(flow, Answer("failed"))
--- /dev/null
+++ b/tests/test_stages.py
@@ -0,0 +1,43 @@
+"""The stages of a scheduling: every pair, and what each stage means to a job that breaks or is given up."""
+
+import pytest
+
+from finchladder.core.api import NEVER_RAN
+from finchladder.core.stages import MEANINGS, GiveUp, Stage, Step, follow
+
+WAITING, WRITTEN, ACCEPTED, ENDED = Stage
+FOLLOWS = {  # write, break, accept, end; None: can't be
+    WAITING: (WRITTEN, None, None, ENDED),
+    WRITTEN: (None, WAITING, ACCEPTED, ENDED),
+    ACCEPTED: (None, None, None, ENDED),
+    ENDED: (None, ENDED, ENDED, None),
+}
+
+
+@pytest.mark.parametrize("stage", Stage)
+def test_what_follows_what(stage: Stage) -> None:
+    for step, then in zip(Step, FOLLOWS[stage], strict=True):
+        if then is None:
+            with pytest.raises(ValueError, match=f"{stage.value} can't {step.value}"):
+                follow(stage, step)
+        else:
+            assert follow(stage, step) is then
+
+
+@pytest.mark.parametrize(
+    ("steps", "told", "never_ran", "give_up"),
+    [
+        ([], False, True, GiveUp.NOTHING),
+        ([Step.WRITE], True, False, GiveUp.CLOSE),
+        ([Step.WRITE, Step.BREAK], False, True, GiveUp.NOTHING),
+        ([Step.WRITE, Step.ACCEPT], True, False, GiveUp.DELETE),
+    ],
+)
+def test_a_job_never_ran_until_it_may_have(
+    steps: list[Step], told: bool, never_ran: bool, give_up: GiveUp
+) -> None:
+    stage = WAITING
+    for step in steps:
+        stage = follow(stage, step)
+    meaning = MEANINGS[stage]
+    assert (meaning.told, meaning.broken in NEVER_RAN, meaning.give_up) == (told, never_ran, give_up)
