--- a/finchladder/lab/models/kernel.py
+++ b/finchladder/lab/models/kernel.py
@@ -10,7 +10,7 @@
 
     __slots__ = ("time", "call")
 
-    def __init__(self, time: float, call: Callable[[], None] | None) -> None:
+    def __init__(self, time: float, call: Callable[[], object] | None) -> None:
         self.time, self.call = time, call
 
 
@@ -30,7 +30,7 @@
     def __len__(self) -> int:
         return len(self._heap) - self._cancelled
 
-    def at(self, time: float, call: Callable[[], None]) -> Event:
+    def at(self, time: float, call: Callable[[], object]) -> Event:
         """ValueError: the time has passed, or is no time."""
         if not self.now <= time < inf:
             raise ValueError(f"an event at {time}, but it is {self.now}")
@@ -39,7 +39,7 @@
         heappush(self._heap, (time, self._count, event))
         return event
 
-    def after(self, delay_s: float, call: Callable[[], None]) -> Event:
+    def after(self, delay_s: float, call: Callable[[], object]) -> Event:
         return self.at(self.now + delay_s, call)
 
     def cancel(self, event: Event) -> None:
@@ -63,12 +63,14 @@
     def run(self, until: float = inf) -> int:
         """Runs all events up to `until`, itself included; then it is `until`. Returns how many were run."""
         count = 0
-        while (due := self.next_due()) is not None and due <= until:
-            event = heappop(self._heap)[2]
+        while self._heap and self._heap[0][0] <= until:
+            due, _, event = heappop(self._heap)
             call, event.call = event.call, None
+            if call is None:
+                self._cancelled -= 1
+                continue
             self.now = due
-            if call is not None:
-                call()
+            call()
             count += 1
         if until < inf:
             self.now = max(self.now, until)
--- a/finchladder/lab/models/realserver.py
+++ b/finchladder/lab/models/realserver.py
@@ -439,7 +439,7 @@
     def _settle(self, at: float) -> None:
         """Brings the common progress up to `at`. To be called before anything changes that bears on it."""
         if at > self._time:
-            if at >= self._tick:
+            if at >= self._tick and self.pool.reports:
                 self._take_report(at)
             if self._rate and self._busy:
                 self._progress += self._rate * (
@@ -546,14 +546,12 @@
             self._waiting.clear()
             return
         for job in self._in_order():
-            if not self._fits(job):
-                self._push_out(at, job)
-            if self._fits(job):
+            if self._fits(job) or self._push_out(at, job):
                 self._waits -= 1
                 self._begin(at, job)
         self._sweep()
 
-    def _push_out(self, at: float, job: _Job) -> None:
+    def _push_out(self, at: float, job: _Job) -> bool:
         """Makes room for a job of higher priority: the least important first, of these the last that began.
 
         Only jobs that are safe to repeat go; nothing goes if that would not be enough, or if the suspended
@@ -561,7 +559,7 @@
         """
         how = self.pool.preempt
         if how == "none" or self.pool.order != "priority":
-            return
+            return False
         slots, memory = self._slots_used + job.slots, self._memory_used + job.spec.memory
         victims: list[_Job] = []
         lower = [j for j in self._held.values() if j.spec.repeatable and j.spec.priority < job.spec.priority]
@@ -572,15 +570,16 @@
             slots -= victim.slots
             memory -= victim.spec.memory
         if slots > self.slots or memory > self.pool.memory:
-            return
+            return False
         if how == "suspend" and self._waits - 1 + len(victims) > self.pool.queue:
-            return
+            return False
         for victim in victims:
             if how == "kill":
                 self._over(at, victim, "killed")
             else:
                 self._release(victim)
                 self._wait(victim)
+        return True
 
     def _release(self, job: _Job) -> None:
         """It gives up its slots, with what it has done."""
--- a/finchladder/lab/models/virtual.py
+++ b/finchladder/lab/models/virtual.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from random import Random
 from typing import Literal
 
 import msgspec
@@ -30,7 +29,7 @@
 
 
 class Deployment:
-    """Plays jobs on started servers. `told` gets what a server tells, `fell` is called when one falls over."""
+    """Plays jobs on started servers. `told` gets what a server tells, `fell` each one that falls over."""
 
     def __init__(
         self,
@@ -68,9 +67,12 @@
             else:
                 outcome = self._open.pop(action.id)
                 outcome.ended, outcome.how = action.at, action.how
-        if (wake := self._wakes.pop(server.name, None)) is not None:
+        due, wake = server.next_due(), self._wakes.get(server.name)
+        if wake is not None:
+            if wake.call is not None and wake.time == due:
+                return
             self.kernel.cancel(wake)
-        if (due := server.next_due()) is not None:
+        if due is not None:
             self._wakes[server.name] = self.kernel.at(max(now, due), lambda: self.touch(server))
 
     def _next(self, rest: Iterator[tuple[float, JobIn]]) -> None:
@@ -90,13 +92,3 @@
                 del self._open[job.id]
             self.touch(server)
         self._next(rest)
-
-
-def poisson(
-    rng: Random, rate: float, work: Callable[[Random], float], count: int, start: float = 0.0
-) -> Iterator[tuple[float, JobIn]]:
-    """`count` jobs at `rate` a second, without keys, their work drawn from `work`."""
-    at = start
-    for number in range(count):
-        at += rng.expovariate(rate)
-        yield at, JobIn(f"{number:016x}", "view", "", work(rng))
