Clients is cut: listener, edge connection, front, intake, leaving and body room apart

Change: clients.py listens (3 parameters), edge.py reads and writes one connection, front.py says what a message is answered (HTTP's side), intake.py makes flows out of jobs of any protocol, messages.py reads HTTP's fields; core/leaving.py and core/bodies.py decide without clock or socket.

--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -15,14 +15,19 @@
 from finchladder.config.options import CaptureOptions, Options, read_options
 from finchladder.config.platform import Setup, read_setup
 from finchladder.config.settings import read_seed
+from finchladder.core.bodies import BodyRoom
+from finchladder.core.leaving import Leaving
 from finchladder.core.policy import Dispatcher
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import Capture
 from finchladder.features.status import JobStatus
 from finchladder.net.clients import Clients
+from finchladder.net.control import Controls
 from finchladder.net.disk import CaptureFiles
 from finchladder.net.flows import Flows
+from finchladder.net.front import Front
+from finchladder.net.intake import Intake
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.recorder import Recorder
 from finchladder.net.servers import RealServers
@@ -81,11 +86,11 @@
     module.carrier = servers
     service = ServiceActor(setup.discovery, servers.update)
     classes = {c.name for c in setup.settings.classes}
-    memory = setup.limits.memory_mb
-    clients = Clients(
-        classes, flows, module, clock, lambda: service.up, servers.called_back, sockets, memory, options,
-        arrivals, capture,
-    )  # fmt: skip
+    intake = Intake(classes, flows, module, arrivals, Leaving(), sockets)
+    controls = Controls(clock, classes, options, flows.status, arrivals, capture)
+    front = Front(intake, controls, lambda: service.up, servers.called_back)
+    bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
+    clients = Clients(front, bodies, sockets)
     clients.listen_on(setup.listen)
     module.start()
     servers.start()
--- a/finchladder/core/stages.py
+++ b/finchladder/core/stages.py
@@ -1,6 +1,7 @@
 """The stages of a scheduling, and what can follow what.
 
-- Before it is written, a job certainly did not run there. From then on it may have: when unsure, it was written.
+- Before it is written, a job certainly did not run there. From then on it may have: when unsure, it was
+  written.
 - A write that is known to have broken before its last byte takes that back.
 - It ends exactly once. What comes after the end changes nothing: a 202 that was overtaken by its call-back,
   or a write that breaks as its connection is closed.
--- /dev/null
+++ b/finchladder/net/front.py
@@ -0,0 +1,82 @@
+"""The front desk of HTTP: what is answered to a message, be it a job, a call-back, or a question."""
+
+from collections.abc import Callable
+
+from finchladder.core.edges import Worth
+from finchladder.net.control import Controls, Reply
+from finchladder.net.edge import EdgeConnection
+from finchladder.net.flows import Answer, Flow
+from finchladder.net.http1 import BadMessage, Head
+from finchladder.net.intake import Intake, Repeated
+from finchladder.net.messages import (
+    CALL_BACK,
+    CallBack,
+    HttpMessage,
+    read_call_back,
+    read_facts,
+    read_id,
+    read_target,
+    read_time_left,
+)
+
+HEALTH = "/_health"
+
+
+def reply_of(answer: Answer) -> Reply:
+    if answer.kind == "served":
+        return Reply(200, answer.body)
+    if answer.kind == "refused":
+        after = (f"Retry-After: {answer.retry_after:g}",) if answer.retry_after > 0 else ()
+        return Reply(503, b"refused\n", after)
+    return Reply(502, b"failed\n")
+
+
+class Front:
+    """`ready` says whether a list of real servers is up; `called_back` takes what they tell."""
+
+    def __init__(
+        self, intake: Intake, controls: Controls, ready: Callable[[], bool],
+        called_back: Callable[[CallBack], None],
+    ) -> None:  # fmt: skip
+        self.intake, self.controls = intake, controls
+        self.ready, self.called_back = ready, called_back
+
+    async def answer(self, edge: EdgeConnection, head: Head, body: bytes) -> Reply:
+        path = head.target.partition("?")[0]
+        if path == CALL_BACK:
+            edge.calls_back = True
+            if head.method != "POST":
+                raise BadMessage(405, "call-backs come by POST")
+            self.called_back(read_call_back(body))
+            edge.used(Worth.OF_USE)
+            return Reply(204)
+        if path == HEALTH:
+            up = self.ready() and not self.intake.leaving.begun
+            edge.used(Worth.ASKED)
+            return Reply(200, b"up\n") if up else Reply(503, b"not up\n")
+        if (reply := self.controls.answer(head, body)) is not None:
+            edge.used(Worth.ASKED)
+            return reply
+        return await self._job(edge, head, body)
+
+    async def _job(self, edge: EdgeConnection, head: Head, body: bytes) -> Reply:
+        job_class, key = read_target(head.target)
+        if job_class not in self.intake.classes:
+            raise BadMessage(404, "no such class")
+        if head.method != "POST":
+            raise BadMessage(405, "jobs come by POST")
+        if edge.channel.parser.more:  # what follows unasked may be a request hidden in this one's body
+            raise BadMessage(400, "one request at a time")
+        id, facts, left_s = read_id(head), read_facts(head), read_time_left(head)
+        try:
+            verdict = self.intake.arrive(edge.client, id, job_class, left_s)
+            if verdict.wait > 0:
+                edge.used(Worth.ASKED)
+                return Reply(429, b"too many requests\n", (f"Retry-After: {verdict.wait:g}",))
+            message = HttpMessage(head.method, head.target, head.headers, body)
+            deadline = self.intake.deadline(left_s)
+            flow = Flow(id, job_class, key, facts, message, deadline, edge.box.put_nowait)
+            self.intake.take(flow, verdict.drill)
+        except Repeated:
+            raise BadMessage(400, "a request with this X-Correlation-Id has come already") from None
+        return reply_of(await edge.answer_to(flow))
--- /dev/null
+++ b/finchladder/net/intake.py
@@ -0,0 +1,97 @@
+"""Intake: a job that a client hands in becomes a flow, whatever protocol brought it, and is answered once."""
+
+from loguru import logger
+from tornado.ioloop import IOLoop
+
+from finchladder.core import api
+from finchladder.core.leaving import Leaving
+from finchladder.features.arrivals import Arrivals, Verdict
+from finchladder.features.drills import Effect
+from finchladder.net.flows import Answer, Flow, Flows
+from finchladder.net.module import ModuleActor
+
+OPEN = 1 / 3  # part of all sockets: open flows
+
+
+class Repeated(Exception):
+    """A job of this id has come already."""
+
+
+class Intake:
+    def __init__(
+        self, classes: set[str], flows: Flows, module: ModuleActor, arrivals: Arrivals, leaving: Leaving,
+        sockets: int,
+    ) -> None:  # fmt: skip
+        self.classes, self.flows, self.module, self.clock = classes, flows, module, module.clock
+        self.arrivals, self.leaving = arrivals, leaving
+        self.most_open = int(OPEN * sockets)
+        self.held: dict[Flow, Effect] = {}  # by a drill
+
+    def arrive(self, client: str, id: str, job_class: str, left_s: float) -> Verdict:
+        """Before there is a flow: what the door and the drills say."""
+        if self.flows.known(id):
+            raise Repeated
+        return self.arrivals.judge(self.clock(), client, id, job_class, left_s)
+
+    def deadline(self, left_s: float) -> float:
+        now = self.clock()
+        return self.leaving.latest(now, now + left_s)
+
+    def take(self, flow: Flow, drill: Effect | None = None) -> None:
+        if self.flows.known(flow.id):
+            raise Repeated
+        self.flows.add(flow)
+        if self.flows.open > self.most_open:
+            self.flows.finish(flow, Answer("refused", retry_after=1.0))
+            return
+        loop = IOLoop.current()
+        handle = loop.call_later(max(0.0, flow.deadline - self.clock()), self._overdue, flow)
+        flow.timer = lambda: loop.remove_timeout(handle)
+        if drill is None:
+            self.module.tell(flow)
+        else:
+            self._drill(flow, drill)
+
+    def client_left(self, flow: Flow) -> None:
+        """The module is told, and nobody is answered any more."""
+        if self.flows.finish(flow, Answer("left")):
+            self.module.tell(api.ClientGone(flow.id))
+
+    def leave(self) -> None:
+        now = self.clock()
+        self.leaving.begin(now)
+        self.arrivals.leave(now)
+        for flow in list(self.held):  # no drill is worth a job that SIGKILL finds unanswered
+            self.held[flow] = Effect()
+            self._release(flow)
+
+    def _drill(self, flow: Flow, drill: Effect) -> None:
+        what = "delay" if drill.hold else "abort"
+        logger.info("drill={} class={} id={} hold={:g}", what, flow.job_class, flow.id, drill.hold)
+        self.held[flow] = drill
+        if not drill.hold:
+            return self._release(flow)
+        loop, overdue = IOLoop.current(), flow.timer
+        handle = loop.call_later(drill.hold, self._release, flow)
+
+        def forget() -> None:  # also when the client leaves: nothing may be kept of its flow
+            if overdue is not None:
+                overdue()
+            loop.remove_timeout(handle)
+            self.held.pop(flow, None)
+
+        flow.timer = forget
+
+    def _release(self, flow: Flow) -> None:
+        if (drill := self.held.pop(flow, None)) is None or flow.answer is not None:
+            return
+        if drill.abort:
+            self.flows.finish(flow, Answer("refused"))
+        else:
+            self.module.tell(flow)
+
+    def _overdue(self, flow: Flow) -> None:
+        """The module answers before this; should it ever not, the client still gets its one answer."""
+        if self.flows.finish(flow, Answer("failed")):
+            logger.error("a flow was overdue: the module had not answered it")
+            self.module.tell(api.ClientGone(flow.id))
--- a/finchladder/net/messages.py
+++ b/finchladder/net/messages.py
@@ -1,14 +1,24 @@
-"""A job as HTTP carries it: what a client's request says of it, and how a real server is sent it."""
+"""What HTTP carries: a job as a client hands it in and as a real server is sent it, and call-backs."""
 
+import math
+import re
 from dataclasses import dataclass
+from hashlib import blake2b
 
-from finchladder.net.http1 import Headers, write_request
+import msgspec
 
+from finchladder.net.http1 import MAX_BODY, BadMessage, Head, Headers, write_request
+
+CALL_BACK = "/v1/job-events"
+MAX_CALL_BACK = 6 * MAX_BODY + 16 * 1024  # a result of full length in which JSON escapes every byte
 HOP = frozenset({
     "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection",
     "proxy-authorization", "content-length", "host", "expect", "x-time-left",
 })  # fmt: skip
 
+_ID = re.compile(r"[!-~]{1,128}")
+_TIME_LEFT = re.compile(r"[0-9]{1,6}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+
 
 @dataclass(slots=True, eq=False)
 class HttpMessage:
@@ -24,3 +34,74 @@
         fields = [(n, v) for n, v in self.headers.fields if n.lower() not in dropped]
         fields += [("Host", host), ("X-Time-Left", f"{time_left_s:.3f}")]
         return write_request(self.method, self.target, fields, self.body)
+
+
+class CallBack(msgspec.Struct, rename={"sender": "from"}):
+    """What a real server tells of a job."""
+
+    id: str
+    sender: str
+    state: str
+    share: float = 0.0
+    result: str = ""
+    load: object = None
+
+    def report(self) -> dict[str, float] | None:
+        pairs = self.load.items() if isinstance(self.load, dict) else ()
+        return {str(n): float(v) for n, v in pairs if isinstance(v, int | float)} or None
+
+
+def key_of(text: str) -> int | None:
+    """The same number at every dispatcher and after every start; Python's hash() is neither."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=7).digest(), "big") if text else None
+
+
+def read_target(target: str) -> tuple[str, int | None]:
+    """The class is the path's first part, the key its last where there is more than one."""
+    parts = target.partition("?")[0].split("/")
+    return parts[1] if len(parts) > 1 else "", key_of(parts[-1]) if len(parts) > 2 else None
+
+
+def read_id(head: Head) -> str:
+    value = head.headers.get("x-correlation-id")
+    if value is None or not _ID.fullmatch(value):
+        raise BadMessage(400, "X-Correlation-Id is missing, repeated or unusable")
+    return value
+
+
+def read_time_left(head: Head) -> float:
+    value = head.headers.get("x-time-left") or ""
+    left = float(value) if _TIME_LEFT.fullmatch(value) else 0.0
+    if left <= 0:
+        raise BadMessage(400, "X-Time-Left is missing, repeated or unusable")
+    return left
+
+
+def read_facts(head: Head) -> dict[str, float]:
+    """X-Facts: name=value pairs; of those known here each must be a number that can be."""
+    facts: dict[str, float] = {}
+    for pair in ",".join(head.headers.all("x-facts")).split(","):
+        name, _, value = (part.strip() for part in pair.partition("="))
+        if name not in ("slots", "memory"):
+            continue
+        try:
+            facts[name] = float(value)
+        except ValueError:
+            raise BadMessage(400, f"X-Facts: {name} is no number") from None
+        if not (math.isfinite(facts[name]) and 0 <= facts[name] < 1e6):
+            raise BadMessage(400, f"X-Facts: {name} can't be used")
+    return facts
+
+
+def read_call_back(body: bytes) -> CallBack:
+    try:
+        return _call_backs.decode(body)
+    except msgspec.MsgspecError as e:
+        raise BadMessage(400, str(e)) from None
+
+
+_call_backs = msgspec.json.Decoder(CallBack)
+
+
+def limit_of(head: Head) -> int:
+    return MAX_CALL_BACK if head.target.partition("?")[0] == CALL_BACK else MAX_BODY
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-import msgspec
 from loguru import logger
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.queues import Queue
@@ -19,6 +18,7 @@
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flows, Scheduling
 from finchladder.net.http1 import BadMessage, Channel, Head, StreamClosedError
+from finchladder.net.messages import CallBack
 from finchladder.net.module import Clock, Ending, ModuleActor
 
 ROOM = 8192
@@ -27,21 +27,6 @@
 IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
 ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
 
-class CallBack(msgspec.Struct, rename={"sender": "from"}):
-    """What a real server tells of a job."""
-
-    id: str
-    sender: str
-    state: str
-    share: float = 0.0
-    result: str = ""
-    load: object = None
-
-    def report(self) -> dict[str, float] | None:
-        pairs = self.load.items() if isinstance(self.load, dict) else ()
-        return {str(n): float(v) for n, v in pairs if isinstance(v, int | float)} or None
-
-
 class Withdrawal(NamedTuple):
     scheduling: Scheduling
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -11,13 +11,14 @@
 import pytest
 
 from finchladder import Dispatcher
-from finchladder.config.options import DrillOptions, Options
+from finchladder.config.options import OFF, DrillOptions, Options
+from finchladder.core.leaving import Leaving
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.drills import Drills, Effect, Order
-from finchladder.net.clients import Clients
 from finchladder.net.control import Controls
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.http1 import BadMessage, Head, Headers
+from finchladder.net.intake import Intake
 from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, ModuleActor
 from tests.helpers import settings
@@ -201,12 +202,12 @@
     async def play() -> None:
         flows = Flows()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
-        clients = Clients({"u"}, flows, module, Clock(), lambda: True, lambda c: None, 128, 32)
+        intake = Intake({"u"}, flows, module, Arrivals(OFF, 1), Leaving(), 128)
         message = HttpMessage("POST", "/u", Headers([]), b"")
         flow = Flow("a", "u", None, {}, message, Clock()() + 900, lambda answer: None)
-        clients.take(flow, Effect(600.0))
-        assert clients.held and module.box.empty()
+        intake.take(flow, Effect(600.0))
+        assert intake.held and module.box.empty()
         flows.finish(flow, Answer("left"))
-        assert not clients.held and not flows.by_id
+        assert not intake.held and not flows.by_id
 
     run(play())
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -10,10 +10,17 @@
 
 from finchladder import Dispatcher, api
 from finchladder.config.entries import read_list
+from finchladder.config.options import OFF
+from finchladder.core.bodies import BodyRoom
+from finchladder.core.leaving import Leaving
 from finchladder.core.stages import Step
-from finchladder.net import clients, http1, servers, service
+from finchladder.features.arrivals import Arrivals
+from finchladder.net import clients, http1, messages, servers, service
+from finchladder.net.control import Controls
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
+from finchladder.net.front import Front
 from finchladder.net.http1 import BadMessage, Head, Headers, Parser
+from finchladder.net.intake import Intake, Repeated
 from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, Ending, ModuleActor
 from tests.helpers import entry, settings
@@ -54,10 +61,10 @@
 
 
 def request_parser() -> Parser:
-    return Parser(http1.parse_request, clients.limit_of)
+    return Parser(http1.parse_request, messages.limit_of)
 
 
-def messages(parser: Parser, data: bytes, size: int) -> list[tuple[Head, bytes]]:
+def messages_of(parser: Parser, data: bytes, size: int) -> list[tuple[Head, bytes]]:
     found = []
     for at in range(0, len(data), size):
         parser.feed(data[at : at + size])
@@ -69,7 +76,7 @@
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
 @pytest.mark.parametrize(("data", "method", "target", "body"), MESSAGES)
 def test_messages(data: bytes, method: str, target: str, body: bytes, size: int) -> None:
-    found = messages(request_parser(), data * 2, size)
+    found = messages_of(request_parser(), data * 2, size)
     assert [(h.method, h.target, b) for h, b in found] == [(method, target, body)] * 2
 
 
@@ -77,7 +84,7 @@
 @pytest.mark.parametrize(("data", "status"), NO_MESSAGES)
 def test_no_messages(data: bytes, status: int, size: int) -> None:
     with pytest.raises(BadMessage) as e:
-        messages(request_parser(), data, size)
+        messages_of(request_parser(), data, size)
     assert e.value.status == status
 
 
@@ -95,7 +102,7 @@
     ],
 )
 def test_outcomes(data: bytes, ending: api.Ending | None) -> None:
-    [(head, _)] = messages(http1.server_parser(), data, 5)
+    [(head, _)] = messages_of(http1.server_parser(), data, 5)
     assert servers.outcome(head) is ending
 
 
@@ -117,21 +124,21 @@
     [("/c/k", "c", True), ("/c/k?q=/x", "c", True), ("/c", "c", False), ("/c/", "c", False), ("c", "", 0)],
 )
 def test_targets(target: str, job_class: str, has_key: bool) -> None:
-    found, key = clients.read_target(target)
+    found, key = messages.read_target(target)
     assert (found, key is not None) == (job_class, has_key)
 
 
 def test_a_key_is_the_same_number_everywhere() -> None:
-    assert clients.key_of("7f3a9c21e0b4d655") == 51428628390673331
-    assert clients.read_target("/a/x/k")[1] == clients.read_target("/b/k?q")[1] == clients.key_of("k")
+    assert messages.key_of("7f3a9c21e0b4d655") == 51428628390673331
+    assert messages.read_target("/a/x/k")[1] == messages.read_target("/b/k?q")[1] == messages.key_of("k")
 
 
 @pytest.mark.parametrize(
     ("read", "name", "good", "bad"),
     [
-        (clients.read_time_left, "X-Time-Left", ["0.480", "5", ".5", "7."], ["", "0", "-1", "1e3", "inf"]),
-        (clients.read_id, "X-Correlation-Id", ["9b1f", "~"], ["", "a b", "x" * 129]),
-        (clients.read_facts, "X-Facts", ["", "slots=2,other=x"], ["slots=", "memory=nan", "slots=-1"]),
+        (messages.read_time_left, "X-Time-Left", ["0.480", "5", ".5", "7."], ["", "0", "-1", "1e3", "inf"]),
+        (messages.read_id, "X-Correlation-Id", ["9b1f", "~"], ["", "a b", "x" * 129]),
+        (messages.read_facts, "X-Facts", ["", "slots=2,other=x"], ["slots=", "memory=nan", "slots=-1"]),
     ],
 )  # fmt: skip
 def test_fields(read: Callable[[Head], object], name: str, good: list[str], bad: list[str]) -> None:
@@ -201,6 +208,15 @@
     return flow
 
 
+def intake(flows: Flows, module: ModuleActor, sockets: int = 128) -> Intake:
+    return Intake({"s", "unsafe"}, flows, module, Arrivals(OFF, 0), Leaving(), sockets)
+
+
+def listener(taking: Intake, bodies: BodyRoom) -> clients.Clients:
+    controls = Controls(taking.clock, taking.classes, OFF, None, taking.arrivals, None)
+    return clients.Clients(Front(taking, controls, lambda: True, lambda c: None), bodies, 128)
+
+
 class Watched(Scheduling):
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
@@ -299,7 +315,7 @@
         server.live[flow.id] = scheduling
         scheduling.step(Step.WRITE)
         for state in ("done", "lost", "done"):
-            server.receive(servers.CallBack("r1", "w1", state, result="x"))
+            server.receive(messages.CallBack("r1", "w1", state, result="x"))
         assert not flows.finish(flow, Answer("failed"))
         assert [a.kind for a in answers] == ["served"] and len(told) == 1
         assert flows.known("r1") and not flows.by_id
@@ -318,16 +334,16 @@
         sink = logger.add(seen.append, format="{message}", level="ERROR")
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = lambda item: None  # type: ignore[method-assign]
-        edge = clients.Clients({"unsafe"}, flows, module, Clock(), lambda: True, lambda c: None, sockets, 32)
+        taking = intake(flows, module, sockets)
         flow = flow_of(Flows(), answers, Clock()() + 0.02)
-        edge.take(flow)
+        taking.take(flow)
         while not answers:
             await asyncio.sleep(0.01)
         logger.remove(sink)
         assert [a.kind for a in answers] == [kind] and not flows.by_id
         assert [line[: len(want)] for line, want in zip(seen, log, strict=True)] == log
-        with pytest.raises(BadMessage):
-            edge.take(flow)  # its id stays known: what may have run must not run again
+        with pytest.raises(Repeated):
+            taking.take(flow)  # its id stays known: what may have run must not run again
 
     asyncio.run(play())
 
@@ -338,16 +354,17 @@
     async def play() -> None:
         flows = Flows()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
-        edge = clients.Clients({"s"}, flows, module, Clock(), lambda: True, lambda c: None, 128, 32)
-        room, edge.room = edge.room, 10
-        assert room == 8 * 1024 * 1024
+        bodies = BodyRoom(32 * 1024 * 1024)
+        assert bodies.free == 8 * 1024 * 1024
+        bodies.free = 10
+        edge = listener(intake(flows, module), bodies)
         [sock] = bind_sockets(0, "127.0.0.1")
         edge.add_socket(sock)
         answer = await exchange(sock.getsockname()[1], request("a1", body=b"x" * 11))
         assert (answer.status, answer.headers["retry-after"]) == (503, "1")
         while edge.edges:
             await asyncio.sleep(0.01)
-        assert edge.room == 10 and not flows.by_id  # what was reserved is free again
+        assert bodies.free == 10 and not flows.by_id  # what was reserved is free again
         edge.stop()
 
     asyncio.run(asyncio.wait_for(play(), 20))
@@ -358,7 +375,7 @@
         flows, told = Flows(), list[object]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        edge = clients.Clients({"s"}, flows, module, Clock(), lambda: True, lambda c: None, 128, 32)
+        edge = listener(intake(flows, module), BodyRoom(32 * 1024 * 1024))
         [sock] = bind_sockets(0, "127.0.0.1")
         edge.add_socket(sock)
         first = asyncio.create_task(exchange(sock.getsockname()[1], request("a1")))
