--- a/finchladder/lab/drivers/base.py
+++ b/finchladder/lab/drivers/base.py
@@ -46,8 +46,8 @@
     def order(self, order: Order) -> None:
         """Any order but `stop`."""
 
-    async def finish(self) -> None:
-        """After `stop`, before the ledger is flushed."""
+    async def finish(self) -> Any:
+        """After `stop`, before the ledger is flushed; the result is `done`'s data, unless that was said."""
 
     def close(self) -> None:
         """Closes all sockets at once."""
@@ -197,10 +197,10 @@
     async def stop(self) -> None:
         assert self.process is not None and self.role is not None
         try:
-            await asyncio.wait_for(self.role.finish(), FINISH_S)
+            figures = await asyncio.wait_for(self.role.finish(), FINISH_S)
             self.process.ledger.flush()
             if not self.process.said_done:
-                self.process.say(Word("done"))
+                self.process.say(Word("done", data=figures))
             self.process.end(0)
         except Exception as e:
             self.process.fail(e)
