--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -71,16 +71,21 @@
         return "close" not in words and (self.minor == 1 or "keep-alive" in words)
 
 
-def _headers(lines: list[bytes]) -> Headers:
+def _field(line: bytes, plain: bool) -> tuple[str, str]:
+    """Name and value. `plain`: as a request's fields are passed on, they must be visible ASCII."""
+    m = _FIELD.fullmatch(line)
+    if m is None:
+        raise BadMessage(400, "malformed header field")
+    value = m[2].decode("latin-1").strip(" \t")
+    if plain and not _PLAIN.fullmatch(value):
+        raise BadMessage(400, "a header field holds what is not visible ASCII")
+    return m[1].decode("ascii"), value
+
+
+def _headers(lines: list[bytes], plain: bool) -> Headers:
     if len(lines) > MAX_FIELDS:
         raise BadMessage(431, "too many header fields")
-    fields = []
-    for line in lines:
-        m = _FIELD.fullmatch(line)
-        if m is None:
-            raise BadMessage(400, "malformed header field")
-        fields.append((m[1].decode("ascii"), m[2].decode("latin-1").strip(" \t")))
-    return Headers(fields)
+    return Headers([_field(line, plain) for line in lines])
 
 
 def parse_request(head: bytes) -> Head:
@@ -88,10 +93,7 @@
     m = _REQUEST.fullmatch(start)
     if m is None:
         raise BadMessage(400, "malformed request line")
-    headers = _headers(lines)
-    if not all(_PLAIN.fullmatch(value) for _, value in headers.fields):
-        raise BadMessage(400, "a header field holds what is not visible ASCII")
-    return Head(int(m[3]), headers, m[1].decode(), m[2].decode())
+    return Head(int(m[3]), _headers(lines, plain=True), m[1].decode(), m[2].decode())
 
 
 def parse_response(head: bytes) -> Head:
@@ -99,7 +101,7 @@
     m = _STATUS.fullmatch(start)
     if m is None:
         raise BadMessage(400, "malformed status line")
-    return Head(int(m[1]), _headers(lines), status=int(m[2]))
+    return Head(int(m[1]), _headers(lines, plain=False), status=int(m[2]))
 
 
 class Body:
@@ -111,6 +113,8 @@
         self.until_close = False
         self.left = 0
         self.trailer = False
+        self.trailers, self.trailer_bytes = 0, 0
+        self.plain = not head.status
         if codings and (lengths or not head.minor or [c.lower() for c in codings] != ["chunked"]):
             raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
         if lengths:
@@ -153,7 +157,7 @@
         line = bytes(buffer[:end])
         del buffer[: end + 2]
         if self.trailer:
-            self.done = not line
+            self._take_trailer(line)
         elif (m := _CHUNK.fullmatch(line)) is None:
             raise BadMessage(400, "malformed chunk head")
         else:
@@ -161,6 +165,16 @@
             self.trailer, self.left = not size, size + 2 if size else 0
         return True
 
+    def _take_trailer(self, line: bytes) -> None:
+        """Nobody reads them here, but what no head may hold must not pass after a body either."""
+        if not line:
+            self.done = True
+            return
+        self.trailers, self.trailer_bytes = self.trailers + 1, self.trailer_bytes + len(line) + 2
+        if self.trailers > MAX_FIELDS or self.trailer_bytes > MAX_HEAD:
+            raise BadMessage(400, "too many trailers")
+        _field(line, self.plain)
+
 
 class Parser:
     """Messages off one connection. `limit` says how long the body of a head may be."""
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -33,7 +33,9 @@
     (b"POST /a HTTP/1.1\r\ncontent-LENGTH:  3 \r\n\r\nabc", "POST", "/a", b"abc"),
     (b"POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na", "POST", "/a", b"a"),
     (CHUNKED + b"3;x=y\r\nabc\r\n0A\r\n0123456789\r\n0\r\nT: t\r\n\r\n", "POST", "/a", b"abc0123456789"),
+    (CHUNKED + b"1\r\na\r\n0\r\n" + b"T: ~\r\n" * 64 + b"\r\n", "POST", "/a", b"a"),
 ]
+LAST = CHUNKED + b"1\r\na\r\n0\r\n"  # the trailers follow
 NO_MESSAGES = [
     (b"GET /a\r\n\r\n", 400),
     (b"GET /a b HTTP/1.1\r\n\r\n", 400),
@@ -53,6 +55,14 @@
     (CHUNKED.replace(b"chunked", b"gzip") + b"\r\n", 400),
     (CHUNKED[:-2] + b"Content-Length: 3\r\n\r\nabc", 400),
     (CHUNKED + b"x\r\n", 400),
+    (LAST + b"no field\r\n\r\n", 400),
+    (LAST + b"space : x\r\n\r\n", 400),
+    (LAST + b"T: x\r\n folded: x\r\n\r\n", 400),
+    (LAST + b"T: x\ny\r\n\r\n", 400),
+    (LAST + b"T: x\x01y\r\n\r\n", 400),
+    (LAST + b"T: \xc3\xb1\r\n\r\n", 400),
+    (LAST + b"T: x\r\n" * 65 + b"\r\n", 400),
+    (LAST + (b"T: " + b"x" * 4000 + b"\r\n") * 3 + b"\r\n", 400),
     (CHUNKED + b"1\r\nabc\r\n", 400),
     (CHUNKED + b"ffff\r\n" + b"x" * 65535 + b"\r\n2\r\nab\r\n0\r\n\r\n", 413),
     (b"POST /a HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
