Lab: the network between parties, and the processes' ends, held by tests

Relays add latency by zone pair in order, cut by segments, hold or swallow bytes, reset before or after the last byte of a request, refuse, and stay deaf so that connections never come up; what is struck is noted. A link closes while its upstream refuses, so that a dead real server is refused and not reset.

--- a/finchladder/lab/drivers/base.py
+++ b/finchladder/lab/drivers/base.py
@@ -71,6 +71,8 @@
         self._ticker: asyncio.TimerHandle | None = None
 
     def say(self, word: Word) -> None:
+        if self.ended.done():
+            return  # `done` and `failed` are last words
         self.said_done |= word.what == "done"
         self._say(msgspec.json.encode(word) + b"\n")
 
--- a/tests/lab/test_drivers.py
+++ b/tests/lab/test_drivers.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import json
+import random
 import re
+import signal
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +18,7 @@
 
 from finchladder.lab import records, wire
 from finchladder.lab.control import Order, Plan, ServerPlan
-from finchladder.lab.drivers import callbacks, fleet, registry
+from finchladder.lab.drivers import callbacks, fleet, registry, relay
 from finchladder.lab.drivers.base import Process, Role
 from finchladder.lab.drivers.sockets import split
 from finchladder.lab.experiment import Experiment
@@ -456,3 +461,265 @@
         party.role.close()
 
     play(work)
+
+
+# ---- the network
+
+
+class Peer:
+    """Whom a link leads to: keeps what came, answers each whole request, and can die."""
+
+    def __init__(self, answers: bool = True) -> None:
+        self.answers, self.got, self.resets = answers, b"", 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self.port = 0
+
+    async def open(self) -> str:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{self.port}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        parser = wire.Parser(responses=False)
+        try:
+            while data := await reader.read(65536):
+                self.got += data
+                for m in parser.feed(data):
+                    if self.answers:
+                        writer.write(wire.write_response(200, m.body))
+        except ConnectionResetError:
+            self.resets += 1
+        writer.close()
+
+    def has(self, data: bytes) -> bool:
+        return self.got == data
+
+    def die(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def a_link(tmp: Path, peer: Peer, seed: int = 1, **network: Any) -> tuple[Party, str]:
+    more = {"network": {"on": True, "same_zone_s": 0.0, "cross_zone_s": 0.0} | network}
+    party = Party(relay.Relay, tmp, more, seed=seed)
+    await party.open()
+    link = {"name": "n1>s1", "from": "a", "to": "b", "address": await peer.open()}
+    party.order("links", [link])
+    return party, (await party.word("ready"))["n1>s1"]
+
+
+REQUEST = wire.write_request("POST", "/view/k1", {"X-Correlation-Id": ID}, b"body")
+
+
+def strikes(party: Party) -> list[str]:
+    return [s.detail for s in party.records(records.Struck) if s.detail.startswith("connection")]
+
+
+@pytest.mark.parametrize(("kind", "seen"), [("reset_before", REQUEST[:-1]), ("reset_after", REQUEST)])
+@pytest.mark.parametrize("for_s", [0.0, 5.0])
+def test_a_reset_before_or_after_the_last_byte(tmp_path: Path, kind: str, seen: bytes, for_s: float) -> None:
+    async def work() -> None:
+        peer = Peer()
+        party, address = await a_link(tmp_path, peer)
+        client = await Client().open(address)
+        client.send()
+        assert await client.status() == 200  # nothing is struck yet, on a connection that will be
+        peer.got = b""
+        party.fault(kind, for_s=for_s)
+        client.writer.write(REQUEST)
+        assert await ended(client) == "reset"
+        await until(lambda: peer.resets)
+        assert peer.got == seen and len(strikes(party)) == 1
+        after = await Client().open(address)
+        after.writer.write(REQUEST)
+        assert await ended(after) == ("answer" if for_s == 0 else "reset")
+        if for_s:
+            party.fault(kind, for_s=for_s, end=True)
+            last = await Client().open(address)
+            last.send()
+            assert await last.status() == 200
+            assert [s.detail for s in party.records(records.Struck)][:: len(strikes(party)) + 1] == [
+                "",
+                "end",
+            ]
+        party.role.close()
+
+    play(work)
+
+
+def test_reset_after_strikes_also_where_no_answer_comes(tmp_path: Path) -> None:
+    async def work() -> None:
+        peer = Peer(answers=False)
+        party, address = await a_link(tmp_path, peer)
+        party.fault("reset_after", for_s=5.0)
+        client = await Client().open(address)
+        client.writer.write(REQUEST)
+        assert await ended(client) == "reset" and peer.got == REQUEST
+        party.role.close()
+
+    play(work)
+
+
+@pytest.mark.parametrize(("seed", "goes_on"), [(2, True), (1, False)])
+def test_a_cut_holds_all_bytes_then_goes_on_or_resets(tmp_path: Path, seed: int, goes_on: bool) -> None:
+    async def work() -> None:
+        peer = Peer()
+        party, address = await a_link(tmp_path / str(seed), peer, seed)
+        client = await Client().open(address)
+        client.send()
+        assert await client.status() == 200
+        peer.got = b""
+        party.fault("cut", for_s=5.0, between=("a", "c"))  # between others
+        client.writer.write(REQUEST)
+        assert await client.status() == 200
+        party.fault("cut", for_s=5.0, between=("b", "a"))
+        client.writer.write(REQUEST)
+        with pytest.raises(TimeoutError):  # the connection does not come up at all
+            await asyncio.wait_for(Client().open(address), 0.3)
+        assert peer.got == REQUEST
+        party.fault("cut", for_s=5.0, between=("b", "a"), end=True)
+        if goes_on:
+            assert await client.status() == 200
+            assert peer.got == 2 * REQUEST
+        else:
+            assert await ended(client) == "reset"
+            assert peer.got == REQUEST
+        after = await Client().open(address)
+        after.send()
+        assert await after.status() == 200
+        party.role.close()
+
+    play(work)
+
+
+@pytest.mark.parametrize(("kind", "reaches"), [("black_hole", {False}), ("half_open", {True, False})])
+def test_silence_of_both_ways_or_of_one(tmp_path: Path, kind: str, reaches: set[bool]) -> None:
+    async def work() -> None:
+        came = set()
+        for seed in range(8):
+            peer = Peer()
+            party, address = await a_link(tmp_path / str(seed), peer, seed)
+            client = await Client().open(address)
+            client.send()
+            assert await client.status() == 200
+            peer.got = b""
+            party.fault(kind, for_s=5.0)
+            client.writer.write(REQUEST)
+            [strike] = strikes(party)
+            if strike.endswith("down"):
+                await until(partial(peer.has, REQUEST))
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(client.reader.read(1), 0.1)
+            came.add(bool(peer.got))
+            party.fault(kind, for_s=5.0, end=True)  # bytes were lost: it can't go on
+            assert await ended(client) == "reset"
+            party.role.close()
+        assert came == reaches
+
+    play(work)
+
+
+def test_a_link_refuses_by_a_fault_and_while_its_upstream_is_dead(tmp_path: Path) -> None:
+    async def work() -> None:
+        peer = Peer()
+        party, address = await a_link(tmp_path, peer)
+        client = await Client().open(address)
+        client.send()
+        assert await client.status() == 200
+        party.fault("refuse", "n1>s1", for_s=5.0)
+        with pytest.raises(ConnectionRefusedError):
+            await Client().open(address)
+        client.send()
+        assert await client.status() == 200  # what stands is not struck
+        party.fault("refuse", "n1>s1", for_s=5.0, end=True)
+        second = await Client().open(address)
+        peer.die()
+        assert await ended(client) != "answer" and await ended(second) != "answer"
+
+        async def opens() -> bool:
+            try:
+                return bool(await Client().open(address))
+            except ConnectionRefusedError:
+                return False
+
+        while await opens():
+            await asyncio.sleep(0.01)
+        await peer.open()
+        while not await opens():
+            await asyncio.sleep(0.01)
+        party.role.close()
+
+    play(work)
+
+
+def test_latency_jitter_and_segments_keep_every_byte_in_order(tmp_path: Path) -> None:
+    async def work() -> None:
+        peer = Peer()
+        party, address = await a_link(tmp_path, peer, cross_zone_s=0.002, jitter=1.0, segment=1000)
+        body = random.Random(1).randbytes(600_000)  # more than a way holds
+        clients = [await Client().open(address) for _ in range(3)]
+        for client in clients:
+            client.writer.write(wire.write_request("POST", "/x", {"Host": "x"}, body))
+        for client in clients:
+            answer = await client.answer()
+            assert answer and answer.body == body
+            client.writer.write_eof()
+            assert await client.answer() is None  # the end passes as well
+        assert not party.role.links["n1>s1"].pairs  # type: ignore[attr-defined]
+        party.role.close()
+
+    play(work)
+
+
+# ---- processes
+
+
+@pytest.mark.parametrize(
+    ("end", "status", "word"),
+    [
+        ("input ends", 1, None),
+        ("stop", 0, "done"),
+        ("SIGTERM", 0, None),
+        ("SIGINT, then stop", 0, "done"),
+        ("unknown order", 1, "failed"),
+        ("unknown fault", 1, "failed"),
+    ],
+)
+def test_a_process_ends_with_its_parent_or_by_order(
+    tmp_path: Path, end: str, status: int, word: str | None
+) -> None:
+    experiment = msgspec.convert(PLAIN, Experiment)
+    servers = [ServerPlan("s1", 0, "a")]
+    plan = Plan("fleet", "fleet0", str(tmp_path), experiment, 0, 0, 1, "127.0.0.7", servers=servers)
+    command, pipe = [sys.executable, "-m", "finchladder.lab.drivers", "fleet"], subprocess.PIPE
+    with subprocess.Popen(command, stdin=pipe, stdout=pipe, stderr=subprocess.DEVNULL) as p:
+        assert p.stdin and p.stdout
+
+        def say(line: bytes) -> None:
+            assert p.stdin
+            p.stdin.write(line + b"\n")
+            p.stdin.flush()
+
+        say(msgspec.json.encode(plan))
+        ready = json.loads(p.stdout.readline())
+        assert ready["what"] == "ready" and ready["data"]["s1"].startswith("127.0.0.7:")
+        if end == "input ends":
+            p.stdin.close()
+        elif end == "SIGTERM":
+            p.send_signal(signal.SIGTERM)
+        elif end == "unknown order":
+            say(b'{"what": "dance"}')
+        elif end == "unknown fault":
+            say(b'{"what": "fault", "data": {"kind": "cut", "targets": ["s1"]}}')
+        else:
+            if "SIGINT" in end:
+                p.send_signal(signal.SIGINT)
+            say(b'{"what": "stop"}')
+        words = [json.loads(line)["what"] for line in p.stdout]
+        assert p.wait(20) == status
+        assert word is None or words[-1] == word
+        assert word is not None or not {"done", "failed"} & set(words)
+    log = list(records.read(tmp_path / "ledger" / "fleet0.log"))
+    assert isinstance(log[0], records.Born) and isinstance(log[-1], records.Lateness)
