--- a/finchladder/cli/front.py
+++ b/finchladder/cli/front.py
@@ -36,8 +36,15 @@
     )
 
 
+def takes_log_format(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--log-format", choices=("text", "json"), default=argparse.SUPPRESS,
+        help="of what serve logs on standard error (default: text)",
+    )  # fmt: skip
+
+
 def parse(argv: Sequence[str] | None = None) -> tuple[Command, argparse.Namespace]:
-    """Without a command it serves; --config may stand before the command or after it.
+    """Without a command it serves; options may stand before the command or after it.
 
     Only the file of the command that was asked for is imported: a dispatcher lives in 32 MB.
     """
@@ -49,14 +56,17 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     takes_config(top)
+    takes_log_format(top)
     top.add_argument("command", nargs="?", default="serve", choices=COMMANDS, metavar="COMMAND")
     top.add_argument("rest", nargs=argparse.REMAINDER, help=argparse.SUPPRESS)
     first = top.parse_args(argv)
     command = cast(Command, import_module(f"finchladder.cli.{first.command}"))
     parser = argparse.ArgumentParser(f"finchladder {first.command}", description=COMMANDS[first.command])
     command.arguments(parser)
-    found = argparse.Namespace(config=getattr(first, "config", None))
-    return command, parser.parse_args(first.rest, found)
+    before = {name: value for name, value in vars(first).items() if name in ("config", "log_format")}
+    if "log_format" in before and first.command != "serve":
+        top.error("--log-format is for serve alone")
+    return command, parser.parse_args(first.rest, argparse.Namespace(**{"config": None} | before))
 
 
 def main(argv: Sequence[str] | None = None) -> None:
--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -8,10 +8,11 @@
 import sys
 from collections.abc import Mapping
 from functools import partial
+from typing import TextIO
 
 from loguru import logger
 
-from finchladder.cli.front import fail, takes_config
+from finchladder.cli.front import fail, takes_config, takes_log_format
 from finchladder.config.options import CaptureOptions, Options, read_options
 from finchladder.config.platform import Setup, read_setup
 from finchladder.config.settings import read_seed
@@ -38,6 +39,8 @@
 
 def arguments(parser: argparse.ArgumentParser) -> None:
     takes_config(parser)
+    takes_log_format(parser)
+    parser.set_defaults(log_format="text")
 
 
 class ToLoguru(logging.Handler):
@@ -45,6 +48,15 @@
         logger.opt(exception=record.exc_info).log(record.levelname, record.getMessage())
 
 
+def log_to(sink: TextIO, node: str, log_format: str) -> int:
+    """As text, or as one JSON object a line: `text`, and `record` with what was bound to it in `extra`."""
+    logger.remove()
+    logger.configure(extra={"node": node})  # the text does not show it
+    return logger.add(
+        sink, level="INFO", backtrace=False, diagnose=False, serialize=log_format == "json"
+    )
+
+
 def reread(env: Mapping[str, str], service: ServiceActor) -> None:
     """What SIGHUP asks for: the file's discovery is followed, all else holds from the next start."""
     try:
@@ -115,8 +127,7 @@
         options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb)
     except ValueError as e:
         fail(str(e))
-    logger.remove()
-    logger.add(sys.stderr, level="INFO", backtrace=False, diagnose=False)
+    log_to(sys.stderr, setup.name, args.log_format)
     logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
     try:
         asyncio.run(serve(setup, options))
--- a/finchladder/net/actor.py
+++ b/finchladder/net/actor.py
@@ -20,6 +20,7 @@
 
     def __init__(self, name: str, box: Queue[T]) -> None:
         self.name, self.box = name, box
+        self.log = logger.bind(actor=name)
         self.tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
@@ -37,7 +38,7 @@
     def _over(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            logger.opt(exception=error).critical("{}: a task died", self.name)
+            self.log.opt(exception=error).critical("{}: a task died", self.name)
 
     def stop(self) -> None:
         for task in self.tasks:
@@ -49,11 +50,11 @@
             try:
                 self.receive(item)
             except Exception:
-                logger.exception("{}: died on {}", self.name, type(item).__name__)
+                self.log.exception("{}: died on {}", self.name, type(item).__name__)
                 try:
                     self.failed(item)
                 except Exception:  # the mailbox must be read on, else all that comes after hangs too
-                    logger.exception("{}: could not clear up", self.name)
+                    self.log.exception("{}: could not clear up", self.name)
 
     def receive(self, item: T) -> None:
         raise NotImplementedError
--- a/finchladder/net/intake.py
+++ b/finchladder/net/intake.py
@@ -17,6 +17,10 @@
     """A job of this id has come already."""
 
 
+def _fields(flow: Flow) -> dict[str, str]:
+    return {"id": flow.id, "class": flow.job_class}
+
+
 class Intake:
     def __init__(
         self, classes: set[str], flows: Flows, module: ModuleActor, arrivals: Arrivals, leaving: Leaving,
@@ -67,7 +71,8 @@
 
     def _drill(self, flow: Flow, drill: Effect) -> None:
         what = "delay" if drill.hold else "abort"
-        logger.info("drill={} class={} id={} hold={:g}", what, flow.job_class, flow.id, drill.hold)
+        bound = logger.bind(drill=what, **_fields(flow))
+        bound.info("drill={} class={} id={} hold={:g}", what, flow.job_class, flow.id, drill.hold)
         self.held[flow] = drill
         if not drill.hold:
             return self._release(flow)
@@ -93,5 +98,5 @@
     def _overdue(self, flow: Flow) -> None:
         """The module answers before this; should it ever not, the client still gets its one answer."""
         if self.flows.finish(flow, Answer("failed")):
-            logger.error("a flow was overdue: the module had not answered it")
+            logger.bind(**_fields(flow)).error("a flow was overdue: the module had not answered it")
             self.module.tell(api.ClientGone(flow.id))
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from loguru import logger
 from tornado.ioloop import IOLoop
 from tornado.queues import PriorityQueue
 
@@ -99,11 +98,11 @@
         if isinstance(action, api.SetTimer):
             IOLoop.current().call_later(max(0.0, action.after), self.tell, api.Timer(action.token))
         elif isinstance(action, api.Log):
-            logger.info("module: {}", action.text)
+            self.log.info("module: {}", action.text)
         elif isinstance(action, api.Subscribe):
             self.subscribe(action.on)
         elif isinstance(action, api.Tell):
-            logger.warning("module: no peers can be told anything here")
+            self.log.warning("module: no peers can be told anything here")
         elif (flow := self.flows.by_id.get(action.request)) is not None:
             self._for_flow(flow, action, now)
 
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-from loguru import logger
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.queues import Queue
 
@@ -66,6 +65,7 @@
     ) -> None:  # fmt: skip
         super().__init__(f"real server {name}", Queue(ROOM))
         self.server, self.address = name, address
+        self.log = self.log.bind(server=name)
         self.flows, self.module, self.clock = flows, module, clock
         self.connect_timeout, self.trust = connect_timeout, trust
         self.ready = True
@@ -122,7 +122,7 @@
         elif c.state in CALL_BACK_ENDS:
             self._end(s, CALL_BACK_ENDS[c.state], c.report(), c.result.encode("utf-8", "replace"))
         else:
-            logger.warning("{}: unknown job state {!r}", self.name, c.state[:40])
+            self.log.bind(id=c.id).warning("{}: unknown job state {!r}", self.name, c.state[:40])
 
     # --- the life of a scheduling -------------------------------------------------------------------------
 
@@ -130,7 +130,8 @@
         try:
             await self._carry(s)
         except Exception:
-            logger.exception("{}: a scheduling died", self.name)
+            bound = self.log.bind(**{"id": s.flow.id, "class": s.flow.job_class})
+            bound.exception("{}: a scheduling died", self.name)
             self._broke(s)
 
     async def _carry(self, s: Scheduling) -> None:
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from loguru import logger
 from tornado.queues import Queue
 
 from finchladder.config.entries import News, read_list
@@ -74,10 +73,10 @@
             except (StreamClosedError, OSError, TimeoutError, BadMessage, ValueError) as e:
                 why = f"{type(e).__name__}: {e}"
             except Exception:  # whatever a peer sent, the list must be watched again
-                logger.exception("service list: the watch died")
+                self.log.exception("service list: the watch died")
                 why = "died"
             if not down or self.established:
-                logger.warning("service list: watch over ({}), the last list stays in use", why)
+                self.log.warning("service list: watch over ({}), the last list stays in use", why)
             wait = BACKOFF if self.index != before else min(2 * wait, BACKOFF_MOST)
             down = True
             await asyncio.sleep(wait)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -178,7 +178,9 @@
 
 
 @asynccontextmanager
-async def node(tmp_path: Path, *servers: RealServer, ini: str = "", **more: object) -> AsyncIterator[Node]:
+async def node(
+    tmp_path: Path, *servers: RealServer, ini: str = "", args: tuple[str, ...] = (), **more: object
+) -> AsyncIterator[Node]:
     """The program as it is deployed, with these real servers in the list that it knows from before."""
     discovery, port = Discovery(), free_port()
     for listener in (discovery, *servers):
@@ -189,12 +191,13 @@
     config = tmp_path / "config.json"
     config.write_text(json.dumps({"seed": "5", "known": known, "settings": SETTINGS} | more))
     env = os.environ | {
+        "NODE_NAME": "n1",
         "NODE_LISTEN": f"127.0.0.1:{port}",
         "NODE_DISCOVERY": f"127.0.0.1:{discovery.port}",
         "NODE_CONFIG": str(config),
     }
     with (tmp_path / "log").open("wb") as log:
-        command = [sys.executable, "-m", "finchladder"]
+        command = [sys.executable, "-m", "finchladder", *args]
         if ini:
             (tmp_path / "operator.ini").write_text(ini)
             command += ["--config", str(tmp_path / "operator.ini")]
