Lab: whole runs tested: six planted wrongs are seen, nothing is left of an ended run

Needed: proof that the judge is not blind, and that no process outlives its run. Each wrong dispatcher (invents, answers twice, runs fragile jobs twice, loses 1 of 1,000, sends to a drained server, floods a cold one) is played for 2 s and found by count; the right forwarder breaks nothing. A run now ends only when its dispatchers are back, settle_s at the most.

--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -516,11 +516,13 @@
             player.order(Order("go", begin))
         running = [self._phases(begin), self._sample(), self._tell_progress(begin, whole)]
         tasks = [self.spawn(work) for work in running]
-        tasks += [self.spawn(self._strike(s, begin)) for s in faults.strikes(self.e)]
-        answered = asyncio.gather(*(p.done.wait() for p in self.players_of("load")))
+        strikes = [(s.of, self.spawn(self._strike(s, begin))) for s in faults.strikes(self.e)]
+        tasks += [task for _, task in strikes]
+        answered = [p.done.wait() for p in self.players_of("load")]
+        back = [task for of, task in strikes if of == "dispatchers"]
         with contextlib.suppress(TimeoutError):  # what is still open then counts as it is
             async with asyncio.timeout(GO_S + whole + self.e.settle_s):
-                await self._guarded(self._all(tasks[0], answered))
+                await self._guarded(self._all(tasks[0], *back, *answered))
         await self._guarded(self._at(begin + whole))
         self.ledger.put(Mark(time.monotonic(), "run:end"))
         self.over = True
--- a/finchladder/lab/stubs.py
+++ b/finchladder/lab/stubs.py
@@ -227,8 +227,9 @@
 
 class FloodsCold(Forwarder):
     def choose(self) -> str | None:
-        ready = {name: s.born for name, s in self.servers.items() if s.state == "ready"}
-        return max(ready, key=lambda name: ready[name]) if ready else None
+        """The youngest, if any has started in this run."""
+        born = {name: s.born for name, s in self.servers.items() if s.state == "ready" and s.born}
+        return max(born, key=lambda name: born[name]) if born else super().choose()
 
 
 STUBS: dict[str, type[Forwarder]] = {
--- /dev/null
+++ b/tests/lab/test_run.py
@@ -0,0 +1,246 @@
+"""Whole runs on loopback, small ones: verdicts count, and never time. Wrong dispatchers must be seen."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from finchladder.lab import judge, ledger
+from finchladder.lab.check import load
+from finchladder.lab.experiment import Part
+from finchladder.lab.records import Any, Asked, Mark, Sample, Struck, read_all
+from finchladder.lab.run import play
+from finchladder.lab.show import Show
+
+ROOT = Path(__file__).resolve().parents[2]
+SMALL = """
+name = "small"
+settle_s = 20.0
+slack_s = 2.0
+
+[[pool]]
+count = 3
+cores = 2
+cold_for_s = 20.0
+drain_returns = false
+
+[[class]]
+name = "view"
+share = 0.5
+work_s = 0.01
+deadline_s = 2.0
+
+[[class]]
+name = "confirm"
+share = 0.5
+work_s = 0.01
+effect = "fragile"
+deadline_s = 2.0
+
+[callbacks]
+early = 0.0
+twice = 0.0
+
+[load]
+retries = { kind = "none" }
+late_s = 5.0
+
+[[load.phase]]
+name = "day"
+for_s = 2.0
+rate = 60.0
+law = "even"
+"""
+DIES = """
+import os, sys
+from finchladder.lab import stubs
+
+class Dies(stubs.Forwarder):
+    def request(self, id, message):
+        if self.its_turn():
+            os._exit(7)
+        super().request(id, message)
+
+stubs.STUBS["dies"] = Dies
+sys.argv = ["", "dies", "40"]
+stubs.main()
+"""
+
+
+def played(folder: Path, *sets: str) -> Path:
+    file = folder / "small.toml"
+    file.write_text(SMALL)
+    [variant] = load(file, sets)
+    out = folder / "out"
+    out.mkdir()
+    play(variant.experiment, variant.folder, out, Show(quiet=True))
+    return out
+
+
+def stub(name: str, every: int) -> str:
+    return f"program.command=['python', '-m', 'finchladder.lab.stubs', '{name}', '{every}']"
+
+
+@pytest.mark.parametrize(
+    ("name", "every", "sets", "rule", "kind", "least", "most"),
+    [
+        ("forwards", 1, [], "", "", 0, 0),
+        ("answers_itself", 10, [], "answer", "invented", 12, 12),
+        ("answers_twice", 10, [], "answer", "twice answered", 12, 12),
+        ("runs_twice", 10, [], "once", "twice sent", 1, 12),
+        ("loses", 1000, ["load.phase.0.rate=500.0"], "answer", "unanswered", 1, 1),
+        ("sends_to_drained", 1, ["slack_s=0.05", "fault=[{kind='drain', at_s=0.3, target='w0001'}]"],
+         "drain", "drain", 1, 120),
+        ("floods_cold", 1, ["class.0.work_s=0.05", "class.1.work_s=0.05", "pool.0.queue=1000",
+                            "pool.0.cores=4", "callbacks.lost=1.0", "load.phase.0.rate=240.0",
+                            "fault=[{kind='crash', at_s=0.1, target='w0001', for_s=0.2}]"],
+         "cold", "flood", 1, 1),
+    ],
+)  # fmt: skip
+def test_the_judge_sees_what_a_dispatcher_does_wrong(
+    tmp_path: Path, name: str, every: int, sets: list[str], rule: str, kind: str, least: int, most: int
+) -> None:
+    """Of 120 or 1,000 jobs every so many."""
+    verdict = judge.judge(ledger.load(played(tmp_path, stub(name, every), *sets)))
+    assert {r for r, count in verdict.rules.items() if count} <= {rule}, verdict.findings[:3]
+    assert least <= verdict.kinds.get(kind, 0) <= most, (verdict.kinds, verdict.undecided)
+
+
+def test_the_program_plays_a_small_run_and_keeps_the_rules(tmp_path: Path) -> None:
+    """Two dispatchers; one is killed and comes back, the other is restarted; a real server dies."""
+    faults = [
+        "{kind='kill', at_s=0.5, target='n1', for_s=0.2}",
+        "{kind='restart', at_s=0.7, target='n2'}",
+        "{kind='crash', at_s=1.0, target='w0003', for_s=0.3}",
+    ]
+    out = played(tmp_path, "dispatchers=2", "load.retries.kind=after", f"fault=[{', '.join(faults)}]")
+    found = ledger.load(out)
+    verdict = judge.judge(found)
+    assert verdict.rules == {"answer": 0, "once": 0, "drain": 0, "cold": 0}, verdict.findings[:3]
+    assert len(found.jobs) == 120
+    records: list[Any] = read_all(out / "ledger")
+    struck = [(r.kind, r.target, r.detail) for r in records if isinstance(r, Struck)]
+    for kind, target in (("kill", "n1"), ("restart", "n2"), ("crash", "w0003")):
+        assert (kind, target, "") in struck and (kind, target, "end") in struck
+    assert [s for s in struck if s[0] == "started"].count(("started", "n1", "")) == 2
+    assert not any(kind == "died" for kind, _, _ in struck)
+    marks = [r.name for r in records if isinstance(r, Mark)]
+    assert marks == ["run:start", "day", "run:arrivals_end", "run:end"]
+    assert {"n1", "n2", "fleet0", "load0", "registry"} <= {
+        r.process for r in records if isinstance(r, Sample)
+    }
+
+
+def test_a_dispatcher_that_dies_by_itself_is_written_down_and_the_run_goes_on(tmp_path: Path) -> None:
+    script = tmp_path / "dies.py"
+    script.write_text(DIES)
+    out = played(tmp_path, f"program.command=['python', '{script}']", "program.back_after_s=0.1")
+    records: list[Any] = read_all(out / "ledger")
+    struck = [(r.kind, r.target) for r in records if isinstance(r, Struck)]
+    assert ("died", "n1") in struck and struck.count(("started", "n1")) > 1
+    assert sum(isinstance(r, Asked) for r in records) >= 120
+
+
+def children(pid: int) -> dict[int, str]:
+    """Its children, each with the time of its start, which tells it from a later process of that number."""
+    found = {}
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = stat.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid:
+            found[int(stat.parent.name)] = fields[19]
+    return found
+
+
+def there(pid: int, start: str) -> bool:
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return False
+    return fields[19] == start and fields[0] != "Z"
+
+
+@pytest.fixture
+def running(tmp_path: Path) -> Iterator[subprocess.Popen[bytes]]:
+    """A long run, once its dispatcher is asked."""
+    (tmp_path / "small.toml").write_text(SMALL)
+    command = [sys.executable, "-m", "finchladder", "lab", "run", str(tmp_path / "small.toml"), "--quiet"]
+    command += ["--set", "load.phase.0.for_s=60.0", "--out", str(tmp_path / "out")]
+    process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE)
+    try:
+        end = time.monotonic() + 30
+        while (
+            not (tmp_path / "out/logs/n1.log").exists()
+            or b"serving" not in (tmp_path / "out/logs/n1.log").read_bytes()
+        ):
+            assert process.poll() is None and time.monotonic() < end
+            time.sleep(0.02)
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+@pytest.mark.parametrize(
+    ("number", "status"),
+    [(signal.SIGTERM, 128 + 15), (signal.SIGINT, 128 + 2), (signal.SIGKILL, -9)],
+)
+def test_nothing_is_left_of_a_run_that_is_ended(
+    running: subprocess.Popen[bytes], number: signal.Signals, status: int
+) -> None:
+    before = children(running.pid)
+    assert len(before) == 4  # fleet, registry, load, dispatcher
+    os.kill(running.pid, number)
+    assert running.wait(30) == status
+    end = time.monotonic() + 30
+    while any(there(*child) for child in before.items()):
+        assert time.monotonic() < end, "a process stays behind"
+        time.sleep(0.02)
+
+
+@pytest.mark.parametrize(
+    ("command", "text"),
+    [
+        (["run", "nix.toml"], "nix.toml: No such file or directory"),
+        (["run", "small.toml", "--set", "nix=1"], "small.toml: top: unknown key nix"),
+        (["run", "small.toml", "--out", "."], "holds something already"),
+        (["run", "small.toml", "--repeats", "0"], "--repeats: at least 1"),
+        (["compare", "small.toml"], "A and B are the same"),
+        (["compare", "small.toml", "--set-a", "seed=2", "--pairs", "2"], "--pairs: at least 3"),
+        (["judge", "nix"], "nix: "),
+        (["report", "nix"], "nix: "),
+    ],
+)
+def test_what_cannot_be_used_is_one_line_and_status_2(tmp_path: Path, command: list[str], text: str) -> None:
+    (tmp_path / "small.toml").write_text(SMALL)
+    done = subprocess.run(
+        [sys.executable, "-m", "finchladder", "lab", *command], cwd=tmp_path, capture_output=True, text=True,
+        env=os.environ | {"PYTHONPATH": str(ROOT)}, check=False,
+    )  # fmt: skip
+    assert (done.returncode, done.stdout) == (2, "")
+    assert text in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_serving_imports_nothing_of_the_lab() -> None:
+    code = (
+        "import sys; from finchladder.cli import serve, front; "
+        "lab = {'httptools', 'uvloop', 'hdrh', 'numpy', 'matplotlib', 'jinja2', 'rich', 'finchladder.lab'}; "
+        "sys.exit(', '.join(lab & set(sys.modules)) or 0)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stderr
+
+
+def test_the_page_names_every_setting() -> None:
+    page = (ROOT / "docs/LAB.md").read_text()
+    for part in Part.__subclasses__():
+        missing = [f.encode_name for f in msgspec.structs.fields(part) if f"`{f.encode_name}`" not in page]
+        assert not missing, (part.__name__, missing)
