--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run lab demo
+.PHONY: build test lint lab demo run
 
 build:
 	cmp -s requirements.txt .venv/installed && test -x .venv/bin/finchladder || { python3 -m venv .venv && \
@@ -19,10 +19,6 @@
 	.venv-dev/bin/mypy
 	.venv-dev/bin/lint-imports --no-cache
 
-run: build
-	NODE_NAME=example NODE_LISTEN=127.0.0.1:8081 NODE_DISCOVERY=127.0.0.1:8500 NODE_CONFIG=example/config.json \
-		exec .venv/bin/python -m finchladder
-
 .venv-lab/installed: requirements.txt requirements-lab.txt
 	test -x .venv-lab/bin/python || python3 -m venv .venv-lab
 	.venv-lab/bin/pip -q install -r requirements.txt -r requirements-lab.txt
@@ -32,3 +28,6 @@
 
 demo: .venv-lab/installed
 	.venv-lab/bin/python -m finchladder lab run benchmarks/demo.toml
+
+run: .venv-lab/installed
+	exec .venv-lab/bin/python -m finchladder lab serve benchmarks/demo.toml
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -639,6 +639,9 @@
                 player.order(Order("go", time.monotonic()))
             for d in run.dispatchers:
                 show.line(f"{d.name} in zone {d.zone}: {d.address}, discovery {d.discovery}")
+            job = f"http://{run.dispatchers[0].address}/{e.job_class[0].name}/1"
+            headers = "-H 'X-Lab-Node: n1' -H 'X-Time-Left: 4' -H \"X-Correlation-Id: $(date +%s%N)\""
+            show.line(f"try: curl -s -X POST {headers} -d '{{}}' {job}")
             show.line(f"{len(place_servers(e))} real servers; logs in {out / 'logs'}; Ctrl-C ends all of it")
             await run._guarded(asyncio.Event().wait())  # type: ignore[arg-type]
         finally:
--- a/finchladder/lab/show.py
+++ b/finchladder/lab/show.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 EVERY_S = 5.0  # between two plain lines of progress
+SHOWN = {"offered": "offered", "answered": "answered", "in_flight": "in flight", "up": "real servers up"}
 
 
 class Show:
@@ -28,11 +29,11 @@
             print(text, file=sys.stderr, flush=True)
 
     def progress(self, now: float, whole: float, phase: str, figures: Mapping[str, float]) -> None:
-        """`now` and `whole` in seconds from the begin of the arrivals."""
+        """`now` and `whole` in seconds from the begin of the arrivals; `figures` as the processes say them."""
         if self.quiet:
             return
         text = f"{max(now, 0):6.1f} of {whole:.0f} s  {phase}  "
-        text += "  ".join(f"{name} {value:,.0f}" for name, value in figures.items())
+        text += "  ".join(f"{shown} {figures[name]:,.0f}" for name, shown in SHOWN.items() if name in figures)
         if self.console is not None:
             if self.moving is None:
                 self.moving = self.console.status(text)
