--- a/finchladder/lab/report.py
+++ b/finchladder/lab/report.py
@@ -137,9 +137,7 @@
         due = np.array([t.asked.due for t in self.ledger.tries.values()]) - self.ledger.first
         tries = np.histogram(due, self.edges)[0] / self.width
         axes.set_title("load (a second)")
-        axes.plot(
-            self.middle, np.histogram(tries, self.edges)[0] / self.width, color="#999999", label="tries"
-        )
+        axes.plot(self.middle, tries, color="#999999", label="tries")
         axes.plot(self.middle, self.rate(self.jobs.state >= 0), color="#000000", label="jobs offered")
         axes.plot(self.middle, self.rate(self.jobs.state == SERVED), color=BLUE, label="served")
         self.finish(axes)
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -186,6 +186,7 @@
     "served": [ask(), *RAN, answer()],
     "records in another order": [answer(), end(), Began("j1", "s1", 1, 10.02), take(), ask()],
     "last moment": [ask(), *RAN, answer(at=14.057)],
+    "written once more, then in time": [ask(), ask(at=10.2), take(10.21), end(), answer(at=14.2)],
     "failed": [ask("confirm"), take(), end("killed"), answer(502)],
     "unconnected": [ask(), over("unconnected", 10.1)],
     "the client left": [ask(), *STUCK, over("left", 10.1)],
