--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -15,6 +15,7 @@
     from finchladder.lab.show import Show
 
 RUNS = Path("lab-runs")  # where runs go unless --out says otherwise
+MOST_LINES = 5  # dispatchers with a line each; more are told of in sum
 SHIPPED = Path(__file__).resolve().parents[2] / "benchmarks"
 
 
@@ -137,6 +138,12 @@
     return summary
 
 
+def _together(processes: Iterable[dict[str, float]]) -> dict[str, float]:
+    """What they take in sum."""
+    several = list(processes)
+    return {key: sum(p[key] for p in several) for key in ("cpu", "rss_mb", "fds", "starts")}
+
+
 def tell(summary: dict[str, Any], folder: Path, label: str) -> None:
     """A run in about ten lines."""
     s = summary
@@ -150,9 +157,15 @@
     lines.append(f"  goodput {s['goodput_per_s']:.1f} jobs/s, G {s['g']:.3f}")
     for name, c in s["latency"].items():
         lines.append(f"  {name}: p50 {c['p50_ms']:.0f} ms, p99 {c['p99_ms']:.0f} ms")
-    for name, d in s["dispatchers"].items():
-        used = f"CPU {d['cpu']:.2f} of a core, {d['rss_mb']:.0f} MB, {d['fds']} descriptors"
-        lines.append(f"  {name}: {used}, {d['starts']} starts")
+    used = {**s["dispatchers"], "the lab": _together(s["lab"].values())}
+    if len(s["dispatchers"]) > MOST_LINES:
+        used = {
+            f"{len(s['dispatchers'])} dispatchers": _together(s["dispatchers"].values()),
+            "the lab": used["the lab"],
+        }
+    for name, d in used.items():
+        cpu, memory = f"CPU {d['cpu']:.2f} of a core", f"{d['rss_mb']:.0f} MB"
+        lines.append(f"  {name}: {cpu}, {memory}, {d['fds']:.0f} descriptors, {d['starts']:.0f} starts")
     print("\n".join([*lines, f"  report: {folder / 'report.html'}"]), flush=True)
 
 
--- a/finchladder/lab/show.py
+++ b/finchladder/lab/show.py
@@ -29,7 +29,7 @@
             print(text, file=sys.stderr, flush=True)
 
     def progress(self, now: float, whole: float, phase: str, figures: Mapping[str, float]) -> None:
-        """`now` and `whole` in seconds from the begin of the arrivals; `figures` as the processes say them."""
+        """`now`, `whole`: seconds from the begin of the arrivals; `figures` as the processes say them."""
         if self.quiet:
             return
         text = f"{max(now, 0):6.1f} of {whole:.0f} s  {phase}  "
