The fleet is an index, changed entry by entry; scans of workers and open jobs go

Every list entry built all rings anew: 110 ms of the loop at 1,000 real servers and 1.7 s at 10,000, also for a change of weight alone; each scan looked at all open jobs, and the least-loaded was one of the next twelve.

A state carries the records only; what follows from them is made anew. The rings name the same owners as before; ties for the least-loaded go to who waits longest.

--- /dev/null
+++ b/finchladder/core/counts.py
@@ -0,0 +1,47 @@
+"""How often each key was asked for of late: counts that fade, each when it is next looked at."""
+
+from collections import OrderedDict
+
+FADE = 0.1  # part that a count loses with each turn; at 1 - FADE it is forgotten
+MOST = 16384  # keys counted at once, about 300 bytes each: beyond it a new key counts as not seen
+
+
+def faded(count: float, turns: int) -> float:
+    for _ in range(turns):
+        if count <= 1 - FADE:
+            return 0.0
+        count *= 1 - FADE
+    return count
+
+
+class KeyCounts:
+    """Costs: add, count O(log count); fade O(1), where fading all at once would cost O(keys)."""
+
+    __slots__ = ("seen", "total", "turn")
+
+    def __init__(self) -> None:
+        self.seen: OrderedDict[int, tuple[float, int]] = OrderedDict()  # the count, and as of which turn
+        self.total, self.turn = 0.0, 0
+
+    def add(self, key: int) -> None:
+        count = self.count(key)
+        if key in self.seen or len(self.seen) < MOST:
+            self.seen[key] = count + 1, self.turn
+        self.total += 1
+        for _ in range(min(2, len(self.seen))):  # one more than comes, so that the table shrinks again
+            oldest, (count, turn) = self.seen.popitem(last=False)
+            if turn == self.turn or faded(count, self.turn - turn):
+                self.seen[oldest] = count, turn
+            else:
+                break
+
+    def count(self, key: int) -> float:
+        count, turn = self.seen.get(key, (0.0, self.turn))
+        return faded(count, self.turn - turn)
+
+    def share(self, key: int) -> float:
+        return self.count(key) / self.total if self.total else 0.0
+
+    def fade(self) -> None:
+        self.turn += 1
+        self.total *= 1 - FADE
--- /dev/null
+++ b/finchladder/core/fleet.py
@@ -0,0 +1,310 @@
+"""The fleet as an index: rings, order by load, cold and suspect workers, changed worker by worker.
+
+Costs, with n ready workers and p = 2 x POINTS marks of each: a worker comes or goes O(p log n), and in memory
+p times half an arc of n / 8 marks is moved; a change of load or zone O(log levels); any other change of an
+entry O(1). Owners of a key O(log n), the least-loaded O(workers looked at). Memory: about 1.3 KB a ready
+worker and needed kind.
+"""
+
+from array import array
+from bisect import bisect_left, bisect_right, insort
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator, Mapping
+from hashlib import blake2b
+from itertools import chain, islice
+from random import Random
+from sys import byteorder
+
+from finchladder.core.api import State, WorkerEntry
+from finchladder.core.records import Worker
+from finchladder.core.wheel import Wheel
+
+POINTS = 32  # ring marks a worker and hash: evens out the arcs of neighbours
+ARC_BITS = 8  # a ring is cut into so many arcs (as a power of 2), each a sorted row of its own
+SHIFT = 64 - ARC_BITS
+FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
+
+Level = tuple[float, bool]  # load in slots, and whether it is in another zone
+
+
+def key_hashes(key: int) -> tuple[int, int]:
+    digest = blake2b(b"%d" % key, digest_size=16).digest()
+    return int.from_bytes(digest[:8], "big"), int.from_bytes(digest[8:], "big")
+
+
+def ring_points(address: str, ring: int) -> "array[int]":
+    """Each point is 64 bits of a hash, the first byte highest."""
+    points = array("Q")
+    for n in range(POINTS // 8):
+        points.frombytes(blake2b(f"{address}/{ring}/{n}".encode()).digest())
+    if byteorder == "little":
+        points.byteswap()
+    return points
+
+
+def differences(old: Mapping[str, WorkerEntry], new: Iterable[WorkerEntry]) -> list[WorkerEntry]:
+    """The entries of a PATCH that leads from the entries known to a whole list, what is not ready first.
+
+    Who is missing is GONE. The weight is left out, as no decision looks at it. O(entries), about 0.3 us each
+    where little has changed; applied in slices, no event costs more than its slice.
+    """
+    named = {e.worker: e for e in new}
+    left = [e for e in old.values() if e.worker not in named and e.state is not State.GONE]
+    changed = []
+    for e in named.values():
+        was = old.get(e.worker)
+        if was is None or (was != e and was[:-1] != e[:-1]):
+            changed.append(e)
+    changed.sort(key=lambda e: e.state is State.READY)
+    return [e._replace(state=State.GONE) for e in left] + changed
+
+
+class Ring:
+    """One consistent-hash ring: in place of '% |W|', where a join or leave would move nearly every key.
+
+    The same workers make the same ring, in whatever order they came. (But for two marks at one point, which
+    stand as they came: at 10,000 workers one ring in 400 million has such a pair.)
+    """
+
+    __slots__ = ("arcs", "size")
+
+    def __init__(self) -> None:
+        self.arcs: list[tuple[array[int], list[Worker]]] = [(array("Q"), []) for _ in range(1 << ARC_BITS)]
+        self.size = 0
+
+    def add(self, w: Worker, points: "array[int]") -> None:
+        for p in points:
+            marks, owners = self.arcs[p >> SHIFT]
+            at = bisect_left(marks, p)
+            marks.insert(at, p)
+            owners.insert(at, w)
+        self.size += len(points)
+
+    def remove(self, w: Worker, points: "array[int]") -> None:
+        for p in points:
+            marks, owners = self.arcs[p >> SHIFT]
+            at = bisect_left(marks, p)
+            while owners[at] is not w:  # two marks at one point
+                at += 1
+            del marks[at], owners[at]
+        self.size -= len(points)
+
+    def owner(self, point: int) -> Worker:
+        """Of the first mark past the point; the ring must not be empty."""
+        marks, owners = self.arcs[point >> SHIFT]
+        at = bisect_right(marks, point)
+        return owners[at] if at < len(owners) else next(self.after(point))
+
+    def after(self, point: int, skip: int = 0) -> Iterator[Worker]:
+        """The owners of the marks past the point, but for the first `skip`; round and round."""
+        arc = point >> SHIFT
+        marks, owners = self.arcs[arc]
+        at = bisect_right(marks, point) + skip
+        while self.size:
+            while at < len(owners):
+                yield owners[at]
+                at += 1
+            at -= len(owners)
+            arc = (arc + 1) % len(self.arcs)
+            owners = self.arcs[arc][1]
+
+
+class Pool:
+    """The ready workers of one needed kind."""
+
+    def __init__(self) -> None:
+        self.rings = (Ring(), Ring())
+        self.size = 0
+        self.levels: dict[Level, OrderedDict[Worker, None]] = {}  # none of them empty
+        self.order: list[Level] = []  # the same, sorted
+
+    def walk(self, key: int, count: int, first: int = 0) -> Iterator[list[Worker]]:
+        """So many pairs of the key: its owners on both rings, then the next owners that are not named yet.
+
+        It begins with the pair numbered `first`, and those before it come last. The cost is that of the pairs
+        that are asked for and, up to FAR_OFF, of those before the first.
+        """
+        return chain(self._walk(key, count - first, first), self._walk(key, first, 0))
+
+    def _walk(self, key: int, count: int, skip: int) -> Iterator[list[Worker]]:
+        if count <= 0 or not self.size:
+            return
+        one, two = key_hashes(key)
+        if not skip:  # mostly all that is asked for
+            mark, other = self.rings[0].owner(one), self.rings[1].owner(two)
+            yield [mark, other] if mark is not other else [mark]
+            count, skip = count - 1, 1
+        marks, skip = (skip, 0) if skip > FAR_OFF else (0, skip)  # some marks name a worker again
+        seen: set[Worker] = set()
+        walks = self.rings[0].after(one, marks), self.rings[1].after(two, marks)
+        while count > 0 and len(seen) < self.size:
+            mark, other = next(walks[0]), next(walks[1])
+            pair = [w for w in ((mark, other) if mark is not other else (mark,)) if w not in seen]
+            seen.update(pair)
+            if pair and skip <= 0:
+                yield pair
+                count -= 1
+            skip -= bool(pair)
+
+    def pairs(self, key: int, count: int) -> list[list[Worker]]:
+        return list(self.walk(key, count))
+
+    def by_load(self, most: int) -> Iterator[Worker]:
+        """From the least loaded up, near before far, who waits longest first; up to so many."""
+        return islice((w for level in self.order for w in self.levels[level]), most)
+
+    def anyone(self, random: Random, most: int) -> Iterator[Worker]:
+        """Workers at random points of a ring, up to so many; some may come twice."""
+        for _ in range(most if self.size else 0):
+            yield next(self.rings[0].after(random.getrandbits(64)))
+
+    def enter(self, w: Worker, level: Level) -> None:
+        if level not in self.levels:
+            self.levels[level] = OrderedDict()
+            insort(self.order, level)
+        self.levels[level][w] = None
+
+    def leave(self, w: Worker, level: Level) -> None:
+        row = self.levels[level]
+        del row[w]
+        if not row:
+            del self.levels[level], self.order[bisect_left(self.order, level)]
+
+
+class Fleet:
+    """Holds `workers` true to its pools: the ready ones, and others while they have slots in flight.
+
+    All changes of a worker's place, load or readiness pass here. What it keeps follows from the records (a
+    worker's `turn` is its place in its row), so `refill` makes it anew.
+    """
+
+    def __init__(
+        self, workers: dict[str, Worker], kinds: Iterable[str | None], zone: str, cold_for_s: float,
+        suspect_from: float,
+    ) -> None:  # fmt: skip
+        """`suspect_from`: share of bad endings above which a worker is counted in `suspects`."""
+        self.workers, self.zone = workers, zone
+        self.cold_for_s, self.suspect_from = cold_for_s, suspect_from
+        self.pools: dict[str | None, Pool] = {kind: Pool() for kind in kinds}
+        self.ready = self.turns = 0
+        self.leaving: dict[Worker, None] = {}  # not ready and without load: forgotten with the next list
+        self.suspects: dict[Worker, None] = {}
+        self.cold: Wheel[Worker] = Wheel(cold_for_s / 64)  # ready ones by when they are warm
+        self.refill()
+
+    def refill(self) -> None:
+        for w in self.workers.values():
+            w.pools, w.level = (), None
+            self.judged(w)
+        for w in sorted(self.workers.values(), key=lambda w: w.turn):
+            if w.ready:
+                self._join(w)
+                self._enter(w, w.turn)
+            elif not w.load:
+                self.leaving[w] = None
+
+    def update(self, w: Worker, e: WorkerEntry) -> bool:
+        """What the entry says of the worker; True: it has joined, and is not in a row until `enter`."""
+        ready = e.state is State.READY
+        joins = ready and (not w.ready or w.kind != e.kind)
+        if w.ready and (joins or not ready):
+            self._part(w)
+        w.zone, w.kind, w.cell, w.ready = e.zone, e.kind, e.cell, ready
+        if joins:
+            self._join(w)
+        elif ready:
+            self._move(w)
+            self._chill(w)
+        elif not w.load:
+            self.leaving[w] = None
+        self.judged(w)
+        return joins
+
+    def judged(self, w: Worker) -> None:
+        """To be told when `sick` has changed."""
+        if w.sick > self.suspect_from and self.workers.get(w.address) is w:
+            self.suspects[w] = None
+        else:
+            self.suspects.pop(w, None)
+
+    def enter(self, joined: Iterable[Worker]) -> None:
+        for w in joined:
+            if w.pools and w.level is None:
+                self._enter(w, self._turn())
+
+    def add_load(self, w: Worker, slots: float) -> None:
+        w.load += slots
+        self._move(w)
+        if not w.ready and not w.load:
+            self.leaving[w] = None
+
+    def defer(self, workers: Iterable[Worker]) -> None:
+        """To the back of their rows: one that gets nothing now must not hide those behind it."""
+        for w in workers:
+            w.turn = self._turn()
+            for pool in w.pools:
+                if w.level is not None:
+                    pool.levels[w.level].move_to_end(w)
+
+    def forget(self) -> None:
+        """Drops who has left and has no load: O(those that came to that since it was last called)."""
+        for w in self.leaving:
+            if not w.ready and not w.load and self.workers.get(w.address) is w:
+                del self.workers[w.address]
+                self.suspects.pop(w, None)
+        self.leaving.clear()
+
+    def is_cold(self, w: Worker, now: float) -> bool:
+        return w.born > 0 and now < w.born + self.cold_for_s
+
+    def warm(self, now: float) -> int:
+        """How many ready workers are warm. O(workers that became warm since it was last asked)."""
+        for w in self.cold.due(now):
+            if self.is_cold(w, now):
+                self._chill(w)
+            else:
+                w.fetched.clear()  # asked of cold workers only
+        return self.ready - len(self.cold)
+
+    def _turn(self) -> int:
+        self.turns += 1
+        return self.turns
+
+    def _join(self, w: Worker) -> None:
+        w.pools = tuple(p for kind, p in self.pools.items() if kind in (None, w.kind))
+        points = [ring_points(w.address, n) for n in (0, 1)]
+        for pool in w.pools:
+            pool.size += 1
+            for ring, marks in zip(pool.rings, points, strict=True):
+                ring.add(w, marks)
+        self.ready += 1
+        self._chill(w)
+
+    def _part(self, w: Worker) -> None:
+        points = [ring_points(w.address, n) for n in (0, 1)]
+        for pool in w.pools:
+            pool.size -= 1
+            for ring, marks in zip(pool.rings, points, strict=True):
+                ring.remove(w, marks)
+            if w.level is not None:
+                pool.leave(w, w.level)
+        w.pools, w.level = (), None
+        self.ready -= 1
+        self.cold.drop(w.address)
+
+    def _enter(self, w: Worker, turn: int) -> None:
+        w.level, w.turn, self.turns = (w.load, w.zone != self.zone), turn, max(self.turns, turn)
+        for pool in w.pools:
+            pool.enter(w, w.level)
+
+    def _move(self, w: Worker) -> None:
+        before = w.level
+        if before is not None and before != (w.load, w.zone != self.zone):
+            for pool in w.pools:
+                pool.leave(w, before)
+            self._enter(w, self._turn())
+
+    def _chill(self, w: Worker) -> None:
+        self.cold.drop(w.address)
+        if w.born > 0:
+            self.cold.put(w.address, w, w.born + self.cold_for_s)
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -8,7 +8,9 @@
 
 import struct  # noqa: I001
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import islice
+from math import inf
 from random import Random
 from typing import Any
 
@@ -17,9 +19,12 @@
     PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
     WorkerEntry, WorkerList,
 )  # fmt: skip
-from finchladder.core.pool import SAMPLE, Pool
+from finchladder.core.agenda import Agenda
+from finchladder.core.counts import KeyCounts
+from finchladder.core.fleet import Fleet, Pool
 from finchladder.core.records import Attempt, Job, Worker
 
+SAMPLE = 12  # workers, pairs or waiting keys looked at in one choice: its cost stays flat as all grows
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
 HOT_MIN = 50.0  # requests seen before a key's share of them is believed
 T_START = 2.0  # threshold t before anything is known of a worker
@@ -66,27 +71,39 @@
         self.stall = STALL * self.sweep * SWEEPS
         self.run = {c.name: c.aim for c in settings.classes}  # mean running time, learned
         self.workers: dict[str, Worker] = {}
-        self.pools: dict[str | None, Pool] = {}
         self.jobs: dict[str, Job] = {}
         # jobs that wait, by class and key; classes are served in the order of their worth per work
         self.held: dict[str, OrderedDict[int | None, dict[str, Job]]] = {n: OrderedDict() for n in self.run}
         self.ejected: dict[str, Worker] = {}
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
-        self.key_counts: dict[int, float] = {}  # recent requests by key, fading
-        self.key_total = self.tell_at = self.scan_at = 0.0
+        self.key_counts = KeyCounts()
+        self.tell_at = self.scan_at = 0.0
         self.strain = 0.0  # moving share of placings that found the fleet full
         self.told: dict[int, tuple[float, tuple[float, ...]]] = {}
         self.warm_rate = 0.0  # work that a warm worker does for this dispatcher, in seconds a second
         self.warm_done, self.warm_since = 0.0, 0.0
         self.retry_tokens = RETRY_MOST
         self.subscribed, self.ask_at, self.failures = not settings.must_ask, 0.0, 0
-        self.now, self.timer_due = 0.0, False
+        self.now, self.timer_due, self.serial = 0.0, False, 0
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], object]] = {
             Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
             Timer: self._on_timer, WorkerList: self._on_list, ClientGone: self._on_gone,
             PeerMessage: self._on_peer, Progress: self._on_news,
         }  # fmt: skip
+        self.reindex()
+
+    def reindex(self) -> None:
+        """Makes anew what follows from the records; whoever replaces them must call it."""
+        kinds = [kind or None for kind in sorted({c.kind or "" for c in self.s.classes})]
+        self.fleet = Fleet(self.workers, kinds, self.s.zone, self.s.cold_for, SUSPECT)
+        self.pools = self.fleet.pools
+        self.agenda = Agenda(self.classes, self.sweep)
+        for job in self.jobs.values():
+            if not job.done:
+                self._watch(job)
+                if not job.out:
+                    self.agenda.hold(job)
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.actions = now, []
@@ -98,7 +115,8 @@
         return self.actions
 
     def _on_request(self, r: Request) -> None:
-        job = self.jobs[r.id] = Job(r, self.classes[r.job_class], self.now)
+        self.serial += 1
+        job = self.jobs[r.id] = Job(r, self.classes[r.job_class], self.now, self.serial)
         if r.tenant in self.tenants and not self.tenants[r.tenant].in_share() and self.strain > STRAINED:
             # a tenant beyond its share must not crowd out the others; a failure does not ask for a retry
             return self._end(job, Fail(job.id))
@@ -106,8 +124,7 @@
         if r.patience < 2 * SCAN * self.sweep:  # too near to wait for the next scan to see it
             self.actions.append(SetTimer(max(0.0, r.patience - 2 * self.s.tick), EXTRA))
         if job.key is not None:
-            self.key_counts[job.key] = self.key_counts.get(job.key, 0.0) + 1
-            self.key_total += 1
+            self.key_counts.add(job.key)
         self._place(job)
 
     def _on_started(self, e: Started) -> None:
@@ -124,7 +141,8 @@
             attempt.told = attempt.worker.heard = self.now
             if attempt.stalled and attempt.ending is None:  # not lost after all
                 attempt.stalled = False
-                attempt.worker.load += self.jobs[e.request].slots
+                self.fleet.add_load(attempt.worker, self.jobs[e.request].slots)
+                self._watch(self.jobs[e.request])
         return attempt
 
     def _on_ended(self, e: Ended) -> None:
@@ -134,7 +152,8 @@
             return
         attempt.ending = e.ending
         job.out -= 1
-        attempt.worker.load -= 0 if attempt.stalled else job.slots
+        if not attempt.stalled:
+            self.fleet.add_load(attempt.worker, -job.slots)
         attempt.worker.unstarted.pop(attempt, None)
         self._learn_ending(job, attempt, e)
         if e.finished:
@@ -155,18 +174,33 @@
         if self.now < self.scan_at and e.token == SWEEP:
             return
         self.scan_at = self.now + SCAN * self.sweep
-        for job in list(self.jobs.values()):
-            # a timer answers every job before its client gives up, whatever became of its attempts
-            late = self.now >= job.deadline - (SCAN + 1) * self.sweep - 2 * self.s.tick
-            if not job.done and (late or (not job.out and self._hopeless(job))):
-                self._give_up(job)
-            elif not job.done and self.s.tells_start:
-                self._unstall(job)
+        waits = {c.name: self._waits(c) for c in self.s.classes}
+        for job in self.agenda.due(self.now, waits, self.retry_tokens < 1):
+            if not job.done and self.jobs.get(job.id) is job:
+                self._look_at(job)
         self.held = {n: self.held[n] for n in sorted(self.held, key=self._rank, reverse=True)}
         self._learn_warm_rate()
         self._count_tenants()
         self._ask()
 
+    def _look_at(self, job: Job) -> None:
+        # a timer answers every job before its client gives up, whatever became of its attempts
+        if self.now >= self._late_at(job) or (not job.out and self._hopeless(job)):
+            return self._give_up(job)
+        if job.out and self.now > self._silent_at(job):
+            self._unstall(job, job.attempts[-1])
+        self._watch(job)
+
+    def _watch(self, job: Job) -> None:
+        """The scan must see it once anything can be due: late, silent, or its window over."""
+        at = min(self._late_at(job), self._silent_at(job) if job.out else inf)
+        if job.cls.effect is Effect.KEYED and not job.out:
+            at = min([at, *(self._window_end(job, a) for a in job.may_have_run())])
+        self.agenda.watch(job, at)
+
+    def _late_at(self, job: Job) -> float:
+        return job.deadline - (SCAN + 1) * self.sweep - 2 * self.s.tick
+
     # --- placing ------------------------------------------------------------------------------------------
 
     def _place(self, job: Job) -> None:
@@ -174,6 +208,8 @@
         self.strain += SMOOTH * ((not placed) - self.strain)
         if not placed:
             self.held[job.cls.name].setdefault(job.key, {})[job.id] = job
+            self.agenda.hold(job)
+            self._watch(job)
 
     def _try(self, job: Job) -> bool:
         """Sends the job, or ends it when it cannot be in time any more; False: nothing to be done yet."""
@@ -188,6 +224,7 @@
         return True
 
     def _unhold(self, job: Job) -> None:
+        self.agenda.unhold(job)
         groups = self.held[job.cls.name]
         if job.id in groups.get(job.key, {}):
             del groups[job.key][job.id]
@@ -222,24 +259,39 @@
                     return able[0] if able[0].load < able[-1].load else able[-1]
             if found:
                 return None  # worth waiting for: anywhere else it would fetch
-        able = [w for w in pool.sample() if self._under_t(w) and self._permitted(job, w)]
-        return min(able, key=lambda w: (w.load, not self._is_near(w)), default=None)
+        return self._least_loaded(job, pool)
+
+    def _least_loaded(self, job: Job, pool: Pool) -> Worker | None:
+        """From the lowest load up; where the first few may not get it, the best of a few others."""
+        passed: list[Worker] = []
+        found: Worker | None = None
+        for w in pool.by_load(SAMPLE):
+            if self._under_t(w) and self._permitted(job, w):
+                found = w
+                break
+            passed.append(w)
+        if pool.size > SAMPLE:
+            self.fleet.defer(passed)
+            if found is None:
+                others = pool.anyone(self.random, SAMPLE)
+                able = [w for w in others if self._under_t(w) and self._permitted(job, w)]
+                found = min(able, key=lambda w: (w.load, not self._is_near(w)), default=None)
+        return found
 
     def _is_near(self, w: Worker) -> bool:
         """In this dispatcher's zone: of two alike, the one that costs no crossing."""
         return w.zone == self.s.zone
 
-    def _pairs(self, pool: Pool, key: int) -> list[list[Worker]]:
+    def _pairs(self, pool: Pool, key: int) -> Iterator[list[Worker]]:
         """The key's pair, then the pair next on its rings; a hot key has as many homes as its traffic needs.
 
         Each node sees only its own few jobs of a hot key, so all would find its one pair calm and bury it;
         but each sees what share of the traffic the key has, and comes to the same number of homes.
         """
-        part = self.key_counts.get(key, 0.0) / self.key_total if self.key_total > HOT_MIN else 0.0
-        homes = int(part * len(pool.workers)) or 1
-        pairs = pool.pairs(key, max(PAIRS, homes))
-        first = int(self.key_counts.get(key, 0.0)) % homes if homes > 1 else 0
-        return pairs[first:] + pairs[:first]
+        part = self.key_counts.share(key) if self.key_counts.total > HOT_MIN else 0.0
+        homes = int(part * pool.size) or 1
+        first = int(self.key_counts.count(key)) % homes if homes > 1 else 0
+        return islice(pool.walk(key, max(PAIRS, homes), first), SAMPLE)
 
     def _under_t(self, w: Worker) -> bool:
         """load < t; t counts as 0 while the worker is known to be full: at rest, or late to start a job."""
@@ -249,29 +301,37 @@
             return self.now - next(iter(w.unstarted.values())) <= self.start_grace
         return True
 
-    def _unstall(self, job: Job) -> None:
+    def _silent_at(self, job: Job) -> float:
+        """When its attempt in flight is taken for lost unless more is told of it; inf: it is not judged so.
+
+        A busy worker with a job still unstarted is not silent, but tells of its other jobs.
+        """
+        a = job.attempts[-1]
+        if not self.s.tells_start or a.stalled or (a.started and not self.s.progress_every):
+            return inf
+        return self.stall + (a.told + self.s.progress_every if a.started else max(a.sent, a.worker.heard))
+
+    def _unstall(self, job: Job, a: Attempt) -> None:
         """A job of which nothing more is told holds no slot as far as anyone can see.
 
         It must not keep its worker looking full to its deadline; one that may be repeated is taken elsewhere.
-        A busy worker with a job still unstarted is not silent, but tells of its other jobs.
         """
-        a = job.attempts[-1] if job.out == 1 else None
-        if a is None or a.stalled or (a.started and not self.s.progress_every):
-            return
-        told = a.told + self.s.progress_every if a.started else max(a.sent, a.worker.heard)
-        if self.now <= told + self.stall:
-            return
         a.stalled = True
-        a.worker.load -= job.slots
+        self.fleet.add_load(a.worker, -job.slots)
         a.worker.unstarted.pop(a, None)
         self._judge(a.worker, 1.0)
         if job.cls.effect is Effect.SAFE and self.s.may_cancel and self._resend_allowed(job):
             self.actions.append(Cancel(job.id, len(job.attempts) - 1))
 
+    def _waits(self, cls: JobClass) -> float:
+        return cls.aim + max(0.0, cls.stretch - 1) * self.run[cls.name]
+
     def _hopeless(self, job: Job) -> bool:
         """Held past its aim, so that it could hardly be in time any more, or not allowed to be sent again."""
-        waits = job.cls.aim + max(0.0, job.cls.stretch - 1) * self.run[job.cls.name]
-        return self.now > job.arrived + waits or not self._resend_allowed(job)
+        return self.now > job.arrived + self._waits(job.cls) or not self._resend_allowed(job)
+
+    def _window_end(self, job: Job, a: Attempt) -> float:
+        return a.sent + job.cls.window - 2 * self.s.tick
 
     # --- the rules: one way out, one way to end -------------------------------------------------------------
 
@@ -281,7 +341,7 @@
             return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
-        if self._is_cold(w) and self._cold_credit(w) < self._cold_cost(job, w):
+        if self.fleet.is_cold(w, self.now) and self._cold_credit(w) < self._cold_cost(job, w):
             return False
         return all(self._same_group(job.cls, a.worker, w) for a in job.may_have_run())
 
@@ -294,7 +354,7 @@
                 return False
             if job.cls.effect is Effect.UNSAFE or (a.ending is None and not self.s.may_copy):
                 return False
-            if job.cls.effect is Effect.KEYED and self.now >= a.sent + job.cls.window - 2 * self.s.tick:
+            if job.cls.effect is Effect.KEYED and self.now >= self._window_end(job, a):
                 return False
         return True
 
@@ -307,15 +367,16 @@
         """Every send passes here."""
         if job.done or not self._resend_allowed(job) or not self._permitted(job, w):
             return
-        if self._is_cold(w):
+        if self.fleet.is_cold(w, self.now):
             w.cold_credit -= self._cold_cost(job, w)
             w.fetched[job.key] = None
         self.retry_tokens -= any(job.may_have_run())
         attempt = Attempt(w, self.now)
         job.attempts.append(attempt)
         job.out += 1
-        w.load += job.slots
+        self.fleet.add_load(w, job.slots)
         w.unstarted[attempt] = self.now
+        self._watch(job)
         self.actions.append(Send(job.id, w.address))
 
     def _give_up(self, job: Job) -> None:
@@ -333,6 +394,7 @@
     def _close(self, job: Job) -> None:
         job.done = True
         self._unhold(job)
+        self.agenda.drop(job)
         if self.s.may_cancel:
             for n, a in enumerate(job.attempts):
                 if a.ending is None:
@@ -362,7 +424,7 @@
         elif e.ending is Ending.OK:
             ran = self.now - (a.started if a.started is not None else a.sent)
             self.run[job.cls.name] += SMOOTH * (max(ran, self.s.tick) - self.run[job.cls.name])
-            if not self._is_cold(w):
+            if not self.fleet.is_cold(w, self.now):
                 self.warm_done += self._cost(job)
             self._judge(w, 0.0)
             if not self.s.tells_start:
@@ -381,7 +443,9 @@
         elif w.sick > SICK or w.ejected_until:
             w.ejected_until = self.now + self.sweep * SWEEPS * 2 ** min(w.ejections + 1, 4)
             w.ejections += 1
-            self.ejected[w.address] = w
+            if w.ready:
+                self.ejected[w.address] = w
+        self.fleet.judged(w)
 
     def _healthy_enough(self, job: Job, w: Worker) -> bool:
         """An ejected worker comes back through one trial job, and a job that may not be repeated is no trial.
@@ -391,7 +455,7 @@
         if len(self.ejected) > EJECT_SHARE * len(self.workers):
             return True
         if job.cls.effect is Effect.UNSAFE and self.spares_unsafe:
-            return sum(x.sick > SUSPECT for x in self.workers.values()) > EJECT_SHARE * len(self.workers)
+            return len(self.fleet.suspects) > EJECT_SHARE * len(self.workers)
         return not w.ejected_until or (self.now >= w.ejected_until and w.load == 0)
 
     def _count_tenants(self) -> None:
@@ -413,9 +477,6 @@
         if len(e.data) == 4 * len(self.tenants):
             self.told[e.sender] = self.now, struct.unpack(f"<{len(self.tenants)}f", e.data)
 
-    def _is_cold(self, w: Worker) -> bool:
-        return w.born > 0 and self.now < w.born + self.s.cold_for
-
     def _mean_run(self) -> float:
         return sum(self.run.values()) / len(self.run)
 
@@ -445,12 +506,11 @@
         span = self.now - self.warm_since
         if span < self.s.fall_within:
             return
-        warm = sum(1 for w in self.workers.values() if w.ready and not self._is_cold(w))
+        warm = self.fleet.warm(self.now)
         if warm and self.warm_since:
             self.warm_rate += 0.3 * (self.warm_done / warm / span - self.warm_rate)
         self.warm_done, self.warm_since = 0.0, self.now
-        self.key_counts = {k: n * (1 - SMOOTH) for k, n in self.key_counts.items() if n > 1 - SMOOTH}
-        self.key_total *= 1 - SMOOTH
+        self.key_counts.fade()
 
     # --- the worker list ----------------------------------------------------------------------------------
 
@@ -466,36 +526,35 @@
             self.failures = 0
         if e.kind is not ListKind.PATCH:
             named = {entry.worker for entry in e.entries}
-            for w in self.workers.values():
-                w.ready = w.ready and w.address in named
-        for entry in e.entries:
-            self._update_worker(entry)
-        self._build_pools()
+            for w in [w for w in self.workers.values() if w.ready and w.address not in named]:
+                self._update_worker(WorkerEntry(w.address, State.GONE, w.zone, w.kind, w.cell, w.born))
+        joined = [w for w in map(self._update_worker, e.entries) if w is not None]
+        self.random.shuffle(joined)  # nodes must not walk the fleet in the same order
+        self.fleet.enter(joined)
+        self.fleet.forget()
         self._ask()
 
-    def _update_worker(self, e: WorkerEntry) -> None:
-        w = self.workers.get(e.worker)
+    def _update_worker(self, e: WorkerEntry) -> Worker | None:
+        """Returns it if it joins. An entry that says nothing new, or only of its weight, changes nothing."""
+        w, ready = self.workers.get(e.worker), e.state is State.READY
         if w is None:
+            if not ready:
+                return None
             w = self.workers[e.worker] = Worker(e, T_START)
             w.cold_credit = self._first_credit()
         elif e.born > w.born:
             w.restart(e.born, T_START, self._first_credit())
             self.ejected.pop(w.address, None)
+        elif (w.zone, w.kind, w.cell, w.ready) == (e.zone, e.kind, e.cell, ready):
+            return None
         w.credit_at = max(w.credit_at, self.now if e.born > 0 else 0.0)
-        w.zone, w.kind, w.cell, w.ready = e.zone, e.kind, e.cell, e.state is State.READY
+        if not ready:
+            self.ejected.pop(w.address, None)
+        return w if self.fleet.update(w, e) else None
 
     def _first_credit(self) -> float:
         return -self.random.random() * self._mean_run() * (1 + FETCH)
 
-    def _build_pools(self) -> None:
-        self.workers = {a: w for a, w in self.workers.items() if w.ready or w.load}
-        self.ejected = {a: w for a, w in self.ejected.items() if w.ready}
-        ready = [w for w in self.workers.values() if w.ready]
-        for kind in sorted({c.kind or "" for c in self.s.classes}):
-            able = sorted((w for w in ready if not kind or w.kind == kind), key=lambda w: w.address)
-            self.random.shuffle(able)  # nodes must not walk the fleet in the same order
-            self.pools[kind or None] = Pool(able)
-
     def _ask(self) -> None:
         """Where the list must be asked for: stay subscribed, so that this node is never deemed told."""
         if not self.subscribed and self.now >= self.ask_at:
--- a/finchladder/core/records.py
+++ b/finchladder/core/records.py
@@ -1,6 +1,7 @@
 """What a dispatcher remembers of a worker, an attempt and a job. Records only: policy.py decides."""
 
 from collections.abc import Iterator
+from typing import Any
 
 from finchladder.core.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry
 
@@ -8,7 +9,7 @@
 class Worker:
     __slots__ = ("address", "zone", "kind", "cell", "born", "ready", "load", "t", "rest_until", "unstarted",
                  "sick", "ejected_until", "ejections", "cold_credit", "credit_at", "rests",
-                 "points", "fetched", "heard")  # fmt: skip
+                 "fetched", "heard", "turn", "level", "pools")  # fmt: skip
 
     def __init__(self, e: WorkerEntry, t: float) -> None:
         self.address, self.zone, self.kind, self.cell = e.worker, e.zone, e.kind, e.cell
@@ -16,7 +17,10 @@
         self.load = 0.0  # own slots in flight
         self.unstarted: dict[Attempt, float] = {}  # attempts sent and not known to have started
         self.ready = False
-        self.points: list[tuple[int, ...]] = []  # where it stands on the two rings
+        self.turn = 0  # its place among those with the same load
+        # kept by fleet.py: the pools that it is in, and its level there
+        self.level: tuple[float, bool] | None = None
+        self.pools: tuple[Any, ...] = ()
         self.restart(e.born, t, 0.0)
 
     def restart(self, born: float, t: float, credit: float) -> None:
@@ -41,9 +45,10 @@
 
 class Job:
     __slots__ = ("id", "cls", "slots", "key", "tenant", "work", "arrived", "deadline", "attempts", "done",
-                 "out")  # fmt: skip
+                 "out", "serial")  # fmt: skip
 
-    def __init__(self, r: Request, cls: JobClass, now: float) -> None:
+    def __init__(self, r: Request, cls: JobClass, now: float, serial: int) -> None:
+        self.serial = serial  # jobs in their order of arrival
         self.id, self.cls, self.key, self.tenant = r.id, cls, r.key, r.tenant
         self.slots = r.slots if r.slots > 0 else 1.0
         self.work, self.arrived, self.deadline = r.work_hint, now, now + r.patience
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -15,16 +15,17 @@
 import msgspec
 
 from finchladder.core.api import Ending, JobClass
+from finchladder.core.counts import KeyCounts
 from finchladder.core.policy import Dispatcher
-from finchladder.core.pool import Pool
 from finchladder.core.records import Attempt, Job, Worker
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.door import Buckets
 from finchladder.features.drills import Order
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
-RECORDS: tuple[type, ...] = (Worker, Attempt, Job)
-FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants"}
+RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts)
+FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
+           "fleet", "pools", "agenda"}  # fmt: skip
 RANDOM = "<625I"
 
 State = dict[str, Any]
@@ -35,7 +36,8 @@
 
 
 def fields_of(kind: type) -> list[str]:
-    return [name for name in kind.__slots__ if name != "points"]  # type: ignore[attr-defined]  # found anew
+    anew = ("level", "pools")  # by Dispatcher.reindex
+    return [name for name in kind.__slots__ if name not in anew]  # type: ignore[attr-defined]
 
 
 def put_random(random: Random) -> list[object]:
@@ -72,8 +74,6 @@
             return {"ending": value.value}
         if kind is JobClass:
             return {"class": value.name}
-        if kind is Pool:
-            return {"pool": [self.put(value.workers), value.at]}
         if kind is Random:
             return {"random": put_random(value)}
         raise StateError(f"a {kind.__name__} can't be carried")
@@ -94,8 +94,8 @@
         for record, (kind, *values) in zip(self.records, rows, strict=True):
             for name, value in zip(fields_of(RECORDS[kind]), values, strict=True):
                 setattr(record, name, self.get(value))
-            if isinstance(record, Worker):
-                record.points = []
+            if isinstance(record, Worker):  # also one that only a job still knows
+                record.level, record.pools = None, ()
 
     def get(self, value: Any) -> Any:
         if isinstance(value, list):
@@ -117,10 +117,6 @@
             random = Random()
             set_random(random, held)
             return random
-        if kind == "pool":
-            pool = Pool(self.get(held[0]))
-            pool.at = held[1]
-            return pool
         pairs = [(self.get(k), self.get(v)) for k, v in held]
         return OrderedDict(pairs) if kind == "ordered" else dict(pairs)
 
@@ -161,9 +157,7 @@
     for n, (own, peers, count, credit) in state["tenants"].items():
         if (t := dispatcher.tenants.get(n)) is not None:
             t.own, t.peers, t.count, t.credit = own, peers, count, credit
-    kinds = {c.kind for c in dispatcher.s.classes}
-    if dispatcher.pools and not kinds <= set(dispatcher.pools):
-        raise StateError("the configuration asks for kinds of real servers that it does not know")
+    dispatcher.reindex()
 
 
 def _tables(arrivals: Arrivals) -> dict[str, Buckets]:
