--- /dev/null
+++ b/finchladder/config/codes.py
@@ -0,0 +1,108 @@
+"""The findings of the checker: each has a code that stays what it is, a place, a reason and a remedy.
+
+A number is never used again for something else. docs/ROUTES.md has a bad and a mended example of each.
+"""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+
+class Finding(NamedTuple):
+    code: str
+    file: str
+    line: int  # from 1
+    column: int  # from 1, in characters
+    reason: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}: {self.code} {self.reason}. {self.remedy}."
+
+
+class Findings(ValueError):
+    """A file can't be used; all that was found in it, in the order of its lines."""
+
+    def __init__(self, findings: Iterable[Finding]) -> None:
+        self.all = tuple(sorted(findings, key=lambda f: (f.line, f.column, f.code)))
+        super().__init__("\n".join(map(str, self.all)))
+
+
+def shown(value: Any) -> str:
+    """A value of the file within a line: bounded, and without what could break the line or a terminal."""
+    text = ascii(value)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+REMEDIES = {
+    # the file
+    "FL101": "Name a file that can be read",
+    "FL102": "Keep it under 1 MB",
+    "FL103": "Save it as UTF-8 without a byte order mark",
+    "FL105": "Write it as TOML 1.0 has it",
+    "FL106": "Keep one of the two",
+    "FL107": "Write it as docs/ROUTES.md has it, where nothing is so deep",
+    "FL108": "Write the file whole again, its end is missing",
+    "FL109": "Write it as docs/FEATURES.md has it",
+    # its tables and values
+    "FL111": "Use one of {known}",
+    "FL112": "Use one of {known}",
+    "FL113": "Write {instead}",
+    "FL114": "Write {wanted}",
+    "FL115": "Write a number, or leave it out",
+    "FL116": "Write a finite number, or leave it out: then there is no limit",
+    "FL117": "Write a number from {least}",
+    "FL118": "Write a value {bounds}",
+    "FL119": "Write one of {known}",
+    "FL120": "Write it as a table, {table}",
+    "FL121": "Use up to 64 letters, digits, dots, dashes and underscores, the first a letter or digit",
+    "FL122": "Name it once",
+    "FL123": "Raise burst to rate or above",
+    "FL124": "Keep to {most}, and let one route match what several do",
+    "FL125": "Keep one of the two",
+    "FL126": "Write whole parts, as /class/part, without an empty one, a query or a slash at the end",
+    "FL127": "Write it as HTTP has it: {wanted}",
+    "FL128": "Say its share too",
+    "FL129": "Say base_s, above 0",
+    # what a route says, by itself
+    "FL131": "Make attempt_timeout_s at most {most:g}",
+    "FL132": "Lower attempts, attempt_timeout_s or the backoff, or raise timeout_s",
+    "FL133": "Make most_s at least base_s",
+    "FL134": "Leave it out, or raise attempts",
+    "FL135": "Name the endings after which to send again, or say attempts = 1",
+    "FL136": "Raise the share or least_per_s, or say attempts = 1",
+    "FL137": "Raise attempts to 2 or more, or leave the hedge out",
+    "FL138": "Say hedge_after or hedge_after_s too",
+    "FL139": "Make hedge_after_s less than {most:g}",
+    "FL140": "Say concurrency too, or leave the queue out",
+    "FL141": "Make longest_wait_s at most {most:g}",
+    "FL142": "Say length, above 0, or leave the rest of the queue out",
+    "FL143": "Say class or match; match = {{}} takes all jobs",
+    "FL144": "Name one and the same class",
+    "FL145": "Take one of them out, or let one match more than the other does",
+    "FL146": "Leave method out, or write POST",
+    "FL147": "Add a route of that class, or take the section out",
+    "FL148": "Add a route, or take the section out",
+    # what a route says, against the platform's settings
+    "FL161": "Use one of {known}",
+    "FL162": "Make timeout_s at most {most:g}",
+    "FL163": "Lower attempts, attempt_timeout_s or the backoff",
+    "FL164": "Make attempts at most {most}",
+    "FL165": "Leave hedges out, or say hedge_most = 0 in {where}",
+    "FL166": "Leave hedges out, or say hedge_most = 0 in {where}",
+    "FL167": "Keep to endings that prove that the job never ran: overloaded, unreachable, void",
+    "FL168": "Let the last send come within {most:g} s of the first",
+    "FL169": "Name one zone, or say attempts = 1",
+    "FL170": "Use one of {known}",
+    "FL171": "Use one of {known}",
+    "FL172": "Add kind {kind}, or leave kinds out",
+    "FL173": "Give {better} at least the priority of {worse}",
+    "FL174": "Make timeout_s at least {least:g}",
+    "FL175": "Leave hedges out, or say hedge_most = 0 in {where}",
+    "FL176": "Lower the features' sizes, or raise the platform's memory_mb",
+}
+
+
+def finding(code: str, file: str, place: tuple[int, int], reason: str, **words: Any) -> Finding:
+    """`words` fill the gaps of the code's remedy."""
+    name = " ".join(file.split())  # a line stays one line
+    return Finding(code, name, *place, reason, REMEDIES[code].format(**words))
--- a/finchladder/core/routes.py
+++ b/finchladder/core/routes.py
@@ -48,7 +48,8 @@
     job_class: str | None = None
     path: str | None = None  # whole parts from the left: /a/b stands for /a/b and /a/b/c, not for /a/bc
     method: str | None = None
-    headers: tuple[tuple[str, str], ...] = ()  # names in small letters; a value of "*" is any value
+    # names in small letters; a value must stand in the only field of its name, "*" is any, and any number
+    headers: tuple[tuple[str, str], ...] = ()
 
     @property
     def parts(self) -> tuple[str, ...]:
@@ -58,9 +59,10 @@
         return (self.job_class,) if self.job_class is not None else ()
 
     @property
-    def rank(self) -> tuple[int, bool, int]:
-        """The greater one is the more specific and wins: parts of the path, then method, then fields."""
-        return len(self.parts), self.method is not None, len(self.headers)
+    def rank(self) -> tuple[int, bool, int, int]:
+        """The greater one is the more specific and wins: parts of the path, method, fields, their values."""
+        values = sum(value != "*" for _, value in self.headers)
+        return len(self.parts), self.method is not None, len(self.headers), values
 
 
 @dataclass(slots=True, frozen=True)
@@ -202,10 +204,15 @@
     for route in node.here:
         match = route.match
         if (match.method is None or match.method == method) and all(
-            any(value in ("*", given) for given in headers.all(name)) for name, value in match.headers
+            _has(headers.all(name), value) for name, value in match.headers
         ):
             return route
     return None
 
 
+def _has(given: Sequence[str], value: str) -> bool:
+    """A field that came twice has no one value, else two routes that differ in it could both match."""
+    return len(given) > 0 if value == "*" else len(given) == 1 and given[0] == value
+
+
 NO_ROUTES = Routes()
