--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -111,18 +111,16 @@
     return out.resolve()
 
 
-def play_all(variants: Iterable["Variant"], out: Path, show: "Show") -> list[dict[str, Any]]:
-    """Plays them in their order, a folder each where there are several; their summaries."""
+def play_one(variant: "Variant", out: Path, show: "Show") -> dict[str, Any]:
+    """Its summary, after it was told."""
     from finchladder.lab.run import play
 
-    summaries = []
-    for variant in variants:
-        folder = out / variant.label if variant.label else out
-        folder.mkdir(exist_ok=True)
-        play(variant.experiment, variant.folder, folder, show)
-        summaries.append(write(folder))
-        tell(summaries[-1], folder, variant.label)
-    return summaries
+    folder = out / variant.label if variant.label else out
+    folder.mkdir(parents=True, exist_ok=True)
+    play(variant.experiment, variant.folder, folder, show)
+    summary = write(folder)
+    tell(summary, folder, variant.label)
+    return summary
 
 
 def write(folder: Path) -> dict[str, Any]:
@@ -170,13 +168,19 @@
 
 
 def run_file(args: argparse.Namespace, show: "Show") -> bool:
+    from finchladder.lab import sweep
     from finchladder.lab.check import Unusable, load
 
     if args.repeats is not None and args.repeats < 1:
         raise Unusable("--repeats: at least 1")
     variants = load(args.file, args.sets, args.seed, args.repeats)
     out = place(args.out, variants[0].experiment.name)
-    return all(s["valid"] for s in play_all(variants, out, show))
+    if len(variants) > 1:
+        sweep.note(out, [sweep.Played(v.label, v.settings, v.repeat) for v in variants])
+    valid = [play_one(v, out, show)["valid"] for v in variants]
+    if len(variants) > 1:
+        print(f"{sweep.write(out)}{out / 'sweep.html'}")
+    return all(valid)
 
 
 def compare_two(args: argparse.Namespace, show: "Show") -> bool:
@@ -202,10 +206,7 @@
     out = place(args.out, f"{a[0].experiment.name}-compare")
     pairs: dict[str, list[tuple[dict[str, Any], dict[str, Any]]]] = {}
     for va, vb in zip(a, b, strict=True):
-        found = []
-        for side, variant in (("a", va), ("b", vb)):
-            (out / side).mkdir(exist_ok=True)
-            found += play_all([variant], out / side, show)
+        found = [play_one(v, out / side, show) for side, v in (("a", va), ("b", vb))]
         point = ", ".join(f"{name} {value}" for name, value in va.settings.items())
         pairs.setdefault(point, []).append((found[0], found[1]))
     text = ""
@@ -218,7 +219,20 @@
 
 
 def report_folder(args: argparse.Namespace, show: "Show") -> bool:
-    tell(write(args.folder.resolve()), args.folder, "")
+    from finchladder.lab import sweep
+    from finchladder.lab.check import Unusable
+
+    folder = args.folder.resolve()
+    if not (folder / "runs.json").exists():
+        tell(write(folder), folder, "")
+        return True
+    try:
+        for played in sweep.noted(folder):
+            if (folder / played.folder / "ledger").is_dir():
+                write(folder / played.folder)
+        print(f"{sweep.write(folder)}{folder / 'sweep.html'}")
+    except (OSError, ValueError) as e:
+        raise Unusable(f"{folder}: {e}") from None
     return True
 
 
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -11,7 +11,7 @@
 import msgspec
 import pytest
 
-from finchladder.lab import judge, ledger
+from finchladder.lab import judge, ledger, sweep
 from finchladder.lab.check import load
 from finchladder.lab.experiment import Part
 from finchladder.lab.records import Any, Asked, Mark, Sample, Struck, read_all
@@ -229,6 +229,43 @@
     assert text in done.stderr and done.stderr.count("\n") == 1
 
 
+def summary(served: float, valid: bool = True) -> dict[str, object]:
+    return {
+        "name": "x", "valid": valid, "offered": 200, "served_per_s": served, "refused": 10, "failed": 0,
+        "latency": {"a": {"p50_ms": 1.0, "p99_ms": 5.0}, "b": {"p50_ms": 2.0, "p99_ms": 4.0}},
+        "dispatchers": {"n1": {"cpu": 0.5, "rss_mb": 30.0}, "n2": {"cpu": 0.25, "rss_mb": 31.0}},
+        "rules": {"once": 2},
+    }  # fmt: skip
+
+
+def test_a_sweep_shows_the_spread_of_valid_runs(tmp_path: Path) -> None:
+    runs = [("a", 16, 900.0, True), ("b", 16, 1100.0, True), ("c", 16, 1000.0, True), ("d", 16, 7.0, False),
+            ("e", 64, 8.0, False), ("f", 64, 0.0, True)]  # fmt: skip
+    sweep.note(tmp_path, [sweep.Played(name, {"x.n": n, "y": []}, 0) for name, n, *_ in runs])
+    for name, _, served, valid in runs[:-1]:  # the last was never played
+        (tmp_path / name).mkdir()
+        (tmp_path / name / "summary.json").write_bytes(msgspec.json.encode(summary(served, valid)))
+    _, first, second = sweep.write(tmp_path).splitlines()
+    assert first.split()[:10] == [
+        "16",
+        "default",
+        "4,",
+        "1",
+        "not",
+        "valid",
+        "1000",
+        "[900,",
+        "1100]",
+        "5.00",
+    ]
+    assert first.split()[10:] == ["0.00", "2.00", "5.00", "0.75", "61.0", "2.00"]
+    assert second.split() == ["64", "default", "1,", "1", "not", "valid", *"--------"]
+    page = (tmp_path / "sweep.html").read_bytes()
+    assert b"<td>1000 [900, 1100]</td>" in page and b"svg+xml" in page
+    sweep.write(tmp_path)
+    assert (tmp_path / "sweep.html").read_bytes() == page  # the same folder gives the same bytes
+
+
 def test_serving_imports_nothing_of_the_lab() -> None:
     code = (
         "import sys; from finchladder.cli import serve, front; "
