--- a/finchladder/lab/models/realserver.py
+++ b/finchladder/lab/models/realserver.py
@@ -272,7 +272,7 @@
             return "accepted"
         if job.slots > self.slots or spec.memory > self.pool.memory:
             return "full"
-        if self.pool.checkpoint_s > 0 and spec.repeatable:
+        if self.pool.checkpoint_s > 0:
             job.left = max(0.0, spec.work - self.store.saved(spec.id))
         self._settle(now)
         self._jobs[spec.id] = job
@@ -285,7 +285,6 @@
                 job.at = At.OVER
                 self._waits -= 1
                 del self._jobs[spec.id]
-                self._sweep()
                 return "full"
         self._retune()
         return "accepted"
--- a/tests/lab/test_models.py
+++ b/tests/lab/test_models.py
@@ -79,6 +79,10 @@
     "less than a slot counts as one": (
         {}, [(0, job("a", slots=0)), (0, job("b", slots=0.1))], {"a": (0, 1, "done"), "b": (1, 2, "done")}
     ),
+    "slots are no whole numbers": (
+        {"cores": 4}, [(0, job(str(s), s, slots=s)) for s in (1.1, 1.3, 1.2)],
+        {str(s): (0, s, "done") for s in (1.1, 1.3, 1.2)},
+    ),
     "fifo: the head waits until it fits": (
         {"cores": 2}, [(0, job("a", 2)), (0, job("b", 1, slots=2)), (0, job("c", 1))],
         {"a": (0, 2, "done"), "b": (2, 3, "done"), "c": (3, 4, "done")},
@@ -189,7 +193,8 @@
     pool, steps, expected = CASES[case]
     model = server(**pool)
     assert runs(play(model, *sorted(steps, key=lambda s: s[0]))[1]) == expected
-    assert model.idle and not model._held and not model._waits and model._slots_used == 0
+    assert model.idle and not model._held and not model._waits
+    assert model._slots_used == model._busy == model._progress == 0.0, "rounding errors are carried on"
 
 
 @pytest.mark.parametrize("case", CASES)
@@ -241,6 +246,14 @@
     assert not [a for a in actions if isinstance(a, Told)] and model.idle
 
 
+def test_nothing_is_due_or_told_while_paused_and_once_what_was_due_after_it() -> None:
+    model = server(progress_s=1.0)
+    assert len(play(model, (0, job("a", 5)), (0.5, do("pause")), until=0.5)[1]) == 1
+    assert model.next_due() is None and model.advance(3.0) == []
+    actions = play(model, (3.25, do("resume")), until=4.5)[1]
+    assert [(t.at, round(t.share, 3)) for t in actions] == [(3.25, 0.1), (4.25, 0.3)]
+
+
 def test_pushed_out_by_kill_is_told_as_lost_and_a_dead_process_tells_nothing() -> None:
     pushed = server(order="priority", preempt="kill")
     actions = play(pushed, (0, job("a", 3)), (1, job("b", 1, priority=1)))[1]
@@ -278,6 +291,7 @@
         ([1.0] * 8 + [1.1], [0.0] * 9, True),  # 9.1 > 3 + 2 x sqrt(8 + 1.21)
         ([1.0] * 16, [0.0] * 8 + [2.0] * 8, False),  # another window
         ([1.0] * 16, [0.0] * 8 + [1.9] * 8, True),
+        ([2.0] * 3 + [1.0] * 12, [0.0] * 3 + [2.0] * 12, True),  # nor are the squares of another window kept
         ([1.0] * 30, [4.0] * 30, False),  # warm
     ],
 )
@@ -299,10 +313,19 @@
     assert model.up is not falls
 
 
+def test_warmed_by_work_it_does_not_fall_over() -> None:
+    model = server(cold=True, cold_from=0.5, cold_for_s=4.0, warm_by_work=True, queue=99)
+    play(model, (0.0, job("a", 1.5)), *[(2.5, job(str(i))) for i in range(30)])
+    assert model.up
+
+
 def test_saved_state_is_found_on_any_server() -> None:
     store = StoreModel()
-    first, second = (server(store, checkpoint_s=1.0) for _ in range(2))
-    play(first, (0, job("a", 4)), (0, job("b", 4, repeatable=False)), (2.5, do("kill")), until=2.5)
+    first, second = (server(store, checkpoint_s=1.0, cores=n, keys_kept=1, fetch_s=9.0) for n in (3, 1))
+    play(
+        first, (0, job("a", 4)), (0, job("b", 4, repeatable=False)), (0, job("c", 4, "k")), (2.5, do("kill"))
+    )
+    assert store.saved("c") == 0.0, "it was still fetching"
     resumed = runs(play(second, (3, job("a", 4)), (5, job("b", 4)))[1])
     assert resumed == {"a": (3, 5, "done"), "b": (5, 9, "done")}, "of b nothing was saved"
     assert runs(play(second, (9, job("a", 4)))[1]) == {"a": (9, 13, "done")}, "an ended job begins anew"
@@ -343,15 +366,18 @@
     assert seen == [0, 0, 0, 0, 2]
     told = model.load(2.6)
     assert told == {"inflight": 2, "queue": 1, "util": 1, "free_slots": 0, "free_memory": 1e9}
+    model.submit(2.7, JobIn("d", "view", "", 9.0))
+    assert model.load(9.4)["queue"] == 2, "two reports were due meanwhile, and nothing has changed since"
     model.pool.report_noise = 0.1
-    noisy = [model.load(2.6)["inflight"] for _ in range(200)]
+    noisy = [model.load(9.4)["inflight"] for _ in range(200)]
     assert 0.15 < max(abs(n - 2) for n in noisy) < 1 and abs(sum(noisy) / 200 - 2) < 0.05
 
 
-def test_nothing_grows_with_the_jobs_that_came_and_went() -> None:
-    model = server(
-        queue=4, slots=3, order="priority", preempt="suspend", progress_s=1.0, keys_kept=3, fetch_s=0.1
-    )
+@pytest.mark.parametrize(
+    ("order", "preempt"), [("priority", "suspend"), ("backfill", "none"), ("fifo", "none")]
+)
+def test_nothing_grows_with_the_jobs_that_came_and_went(order: str, preempt: str) -> None:
+    model = server(queue=4, slots=3, order=order, preempt=preempt, progress_s=1.0, keys_kept=3, fetch_s=0.1)
     rng, largest = Random(5), 0
     for i in range(4_000):
         now = i / 10
@@ -362,6 +388,12 @@
         assert len(model._jobs) <= 7 and model._waits <= 4
         largest = max(largest, len(model._waiting), len(model._running), len(model._timers), len(model._keys))
     assert largest < 80
+    model = server(slots=2)
+    model.submit(0.0, JobIn("first to end", "view", "", 1e5))
+    for i in range(500):
+        model.submit(1.0 + i, JobIn(str(i), "view", "", 1e6))
+        model.cancel(1.0 + i, str(i))
+    assert len(model._running) < 80
 
 
 def test_a_fleet_at_virtual_time_survives_a_death() -> None:
@@ -370,7 +402,7 @@
     for i, s in enumerate(servers):
         s.name = f"w{i}"
     deployment = Deployment(
-        kernel, servers, lambda now, j, all_: next((s for s in all_ if s.up and s.idle), None)
+        kernel, servers, lambda now, j, all_: next((s for s in all_ if s.up and s.idle), all_[1])
     )
 
     def die() -> None:
@@ -380,8 +412,9 @@
     kernel.at(0.5, die)
     outcomes = deployment.play((at, JobIn(str(at), "view", "", 1.0)) for at in (0.0, 0.1, 0.2, 0.3, 0.6, 1.2))
     assert [(o.server, o.how) for o in outcomes] == [
-        ("w0", "killed"), ("w1", "done"), ("w2", "done"), ("", "refused"), ("", "refused"), ("w1", "done")
+        ("w0", "killed"), ("w1", "done"), ("w2", "done"), ("w1", "refused"), ("w1", "refused"), ("w1", "done")
     ]  # fmt: skip
+    assert not deployment._open
 
 
 def test_kernel_runs_in_order_and_forgets_what_was_cancelled() -> None:
@@ -499,19 +532,34 @@
     model.advance(1.0)
     model.watch(1.0, "n1", -1)
     gone = model.vanish(2.0, 0.5, back_s=1.0)
-    lines = [x for x in model.advance(3.5) if x.told]
+    model.change(2.5, {n: ("draining", 0.0) for n in sorted(gone)[:1]})
+    lines = [x for x in model.advance(4.5) if x.data.strip()]
     left = " ".join(f"w{i}:r" for i in range(4) if f"w{i}" not in gone)
-    assert len(gone) == 2 and brief(lines) == [(1.0, 1, True, ALL), (2.1, 2, True, left), (3.1, 3, True, ALL)]
+    back = ALL.replace(f"{min(gone)}:r", f"{min(gone)}:d")
+    expected = [(1.0, 1, True, ALL), (2.1, 2, True, left), (2.6, 3, False, ""), (3.1, 4, True, back)]
+    assert len(gone) == 2 and brief(lines) == expected
     assert {t.server for t in lines[1].told if t.state == "gone"} == gone
 
 
+def test_an_entry_that_is_missing_is_told_as_gone_where_it_was_known() -> None:
+    model = registry()
+    model.change(0.5, {"w3": ("gone", 0.0)})
+    model.advance(1.0)
+    model.watch(1.0, "n1", -1)
+    model.change(1.5, {"w0": ("gone", 0.0), "w3": ("ready", 1.5)})
+    model.vanish(2.0, 1.0)
+    assert [t.server for x in model.advance(2.5)[2:] for t in x.told] == ["w1", "w2", "w3"]
+
+
 def test_weights_are_renewed_for_a_share_of_the_entries() -> None:
     model = registry(names=100, renew_share=0.1, renew_every_s=0.5)
+    model.change(0.0, {})
     model.watch(0.2, "n1", 1)
     renewed = [json.loads(x.data) for x in model.advance(3.0) if x.data.strip()][1:]
     assert [len(d["endpoints"]) for d in renewed] == [10] * 5
     assert len({e["weight"] for d in renewed for e in d["endpoints"]}) > 40
     again = registry(names=100, renew_share=0.1, renew_every_s=0.5)
+    again.change(0.0, {})
     again.watch(0.2, "n1", 1)
     assert [json.loads(x.data) for x in again.advance(3.0) if x.data.strip()][1:] == renewed
 
