--- /dev/null
+++ b/finchladder/cli/config.py
@@ -0,0 +1,126 @@
+"""`finchladder config`: checks the operator's file, explains its routes, converts INI, prints the schema."""
+
+import argparse
+import os
+import sys
+from typing import Any
+
+import msgspec
+
+from finchladder.cli.front import fail
+from finchladder.config.codes import Findings
+from finchladder.config.platform import read_file
+from finchladder.config.render import explain, to_toml
+from finchladder.config.routes import Loaded, read
+from finchladder.config.settings import read_settings
+from finchladder.config.tables import schema
+from finchladder.core import api
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    commands = parser.add_subparsers(dest="call", required=True, metavar="COMMAND")
+
+    def command(name: str, text: str) -> argparse.ArgumentParser:
+        return commands.add_parser(name, help=text, description=text)
+
+    def formats(one: argparse.ArgumentParser) -> None:
+        one.add_argument("--format", choices=("text", "json"), default="text", help="(default: text)")
+
+    check = command("check", "say all that is wrong with the files, as a dispatcher would at its start")
+    check.add_argument("files", metavar="FILE", nargs="+")
+    formats(check)
+    why = command("explain", "show each value of a route, and the line that it came from")
+    why.add_argument("file", metavar="FILE")
+    why.add_argument("route", metavar="ROUTE")
+    formats(why)
+    command("schema", "print the JSON Schema of a file in TOML")
+    command("convert", "print a file in INI as TOML").add_argument("file", metavar="FILE")
+
+
+def run(args: argparse.Namespace) -> None:
+    {"check": check, "explain": explained, "schema": printed_schema, "convert": convert}[args.call](args)
+
+
+def platform() -> tuple[api.Settings | None, int | None]:
+    """What NODE_CONFIG says, as a dispatcher would read it; nothing where it is not set."""
+    if not os.environ.get("NODE_CONFIG"):
+        text = "NODE_CONFIG is not set: checked without the platform's settings"
+        print(f"finchladder: {text}", file=sys.stderr)
+        return None, None
+    try:
+        file = read_file(os.environ)
+        return read_settings(bytes(file.settings)), file.limits.memory_mb
+    except ValueError as e:
+        fail(str(e))
+
+
+def check(args: argparse.Namespace) -> None:
+    """Exit status 0 if every file can be used, 2 if not."""
+    settings, memory_mb = platform()
+    verdicts = [_verdict(path, settings, memory_mb) for path in args.files]
+    if args.format == "json":
+        print(_json([_as_json(path, found) for path, found in verdicts]))
+    for path, found in verdicts if args.format == "text" else ():
+        if isinstance(found, Findings):
+            print(found)
+        else:
+            print(f"{path}: can be used, version {found.version}, {_count(found)}")
+    if any(isinstance(found, Findings) for _, found in verdicts):
+        sys.exit(2)
+
+
+def _verdict(
+    path: str, settings: api.Settings | None, memory_mb: int | None
+) -> tuple[str, Loaded | Findings]:
+    try:
+        return path, read(path, settings, memory_mb)
+    except Findings as e:
+        return path, e
+
+
+def _count(found: Loaded) -> str:
+    count = len({r.name for r in found.resolved})
+    return "1 route" if count == 1 else f"{count} routes"
+
+
+def _as_json(path: str, found: Loaded | Findings) -> dict[str, Any]:
+    if isinstance(found, Findings):
+        findings = [f._asdict() for f in found.all]
+        return {"file": path, "usable": False, "findings": findings, "more": found.more}
+    return {"file": path, "usable": True, "version": found.version, "findings": [], "more": 0}
+
+
+def _json(value: Any) -> str:
+    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+
+
+def _loaded(path: str) -> Loaded:
+    try:
+        return read(path, *platform())
+    except Findings as e:
+        print(e, file=sys.stderr)
+        sys.exit(2)
+
+
+def explained(args: argparse.Namespace) -> None:
+    found = _loaded(args.file)
+    names = sorted({r.name for r in found.resolved})
+    if args.route not in names:
+        fail(f"{args.file}: there is no route {args.route}; there are {', '.join(names) or 'none'}")
+    parts = [explain(r, found.places, args.file) for r in found.resolved if r.name == args.route]
+    if args.format == "json":
+        print(_json([part._asdict() for part in parts]))
+    else:
+        print("\n\n".join(map(str, parts)))
+
+
+def printed_schema(args: argparse.Namespace) -> None:
+    print(_json(schema()))
+
+
+def convert(args: argparse.Namespace) -> None:
+    _loaded(args.file)  # nothing comes of a file that can't be used
+    try:
+        print(to_toml(args.file), end="")
+    except ValueError as e:
+        fail(str(e))
--- a/finchladder/cli/front.py
+++ b/finchladder/cli/front.py
@@ -12,6 +12,7 @@
     "capture": "what the running dispatcher has recorded",
     "replay": "decide a capture anew, and print what differs",
     "drill": "rehearse slow or broken jobs at the running dispatcher",
+    "config": "check the operator's file, and explain its routes",
     "lab": "play experiments against dispatchers on loopback, and judge them",
 }
 
@@ -32,8 +33,9 @@
 def takes_config(parser: argparse.ArgumentParser) -> None:
     # no default: what stands before the command must not be undone by what does not stand after it
     parser.add_argument(
-        "--config", metavar="FILE", default=argparse.SUPPRESS, help="the operator's INI file"
-    )
+        "--config", metavar="FILE", default=argparse.SUPPRESS,
+        help="the operator's file, in TOML if it ends in .toml, else in INI",
+    )  # fmt: skip
 
 
 def takes_log_format(parser: argparse.ArgumentParser) -> None:
--- a/finchladder/config/codes.py
+++ b/finchladder/config/codes.py
@@ -4,7 +4,9 @@
 """
 
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, NoReturn
+
+from finchladder.config.places import Path, Place, Places
 
 
 class Finding(NamedTuple):
@@ -19,20 +21,40 @@
         return f"{self.file}:{self.line}:{self.column}: {self.code} {self.reason}. {self.remedy}."
 
 
+MOST = 200  # findings that are told of one file
+LONGEST = 300  # characters of a reason
+
+
 class Findings(ValueError):
-    """A file can't be used; all that was found in it, in the order of its lines."""
+    """A file can't be used: what was found in it in the order of its lines, and how many `more` there are."""
 
     def __init__(self, findings: Iterable[Finding]) -> None:
-        self.all = tuple(sorted(findings, key=lambda f: (f.line, f.column, f.code)))
-        super().__init__("\n".join(map(str, self.all)))
+        found = sorted(findings, key=lambda f: (f.line, f.column, f.code))
+        self.all, self.more = tuple(found[:MOST]), max(0, len(found) - MOST)
+        lines = [*map(str, self.all), *([f"and {self.more} more findings"] if self.more else [])]
+        super().__init__("\n".join(lines))
 
 
 def shown(value: Any) -> str:
     """A value of the file within a line: bounded, and without what could break the line or a terminal."""
-    text = ascii(value)
+    try:
+        text = ascii(value)
+    except ValueError:  # a whole number of more digits than Python writes
+        text = "a number"
     return text if len(text) <= 60 else text[:57] + "..."
 
 
+def _line(text: str) -> str:
+    """A line stays one line, whatever a name in it holds."""
+    return "".join(c if c.isprintable() else "?" for c in " ".join(text.split()))
+
+
+def listed(words: Iterable[str]) -> str:
+    """At most a dozen of the words that can stand somewhere."""
+    known = list(words)
+    return ", ".join(known[:12]) + (f" and {len(known) - 12} more" if len(known) > 12 else "") or "none"
+
+
 REMEDIES = {
     # the file
     "FL101": "Name a file that can be read",
@@ -56,7 +78,7 @@
     "FL120": "Write it as a table, {table}",
     "FL121": "Use up to 64 letters, digits, dots, dashes and underscores, the first a letter or digit",
     "FL122": "Name it once",
-    "FL123": "Raise burst to rate or above",
+    "FL123": "Change one of its values",
     "FL124": "Keep to {most}, and let one route match what several do",
     "FL125": "Keep one of the two",
     "FL126": "Write whole parts, as /class/part, without an empty one, a query or a slash at the end",
@@ -102,7 +124,30 @@
 }
 
 
-def finding(code: str, file: str, place: tuple[int, int], reason: str, **words: Any) -> Finding:
-    """`words` fill the gaps of the code's remedy."""
-    name = " ".join(file.split())  # a line stays one line
-    return Finding(code, name, *place, reason, REMEDIES[code].format(**words))
+class Unusable(Exception):
+    """There is nothing to go on with; why has been noted."""
+
+
+class Notes:
+    """What was found in one file so far. One place has each code once, however many routes it concerns."""
+
+    def __init__(self, file: str) -> None:
+        self.file = _line(file)
+        self.places = Places()
+        self.found: dict[tuple[str, Place], Finding] = {}
+
+    def add(self, code: str, path: Path, reason: str, **words: Any) -> None:
+        """`words` fill the gaps of the code's remedy."""
+        self.at(code, self.places.find(path), reason, **words)
+
+    def at(self, code: str, place: Place, reason: str, **words: Any) -> None:
+        remedy = REMEDIES[code].format(**words)
+        one = Finding(code, self.file, *place, _line(reason)[:LONGEST], _line(remedy)[:LONGEST])
+        self.found.setdefault((code, place), one)
+
+    def has(self, code: str, path: Path) -> bool:
+        return (code, self.places.find(path)) in self.found
+
+    def stop(self, code: str, place: Place, reason: str, **words: Any) -> NoReturn:
+        self.at(code, place, reason, **words)
+        raise Unusable
--- /dev/null
+++ b/finchladder/config/levels.py
@@ -0,0 +1,139 @@
+"""Which value holds for a route, setting by setting: of `[route.NAME]`, `[class.NAME]`, `[defaults]`."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from finchladder.config.codes import Notes, listed, shown
+from finchladder.config.places import Path
+from finchladder.config.values import Leaves, Said
+from finchladder.core.api import Ending, JobClass, Settings
+from finchladder.core.routes import (
+    Backoff,
+    Hedge,
+    Match,
+    Queue,
+    QueueOrder,
+    RetryBudget,
+    Route,
+    WorkerPool,
+    may_resend_on,
+)
+
+JITTER, MOST_WAIT_S, HEDGE_MOST = 0.5, 1.0, 0.05
+EITHER = {"hedge_after": "hedge_after_s", "hedge_after_s": "hedge_after"}  # one of them replaces the other
+
+
+@dataclass(frozen=True, slots=True)
+class Resolved:
+    """A route for one class of jobs; `cls` is None where the platform's settings are not known."""
+
+    name: str
+    job_class: str | None
+    cls: JobClass | None
+    match: Match
+    said: Leaves
+
+    @property
+    def path(self) -> Path:
+        return ("route", self.name)
+
+    def get(self, name: str, absent: Any = None) -> Any:
+        return self.said[name].value if name in self.said else absent
+
+    def told(self, *names: str) -> Said | None:
+        """The first of the settings that the file says."""
+        return next((self.said[name] for name in names if name in self.said), None)
+
+    @property
+    def hedges(self) -> Said | None:
+        """What turns second copies on, if they are on."""
+        on = self.told("hedge_after", "hedge_after_s")
+        off = self.get("hedge_most", HEDGE_MOST) == 0 or self.get("attempts") == 1
+        return None if off else on
+
+    @property
+    def backoff(self) -> Backoff:
+        base = self.get("backoff.base_s", 0.0)
+        most = self.get("backoff.most_s", max(base, MOST_WAIT_S) if base else 0.0)
+        return Backoff(base, most, self.get("backoff.jitter", JITTER) if base else 0.0)
+
+
+def resolve(
+    notes: Notes, settings: Settings | None, defaults: Leaves, classes: dict[str, Leaves],
+    routes: dict[str, Leaves],
+) -> list[Resolved]:  # fmt: skip
+    """Each route once for every class that it can match; what names no class that can be is noted."""
+    known = {c.name: c for c in settings.classes} if settings is not None else None
+    for name in classes:
+        if known is not None and name not in known:
+            notes.add("FL161", ("class", name), f"there is no class {shown(name)}", known=listed(known))
+    found: list[Resolved] = []
+    for name, own in routes.items():
+        match = _match(own)
+        named = {said.value: said for said in (own.get("class"), own.get("match.class")) if said is not None}
+        if match.path is not None:
+            named.setdefault(match.path.split("/")[1], own["match.path"])
+        if len(named) > 1:
+            words = " and ".join(shown(word) for word in named)
+            notes.add("FL144", ("route", name), f"nothing can match it, as no job is of the classes {words}")
+            continue
+        job_class = next(iter(named), None)
+        if job_class is not None and known is not None and job_class not in known:
+            reason = f"nothing can match it, as there is no class {shown(job_class)}"
+            notes.add("FL161", named[job_class].path, reason, known=listed(known))
+            continue
+        path = match.path if match.path is not None and match.path.count("/") > 1 else None
+        # the path /view says no more than its class: they must not pass for two matches
+        match = Match(job_class, path, match.method, match.headers)
+        for one in [job_class] if job_class is not None or known is None else known:
+            said = _over(_over(dict(defaults), classes.get(one or "", {})), own)
+            found.append(Resolved(name, one, (known or {}).get(one or ""), match, said))
+    return found
+
+
+def _over(below: Leaves, above: Leaves) -> Leaves:
+    for name in above:
+        below.pop(EITHER.get(name, ""), None)
+    return below | above
+
+
+def _match(own: Leaves) -> Match:
+    def of(name: str) -> Any:
+        return own[f"match.{name}"].value if f"match.{name}" in own else None
+
+    headers = tuple(sorted((name.lower(), value) for name, value in (of("headers") or {}).items()))
+    return Match(of("class"), of("path"), of("method"), headers)
+
+
+def build(r: Resolved) -> Route:
+    """What the checker found nothing wrong with."""
+    assert r.cls is not None
+    hedge, budget = None, None
+    if r.hedges is not None:
+        after = r.get("hedge_after")
+        percentile = float(after[1:]) if after is not None else None
+        hedge = Hedge(r.get("hedge_after_s"), percentile, r.get("hedge_most", HEDGE_MOST))
+    if "retry_budget.share" in r.said:
+        least = r.get("retry_budget.least_per_s", 1.0)
+        budget = RetryBudget(r.get("retry_budget.share"), least, r.get("retry_budget.window_s", 10.0))
+    queue = Queue(
+        r.get("queue.length", 0), QueueOrder(r.get("queue.order", "worth")), r.get("queue.longest_wait_s")
+    )
+    allowed = may_resend_on(r.cls)
+    resend_on = allowed & {Ending(word) for word in r.get("resend_on", [e.value for e in allowed])}
+    return Route(
+        name=r.name,
+        job_class=r.cls.name,
+        match=r.match,
+        timeout_s=r.get("timeout_s"),
+        attempt_timeout_s=r.get("attempt_timeout_s"),
+        attempts=r.get("attempts"),
+        backoff=r.backoff,
+        resend_on=resend_on,
+        hedge=hedge,
+        retry_budget=budget,
+        concurrency=r.get("concurrency"),
+        queue=queue,
+        priority=r.get("priority", 0),
+        pool=WorkerPool(frozenset(r.get("pool.kinds", ())), frozenset(r.get("pool.zones", ()))),
+    )
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -1,6 +1,7 @@
-"""The operator's own file (INI): which features are on, and their settings. A section there turns one on.
+"""The operator's own file: which features are on, and their settings. A section there turns one on.
 
-The platform's settings are another matter: settings.py alone reads those.
+It is INI, or by the ending .toml TOML with the same sections, which routes.py reads. The platform's settings
+are another matter: settings.py alone reads those.
 """
 
 from collections.abc import Iterable, Mapping
@@ -83,39 +84,62 @@
 
 
 def read_options(path: str | None) -> Options:
-    """ValueError says in one line what can't be used."""
+    """ValueError says in one line what can't be used; of a file in TOML, in a line for each finding."""
     if path is None:
         return OFF
+    if is_toml(path):
+        from finchladder.config.routes import read  # what a dispatcher with an INI file need not load
+
+        return read(path).options
+    try:
+        text = Path(path).read_text("utf-8")
+    except OSError as e:
+        raise ValueError(f"{path}: {e.strerror}") from None
+    except ValueError as e:
+        raise ValueError(f"{path}: {e}") from None
+    return read_ini(text, path)
+
+
+def is_toml(path: str) -> bool:
+    return path.lower().endswith(".toml")
+
+
+def ini_sections(text: str, path: str) -> dict[str, dict[str, str]]:
+    """configparser.Error says what can't be read."""
     # no interpolation, as a key may hold a %, and no section whose values leak into all others
     parser = ConfigParser(interpolation=None, default_section="\0")
     parser.optionxform = str  # type: ignore[assignment,method-assign]
+    parser.read_string(text, path)
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def read_ini(text: str, path: str) -> Options:
+    """ValueError says in one line what can't be used; `path` is named there."""
     try:
-        parser.read_string(Path(path).read_text("utf-8"), path)
-        return _options({name: dict(parser[name]) for name in parser.sections()})
-    except OSError as e:
-        raise ValueError(f"{path}: {e.strerror}") from None
+        return options_of(ini_sections(text, path))
     except (IniError, ValueError) as e:
         raise ValueError(f"{path}: {e}") from None
 
 
-def _options(sections: Mapping[str, Mapping[str, str]]) -> Options:
+def options_of(sections: Mapping[str, Mapping[str, object]], strict: bool = False) -> Options:
+    """By section, `door.NAME` for a class. `strict`: a value must have its type, else it may be text."""
     found: dict[str, object] = {}
     classes: dict[str, DoorOptions] = {}
     for name, values in sections.items():
         part, dot, job_class = name.partition(".")
         if part == "door" and dot and job_class:
             # what a class does not say holds as for all: its burst must not fall back below a raised rate
-            classes[job_class] = _section(name, {**sections.get("door", {}), **values}, DoorOptions)
+            classes[job_class] = _section(name, {**sections.get("door", {}), **values}, DoorOptions, strict)
         elif name in SECTIONS:
-            found[name] = _section(name, values, SECTIONS[name])
+            found[name] = _section(name, values, SECTIONS[name], strict)
         else:
             raise ValueError(f"[{name}]: unknown section")
     return msgspec.convert(found | {"door_of": classes}, Options)
 
 
-def _section(name: str, values: Mapping[str, str], kind: type[T]) -> T:
+def _section(name: str, values: Mapping[str, object], kind: type[T], strict: bool) -> T:
     try:
-        return msgspec.convert(dict(values), kind, strict=False)
+        return msgspec.convert(dict(values), kind, strict=strict)
     except msgspec.ValidationError as e:
         raise ValueError(f"[{name}]: {e}") from None
 
--- a/finchladder/config/places.py
+++ b/finchladder/config/places.py
@@ -23,6 +23,7 @@
 )  # fmt: skip
 _BARE = re.compile(r"[^,\]}#\n]++")
 _INI_SECTION = re.compile(r"\[(.+)\]")
+_INI_LINE = re.compile(r"\[line *(\d+)\]|line: (\d+)")
 _INI_KEY = re.compile(r"[^\s:=;#\[][^:=]*")
 
 
@@ -54,6 +55,15 @@
             path = path[:-1]
         return self.of.get(path, Place(1, 1))
 
+    def told_of(self, text: str) -> Place:
+        """Of what a message about an INI file names: a line, or a section and perhaps a key of it."""
+        if (m := _INI_LINE.search(text)) is not None:
+            return Place(int(m[1] or m[2]), 1)
+        section = next((p[0] for p in self.of if len(p) == 1 and f"[{p[0]}]" in text), "")
+        words = text.replace("$.", "").split("`")
+        keys = [p for p in self.of if len(p) == 2 and p[0] == section and p[1] in words]
+        return self.find(keys[0] if keys else (section,))
+
 
 class _Lost(Exception):
     """The text can't be followed any further."""
