--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -33,6 +33,7 @@
 from finchladder.net.recorder import Recorder
 from finchladder.net.servers import RealServers
 from finchladder.net.service import ServiceActor
+from finchladder.net.timers import Timers
 
 MOST_SOCKETS = 1024
 
@@ -94,17 +95,18 @@
         capture = Capture(options.capture, setup.seed, state, files)
         capture.begin(clock())
         module.tap = arrivals.tap = Recorder(capture)
-    servers = RealServers(flows, module, clock, setup.caps.connect_timeout_s, setup.caps.conn_idle_s, sockets)
+    timers = Timers(clock)
+    caps = setup.caps
+    servers = RealServers(flows, module, timers, caps.connect_timeout_s, caps.conn_idle_s, sockets)
     module.carrier = servers
     service = ServiceActor(setup.discovery, servers.update)
     classes = {c.name for c in setup.settings.classes}
-    intake = Intake(classes, flows, module, arrivals, Leaving(), sockets)
+    intake = Intake(classes, flows, module, timers, arrivals, Leaving(), sockets)
     controls = Controls(clock, classes, options, flows.status, arrivals, capture)
     front = Front(intake, controls, lambda: service.up, servers.called_back)
     bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
     clients = Clients(front, bodies, sockets)
     clients.listen_on(setup.listen)
-    module.start()
     servers.start()
     if setup.known is not None:
         service.post(setup.known)
--- a/finchladder/net/actor.py
+++ b/finchladder/net/actor.py
@@ -1,33 +1,56 @@
-"""An actor: a mailbox with bounded room and one task that reads it."""
+"""An actor: a mailbox with bounded room. What is posted is handled at once, or once its turn has come."""
 
 import asyncio
+from collections import deque
 from collections.abc import Coroutine
-from typing import Any, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
 from loguru import logger
-from tornado.queues import Queue
+
+if TYPE_CHECKING:
+    from loguru import Logger
 
 T = TypeVar("T")
 
 
+class Full(Exception):
+    """A mailbox is full."""
+
+
 class Actor(Generic[T]):
     """Handles what comes to its mailbox, one thing after another.
 
+    Whoever posts to an actor at rest has the item handled before `post` returns: a task and a future for each
+    message took more than the handling. What is posted while an item is being handled waits until that is
+    done, so no item meets another half way.
+
     The room is far more than the bounds on connections let in, so a full mailbox is a fault of this program:
     `post` raises then. An error in `receive` is logged with its trace and handed to `failed`, which ends
     whatever hung on the item; the actor goes on with the next one.
     """
 
-    def __init__(self, name: str, box: Queue[T]) -> None:
-        self.name, self.box = name, box
-        self.log = logger.bind(actor=name)
+    def __init__(self, name: str, room: int) -> None:
+        self.name, self.room = name, room
+        self.box: deque[T] | None = None  # made when something must wait first: mostly nothing ever does
+        self.at_work = False
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def start(self) -> None:
-        self.spawn(self._live())
+    @property
+    def log(self) -> "Logger":
+        return logger.bind(actor=self.name)
+
+    @property
+    def waiting(self) -> int:
+        return len(self.box) if self.box is not None else 0
 
     def post(self, item: T) -> None:
-        self.box.put_nowait(item)
+        if not self.at_work:
+            return self._live(item)
+        if self.box is None:
+            self.box = deque()
+        if len(self.box) >= self.room:
+            raise Full(f"{self.name}: {self.room} items wait")
+        self.box.append(item)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work, name=self.name)
@@ -44,17 +67,24 @@
         for task in self.tasks:
             task.cancel()
 
-    async def _live(self) -> None:
-        while True:
-            item = await self.box.get()
+    def _live(self, item: T) -> None:
+        self.at_work = True
+        try:
+            self._handle(item)
+            while self.box:
+                self._handle(self.box.popleft())
+        finally:
+            self.at_work = False
+
+    def _handle(self, item: T) -> None:
+        try:
+            self.receive(item)
+        except Exception:
+            self.log.exception("{}: died on {}", self.name, type(item).__name__)
             try:
-                self.receive(item)
-            except Exception:
-                self.log.exception("{}: died on {}", self.name, type(item).__name__)
-                try:
-                    self.failed(item)
-                except Exception:  # the mailbox must be read on, else all that comes after hangs too
-                    self.log.exception("{}: could not clear up", self.name)
+                self.failed(item)
+            except Exception:  # the mailbox must be read on, else all that comes after hangs too
+                self.log.exception("{}: could not clear up", self.name)
 
     def receive(self, item: T) -> None:
         raise NotImplementedError
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -1,36 +1,47 @@
 """Clients: the listener, and all edge connections that were made to it."""
 
 import asyncio
+import socket
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
-from tornado.iostream import IOStream
-from tornado.tcpserver import TCPServer
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from finchladder.core.bodies import BodyRoom, Reservation
 from finchladder.core.edges import EdgeTable
 from finchladder.core.leaving import IDLE_STAYS
 from finchladder.net.edge import EdgeConnection
 from finchladder.net.front import Front
-from finchladder.net.http1 import PIECE
+from finchladder.net.http1 import PIECE, READ, Stream
 
 EDGE = 0.55  # part of all sockets: edge connections; more than open flows, as call-backs need the rest
 JUST_CAME = 0.25
 BACKLOG = 1024
 
 
-class Clients(TCPServer):
+class Clients:
     def __init__(self, front: Front, bodies: BodyRoom, sockets: int) -> None:
-        super().__init__(max_buffer_size=4 * PIECE)
         self.front, self.bodies, self.clock = front, bodies, front.intake.clock
         self.edges: EdgeTable[EdgeConnection] = EdgeTable(int(EDGE * sockets))
         self.tasks: set[asyncio.Task[None]] = set()
+        self.stops: list[Callable[[], None]] = []
 
     def listen_on(self, address: tuple[str, int]) -> None:
-        self.listen(address[1], address[0], backlog=BACKLOG)
+        for listening in bind_sockets(address[1], address[0], backlog=BACKLOG):
+            self.add_socket(listening)
 
-    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+    def add_socket(self, listening: socket.socket) -> None:
+        self.stops.append(add_accept_handler(listening, self._accepted))
+
+    def stop(self) -> None:
+        """Accepts no more. What was accepted goes on."""
+        for stop in self.stops:
+            stop()
+
+    def _accepted(self, connection: socket.socket, address: Any) -> None:
         """Counts at once, as many connections come in one turn of the loop: a count that lags runs over."""
+        stream = Stream(connection, max_buffer_size=4 * PIECE, read_chunk_size=READ)
         if self.edges.full and not self._make_room():
             stream.close()
             return
--- a/finchladder/net/edge.py
+++ b/finchladder/net/edge.py
@@ -4,11 +4,10 @@
 from typing import Protocol
 
 from tornado.iostream import IOStream
-from tornado.queues import Queue
 
 from finchladder.core.bodies import NoRoom, Reservation
 from finchladder.core.edges import EdgeTable, Worth
-from finchladder.net.control import Reply
+from finchladder.net.control import Dump, Reply
 from finchladder.net.flows import Answer, Flow
 from finchladder.net.http1 import (
     BadMessage,
@@ -49,7 +48,8 @@
         self.desk, self.table = desk, table
         self.intake, self.clock = desk.intake, desk.intake.clock
         self.body = body  # of what is being read or worked on
-        self.box: Queue[Answer] = Queue(2)
+        self.given: Answer | None = None  # what the flow's answer is, once it is there
+        self.wanted: asyncio.Future[None] | None = None
         self.flow: Flow | None = None
         self.busy = False  # between a message's first byte and its answer's last
         self.calls_back = False
@@ -59,11 +59,21 @@
     def used(self, worth: Worth) -> None:
         self.worth = max(self.worth, worth)
 
+    def deliver(self, answer: Answer) -> None:
+        """Takes the answer of the one flow that is open here."""
+        self.given = answer
+        if self.wanted is not None and not self.wanted.done():
+            self.wanted.set_result(None)
+
     async def answer_to(self, flow: Flow) -> Answer:
         """Waits for the answer of a flow that was taken."""
         self.flow = flow  # no sooner: this closing must not end another flow with its id
-        answer = await self.box.get()
-        self.flow = None
+        if self.given is None:
+            self.wanted = asyncio.get_running_loop().create_future()
+            await self.wanted
+            self.wanted = None
+        answer, self.given, self.flow = self.given, None, None
+        assert answer is not None
         self.used(Worth.OF_USE if answer.kind == "served" else Worth.ASKED)
         if self.channel.stream.closed():
             raise StreamClosedError()
@@ -100,26 +110,35 @@
             self.table.idle(self.clock(), self, self.worth)
             await self.channel.fill()
         self.busy = True
-        async with asyncio.timeout(MESSAGE_WITHIN):
-            head = await self.channel.head()
+        head = self.channel.parser.take_head()
+        if head is not None:
             self.body.hold(self.channel.parser.most)
-            message = head, (await self.channel.message())[1]
+            message = self.channel.parser.poll()
+        if head is None or message is None:  # most come whole, and then no timer is set
+            async with asyncio.timeout(MESSAGE_WITHIN):
+                head = await self.channel.head()
+                self.body.hold(self.channel.parser.most)
+                message = await self.channel.message()
         self.table.work(self)
         return message
 
     async def _work(self, head: Head, body: bytes) -> bool:
         """True: the connection is kept."""
         reply = await self.desk.answer(self, head, body)
+        close = self._closes(head)
+        if reply.dump is None:
+            written = self.channel.stream.write(write_response(reply.status, reply.body, reply.fields, close))
+            if written.done():
+                written.result()
+                return not close
         try:
             async with asyncio.timeout(ANSWER_WITHIN):
-                await self._write(reply, self._closes(head))
+                await (written if reply.dump is None else self._dump(reply, reply.dump, close))
         except TimeoutError:
             raise StreamClosedError() from None  # no second answer may follow half of the first
-        return not self._closes(head)
+        return not close
 
-    async def _write(self, reply: Reply, close: bool) -> None:
-        if (dump := reply.dump) is None:
-            return await self.channel.write(write_response(reply.status, reply.body, reply.fields, close))
+    async def _dump(self, reply: Reply, dump: Dump, close: bool) -> None:
         try:
             await self.channel.write(write_head(reply.status, dump.size, reply.fields, close))
             for piece in dump.pieces():  # each written before the next is made
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -45,7 +45,6 @@
         "until",
         "stage",
         "connection",
-        "timer",
     )
 
     def __init__(self, flow: "Flow", number: int, worker: str, sent: float, until: float) -> None:
@@ -53,7 +52,6 @@
         self.sent, self.until = sent, until
         self.stage = Stage.WAITING
         self.connection: Connection | None = None  # until the job is accepted
-        self.timer: Callable[[], None] | None = None
 
     @property
     def ended(self) -> bool:
@@ -116,8 +114,11 @@
         return True
 
     def forget_if_over(self, flow: Flow) -> None:
-        if flow.answer is None or any(not s.ended for s in flow.schedulings):
+        if flow.answer is None:
             return
+        for s in flow.schedulings:
+            if not s.ended:
+                return
         if self.by_id.pop(flow.id, None) is not None:
             self.ended[flow.id] = None
             if self.status is not None:
--- a/finchladder/net/front.py
+++ b/finchladder/net/front.py
@@ -75,7 +75,7 @@
                 return Reply(429, b"too many requests\n", (f"Retry-After: {verdict.wait:g}",))
             message = HttpMessage(head.method, head.target, head.headers, body)
             deadline = self.intake.deadline(left_s)
-            flow = Flow(id, job_class, key, facts, message, deadline, edge.box.put_nowait)
+            flow = Flow(id, job_class, key, facts, message, deadline, edge.deliver)
             self.intake.take(flow, verdict.drill)
         except Repeated:
             raise BadMessage(400, "a request with this X-Correlation-Id has come already") from None
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -11,6 +11,7 @@
 MAX_FIELDS = 64
 MAX_BODY = 64 * 1024
 PIECE = 64 * 1024
+READ = 16 * 1024  # asked of a socket at once: larger buffers are cleared for nothing
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 403: "Forbidden",
     404: "Not Found",
@@ -25,6 +26,7 @@
 )
 _STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
 _FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)")
+_FIELDS = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~]*(?:\r\n(?!\Z)|\Z))*")
 _PLAIN = re.compile(r"[\t -~]*")
 _LENGTH = re.compile(r"[0-9]{1,15}")
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
@@ -41,19 +43,24 @@
 class Headers:
     """Header fields in the order in which they came; names match in any case."""
 
+    __slots__ = ("fields", "_values")
+
     def __init__(self, fields: list[tuple[str, str]]) -> None:
         self.fields = fields
+        self._values: dict[str, list[str]] = {}  # by name in lower case
+        for name, value in fields:
+            self._values.setdefault(name.lower(), []).append(value)
 
     def all(self, name: str) -> list[str]:
-        return [v for n, v in self.fields if n.lower() == name]
+        return self._values.get(name, [])
 
     def get(self, name: str) -> str | None:
         """The value of a field, None unless it came exactly once."""
-        values = self.all(name)
+        values = self._values.get(name, ())
         return values[0] if len(values) == 1 else None
 
     def words(self, name: str) -> set[str]:
-        return {part.strip().lower() for v in self.all(name) for part in v.split(",")}
+        return {part.strip().lower() for v in self._values.get(name, ()) for part in v.split(",")}
 
 
 class Head(NamedTuple):
@@ -67,6 +74,11 @@
 
     @property
     def keeps(self) -> bool:
+        if not self.minor or self.headers.all("connection"):
+            return self._says_so()
+        return True
+
+    def _says_so(self) -> bool:
         words = self.headers.words("connection")
         return "close" not in words and (self.minor == 1 or "keep-alive" in words)
 
@@ -85,6 +97,9 @@
 def _headers(lines: list[bytes], plain: bool) -> Headers:
     if len(lines) > MAX_FIELDS:
         raise BadMessage(431, "too many header fields")
+    if _FIELDS.fullmatch(b"\r\n".join(lines)):  # the rule, that is: all at once costs a third of one by one
+        parts = [line.decode("ascii").partition(":") for line in lines]
+        return Headers([(name, value.strip(" \t")) for name, _, value in parts])
     return Headers([_field(line, plain) for line in lines])
 
 
@@ -232,6 +247,9 @@
         head = self.take_head()
         if head is None or self.body is None:
             return None
+        if self.body.done and not self.got:  # nothing follows its head, as mostly
+            self.head = self.body = None
+            return head, b""
         self.got += self.take_piece()
         if len(self.got) > self.limit(head):
             raise BadMessage(413, "body too long")
@@ -242,6 +260,20 @@
         return message
 
 
+class Stream(IOStream):
+    """Asks the socket once for what is there: IOStream's own asks again until there is nothing."""
+
+    short = False  # the last read was not filled: nothing more was there
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        if self.short:
+            self.short = False
+            return None
+        count = super().read_from_fd(buf)
+        self.short = count is not None and 0 < count < len(buf)
+        return count
+
+
 class Channel:
     """One connection: a stream and the parser of what comes on it."""
 
@@ -294,7 +326,7 @@
 
 async def connect(address: tuple[str, int]) -> Channel:
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    stream = IOStream(socket.socket(family))
+    stream = Stream(socket.socket(family), read_chunk_size=READ)
     try:
         await stream.connect(address)
     except BaseException:
@@ -326,7 +358,7 @@
 
 
 __all__ = [
-    "MAX_BODY", "PIECE", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "StreamClosedError",
-    "connect", "parse_request", "parse_response", "write_head", "write_request",
+    "MAX_BODY", "PIECE", "READ", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "Stream",
+    "StreamClosedError", "connect", "parse_request", "parse_response", "write_head", "write_request",
     "write_response",
 ]  # fmt: skip
--- a/finchladder/net/intake.py
+++ b/finchladder/net/intake.py
@@ -1,5 +1,7 @@
 """Intake: a job that a client hands in becomes a flow, whatever protocol brought it, and is answered once."""
 
+from functools import partial
+
 from loguru import logger
 from tornado.ioloop import IOLoop
 
@@ -9,6 +11,7 @@
 from finchladder.features.drills import Effect
 from finchladder.net.flows import Answer, Flow, Flows
 from finchladder.net.module import ModuleActor
+from finchladder.net.timers import Timers
 
 OPEN = 1 / 3  # part of all sockets: open flows
 
@@ -23,11 +26,11 @@
 
 class Intake:
     def __init__(
-        self, classes: set[str], flows: Flows, module: ModuleActor, arrivals: Arrivals, leaving: Leaving,
-        sockets: int,
+        self, classes: set[str], flows: Flows, module: ModuleActor, timers: Timers, arrivals: Arrivals,
+        leaving: Leaving, sockets: int,
     ) -> None:  # fmt: skip
         self.classes, self.flows, self.module, self.clock = classes, flows, module, module.clock
-        self.arrivals, self.leaving = arrivals, leaving
+        self.timers, self.arrivals, self.leaving = timers, arrivals, leaving
         self.most_open = int(OPEN * sockets)
         self.held: dict[Flow, Effect] = {}  # by a drill
 
@@ -48,9 +51,8 @@
         if self.flows.open > self.most_open:
             self.flows.finish(flow, Answer("refused", retry_after=1.0))
             return
-        loop = IOLoop.current()
-        handle = loop.call_later(max(0.0, flow.deadline - self.clock()), self._overdue, flow)
-        flow.timer = lambda: loop.remove_timeout(handle)
+        self.timers.put(flow, flow.deadline, partial(self._overdue, flow))
+        flow.timer = partial(self.timers.drop, flow)
         if drill is None:
             self.module.tell(flow)
         else:
--- /dev/null
+++ b/finchladder/net/lines.py
@@ -0,0 +1,121 @@
+"""A connection to a real server: one exchange at a time, and one task that reads what comes."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Protocol
+
+from finchladder.net.http1 import BadMessage, Channel, Head, StreamClosedError
+
+SETTLE_WITHIN = 1.0  # seconds from an answer's head to its last byte
+
+
+class Exchange(Protocol):
+    """What a request on a line is about. Just one of the two is called, once."""
+
+    def answered(self, head: Head) -> None: ...
+
+    def broke(self, written: bool) -> None:
+        """The line ended before the answer's head came. `written`: the request's last byte may have gone."""
+        ...
+
+
+class Line:
+    """Begins free. It is free again after a whole exchange, and gone after all else.
+
+    What comes while it is free was not asked for, and ends it: the next exchange would take it for its own.
+    """
+
+    def __init__(
+        self, channel: Channel, free: Callable[["Line"], None], gone: Callable[["Line"], None]
+    ) -> None:
+        self.channel, self.free, self.gone = channel, free, gone
+        self.since = 0.0  # it is free since then
+        self.idle = 0.0  # how long it was free before its present exchange
+        self.exchange: Exchange | None = None
+        self.busy = self.over = False
+        self.held = True  # by whoever had it made, or took it from the kept ones
+        self.writing: asyncio.Future[None] | None = None
+        self.task = asyncio.get_running_loop().create_task(self._live())
+
+    def begin(self, exchange: Exchange, request: bytes) -> None:
+        """On a free line only."""
+        self.exchange, self.busy = exchange, True
+        try:
+            self.writing = self.channel.stream.write(request)
+        except StreamClosedError:
+            self._end()  # its task may be waiting for its turn to see the same
+
+    def close(self) -> None:
+        self.channel.close()
+
+    def usable(self) -> bool:
+        return not self.busy and self.channel.usable()
+
+    async def _live(self) -> None:
+        try:
+            while True:
+                await self.channel.fill()
+                if not self.busy or not await self._take():
+                    return
+        except (StreamClosedError, OSError, BadMessage):
+            pass
+        finally:
+            self._end()
+
+    async def _take(self) -> bool:
+        """True: the exchange is over, and the line can carry another."""
+        head = await self.channel.head()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.answered(head)
+        body = self.channel.parser.body
+        if body is not None and body.until_close:
+            return False
+        if self.channel.parser.poll() is None:
+            try:
+                async with asyncio.timeout(SETTLE_WITHIN):
+                    await self.channel.message()
+            except TimeoutError:
+                return False
+        if not head.keeps or self.channel.parser.begun:
+            return False
+        self.busy, self.writing = False, None
+        self.free(self)
+        return not self.channel.stream.closed()
+
+    def _end(self) -> None:
+        if self.over:
+            return
+        self.over = True
+        self.channel.close()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            # a write that is known to have broken before its last byte never ran; when unsure, it may have
+            exchange.broke(self.writing is not None and self.writing.done() and not self.writing.exception())
+        self.gone(self)
+
+
+class KeptLines:
+    """The free lines to all real servers, the one free for longest first. Beyond `most`, that one goes.
+
+    Times are in seconds of the caller's clock. All is O(1), or O(what is closed).
+    """
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.lines: OrderedDict[Line, None] = OrderedDict()
+
+    def put(self, line: Line, now: float) -> None:
+        line.since = now
+        self.lines[line] = None
+        if len(self.lines) > self.most:
+            self.lines.popitem(last=False)[0].close()
+
+    def drop(self, line: Line) -> None:
+        self.lines.pop(line, None)
+
+    def close_before(self, since: float) -> None:
+        while self.lines and (line := next(iter(self.lines))).since <= since:
+            del self.lines[line]
+            line.close()
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from tornado.ioloop import IOLoop
-from tornado.queues import PriorityQueue
 
 from finchladder.core import api
 from finchladder.core.policy import Dispatcher
@@ -13,7 +12,6 @@
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 
 ROOM = 16384
-NEWS, WORK = 0, 1  # the list goes ahead of queued work: nothing is to be decided on a list known to be old
 
 
 class Clock:
@@ -55,21 +53,27 @@
 Item = api.Event | Flow | Ending
 
 
-class ModuleActor(Actor[tuple[int, int, Item]]):
+class ModuleActor(Actor[Item]):
     def __init__(self, dispatcher: Dispatcher, flows: Flows, clock: Clock) -> None:
-        super().__init__("module", PriorityQueue(ROOM))
+        super().__init__("module", ROOM)
         self.dispatcher, self.flows, self.clock = dispatcher, flows, clock
         self.carrier: Carrier | None = None
         self.tap: Tap | None = None
-        self.serial = 0
+        self.lists = 0  # of those that wait in the mailbox
         self.subscribe: Callable[[bool], None] = lambda on: None  # where the list must be asked for
 
     def tell(self, item: Item) -> None:
-        self.serial += 1
-        self.post((NEWS if isinstance(item, api.WorkerList) else WORK, self.serial, item))
-
-    def receive(self, entry: tuple[int, int, Item]) -> None:
-        item, now = entry[2], self.clock()
+        """The list goes ahead of queued work: nothing is to be decided on a list known to be old."""
+        self.post(item)
+        if self.box and self.box[-1] is item and isinstance(item, api.WorkerList):
+            self.box.pop()
+            self.box.insert(self.lists, item)
+            self.lists += 1
+
+    def receive(self, item: Item) -> None:
+        now = self.clock()
+        if isinstance(item, api.WorkerList):
+            self.lists = max(0, self.lists - 1)
         if isinstance(item, Flow):
             if item.answer is not None:  # the client left before its request was looked at
                 return
@@ -80,10 +84,10 @@
             event = api.Ended(s.flow.id, s.number, item.ending, finished, item.took, item.report)
         else:
             event = item
-        for action in self._handle(now, event):
+        for action in self._decide(now, event):
             self._carry_out(action, now)
 
-    def _handle(self, now: float, event: api.Event) -> list[api.Action]:
+    def _decide(self, now: float, event: api.Event) -> list[api.Action]:
         try:
             actions = self.dispatcher.handle(now, event)
         except Exception as e:
@@ -125,9 +129,8 @@
         else:
             self.flows.finish(flow, Answer("failed"))
 
-    def failed(self, entry: tuple[int, int, Item]) -> None:
+    def failed(self, item: Item) -> None:
         """An error inside the decisions must not leave the flow that it concerns without an answer."""
-        item = entry[2]
         flow = item if isinstance(item, Flow) else None
         if isinstance(item, Ending):
             flow = item.scheduling.flow
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -1,13 +1,12 @@
 """Real servers: an actor for each, with its connections, its schedulings and their ends."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from typing import NamedTuple
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import quote
 
-from tornado.ioloop import IOLoop, PeriodicCallback
-from tornado.queues import Queue
+from tornado.ioloop import PeriodicCallback
 
 from finchladder.core import api
 from finchladder.core.api import Ending as E
@@ -16,9 +15,15 @@
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flows, Scheduling
-from finchladder.net.http1 import BadMessage, Channel, Head, StreamClosedError
+from finchladder.net.http1 import Head, StreamClosedError
+from finchladder.net.lines import KeptLines, Line
 from finchladder.net.messages import CallBack
-from finchladder.net.module import Clock, Ending, ModuleActor
+from finchladder.net.module import Ending, ModuleActor
+from finchladder.net.places import Places
+from finchladder.net.timers import Timers
+
+if TYPE_CHECKING:
+    from loguru import Logger
 
 ROOM = 8192
 IN_USE, KEPT = 0.23, 0.11  # parts of all sockets, for busy and idle connections to the real servers together
@@ -26,6 +31,7 @@
 IDLE_PART = 0.6  # of the time after which a real server closes: a request must never cross its closing
 ANSWER_WITHIN = 1.0  # for a DELETE, on which nothing hangs
 
+
 class Withdrawal(NamedTuple):
     scheduling: Scheduling
 
@@ -54,25 +60,66 @@
 CALL_BACK_ENDS = {"done": E.OK, "failed": E.ERROR, "returned": E.OVERLOADED, "lost": E.BROKEN}
 
 
-class NotReady(Exception):
-    """The real server drains or is gone since the module named it."""
+class Order:
+    """A job on its way to a real server, from the line's point of view."""
+
+    __slots__ = ("server", "scheduling", "line")
+
+    def __init__(self, server: "RealServer", scheduling: Scheduling, line: Line) -> None:
+        self.server, self.scheduling, self.line = server, scheduling, line
+
+    def answered(self, head: Head) -> None:
+        s = self.scheduling
+        s.connection = None
+        ending = outcome(head)
+        if ending is None:
+            s.step(Step.ACCEPT)
+        else:
+            self.server.end(s, ending, load_report(head))
+
+    def broke(self, written: bool) -> None:
+        s = self.scheduling
+        s.connection = None
+        if not written:
+            s.step(Step.BREAK)
+        elif self.line.idle and not s.ended:  # not closed from this side
+            self.server.trust.lost(self.server.clock(), self.line.idle)
+        self.server.broke(s)  # nothing is sent again here
+
+
+class GivingUp:
+    """A job is given up at its real server. Nothing hangs on the answer."""
+
+    def answered(self, head: Head) -> None:
+        pass
+
+    def broke(self, written: bool) -> None:
+        pass
 
 
 class RealServer(Actor[Scheduling | Withdrawal | CallBack]):
     def __init__(
-        self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, clock: Clock,
-        connect_timeout: float, trust: Trust, all_in_use: asyncio.Semaphore,
+        self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, timers: Timers,
+        connect_timeout: float, trust: Trust, all_in_use: Places, kept: KeptLines,
     ) -> None:  # fmt: skip
-        super().__init__(f"real server {name}", Queue(ROOM))
+        super().__init__(f"real server {name}", ROOM)
         self.server, self.address = name, address
-        self.log = self.log.bind(server=name)
-        self.flows, self.module, self.clock = flows, module, clock
-        self.connect_timeout, self.trust = connect_timeout, trust
+        self.flows, self.module, self.clock, self.timers = flows, module, module.clock, timers
+        self.connect_timeout, self.trust, self.kept = connect_timeout, trust, kept
         self.ready = True
         self.live: dict[str, Scheduling] = {}
-        self.idle: list[tuple[Channel, float]] = []
-        self.busy, self.kept_most = 0, 1
-        self.in_use, self.all_in_use = asyncio.Semaphore(IN_USE_EACH), all_in_use
+        self.idle: list[Line] = []  # the one used last is the last
+        self.busy = 0
+        self.in_use, self.all_in_use = Places(IN_USE_EACH), all_in_use
+
+    @property
+    def log(self) -> "Logger":
+        return super().log.bind(server=self.server)
+
+    @property
+    def at_rest(self) -> bool:
+        """Whether nothing is under way with it."""
+        return not (self.live or self.busy or self.waiting or self.tasks)
 
     # --- what the mailbox brings --------------------------------------------------------------------------
 
@@ -80,7 +127,7 @@
         if isinstance(item, Scheduling):
             self._begin(item)
         elif isinstance(item, Withdrawal):
-            self._end(item.scheduling, E.CANCELLED)
+            self.end(item.scheduling, E.CANCELLED)
         else:
             self._called_back(item)
 
@@ -90,7 +137,7 @@
         else:
             s = item.scheduling if isinstance(item, Withdrawal) else item
         if s is not None:
-            self._broke(s)
+            self.broke(s)
 
     def _begin(self, s: Scheduling) -> None:
         if (
@@ -99,12 +146,13 @@
             or any(other is not s and other.worker == s.worker for other in s.flow.schedulings)
         ):
             # a late call-back about the first scheduling here could not be told from one about the second
-            return self._end(s, E.VOID)
+            return self.end(s, E.VOID)
         self.live[s.flow.id] = s
-        loop = IOLoop.current()
-        handle = loop.call_later(max(0.0, s.until - self.clock()), self._end, s, E.TIMED_OUT)
-        s.timer = lambda: loop.remove_timeout(handle)
-        self.spawn(self._guard(s))
+        self.timers.put(s, s.until, partial(self.end, s, E.TIMED_OUT))
+        if (line := self._line_at_once()) is not None:
+            self._write(s, line)
+        else:
+            self.spawn(self._carry(s))
 
     def _called_back(self, c: CallBack) -> None:
         """Matched by id and sender: it may come before the 202, again, or about a job nobody knows here."""
@@ -120,77 +168,46 @@
         elif c.state == "running":
             self.module.tell(api.Progress(c.id, s.number, c.share))
         elif c.state in CALL_BACK_ENDS:
-            self._end(s, CALL_BACK_ENDS[c.state], c.report(), c.result.encode("utf-8", "replace"))
+            self.end(s, CALL_BACK_ENDS[c.state], c.report(), c.result.encode("utf-8", "replace"))
         else:
             self.log.bind(id=c.id).warning("{}: unknown job state {!r}", self.name, c.state[:40])
 
     # --- the life of a scheduling -------------------------------------------------------------------------
 
-    async def _guard(self, s: Scheduling) -> None:
-        try:
-            await self._carry(s)
-        except Exception:
-            bound = self.log.bind(**{"id": s.flow.id, "class": s.flow.job_class})
-            bound.exception("{}: a scheduling died", self.name)
-            self._broke(s)
-
     async def _carry(self, s: Scheduling) -> None:
         try:
-            await self._with_channel(lambda channel: self._exchange(s, channel))
-        except NotReady:
-            self._end(s, E.VOID)
-        except (StreamClosedError, OSError, TimeoutError, BadMessage):
-            self._broke(s)  # nothing is sent again here
-
-    def _broke(self, s: Scheduling) -> None:
-        if not s.ended:
-            self._end(s, MEANINGS[s.stage].broken)
+            line = await self._line()
+        except (StreamClosedError, OSError, TimeoutError):
+            return self.broke(s)
+        try:
+            self._write(s, line)
+        except Exception:
+            self.log.bind(**{"id": s.flow.id, "class": s.flow.job_class}).exception(
+                "{}: a scheduling died", self.name
+            )
+            line.close()
+            self.broke(s)
 
-    async def _exchange(self, s: Scheduling, channel: Channel) -> bool:
-        """One request and its answer's head; True: the connection may be kept."""
+    def _write(self, s: Scheduling, line: Line) -> None:
         if s.ended:
-            return True
+            return self._free(line)
         if not self.ready:  # looked at again right before the write: waiting for a connection took time
-            raise NotReady
-        s.connection = channel
-        try:
-            data = s.flow.message.request(self._host(), max(0.0, s.until - self.clock()))
-            s.step(Step.WRITE)
-            try:
-                await channel.write(data)
-            except StreamClosedError:
-                s.step(Step.BREAK)
-                raise
-            try:
-                head = await channel.head()
-            except StreamClosedError:
-                if channel.idle and not s.ended:  # not closed from this side
-                    self.trust.lost(self.clock(), channel.idle)
-                raise
-        finally:
-            s.connection = None
-        ending = outcome(head)
-        if ending is None:
-            s.step(Step.ACCEPT)
-        else:
-            self._end(s, ending, load_report(head))
-        return await self._settle(channel, head)
-
-    async def _settle(self, channel: Channel, head: Head) -> bool:
-        if channel.parser.body is not None and channel.parser.body.until_close:
-            return False
-        try:
-            async with asyncio.timeout(ANSWER_WITHIN):
-                await channel.message()
-        except (TimeoutError, BadMessage, StreamClosedError):
-            return False
-        return head.keeps
+            self._free(line)
+            return self.end(s, E.VOID)
+        request = s.flow.message.request(self._host(), max(0.0, s.until - self.clock()))
+        s.connection = line
+        s.step(Step.WRITE)
+        line.begin(Order(self, s, line), request)
+
+    def broke(self, s: Scheduling) -> None:
+        if not s.ended:
+            self.end(s, MEANINGS[s.stage].broken)
 
     def _host(self) -> str:
         host, port = self.address
         return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
-    def _end(
+    def end(
         self, s: Scheduling, ending: E, report: dict[str, float] | None = None, result: bytes = b""
     ) -> None:
         """Every scheduling ends here, and only its first end counts."""
@@ -200,8 +217,7 @@
         s.step(Step.END)
         if self.flows.status is not None:
             self.flows.status.ended(s.flow.id, self.server, ending)
-        if s.timer is not None:
-            s.timer()
+        self.timers.drop(s)
         if self.live.get(s.flow.id) is s:
             del self.live[s.flow.id]
         if ending is E.OK:
@@ -215,67 +231,92 @@
         self.flows.forget_if_over(s.flow)
 
     async def _give_up(self, id: str) -> None:
-        async def ask(channel: Channel) -> bool:
-            path = f"/jobs/{quote(id, safe='')}"  # an id is the client's text: it must not make another path
-            await channel.write(http1.write_request("DELETE", path, [("Host", self._host())]))
-            return await self._settle(channel, await channel.head())
-
+        path = f"/jobs/{quote(id, safe='')}"  # an id is the client's text: it must not make another path
         try:
             async with asyncio.timeout(ANSWER_WITHIN):
-                await self._with_channel(ask)
-        except (StreamClosedError, OSError, TimeoutError, BadMessage):
-            pass  # the real server is gone or busy; the job was given up all the same
-
-    # --- connections --------------------------------------------------------------------------------------
-
-    async def _with_channel(self, use: Callable[[Channel], Awaitable[bool]]) -> None:
-        """One user at a time for each connection; it is kept only after a whole exchange."""
-        async with AsyncExitStack() as held:
-            async with asyncio.timeout(self.connect_timeout):
-                await held.enter_async_context(self.in_use)
-                await held.enter_async_context(self.all_in_use)
-                channel = self._kept() or await http1.connect(self.address)
-            keep = False
-            self.busy += 1
-            try:
-                keep = await use(channel)
-            finally:
-                self.busy -= 1
-                if keep and len(self.idle) < self.kept_most and channel.usable():
-                    self.idle.append((channel, self.clock()))
-                else:
-                    channel.close()
-
-    def _kept(self) -> Channel | None:
+                line = await self._line()
+        except (StreamClosedError, OSError, TimeoutError):
+            return  # the real server is gone or busy; the job was given up all the same
+        line.begin(GivingUp(), http1.write_request("DELETE", path, [("Host", self._host())]))
+        self.timers.put(line, self.clock() + ANSWER_WITHIN, line.close)
+
+    # --- lines --------------------------------------------------------------------------------------------
+
+    def _line_at_once(self) -> Line | None:
+        """A kept line, if one can be had without waiting for a place."""
+        if not (self.idle and self.in_use.open and self.all_in_use.open) or (line := self._kept()) is None:
+            return None
+        self.in_use.take()
+        self.all_in_use.take()
+        return self._held(line)
+
+    async def _line(self) -> Line:
+        """A line for one exchange, kept or new. It holds its places until it is free again, or gone."""
+        async with asyncio.timeout(self.connect_timeout), AsyncExitStack() as places:
+            for place in (self.in_use, self.all_in_use):
+                await place.wait()
+                places.callback(place.give)
+            line = self._kept() or Line(await http1.connect(self.address), self._free, self._gone)
+            places.pop_all()
+        return self._held(line)
+
+    def _held(self, line: Line) -> Line:
+        line.held = True
+        self.busy += 1
+        return line
+
+    def _kept(self) -> Line | None:
         while self.idle:
-            channel, since = self.idle.pop()
+            line = self.idle.pop()
+            self.kept.drop(line)
             now = self.clock()
-            channel.idle = now - since
-            if channel.idle < self.trust.limit(now) and channel.usable():
-                return channel
-            channel.close()
+            line.idle = now - line.since
+            if line.idle < self.trust.limit(now) and line.usable():
+                return line
+            line.close()
         return None
 
-    def drop_idle(self, before: float) -> None:
-        for channel, since in self.idle:
-            if since <= before or channel.stream.closed():
-                channel.close()
-        self.idle = [(c, t) for c, t in self.idle if not c.stream.closed()]
+    def _let_go(self, line: Line) -> None:
+        line.held = False
+        self.busy -= 1
+        self.timers.drop(line)
+        self.in_use.give()
+        self.all_in_use.give()
+
+    def _free(self, line: Line) -> None:
+        self._let_go(line)
+        if self.ready:
+            self.idle.append(line)
+            self.kept.put(line, self.clock())
+        else:
+            line.close()
+
+    def _gone(self, line: Line) -> None:
+        if line.held:
+            self._let_go(line)
+        elif line in self.idle:
+            self.idle.remove(line)
+            self.kept.drop(line)
+
+    def drop_idle(self) -> None:
+        for line in self.idle:
+            line.close()
 
 
 class RealServers:
-    """The actors of all real servers that were ever named and still matter."""
+    """The actors of all real servers that were ever named and still matter. Costs grow with what changes."""
 
     def __init__(
-        self, flows: Flows, module: ModuleActor, clock: Clock, connect_timeout: float, conn_idle: float,
+        self, flows: Flows, module: ModuleActor, timers: Timers, connect_timeout: float, conn_idle: float,
         sockets: int,
     ) -> None:  # fmt: skip
-        self.flows, self.module, self.clock = flows, module, clock
-        self.connect_timeout, self.trust = connect_timeout, Trust(clock(), conn_idle * IDLE_PART)
+        self.flows, self.module, self.clock, self.timers = flows, module, module.clock, timers
+        self.connect_timeout, self.trust = connect_timeout, Trust(self.clock(), conn_idle * IDLE_PART)
         self.actors: dict[str, RealServer] = {}
         self.starts: dict[str, float] = {}
-        self.all_in_use = asyncio.Semaphore(int(IN_USE * sockets))
-        self.kept = int(KEPT * sockets)
+        self.fading: dict[str, RealServer] = {}  # not ready: they go once nothing is under way with them
+        self.all_in_use = Places(int(IN_USE * sockets))
+        self.kept = KeptLines(int(KEPT * sockets))
         self.reaper = PeriodicCallback(self._reap, 1000)
 
     def start(self) -> None:
@@ -286,26 +327,31 @@
         if worker_list.kind is not api.ListKind.PATCH:
             named = {e.worker for e in worker_list.entries}
             for name, actor in self.actors.items():
-                actor.ready = actor.ready and name in named
+                if name not in named:
+                    self._set_ready(actor, False)
         for e in worker_list.entries:
             if e.worker not in self.actors and e.state is api.State.GONE:
                 continue
             actor = self.actors.get(e.worker) or self._add(e.worker, addresses[e.worker])
-            actor.ready = e.state is api.State.READY
+            self._set_ready(actor, e.state is api.State.READY)
             address = addresses.get(e.worker, actor.address)
             if actor.address != address or self.starts.get(e.worker, e.born) != e.born:
-                actor.drop_idle(self.clock())  # connections to a process that is no more
+                actor.drop_idle()  # connections to a process that is no more
             actor.address, self.starts[e.worker] = address, e.born
-        for actor in self.actors.values():
-            actor.kept_most = max(1, self.kept // len(self.actors))
         self.module.tell(worker_list)
 
+    def _set_ready(self, actor: RealServer, ready: bool) -> None:
+        actor.ready = ready
+        if ready:
+            self.fading.pop(actor.server, None)
+        else:
+            self.fading[actor.server] = actor
+
     def _add(self, name: str, address: tuple[str, int]) -> RealServer:
         actor = self.actors[name] = RealServer(
-            name, address, self.flows, self.module, self.clock,
-            self.connect_timeout, self.trust, self.all_in_use,
+            name, address, self.flows, self.module, self.timers,
+            self.connect_timeout, self.trust, self.all_in_use, self.kept,
         )  # fmt: skip
-        actor.start()
         return actor
 
     def schedule(self, scheduling: Scheduling) -> None:
@@ -328,9 +374,9 @@
 
     def _reap(self) -> None:
         now = self.clock()
-        for name, actor in list(self.actors.items()):
-            actor.drop_idle(now - self.trust.limit(now) if actor.ready else now)
-            if not (actor.ready or actor.live or actor.busy or actor.box.qsize()):
-                actor.stop()
-                del self.actors[name]
+        self.kept.close_before(now - self.trust.limit(now))
+        for name, actor in list(self.fading.items()):
+            actor.drop_idle()
+            if actor.at_rest:
+                del self.actors[name], self.fading[name]
                 self.starts.pop(name, None)
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from tornado.queues import Queue
-
 from finchladder.config.entries import News, read_list
 from finchladder.core import api
 from finchladder.net import http1
@@ -15,6 +13,7 @@
 SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
 BACKOFF, BACKOFF_MOST = 0.1, 0.8  # news counts as told after 6 s: no longer wait may lie between two tries
 MAX_LINE = 8 * 1024 * 1024
+ROOM = 64
 
 Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
 
@@ -38,7 +37,7 @@
     """Keeps the version of the list last applied, and watches for what comes after it."""
 
     def __init__(self, address: tuple[str, int], apply: Apply) -> None:
-        super().__init__("service list", Queue(64))
+        super().__init__("service list", ROOM)
         self.address, self.apply = address, apply
         self.index = 0
         self.up = self.established = False
@@ -51,7 +50,6 @@
         self.up = self.up or bool(news.workers.entries) or news.workers.kind is not api.ListKind.STALE
 
     def start(self) -> None:
-        super().start()
         self.watching = self.spawn(self._watch_on())
 
     def follow(self, address: tuple[str, int]) -> None:
@@ -100,7 +98,7 @@
             while True:
                 for line in lines.feed(channel.parser.take_piece()):
                     if line:
-                        await self.box.put(read_list(line))
+                        self.post(read_list(line))
                 if channel.parser.body is None or channel.parser.body.done:
                     return
                 async with asyncio.timeout(SILENCE):
--- /dev/null
+++ b/finchladder/net/timers.py
@@ -0,0 +1,43 @@
+"""Timers that mostly never fire: a wheel on the loop, as a timer of the loop for each takes far more."""
+
+from collections.abc import Callable, Hashable
+
+from loguru import logger
+from tornado.ioloop import IOLoop
+
+from finchladder.core.wheel import Wheel
+
+WIDTH = 0.01  # seconds: a call comes so much later than it was due, at the most
+
+
+class Timers:
+    """One call for each key. All is O(1) but a turn of the wheel, each WIDTH seconds while it holds any."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.wheel: Wheel[tuple[float, Hashable, Callable[[], object]]] = Wheel(WIDTH)
+        self.turning = False
+
+    def put(self, key: Hashable, at: float, call: Callable[[], object]) -> None:
+        """`at` in seconds of the clock. Put again, a key leaves its earlier place."""
+        self.wheel.put(key, (at, key, call), at)
+        if not self.turning:
+            self.turning = True
+            IOLoop.current().call_later(WIDTH, self._turn)
+
+    def drop(self, key: Hashable) -> None:
+        self.wheel.drop(key)
+
+    def _turn(self) -> None:
+        now = self.clock()
+        for at, key, call in self.wheel.due(now):
+            if at > now:  # its slot has begun, or it was further ahead than the wheel goes
+                self.wheel.put(key, (at, key, call), max(at, now + WIDTH))
+                continue
+            try:
+                call()
+            except Exception:  # the others are due all the same
+                logger.exception("a timer died")
+        self.turning = len(self.wheel) > 0
+        if self.turning:
+            IOLoop.current().call_later(WIDTH, self._turn)
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -21,6 +21,7 @@
 from finchladder.net.intake import Intake
 from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, ModuleActor
+from finchladder.net.timers import Timers
 from tests.helpers import settings
 from tests.peers import ROOT, Node, RealServer, exchange, node, request, run
 
@@ -201,12 +202,13 @@
 def test_nothing_is_held_of_a_flow_whose_client_has_left() -> None:
     async def play() -> None:
         flows = Flows()
-        module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
-        intake = Intake({"u"}, flows, module, Arrivals(OFF, 1), Leaving(), 128)
+        module, seen = ModuleActor(Dispatcher(settings(), 1), flows, Clock()), list[object]()
+        module.tell = seen.append  # type: ignore[assignment]
+        intake = Intake({"u"}, flows, module, Timers(Clock()), Arrivals(OFF, 1), Leaving(), 128)
         message = HttpMessage("POST", "/u", Headers([]), b"")
         flow = Flow("a", "u", None, {}, message, Clock()() + 900, lambda answer: None)
         intake.take(flow, Effect(600.0))
-        assert intake.held and module.box.empty()
+        assert intake.held and not seen
         flows.finish(flow, Answer("left"))
         assert not intake.held and not flows.by_id
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -23,6 +23,7 @@
 from finchladder.net.intake import Intake, Repeated
 from finchladder.net.messages import HttpMessage
 from finchladder.net.module import Clock, Ending, ModuleActor
+from finchladder.net.timers import Timers
 from tests.helpers import entry, settings
 from tests.peers import exchange, request
 
@@ -219,7 +220,7 @@
 
 
 def intake(flows: Flows, module: ModuleActor, sockets: int = 128) -> Intake:
-    return Intake({"s", "unsafe"}, flows, module, Arrivals(OFF, 0), Leaving(), sockets)
+    return Intake({"s", "unsafe"}, flows, module, Timers(Clock()), Arrivals(OFF, 0), Leaving(), sockets)
 
 
 def listener(taking: Intake, bodies: BodyRoom) -> clients.Clients:
@@ -247,7 +248,6 @@
         flows, answers, log = Flows(), list[Answer](), list[str]()
         sink = logger.add(log.append, format="{message}")
         module = ModuleActor(Broken(settings(), 1), flows, Clock())
-        module.start()
         module.tell(flow_of(flows, answers))
         await asyncio.sleep(0.01)
         logger.remove(sink)
@@ -258,22 +258,21 @@
 
 
 def test_the_list_goes_ahead_of_queued_work() -> None:
-    seen: list[type] = []
+    """What comes while an event is being decided waits in the mailbox; lists keep their own order there."""
+    seen: list[object] = []
+    first, second = api.WorkerList(api.ListKind.WHOLE), api.WorkerList(api.ListKind.PATCH)
 
     class Watcher(Dispatcher):
         def handle(self, now: float, event: api.Event) -> list[api.Action]:
-            seen.append(type(event))
+            if not seen:
+                for item in (api.Timer(1), first, api.Timer(2), second):
+                    module.tell(item)
+            seen.append(event)
             return []
 
-    async def play() -> None:
-        module = ModuleActor(Watcher(settings(), 1), Flows(), Clock())
-        module.tell(api.Timer(0))
-        module.tell(api.WorkerList(api.ListKind.PATCH))
-        module.start()
-        await asyncio.sleep(0.01)
-
-    asyncio.run(play())
-    assert seen == [api.WorkerList, api.Timer]
+    module = ModuleActor(Watcher(settings(), 1), Flows(), Clock())
+    module.tell(api.Timer(0))
+    assert seen == [api.Timer(0), first, second, api.Timer(1), api.Timer(2)]
 
 
 @pytest.mark.parametrize("connecting", [False, True])
@@ -285,7 +284,7 @@
         flows, told = Flows(), list[object]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        group = servers.RealServers(flows, module, Clock(), 5, 30.0, 128)
+        group = servers.RealServers(flows, module, Timers(Clock()), 5, 30.0, 128)
         address = {"w1": listener.sockets[0].getsockname()[:2]}
         group.update(api.WorkerList(api.ListKind.WHOLE, (entry("w1"),)), address)
 
@@ -317,7 +316,7 @@
         flows, told, answers = Flows(), list[object](), list[Answer]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        group = servers.RealServers(flows, module, Clock(), 1, 1, 128)
+        group = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128)
         server = group._add("w1", ("127.0.0.1", 9))
         flow = flow_of(flows, answers)
         scheduling = Scheduling(flow, 0, "w1", 0.0, 1e12)
@@ -412,7 +411,7 @@
         sink = logger.add(log.append, format="{message}")
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        server = servers.RealServers(flows, module, Clock(), 1, 1, 128)._add("w1", ("127.0.0.1", 9))
+        server = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128)._add("w1", ("127.0.0.1", 9))
         server.post(Scheduling(flow_of(flows, []), 0, "w1", 0.0, 1e12))
         while not told:
             await asyncio.sleep(0.01)
