Writes that go out at once take no future; heads that repeat are kept parsed

Cause: each write made a future, a callback and a turn of the loop; call-backs and 202s bring the same head again and again. Change: a stream's put hands the socket what it takes; up to 256 heads of at most 512 bytes are kept parsed; an edge connection knows its place among those that wait.

--- a/finchladder/core/edges.py
+++ b/finchladder/core/edges.py
@@ -30,6 +30,7 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self._since: dict[E, float] = {}  # when it was begun, or was last through with a message
+        self._waits_as: dict[E, Worth] = {}
         # by worth; in each the one waiting longest is first
         self._waiting: dict[Worth, dict[E, None]] = {worth: {} for worth in Worth}
 
@@ -60,12 +61,13 @@
         """It may be closed from now on, as the last of its worth."""
         if edge in self._since:  # else it was closed already
             self.work(edge)
+            self._waits_as[edge] = worth
             self._waiting[worth][edge] = None
 
     def work(self, edge: E) -> None:
         """A whole message of it has come: it may not be closed until that is answered."""
-        for edges in self._waiting.values():
-            edges.pop(edge, None)
+        if (worth := self._waits_as.pop(edge, None)) is not None:
+            del self._waiting[worth][edge]
 
     def drop(self, edge: E) -> None:
         self.work(edge)
--- a/finchladder/net/edge.py
+++ b/finchladder/net/edge.py
@@ -1,10 +1,9 @@
 """An edge connection: one connection from a client, or from a real server that calls back."""
 
 import asyncio
+from collections.abc import Awaitable
 from typing import Protocol
 
-from tornado.iostream import IOStream
-
 from finchladder.core.bodies import NoRoom, Reservation
 from finchladder.core.edges import EdgeTable, Worth
 from finchladder.net.control import Dump, Reply
@@ -14,6 +13,7 @@
     Channel,
     Head,
     Parser,
+    Stream,
     StreamClosedError,
     parse_request,
     write_head,
@@ -40,7 +40,7 @@
     """Reads messages one after another, and writes what is answered. Its mailbox brings flows' answers."""
 
     def __init__(
-        self, stream: IOStream, client: str, desk: Desk, table: "EdgeTable[EdgeConnection]",
+        self, stream: Stream, client: str, desk: Desk, table: "EdgeTable[EdgeConnection]",
         body: Reservation,
     ) -> None:  # fmt: skip
         self.channel = Channel(stream, Parser(parse_request, limit_of))
@@ -127,13 +127,15 @@
         reply = await self.desk.answer(self, head, body)
         close = self._closes(head)
         if reply.dump is None:
-            written = self.channel.stream.write(write_response(reply.status, reply.body, reply.fields, close))
-            if written.done():
-                written.result()
+            data = write_response(reply.status, reply.body, reply.fields, close)
+            if (writing := self.channel.stream.put(data)) is None:
                 return not close
+            rest: Awaitable[None] = writing
+        else:
+            rest = self._dump(reply, reply.dump, close)
         try:
             async with asyncio.timeout(ANSWER_WITHIN):
-                await (written if reply.dump is None else self._dump(reply, reply.dump, close))
+                await rest
         except TimeoutError:
             raise StreamClosedError() from None  # no second answer may follow half of the first
         return not close
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -2,7 +2,9 @@
 
 import re
 import socket
+from asyncio import Future
 from collections.abc import Callable
+from functools import lru_cache
 from typing import NamedTuple
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -10,6 +12,8 @@
 MAX_HEAD = 8 * 1024
 MAX_FIELDS = 64
 MAX_BODY = 64 * 1024
+KNOWN, KNOWN_MOST = 256, 512  # heads that are kept parsed, and the bytes of one: some 0.5 MB at the most
+REPEATED = b"POST /v1/job-events "
 PIECE = 64 * 1024
 READ = 16 * 1024  # asked of a socket at once: larger buffers are cleared for nothing
 REASONS = {
@@ -104,6 +108,15 @@
 
 
 def parse_request(head: bytes) -> Head:
+    # a real server's call-backs have the same head again and again, a client's requests never
+    return _known_request(head) if head.startswith(REPEATED) and len(head) <= KNOWN_MOST else _request(head)
+
+
+def parse_response(head: bytes) -> Head:
+    return _known_response(head) if len(head) <= KNOWN_MOST else _response(head)
+
+
+def _request(head: bytes) -> Head:
     start, *lines = head.split(b"\r\n")
     m = _REQUEST.fullmatch(start)
     if m is None:
@@ -111,7 +124,7 @@
     return Head(int(m[3]), _headers(lines, plain=True), m[1].decode(), m[2].decode())
 
 
-def parse_response(head: bytes) -> Head:
+def _response(head: bytes) -> Head:
     start, *lines = head.split(b"\r\n")
     m = _STATUS.fullmatch(start)
     if m is None:
@@ -119,6 +132,10 @@
     return Head(int(m[1]), _headers(lines, plain=False), status=int(m[2]))
 
 
+_known_request = lru_cache(KNOWN)(_request)
+_known_response = lru_cache(KNOWN)(_response)
+
+
 class Body:
     """Takes one message's body off the front of a buffer."""
 
@@ -261,10 +278,25 @@
 
 
 class Stream(IOStream):
-    """Asks the socket once for what is there: IOStream's own asks again until there is nothing."""
+    """Asks the socket once for what is there: IOStream's own asks again until there is nothing.
+
+    `put` writes without a future where the socket takes all at once, as it mostly does.
+    """
 
     short = False  # the last read was not filled: nothing more was there
 
+    def put(self, data: bytes) -> Future[None] | None:
+        """None: the last byte is written. Else what waits for that, or StreamClosedError."""
+        if self.closed() or self.writing():
+            return self.write(data)
+        try:
+            sent = self.socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:  # IOStream's own write meets it again, and closes
+            return self.write(data)
+        return None if sent == len(data) else self.write(data[sent:])
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         if self.short:
             self.short = False
@@ -277,9 +309,8 @@
 class Channel:
     """One connection: a stream and the parser of what comes on it."""
 
-    def __init__(self, stream: IOStream, parser: Parser) -> None:
+    def __init__(self, stream: Stream, parser: Parser) -> None:
         self.stream, self.parser = stream, parser
-        self.idle = 0.0  # how long it was kept before its present use
         stream.set_nodelay(True)
 
     async def fill(self) -> None:
@@ -300,7 +331,8 @@
         return message
 
     async def write(self, data: bytes) -> None:
-        await self.stream.write(data)
+        if (writing := self.stream.put(data)) is not None:
+            await writing
 
     def usable(self) -> bool:
         """Whether a kept connection still stands: what the peer sent while it was idle ends it."""
--- a/finchladder/net/lines.py
+++ b/finchladder/net/lines.py
@@ -35,14 +35,16 @@
         self.exchange: Exchange | None = None
         self.busy = self.over = False
         self.held = True  # by whoever had it made, or took it from the kept ones
+        self.begun = False  # the request was handed to the stream
         self.writing: asyncio.Future[None] | None = None
         self.task = asyncio.get_running_loop().create_task(self._live())
 
     def begin(self, exchange: Exchange, request: bytes) -> None:
         """On a free line only."""
-        self.exchange, self.busy = exchange, True
+        self.exchange, self.busy, self.begun = exchange, True, False
         try:
-            self.writing = self.channel.stream.write(request)
+            self.writing = self.channel.stream.put(request)
+            self.begun = True
         except StreamClosedError:
             self._end()  # its task may be waiting for its turn to see the same
 
@@ -92,7 +94,8 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             # a write that is known to have broken before its last byte never ran; when unsure, it may have
-            exchange.broke(self.writing is not None and self.writing.done() and not self.writing.exception())
+            w = self.writing
+            exchange.broke(self.begun and (w is None or (w.done() and not w.exception())))
         self.gone(self)
 
 
