--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -15,6 +15,7 @@
     from finchladder.lab.show import Show
 
 RUNS = Path("lab-runs")  # where runs go unless --out says otherwise
+MOST_LINES = 5  # dispatchers with a line each; more are told of in sum
 SHIPPED = Path(__file__).resolve().parents[2] / "benchmarks"
 
 
@@ -110,18 +111,16 @@
     return out.resolve()
 
 
-def play_all(variants: Iterable["Variant"], out: Path, show: "Show") -> list[dict[str, Any]]:
-    """Plays them in their order, a folder each where there are several; their summaries."""
+def play_one(variant: "Variant", out: Path, show: "Show") -> dict[str, Any]:
+    """Its summary, after it was told."""
     from finchladder.lab.run import play
 
-    summaries = []
-    for variant in variants:
-        folder = out / variant.label if variant.label else out
-        folder.mkdir(exist_ok=True)
-        play(variant.experiment, variant.folder, folder, show)
-        summaries.append(write(folder))
-        tell(summaries[-1], folder, variant.label)
-    return summaries
+    folder = out / variant.label if variant.label else out
+    folder.mkdir(parents=True, exist_ok=True)
+    play(variant.experiment, variant.folder, folder, show)
+    summary = write(folder)
+    tell(summary, folder, variant.label)
+    return summary
 
 
 def write(folder: Path) -> dict[str, Any]:
@@ -137,6 +136,12 @@
     return summary
 
 
+def _together(processes: Iterable[dict[str, float]]) -> dict[str, float]:
+    """What they take in sum."""
+    several = list(processes)
+    return {key: sum(p[key] for p in several) for key in ("cpu", "rss_mb", "fds", "starts")}
+
+
 def tell(summary: dict[str, Any], folder: Path, label: str) -> None:
     """A run in about ten lines."""
     s = summary
@@ -150,20 +155,32 @@
     lines.append(f"  goodput {s['goodput_per_s']:.1f} jobs/s, G {s['g']:.3f}")
     for name, c in s["latency"].items():
         lines.append(f"  {name}: p50 {c['p50_ms']:.0f} ms, p99 {c['p99_ms']:.0f} ms")
-    for name, d in s["dispatchers"].items():
-        used = f"CPU {d['cpu']:.2f} of a core, {d['rss_mb']:.0f} MB, {d['fds']} descriptors"
-        lines.append(f"  {name}: {used}, {d['starts']} starts")
+    used = {**s["dispatchers"], "the lab": _together(s["lab"].values())}
+    if len(s["dispatchers"]) > MOST_LINES:
+        used = {
+            f"{len(s['dispatchers'])} dispatchers": _together(s["dispatchers"].values()),
+            "the lab": used["the lab"],
+        }
+    for name, d in used.items():
+        cpu, memory = f"CPU {d['cpu']:.2f} of a core", f"{d['rss_mb']:.0f} MB"
+        lines.append(f"  {name}: {cpu}, {memory}, {d['fds']:.0f} descriptors, {d['starts']:.0f} starts")
     print("\n".join([*lines, f"  report: {folder / 'report.html'}"]), flush=True)
 
 
 def run_file(args: argparse.Namespace, show: "Show") -> bool:
+    from finchladder.lab import sweep
     from finchladder.lab.check import Unusable, load
 
     if args.repeats is not None and args.repeats < 1:
         raise Unusable("--repeats: at least 1")
     variants = load(args.file, args.sets, args.seed, args.repeats)
     out = place(args.out, variants[0].experiment.name)
-    return all(s["valid"] for s in play_all(variants, out, show))
+    if len(variants) > 1:
+        sweep.note(out, [sweep.Played(v.label, v.settings, v.repeat) for v in variants])
+    valid = [play_one(v, out, show)["valid"] for v in variants]
+    if len(variants) > 1:
+        print(f"{sweep.write(out)}{out / 'sweep.html'}")
+    return all(valid)
 
 
 def compare_two(args: argparse.Namespace, show: "Show") -> bool:
@@ -189,10 +206,7 @@
     out = place(args.out, f"{a[0].experiment.name}-compare")
     pairs: dict[str, list[tuple[dict[str, Any], dict[str, Any]]]] = {}
     for va, vb in zip(a, b, strict=True):
-        found = []
-        for side, variant in (("a", va), ("b", vb)):
-            (out / side).mkdir(exist_ok=True)
-            found += play_all([variant], out / side, show)
+        found = [play_one(v, out / side, show) for side, v in (("a", va), ("b", vb))]
         point = ", ".join(f"{name} {value}" for name, value in va.settings.items())
         pairs.setdefault(point, []).append((found[0], found[1]))
     text = ""
@@ -205,7 +219,20 @@
 
 
 def report_folder(args: argparse.Namespace, show: "Show") -> bool:
-    tell(write(args.folder.resolve()), args.folder, "")
+    from finchladder.lab import sweep
+    from finchladder.lab.check import Unusable
+
+    folder = args.folder.resolve()
+    if not (folder / "runs.json").exists():
+        tell(write(folder), folder, "")
+        return True
+    try:
+        for played in sweep.noted(folder):
+            if (folder / played.folder / "ledger").is_dir():
+                write(folder / played.folder)
+        print(f"{sweep.write(folder)}{folder / 'sweep.html'}")
+    except (OSError, ValueError) as e:
+        raise Unusable(f"{folder}: {e}") from None
     return True
 
 
