--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -118,6 +118,7 @@
     folder = out / variant.label if variant.label else out
     folder.mkdir(parents=True, exist_ok=True)
     play(variant.experiment, variant.folder, folder, show)
+    show.close()
     summary = write(folder)
     tell(summary, folder, variant.label)
     return summary
