Load generator: guards without a test get one, those without a need go

Change: tests for the closing of connections whose wait is over, idle connections, deadlines and end of a closed loop, late notice of a death, descriptors that run out; a try's second end is an error now, not passed over.

--- a/finchladder/lab/drivers/load.py
+++ b/finchladder/lab/drivers/load.py
@@ -90,7 +90,6 @@
     dispatcher: str = ""
     connection: "_Connection | None" = None
     bucket: int = 0
-    over: bool = False
 
 
 class _Connection(asyncio.Protocol):
@@ -148,8 +147,6 @@
             self.attempt.sent = time.monotonic()
 
     def data_received(self, data: bytes) -> None:
-        if self.left:
-            return
         try:
             messages = self.parser.feed(data)
         except WireError:  # no whole answer will come of this
@@ -182,15 +179,7 @@
         parser = self.parser
         if self.attempt is None:
             return None
-        if (
-            parser.begun
-            and parser.head_done
-            and not parser.headers.keys()
-            & {
-                "content-length",
-                "transfer-encoding",
-            }
-        ):  # the body ends with the connection
+        if parser.begun and parser.head_done and not FRAMED & parser.headers.keys():
             assert isinstance(parser.raw, httptools.HttpResponseParser)
             status = parser.raw.get_status_code()
             self._message(Message(parser.headers, parser.body, False, status=status))
@@ -496,10 +485,7 @@
         retry_after: float = 0.0,
     ) -> None:
         """The one end of a try: into the ledger, and what its client does then."""
-        if attempt.over:
-            return
-        attempt.over = True
-        self.tries.discard(attempt)
+        self.tries.remove(attempt)  # a second end would be a bug of the lab, and ends the process
         if bucket := self.buckets.get(attempt.bucket):
             bucket.discard(attempt)  # kept until then, all ended tries would weigh on the garbage collector
         self.counts.tries += 1
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -1,6 +1,7 @@
 """The load generator against scripted dispatchers on loopback. Verdicts count records; none is of speed."""
 
 import asyncio
+import errno
 import os
 import signal
 import socket
@@ -20,11 +21,12 @@
 from finchladder.lab.drivers.base import Process
 from finchladder.lab.drivers.load import Load
 from finchladder.lab.drivers.sockets import reset
-from finchladder.lab.experiment import Experiment, JobClass, Keys, Phase, Retries
+from finchladder.lab.experiment import Experiment, Front, JobClass, Keys, Phase, Retries
 from finchladder.lab.experiment import Load as LoadPart
 from finchladder.lab.records import Answered, Asked, Mark
 from finchladder.lab.wire import Message, Parser, write_response
 
+STUBS: list["Stub"] = []  # of the test that runs
 Script = Callable[["Stub", Message], None]
 VIEW = JobClass("view", deadline_s=1.0)
 
@@ -34,10 +36,15 @@
 
     def __init__(self, script: Script, heard: list[Message]) -> None:
         self.script, self.heard, self.parser, self.count = script, heard, Parser(responses=False), 0
+        self.lost = False
+        STUBS.append(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lost = True
+
     def data_received(self, data: bytes) -> None:
         for message in self.parser.feed(data):
             self.count += 1
@@ -59,6 +66,7 @@
         self.experiment, self.out = Experiment("t", load, **more), tmp_path
 
     async def start(self, script: Script | None) -> None:
+        STUBS.clear()
         loop = asyncio.get_running_loop()
         server = await loop.create_server(lambda: Stub(script or ok, self.heard), "127.0.0.1", 0)
         self.port: int = server.sockets[0].getsockname()[1]
@@ -91,10 +99,13 @@
         assert not self.process.ended.done(), self.words[-1].text
         return figures
 
-    async def whole(self, script: Script | None) -> dict[str, Any]:
+    async def whole(self, script: Script | None, closes: bool = False) -> dict[str, Any]:
+        """closes: the client's connections are to end before the process does."""
         await self.start(script)
         self.role.order(Order("go", time.monotonic()))
         await self.until(lambda: self.process.said_done)
+        if closes:
+            await self.until(lambda: all(stub.lost for stub in STUBS))
         return await self.stop()
 
     def read(self) -> tuple[list[Asked], list[Answered], list[str]]:
@@ -186,7 +197,7 @@
 )
 def test_how_a_try_ends(tmp_path: Path, script: Script | None, impatient: float, expected: Any) -> None:
     world = World(tmp_path, one(impatient=impatient))
-    uvloop.run(world.whole(script))
+    uvloop.run(world.whole(script, closes=expected[0][0] != "answer"))
     (asked,), answered, _ = world.read()
     assert [(a.end, a.status, a.body, a.retry_after) for a in answered] == expected
     assert {a.id for a in answered} == {asked.id}
@@ -276,6 +287,8 @@
     world = World(tmp_path, LoadPart([Phase("p", 0.3, in_flight=4)]))
     figures = uvloop.run(world.whole(script))
     asked, answered, _ = world.read()
+    assert max(a.due for a in asked) < world.role.zero + 0.3
+    assert all(a.sent + a.patience >= a.due + VIEW.deadline_s - 1e-6 for a in asked)  # each its own deadline
     assert most[1] == 4 and figures["offered"] == len(asked) == len(answered) > 8
 
 
@@ -315,6 +328,54 @@
     assert {m.target for m in world.heard} == {"/_health"}
 
 
+def test_idle_connections_are_not_kept_for_ever(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("finchladder.lab.drivers.load.KEEP_S", 0.05)
+    world = World(tmp_path, one())
+    uvloop.run(world.whole(ok, closes=True))
+    assert len(world.read()[1]) == 1
+
+
+@pytest.mark.parametrize(("planned", "end"), [(True, "unconnected"), (False, "answer")])
+def test_the_front_notices_a_death_late(tmp_path: Path, planned: bool, end: str) -> None:
+    async def play() -> None:
+        await world.start(ok)
+        world.role.order(Order("down", data={"name": "n1", "planned": planned}))
+        world.role.order(Order("go", time.monotonic()))
+        await world.until(lambda: world.process.said_done)
+        await world.stop()
+
+    world = World(tmp_path, one(), front=Front(notices_death_s=60.0))
+    uvloop.run(play())
+    assert [a.end for a in world.read()[1]] == [end]
+
+
+def test_descriptors_that_run_out_end_the_process(tmp_path: Path) -> None:
+    """A lab without descriptors must not look like a dispatcher that refuses connections."""
+
+    class Poor:
+        def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+            self.loop = loop
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(self.loop, name)
+
+        async def create_connection(self, *arguments: object) -> None:
+            raise OSError(errno.EMFILE, "too many open files")
+
+    async def play() -> None:
+        await world.start(ok)
+        world.process.loop = cast(asyncio.AbstractEventLoop, Poor(world.process.loop))
+        world.role.order(Order("go", time.monotonic()))
+        async with asyncio.timeout(10):
+            assert await world.process.ended == 1
+        world.role.close()
+        world.process.close()
+
+    world = World(tmp_path, one())
+    uvloop.run(play())
+    assert world.words[-1].what == "failed" and "too many open files" in world.words[-1].text
+
+
 def test_rude_clients_find_a_dispatcher_that_takes_anything(tmp_path: Path) -> None:
     class Lax(Stub):
         def data_received(self, data: bytes) -> None:
--- a/tests/lab/test_schedule.py
+++ b/tests/lab/test_schedule.py
@@ -198,6 +198,7 @@
 
 def test_ids_are_the_runs_own() -> None:
     made = [next_id for part in (0, 1) for next_id, _ in zip(ids(5, part), range(50_000), strict=False)]
+    assert {i[:2] for i in made} == {"00", "01"}  # whatever their seeds
     assert len(set(made)) == 100_000 and all(len(i) == 18 and i.isalnum() for i in made[:99])
 
 
