--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -67,7 +67,8 @@
         return
     try:
         from finchladder.lab.check import Unusable
-        from finchladder.lab.run import Interrupted, LabError
+        from finchladder.lab.processes import LabError
+        from finchladder.lab.run import Interrupted
         from finchladder.lab.show import Show
     except ModuleNotFoundError as e:
         fail(f"the lab needs {e.name}, which is not installed: pip install 'finchladder[lab]'")
--- a/finchladder/lab/wire.py
+++ b/finchladder/lab/wire.py
@@ -16,7 +16,7 @@
 
 
 class Message(NamedTuple):
-    """A whole request (`method`, `target`) or response (`status`). Names in lower case; the last field wins."""
+    """A whole request (`method`, `target`) or answer (`status`). Names in lower case; the last one wins."""
 
     headers: dict[str, str]
     body: bytes
