--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from finchladder.cli.front import fail, takes_config, takes_log_format
-from finchladder.config.options import CaptureOptions, Options, read_options
+from finchladder.config.options import CaptureOptions, Options, Refused, read_options
 from finchladder.config.platform import Setup, read_setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
@@ -125,8 +125,12 @@
 def run(args: argparse.Namespace) -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     try:
-        setup, options = read_setup(os.environ), read_options(args.config)
+        setup = read_setup(os.environ)
+        options = read_options(args.config, setup.settings, setup.limits.memory_mb)
         options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb)
+    except Refused as e:
+        print(e, file=sys.stderr)
+        sys.exit(2)
     except ValueError as e:
         fail(str(e))
     log_to(sys.stderr, setup.name, args.log_format)
--- a/finchladder/config/checker.py
+++ b/finchladder/config/checker.py
@@ -23,9 +23,10 @@
     notes: Notes, settings: Settings | None, defaults: Leaves | None, classes: dict[str, Leaves],
     routes: dict[str, Leaves], resolved: list[Resolved],
 ) -> None:  # fmt: skip
+    if not notes.found:  # else what could not be read may be what it stands below
+        _unused(notes, defaults, classes, routes, resolved)
     for name, own in routes.items():
         _matches(notes, name, own)
-    _unused(notes, defaults, classes, routes, resolved)
     void = Void(notes)
     for r in resolved:
         times(notes, r)
@@ -49,21 +50,21 @@
 
     def __init__(self, notes: Notes) -> None:
         self.notes = notes
-        self.found: dict[Path, tuple[str, str]] = {}
-        self.of_use: set[Path] = set()
+        self.found: dict[tuple[str, Path], str] = {}
+        self.of_use: set[tuple[str, Path]] = set()
 
     def judge(self, code: str, one: Said | None, void: bool, by: Said | None, reason: str) -> None:
         """`by`: the setting that makes it void, if that is one."""
         if one is None:
             return
         if void and (by is None or one.level >= by.level):
-            self.found.setdefault(one.path, (code, reason))
+            self.found.setdefault((code, one.path), reason)
         elif not void:
-            self.of_use.add(one.path)
+            self.of_use.add((code, one.path))
 
     def tell(self) -> None:
-        for path, (code, reason) in self.found.items():
-            if path not in self.of_use:
+        for (code, path), reason in self.found.items():
+            if (code, path) not in self.of_use:
                 self.notes.add(code, path, reason)
 
 
@@ -71,7 +72,7 @@
 
 
 def _matches(notes: Notes, name: str, own: Leaves) -> None:
-    if "class" not in own and "match" not in own:
+    if "class?" not in own and "match?" not in own:
         notes.add("FL143", ("route", name), f"route {name} does not say which jobs it is for")
     method = own.get("match.method")
     if method is not None and method.value != METHOD:
@@ -85,10 +86,8 @@
     if defaults is not None and not routes:
         notes.add("FL148", ("defaults",), "[defaults] stands below no route, so it changes nothing")
     used = {r.job_class for r in resolved}
-    if None in used or len({r.name for r in resolved}) < len(routes):
-        return  # a route that could not be resolved may be of any class
     for name in classes:
-        if name not in used and not notes.has("FL161", ("class", name)):
+        if name not in used and None not in used:
             reason = f"[class.{name}] stands below no route, so it changes nothing"
             notes.add("FL147", ("class", name), reason)
 
@@ -180,7 +179,7 @@
         void.judge("FL129", r.told(name), not r.get("backoff.base_s"), base, reason)
     for name in ("backoff.base_s", "resend_on", "retry_budget.share"):
         reason = f"{name} changes nothing, as attempts = 1 lets no job be sent again"
-        void.judge("FL134", r.told(name), r.get("attempts") == 1, sends, reason)
+        void.judge("FL134", r.told(name), r.get("attempts") == 1 and r.get(name) != [], sends, reason)
     again = r.told("resend_on")
     if sends is not None and sends.value > 1 and again is not None and not again.value and r.hedges is None:
         reason = f"route {r.name} has {sends.value} attempts, and no ending lets a job be sent again"
@@ -207,11 +206,10 @@
     if not off:
         reason = "a hedge is a second attempt, and attempts = 1"
         void.judge("FL137", on, r.get("attempts") == 1, sends, reason)
-    if on is not None and r.hedges is not None and "hedge_after_s" in r.said:
-        bounds = [b for b in (_whole(r), _attempt(r)) if b is not None]
-        if bounds and on.value >= min(bounds)[0]:
-            most, what = min(bounds)
-            notes.add("FL139", on.path, f"no hedge would ever be sent within {what}", most=most)
+    after, bounds = r.told("hedge_after_s"), [b for b in (_whole(r), _attempt(r)) if b is not None]
+    if after is not None and r.hedges is not None and bounds and after.value >= min(bounds)[0]:
+        most, what = min(bounds)
+        notes.add("FL139", after.path, f"no hedge would ever be sent within {what}", most=most)
 
 
 def _attempt(r: Resolved) -> tuple[float, str] | None:
@@ -277,8 +275,9 @@
     if cls.effect is not Effect.KEYED:
         return
     sends, one = r.told("attempts"), r.told("attempt_timeout_s")
-    if on is not None and "hedge_after_s" in r.said and on.value > cls.window:
-        _leaves_window(notes, r, on, on.value)
+    after = r.told("hedge_after_s")
+    if on is not None and after is not None and after.value > cls.window:
+        _leaves_window(notes, r, after, after.value)
     elif sends is not None and one is not None and (again is None or risky):
         last = (sends.value - 1) * one.value + r.backoff.longest_s(sends.value - 1)
         if last > cls.window + NEAR:
--- a/finchladder/config/codes.py
+++ b/finchladder/config/codes.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple, NoReturn
 
+from finchladder.config.options import Refused
 from finchladder.config.places import Path, Place, Places
 
 
@@ -25,8 +26,8 @@
 LONGEST = 300  # characters of a reason
 
 
-class Findings(ValueError):
-    """A file can't be used: what was found in it in the order of its lines, and how many `more` there are."""
+class Findings(Refused):
+    """What was found in it in the order of its lines, and how many `more` there are."""
 
     def __init__(self, findings: Iterable[Finding]) -> None:
         found = sorted(findings, key=lambda f: (f.line, f.column, f.code))
@@ -145,9 +146,6 @@
         one = Finding(code, self.file, *place, _line(reason)[:LONGEST], _line(remedy)[:LONGEST])
         self.found.setdefault((code, place), one)
 
-    def has(self, code: str, path: Path) -> bool:
-        return (code, self.places.find(path)) in self.found
-
     def stop(self, code: str, place: Place, reason: str, **words: Any) -> NoReturn:
         self.at(code, place, reason, **words)
         raise Unusable
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -13,6 +13,8 @@
 import msgspec
 from msgspec import Meta
 
+from finchladder.core import api
+
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
 RING_TAKES = 3  # bytes for each of the ring: 1.4 measured with its objects, and as much while it is dumped
@@ -83,14 +85,23 @@
 OFF = Options()
 
 
-def read_options(path: str | None) -> Options:
-    """ValueError says in one line what can't be used; of a file in TOML, in a line for each finding."""
+class Refused(ValueError):
+    """A file in TOML can't be used; the message has a line for each finding."""
+
+
+def read_options(
+    path: str | None, settings: api.Settings | None = None, memory_mb: int | None = None
+) -> Options:
+    """ValueError says in one line what can't be used, Refused all of it.
+
+    A file in TOML is checked whole, its routes by the platform's settings, where those are given.
+    """
     if path is None:
         return OFF
     if is_toml(path):
         from finchladder.config.routes import read  # what a dispatcher with an INI file need not load
 
-        return read(path).options
+        return read(path, settings, memory_mb).options
     try:
         text = Path(path).read_text("utf-8")
     except OSError as e:
--- a/finchladder/config/places.py
+++ b/finchladder/config/places.py
@@ -79,7 +79,7 @@
 def ini_places(text: str) -> Places:
     """Of an INI file: its sections and their keys, as paths of two."""
     places, section = Places(), ""
-    for number, line in enumerate(text.splitlines(), 1):
+    for number, line in enumerate(text.split("\n"), 1):
         if (m := _INI_SECTION.match(line)) is not None:
             section = m[1]
             places.of.setdefault((section,), Place(number, 1))
--- a/finchladder/config/render.py
+++ b/finchladder/config/render.py
@@ -66,7 +66,7 @@
     sections = ini_sections(text, path)
     lines: list[str] = []
     section, written = "", set[tuple[str, str]]()
-    for line in text.splitlines():
+    for line in text.split("\n"):
         plain = line.strip()
         key = next((k for k in sections.get(section, {}) if _is_key(plain, k)), None)
         if plain.startswith((";", "#")) or not plain:
@@ -81,7 +81,7 @@
             value = msgspec.convert(sections[section][key], kind, strict=False)
             if value is not None:  # a text that msgspec takes for nothing is as good as not said
                 lines.append(f"{key} = {_toml_value(value)}")
-    found = "\n".join(lines) + "\n" if lines else ""
+    found = "\n".join(lines).strip("\n") + "\n"
     made = load(found, "converted.toml")
     if isinstance(made, Findings) or made.options != read_ini(text, path):
         raise ValueError(f"{path}: there is something in it that can't be converted")
--- a/finchladder/config/routes.py
+++ b/finchladder/config/routes.py
@@ -93,6 +93,7 @@
 
 def _ini(notes: Notes, text: str, name: str) -> Options:
     """As a dispatcher reads it; what it would say is the one finding."""
+    text = text.replace("\r\n", "\n").replace("\r", "\n")  # as reading a file as text does
     notes.places = ini_places(text)
     try:
         return read_ini(text, name)
@@ -131,18 +132,19 @@
         said = str(e)
     except RecursionError:  # the walk has a bound of its own; should it have lost its way, here is another
         notes.stop("FL107", Place(1, 1), "tables or arrays are nested too deeply")
-    if said.endswith(_AT_END):
-        lines = text.replace("\r\n", "\n").split("\n")
-        end = Place(len(lines), len(lines[-1]) + 1)
-        notes.stop("FL108", end, f"the file ends too early: {shown(said.removesuffix(_AT_END))}")
     m = _AT.search(said)
-    place = Place(int(m[1]), int(m[2])) if m else Place(1, 1)
-    twice = notes.places.twice
-    if twice is not None and (m is None or twice.place.line <= place.line):
+    lines = text.replace("\r\n", "\n").split("\n")
+    place = Place(int(m[1]), int(m[2])) if m else Place(len(lines), len(lines[-1]) + 1)
+    reason = shown(_AT.sub("", said).removesuffix(_AT_END))
+    if said.startswith(_TWICE):
+        twice = notes.places.twice
+        if twice is None:
+            notes.stop("FL106", place, f"this is there already: {reason}")
         key = shown(".".join(map(str, twice.path)))
         notes.stop("FL106", twice.place, f"{key} is there already, at line {twice.first.line}")
-    reason = shown(_AT.sub("", said))
-    notes.stop("FL106" if said.startswith(_TWICE) else "FL105", place, f"this is no TOML: {reason}")
+    if said.endswith(_AT_END):
+        notes.stop("FL108", place, f"the file ends too early: {reason}")
+    notes.stop("FL105", place if m else Place(1, 1), f"this is no TOML: {reason}")
 
 
 def _features(notes: Notes, sections: dict[str, Any]) -> Options:
@@ -184,17 +186,19 @@
     for name in tables:
         if level == "route" and not _NAME.match(name):
             notes.add("FL121", (level, name), f"{shown(name)} can't be a route's name")
-    return {name: _section(notes, kind, table, (level, name), number) for name, table in tables.items()}
+    found = {name: _section(notes, kind, table, (level, name), number) for name, table in tables.items()}
+    return {name: own for name, own in found.items() if own is not None}
 
 
-def _section(notes: Notes, kind: type[Limits], table: Any, path: Path, level: int) -> Leaves:
+def _section(notes: Notes, kind: type[Limits], table: Any, path: Path, level: int) -> Leaves | None:
     if not isinstance(table, dict):
         name = f"[{path[0]}.NAME]" if len(path) > 1 else f"[{path[0]}]"
         notes.add("FL120", path, f"{shown(path[-1])} is {kind_of(table)}", table=name)
-        return {}
+        return None
     found = leaves(notes, kind, table, path, level)
-    if "match" in table:
-        found["match"] = Said(table["match"], (*path, "match"), level)
+    for name in ("class", "match"):  # whether it can be used or not: it says which jobs are meant
+        if name in table:
+            found.setdefault(f"{name}?", Said(True, (*path, name), level))
     if "hedge_after" in table and "hedge_after_s" in table:
         notes.add("FL125", (*path, "hedge_after_s"), "hedge_after and hedge_after_s are both there")
     return found
--- /dev/null
+++ b/tests/config/test_files.py
@@ -0,0 +1,330 @@
+"""The operator's file in TOML: each of the bad ones is refused with its own code, the good ones load."""
+
+import json
+import os
+import re
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchladder.cli import front
+from finchladder.config.codes import MOST, REMEDIES, Finding, Findings
+from finchladder.config.options import read_options
+from finchladder.config.places import Place, toml_places
+from finchladder.config.routes import MOST_BYTES, Loaded, load, read
+from finchladder.core.api import Effect
+from finchladder.core.routes import MOST_ROUTES, may_resend_on
+from tests.config.platform import MEMORY_MB, PLATFORMS, VARIANTS, variant_of
+from tests.peers import ROOT
+
+CASES = tomllib.loads((Path(__file__).parent / "cases.toml").read_text())
+BAD = [(code, text) for code, texts in CASES["bad"].items() for text in texts]
+GOOD: list[str] = CASES["good"]["files"]
+ODD: list[tuple[str, bytes]] = [  # what can't stand in a file of text
+    ("FL102", b"#" * (10 * 1024 * 1024)),
+    ("FL102", b"#" * (MOST_BYTES + 1)),
+    ("FL103", b"\xff\xfe[\0d\0"),
+    ("FL103", "[door]".encode("utf-16")),
+    ("FL103", "# Señora\n[door]".encode("latin-1")),
+    ("FL103", b"\xef\xbb\xbf[door]"),
+    ("FL103", b"a = '\xed\xa0\x80'"),
+    ("FL103", b"# \xc3"),
+    ("FL105", b"a = 1\0"),
+    ("FL105", b"a = " + b"9" * 5000),
+    ("FL105", b"a\rb"),
+    ("FL107", b"a = " + b"[" * 100_000),
+    ("FL107", b"a = " + b"{a=" * 100_000),
+    ("FL107", b"a." * 100_000 + b"a = 1"),
+    ("FL124", b"".join(b"route.r%d = {class = 'view'}\n" % n for n in range(MOST_ROUTES + 1))),
+]
+
+
+def codes(found: Loaded | Findings) -> set[str]:
+    return {f.code for f in found.all} if isinstance(found, Findings) else set()
+
+
+def loaded(text: str | bytes, name: str = "c.toml") -> Loaded | Findings:
+    variant = variant_of(text) if isinstance(text, str) else ""
+    return load(text, name, PLATFORMS[variant], MEMORY_MB)
+
+
+def check(*args: str) -> int:
+    """`finchladder config check` and what it exits with."""
+    try:
+        front.main(["config", "check", *args])
+    except SystemExit as e:
+        return int(e.code or 0)
+    return 0
+
+
+@pytest.fixture
+def platform(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, facts in VARIANTS.items():
+        (tmp_path / f"platform{name}.json").write_text(json.dumps(facts))
+    monkeypatch.setenv("NODE_CONFIG", str(tmp_path / "platform.json"))
+
+
+def test_there_are_enough_of_them_and_each_code_has_one() -> None:
+    assert len(set(BAD)) == len(BAD) >= 150 and len(set(GOOD)) == len(GOOD) >= 50
+    assert {*CASES["bad"], *(code for code, _ in ODD), "FL101", "FL109"} == set(REMEDIES)
+
+
+@pytest.mark.usefixtures("platform")
+@pytest.mark.parametrize(("code", "text"), BAD + ODD, ids=lambda v: v if str(v).startswith("FL") else "")
+def test_a_bad_file_is_refused_with_2_and_its_own_code(
+    code: str, text: str | bytes, tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    file = tmp_path / "c.toml"
+    file.write_bytes(text.encode() if isinstance(text, str) else text)
+    variant = variant_of(text) if isinstance(text, str) else ""
+    monkeypatch.setenv("NODE_CONFIG", str(tmp_path / f"platform{variant}.json"))
+    assert check(str(file)) == 2
+    out, err = capsys.readouterr()
+    lines = out.splitlines()
+    assert err == "" and lines
+    for line in lines:
+        assert re.fullmatch(rf"{re.escape(str(file))}:\d+:\d+: {code} \S.*\. [A-Z].*\.", line), line
+        assert line.isprintable() and len(line) < 800
+
+
+@pytest.mark.usefixtures("platform")
+def test_good_files_load(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    for n, text in enumerate(GOOD):
+        file = tmp_path / f"{n}.toml"
+        file.write_text(text)
+        monkeypatch.setenv("NODE_CONFIG", str(tmp_path / f"platform{variant_of(text)}.json"))
+        assert check(str(file)) == 0, text
+        found = loaded(text)
+        assert isinstance(found, Loaded)
+        assert {r.name for r in found.routes.all} == set(tomllib.loads(text).get("route", {}))
+
+
+def test_a_file_that_cannot_be_read(tmp_path: Path) -> None:
+    for path in (tmp_path / "none.toml", tmp_path, Path("a\0b.toml")):
+        with pytest.raises(Findings) as e:
+            read(str(path))
+        assert codes(e.value) == {"FL101"}
+
+
+def test_all_is_told_at_once_in_the_order_of_the_lines() -> None:
+    text = """# a
+[defaults]
+hedge_after = "p95"
+
+[route.a]
+class = "view"
+  timeout = 5
+resend_on = ["void", "never"]
+pool = { kinds = ["fast"], zones = ["a", "c"] }
+
+[route.b]
+match = { class = "confirm", path = "/confirm/x" }
+"é" = 1; attempts = 9
+"""
+    found = loaded(text.replace("; ", "\n"))
+    assert isinstance(found, Findings)
+    assert [(f.code, f.line, f.column) for f in found.all] == [
+        ("FL166", 3, 1), ("FL113", 7, 3), ("FL119", 8, 22), ("FL171", 9, 42), ("FL112", 13, 1),
+        ("FL164", 14, 1),
+    ]  # fmt: skip
+    many = loaded("".join(f"a{n} = 1\n" for n in range(MOST + 7)))
+    assert isinstance(many, Findings) and (len(many.all), many.more) == (MOST, 7)
+    assert str(many).endswith("\nand 7 more findings")
+
+
+def test_a_finding_names_the_place_the_reason_and_the_remedy(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.delenv("NODE_CONFIG", raising=False)
+    Path("a.toml").write_text('route.a = {class = "view",\ttimeout = 5}')
+    Path("b.ini").write_text("[capture]\nfiles = 3\n")
+    assert check("a.toml", "b.ini", "--format", "json") == 2
+    out, err = capsys.readouterr()
+    assert err.count("\n") == 1 and "without the platform's settings" in err
+    told = Finding("FL113", "a.toml", 1, 28, "timeout has no unit", "Write timeout_s = SECONDS")
+    assert json.loads(out) == [
+        {"file": "a.toml", "usable": False, "findings": [told._asdict()], "more": 0},
+        {"file": "b.ini", "usable": True, "findings": [], "more": 0,
+         "version": read("b.ini").version},
+    ]  # fmt: skip
+
+
+def test_serve_is_refused_as_check_says(tmp_path: Path) -> None:
+    (tmp_path / "platform.json").write_text(json.dumps(VARIANTS[""]))
+    file = tmp_path / "c.toml"
+    file.write_text('[route.a]\nclass = "view"\ntimeout = 5\n[route.b]\nclass = "confirm"\nattempts = 9\n')
+    env = {"NODE_LISTEN": "127.0.0.1:1", "NODE_DISCOVERY": "127.0.0.1:1",
+           "NODE_CONFIG": str(tmp_path / "platform.json")}  # fmt: skip
+    command = [sys.executable, "-m", "finchladder", "--config", str(file)]
+    done = subprocess.run(
+        command, env=os.environ | env, capture_output=True, text=True, cwd=ROOT, timeout=20, check=False
+    )
+    found = load(file.read_bytes(), str(file), PLATFORMS[""], MEMORY_MB)
+    assert (done.returncode, done.stdout, done.stderr) == (2, "", f"{found}\n")
+    assert codes(found) == {"FL113", "FL164"}
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "[door]", "[door]\nrate = 1\nrate = 2", "rate = 1", "[door]\nrate = 0", "[door.a]\nrate = 5", "[x]",
+     "[door]\r\nrate = 5\r\n", "[door]\rrate = 5", "[door]\n x", "[DEFAULT]\na = 1", "[drill]\nkey = null"],
+)  # fmt: skip
+def test_an_ini_file_has_the_verdict_that_serve_has(text: str, tmp_path: Path) -> None:
+    file = tmp_path / "c.ini"
+    file.write_bytes(text.encode())
+    found = load(text, str(file))
+    try:
+        expected = read_options(str(file))
+    except ValueError:
+        assert codes(found) == {"FL109"}
+    else:
+        assert isinstance(found, Loaded) and found.options == expected
+
+
+def test_ini_findings_stand_at_their_line() -> None:
+    for text, place in (("\n[door]\nburst = 1\nrate = x", (4, 1)), ("[door]\n\n[y]", (3, 1)),
+                        ("[door]\nrate = 1\nrate = 2", (3, 1))):  # fmt: skip
+        found = load(text, "c.ini")
+        assert isinstance(found, Findings) and [(f.code, f.line, f.column) for f in found.all] == [
+            ("FL109", *place)
+        ]
+
+
+# --- places -------------------------------------------------------------------------------------------------
+
+WALK = '''a = 1 # [x]
+"b c".d = [1, {x = 2, 'y' = "]"}, """
+q""""]
+[t . u]
+k = \'\'\'x
+y\'\'\'
+z = 1979-05-27 07:32:00
+[[s]]
+n = 1
+[[s]]
+n = 2
+[s.sub]
+o = {}
+[t]
+'''
+
+
+def test_each_key_has_its_place() -> None:
+    places = toml_places(WALK)
+    assert places.twice is None and places.deep is None
+    assert {".".join(map(str, path)): tuple(place) for path, place in places.of.items()} == {
+        "a": (1, 1), "b c": (2, 1), "b c.d": (2, 1), "b c.d.0": (2, 12), "b c.d.1": (2, 15),
+        "b c.d.1.x": (2, 16), "b c.d.1.y": (2, 23), "b c.d.2": (2, 35), "t": (14, 1), "t.u": (4, 1),
+        "t.u.k": (5, 1), "t.u.z": (7, 1), "s": (8, 1), "s.0": (8, 1), "s.0.n": (9, 1), "s.1": (10, 1),
+        "s.1.n": (11, 1), "s.1.sub": (12, 1), "s.1.sub.o": (13, 1),
+    }  # fmt: skip
+    assert places.find(("t", "u", "nosuch", 3)) == Place(4, 1) and places.find(("nosuch",)) == Place(1, 1)
+
+
+def _paths(value: object, path: tuple[str | int, ...] = ()) -> list[tuple[str | int, ...]]:
+    parts = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [p for key, below in parts for p in ((*path, key), *_paths(below, (*path, key)))]
+
+
+def readable(text: str) -> dict[str, object] | None:
+    try:
+        return tomllib.loads(text)
+    except ValueError:
+        return None
+
+
+def test_no_key_of_any_file_is_without_a_place() -> None:
+    """And none has one that the file does not hold; a key's own text stands there."""
+    seen = 0
+    for text in [WALK, *GOOD, *(text for _, text in BAD)]:
+        whole = readable(text)
+        places = toml_places(text)
+        if whole is None or places.deep is not None:
+            continue
+        assert set(places.of) == set(_paths(whole)), text
+        lines = text.split("\n")
+        for path, place in places.of.items():
+            rest = lines[place.line - 1][place.column - 1 :]
+            part = next(p for p in reversed(path) if isinstance(p, str))
+            assert rest and (part in rest or not part.isidentifier() or isinstance(path[-1], int)), path
+        seen += 1
+    assert seen > 300
+
+
+# --- whatever the bytes are ---------------------------------------------------------------------------------
+
+BITS = st.sampled_from([
+    '"', "'", "[", "]", "{", "}", "=", ".", "\n", "\r\n", ",", "#", "-", "nan", "inf", '"""', "'''", "\\",
+    "[route.a]", "class", "é", "\0", "\x7f", "timeout_s", "1e999", "[[", "]]", "true", "9" * 30, "match = {}",
+])  # fmt: skip
+EDITS = st.lists(st.tuples(st.integers(0, 400), st.integers(0, 12), BITS | st.just("")), max_size=5)
+
+
+def sound(data: str | bytes, name: str) -> None:
+    """It loads or is refused; what loads allows nothing that the class forbids."""
+    for platform in (PLATFORMS[""], PLATFORMS["no_copies"], None):
+        found = load(data, name, platform, MEMORY_MB)
+        if isinstance(found, Findings):
+            assert found.all and "\n" not in "".join(map(str, found.all))
+            continue
+        for route in found.routes.all:
+            assert platform is not None
+            cls = next(c for c in platform.classes if c.name == route.job_class)
+            assert route.resend_on <= may_resend_on(cls)
+            assert route.attempts is None or 1 <= route.attempts <= platform.max_attempts
+            assert route.timeout_s is None or route.timeout_s <= cls.deadline
+            if route.hedge is not None:
+                assert platform.may_copy and platform.may_cancel and cls.effect is not Effect.UNSAFE
+                assert (route.hedge.after_s is None) != (route.hedge.percentile is None)
+
+
+@settings(max_examples=400, derandomize=True, deadline=None)
+@given(st.sampled_from([*GOOD, *(text for _, text in BAD)]), EDITS, st.sampled_from(["c.toml", "c.ini"]))
+def test_no_edit_of_a_file_raises(text: str, edits: list[tuple[int, int, str]], name: str) -> None:
+    for at, cut, bit in edits:
+        at %= len(text) + 1
+        text = text[:at] + bit + text[at + cut :]
+    sound(text, name)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.binary(max_size=60) | st.text(max_size=60), st.sampled_from(["c.toml", "c.ini"]))
+def test_no_bytes_raise(data: str | bytes, name: str) -> None:
+    sound(data, name)
+
+
+KEYS = st.sampled_from([
+    "class", "match", "path", "method", "headers", "timeout_s", "attempt_timeout_s", "attempts", "backoff",
+    "base_s", "most_s", "jitter", "resend_on", "hedge_after", "hedge_after_s", "hedge_most", "retry_budget",
+    "share", "least_per_s", "concurrency", "queue", "length", "order", "longest_wait_s", "priority", "pool",
+    "kinds", "zones", "timeout", "view", "confirm", "x y",
+])  # fmt: skip
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4)
+    | st.sampled_from(["view", "confirm", "p95", "void", "timed_out", "worth", "a", "fast", 0, 1, 2, 0.5]),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(KEYS, inner, max_size=3), max_leaves=4,
+)  # fmt: skip
+
+
+def written(value: object) -> str:
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{json.dumps(k)} = {written(v)}" for k, v in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(written, value)) + "]"
+    if isinstance(value, str):
+        return json.dumps(value.encode("utf-8", "replace").decode()).replace("\x7f", "\\u007f")
+    return "2024-01-01" if value is None else str(value).lower()
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.dictionaries(st.sampled_from(["defaults", "class", "route", "door"]),
+                       st.dictionaries(KEYS, VALUES, max_size=4) | VALUES, max_size=4))  # fmt: skip
+def test_no_value_in_the_wrong_place_raises(whole: dict[str, object]) -> None:
+    sound("".join(f"{key} = {written(value)}\n" for key, value in whole.items()), "c.toml")
