A dispatcher is wired in net/node.py, and handed the machine it runs on

A simulator has to run the very program on other clocks, sockets and files. What the program took from the machine stood in five places; it is now the fields of one Machine (wall and monotonic clock, listen, connect, files), with the real ones as defaults. Timers, tasks and signals stay the running loop's.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from loguru import logger
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.netutil import add_accept_handler
 
 from finchladder.core.bodies import BodyRoom, Reservation
 from finchladder.core.edges import EdgeTable
@@ -17,7 +17,6 @@
 
 EDGE = 0.55  # part of all sockets: edge connections; more than open flows, as call-backs need the rest
 JUST_CAME = 0.25
-BACKLOG = 1024
 
 
 class Clients:
@@ -27,10 +26,6 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.stops: list[Callable[[], None]] = []
 
-    def listen_on(self, address: tuple[str, int]) -> None:
-        for listening in bind_sockets(address[1], address[0], backlog=BACKLOG):
-            self.add_socket(listening)
-
     def add_socket(self, listening: socket.socket) -> None:
         self.stops.append(add_accept_handler(listening, self._accepted))
 
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -3,7 +3,7 @@
 import re
 import socket
 from asyncio import Future
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -362,9 +362,15 @@
     return Parser(parse_response, lambda head: MAX_BODY)
 
 
-async def connect(address: tuple[str, int]) -> Channel:
+Connect = Callable[[tuple[str, int]], Awaitable[Channel]]
+
+
+async def connect(
+    address: tuple[str, int], make: Callable[[int], socket.socket] = socket.socket
+) -> Channel:
+    """`make` gives a socket of an address family. StreamClosedError, OSError: there is no connection."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    stream = Stream(socket.socket(family), read_chunk_size=READ)
+    stream = Stream(make(family), read_chunk_size=READ)
     try:
         await stream.connect(address)
     except BaseException:
@@ -396,7 +402,7 @@
 
 
 __all__ = [
-    "MAX_BODY", "PIECE", "READ", "BadMessage", "Body", "Channel", "Head", "Headers", "Parser", "Stream",
-    "StreamClosedError", "connect", "parse_request", "parse_response", "write_head", "write_request",
-    "write_response",
+    "MAX_BODY", "PIECE", "READ", "BadMessage", "Body", "Channel", "Connect", "Head", "Headers", "Parser",
+    "Stream", "StreamClosedError", "connect", "parse_request", "parse_response", "write_head",
+    "write_request", "write_response",
 ]  # fmt: skip
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -17,11 +17,14 @@
 class Clock:
     """Wall time at the start plus what the monotonic clock has gone since: a start in `since_ms` compares."""
 
-    def __init__(self) -> None:
-        self.offset = time.time() - time.monotonic()
+    def __init__(
+        self, wall: Callable[[], float] = time.time, monotonic: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.monotonic = monotonic
+        self.offset = wall() - monotonic()
 
     def __call__(self) -> float:
-        return self.offset + time.monotonic()
+        return self.offset + self.monotonic()
 
 
 class Carrier(Protocol):
--- /dev/null
+++ b/finchladder/net/node.py
@@ -0,0 +1,101 @@
+"""One dispatcher: its parts wired together, and its life from the first listening to its leaving."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from functools import partial
+
+from loguru import logger
+
+from finchladder.config.options import Options
+from finchladder.config.platform import Setup
+from finchladder.config.settings import read_seed
+from finchladder.core.bodies import BodyRoom
+from finchladder.core.leaving import Leaving
+from finchladder.core.policy import Dispatcher
+from finchladder.features import snapshot
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import Capture
+from finchladder.features.status import JobStatus
+from finchladder.net.clients import Clients
+from finchladder.net.control import Controls
+from finchladder.net.flows import Flows
+from finchladder.net.front import Front
+from finchladder.net.intake import Intake
+from finchladder.net.machine import Disk, Machine
+from finchladder.net.module import Clock, ModuleActor
+from finchladder.net.recorder import Recorder
+from finchladder.net.servers import RealServers
+from finchladder.net.service import ServiceActor
+from finchladder.net.timers import Timers
+
+MOST_SOCKETS = 1024
+
+
+class Node:
+    """To be made and run on the loop that its dispatcher lives on. `reread` reads its configuration again."""
+
+    def __init__(
+        self, setup: Setup, options: Options, reread: Callable[[], Setup], machine: Machine | None = None
+    ) -> None:
+        self.setup, self.reread = setup, reread
+        self.machine = machine = machine or Machine()
+        self.clock = clock = Clock(machine.wall, machine.monotonic)
+        self.flows = Flows(JobStatus(options.status) if options.status is not None else None, clock)
+        sockets = min(setup.limits.sockets, MOST_SOCKETS)
+        seed = read_seed(setup.seed)
+        dispatcher, arrivals = Dispatcher(setup.settings, seed), Arrivals(options, seed)
+        self.module = ModuleActor(dispatcher, self.flows, clock)
+        self.capture: Capture | None = None
+        self.files: Disk | None = None
+        if options.capture is not None:
+            self.files = machine.files(options.capture, setup.name, int(clock() * 1000))
+            state = partial(snapshot.take, dispatcher, arrivals)
+            self.capture = Capture(options.capture, setup.seed, state, self.files)
+            self.capture.begin(clock())
+            self.module.tap = arrivals.tap = Recorder(self.capture)
+        self.timers = Timers(clock)
+        caps = setup.caps
+        self.servers = RealServers(
+            self.flows, self.module, self.timers, caps.connect_timeout_s, caps.conn_idle_s, sockets,
+            machine.connect,
+        )  # fmt: skip
+        self.module.carrier = self.servers
+        self.service = ServiceActor(setup.discovery, self.servers.update, machine.connect)
+        classes = {c.name for c in setup.settings.classes}
+        self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
+        controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
+        front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back)
+        self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
+        self.clients = Clients(front, self.bodies, sockets)
+
+    async def serve(self) -> None:
+        """Until SIGTERM or SIGINT, and then until all that was taken is answered."""
+        setup, loop, left = self.setup, asyncio.get_running_loop(), asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, left.set)
+        for listening in self.machine.listen(setup.listen):
+            self.clients.add_socket(listening)
+        self.servers.start()
+        if setup.known is not None:
+            self.service.post(setup.known)
+        self.service.start()
+        # a SIGHUP with nobody to handle it would end the process, and with it all open flows
+        loop.add_signal_handler(signal.SIGHUP, self._reread)
+        logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
+        await left.wait()
+        logger.info("{}: leaving", setup.name)
+        await self.clients.leave()
+        if self.files is not None:
+            self.files.close()
+        logger.info("{}: left", setup.name)
+
+    def _reread(self) -> None:
+        """What SIGHUP asks for: the file's discovery is followed, all else holds from the next start."""
+        try:
+            discovery = self.reread().discovery
+        except (ValueError, RecursionError) as e:
+            logger.error("SIGHUP: {}; what was read before stays in force", " ".join(str(e).split()))
+            return
+        logger.info("SIGHUP: discovery is at {}:{}", *discovery)
+        self.service.follow(discovery)
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -15,7 +15,7 @@
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flows, Scheduling
-from finchladder.net.http1 import Head, StreamClosedError
+from finchladder.net.http1 import Connect, Head, StreamClosedError
 from finchladder.net.lines import KeptLines, Line
 from finchladder.net.messages import CallBack
 from finchladder.net.module import Ending, ModuleActor
@@ -100,9 +100,10 @@
 class RealServer(Actor[Scheduling | Withdrawal | CallBack]):
     def __init__(
         self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, timers: Timers,
-        connect_timeout: float, trust: Trust, all_in_use: Places, kept: KeptLines,
+        connect_timeout: float, trust: Trust, all_in_use: Places, kept: KeptLines, connect: Connect,
     ) -> None:  # fmt: skip
         super().__init__(f"real server {name}", ROOM)
+        self.connect = connect
         self.server, self.address = name, address
         self.flows, self.module, self.clock, self.timers = flows, module, module.clock, timers
         self.connect_timeout, self.trust, self.kept = connect_timeout, trust, kept
@@ -256,7 +257,7 @@
             for place in (self.in_use, self.all_in_use):
                 await place.wait()
                 places.callback(place.give)
-            line = self._kept() or Line(await http1.connect(self.address), self._free, self._gone)
+            line = self._kept() or Line(await self.connect(self.address), self._free, self._gone)
             places.pop_all()
         return self._held(line)
 
@@ -308,9 +309,10 @@
 
     def __init__(
         self, flows: Flows, module: ModuleActor, timers: Timers, connect_timeout: float, conn_idle: float,
-        sockets: int,
+        sockets: int, connect: Connect,
     ) -> None:  # fmt: skip
         self.flows, self.module, self.clock, self.timers = flows, module, module.clock, timers
+        self.connect = connect
         self.connect_timeout, self.trust = connect_timeout, Trust(self.clock(), conn_idle * IDLE_PART)
         self.actors: dict[str, RealServer] = {}
         self.starts: dict[str, float] = {}
@@ -350,7 +352,7 @@
     def _add(self, name: str, address: tuple[str, int]) -> RealServer:
         actor = self.actors[name] = RealServer(
             name, address, self.flows, self.module, self.timers,
-            self.connect_timeout, self.trust, self.all_in_use, self.kept,
+            self.connect_timeout, self.trust, self.all_in_use, self.kept, self.connect,
         )  # fmt: skip
         return actor
 
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -7,7 +7,7 @@
 from finchladder.core import api
 from finchladder.net import http1
 from finchladder.net.actor import Actor
-from finchladder.net.http1 import BadMessage, Channel, StreamClosedError
+from finchladder.net.http1 import BadMessage, Channel, Connect, StreamClosedError
 
 PATH = "/catalog/members"
 SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
@@ -36,9 +36,9 @@
 class ServiceActor(Actor[News]):
     """Keeps the version of the list last applied, and watches for what comes after it."""
 
-    def __init__(self, address: tuple[str, int], apply: Apply) -> None:
+    def __init__(self, address: tuple[str, int], apply: Apply, connect: Connect) -> None:
         super().__init__("service list", ROOM)
-        self.address, self.apply = address, apply
+        self.address, self.apply, self.connect = address, apply, connect
         self.index = 0
         self.up = self.established = False
         self.watching: asyncio.Task[None]
@@ -83,7 +83,7 @@
         channel: Channel | None = None
         try:
             async with asyncio.timeout(SILENCE):
-                channel = await http1.connect(self.address)
+                channel = await self.connect(self.address)
                 channel.parser.limit = lambda head: MAX_LINE
                 await channel.write(
                     http1.write_request(
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -276,28 +276,24 @@
 
 
 @pytest.mark.parametrize("connecting", [False, True])
-def test_a_drain_before_the_write_ends_it_as_never_run(
-    connecting: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_drain_before_the_write_ends_it_as_never_run(connecting: bool) -> None:
     async def play() -> None:
         listener = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         flows, told = Flows(), list[object]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        group = servers.RealServers(flows, module, Timers(Clock()), 5, 30.0, 128)
         address = {"w1": listener.sockets[0].getsockname()[:2]}
-        group.update(api.WorkerList(api.ListKind.WHOLE, (entry("w1"),)), address)
 
         def drain() -> None:
             group.update(api.WorkerList(api.ListKind.PATCH, (entry("w1", api.State.DRAINING),)), address)
 
         async def connect_late(to: tuple[str, int]) -> http1.Channel:
-            channel = await connect(to)
+            channel = await http1.connect(to)
             drain()
             return channel
 
-        connect = http1.connect
-        monkeypatch.setattr(http1, "connect", connect_late)
+        group = servers.RealServers(flows, module, Timers(Clock()), 5, 30.0, 128, connect_late)
+        group.update(api.WorkerList(api.ListKind.WHOLE, (entry("w1"),)), address)
         scheduling = Watched(flow_of(flows, []), 0, "w1", 0.0, 1e12)
         group.schedule(scheduling)
         if not connecting:
@@ -316,7 +312,7 @@
         flows, told, answers = Flows(), list[object](), list[Answer]()
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        group = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128)
+        group = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128, http1.connect)
         server = group._add("w1", ("127.0.0.1", 9))
         flow = flow_of(flows, answers)
         scheduling = Scheduling(flow, 0, "w1", 0.0, 1e12)
@@ -411,7 +407,8 @@
         sink = logger.add(log.append, format="{message}")
         module = ModuleActor(Dispatcher(settings(), 1), flows, Clock())
         module.tell = told.append  # type: ignore[assignment]
-        server = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128)._add("w1", ("127.0.0.1", 9))
+        group = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128, http1.connect)
+        server = group._add("w1", ("127.0.0.1", 9))
         server.post(Scheduling(flow_of(flows, []), 0, "w1", 0.0, 1e12))
         while not told:
             await asyncio.sleep(0.01)
