--- /dev/null
+++ b/finchladder/core/aperture.py
@@ -0,0 +1,126 @@
+"""Aperture: which real servers this dispatcher uses where there are too many dispatchers for each to use all.
+
+Deterministic: the n real servers of a stratum (zone and kind) stand in a ring in the order of their names'
+hashes; dispatcher i of d uses `width` neighbours from rank floor(i * n / d) on. These starts lie evenly, so
+each real server is in floor or ceil of width * d / n subsets. Keys' rings are made of the subset alone,
+therefore both hashes of a key name real servers inside it.
+"""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import NamedTuple
+
+Place = tuple[int, str]  # a name's hash, and the name: order in the ring
+Stratum = tuple[str, str]  # zone, kind
+
+
+@dataclass(frozen=True, slots=True)
+class ApertureSettings:
+    server_connections: int = 256  # that a real server gives to all dispatchers together
+    connections_each: int = 24  # that one dispatcher may open to one real server
+    least: int = 4  # of a stratum in each subset, where there are so many: a key's pair, and a way round it
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.connections_each <= self.server_connections <= 1_000_000:
+            raise ValueError("aperture: connections_each must be 1 to server_connections")
+        if not 2 <= self.least <= 1000:
+            raise ValueError("aperture: least must be from 2 to 1000")
+
+    @property
+    def served(self) -> int:
+        """How many dispatchers a real server has connections for."""
+        return self.server_connections // self.connections_each
+
+
+class Change(NamedTuple):
+    entered: frozenset[str]
+    left: frozenset[str]
+
+
+NONE = Change(frozenset(), frozenset())
+
+
+def place(name: str) -> Place:
+    """The same in every process, and unlike the places on the key's rings."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=8, person=b"aperture").digest(), "big"), name
+
+
+def width(n: int, dispatchers: int, settings: ApertureSettings) -> int:
+    """Of a subset of n real servers: all of them where each has connections for all dispatchers."""
+    return min(n, max(settings.least, n * settings.served // dispatchers))
+
+
+def window(ring: Sequence[Place], index: int, dispatchers: int, wide: int) -> list[str]:
+    start = index * len(ring) // dispatchers
+    return [ring[(start + i) % len(ring)][1] for i in range(wide)]
+
+
+class Aperture:
+    """Keeps the rings of all listed real servers (ready or draining) and the subset of this dispatcher.
+
+    A changed entry costs O(log n), up to n moved pointers in its stratum's ring, and O(width).
+    Without its own index or the number of dispatchers it is off: all are inside.
+    """
+
+    def __init__(self, index: int | None, dispatchers: int | None, settings: ApertureSettings) -> None:
+        if index is not None and dispatchers is not None and not 0 <= index < dispatchers:
+            raise ValueError(f"aperture: index {index} is none of {dispatchers} dispatchers")
+        self.s, self.index, self.dispatchers = settings, index, dispatchers
+        self.rings: dict[Stratum, list[Place]] = {}
+        self.stratum: dict[str, Stratum] = {}
+        self.inside: dict[Stratum, frozenset[str]] = {}
+
+    def __contains__(self, name: str) -> bool:
+        stratum = self.stratum.get(name)
+        return stratum is not None and name in self.inside[stratum]
+
+    def change(self, listed: Iterable[tuple[str, Stratum]], gone: Iterable[str] = ()) -> Change:
+        """Takes changed entries in; what the subset gains and loses by them. Repeats change nothing."""
+        touched: set[Stratum] = set()
+        new: dict[Stratum, list[Place]] = {}
+        for name in gone:
+            self._remove(name, touched)
+        for name, stratum in listed:
+            if self.stratum.get(name) != stratum:
+                self._remove(name, touched)
+                self.stratum[name] = stratum
+                new.setdefault(stratum, []).append(place(name))
+        for stratum, places in new.items():
+            ring = self.rings.setdefault(stratum, [])
+            touched.add(stratum)
+            if len(places) < 16:
+                for at in places:
+                    insort(ring, at)
+            else:  # a list of many: sorted once
+                ring.extend(places)
+                ring.sort()
+        entered: set[str] = set()
+        left: set[str] = set()
+        for stratum in touched:
+            before, after = self.inside.get(stratum, frozenset()), self._subset(stratum)
+            entered |= after - before
+            left |= before - after
+            self.inside[stratum] = after
+            if not self.rings[stratum]:
+                del self.rings[stratum], self.inside[stratum]
+        return Change(frozenset(entered - left), frozenset(left - entered))
+
+    def replace(self, listed: Iterable[tuple[str, Stratum]]) -> Change:
+        """A whole list: what it does not name is gone."""
+        whole = dict(listed)
+        return self.change(whole.items(), [name for name in self.stratum if name not in whole])
+
+    def _remove(self, name: str, touched: set[Stratum]) -> None:
+        if (stratum := self.stratum.pop(name, None)) is not None:
+            ring = self.rings[stratum]
+            del ring[bisect_left(ring, place(name))]
+            touched.add(stratum)
+
+    def _subset(self, stratum: Stratum) -> frozenset[str]:
+        ring = self.rings[stratum]
+        if self.index is None or self.dispatchers is None:
+            return frozenset(name for _, name in ring)
+        wide = width(len(ring), self.dispatchers, self.s)
+        return frozenset(window(ring, self.index, self.dispatchers, wide))
