Load generator: how rude clients were answered stands in the ledger

Need: a run's folder did not show whether rude clients were played at all. Change: at its end the generator marks for each kind how many were answered with what, closed, left in silence, or wronged.

--- a/finchladder/lab/drivers/load.py
+++ b/finchladder/lab/drivers/load.py
@@ -645,6 +645,9 @@
         now = time.monotonic()
         for attempt in list(self.tries):
             self._leave(attempt, now, "left")
+        for kind, endings in sorted(self.counts.rude.items()):
+            told = ", ".join(f"{ending} {count}" for ending, count in sorted(endings.items()))
+            self.process.put(Mark(now, f"load:rude {kind}: {told}"))
         return self._figures()
 
     def close(self) -> None:
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -397,8 +397,10 @@
     world = World(tmp_path, LoadPart([Phase("p", 0.5)], rude=60.0))
     uvloop.run(play())
     marks = world.read()[2]
-    assert marks and all(m.startswith("rude:") for m in marks)
-    assert any("answered 200" in m for m in marks)
+    wrongs = [m for m in marks if m.startswith("rude:")]
+    assert any(m.endswith(":n1: answered 200") for m in wrongs)
+    counted = [m.partition(": ")[2].split(", ") for m in marks if m.startswith("load:rude ")]
+    assert sum(int(c.split()[1]) for told in counted for c in told if c.startswith("wrong")) == len(wrongs)
 
 
 def test_a_process_against_the_null_target(tmp_path: Path) -> None:
