A key's pairs are kept while the rings stay; held tries look at thresholds first

Now 1,024 keys' pairs are kept, each with the version of the rings that it is of; thresholds are looked at before rules and health, which are dearer; a count is tidied only when a new key comes.

--- a/finchladder/core/agenda.py
+++ b/finchladder/core/agenda.py
@@ -34,7 +34,6 @@
 
     def drop(self, job: Job) -> None:
         self.watched.drop(job.serial)
-        self.unhold(job)
 
     def due(self, now: float, waits: Mapping[str, float], no_retries: bool) -> list[Job]:
         """`waits`: seconds that a held job of each class may be old. Watches none of them any more."""
--- a/finchladder/core/counts.py
+++ b/finchladder/core/counts.py
@@ -24,16 +24,21 @@
         self.total, self.turn = 0.0, 0
 
     def add(self, key: int) -> None:
-        count = self.count(key)
-        if key in self.seen or len(self.seen) < MOST:
-            self.seen[key] = count + 1, self.turn
         self.total += 1
-        for _ in range(min(2, len(self.seen))):  # one more than comes, so that the table shrinks again
+        if (held := self.seen.get(key)) is None:
+            self._tidy()
+            if len(self.seen) < MOST:
+                self.seen[key] = 1.0, self.turn
+            return
+        count, turn = held
+        self.seen[key] = faded(count, self.turn - turn) + 1, self.turn
+
+    def _tidy(self) -> None:
+        """Looks at two others for each that comes, so that the table shrinks again."""
+        for _ in range(min(2, len(self.seen))):
             oldest, (count, turn) = self.seen.popitem(last=False)
-            if turn == self.turn or faded(count, self.turn - turn):
+            if faded(count, self.turn - turn):
                 self.seen[oldest] = count, turn
-            else:
-                break
 
     def count(self, key: int) -> float:
         count, turn = self.seen.get(key, (0.0, self.turn))
--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping
 from hashlib import blake2b
-from itertools import chain, islice
+from itertools import islice
 from random import Random
 from sys import byteorder
 
@@ -22,6 +22,7 @@
 POINTS = 32  # ring marks a worker and hash: evens out the arcs of neighbours
 ARC_BITS = 8  # a ring is cut into so many arcs (as a power of 2), each a sorted row of its own
 SHIFT = 64 - ARC_BITS
+KEPT_KEYS = 1024  # keys whose pairs are kept while the rings stay as they are: 0.5 MB for each needed kind
 FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
 
 Level = tuple[float, bool]  # load in slots, and whether it is in another zone
@@ -114,26 +115,52 @@
 
     def __init__(self) -> None:
         self.rings = (Ring(), Ring())
-        self.size = 0
+        self.size = self.version = 0
+        self.known: dict[int, tuple[int, list[list[Worker]]]] = {}  # pairs by key, as of which version
         self.levels: dict[Level, OrderedDict[Worker, None]] = {}  # none of them empty
         self.order: list[Level] = []  # the same, sorted
 
+    def change(self, w: Worker, joins: bool, points: tuple["array[int]", "array[int]"]) -> None:
+        self.version += 1
+        self.size += 1 if joins else -1
+        for ring, marks in zip(self.rings, points, strict=True):
+            (ring.add if joins else ring.remove)(w, marks)
+
     def walk(self, key: int, count: int, first: int = 0) -> Iterator[list[Worker]]:
         """So many pairs of the key: its owners on both rings, then the next owners that are not named yet.
 
         It begins with the pair numbered `first`, and those before it come last. The cost is that of the pairs
         that are asked for and, up to FAR_OFF, of those before the first.
         """
-        return chain(self._walk(key, count - first, first), self._walk(key, first, 0))
-
-    def _walk(self, key: int, count: int, skip: int) -> Iterator[list[Worker]]:
-        if count <= 0 or not self.size:
+        if not self.size:
+            return
+        if count > FAR_OFF:
+            yield from self._pairs(key, count - first, first)
+            yield from self._pairs(key, first, 0)
             return
+        version, pairs = self.known.get(key, (0, []))
+        if version != self.version:
+            pairs = []
+        if not first:  # mostly all that is asked for
+            pairs = pairs or self._keep(key, [self._owners(key)])
+            yield pairs[0]
+        if len(pairs) < count:
+            pairs = self._keep(key, list(self._pairs(key, count, 0)))
+        yield from pairs[first or 1 : count]
+        yield from pairs[:first]
+
+    def _keep(self, key: int, pairs: list[list[Worker]]) -> list[list[Worker]]:
+        if len(self.known) >= KEPT_KEYS and key not in self.known:
+            del self.known[next(iter(self.known))]
+        self.known[key] = self.version, pairs
+        return pairs
+
+    def _owners(self, key: int) -> list[Worker]:
+        one, two = (ring.owner(h) for ring, h in zip(self.rings, key_hashes(key), strict=True))
+        return [one, two] if one is not two else [one]
+
+    def _pairs(self, key: int, count: int, skip: int) -> Iterator[list[Worker]]:
         one, two = key_hashes(key)
-        if not skip:  # mostly all that is asked for
-            mark, other = self.rings[0].owner(one), self.rings[1].owner(two)
-            yield [mark, other] if mark is not other else [mark]
-            count, skip = count - 1, 1
         marks, skip = (skip, 0) if skip > FAR_OFF else (0, skip)  # some marks name a worker again
         seen: set[Worker] = set()
         walks = self.rings[0].after(one, marks), self.rings[1].after(two, marks)
@@ -272,20 +299,16 @@
 
     def _join(self, w: Worker) -> None:
         w.pools = tuple(p for kind, p in self.pools.items() if kind in (None, w.kind))
-        points = [ring_points(w.address, n) for n in (0, 1)]
+        points = ring_points(w.address, 0), ring_points(w.address, 1)
         for pool in w.pools:
-            pool.size += 1
-            for ring, marks in zip(pool.rings, points, strict=True):
-                ring.add(w, marks)
+            pool.change(w, True, points)
         self.ready += 1
         self._chill(w)
 
     def _part(self, w: Worker) -> None:
-        points = [ring_points(w.address, n) for n in (0, 1)]
+        points = ring_points(w.address, 0), ring_points(w.address, 1)
         for pool in w.pools:
-            pool.size -= 1
-            for ring, marks in zip(pool.rings, points, strict=True):
-                ring.remove(w, marks)
+            pool.change(w, False, points)
             if w.level is not None:
                 pool.leave(w, w.level)
         w.pools, w.level = (), None
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from finchladder.core.api import (
-    Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
+    NEVER_RAN, Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
     PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
     WorkerEntry, WorkerList,
 )  # fmt: skip
@@ -224,9 +224,9 @@
         return True
 
     def _unhold(self, job: Job) -> None:
-        self.agenda.unhold(job)
         groups = self.held[job.cls.name]
-        if job.id in groups.get(job.key, {}):
+        if job.id in groups.get(job.key, ()):
+            self.agenda.unhold(job)
             del groups[job.key][job.id]
             if not groups[job.key]:
                 del groups[job.key]
@@ -250,14 +250,14 @@
         if job.key is not None:
             # overflow of a key goes round its own rings first: every node finds the same few workers, which
             # then hold what the key needs; scattered over the fleet each overflow would cost a fetch
-            found = False
+            full: list[Worker] = []
             for pair in self._pairs(pool, job.key):
-                able = [w for w in pair if self._permitted(job, w)]
-                found = found or bool(able)
-                able = sorted((w for w in able if self._under_t(w)), key=self._is_near)
+                able = [w for w in pair if self._under_t(w) and self._permitted(job, w)]
                 if able:
+                    able.sort(key=self._is_near)
                     return able[0] if able[0].load < able[-1].load else able[-1]
-            if found:
+                full += pair
+            if any(self._permitted(job, w) for w in full):
                 return None  # worth waiting for: anywhere else it would fetch
         return self._least_loaded(job, pool)
 
@@ -337,13 +337,11 @@
 
     def _permitted(self, job: Job, w: Worker) -> bool:
         """Whether the rules and the worker's health let this job go there at all."""
-        if not w.ready or any(a.worker is w for a in job.attempts):
+        if not w.ready or (job.attempts and not all(self._may_follow(job, a, w) for a in job.attempts)):
             return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
-        if self.fleet.is_cold(w, self.now) and self._cold_credit(w) < self._cold_cost(job, w):
-            return False
-        return all(self._same_group(job.cls, a.worker, w) for a in job.may_have_run())
+        return not self.fleet.is_cold(w, self.now) or self._cold_credit(w) >= self._cold_cost(job, w)
 
     def _resend_allowed(self, job: Job) -> bool:
         """Effect class: UNSAFE never once it may have run, KEYED only within its window."""
@@ -358,10 +356,13 @@
                 return False
         return True
 
-    def _same_group(self, cls: JobClass, a: Worker, b: Worker) -> bool:
-        if cls.effect is not Effect.KEYED or cls.group is Group.ALL:
+    def _may_follow(self, job: Job, a: Attempt, w: Worker) -> bool:
+        """Never twice to one worker; what may have run stays in the group that drops repeats of it."""
+        if a.worker is w or a.ending in NEVER_RAN or job.cls.effect is not Effect.KEYED:
+            return a.worker is not w
+        if job.cls.group is Group.ALL:
             return True
-        return a.zone == b.zone if cls.group is Group.ZONE else a.cell == b.cell
+        return a.worker.zone == w.zone if job.cls.group is Group.ZONE else a.worker.cell == w.cell
 
     def _send(self, job: Job, w: Worker) -> None:
         """Every send passes here."""
--- a/finchladder/core/wheel.py
+++ b/finchladder/core/wheel.py
@@ -34,12 +34,14 @@
 
     def put(self, key: Hashable, thing: T, at: float) -> None:
         """`at` in seconds. A key stands for one thing: put again, it leaves its earlier place."""
-        self.drop(key)
         number = floor(min(at / self.width_s, self.last + SLOTS))
-        if number not in self.slots:
-            self.slots[number] = {}
+        before = self.where.get(key)
+        if before is not None and before != number:
+            del self.slots[before][key]
+        if (slot := self.slots.get(number)) is None:
+            slot = self.slots[number] = {}
             heappush(self.order, number)
-        self.slots[number][key] = thing
+        slot[key] = thing
         self.where[key] = number
 
     def drop(self, key: Hashable) -> None:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -318,9 +318,13 @@
     assert len(counts.seen) == MOST and counts.count(1 - 2 * MOST) == 0
     for _ in range(3):
         counts.fade()
-    for _ in range(MOST):
-        counts.add(1)
-    assert len(counts.seen) == 1 and counts.count(1) == MOST - 1  # there was no room for the first
+    for n in range(MOST):
+        counts.add(1 + n % 10)
+        counts.add(-3 * MOST - n % 3)
+    assert len(counts.seen) <= MOST - 8 and counts.count(1) == MOST // 10 + 1
+    for n in range(MOST - 10):
+        counts.add(n)
+    assert all(counts.count(n) for n in range(MOST - 10))
 
 
 def test_a_wheel_hands_out_in_time_and_keeps_few_slots() -> None:
