--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -14,7 +14,7 @@
 from finchladder.lab import judge, ledger, sweep
 from finchladder.lab.check import load
 from finchladder.lab.experiment import Part
-from finchladder.lab.records import Any, Asked, Mark, Sample, Struck, read_all
+from finchladder.lab.records import Any, Asked, Mark, Sample, Struck, Told, read_all
 from finchladder.lab.run import play
 from finchladder.lab.show import Show
 
@@ -119,12 +119,14 @@
         "{kind='restart', at_s=0.7, target='n2'}",
         "{kind='crash', at_s=1.0, target='w0003', for_s=0.3}",
     ]
-    out = played(tmp_path, "dispatchers=2", "load.retries.kind=after", f"fault=[{', '.join(faults)}]")
+    cold = ["pool.0.starts_cold=true", "pool.0.cold_from=0.9"]
+    out = played(tmp_path, "dispatchers=2", "load.retries.kind=after", *cold, f"fault=[{', '.join(faults)}]")
     found = ledger.load(out)
     verdict = judge.judge(found)
     assert verdict.rules == {"answer": 0, "once": 0, "drain": 0, "cold": 0}, verdict.findings[:3]
     assert len(found.jobs) == 120
     records: list[Any] = read_all(out / "ledger")
+    assert {r.server for r in records if isinstance(r, Told) and r.born} == {"w0001", "w0002", "w0003"}
     struck = [(r.kind, r.target, r.detail) for r in records if isinstance(r, Struck)]
     for kind, target in (("kill", "n1"), ("restart", "n2"), ("crash", "w0003")):
         assert (kind, target, "") in struck and (kind, target, "end") in struck
