Lab drivers: handshakes cost their way, resets cross links, more guards have their test

A new connection through a relay now pays the handshake's way and back, a reset that answers bytes written after an end is passed on, and a request by hand need not name the only dispatcher.

--- a/finchladder/lab/drivers/fleet.py
+++ b/finchladder/lab/drivers/fleet.py
@@ -356,7 +356,8 @@
         job_in = fleet.read(m)
         if job_in is None or outlet is None:
             put(self.taken(m, first, last, "unknown"))
-            edge.answer(write_response(400 if "x-correlation-id" in m.headers else 404), m.keeps)
+            why = b"no id, class, work or X-Lab-Node that the run knows\n"
+            edge.answer(write_response(400 if "x-correlation-id" in m.headers else 404, why), m.keeps)
             return
         fleet.taken += 1
         if self.swallow and fleet.rng.random() < self.swallow:
@@ -477,7 +478,10 @@
     # ---- what its servers use
 
     def outlet(self, zone: str, node: str) -> Outlet | None:
+        """Where a job from there is called back. A request by hand need not name the only dispatcher."""
         dispatchers = self.process.plan.dispatchers
+        if not node and len(self.outlets) == 1:
+            return next(iter(self.outlets.values()))
         address = dispatchers.get(f"{zone}>{node}") or dispatchers.get(node)
         return self.outlets.get(address) if address else None
 
--- a/finchladder/lab/drivers/relay.py
+++ b/finchladder/lab/drivers/relay.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from collections import deque
 from typing import Any, cast
@@ -29,6 +30,7 @@
 TRY_AGAIN_S = 0.1  # after an upstream has refused; doubled up to:
 TRY_AGAIN_MOST_S = 0.5
 ONCE_S = 1.0  # a fault that strikes once is over so long after its strike: by then who was struck knows
+CROSSED_S = 0.002  # until the reset has come that answers bytes to a closed connection
 CONNECT_S = 10.0  # an upstream that does not come up within this is reset
 LINK_FAULTS = ("cut", "reset_before", "reset_after", "black_hole", "half_open", "refuse")
 _EOF, _RESET = b"eof", b"reset"  # known by identity: the ends of a way, in order behind its bytes
@@ -74,7 +76,8 @@
         self.sink: Side  # set by the pair: the other way's source
         self.queue: deque[tuple[float, bytes]] = deque()
         self.size = 0
-        self.last = 0.0  # what comes later leaves no earlier: the order is kept
+        self.opened = 0.0  # what comes earlier had to wait for the handshake
+        self.last = 0.0  # nothing leaves before
         self.held = self.swallows = self.pumping = self.full = False
         self.passed = False  # its end has left, too
 
@@ -82,7 +85,7 @@
         if self.swallows:
             return
         now = time.monotonic()
-        self.last = max(self.last, now + self.pair.link.latency())
+        self.last = max(self.last, max(now, self.opened) + self.pair.link.latency())
         self.queue.append((self.last, data))
         self.size += len(data)
         if self.size > MOST_HELD and not self.full:
@@ -165,6 +168,15 @@
     def write(self, data: bytes) -> None:
         if self.transport is not None:
             self.transport.write(data)
+            if self.ended:
+                self.way.pair.relay.alarm.at(time.monotonic() + CROSSED_S, self._crossed)
+
+    def _crossed(self, now: float) -> None:
+        """Bytes went to a side that had ended. Where it had closed they are reset, which nobody reads."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.way.come(_RESET)
 
     def end(self) -> None:
         """The other side has ended."""
@@ -204,7 +216,7 @@
     def made(self, side: Side) -> None:
         if side is self.up.source:
             # its peer took it for open at once: the handshake's way and back is caught up for here
-            self.up.last = time.monotonic() + 2 * self.link.latency()
+            self.up.opened = time.monotonic() + 2 * self.link.latency()
             for fault in self.link.faults:
                 fault.begin_pair(self)
             self.relay.process.spawn(self.link.upstream.connect(self))
--- a/tests/lab/test_drivers.py
+++ b/tests/lab/test_drivers.py
@@ -5,6 +5,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -95,6 +96,8 @@
                 told = json.loads(m.body)
                 self.all.append((told["id"], told["state"]))
                 status = self.script.pop(0) if self.script else 204
+                if status < 0:
+                    continue  # never answered
                 if not status:
                     writer.transport.abort()
                     return
@@ -224,9 +227,9 @@
 )
 def test_what_no_client_sent_is_refused_and_noted(tmp_path: Path, status: int, how: dict[str, Any]) -> None:
     async def work() -> None:
-        node = Node()
-        party, opened = await a_fleet(tmp_path, node)
-        client = await Client().open(opened["s1"])
+        nodes = {"n1": await Node().open(), "n2": await Node().open()}
+        party = Party(fleet.Fleet, tmp_path, {}, dispatchers=nodes)
+        client = await Client().open((await party.open())["s1"])
         client.send(**how)
         assert await client.status() == status
         assert [(t.id, t.verdict) for t in party.records(records.Taken)] == [
@@ -239,17 +242,18 @@
 
 def test_a_call_back_is_tried_until_it_is_answered(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(callbacks, "WAITS_S", (0.001,) * 9)
+    monkeypatch.setattr(callbacks, "ANSWER_S", 0.05)
 
     async def work() -> None:
-        node = Node(500, 503, 0, 404, 204, *[500] * 10)
+        node = Node(500, 503, 0, 404, -1, 204, *[500] * 10)
         party, opened = await a_fleet(tmp_path, node)
         client = await Client().open(opened["s1"])
         client.send()
-        await until(lambda: len(node.all) == 15)  # `done` is given up after ten tries
+        await until(lambda: len(node.all) == 16)  # `done` is given up after ten tries
         client.send("f" * 16)
         assert [(await node.hear())["state"] for _ in range(3)] == ["started", "started", "done"]
         states = [s for id, s in node.all if id == ID]
-        assert states == ["started"] * 5 + ["done"] * 10
+        assert states == ["started"] * 6 + ["done"] * 10
         party.role.close()
 
     play(work)
@@ -310,6 +314,57 @@
     play(work)
 
 
+def test_the_dead_tell_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(callbacks, "WAITS_S", (0.05,) * 9)
+
+    async def work() -> None:
+        node = Node(500)
+        party, opened = await a_fleet(tmp_path, node, pool=SLOW)
+        client = await Client().open(opened["s1"])
+        client.send()
+        await until(lambda: node.all)  # `started` waits for its next try
+        party.fault("swallow", "s1")
+        client.send("f" * 16)
+        await until(lambda: len(party.records(records.Taken)) == 2)
+        party.fault("kill", "s1")
+        assert (await node.hear())["state"] == "lost"
+        await asyncio.sleep(0.1)
+        assert [s for _, s in node.all] == ["started", "lost"]
+        assert {(e.id, e.how) for e in party.records(records.Ended)} == {(ID, "killed"), ("f" * 16, "killed")}
+        party.role.close()
+
+    play(work)
+
+
+def test_cold_from_the_run_s_begin_overdriven_it_falls_and_stays_down(tmp_path: Path) -> None:
+    async def work() -> None:
+        pool = {"answers_at_once": False, "starts_cold": True, "cold_from": 0.1, "cold_for_s": 3600.0}
+        rule = {"cold_multiple": 0.02, "cold_window_s": 60.0}
+        party, opened = await a_fleet(tmp_path, Node(), rule, pool | {"queue": 1000})
+        party.order("go")
+        while (first := (await party.word("states"))["s1"])[1] < party.records(records.Born)[-2].at:
+            pass
+        assert [(b.epoch, b.cold) for b in party.records(records.Born) if b.server == "s1"] == [
+            (1, True),
+            (2, True),
+        ]
+        assert first[0] == "ready"
+        client = await Client().open(opened["s1"])
+        with pytest.raises(ConnectionResetError):
+            for n in range(1000):
+                client.send(f"{n:016x}")
+                assert await client.status() == 202
+        assert [d.why for d in party.records(records.Died)] == ["fell"]
+        taken = party.records(records.Taken)
+        assert taken[-1].verdict == "reset" and {t.verdict for t in taken[:-1]} == {"accepted"}
+        party.fault("crash", "s1", end=True)
+        with pytest.raises(ConnectionRefusedError):
+            await Client().open(opened["s1"])
+        party.role.close()
+
+    play(work)
+
+
 def test_given_up_by_delete_or_before_the_202(tmp_path: Path) -> None:
     async def work() -> None:
         node = Node()
@@ -335,6 +390,28 @@
     play(work)
 
 
+def test_connections_idle_too_long_are_closed_and_too_many_unread(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(fleet, "SWEEP_S", 0.01)
+
+    async def work() -> None:
+        party, opened = await a_fleet(tmp_path, Node(), pool={"idle_s": 0.05, "connections": 2})
+        model = party.role.servers["s1"].model  # type: ignore[attr-defined]
+        party.fault("swallow", "s1")
+        busy, idle = await Client().open(opened["s1"]), await Client().open(opened["s1"])
+        busy.send()
+        await until(lambda: model.connections == 2)
+        refused = await Client().open(opened["s1"])
+        refused.send("f" * 16)
+        assert await ended(refused) != "answer" and await ended(idle) == "closed"
+        assert model.connections == 1 and not busy.reader.at_eof()
+        assert [t.id for t in party.records(records.Taken)] == [ID]
+        party.role.close()
+
+    play(work)
+
+
 def test_a_paused_server_is_silent_and_its_connections_stand(tmp_path: Path) -> None:
     async def work() -> None:
         node = Node()
@@ -457,7 +534,8 @@
         after = await Client().open(moved)
         after.send(None, "/catalog/members?stream=1&index=1", "GET")
         assert states(await a_line(after)) == {"s1": "draining", "s2": "ready"}
-        assert not watches["n1"].reader.at_eof()
+        with pytest.raises(TimeoutError):  # the old watch stands, and hears nothing of it
+            await asyncio.wait_for(watches["n1"].reader.read(1), 0.1)
         party.role.close()
 
     play(work)
@@ -665,9 +743,45 @@
         for client in clients:
             answer = await client.answer()
             assert answer and answer.body == body
+        link = party.role.links["n1>s1"]  # type: ignore[attr-defined]
+        sides = [side for pair in link.pairs for side in (pair.up.source, pair.down.source)]
+        for client in clients:
             client.writer.write_eof()
             assert await client.answer() is None  # the end passes as well
-        assert not party.role.links["n1>s1"].pairs  # type: ignore[attr-defined]
+        await until(lambda: not link.pairs and not any(side.transport for side in sides))
+        party.role.close()
+
+    play(work)
+
+
+def test_latency_counts_for_each_way_and_for_the_handshake(tmp_path: Path) -> None:
+    async def work() -> None:
+        party, address = await a_link(tmp_path, Peer(), cross_zone_s=0.03, jitter=0.0)
+        client, loop = Client(), asyncio.get_running_loop()
+        for ways in (4, 2):  # a busy machine can only add to it
+            begin = loop.time()
+            if ways == 4:
+                await client.open(address)
+            client.send()
+            assert await client.status() == 200
+            assert loop.time() - begin >= ways * 0.03 - 0.005  # the loop counts in milliseconds
+        party.role.close()
+
+    play(work)
+
+
+def test_an_end_passes_as_an_end_and_what_crosses_it_is_reset(tmp_path: Path) -> None:
+    async def work() -> None:
+        peer = Peer()
+        party, address = await a_link(tmp_path, peer)
+        client = await Client().open(address)
+        client.send()
+        assert await client.status() == 200
+        peer.writers[0].close()
+        assert await ended(client) == "closed"
+        client.send()
+        own = client.writer.get_extra_info("socket")
+        await until(lambda: own.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
         party.role.close()
 
     play(work)
