Long lists are read and applied in slices; bounds follow the configured sockets, to any number

Need: a whole list of 10,000 took 2 s of one turn of the loop, and a drain notice behind it waited; the program knew 1,024 descriptors at the most. Change: a line over 48 KB is decoded 512 entries at a time, compared with what was told before, and what differs applied 16 entries at a time, not ready ones first and retired at once; later news overtake. Limits of sockets beyond 1,024 hold, and raise the soft limit.

--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -4,6 +4,7 @@
 import asyncio
 import logging
 import os
+import resource
 import signal
 import sys
 from collections.abc import Mapping
@@ -35,8 +36,6 @@
 from finchladder.net.service import ServiceActor
 from finchladder.net.timers import Timers
 
-MOST_SOCKETS = 1024
-
 
 def arguments(parser: argparse.ArgumentParser) -> None:
     takes_config(parser)
@@ -77,14 +76,25 @@
     return files
 
 
+def allow_descriptors(sockets: int) -> None:
+    """The system's soft limit is raised to what the configuration says; its hard limit is the operator's."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
+    if soft != resource.RLIM_INFINITY and soft < most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    if most < sockets:
+        logger.warning("limits: {} sockets are configured, and the system allows {}", sockets, most)
+
+
 async def serve(setup: Setup, options: Options) -> None:
     loop = asyncio.get_running_loop()
     left = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, left.set)
     clock = Clock()
-    flows = Flows(JobStatus(options.status) if options.status is not None else None, clock)
-    sockets = min(setup.limits.sockets, MOST_SOCKETS)
+    sockets = setup.limits.sockets
+    allow_descriptors(sockets)
+    flows = Flows(JobStatus(options.status) if options.status is not None else None, clock, sockets)
     seed = read_seed(setup.seed)
     dispatcher, arrivals = Dispatcher(setup.settings, seed), Arrivals(options, seed)
     module = ModuleActor(dispatcher, flows, clock)
@@ -99,7 +109,7 @@
     caps = setup.caps
     servers = RealServers(flows, module, timers, caps.connect_timeout_s, caps.conn_idle_s, sockets)
     module.carrier = servers
-    service = ServiceActor(setup.discovery, servers.update)
+    service = ServiceActor(setup.discovery, servers.update, servers.retire)
     classes = {c.name for c in setup.settings.classes}
     intake = Intake(classes, flows, module, timers, arrivals, Leaving(), sockets)
     controls = Controls(clock, classes, options, flows.status, arrivals, capture)
@@ -108,9 +118,7 @@
     clients = Clients(front, bodies, sockets)
     clients.listen_on(setup.listen)
     servers.start()
-    if setup.known is not None:
-        service.post(setup.known)
-    service.start()
+    service.start(setup.known)
     # a SIGHUP with nobody to handle it would end the process, and with it all open flows
     loop.add_signal_handler(signal.SIGHUP, reread, os.environ, service)
     logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
--- a/finchladder/config/entries.py
+++ b/finchladder/config/entries.py
@@ -1,5 +1,6 @@
 """The service entries: discovery's list as JSON, one line of its watch or the last known one in a file."""
 
+from collections.abc import Generator
 from typing import Literal, NamedTuple
 
 import msgspec
@@ -52,15 +53,85 @@
     version: int
     workers: api.WorkerList
     addresses: dict[str, tuple[str, int]]
+    entries: list[ServiceEntry] = []
+
+
+class Change(NamedTuple):
+    """What a long list changed: entries that are not as they were; GONE are those that a whole one lacks."""
+
+    version: int
+    entries: list[api.WorkerEntry]
+    addresses: dict[str, tuple[str, int]]
+
+
+class _Long(msgspec.Struct):
+    index: int
+    snapshot: bool
+    endpoints: list[msgspec.Raw]
 
 
 _decoder = msgspec.json.Decoder(ServiceList)
+_long = msgspec.json.Decoder(_Long)
+_entry = msgspec.json.Decoder(ServiceEntry)
 
 
 def read_list(line: bytes, kind: api.ListKind | None = None) -> News:
     """One line of the list; ValueError says what is wrong with it."""
     try:
         found = _decoder.decode(line)
-        return News(found.index, found.workers(kind), found.addresses())
+        return News(found.index, found.workers(kind), found.addresses(), found.endpoints)
     except msgspec.MsgspecError as e:
         raise ValueError(str(e)) from None
+
+
+class EntryTable:
+    """All entries as they were last told: of a long list only what differs is worth the work."""
+
+    def __init__(self) -> None:
+        self.told: dict[str, ServiceEntry] = {}
+
+    def keep(self, news: News) -> None:
+        self._keep({e.name: e for e in news.entries}, news.workers.kind is not api.ListKind.PATCH)
+
+    def read(self, line: bytes, slice_of: int, whole: bool = False) -> Generator[None, None, Change]:
+        """Reads so many entries between two pauses; what is told is kept at the end. `whole`: it is, it says.
+
+        ValueError says what is wrong with it; then nothing of it is kept.
+        """
+        told: dict[str, ServiceEntry] = {}
+        entries: list[api.WorkerEntry] = []
+        addresses: dict[str, tuple[str, int]] = {}
+        try:
+            found = _long.decode(line)
+            yield
+            for n, raw in enumerate(found.endpoints, 1):
+                e = _entry.decode(raw)
+                told[e.name] = e
+                if not self._said(e):
+                    entries.append(e.worker())
+                    if e.status != "gone":
+                        addresses[e.name] = parse_address(e.address)
+                if not n % slice_of:
+                    yield
+        except msgspec.MsgspecError as error:
+            raise ValueError(str(error)) from None
+        whole = whole or found.snapshot
+        if whole:
+            entries += [api.WorkerEntry(name, api.State.GONE) for name in self.told if name not in told]
+        self._keep(told, whole)
+        return Change(found.index, entries, addresses)
+
+    def _said(self, e: ServiceEntry) -> bool:
+        """Whether it is as it was but for its weight, which nothing here goes by."""
+        if (old := self.told.get(e.name)) is None:
+            return e.status == "gone"
+        return old == e or msgspec.structs.replace(old, weight=e.weight) == e
+
+    def _keep(self, told: dict[str, ServiceEntry], whole: bool) -> None:
+        if whole:
+            self.told = dict(told)
+        else:
+            self.told.update(told)
+        for e in told.values():
+            if e.status == "gone":
+                del self.told[e.name]
--- a/finchladder/config/platform.py
+++ b/finchladder/config/platform.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from finchladder.config.addresses import parse_address
-from finchladder.config.entries import News, read_list
+from finchladder.config.entries import read_list
 from finchladder.config.settings import read_settings
 from finchladder.core import api
 
@@ -45,7 +45,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: str
-    known: News | None
+    known: bytes  # a list, found usable; empty: none
     settings: api.Settings
     caps: Caps
     limits: Limits
@@ -75,13 +75,15 @@
     discovery = file.discovery or env.get("NODE_DISCOVERY")
     if not discovery:
         raise ValueError("neither the configuration nor NODE_DISCOVERY names discovery")
-    known = bytes(file.known)
+    known = bytes(file.known) if bytes(file.known) != b"null" else b""
+    if known:
+        read_list(known)
     return Setup(
         env.get("NODE_NAME", "dispatcher"),
         parse_address(env["NODE_LISTEN"]),
         parse_address(discovery),
         file.seed,
-        read_list(known, api.ListKind.STALE) if known not in (b"", b"null") else None,
+        known,
         read_settings(bytes(file.settings)),
         caps,
         file.limits,
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -17,18 +17,19 @@
 
 EDGE = 0.55  # part of all sockets: edge connections; more than open flows, as call-backs need the rest
 JUST_CAME = 0.25
-BACKLOG = 1024
+BACKLOG, BACKLOG_PART = 1024, 1 / 4  # connections not yet accepted: at the least, and of all sockets
 
 
 class Clients:
     def __init__(self, front: Front, bodies: BodyRoom, sockets: int) -> None:
         self.front, self.bodies, self.clock = front, bodies, front.intake.clock
         self.edges: EdgeTable[EdgeConnection] = EdgeTable(int(EDGE * sockets))
+        self.backlog = max(BACKLOG, int(BACKLOG_PART * sockets))
         self.tasks: set[asyncio.Task[None]] = set()
         self.stops: list[Callable[[], None]] = []
 
     def listen_on(self, address: tuple[str, int]) -> None:
-        for listening in bind_sockets(address[1], address[0], backlog=BACKLOG):
+        for listening in bind_sockets(address[1], address[0], backlog=self.backlog):
             self.add_socket(listening)
 
     def add_socket(self, listening: socket.socket) -> None:
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -9,7 +9,7 @@
 from finchladder.core.stages import Stage, Step, follow
 from finchladder.features.status import JobStatus
 
-REMEMBERED = 4096  # ids of ended flows: a request that is sent again under its id must not run again
+REMEMBERED = 4096  # ids of ended flows at the least: a request sent again under its id must not run again
 
 
 class Answer(NamedTuple):
@@ -85,9 +85,10 @@
     """All flows that are open or have a scheduling out, by the id of their request."""
 
     def __init__(
-        self, status: JobStatus | None = None, clock: Callable[[], float] = time.monotonic
+        self, status: JobStatus | None = None, clock: Callable[[], float] = time.monotonic, sockets: int = 0
     ) -> None:
         self.status, self.clock = status, clock  # the status is told of each step, where it is on
+        self.remembered = max(REMEMBERED, 4 * sockets)
         self.by_id: dict[str, Flow] = {}
         self.open = 0  # flows without their final answer
         self.ended: dict[str, None] = {}
@@ -123,5 +124,5 @@
             self.ended[flow.id] = None
             if self.status is not None:
                 self.status.finished(self.clock(), flow.id, flow.answer.kind)
-            if len(self.ended) > REMEMBERED:
+            if len(self.ended) > self.remembered:
                 del self.ended[next(iter(self.ended))]
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -340,6 +340,12 @@
             actor.address, self.starts[e.worker] = address, e.born
         self.module.tell(worker_list)
 
+    def retire(self, names: list[str]) -> None:
+        """At once, though it takes turns of the loop until the module has been told of them all."""
+        for name in names:
+            if (actor := self.actors.get(name)) is not None:
+                self._set_ready(actor, False)
+
     def _set_ready(self, actor: RealServer, ready: bool) -> None:
         actor.ready = ready
         if ready:
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+from itertools import islice
 
-from finchladder.config.entries import News, read_list
+from finchladder.config.entries import Change, EntryTable, News, read_list
 from finchladder.core import api
 from finchladder.net import http1
 from finchladder.net.actor import Actor
@@ -14,6 +15,8 @@
 BACKOFF, BACKOFF_MOST = 0.1, 0.8  # news counts as told after 6 s: no longer wait may lie between two tries
 MAX_LINE = 8 * 1024 * 1024
 ROOM = 64
+LONG = 48 * 1024  # bytes: some 350 entries; a shorter line is read and applied at once
+READ_AT_ONCE, APPLY_AT_ONCE = 512, 16  # entries of a longer one in one turn of the loop: some 2 ms each
 
 Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
 
@@ -28,29 +31,89 @@
         self.rest += piece
         if len(self.rest) > MAX_LINE:
             raise ValueError("line too long")
+        if b"\n" not in piece:
+            return []
         *lines, rest = self.rest.split(b"\n")
         self.rest = bytearray(rest)
         return [bytes(line).strip() for line in lines]
 
 
 class ServiceActor(Actor[News]):
-    """Keeps the version of the list last applied, and watches for what comes after it."""
+    """Keeps the version of the list last read, and watches for what comes after it.
 
-    def __init__(self, address: tuple[str, int], apply: Apply) -> None:
+    A long list is read and applied in slices, so that no turn of the loop waits for it: what drains or is
+    gone first, and with `retire` even ahead of that. News that come meanwhile overtake the slices to come.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None] = lambda names: None
+    ) -> None:
         super().__init__("service list", ROOM)
-        self.address, self.apply = address, apply
+        self.address, self.apply, self.retire = address, apply, retire
         self.index = 0
         self.up = self.established = False
+        self.table = EntryTable()
+        # entries still to be applied, by name: the newest word alone; those not ready go first
+        self.urgent: dict[str, api.WorkerEntry] = {}
+        self.rest: dict[str, api.WorkerEntry] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
         self.watching: asyncio.Task[None]
+        self.applying: asyncio.Task[None] | None = None
 
     def receive(self, news: News) -> None:
+        for e in news.workers.entries:
+            self._drop(e.worker)
+        if news.workers.kind is not api.ListKind.PATCH:
+            self.urgent, self.rest, self.addresses = {}, {}, {}
         self.apply(news.workers, news.addresses)
+        self.table.keep(news)
         self.index = news.version
         # an empty list from before is no list: nothing could be served on it
         self.up = self.up or bool(news.workers.entries) or news.workers.kind is not api.ListKind.STALE
 
-    def start(self) -> None:
-        self.watching = self.spawn(self._watch_on())
+    async def take(self, line: bytes, known: bool = False) -> None:
+        """A line of the watch, or the list as it was last known. ValueError: it can't be used."""
+        if len(line) <= LONG:
+            return self.post(read_list(line, api.ListKind.STALE if known else None))
+        reading = self.table.read(line, READ_AT_ONCE, known)
+        while True:
+            try:
+                next(reading)
+            except StopIteration as over:
+                return self._changed(over.value, known)
+            await asyncio.sleep(0)
+
+    def _changed(self, change: Change, known: bool) -> None:
+        for e in change.entries:
+            self._drop(e.worker)
+            (self.rest if e.state is api.State.READY else self.urgent)[e.worker] = e
+        self.addresses |= change.addresses
+        self.retire([e.worker for e in change.entries if e.state is not api.State.READY])
+        self.index, self.up = change.version, self.up or bool(self.table.told) or not known
+        if self.applying is None or self.applying.done():
+            self.applying = self.spawn(self._apply_on())
+
+    async def _apply_on(self) -> None:
+        while waiting := self.urgent or self.rest:
+            names = list(islice(waiting, APPLY_AT_ONCE))
+            entries = tuple(waiting.pop(name) for name in names)
+            addresses = {n: self.addresses.pop(n) for n in names if n in self.addresses}
+            self.apply(api.WorkerList(api.ListKind.PATCH, entries), addresses)
+            await asyncio.sleep(0)
+
+    def _drop(self, name: str) -> None:
+        self.urgent.pop(name, None)
+        self.rest.pop(name, None)
+        self.addresses.pop(name, None)
+
+    def start(self, known: bytes = b"") -> None:
+        """`known`: the list as it was last known, which was found usable."""
+        self.watching = self.spawn(self._begin(known))
+
+    async def _begin(self, known: bytes) -> None:
+        if known:
+            await self.take(known, known=True)
+        await self._watch_on()
 
     def follow(self, address: tuple[str, int]) -> None:
         """Watches at another address from the version last applied; the list stays in use meanwhile."""
@@ -98,7 +161,7 @@
             while True:
                 for line in lines.feed(channel.parser.take_piece()):
                     if line:
-                        self.post(read_list(line))
+                        await self.take(line)
                 if channel.parser.body is None or channel.parser.body.done:
                     return
                 async with asyncio.timeout(SILENCE):
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,131 @@
+"""Long lists: what is read of them, and how they are applied beside what comes meanwhile."""
+
+import asyncio
+import json
+
+import pytest
+
+from finchladder.config.entries import Change, EntryTable, read_list
+from finchladder.core import api
+from finchladder.net import service
+from finchladder.net.service import ServiceActor
+
+R, D, G = api.State.READY, api.State.DRAINING, api.State.GONE
+
+
+def line(entries: dict[str, str], index: int = 1, whole: bool = True, **more: object) -> bytes:
+    listed = [{"name": n, "address": "127.0.0.1:80", "status": s} | more for n, s in entries.items()]
+    return json.dumps({"index": index, "snapshot": whole, "endpoints": listed}).encode()
+
+
+def read(table: EntryTable, data: bytes, slice_of: int = 2, whole: bool = False) -> tuple[int, Change]:
+    reading, pauses = table.read(data, slice_of, whole), 0
+    while True:
+        try:
+            next(reading)
+        except StopIteration as over:
+            return pauses, over.value
+        pauses += 1
+
+
+@pytest.mark.parametrize(
+    ("told", "whole", "changed"),
+    [
+        ({"a": "ready", "b": "ready", "c": "draining"}, True, {}),
+        ({"a": "ready", "b": "ready"}, True, {"c": G}),
+        ({"a": "draining"}, False, {"a": D}),
+        ({"a": "gone"}, False, {"a": G}),
+        ({"d": "ready"}, False, {"d": R}),
+        ({}, True, {"a": G, "b": G, "c": G}),
+        ({}, False, {}),
+    ],
+)
+def test_only_what_differs_is_applied_of_a_long_list(
+    told: dict[str, str], whole: bool, changed: dict[str, api.State]
+) -> None:
+    table = EntryTable()
+    table.keep(read_list(line({"a": "ready", "b": "ready", "c": "draining"})))
+    _, change = read(table, line(told, 7, whole))
+    assert (change.version, {e.worker: e.state for e in change.entries}) == (7, changed)
+    assert set(change.addresses) == {n for n, s in changed.items() if s is not G}
+    assert read(table, line(told, 8, whole))[1].entries == []  # and once only
+
+
+@pytest.mark.parametrize(
+    ("more", "differs"),
+    [
+        ({"weight": 3.0}, False),
+        ({"since_ms": 5.0}, True),
+        ({"address": "127.0.0.1:81"}, True),
+        ({"zone": "x"}, True),
+    ],
+)
+def test_a_weight_alone_is_no_difference(more: dict[str, object], differs: bool) -> None:
+    table = EntryTable()
+    read(table, line({"a": "ready"}))
+    assert bool(read(table, line({"a": "ready"}, 2, True, **more))[1].entries) == differs
+
+
+def test_nothing_is_kept_of_a_line_that_can_not_be_used() -> None:
+    table = EntryTable()
+    good = {f"w{n}": "ready" for n in range(9)}
+    assert read(table, line(good))[0] == 5  # 9 entries, 2 at once, and one pause for the line itself
+    with pytest.raises(ValueError, match="asleep"):
+        read(table, line(good | {"w3": "gone", "w8": "asleep"}))
+    assert read(table, line(good))[1].entries == []
+
+
+class Slices:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(service, "LONG", 0)
+        monkeypatch.setattr(service, "APPLY_AT_ONCE", 2)
+        self.applied: list[tuple[list[str], set[str]]] = []
+        self.retired: list[str] = []
+        self.actor = ServiceActor(("127.0.0.1", 1), self.apply, self.retired.extend)
+
+    def apply(self, workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
+        self.applied.append(([e.worker for e in workers.entries], set(addresses)))
+
+    async def settle(self) -> None:
+        while self.actor.urgent or self.actor.rest:
+            await asyncio.sleep(0)
+
+
+def test_what_drains_is_applied_first_and_retired_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        s = Slices(monkeypatch)
+        await s.actor.take(line({"a": "ready", "b": "ready", "c": "ready", "d": "draining", "e": "draining"}))
+        assert s.retired == ["d", "e"] and s.applied == [] and s.actor.up
+        await s.settle()
+        assert s.applied == [(["d", "e"], {"d", "e"}), (["a", "b"], {"a", "b"}), (["c"], {"c"})]
+
+    asyncio.run(play())
+
+
+def test_later_news_overtake_the_slices_still_to_come(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        s = Slices(monkeypatch)
+        await s.actor.take(line({"a": "ready", "b": "ready", "c": "ready"}))
+        s.actor.post(read_list(line({"b": "draining"}, 2, whole=False)))
+        await s.settle()
+        assert s.applied == [(["b"], {"b"}), (["a", "c"], {"a", "c"})] and s.actor.index == 2
+        await s.actor.take(line({"a": "gone", "c": "draining"}, 3, whole=False))
+        s.actor.post(read_list(line({"c": "ready"}, 4)))  # whole: of what was to come nothing holds
+        await s.settle()
+        assert s.applied[2:] == [(["c"], {"c"})]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("entries", "known", "up"), [({}, True, False), ({}, False, True), ({"a": "ready"}, True, True)]
+)
+def test_an_empty_list_from_before_is_no_list(
+    entries: dict[str, str], known: bool, up: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        s = Slices(monkeypatch)
+        await s.actor.take(line(entries), known)
+        assert s.actor.up == up
+
+    asyncio.run(play())
