--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -67,7 +67,8 @@
         return
     try:
         from finchladder.lab.check import Unusable
-        from finchladder.lab.run import Interrupted, LabError
+        from finchladder.lab.processes import LabError
+        from finchladder.lab.run import Interrupted
         from finchladder.lab.show import Show
     except ModuleNotFoundError as e:
         fail(f"the lab needs {e.name}, which is not installed: pip install 'finchladder[lab]'")
@@ -118,6 +119,7 @@
     folder = out / variant.label if variant.label else out
     folder.mkdir(parents=True, exist_ok=True)
     play(variant.experiment, variant.folder, folder, show)
+    show.close()
     summary = write(folder)
     tell(summary, folder, variant.label)
     return summary
