--- a/finchladder/core/api.py
+++ b/finchladder/core/api.py
@@ -181,6 +181,12 @@
     token: int
 
 
+class Unseen(NamedTuple):
+    """For so many seconds before now nobody looked at what came: that is no worker's delay."""
+
+    seconds: float
+
+
 class Probed(NamedTuple):
     worker: str
     ending: Ending
@@ -194,7 +200,8 @@
 
 
 Event = (
-    WorkerList | Request | Started | Progress | Streaming | Ended | ClientGone | Timer | Probed | PeerMessage
+    WorkerList | Request | Started | Progress | Streaming | Ended | ClientGone | Timer | Unseen | Probed
+    | PeerMessage
 )
 
 
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -17,7 +17,7 @@
 from finchladder.core.api import (
     Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
     PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
-    WorkerEntry, WorkerList,
+    Unseen, WorkerEntry, WorkerList,
 )  # fmt: skip
 from finchladder.core.agenda import Agenda
 from finchladder.core.counts import KeyCounts
@@ -84,12 +84,12 @@
         self.warm_done, self.warm_since = 0.0, 0.0
         self.retry_tokens = RETRY_MOST
         self.subscribed, self.ask_at, self.failures = not settings.must_ask, 0.0, 0
-        self.now, self.timer_due, self.serial = 0.0, False, 0
+        self.now, self.unseen, self.timer_due, self.serial = 0.0, 0.0, False, 0
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], object]] = {
             Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
             Timer: self._on_timer, WorkerList: self._on_list, ClientGone: self._on_gone,
-            PeerMessage: self._on_peer, Progress: self._on_news,
+            PeerMessage: self._on_peer, Progress: self._on_news, Unseen: self._on_unseen,
         }  # fmt: skip
         self.reindex()
 
@@ -106,7 +106,7 @@
                     self.agenda.hold(job)
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        self.now, self.actions = now, []
+        self.now, self.seen, self.actions = now, now - self.unseen, []
         if type(event) in self.handlers:
             self.handlers[type(event)](event)
         if not self.timer_due:
@@ -131,14 +131,14 @@
         attempt = self._on_news(e)
         if attempt is None or attempt.started is not None:
             return
-        attempt.started = self.now
+        attempt.started = self.seen
         attempt.worker.unstarted.pop(attempt, None)
-        self._learn_delay(attempt.worker, self.now - attempt.sent > self.start_grace)
+        self._learn_delay(attempt.worker, self.seen - attempt.seen > self.start_grace)
 
     def _on_news(self, e: Started | Progress) -> Attempt | None:
         attempt = self._attempt(e.request, e.attempt)
         if attempt is not None:
-            attempt.told = attempt.worker.heard = self.now
+            attempt.told = attempt.worker.heard = self.seen
             if attempt.stalled and attempt.ending is None:  # not lost after all
                 attempt.stalled = False
                 self.fleet.add_load(attempt.worker, self.jobs[e.request].slots)
@@ -164,6 +164,9 @@
             self._forget_if_over(job)
         self._place_held()
 
+    def _on_unseen(self, e: Unseen) -> None:
+        self.unseen += e.seconds  # `seen` is a clock that stands still meanwhile: no worker is blamed for it
+
     def _on_gone(self, e: ClientGone) -> None:
         if (job := self.jobs.get(e.request)) is not None:
             self._close(job)
@@ -298,7 +301,7 @@
         if w.load >= w.t or self.now < w.rest_until:
             return False
         if w.unstarted and self.s.tells_start:
-            return self.now - next(iter(w.unstarted.values())) <= self.start_grace
+            return self.seen - next(iter(w.unstarted.values())) <= self.start_grace
         return True
 
     def _silent_at(self, job: Job) -> float:
@@ -309,7 +312,8 @@
         a = job.attempts[-1]
         if not self.s.tells_start or a.stalled or (a.started and not self.s.progress_every):
             return inf
-        return self.stall + (a.told + self.s.progress_every if a.started else max(a.sent, a.worker.heard))
+        told = a.told + self.s.progress_every if a.started else max(a.seen, a.worker.heard)
+        return self.unseen + told + self.stall
 
     def _unstall(self, job: Job, a: Attempt) -> None:
         """A job of which nothing more is told holds no slot as far as anyone can see.
@@ -371,11 +375,11 @@
             w.cold_credit -= self._cold_cost(job, w)
             w.fetched[job.key] = None
         self.retry_tokens -= any(job.may_have_run())
-        attempt = Attempt(w, self.now)
+        attempt = Attempt(w, self.now, self.seen)
         job.attempts.append(attempt)
         job.out += 1
         self.fleet.add_load(w, job.slots)
-        w.unstarted[attempt] = self.now
+        w.unstarted[attempt] = self.seen
         self._watch(job)
         self.actions.append(Send(job.id, w.address))
 
@@ -417,12 +421,12 @@
     def _learn_ending(self, job: Job, a: Attempt, e: Ended) -> None:
         w = a.worker
         if e.ending in (Ending.OK, Ending.ERROR, Ending.OVERLOADED):
-            w.heard = self.now
+            w.heard = self.seen
         if e.ending is Ending.OVERLOADED:
             self.strain += SMOOTH * (1 - self.strain)
             self._learn_delay(w, True)
         elif e.ending is Ending.OK:
-            ran = self.now - (a.started if a.started is not None else a.sent)
+            ran = self.seen - (a.started if a.started is not None else a.seen)
             self.run[job.cls.name] += SMOOTH * (max(ran, self.s.tick) - self.run[job.cls.name])
             if not self.fleet.is_cold(w, self.now):
                 self.warm_done += self._cost(job)
--- a/finchladder/core/records.py
+++ b/finchladder/core/records.py
@@ -33,14 +33,15 @@
 
 
 class Attempt:
-    __slots__ = ("worker", "sent", "started", "ending", "stalled", "told")
+    __slots__ = ("worker", "sent", "started", "ending", "stalled", "told", "seen")
 
-    def __init__(self, worker: Worker, sent: float) -> None:
-        self.worker, self.sent = worker, sent
+    def __init__(self, worker: Worker, sent: float, seen: float) -> None:
+        self.worker, self.sent, self.seen = worker, sent, seen  # `seen`: sent, by the clock that follows
+        # the next two go by a clock that stands still while the dispatcher can't look at what comes
         self.started: float | None = None
         self.ending: Ending | None = None
         self.stalled = False  # given up for lost: nothing more is told of it
-        self.told = sent  # when anything was last told of it
+        self.told = seen  # when anything was last told of it
 
 
 class Job:
--- a/finchladder/features/capture.py
+++ b/finchladder/features/capture.py
@@ -49,6 +49,8 @@
         return line | ({"report": _report(e.report)} if e.report else {})
     if isinstance(e, api.Timer):
         return {"t": t, "in": "timer", "token": e.token}
+    if isinstance(e, api.Unseen):
+        return {"t": t, "in": "unseen", "seconds": e.seconds}
     if isinstance(e, api.ClientGone):
         return {"t": t, "in": "gone", "id": e.request}
     if isinstance(e, api.WorkerList):
--- a/finchladder/features/replay.py
+++ b/finchladder/features/replay.py
@@ -75,6 +75,14 @@
         return api.Timer(self.token)
 
 
+class UnseenIn(msgspec.Struct):
+    t: float
+    seconds: float
+
+    def event(self) -> api.Event:
+        return api.Unseen(self.seconds)
+
+
 class GoneIn(msgspec.Struct):
     t: float
     id: str
@@ -109,11 +117,12 @@
     t: float
 
 
-Event = RequestIn | EventIn | TimerIn | GoneIn | ListIn
+Event = RequestIn | EventIn | TimerIn | UnseenIn | GoneIn | ListIn
 Input = Opening | StateIn | ArrivalIn | DrillIn | LeaveIn | Event
 INPUTS: dict[str, type[Input]] = {
     "capture": Opening, "state": StateIn, "request": RequestIn, "event": EventIn, "timer": TimerIn,
-    "gone": GoneIn, "list": ListIn, "arrival": ArrivalIn, "drill": DrillIn, "leave": LeaveIn,
+    "unseen": UnseenIn, "gone": GoneIn, "list": ListIn, "arrival": ArrivalIn, "drill": DrillIn,
+    "leave": LeaveIn,
 }  # fmt: skip
 
 
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -1,5 +1,6 @@
 """The decision module's actor: the only caller of Dispatcher.handle. It keeps the clock and the timers."""
 
+import math
 import time
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -7,7 +8,7 @@
 from tornado.ioloop import IOLoop
 
 from finchladder.core import api
-from finchladder.core.policy import Dispatcher
+from finchladder.core.policy import SWEEP, Dispatcher
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 
@@ -53,6 +54,9 @@
 Item = api.Event | Flow | Ending
 
 
+LATE = 0.005  # seconds: less than so much is no lateness of the loop
+
+
 class ModuleActor(Actor[Item]):
     def __init__(self, dispatcher: Dispatcher, flows: Flows, clock: Clock) -> None:
         super().__init__("module", ROOM)
@@ -60,6 +64,7 @@
         self.carrier: Carrier | None = None
         self.tap: Tap | None = None
         self.lists = 0  # of those that wait in the mailbox
+        self.beat = math.inf  # when the module's own timer is due: later than that, the loop is late
         self.subscribe: Callable[[bool], None] = lambda on: None  # where the list must be asked for
 
     def tell(self, item: Item) -> None:
@@ -72,6 +77,7 @@
 
     def receive(self, item: Item) -> None:
         now = self.clock()
+        self._look(now)
         if isinstance(item, api.WorkerList):
             self.lists = max(0, self.lists - 1)
         if isinstance(item, Flow):
@@ -87,6 +93,19 @@
         for action in self._decide(now, event):
             self._carry_out(action, now)
 
+    def _due(self, timer: api.Timer) -> None:
+        if timer.token == SWEEP:
+            self._look(self.clock())
+            self.beat = math.inf
+        self.tell(timer)
+
+    def _look(self, now: float) -> None:
+        """What came while the loop was late could not be looked at: the real servers must not be blamed."""
+        if now > self.beat + LATE:
+            lost, self.beat = now - self.beat, now
+            for action in self._decide(now, api.Unseen(lost)):
+                self._carry_out(action, now)
+
     def _decide(self, now: float, event: api.Event) -> list[api.Action]:
         try:
             actions = self.dispatcher.handle(now, event)
@@ -100,7 +119,9 @@
 
     def _carry_out(self, action: api.Action, now: float) -> None:
         if isinstance(action, api.SetTimer):
-            IOLoop.current().call_later(max(0.0, action.after), self.tell, api.Timer(action.token))
+            if action.token == SWEEP:
+                self.beat = now + action.after
+            IOLoop.current().call_later(max(0.0, action.after), self._due, api.Timer(action.token))
         elif isinstance(action, api.Log):
             self.log.info("module: {}", action.text)
         elif isinstance(action, api.Subscribe):
