Own lateness is told apart: a clock stands still while the loop can't look at what came

Cause: the program took its own lateness for the real servers', lowered their thresholds and let them rest: at 256 requests in flight a third was refused though all were idle.

--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from finchladder.core.api import (
-    Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
+    NEVER_RAN, Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
     PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
     Unseen, WorkerEntry, WorkerList,
 )  # fmt: skip
@@ -84,12 +84,12 @@
         self.warm_done, self.warm_since = 0.0, 0.0
         self.retry_tokens = RETRY_MOST
         self.subscribed, self.ask_at, self.failures = not settings.must_ask, 0.0, 0
-        self.now, self.unseen, self.timer_due, self.serial = 0.0, 0.0, False, 0
+        self.now, self.seen, self.unseen, self.timer_due, self.serial = 0.0, 0.0, 0.0, False, 0
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], object]] = {
             Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
             Timer: self._on_timer, WorkerList: self._on_list, ClientGone: self._on_gone,
-            PeerMessage: self._on_peer, Progress: self._on_news, Unseen: self._on_unseen,
+            PeerMessage: self._on_peer, Progress: self._on_news,
         }  # fmt: skip
         self.reindex()
 
@@ -106,9 +106,10 @@
                     self.agenda.hold(job)
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        self.now, self.seen, self.actions = now, now - self.unseen, []
-        if type(event) in self.handlers:
-            self.handlers[type(event)](event)
+        self.now, self.actions = now, []
+        self.unseen += event.seconds if isinstance(event, Unseen) else 0.0
+        self.seen = now - self.unseen  # a clock that stands still meanwhile: no worker is blamed for it
+        self.handlers.get(type(event), lambda e: None)(event)
         if not self.timer_due:
             self.timer_due = True
             self.actions.append(SetTimer(self.sweep, SWEEP))
@@ -164,9 +165,6 @@
             self._forget_if_over(job)
         self._place_held()
 
-    def _on_unseen(self, e: Unseen) -> None:
-        self.unseen += e.seconds  # `seen` is a clock that stands still meanwhile: no worker is blamed for it
-
     def _on_gone(self, e: ClientGone) -> None:
         if (job := self.jobs.get(e.request)) is not None:
             self._close(job)
@@ -227,9 +225,9 @@
         return True
 
     def _unhold(self, job: Job) -> None:
-        self.agenda.unhold(job)
         groups = self.held[job.cls.name]
-        if job.id in groups.get(job.key, {}):
+        if job.id in groups.get(job.key, ()):
+            self.agenda.unhold(job)
             del groups[job.key][job.id]
             if not groups[job.key]:
                 del groups[job.key]
@@ -253,14 +251,14 @@
         if job.key is not None:
             # overflow of a key goes round its own rings first: every node finds the same few workers, which
             # then hold what the key needs; scattered over the fleet each overflow would cost a fetch
-            found = False
+            full: list[Worker] = []
             for pair in self._pairs(pool, job.key):
-                able = [w for w in pair if self._permitted(job, w)]
-                found = found or bool(able)
-                able = sorted((w for w in able if self._under_t(w)), key=self._is_near)
+                able = [w for w in pair if self._under_t(w) and self._permitted(job, w)]
                 if able:
+                    able.sort(key=self._is_near)
                     return able[0] if able[0].load < able[-1].load else able[-1]
-            if found:
+                full += pair
+            if any(self._permitted(job, w) for w in full):
                 return None  # worth waiting for: anywhere else it would fetch
         return self._least_loaded(job, pool)
 
@@ -341,13 +339,11 @@
 
     def _permitted(self, job: Job, w: Worker) -> bool:
         """Whether the rules and the worker's health let this job go there at all."""
-        if not w.ready or any(a.worker is w for a in job.attempts):
+        if not w.ready or (job.attempts and not all(self._may_follow(job, a, w) for a in job.attempts)):
             return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
-        if self.fleet.is_cold(w, self.now) and self._cold_credit(w) < self._cold_cost(job, w):
-            return False
-        return all(self._same_group(job.cls, a.worker, w) for a in job.may_have_run())
+        return not self.fleet.is_cold(w, self.now) or self._cold_credit(w) >= self._cold_cost(job, w)
 
     def _resend_allowed(self, job: Job) -> bool:
         """Effect class: UNSAFE never once it may have run, KEYED only within its window."""
@@ -362,10 +358,13 @@
                 return False
         return True
 
-    def _same_group(self, cls: JobClass, a: Worker, b: Worker) -> bool:
-        if cls.effect is not Effect.KEYED or cls.group is Group.ALL:
+    def _may_follow(self, job: Job, a: Attempt, w: Worker) -> bool:
+        """Never twice to one worker; what may have run stays in the group that drops repeats of it."""
+        if a.worker is w or a.ending in NEVER_RAN or job.cls.effect is not Effect.KEYED:
+            return a.worker is not w
+        if job.cls.group is Group.ALL:
             return True
-        return a.zone == b.zone if cls.group is Group.ZONE else a.cell == b.cell
+        return a.worker.zone == w.zone if job.cls.group is Group.ZONE else a.worker.cell == w.cell
 
     def _send(self, job: Job, w: Worker) -> None:
         """Every send passes here."""
@@ -399,10 +398,9 @@
         job.done = True
         self._unhold(job)
         self.agenda.drop(job)
-        if self.s.may_cancel:
-            for n, a in enumerate(job.attempts):
-                if a.ending is None:
-                    self.actions.append(Cancel(job.id, n))
+        for n, a in enumerate(job.attempts):
+            if a.ending is None and self.s.may_cancel:
+                self.actions.append(Cancel(job.id, n))
         self._forget_if_over(job)
 
     def _forget_if_over(self, job: Job) -> None:
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -8,7 +8,7 @@
 from finchladder.core import api
 from finchladder.net import http1
 from finchladder.net.actor import Actor
-from finchladder.net.http1 import BadMessage, Channel, StreamClosedError
+from finchladder.net.http1 import BadMessage, Channel, Connect, StreamClosedError
 
 PATH = "/catalog/members"
 SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
@@ -46,10 +46,10 @@
     """
 
     def __init__(
-        self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None] = lambda names: None
+        self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None], connect: Connect
     ) -> None:
         super().__init__("service list", ROOM)
-        self.address, self.apply, self.retire = address, apply, retire
+        self.address, self.apply, self.retire, self.connect = address, apply, retire, connect
         self.index = 0
         self.up = self.established = False
         self.table = EntryTable()
@@ -108,12 +108,7 @@
 
     def start(self, known: bytes = b"") -> None:
         """`known`: the list as it was last known, which was found usable."""
-        self.watching = self.spawn(self._begin(known))
-
-    async def _begin(self, known: bytes) -> None:
-        if known:
-            await self.take(known, known=True)
-        await self._watch_on()
+        self.watching = self.spawn(self._watch_on(known))
 
     def follow(self, address: tuple[str, int]) -> None:
         """Watches at another address from the version last applied; the list stays in use meanwhile."""
@@ -123,7 +118,9 @@
             self.watching.cancel()
             self.watching = self.spawn(self._watch_on())
 
-    async def _watch_on(self) -> None:
+    async def _watch_on(self, known: bytes = b"") -> None:
+        if known:
+            await self.take(known, known=True)
         wait, down = BACKOFF, False
         while True:
             before = self.index
@@ -146,7 +143,7 @@
         channel: Channel | None = None
         try:
             async with asyncio.timeout(SILENCE):
-                channel = await http1.connect(self.address)
+                channel = await self.connect(self.address)
                 channel.parser.limit = lambda head: MAX_LINE
                 await channel.write(
                     http1.write_request(
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -7,7 +7,7 @@
 
 from finchladder.config.entries import Change, EntryTable, read_list
 from finchladder.core import api
-from finchladder.net import service
+from finchladder.net import http1, service
 from finchladder.net.service import ServiceActor
 
 R, D, G = api.State.READY, api.State.DRAINING, api.State.GONE
@@ -81,7 +81,7 @@
         monkeypatch.setattr(service, "APPLY_AT_ONCE", 2)
         self.applied: list[tuple[list[str], set[str]]] = []
         self.retired: list[str] = []
-        self.actor = ServiceActor(("127.0.0.1", 1), self.apply, self.retired.extend)
+        self.actor = ServiceActor(("127.0.0.1", 1), self.apply, self.retired.extend, http1.connect)
 
     def apply(self, workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
         self.applied.append(([e.worker for e in workers.entries], set(addresses)))
