--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -29,8 +29,6 @@
 from finchladder.net.service import ServiceActor
 from finchladder.net.timers import Timers
 
-MOST_SOCKETS = 1024
-
 
 class Node:
     """To be made and run on the loop that its dispatcher lives on. `reread` reads its configuration again."""
@@ -41,8 +39,9 @@
         self.setup, self.reread = setup, reread
         self.machine = machine = machine or Machine()
         self.clock = clock = Clock(machine.wall, machine.monotonic)
-        self.flows = Flows(JobStatus(options.status) if options.status is not None else None, clock)
-        sockets = min(setup.limits.sockets, MOST_SOCKETS)
+        sockets = setup.limits.sockets
+        status = JobStatus(options.status) if options.status is not None else None
+        self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
         dispatcher, arrivals = Dispatcher(setup.settings, seed), Arrivals(options, seed)
         self.module = ModuleActor(dispatcher, self.flows, clock)
@@ -61,7 +60,9 @@
             machine.connect,
         )  # fmt: skip
         self.module.carrier = self.servers
-        self.service = ServiceActor(setup.discovery, self.servers.update, machine.connect)
+        self.service = ServiceActor(
+            setup.discovery, self.servers.update, self.servers.retire, machine.connect
+        )
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
@@ -74,12 +75,11 @@
         setup, loop, left = self.setup, asyncio.get_running_loop(), asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, left.set)
-        for listening in self.machine.listen(setup.listen):
+        self.machine.allow_descriptors(setup.limits.sockets)
+        for listening in self.machine.listen(setup.listen, setup.limits.sockets):
             self.clients.add_socket(listening)
         self.servers.start()
-        if setup.known is not None:
-            self.service.post(setup.known)
-        self.service.start()
+        self.service.start(setup.known)
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -247,3 +247,33 @@
             b.feed(api.Progress(name, 0, 0.1 * second))
     assert (api.Cancel(name, 0) in b.run_until(105.5)) is not told
     assert b.d.workers[b.sends(name)[0].worker].load == told
+
+
+def unseen_bench() -> tuple[Bench, str]:
+    """A job sent at 100.0, and then a second in which its start came but could not be looked at."""
+    b = Bench(["w1"])
+    name, [_] = b.ask(patience=100.0)
+    b.now += 1.0
+    return b, name
+
+
+def test_a_start_is_late_only_by_what_the_worker_can_be_blamed_for() -> None:
+    b, name = unseen_bench()
+    b.feed(api.Unseen(0.9))
+    t = b.d.workers["w1"].t
+    b.start(name)
+    assert b.d.workers["w1"].t >= t and not b.d.workers["w1"].rests
+    b, name = unseen_bench()  # the same second, and the loop was there to look
+    b.start(name)
+    assert b.d.workers["w1"].rests == 1
+
+
+def test_a_pause_of_the_dispatcher_makes_no_worker_look_full_or_silent() -> None:
+    b, _ = unseen_bench()
+    b.now += 9.0
+    b.feed(api.Unseen(9.9))
+    b.feed(api.Timer(0))
+    assert b.d._under_t(b.d.workers["w1"]) and not b.d.workers["w1"].sick
+    b.now += 5.0  # and now it was looked for
+    b.feed(api.Timer(0))
+    assert b.d.workers["w1"].sick
