Routes hold: concurrency, retry budget, backoff and hedges round the Dispatcher; SIGHUP reloads

A route's limits were read and checked, and nothing acted on them. Guarded stands round the Dispatcher: it holds jobs for a place, tells the Dispatcher what a job's limits still allow before it hears of an ended attempt, and offers copies; the Dispatcher keeps the choice of the server and the last word on each send.

--- a/finchladder/cli/replay.py
+++ b/finchladder/cli/replay.py
@@ -5,7 +5,7 @@
 import sys
 
 from finchladder.cli.front import fail, takes_config
-from finchladder.config.options import read_options
+from finchladder.config.options import is_toml, read_options
 from finchladder.config.platform import read_file
 from finchladder.config.settings import read_settings
 from finchladder.features.replay import Replay
@@ -22,10 +22,17 @@
         print(f"finchladder: {args.file}: {' '.join(text.split())}", file=sys.stderr)
 
     try:
-        file, options = read_file(os.environ), read_options(args.config)
+        file, routes = read_file(os.environ), None
         settings = read_settings(bytes(file.settings))
+        if args.config is not None and is_toml(args.config):
+            from finchladder.config.routes import read
+
+            loaded = read(args.config, settings, file.limits.memory_mb)
+            options, routes = loaded.options, loaded.routes
+        else:
+            options = read_options(args.config)
         options.check([c.name for c in settings.classes], file.limits.memory_mb)
-        replay = Replay(settings, options, print, warn)
+        replay = Replay(settings, options, print, warn, routes)
         lines = sys.stdin.buffer if args.file == "-" else open(args.file, "rb")  # noqa: SIM115
     except (ValueError, OSError) as e:
         fail(str(e))
--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -12,9 +12,9 @@
 from loguru import logger
 
 from finchladder.cli.front import fail, takes_config, takes_log_format
-from finchladder.config.options import Options, Refused, read_options
+from finchladder.config.options import Options, Refused, is_toml, read_options
 from finchladder.config.platform import Setup, read_setup
-from finchladder.net.node import Node
+from finchladder.net.node import Node, OperatorFile
 
 
 def arguments(parser: argparse.ArgumentParser) -> None:
@@ -37,15 +37,23 @@
     )
 
 
-async def serve(setup: Setup, options: Options) -> None:
-    await Node(setup, options, partial(read_setup, os.environ)).serve()
+def read_file(path: str, setup: Setup) -> OperatorFile:
+    from finchladder.config.routes import read  # what a dispatcher with an INI file need not load
+
+    again = partial(read, path, setup.settings, setup.limits.memory_mb)
+    return OperatorFile(again(), again)
+
+
+async def serve(setup: Setup, options: Options, file: OperatorFile | None) -> None:
+    await Node(setup, options, partial(read_setup, os.environ), file=file).serve()
 
 
 def run(args: argparse.Namespace) -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     try:
         setup = read_setup(os.environ)
-        options = read_options(args.config, setup.settings, setup.limits.memory_mb)
+        file = read_file(args.config, setup) if args.config is not None and is_toml(args.config) else None
+        options = file.loaded.options if file is not None else read_options(args.config)
         options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb)
     except Refused as e:
         print(e, file=sys.stderr)
@@ -55,6 +63,6 @@
     log_to(sys.stderr, setup.name, args.log_format)
     logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
     try:
-        asyncio.run(serve(setup, options))
+        asyncio.run(serve(setup, options, file))
     except OSError as e:
         fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
--- a/finchladder/config/levels.py
+++ b/finchladder/config/levels.py
@@ -6,7 +6,7 @@
 from finchladder.config.codes import Notes, listed, shown
 from finchladder.config.places import Path
 from finchladder.config.values import Leaves, Said
-from finchladder.core.api import Ending, JobClass, Settings
+from finchladder.core.api import Ending, JobClass, Settings, WorkerPool
 from finchladder.core.routes import (
     Backoff,
     Hedge,
@@ -15,7 +15,6 @@
     QueueOrder,
     RetryBudget,
     Route,
-    WorkerPool,
     may_resend_on,
 )
 
--- a/finchladder/core/api.py
+++ b/finchladder/core/api.py
@@ -122,6 +122,17 @@
             raise ValueError("cold_from: must be above 0 and at most 1")
 
 
+@dataclass(slots=True, frozen=True)
+class WorkerPool:
+    """The workers that some jobs may go to; an empty set: those of any kind, or in any zone."""
+
+    kinds: frozenset[str] = frozenset()
+    zones: frozenset[str] = frozenset()
+
+    def holds(self, kind: str, zone: str) -> bool:
+        return (not self.kinds or kind in self.kinds) and (not self.zones or zone in self.zones)
+
+
 class WorkerEntry(NamedTuple):
     worker: str
     state: State
@@ -137,6 +148,14 @@
     entries: tuple[WorkerEntry, ...] = ()
 
 
+class Own(NamedTuple):
+    """Limits of one job's own, beside the settings: they only narrow what those allow."""
+
+    sends: int  # in all, the first included
+    priority: int = 0  # of the jobs that find no room, those of the highest go first
+    pool: WorkerPool | None = None  # None: all workers of the class's kind
+
+
 class Request(NamedTuple):
     id: str
     job_class: str
@@ -146,6 +165,21 @@
     tenant: str | None = None
     memory: float = 0.0
     work_hint: float | None = None
+    route: str | None = None  # for guarded.py: whose limits it comes under
+    repeat: bool = False  # for guarded.py: its client has asked for the same before
+    own: Own | None = None
+
+
+class Limit(NamedTuple):
+    """What a job's own limits allow from now on: so many sends in all, and whether the next one has to wait.
+
+    `copy`: the next one may be sent at once, though another is out.
+    """
+
+    request: str
+    sends: int
+    waits: bool = False
+    copy: bool = False
 
 
 class Started(NamedTuple):
@@ -200,8 +234,8 @@
 
 
 Event = (
-    WorkerList | Request | Started | Progress | Streaming | Ended | ClientGone | Timer | Unseen | Probed
-    | PeerMessage
+    WorkerList | Request | Limit | Started | Progress | Streaming | Ended | ClientGone | Timer | Unseen
+    | Probed | PeerMessage
 )
 
 
--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -3,7 +3,7 @@
 Costs, with n ready workers and p = 2 x POINTS marks of each: a worker comes or goes O(p log n), and in memory
 p times half an arc of n / 8 marks is moved; a change of load or zone O(log levels); any other change of an
 entry O(1). Owners of a key O(log n), the least-loaded O(workers looked at). Memory: about 1.3 KB a ready
-worker and needed kind.
+worker and needed kind. A route's pool that leaves out some workers is like one more needed kind.
 """
 
 from array import array
@@ -15,7 +15,7 @@
 from random import Random
 from sys import byteorder
 
-from finchladder.core.api import State, WorkerEntry
+from finchladder.core.api import State, WorkerEntry, WorkerPool
 from finchladder.core.records import Worker
 from finchladder.core.wheel import Wheel
 
@@ -27,6 +27,7 @@
 FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
 
 Level = tuple[float, bool]  # load in slots, and whether it is in another zone
+Needed = str | WorkerPool | None  # whom a job may go to: one kind, one pool, or anyone
 
 
 def key_hashes(key: int) -> tuple[int, int]:
@@ -120,7 +121,7 @@
 
 
 class Pool:
-    """The ready workers of one needed kind."""
+    """The ready workers that some jobs may go to: those of one needed kind, or of a route's pool."""
 
     def __init__(self) -> None:
         self.rings = (Ring(), Ring())
@@ -207,6 +208,10 @@
             del self.levels[level], self.order[bisect_left(self.order, level)]
 
 
+def _holds(needed: Needed, w: Worker) -> bool:
+    return needed.holds(w.kind, w.zone) if isinstance(needed, WorkerPool) else needed in (None, w.kind)
+
+
 class Fleet:
     """Holds `workers` true to its pools: the ready ones, and others while they have slots in flight.
 
@@ -221,7 +226,8 @@
         """`suspect_from`: share of bad endings above which a worker is counted in `suspects`."""
         self.workers, self.zone = workers, zone
         self.cold_for_s, self.suspect_from = cold_for_s, suspect_from
-        self.pools: dict[str | None, Pool] = {kind: Pool() for kind in kinds}
+        self.pools: dict[Needed, Pool] = {kind: Pool() for kind in kinds}
+        self.by_zone = False  # whether a pool goes by zones
         self.ready = self.turns = 0
         self.leaving: dict[Worker, None] = {}  # not ready and without load: forgotten with the next list
         self.suspects: dict[Worker, None] = {}
@@ -239,10 +245,35 @@
             elif not w.load:
                 self.leaving[w] = None
 
+    def pool(self, needed: Needed) -> Pool:
+        """Whom it holds; made when it is first asked for, at the cost of all its workers' joining."""
+        found = self.pools.get(needed)
+        if found is None:
+            found = self.pools[needed] = Pool()
+            self.by_zone = self.by_zone or (isinstance(needed, WorkerPool) and bool(needed.zones))
+            for w in sorted(self.workers.values(), key=lambda w: w.turn):
+                if w.ready and _holds(needed, w):
+                    w.pools += (found,)
+                    found.change(w, True, (ring_points(w.address, 0), ring_points(w.address, 1)))
+                    if w.level is not None:
+                        found.enter(w, w.level)
+        return found
+
+    def drop(self, needed: Iterable[Needed]) -> None:
+        """Pools that no job needs any more. O(workers)."""
+        for one in needed:
+            self.pools.pop(one, None)
+        for w in self.workers.values():
+            if w.ready:
+                w.pools = self._pools_of(w)
+
+    def _pools_of(self, w: Worker) -> tuple[Pool, ...]:
+        return tuple(pool for needed, pool in self.pools.items() if _holds(needed, w))
+
     def update(self, w: Worker, e: WorkerEntry) -> bool:
         """What the entry says of the worker; True: it has joined, and is not in a row until `enter`."""
         ready = e.state is State.READY
-        joins = ready and (not w.ready or w.kind != e.kind)
+        joins = ready and (not w.ready or w.kind != e.kind or (self.by_zone and w.zone != e.zone))
         if w.ready and (joins or not ready):
             self._part(w)
         w.zone, w.kind, w.cell, w.ready = e.zone, e.kind, e.cell, ready
@@ -307,7 +338,7 @@
         return self.turns
 
     def _join(self, w: Worker) -> None:
-        w.pools = tuple(p for kind, p in self.pools.items() if kind in (None, w.kind))
+        w.pools = self._pools_of(w)
         points = ring_points(w.address, 0), ring_points(w.address, 1)
         for pool in w.pools:
             pool.change(w, True, points)
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -6,23 +6,23 @@
 Read top-down: events, placing, the one way out (_send), the one way to end (_end), learning, the worker list.
 """
 
-import struct  # noqa: I001
-from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator  # noqa: I001
 from itertools import islice
 from math import inf
 from random import Random
 from typing import Any
 
 from finchladder.core.api import (
-    NEVER_RAN, Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
-    PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
-    Unseen, WorkerEntry, WorkerList,
+    NEVER_RAN, Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, Limit,
+    ListKind, PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe,
+    Tell, Timer, Unseen, WorkerEntry, WorkerList,
 )  # fmt: skip
 from finchladder.core.agenda import Agenda
+from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
 from finchladder.core.fleet import Fleet, Pool
-from finchladder.core.records import Attempt, Job, Worker
+from finchladder.core.records import Attempt, Held, Job, Line, Worker
+from finchladder.core.told import Told
 
 SAMPLE = 12  # workers, pairs or waiting keys looked at in one choice: its cost stays flat as all grows
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
@@ -72,24 +72,24 @@
         self.run = {c.name: c.aim for c in settings.classes}  # mean running time, learned
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
-        # jobs that wait, by class and key; classes are served in the order of their worth per work
-        self.held: dict[str, OrderedDict[int | None, dict[str, Job]]] = {n: OrderedDict() for n in self.run}
+        # jobs that wait, by line and key; lines are served by priority, then by their class's worth per work
+        self.held: dict[Line, Held] = {(0, n): Held() for n in self.run}
         self.ejected: dict[str, Worker] = {}
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
         self.key_counts = KeyCounts()
         self.tell_at = self.scan_at = 0.0
         self.strain = 0.0  # moving share of placings that found the fleet full
-        self.told: dict[int, tuple[float, tuple[float, ...]]] = {}
+        self.told = Told(len(self.tenants))
         self.warm_rate = 0.0  # work that a warm worker does for this dispatcher, in seconds a second
         self.warm_done, self.warm_since = 0.0, 0.0
         self.retry_tokens = RETRY_MOST
-        self.subscribed, self.ask_at, self.failures = not settings.must_ask, 0.0, 0
+        self.asking = Asking(not settings.must_ask)
         self.now, self.seen, self.unseen, self.timer_due, self.serial = 0.0, 0.0, 0.0, False, 0
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], object]] = {
-            Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
-            Timer: self._on_timer, WorkerList: self._on_list, ClientGone: self._on_gone,
-            PeerMessage: self._on_peer, Progress: self._on_news,
+            Request: self._on_request, Started: self._on_started, Progress: self._on_news,
+            Ended: self._on_ended, Timer: self._on_timer, WorkerList: self._on_list, Limit: self._on_limit,
+            ClientGone: self._on_gone, PeerMessage: lambda e: self.told.take(self.now, e),
         }  # fmt: skip
         self.reindex()
 
@@ -97,12 +97,11 @@
         """Makes anew what follows from the records; whoever replaces them must call it."""
         kinds = [kind or None for kind in sorted({c.kind or "" for c in self.s.classes})]
         self.fleet = Fleet(self.workers, kinds, self.s.zone, self.s.cold_for, SUSPECT)
-        self.pools = self.fleet.pools
         self.agenda = Agenda(self.classes, self.sweep)
         for job in self.jobs.values():
             if not job.done:
                 self._watch(job)
-                if not job.out:
+                if not (job.out or job.waits):
                     self.agenda.hold(job)
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -117,7 +116,7 @@
 
     def _on_request(self, r: Request) -> None:
         self.serial += 1
-        job = self.jobs[r.id] = Job(r, self.classes[r.job_class], self.now, self.serial)
+        job = self.jobs[r.id] = Job(r, self.classes[r.job_class], self.now, self.serial, self.s.max_attempts)
         if r.tenant in self.tenants and not self.tenants[r.tenant].in_share() and self.strain > STRAINED:
             # a tenant beyond its share must not crowd out the others; a failure does not ask for a retry
             return self._end(job, Fail(job.id))
@@ -159,12 +158,21 @@
         self._learn_ending(job, attempt, e)
         if e.finished:
             self._close(job)
-        elif not job.done and not job.out:
+        elif not (job.done or job.out or job.waits):
             self._place(job)
         else:
             self._forget_if_over(job)
         self._place_held()
 
+    def _on_limit(self, e: Limit) -> None:
+        if (job := self.jobs.get(e.request)) is None or job.done:
+            return
+        job.most, job.waits = min(self.s.max_attempts, e.sends), e.waits
+        if not (job.out or job.waits):
+            self._place(job)
+        elif e.copy and (worker := self._pick(job)) is not None:
+            self._send(job, worker)
+
     def _on_gone(self, e: ClientGone) -> None:
         if (job := self.jobs.get(e.request)) is not None:
             self._close(job)
@@ -188,13 +196,14 @@
         # a timer answers every job before its client gives up, whatever became of its attempts
         if self.now >= self._late_at(job) or (not job.out and self._hopeless(job)):
             return self._give_up(job)
-        if job.out and self.now > self._silent_at(job):
-            self._unstall(job, job.attempts[-1])
+        for a in job.attempts:
+            if self.now > self._silent_at(a):
+                self._unstall(job, a)
         self._watch(job)
 
     def _watch(self, job: Job) -> None:
         """The scan must see it once anything can be due: late, silent, or its window over."""
-        at = min(self._late_at(job), self._silent_at(job) if job.out else inf)
+        at = min([self._late_at(job), *map(self._silent_at, job.attempts)])
         if job.cls.effect is Effect.KEYED and not job.out:
             at = min([at, *(self._window_end(job, a) for a in job.may_have_run())])
         self.agenda.watch(job, at)
@@ -208,7 +217,7 @@
         placed = self._try(job)
         self.strain += SMOOTH * ((not placed) - self.strain)
         if not placed:
-            self.held[job.cls.name].setdefault(job.key, {})[job.id] = job
+            self.held.setdefault(job.line, Held()).setdefault(job.key, {})[job.id] = job
             self.agenda.hold(job)
             self._watch(job)
 
@@ -225,8 +234,8 @@
         return True
 
     def _unhold(self, job: Job) -> None:
-        groups = self.held[job.cls.name]
-        if job.id in groups.get(job.key, ()):
+        groups = self.held.get(job.line)
+        if groups and job.id in groups.get(job.key, ()):
             self.agenda.unhold(job)
             del groups[job.key][job.id]
             if not groups[job.key]:
@@ -241,13 +250,13 @@
                 while key in groups and self._try(next(iter(jobs.values()))):
                     pass
 
-    def _rank(self, name: str) -> float:
-        return self.classes[name].worth / (1.0 if self.s.worth_by_work else self.run[name])
+    def _rank(self, line: Line) -> tuple[int, float]:
+        return line[0], self.classes[line[1]].worth / (1.0 if self.s.worth_by_work else self.run[line[1]])
 
     def _pick(self, job: Job) -> Worker | None:
-        pool = self.pools.get(job.cls.kind)
-        if pool is None or not self._resend_allowed(job):
+        if not self._resend_allowed(job):
             return None
+        pool = self.fleet.pool(job.pool)
         if job.key is not None:
             # overflow of a key goes round its own rings first: every node finds the same few workers, which
             # then hold what the key needs; scattered over the fleet each overflow would cost a fetch
@@ -302,13 +311,13 @@
             return self.seen - next(iter(w.unstarted.values())) <= self.start_grace
         return True
 
-    def _silent_at(self, job: Job) -> float:
-        """When its attempt in flight is taken for lost unless more is told of it; inf: it is not judged so.
+    def _silent_at(self, a: Attempt) -> float:
+        """When an attempt in flight is taken for lost unless more is told of it; inf: it is not judged so.
 
         A busy worker with a job still unstarted is not silent, but tells of its other jobs.
         """
-        a = job.attempts[-1]
-        if not self.s.tells_start or a.stalled or (a.started and not self.s.progress_every):
+        told_of = self.s.tells_start and (not a.started or self.s.progress_every)
+        if a.ending is not None or a.stalled or not told_of:
             return inf
         told = a.told + self.s.progress_every if a.started else max(a.seen, a.worker.heard)
         return self.unseen + told + self.stall
@@ -323,14 +332,15 @@
         a.worker.unstarted.pop(a, None)
         self._judge(a.worker, 1.0)
         if job.cls.effect is Effect.SAFE and self.s.may_cancel and self._resend_allowed(job):
-            self.actions.append(Cancel(job.id, len(job.attempts) - 1))
+            self.actions.append(Cancel(job.id, job.attempts.index(a)))
 
     def _waits(self, cls: JobClass) -> float:
         return cls.aim + max(0.0, cls.stretch - 1) * self.run[cls.name]
 
     def _hopeless(self, job: Job) -> bool:
         """Held past its aim, so that it could hardly be in time any more, or not allowed to be sent again."""
-        return self.now > job.arrived + self._waits(job.cls) or not self._resend_allowed(job)
+        late = self.now > job.arrived + self._waits(job.cls)
+        return (late or not self._resend_allowed(job)) and not job.waits
 
     def _window_end(self, job: Job, a: Attempt) -> float:
         return a.sent + job.cls.window - 2 * self.s.tick
@@ -347,7 +357,7 @@
 
     def _resend_allowed(self, job: Job) -> bool:
         """Effect class: UNSAFE never once it may have run, KEYED only within its window."""
-        if len(job.attempts) >= self.s.max_attempts or self.now >= job.deadline - 2 * self.s.tick:
+        if len(job.attempts) >= job.most or self.now >= job.deadline - 2 * self.s.tick:
             return False
         for a in job.may_have_run():
             if self.retry_tokens < 1:  # a fleet that fails much must not be sent everything again
@@ -470,14 +480,10 @@
             t.count = 0
         self.tell_at = self.now + period
         if self.s.may_tell:
-            self.actions.append(Tell(b"".join(struct.pack("<f", t.own) for t in self.tenants.values())))
+            self.actions.append(Tell(Told.message(t.own for t in self.tenants.values())))
         for n, t in enumerate(self.tenants.values()):
-            told = [rates[n] for at, rates in self.told.values() if at > self.now - 8 * period]
-            t.peers = sum(told) if self.s.may_tell else t.own * (self.s.dispatchers - 1)
-
-    def _on_peer(self, e: PeerMessage) -> None:
-        if len(e.data) == 4 * len(self.tenants):
-            self.told[e.sender] = self.now, struct.unpack(f"<{len(self.tenants)}f", e.data)
+            told = self.told.sum(n, self.now - 8 * period)
+            t.peers = told if self.s.may_tell else t.own * (self.s.dispatchers - 1)
 
     def _mean_run(self) -> float:
         return sum(self.run.values()) / len(self.run)
@@ -518,14 +524,9 @@
 
     def _on_list(self, e: WorkerList) -> None:
         if e.kind is ListKind.BROKEN:
-            # jitter and backoff: nodes that lost the list together must not ask together
-            self.subscribed = False
-            self.failures += 1
-            wait = min(self.s.ask_within / 4, self.sweep * SWEEPS * 2 ** min(self.failures, 6))
-            self.ask_at = self.now + wait * (0.5 + self.random.random() / 2)
-            return
+            return self.asking.lost(self.now, self.sweep * SWEEPS, self.s.ask_within / 4, self.random)
         if e.kind is not ListKind.STALE:
-            self.failures = 0
+            self.asking.heard()
         if e.kind is not ListKind.PATCH:
             named = {entry.worker for entry in e.entries}
             for w in [w for w in self.workers.values() if w.ready and w.address not in named]:
@@ -559,8 +560,7 @@
 
     def _ask(self) -> None:
         """Where the list must be asked for: stay subscribed, so that this node is never deemed told."""
-        if not self.subscribed and self.now >= self.ask_at:
-            self.subscribed = True
+        if self.asking.due(self.now):
             self.actions.append(Subscribe())
 
     def _attempt(self, request: str, n: int) -> Attempt | None:
--- a/finchladder/core/records.py
+++ b/finchladder/core/records.py
@@ -1,9 +1,12 @@
 """What a dispatcher remembers of a worker, an attempt and a job. Records only: policy.py decides."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Any
 
-from finchladder.core.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry
+from finchladder.core.api import NEVER_RAN, Ending, JobClass, Request, WorkerEntry, WorkerPool
+
+Line = tuple[int, str]  # priority and class: jobs that wait for the same room
 
 
 class Worker:
@@ -46,9 +49,10 @@
 
 class Job:
     __slots__ = ("id", "cls", "slots", "key", "tenant", "work", "arrived", "deadline", "attempts", "done",
-                 "out", "serial")  # fmt: skip
+                 "out", "serial", "most", "waits", "line", "pool")  # fmt: skip
 
-    def __init__(self, r: Request, cls: JobClass, now: float, serial: int) -> None:
+    def __init__(self, r: Request, cls: JobClass, now: float, serial: int, most: int) -> None:
+        """`most`: the settings' limit of attempts."""
         self.serial = serial  # jobs in their order of arrival
         self.id, self.cls, self.key, self.tenant = r.id, cls, r.key, r.tenant
         self.slots = r.slots if r.slots > 0 else 1.0
@@ -56,6 +60,13 @@
         self.attempts: list[Attempt] = []
         self.done = False
         self.out = 0  # attempts outstanding
+        self.most = most if r.own is None else min(most, r.own.sends)
+        self.waits = False  # must not be sent again yet, by its own limits
+        self.line: Line = (0 if r.own is None else r.own.priority, cls.name)
+        self.pool: str | WorkerPool | None = cls.kind if r.own is None else r.own.pool or cls.kind
 
     def may_have_run(self) -> Iterator[Attempt]:
         return (a for a in self.attempts if a.ending not in NEVER_RAN)
+
+
+Held = OrderedDict[int | None, dict[str, Job]]  # the jobs of a line that wait, by key and id
--- a/finchladder/core/routes.py
+++ b/finchladder/core/routes.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import Protocol
 
-from finchladder.core.api import NEVER_RAN, Effect, Ending, JobClass
+from finchladder.core.api import NEVER_RAN, Effect, Ending, JobClass, WorkerPool
 
 MOST_ROUTES = 256  # in one file
 MOST_PARTS = 8  # of a path's prefix, the class included
@@ -102,6 +102,7 @@
     share: float  # of the route's first sends
     least_per_s: float  # allowed however few first sends there are
     window_s: float = 10.0
+    repeats: bool = False  # what its client marks as asked for before is a resend, and no first send
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,17 +114,6 @@
     longest_wait_s: float | None = None  # None: as long as its client waits
 
 
-@dataclass(slots=True, frozen=True)
-class WorkerPool:
-    """The workers that a route's jobs may go to; an empty set: those of any kind, or in any zone."""
-
-    kinds: frozenset[str] = frozenset()
-    zones: frozenset[str] = frozenset()
-
-    def holds(self, kind: str, zone: str) -> bool:
-        return (not self.kinds or kind in self.kinds) and (not self.zones or zone in self.zones)
-
-
 @dataclass(slots=True, frozen=True)
 class Route:
     """The limits for jobs of one class; a route of the file that holds for several is one of these for each.
@@ -146,6 +136,10 @@
     priority: int = 0  # where jobs of several routes compete for room, those of the highest go first
     pool: WorkerPool = WorkerPool()
 
+    def patience_s(self, left_s: float) -> float:
+        """How long a job may take whose client waits for `left_s` more."""
+        return left_s if self.timeout_s is None else min(left_s, self.timeout_s)
+
 
 def may_resend_on(cls: JobClass) -> frozenset[Ending]:
     """The endings after which a class ever lets a job be sent again, whatever a route says."""
--- a/finchladder/features/capture.py
+++ b/finchladder/features/capture.py
@@ -14,6 +14,7 @@
 from finchladder.config.options import CaptureOptions
 from finchladder.core import api
 from finchladder.core.api import Ending
+from finchladder.core.guarded import NewRoutes
 from finchladder.features.arrivals import Verdict
 from finchladder.features.drills import Order
 
@@ -32,11 +33,12 @@
 encode = msgspec.json.Encoder().encode
 
 
-def in_line(t: float, e: api.Event) -> Line:
+def in_line(t: float, e: api.Event | NewRoutes) -> Line:
     """`t` is written with all the digits that bring back the very same float."""
     if isinstance(e, api.Request):
         line: Line = {"t": t, "in": "request", "id": e.id, "class": e.job_class, "patience": e.patience}
         more = {"slots": e.slots, "key": e.key, "tenant": e.tenant, "memory": e.memory, "hint": e.work_hint}
+        more |= {"route": e.route, "repeat": e.repeat or None}
         return line | {name: value for name, value in more.items() if value is not None}
     if isinstance(e, api.Started):
         return {"t": t, "in": "event", "id": e.request, "state": "started", "attempt": e.attempt}
@@ -55,6 +57,8 @@
         return {"t": t, "in": "gone", "id": e.request}
     if isinstance(e, api.WorkerList):
         return {"t": t, "in": "list", "kind": e.kind, "entries": e.entries}
+    if isinstance(e, NewRoutes):
+        return {"t": t, "in": "routes", "routes": e.routes.all}
     raise TypeError(f"a {type(e).__name__} has no line")  # nothing here makes the others
 
 
@@ -207,8 +211,9 @@
         self._open_file(t, b"")
 
     def decided(
-        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
-    ) -> None:
+        self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
+        error: Exception | None = None,
+    ) -> None:  # fmt: skip
         self._add(t, [in_line(t, event), *decided_lines(t, actions, error)])
 
     def judged(
--- a/finchladder/features/replay.py
+++ b/finchladder/features/replay.py
@@ -9,7 +9,9 @@
 from finchladder.config.options import Options
 from finchladder.config.settings import read_seed
 from finchladder.core import api
+from finchladder.core.guarded import Decisions, Guarded, NewRoutes, decisions
 from finchladder.core.policy import Dispatcher
+from finchladder.core.routes import Route, Routes
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import STATES, Line, decided_lines, encode, judged_lines, ordered_lines
@@ -39,11 +41,14 @@
     tenant: str | None = None
     memory: float = 0.0
     hint: float | None = None
+    route: str | None = None
+    repeat: bool = False
 
     def event(self) -> api.Event:
         return api.Request(
-            self.id, self.job_class, self.patience, self.slots, self.key, self.tenant, self.memory, self.hint
-        )
+            self.id, self.job_class, self.patience, self.slots, self.key, self.tenant, self.memory, self.hint,
+            self.route, self.repeat,
+        )  # fmt: skip
 
 
 class EventIn(msgspec.Struct):
@@ -100,6 +105,14 @@
         return api.WorkerList(self.kind, self.entries)
 
 
+class RoutesIn(msgspec.Struct):
+    t: float
+    routes: tuple[Route, ...]
+
+    def event(self) -> NewRoutes:
+        return NewRoutes(Routes(self.routes))
+
+
 class ArrivalIn(msgspec.Struct, rename={"job_class": "class"}):
     t: float
     id: str
@@ -117,12 +130,12 @@
     t: float
 
 
-Event = RequestIn | EventIn | TimerIn | UnseenIn | GoneIn | ListIn
+Event = RequestIn | EventIn | TimerIn | UnseenIn | GoneIn | ListIn | RoutesIn
 Input = Opening | StateIn | ArrivalIn | DrillIn | LeaveIn | Event
 INPUTS: dict[str, type[Input]] = {
     "capture": Opening, "state": StateIn, "request": RequestIn, "event": EventIn, "timer": TimerIn,
     "unseen": UnseenIn, "gone": GoneIn, "list": ListIn, "arrival": ArrivalIn, "drill": DrillIn,
-    "leave": LeaveIn,
+    "leave": LeaveIn, "routes": RoutesIn,
 }  # fmt: skip
 
 
@@ -172,11 +185,11 @@
 
     def __init__(
         self, settings: api.Settings, options: Options,
-        say: Callable[[str], None], warn: Callable[[str], None],
+        say: Callable[[str], None], warn: Callable[[str], None], routes: Routes | None = None,
     ) -> None:  # fmt: skip
-        self.settings, self.options, self.say, self.warn = settings, options, say, warn
+        self.settings, self.options, self.say, self.warn, self.routes = settings, options, say, warn, routes
         self.inputs = self.compared = self.differ = 0
-        self.dispatcher: Dispatcher | None = None  # None: there is nothing that could be compared
+        self.dispatcher: Dispatcher | Guarded | None = None  # None: there is nothing that could be compared
         self.arrivals: Arrivals | None = None
         self.opening: Opening | None = None
         self.recorded: list[tuple[int, Line]] = []
@@ -217,10 +230,10 @@
         self.opening = opening
         self.dispatcher, self.arrivals = (None, None) if opening.lost else self._fresh()
 
-    def _fresh(self) -> tuple[Dispatcher, Arrivals]:
+    def _fresh(self) -> tuple[Dispatcher | Guarded, Arrivals]:
         assert self.opening is not None
         seed = read_seed(self.opening.seed)
-        return Dispatcher(self.settings, seed), Arrivals(self.options, seed)
+        return decisions(self.settings, seed, self.routes), Arrivals(self.options, seed)
 
     def _restore(self, record: StateIn) -> None:
         dispatcher, arrivals = self._fresh()
@@ -242,8 +255,11 @@
             event = record.event()
             if self.dispatcher is None:
                 return None
+            if isinstance(event, NewRoutes) and not isinstance(self.dispatcher, Guarded):
+                raise ValueError("new routes hold from here on, and the operator's file is none in TOML")
+            dispatcher: Decisions = self.dispatcher
             try:
-                return decided_lines(t, self.dispatcher.handle(t, event), None)
+                return decided_lines(t, dispatcher.handle(t, event), None)
             except Exception as e:  # as the program would: a class that is not there any more, say
                 return decided_lines(t, [], e)
         if self.arrivals is None:
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -14,18 +14,29 @@
 
 import msgspec
 
-from finchladder.core.api import Ending, JobClass
+from finchladder.core.alarms import Alarms
+from finchladder.core.api import Ending, JobClass, Request, WorkerPool
+from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
+from finchladder.core.guarded import Guarded, Run, Scope
+from finchladder.core.hedging import Allowance, Times
+from finchladder.core.limits import Limiter
 from finchladder.core.policy import Dispatcher
 from finchladder.core.records import Attempt, Job, Worker
+from finchladder.core.retries import Budget
+from finchladder.core.routes import Queue, Route, Routes
+from finchladder.core.told import Told
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.door import Buckets
 from finchladder.features.drills import Order
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
-RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts)
+RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts, Asking, Told, Run, Scope, Limiter, Budget,
+                            Allowance, Times, Alarms)  # fmt: skip
+WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request)  # values that are never changed
 FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
-           "fleet", "pools", "agenda"}  # fmt: skip
+           "fleet", "agenda"}  # fmt: skip
+ROUND = {"s", "handlers", "inner", "margin_s", "freed"}  # the same of what stands round the Dispatcher
 RANDOM = "<625I"
 
 State = dict[str, Any]
@@ -56,6 +67,7 @@
     def __init__(self) -> None:
         self.numbers: dict[int, int] = {}
         self.records: list[list[Any]] = []
+        self.wholes: list[list[Any]] = []
 
     def put(self, value: Any) -> Any:
         kind = type(value)
@@ -63,6 +75,8 @@
             return value
         if kind in RECORDS:
             return {"record": self._record(value)}
+        if kind in WHOLE:
+            return {"whole": self._whole(value)}
         if kind is dict or kind is OrderedDict:
             name = "dict" if kind is dict else "ordered"
             return {name: [[self.put(k), self.put(v)] for k, v in value.items()]}
@@ -87,9 +101,20 @@
         return number
 
 
+    def _whole(self, value: Any) -> int:
+        if (number := self.numbers.get(id(value))) is None:
+            number = self.numbers[id(value)] = len(self.wholes)
+            plain = msgspec.to_builtins(value, order="deterministic")
+            self.wholes.append([WHOLE.index(type(value)), plain])
+        return number
+
+
 class Reader:
-    def __init__(self, rows: list[list[Any]], classes: Mapping[str, JobClass]) -> None:
+    def __init__(
+        self, rows: list[list[Any]], wholes: list[list[Any]], classes: Mapping[str, JobClass]
+    ) -> None:
         self.classes = classes
+        self.wholes = [msgspec.convert(plain, WHOLE[kind]) for kind, plain in wholes]
         self.records = [RECORDS[row[0]].__new__(RECORDS[row[0]]) for row in rows]
         for record, (kind, *values) in zip(self.records, rows, strict=True):
             for name, value in zip(fields_of(RECORDS[kind]), values, strict=True):
@@ -105,6 +130,8 @@
         [(kind, held)] = value.items()
         if kind == "record":
             return self.records[held]
+        if kind == "whole":
+            return self.wholes[held]
         if kind == "class":
             if held not in self.classes:
                 raise StateError(f"it holds a job of class {held!r}, which the configuration does not have")
@@ -121,11 +148,16 @@
         return OrderedDict(pairs) if kind == "ordered" else dict(pairs)
 
 
-def take(dispatcher: Dispatcher, arrivals: Arrivals) -> State:
+def take(decisions: Dispatcher | Guarded, arrivals: Arrivals) -> State:
     writer = Writer()
+    dispatcher = decisions.inner if isinstance(decisions, Guarded) else decisions
     fields = {name: writer.put(v) for name, v in vars(dispatcher).items() if name not in FOLLOWS}
     tenants = {n: [t.own, t.peers, t.count, t.credit] for n, t in dispatcher.tenants.items()}
     state: State = {"records": writer.records, "fields": fields, "tenants": tenants}
+    if isinstance(decisions, Guarded):
+        state["routes"] = {name: writer.put(v) for name, v in vars(decisions).items() if name not in ROUND}
+    if writer.wholes:
+        state["wholes"] = writer.wholes
     if arrivals.door is not None:
         state["door"] = _door(arrivals)
     if (drills := arrivals.drills) is not None:
@@ -134,30 +166,35 @@
     return state
 
 
-def restore(state: State, dispatcher: Dispatcher, arrivals: Arrivals) -> list[str]:
+def restore(state: State, decisions: Dispatcher | Guarded, arrivals: Arrivals) -> list[str]:
     """Into decisions made anew. Returns what of them can't be compared from here on."""
     try:
-        _restore(state, dispatcher)
+        _restore(state, decisions)
         return _restore_arrivals(state, arrivals)
     except (LookupError, TypeError, ValueError, AttributeError, struct.error, msgspec.MsgspecError) as e:
         raise e if isinstance(e, StateError) else StateError(f"it can't be read: {e}") from None
 
 
-def _restore(state: State, dispatcher: Dispatcher) -> None:
-    reader = Reader(state["records"], dispatcher.classes)
+def _restore(state: State, decisions: Dispatcher | Guarded) -> None:
+    dispatcher = decisions.inner if isinstance(decisions, Guarded) else decisions
+    reader = Reader(state["records"], state.get("wholes", []), dispatcher.classes)
     known = set(vars(dispatcher)) - FOLLOWS
     if known != set(state["fields"]):
         raise StateError("it is of another version of the decisions")
     fields = {name: reader.get(value) for name, value in state["fields"].items()}
     for name in ("held", "run"):  # by class: those that the configuration has now
         now = getattr(dispatcher, name)
-        kept = {n: v for n, v in fields[name].items() if n in now}
+        kept = {n: v for n, v in fields[name].items() if (n if name == "run" else n[1]) in dispatcher.classes}
         fields[name] = kept | {n: v for n, v in now.items() if n not in kept}
     vars(dispatcher).update(fields)
     for n, (own, peers, count, credit) in state["tenants"].items():
         if (t := dispatcher.tenants.get(n)) is not None:
             t.own, t.peers, t.count, t.credit = own, peers, count, credit
     dispatcher.reindex()
+    if isinstance(decisions, Guarded):
+        routes = Routes(scope.route for scope in decisions.scopes.values())  # of the configuration of now
+        vars(decisions).update({n: reader.get(v) for n, v in state.get("routes", {}).items()})
+        decisions.take(routes)
 
 
 def _tables(arrivals: Arrivals) -> dict[str, Buckets]:
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -72,13 +72,19 @@
     message: Message
     deadline: float
     deliver: Callable[[Answer], None]
+    route: str | None = None  # whose limits it comes under
+    repeat: bool = False  # its client marks it as asked for before
     answer: Answer | None = None
     schedulings: list[Scheduling] = field(default_factory=list)
     timer: Callable[[], None] | None = None
 
     def request(self, now: float) -> api.Request:
         slots, memory = self.facts.get("slots", 1.0), self.facts.get("memory", 0.0)
-        return api.Request(self.id, self.job_class, self.deadline - now, slots, self.key, memory=memory)
+        left = self.deadline - now
+        return api.Request(
+            self.id, self.job_class, left, slots, self.key, memory=memory, route=self.route,
+            repeat=self.repeat,
+        )  # fmt: skip
 
 
 class Flows:
--- a/finchladder/net/front.py
+++ b/finchladder/net/front.py
@@ -15,6 +15,7 @@
     read_call_back,
     read_facts,
     read_id,
+    read_repeat,
     read_target,
     read_time_left,
 )
@@ -68,6 +69,9 @@
         if edge.channel.parser.more:  # what follows unasked may be a request hidden in this one's body
             raise BadMessage(400, "one request at a time")
         id, facts, left_s = read_id(head), read_facts(head), read_time_left(head)
+        route = self.intake.routes.find(head.method, head.target, head.headers, job_class)
+        if route is not None:
+            left_s = route.patience_s(left_s)
         try:
             verdict = self.intake.arrive(edge.client, id, job_class, left_s)
             if verdict.wait > 0:
@@ -76,6 +80,8 @@
             message = HttpMessage(head.method, head.target, head.headers, body)
             deadline = self.intake.deadline(left_s)
             flow = Flow(id, job_class, key, facts, message, deadline, edge.deliver)
+            if route is not None:
+                flow.route, flow.repeat = route.name, read_repeat(head)
             self.intake.take(flow, verdict.drill)
         except Repeated:
             raise BadMessage(400, "a request with this X-Correlation-Id has come already") from None
--- a/finchladder/net/intake.py
+++ b/finchladder/net/intake.py
@@ -7,6 +7,7 @@
 
 from finchladder.core import api
 from finchladder.core.leaving import Leaving
+from finchladder.core.routes import NO_ROUTES
 from finchladder.features.arrivals import Arrivals, Verdict
 from finchladder.features.drills import Effect
 from finchladder.net.flows import Answer, Flow, Flows
@@ -33,6 +34,7 @@
         self.timers, self.arrivals, self.leaving = timers, arrivals, leaving
         self.most_open = int(OPEN * sockets)
         self.held: dict[Flow, Effect] = {}  # by a drill
+        self.routes = NO_ROUTES
 
     def arrive(self, client: str, id: str, job_class: str, left_s: float) -> Verdict:
         """Before there is a flow: what the door and the drills say."""
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -4,12 +4,13 @@
 the program runs on them as it stands.
 """
 
+import asyncio
 import resource
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from loguru import logger
 from tornado.netutil import bind_sockets
@@ -62,3 +63,4 @@
     allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
     files: Callable[[CaptureOptions, str, int], Disk | None] = capture_files
+    aside: Callable[[Callable[[], Any]], Awaitable[Any]] = asyncio.to_thread  # what would hold up the loop
--- a/finchladder/net/messages.py
+++ b/finchladder/net/messages.py
@@ -77,6 +77,11 @@
     return left
 
 
+def read_repeat(head: Head) -> bool:
+    """X-Repeat: 1 marks a client's own retry, where clients mark them."""
+    return head.headers.get("x-repeat") == "1"
+
+
 def read_facts(head: Head) -> dict[str, float]:
     """X-Facts: name=value pairs; of those known here each must be a number that can be."""
     facts: dict[str, float] = {}
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -8,7 +8,8 @@
 from tornado.ioloop import IOLoop
 
 from finchladder.core import api
-from finchladder.core.policy import SWEEP, Dispatcher
+from finchladder.core.guarded import Decisions, NewRoutes
+from finchladder.core.policy import SWEEP
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 
@@ -39,8 +40,9 @@
     """Is told of each event and of what was decided on it."""
 
     def decided(
-        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
-    ) -> None: ...
+        self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
+        error: Exception | None = None,
+    ) -> None: ...  # fmt: skip
 
 
 class Ending:
@@ -54,14 +56,14 @@
         self.scheduling, self.ending, self.took, self.report = s, ending, took, report
 
 
-Item = api.Event | Flow | Ending
+Item = api.Event | NewRoutes | Flow | Ending
 
 
 LATE = 0.005  # seconds: less than so much is no lateness of the loop
 
 
 class ModuleActor(Actor[Item]):
-    def __init__(self, dispatcher: Dispatcher, flows: Flows, clock: Clock) -> None:
+    def __init__(self, dispatcher: Decisions, flows: Flows, clock: Clock) -> None:
         super().__init__("module", ROOM)
         self.dispatcher, self.flows, self.clock = dispatcher, flows, clock
         self.carrier: Carrier | None = None
@@ -86,7 +88,7 @@
         if isinstance(item, Flow):
             if item.answer is not None:  # the client left before its request was looked at
                 return
-            event: api.Event = item.request(now)
+            event: api.Event | NewRoutes = item.request(now)
         elif isinstance(item, Ending):
             s = item.scheduling
             finished = s.flow.answer is not None
@@ -109,7 +111,7 @@
             for action in self._decide(now, api.Unseen(lost)):
                 self._carry_out(action, now)
 
-    def _decide(self, now: float, event: api.Event) -> list[api.Action]:
+    def _decide(self, now: float, event: api.Event | NewRoutes) -> list[api.Action]:
         try:
             actions = self.dispatcher.handle(now, event)
         except Exception as e:
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
 
@@ -11,8 +12,9 @@
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
+from finchladder.core.guarded import NewRoutes, decisions
 from finchladder.core.leaving import Leaving
-from finchladder.core.policy import Dispatcher
+from finchladder.core.routes import Routes
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import Capture
@@ -25,17 +27,29 @@
 from finchladder.net.machine import Disk, Machine
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.recorder import Recorder
+from finchladder.net.reload import Reload, count
 from finchladder.net.servers import RealServers
 from finchladder.net.service import ServiceActor
 from finchladder.net.timers import Timers
 
+if TYPE_CHECKING:
+    from finchladder.config.routes import Loaded
+
+
+class OperatorFile(NamedTuple):
+    """One in TOML: as it was read at the start, and how it is read again."""
+
+    loaded: "Loaded"
+    read: Callable[[], "Loaded"]
+
 
 class Node:
     """To be made and run on the loop that its dispatcher lives on. `reread` reads its configuration again."""
 
     def __init__(
-        self, setup: Setup, options: Options, reread: Callable[[], Setup], machine: Machine | None = None
-    ) -> None:
+        self, setup: Setup, options: Options, reread: Callable[[], Setup], machine: Machine | None = None,
+        file: OperatorFile | None = None,
+    ) -> None:  # fmt: skip
         self.setup, self.reread = setup, reread
         self.machine = machine = machine or Machine()
         self.clock = clock = Clock(machine.wall, machine.monotonic)
@@ -43,7 +57,8 @@
         status = JobStatus(options.status) if options.status is not None else None
         self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
-        dispatcher, arrivals = Dispatcher(setup.settings, seed), Arrivals(options, seed)
+        routes = file.loaded.routes if file is not None else None
+        dispatcher, arrivals = decisions(setup.settings, seed, routes), Arrivals(options, seed)
         self.module = ModuleActor(dispatcher, self.flows, clock)
         self.capture: Capture | None = None
         self.files: Disk | None = None
@@ -65,6 +80,10 @@
         )
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
+        self.reload: Reload | None = None
+        if file is not None:
+            self.reload = Reload(file.loaded, file.read, machine.aside, self._hold)
+            self.intake.routes = file.loaded.routes
         controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
         front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back)
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
@@ -83,6 +102,9 @@
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
+        if self.reload is not None:
+            loaded = self.reload.loaded
+            logger.info("routes: version {} holds, {}", loaded.version, count(loaded.routes))
         await left.wait()
         logger.info("{}: leaving", setup.name)
         await self.clients.leave()
@@ -91,7 +113,12 @@
         logger.info("{}: left", setup.name)
 
     def _reread(self) -> None:
-        """What SIGHUP asks for: the file's discovery is followed, all else holds from the next start."""
+        """What SIGHUP asks for: the file's discovery is followed, and the operator's routes hold.
+
+        All else holds from the next start.
+        """
+        if self.reload is not None:
+            self.reload.ask()
         try:
             discovery = self.reread().discovery
         except (ValueError, RecursionError) as e:
@@ -99,3 +126,8 @@
             return
         logger.info("SIGHUP: discovery is at {}:{}", *discovery)
         self.service.follow(discovery)
+
+    def _hold(self, routes: Routes) -> None:
+        """In one step: a job that has come under a route of before is decided by that."""
+        self.intake.routes = routes
+        self.module.tell(NewRoutes(routes))
--- a/finchladder/net/recorder.py
+++ b/finchladder/net/recorder.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from finchladder.core import api
+from finchladder.core.guarded import NewRoutes
 from finchladder.features.arrivals import Verdict
 from finchladder.features.capture import Capture
 from finchladder.features.drills import Order
@@ -16,8 +17,9 @@
         self.told = False
 
     def decided(
-        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
-    ) -> None:
+        self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
+        error: Exception | None = None,
+    ) -> None:  # fmt: skip
         self._guard(lambda: self.capture.decided(t, event, actions, error))
 
     def judged(
--- a/tests/config/test_routes.py
+++ b/tests/config/test_routes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from finchladder.config.routes import Loaded, load
-from finchladder.core.api import NEVER_RAN, Ending
+from finchladder.core.api import NEVER_RAN, Ending, WorkerPool
 from finchladder.core.routes import (
     ALL_BUT_OK,
     NO_FIELDS,
@@ -18,7 +18,6 @@
     RetryBudget,
     Route,
     Routes,
-    WorkerPool,
 )
 from tests.config.platform import PLATFORMS
 
--- a/tests/core/oracle.py
+++ b/tests/core/oracle.py
@@ -10,7 +10,7 @@
 
 from finchladder.core.agenda import Agenda
 from finchladder.core.counts import KeyCounts
-from finchladder.core.fleet import Fleet, Pool
+from finchladder.core.fleet import Fleet, Needed, Pool
 from finchladder.core.policy import SAMPLE, SMOOTH, SUSPECT, Dispatcher
 from finchladder.core.records import Job, Worker
 
@@ -58,7 +58,7 @@
 
 class ScanPool(Pool):
     workers: dict[str, Worker]
-    kind: str | None
+    kind: Needed
     zone: str
     built: OldPool = OldPool([])
 
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -142,7 +142,7 @@
 
 def check_index(d: Dispatcher) -> None:
     """Each index holds what a scan finds, in its order, and nothing more."""
-    for kind, pool in d.pools.items():
+    for kind, pool in d.fleet.pools.items():
         able = [w for w in d.workers.values() if w.ready and kind in (None, w.kind)]
         far = d.s.zone
         assert list(pool.by_load(999)) == sorted(able, key=lambda w: (w.load, w.zone != far, w.turn))
@@ -167,7 +167,7 @@
         able = [w for w in d.workers.values() if w.ready and job.cls.kind in (None, w.kind)]
         ordered = sorted(able, key=lambda w: (w.load, w.zone != d.s.zone, w.turn))
         fit = [w for w in ordered if d._under_t(w) and d._permitted(job, w)]
-        found = choose(job, d.pools[job.cls.kind])
+        found = choose(job, d.fleet.pools[job.cls.kind])
         if found is None:
             assert len(able) > SAMPLE or not fit
         elif len(able) <= SAMPLE or fit[0] in ordered[:SAMPLE]:
@@ -219,7 +219,7 @@
     assert list(b.d.fleet.suspects) == [old]
     other, _ = b.ask("unsafe", key=1), b.patch(*(entry(n, State.GONE) for n in "ab"))
     kept = [w for w in b.d.workers.values()]
-    assert len(kept) == 1 and kept[0].load == 1 and not b.d.pools[None].size
+    assert len(kept) == 1 and kept[0].load == 1 and not b.d.fleet.pools[None].size
     b.end(other[0], Ending.ERROR)
     assert list(b.d.workers) == [kept[0].address]
     b.patch(entry("c"))
@@ -250,8 +250,8 @@
 def test_pairs_are_counted_exactly_up_to_far_off_and_by_marks_beyond(first: int) -> None:
     d = fleet_of(*(f"w{i}" for i in range(150))).d
     pairs = OldPool(list(d.workers.values())).pairs(8, 65)
-    assert list(d.pools[None].walk(8, 65, first)) == pairs[first:] + pairs[:first]
-    far = list(d.pools[None].walk(8, 75, 65))
+    assert list(d.fleet.pools[None].walk(8, 65, first)) == pairs[first:] + pairs[:first]
+    far = list(d.fleet.pools[None].walk(8, 75, 65))
     assert len(far) == 75 and far[10:] == pairs  # the ten by marks first
     again = Counter(w.address for pair in far[:10] for w in pair)
     assert max(again.values()) == 1
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -9,7 +9,7 @@
 
 
 def pair_of(b: Bench, key: int) -> list[str]:
-    return [w.address for w in b.d.pools[None].pairs(key, 2)[0]]
+    return [w.address for w in b.d.fleet.pools[None].pairs(key, 2)[0]]
 
 
 def key_with_pair(b: Bench, size: int) -> int:
@@ -55,7 +55,7 @@
         b.d.workers[address].t = 1.0
     used = [b.ask(key=key)[1][0].worker for _ in range(3)]
     assert set(used[:2]) == set(pair_of(b, key))
-    assert used[2] in [w.address for w in b.d.pools[None].pairs(key, 2)[1]]
+    assert used[2] in [w.address for w in b.d.fleet.pools[None].pairs(key, 2)[1]]
 
 
 def test_without_a_key_the_least_loaded_ready_worker_gets_it() -> None:
