--- /dev/null
+++ b/tests/core/routes.py
@@ -0,0 +1,32 @@
+"""Decisions under routes, on a bench: what a test says of a route stands in its file's words."""
+
+from collections.abc import Iterable
+
+from finchladder import Dispatcher, api
+from finchladder.core.guarded import Guarded
+from finchladder.core.routes import Routes
+from tests.helpers import Bench, entry, settings
+
+
+class RouteBench(Bench):
+    """A job of class X comes under the route X, if there is one."""
+
+    def __init__(
+        self, routes: Routes, workers: Iterable[str | api.WorkerEntry] = (), seed: int = 1, **changes: object
+    ) -> None:
+        super().__init__(seed=seed, **changes)
+        self.g = Guarded(Dispatcher(settings(**changes), seed), routes, seed)
+        self.d = self.g  # type: ignore[assignment]
+        entries = tuple(w if isinstance(w, api.WorkerEntry) else entry(w) for w in workers)
+        self.feed(api.WorkerList(api.ListKind.WHOLE, entries))
+
+    def ask(
+        self, job_class: str = "safe", patience: float = 10.0, **more: object
+    ) -> tuple[str, list[api.Send]]:
+        return super().ask(job_class, patience, **({"route": job_class} | more))
+
+    def quiet(self) -> bool:
+        """Nothing is held of any job."""
+        g = self.g
+        limiters = [s.limiter for s in g.scopes.values() if s.limiter is not None]
+        return not (g.runs or g.alarms.at or g.inner.jobs or any(x.open or x.order for x in limiters))
--- /dev/null
+++ b/tests/core/test_routes_model.py
@@ -0,0 +1,195 @@
+"""All that can happen to one job under a route, path by path, against rules written down once more.
+
+A path is a row of choices: how each attempt in flight ends, the route's own timer, the client's leaving.
+All are walked; what a send may follow is judged from what the path's world saw, not from any record.
+"""
+
+from collections.abc import Iterator
+from itertools import islice, product
+from typing import Any, NamedTuple
+
+import pytest
+
+from finchladder import api
+from finchladder.config.routes import Loaded, load
+from finchladder.core.api import Effect, Ending, Group, JobClass
+from finchladder.core.guarded import GUARD
+from finchladder.core.routes import Backoff, Hedge, RetryBudget, Route, Routes
+from tests.config.platform import PLATFORMS
+from tests.core.routes import RouteBench
+from tests.helpers import KEYED, SAFE, UNSAFE, entry
+
+WORKERS = [entry(f"w{n}", zone="ab"[n % 2], cell=n // 2, kind="fast") for n in range(6)]
+PROOF = {"overloaded", "unreachable", "void"}  # endings after which a job has certainly not run
+SURE = RetryBudget(share=1.0, least_per_s=1000.0)
+
+
+class Sent(NamedTuple):
+    worker: str
+    at: float
+
+
+class World(RouteBench):
+    """One job after another; what one left behind in the dispatcher's opinion of its workers is wiped out."""
+
+    def __init__(self, route: Route, **changes: Any) -> None:
+        super().__init__(Routes([route]), WORKERS, **changes)
+        self.route, self.cls = route, self.g.inner.classes[route.job_class]
+        self.resends = self.copies = self.paths = 0
+
+    def walk(self) -> None:
+        path: list[tuple[int, int]] = []  # what was chosen, of how many
+        while True:
+            self.play(path)
+            self.paths += 1
+            while path and path[-1][0] == path[-1][1] - 1:
+                path.pop()
+            if not path:
+                return
+            path[-1] = path[-1][0] + 1, path[-1][1]
+
+    def play(self, path: list[tuple[int, int]]) -> None:
+        for w in self.g.inner.workers.values():
+            w.restart(w.born, 100.0, 0.0)
+            self.g.inner.fleet.judged(w)
+        self.g.inner.ejected.clear()
+        self.g.inner.retry_tokens = 10.0
+        self.sent: list[Sent] = []
+        self.ended: dict[int, Ending] = {}
+        self.answered = self.left = False
+        self.until = self.now + self.cls.deadline
+        self.name, _ = self.ask(self.route.job_class, self.cls.deadline)
+        step = 0
+        while choices := list(self.choices()):
+            if step == len(path):
+                path.append((0, len(choices)))
+            self.choose(choices[path[step][0]])
+            step += 1
+        over = self.answered or self.left
+        soon = max([self.now, *(at for at, token in self.timers if token == GUARD)]) + 0.05
+        self.run_until(soon if over else self.until)
+        for n in self.out():
+            self.told(n, Ending.CANCELLED)
+        assert self.quiet() and (self.answered or self.left)
+
+    def out(self) -> list[int]:
+        return [n for n in range(len(self.sent)) if n not in self.ended]
+
+    def choices(self) -> Iterator[tuple[int, Ending] | float | None]:
+        if self.answered or self.left:
+            return
+        yield from product(self.out(), Ending)
+        due = [at for at, token in self.timers if token == GUARD]
+        if due and min(due) < self.until:
+            yield min(due)
+        if self.out() or due:
+            yield None
+
+    def choose(self, choice: tuple[int, Ending] | float | None) -> None:
+        if choice is None:
+            self.left = True
+            self.feed(api.ClientGone(self.name))
+        elif isinstance(choice, float):
+            self.run_until(choice)
+        else:
+            self.told(*choice)
+
+    def told(self, n: int, ending: Ending) -> None:
+        self.ended[n] = ending
+        self.answered |= ending is Ending.OK
+        self.feed(api.Ended(self.name, n, ending, self.answered or self.left, 0.1))
+
+    def feed(self, event: api.Event) -> list[api.Action]:
+        actions = super().feed(event)
+        for a in actions:
+            if isinstance(a, api.Send):
+                self.judge(a)
+                self.sent.append(Sent(a.worker, self.now))
+            elif isinstance(a, api.Refuse | api.Fail):
+                assert not (self.answered or self.left)
+                self.answered = True
+                ran = [n for n in range(len(self.sent)) if self.may_have_run(n)]
+                assert isinstance(a, api.Fail) or not ran or self.cls.effect is Effect.SAFE
+        return actions
+
+    def may_have_run(self, n: int) -> bool:
+        return n not in self.ended or self.ended[n].value not in PROOF
+
+    def judge(self, a: api.Send) -> None:
+        """The four rules' part, then the route's."""
+        assert not (self.answered or self.left) and a.worker not in [s.worker for s in self.sent]
+        assert len(self.sent) < min(self.d.s.max_attempts, self.route.attempts or 99)
+        assert a.timeout == (self.route.attempt_timeout_s or 0.0)
+        known = self.g.inner.workers
+        for n, s in enumerate(self.sent):
+            if self.may_have_run(n):
+                assert self.cls.effect is not Effect.UNSAFE
+                if self.cls.effect is Effect.KEYED:
+                    assert self.now < s.at + self.cls.window and self.cls.group is Group.ZONE
+                    assert known[s.worker].zone == known[a.worker].zone
+            if n in self.ended:
+                assert self.ended[n] in self.route.resend_on
+                self.resends += 1
+            else:
+                assert self.d.s.may_copy and self.d.s.may_cancel and self.route.hedge is not None
+                assert len(self.out()) == 1 and self.now >= s.at + (self.route.hedge.after_s or 0) - 1e-3
+                self.copies += 1
+
+
+EVERY = frozenset(Ending) - {Ending.OK}
+UNRUN = frozenset(e for e in Ending if e.value in PROOF)
+HEDGE = Hedge(after_s=0.3, most=1.0)
+# what the checker would refuse is here as well: the rules hold whatever a route says
+CASES: list[tuple[JobClass, dict[str, Any], dict[str, Any]]] = [
+    *((cls, {"attempts": 4, "resend_on": on}, {}) for cls in (UNSAFE, KEYED) for on in (EVERY, UNRUN)),
+    *((cls, {"attempts": 3, "hedge": HEDGE}, {}) for cls in (SAFE, UNSAFE, KEYED)),
+    *((SAFE, {"attempts": 3, "hedge": HEDGE}, {name: False}) for name in ("may_copy", "may_cancel")),
+    (SAFE, {"attempts": 9, "resend_on": EVERY}, {"max_attempts": 3}),
+    (SAFE, {"attempts": 3, "resend_on": UNRUN, "hedge": HEDGE, "backoff": Backoff(0.1, 0.4, 0.5)}, {}),
+    (SAFE, {"attempts": 3, "retry_budget": RetryBudget(0.0, 0.0), "hedge": HEDGE}, {}),
+    (SAFE, {"attempts": 3, "retry_budget": SURE, "attempt_timeout_s": 0.5, "hedge": HEDGE}, {}),
+    (KEYED, {"attempts": 3, "backoff": Backoff(1.6, 3.2)}, {}),  # the second wait is past the window
+    (KEYED, {"attempts": 2, "hedge": Hedge(after_s=3.5, most=1.0)}, {}),
+    (UNSAFE, {"attempts": 3, "backoff": Backoff(0.2, 0.2), "concurrency": 1}, {}),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("cls", "limits", "changes"), CASES)
+def test_no_path_of_a_job_leads_to_a_send_that_its_class_or_its_route_forbids(
+    cls: JobClass, limits: dict[str, Any], changes: dict[str, Any]
+) -> None:
+    route = Route(cls.name, cls.name, **limits)
+    world = World(route, **changes)
+    world.walk()
+    assert world.paths > 10 and bool(world.resends) is (route.retry_budget in (None, SURE))
+    copies = route.hedge is HEDGE and cls is not UNSAFE and not changes and route.retry_budget in (None, SURE)
+    assert bool(world.copies) is copies
+
+
+AGAIN = (None, "['overloaded', 'unreachable', 'void']", "['error', 'timed_out']", "['cancelled', 'unknown']")
+COPIES = ("", "hedge_after_s = 0.2\nhedge_most = 1.0")
+MORE = (
+    "", "backoff.base_s = 0.05\nretry_budget = {share = 1.0, least_per_s = 1000}",
+    "pool.zones = ['a', 'b']",
+)  # fmt: skip
+
+
+def files(sends: int) -> Iterator[str]:
+    for cls, on, hedge, more in product(("view", "confirm", "book"), AGAIN, COPIES, MORE):
+        said = f"resend_on = {on}" if on else ""
+        yield f"[route.{cls}]\nclass = '{cls}'\nattempts = {sends}\n{hedge}\n{said}\n{more}"
+
+
+def accepted(text: str, settings: api.Settings) -> Route | None:
+    found = load(text, "a.toml", settings)
+    return found.routes.all[0] if isinstance(found, Loaded) else None
+
+
+def test_no_file_that_is_accepted_lets_a_path_lead_to_a_resend_that_the_class_forbids() -> None:
+    """Also with three sends, 216 files and 50,810 paths in all: half a minute, so only the first of them here."""
+    settings = PLATFORMS[""]
+    texts = [*files(1), *files(2), *islice(files(3), 2)]
+    routes = [route for text in texts if (route := accepted(text, settings)) is not None]
+    assert 25 < len(routes) < len(texts)
+    for route in routes:
+        World(route, **{name: getattr(settings, name) for name in settings.__dataclass_fields__}).walk()
