--- a/finchladder/core/overload.py
+++ b/finchladder/core/overload.py
@@ -6,6 +6,7 @@
 a bounded part of the CPU turns away the worst class's oldest, unread.
 """
 
+from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -27,7 +28,7 @@
 BUDGET_LEAST = 0.1
 DRAIN_S, DRAIN_MOST = 0.15, 0.7  # a queue that stands is worked off in so long, with so much of the CPU
 SPARE_MOST = 0.25  # of the CPU, for refusals where the jobs leave so much over
-FULL_FROM, FULL_MORE = 0.5, 4.0  # from that part of the room on refusals may take more, up to so many times;
+FULL_FROM, FULL_MORE = 0.5, 3.5  # from that part of the room on refusals may take more, up to so many times;
 # or where the oldest comes near its deadline: whoever has left costs more than a refusal
 LAST, DEAD_BY = 0.7, 0.9  # parts of a deadline; who comes back late is turned away again at the first
 CROWDED = 0.9  # of the room: beyond it, nothing is left waiting for its time to be turned away
@@ -100,8 +101,9 @@
     """
 
     def __init__(self, classes: Sequence[JobClass]) -> None:
-        self.fresh: dict[str, dict[T, float]] = {c.name: {} for c in classes}
-        self.late: dict[str, dict[T, float]] = {c.name: {} for c in classes}
+        # ordered: a plain dict looks for its first entry past all that were taken from there
+        self.fresh: dict[str, OrderedDict[T, float]] = {c.name: OrderedDict() for c in classes}
+        self.late: dict[str, OrderedDict[T, float]] = {c.name: OrderedDict() for c in classes}
         self.size = 0
 
     def add(self, now: float, c: JobClass, item: T, asked_at: float) -> None:
@@ -128,23 +130,24 @@
 
     def worst(self, now: float, best_first: Sequence[JobClass], part: float) -> T | None:
         """The oldest that has waited for that part of its deadline: one past it all, or the worst class's."""
-        due = [
-            (waited >= c.deadline, queue, item)
-            for c in reversed(best_first)
-            for queue, share in ((self.late[c.name], LAST if part else 0.0), (self.fresh[c.name], part))
-            if queue and (waited := now - queue[item := next(iter(queue))]) >= share * c.deadline
-        ]
-        if not due:
-            return None
-        _, queue, item = next((found for found in due if found[0]), due[0])
-        return self._pop(queue, item)
+        found: tuple[OrderedDict[T, float], T] | None = None
+        for c in reversed(best_first):
+            for queue, share in ((self.late[c.name], LAST if part else 0.0), (self.fresh[c.name], part)):
+                if queue:
+                    item = next(iter(queue))
+                    waited = now - queue[item]
+                    if waited >= c.deadline:
+                        return self._pop(queue, item)
+                    if found is None and waited >= share * c.deadline:
+                        found = queue, item
+        return self._pop(*found) if found is not None else None
 
     def oldest(self, now: float, classes: Sequence[JobClass]) -> float:
         """The greatest part of its deadline that any has waited."""
         heads = ((c, q) for c in classes for q in (self.late[c.name], self.fresh[c.name]) if q)
         return max(((now - q[next(iter(q))]) / c.deadline for c, q in heads), default=0.0)
 
-    def _pop(self, queue: dict[T, float], item: T) -> T:
+    def _pop(self, queue: OrderedDict[T, float], item: T) -> T:
         del queue[item]
         self.size -= 1
         return item
--- a/tests/core/test_overload.py
+++ b/tests/core/test_overload.py
@@ -85,6 +85,13 @@
     assert o.judge(now, "confirm", 0.04) is not None
 
 
+def test_cpu_that_jobs_leave_over_works_off_what_waits_from_worse_times() -> None:
+    o, now = shedding()
+    busy = o.refusals.rate
+    ticks(o, now, 40, 0.01, 0.5)  # nothing more comes
+    assert busy < 1500 and o.refusals.rate == pytest.approx(0.25 / 5e-5)
+
+
 def test_reads_the_best_newest_first_and_refuses_the_worst_oldest() -> None:
     o, now = shedding()
     for item, (job_class, left_s) in enumerate(
