Lab: arrivals that were not sent make a run invalid; wrong answers to rude clients are found

The load's mark of an overflow was written and not judged: figures.py guessed it from the tries at once, which said nothing of a bound that is shared out to several processes. It is taken from the mark now. How rude clients fared stood in the ledger as text in marks; it is a record of its own, counted by kind and ending in the summary, and an answer that no honest server may give is a finding (kind rude, beside the four rules). lab judge has status 1 for it.

--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -51,7 +51,7 @@
     plays(compare)
     for name, text in (
         ("report", "write summary.json and report.html anew from a run's ledger"),
-        ("judge", "judge a run's ledger by the four rules; status 1 where one is broken"),
+        ("judge", "judge a run's ledger by the four rules; status 1 where anything is found"),
     ):
         command(name, text).add_argument("folder", type=Path, metavar="DIR")
     serving = command("serve", "start an experiment's deployment without load, until Ctrl-C")
@@ -153,6 +153,8 @@
     lines += [f"  not valid: {reason}" for reason in s["invalid"]]
     ends = f"served {s['served']}, refused {s['refused']}, failed {s['failed']}"
     lines.append(f"  offered {s['offered']}, answered {s['answered']}: {ends}")
+    if wrong := s["kinds"].get("rude"):
+        lines.append(f"  rude clients answered as no honest server may: {wrong}")
     lines.append(f"  lost {s['lost']}, run twice against the rules {s['duplicates']}; rules broken: {rules}")
     lines.append(f"  goodput {s['goodput_per_s']:.1f} jobs/s, G {s['g']:.3f}")
     for name, c in s["latency"].items():
@@ -249,7 +251,7 @@
     for finding in verdict.findings:
         print(f"{finding.at:9.3f} s  {finding.rule}  {finding.kind}  {finding.text}")
     print(", ".join(f"{name} {n}" for name, n in verdict.rules.items()))
-    return not any(verdict.rules.values())
+    return not verdict.kinds
 
 
 def serve_file(args: argparse.Namespace, show: "Show") -> bool:
--- a/finchladder/lab/drivers/load.py
+++ b/finchladder/lab/drivers/load.py
@@ -23,7 +23,7 @@
 import os
 import socket
 import time
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -37,7 +37,7 @@
 from finchladder.lab.models import rude
 from finchladder.lab.models.clients import GATEWAYS, ClientModel, Send, Wish, population
 from finchladder.lab.models.front import FrontModel
-from finchladder.lab.records import Answered, Asked, End, Mark, digest
+from finchladder.lab.records import Answered, Asked, End, Mark, Rude, digest
 from finchladder.lab.schedule import Block, Schedule, ids, key_text
 from finchladder.lab.wire import Message, Parser, WireError
 
@@ -258,7 +258,7 @@
     skipped_rude: int = 0
     late: list[int] = field(default_factory=lambda: [0] * LATE_STEPS)
     late_worst_s: float = 0.0
-    rude: dict[str, Counter[str]] = field(default_factory=dict)
+    rude: int = 0  # rude clients that are done
 
     def add_late(self, late_s: float) -> None:
         self.late[min(int(late_s / LATE_STEP_S), LATE_STEPS - 1)] += 1
@@ -594,7 +594,7 @@
             "late_p99_s": counts.late_p99_s(),
             "overflow": counts.overflow,
             "skipped_rude": counts.skipped_rude,
-            "rude": {kind: dict(endings) for kind, endings in counts.rude.items()},
+            "rude": counts.rude,
         }
 
     async def _play(self, seed: int) -> None:
@@ -610,10 +610,9 @@
             ending = await self._rude(drawn, ear, self.addresses[dispatcher])
         finally:
             self.rude_open -= 1
-        if what := rude.wrong(drawn, ear.statuses):
-            ending = "wrong"
-            self.process.put(Mark(time.monotonic(), f"rude:{drawn.kind}:{dispatcher}: {what}"))
-        self.counts.rude.setdefault(drawn.kind, Counter())[ending] += 1
+        wrong = rude.wrong(drawn, ear.statuses)
+        self.process.put(Rude(time.monotonic(), drawn.kind, dispatcher, ending, wrong))
+        self.counts.rude += 1
 
     async def _rude(self, drawn: rude.Rude, ear: _Ear, address: tuple[str, int]) -> str:
         make: Callable[[], _Ear] = lambda: ear  # noqa: E731
@@ -645,9 +644,6 @@
         now = time.monotonic()
         for attempt in list(self.tries):
             self._leave(attempt, now, "left")
-        for kind, endings in sorted(self.counts.rude.items()):
-            told = ", ".join(f"{ending} {count}" for ending, count in sorted(endings.items()))
-            self.process.put(Mark(now, f"load:rude {kind}: {told}"))
         return self._figures()
 
     def close(self) -> None:
--- a/finchladder/lab/figures.py
+++ b/finchladder/lab/figures.py
@@ -220,17 +220,6 @@
     return found
 
 
-def most_in_flight(ledger: Ledger) -> int:
-    """Tries at once, from when the generator took them up to their end."""
-    tries = [t for t in ledger.tries.values() if t.end]
-    begins = np.array([t.asked.begun or t.asked.sent for t in tries])
-    ends = np.array([t.end.at for t in tries if t.end])
-    times = np.concatenate([ends, begins])
-    steps = np.concatenate([-np.ones(len(ends), dtype=int), np.ones(len(begins), dtype=int)])
-    order = np.argsort(times, kind="stable")  # at one time, what ends goes first
-    return int(np.cumsum(steps[order]).max(initial=0))
-
-
 def lateness(ledger: Ledger) -> dict[str, dict[str, float]]:
     """Of the worst in each second of each process of the lab: the 95th percentile, and the largest."""
     table = {}
@@ -260,8 +249,9 @@
     for f in ledger.faults:
         if f.kind == "died" and f.target not in ledger.dispatchers:
             found.append(f"{f.target}, a process of the lab, died at {f.at - ledger.first:.1f} s")
-    if any(p.rate for p in e.load.phase) and (held := most_in_flight(ledger)) >= e.load.most_in_flight:
-        found.append(f"{held} tries were in flight, the bound is {e.load.most_in_flight}")
+    if over := [m.at - ledger.first for m in ledger.marks if m.name == "load:overflow"]:
+        bound = f"{e.load.most_in_flight} were in flight"
+        found.append(f"from {over[0]:.1f} s on arrivals were not sent, as {bound}, which is the bound")
     undecided = sum(verdict.undecided.values())
     if undecided > UNDECIDED * len(ledger.tries):
         found.append(f"{undecided} of {len(ledger.tries)} tries could not be judged")
@@ -302,6 +292,9 @@
         seen[f.kind] += 1
         if seen[f.kind] <= KEPT:
             shown.append({name: getattr(f, name) for name in f.__struct_fields__})
+    rude: dict[str, Counter[str]] = {}
+    for r in ledger.rude:
+        rude.setdefault(r.kind, Counter())[r.ending] += 1
     summary = {
         "format": 1,
         "name": e.name,
@@ -330,6 +323,7 @@
         "excused": verdict.excused,
         "undecided": verdict.undecided,
         "refusals_held": verdict.held,
+        "rude": rude,
         "fell": len(ledger.fell),
         "crashes": sum(f.kind == "died" and f.target in ledger.dispatchers for f in ledger.faults),
         "dispatchers": {name: used[name] for name in ledger.dispatchers if name in used},
--- a/finchladder/lab/judge.py
+++ b/finchladder/lab/judge.py
@@ -4,7 +4,8 @@
 a 200, and nothing is sent for it afterwards. once: what must not run twice is not sent twice, nor refused
 once it may have run; copies, attempts and the request's text stay within what is allowed. drain: nothing new
 goes to a real server that the dispatcher knows to drain or to be gone, after the grace. cold: a real server
-that has just started is not sent more than its budget.
+that has just started is not sent more than its budget. Beside the four stands `protocol`: a rude client was
+answered what no honest server may answer.
 
 All limits of time are `slack_s` longer, as on sockets. Where the ledger can't tell, a case is `undecided` and
 counted, not judged; where the run itself is the cause (it killed or stopped the dispatcher, cut its clients'
@@ -22,7 +23,7 @@
 from finchladder.lab.experiment import Experiment, JobClass
 from finchladder.lab.ledger import LINK_FAULTS, NEAR_S, Ledger, Run, Try
 
-Rule = Literal["answer", "once", "drain", "cold"]
+Rule = Literal["answer", "once", "drain", "cold", "protocol"]
 RULES: tuple[Rule, ...] = ("answer", "once", "drain", "cold")
 MOST_KEPT = 200  # findings kept of each kind; all are counted
 HELD_SHARE = 0.9  # of its patience: a refusal later than this was held back
@@ -37,7 +38,8 @@
 
 
 class Finding(msgspec.Struct, frozen=True):
-    """One broken rule. `at`: seconds on the run's clock; `id` and the names are empty where there is none."""
+    """One broken rule, or a rude client answered wrongly. `at`: seconds on the run's clock; `id` and the
+    names are empty where there is none."""
 
     rule: Rule
     kind: str
@@ -49,7 +51,8 @@
 
 
 class Verdict(msgspec.Struct):
-    """`rules` and `kinds` count all findings; `findings` holds the first MOST_KEPT of each kind, by time."""
+    """`rules` counts what broke one of the four, `kinds` all findings; `findings` holds the first MOST_KEPT
+    of each kind, by time."""
 
     findings: list[Finding]
     rules: dict[str, int]
@@ -108,6 +111,10 @@
         for tries in self.ledger.jobs.values():
             self.effects(tries)
         self.cold()
+        for r in self.ledger.rude:
+            if r.wrong:
+                at, text = r.at - self.ledger.first, f"{r.kind}: {r.wrong}"
+                self.found.append(Finding("protocol", "rude", at, "", "", r.dispatcher, text))
         kinds = Counter(f.kind for f in self.found)
         self.found.sort(key=lambda f: (f.at, f.kind, f.id, f.server))
         seen: Counter[str] = Counter()
--- a/finchladder/lab/ledger.py
+++ b/finchladder/lab/ledger.py
@@ -80,6 +80,7 @@
         self.fell: dict[tuple[str, int], float] = {}  # when a real server fell over, overdriven while cold
         self.faults: list[records.Struck] = []
         self.marks: list[records.Mark] = []
+        self.rude: list[records.Rude] = []
         self.samples: dict[str, list[records.Sample]] = {}
         self.late: dict[str, list[records.Lateness]] = {}
         self.files: dict[str, int] = {}
@@ -217,6 +218,8 @@
                 ledger.faults.append(r)
             case records.Mark() as r:
                 ledger.marks.append(r)
+            case records.Rude() as r:
+                ledger.rude.append(r)
             case records.Sample() as r:
                 ledger.samples.setdefault(r.process, []).append(r)
             case records.Lateness() as r:
@@ -244,6 +247,7 @@
         ledger.jobs.setdefault(t.asked.origin, []).append(t)
     ledger.faults.sort(key=lambda r: r.at)
     ledger.marks.sort(key=lambda r: r.at)
+    ledger.rude.sort(key=lambda r: r.at)
     for told in ledger.told.values():
         told.sort(key=lambda r: r.at)
     for samples in ledger.samples.values():
--- a/finchladder/lab/records.py
+++ b/finchladder/lab/records.py
@@ -146,14 +146,25 @@
     events: int  # what it did in that second (tries sent, requests taken)
 
 
+class Rude(Record, tag="rude"):
+    """A rude client is done. Its requests are no tries: nobody is owed an answer to them."""
+
+    at: float
+    kind: str  # of models/rude.py
+    dispatcher: str
+    ending: str  # the first answer's status, or closed, silent, unconnected
+    wrong: str = ""  # what the dispatcher did that no honest one may
+
+
 class Mark(Record, tag="mark"):
-    """A phase begins; the run's own limits (start, end of arrivals, end) are marks too."""
+    """A phase begins. Names with a colon are no phases: the run's limits (`run:start`, `run:arrivals_end`,
+    `run:end`), and `load:overflow`, from when on arrivals were not sent as too much was in flight."""
 
     at: float
     name: str
 
 
-Any = Asked | Answered | Told | Born | Died | Taken | Began | Ended | Struck | Sample | Lateness | Mark
+Any = Asked | Answered | Told | Born | Died | Taken | Began | Ended | Struck | Sample | Lateness | Rude | Mark
 
 
 def digest(method: str, target: str, body: bytes) -> int:
--- a/tests/lab/test_figures.py
+++ b/tests/lab/test_figures.py
@@ -17,6 +17,7 @@
     Lateness,
     Mark,
     Record,
+    Rude,
     Sample,
     Struck,
     Taken,
@@ -169,6 +170,7 @@
     "a silence to the end": ("said nothing from 28.0 to 32.0 s", busy(0.0, range(29))),
     "a process of the lab died": ("relay-0, a process", [Struck(120.0, "died", "relay-0")]),
     "too much undecided": ("1 of 11 tries could not", [Answered("view0", 105.0, "silent")]),
+    "too much in flight": ("from 5.5 s on", [Mark(at, "load:overflow") for at in (105.5, 107.0)]),
     "a try without an end": ("whose end is not", job(99, 103.0, 0.1)[:1]),
 }
 
@@ -198,11 +200,13 @@
     assert (len(s["findings"]), s["lost"]) == (20, 25)
 
 
-def test_too_many_in_flight() -> None:
-    for bound, valid in ((4, True), (3, False)):
-        world = msgspec.structs.replace(DAY, load=msgspec.structs.replace(DAY.load, most_in_flight=bound))
-        three = flat(*(job(n, 103.0 + n / 100, 0.2) for n in range(3)))
-        assert summary([*three, *job(9, 103.5, 0.1)], world)["valid"] == valid
+def test_rude_clients_are_counted_and_wrong_answers_to_them_found() -> None:
+    endings = [("sit", "408", ""), ("nul", "200", "answered 200"), ("sit", "408", ""), ("sit", "closed", "")]
+    s = summary([*MIXED, *(Rude(110.0, kind, "n1", ending, wrong) for kind, ending, wrong in endings)])
+    assert s["rude"] == {"sit": {"408": 2, "closed": 1}, "nul": {"200": 1}}
+    [found] = [f for f in s["findings"] if f["kind"] == "rude"]
+    assert (found["at"], found["dispatcher"], found["text"]) == (10.0, "n1", "nul: answered 200")
+    assert s["kinds"]["rude"] == 1 and sum(s["rules"].values()) == 1  # the warm-up's lost one alone
 
 
 def test_processes_over_two_starts() -> None:
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -391,16 +391,15 @@
         world.role.addresses["n1"] = server.sockets[0].getsockname()[:2]
         world.role.order(Order("go", time.monotonic()))
         await world.until(lambda: len(world.process.tasks) > 20 or world.process.said_done)
-        await world.until(lambda: sum(sum(c.values()) for c in world.role.counts.rude.values()) >= 20)
+        await world.until(lambda: world.role.counts.rude >= 20)
         await world.stop()
 
     world = World(tmp_path, LoadPart([Phase("p", 0.5)], rude=60.0))
     uvloop.run(play())
-    marks = world.read()[2]
-    wrongs = [m for m in marks if m.startswith("rude:")]
-    assert any(m.endswith(":n1: answered 200") for m in wrongs)
-    counted = [m.partition(": ")[2].split(", ") for m in marks if m.startswith("load:rude ")]
-    assert sum(int(c.split()[1]) for told in counted for c in told if c.startswith("wrong")) == len(wrongs)
+    seen = [r for r in records.read_all(tmp_path / "ledger") if isinstance(r, records.Rude)]
+    assert len(seen) >= 20 and {r.dispatcher for r in seen} == {"n1"}
+    assert {"200"} < {r.ending for r in seen} | {"closed", "silent"}
+    assert {r.wrong for r in seen} >= {"", "answered 200"}
 
 
 def test_a_process_against_the_null_target(tmp_path: Path) -> None:
