--- a/finchladder/config/checker.py
+++ b/finchladder/config/checker.py
@@ -94,17 +94,12 @@
 
 def _alike(notes: Notes, resolved: list[Resolved]) -> None:
     """Two routes that are equally specific, and that one and the same job could match."""
-    first: dict[str, Resolved] = {}
-    classes: dict[str, set[str | None]] = {}
+    groups: dict[object, dict[str, Resolved]] = {}
     for r in resolved:
-        first.setdefault(r.name, r)
-        classes.setdefault(r.name, set()).add(r.job_class)
-    groups: dict[object, list[Resolved]] = {}
-    for r in first.values():
-        groups.setdefault((r.match.rank, r.match.parts), []).append(r)
+        groups.setdefault((r.match.rank, r.match.parts), {})[r.name] = r  # once, if it is for all classes
     for group in groups.values():
-        for a, b in combinations(group, 2):
-            if classes[a.name] & classes[b.name] and _overlap(a.match, b.match):
+        for a, b in combinations(group.values(), 2):
+            if _overlap(a.match, b.match):
                 line = notes.places.find(a.path).line
                 reason = f"route {b.name} matches jobs that route {a.name}, at line {line}, matches as well"
                 notes.add("FL145", b.path, reason)
@@ -160,7 +155,7 @@
     count = sends.value if sends is not None else 2
     each = one.value if one is not None and sends is not None else 0.0
     took = count * each + r.backoff.longest_s(count - 1)
-    if count > 1 and took > most + NEAR:
+    if took > most + NEAR:
         wait = r.told("backoff.base_s")
         said = _last(*(s for s in (sends, one if sends else None, wait) if s is not None))
         code = "FL132" if what.startswith("timeout_s") else "FL163"
@@ -187,11 +182,11 @@
     share, least = r.told("retry_budget.share"), r.told("retry_budget.least_per_s")
     for other in (least, r.told("retry_budget.window_s")):
         void.judge("FL128", other, share is None, None, "retry_budget does not say its share")
-    none = share is not None and share.value == 0 and least is not None and least.value == 0
-    if share is not None and least is not None and none and r.get("attempts") != 1:
+    none = [said for said in (share, least) if said is not None and said.value == 0]
+    if len(none) == 2 and r.get("attempts") != 1:
         count = f"{sends.value} attempts" if sends is not None else "resends"
         reason = f"route {r.name} has {count}, and a budget of 0 for them"
-        notes.add("FL136", _last(share, least).path, reason)
+        notes.add("FL136", _last(*none).path, reason)
 
 
 def _last(*said: Said) -> Said:
--- a/finchladder/config/levels.py
+++ b/finchladder/config/levels.py
@@ -82,9 +82,7 @@
             reason = f"nothing can match it, as there is no class {shown(job_class)}"
             notes.add("FL161", named[job_class].path, reason, known=listed(known))
             continue
-        path = match.path if match.path is not None and match.path.count("/") > 1 else None
-        # the path /view says no more than its class: they must not pass for two matches
-        match = Match(job_class, path, match.method, match.headers)
+        match = Match(job_class, match.path, match.method, match.headers)
         for one in [job_class] if job_class is not None or known is None else known:
             said = _over(_over(dict(defaults), classes.get(one or "", {})), own)
             found.append(Resolved(name, one, (known or {}).get(one or ""), match, said))
--- a/finchladder/core/routes.py
+++ b/finchladder/core/routes.py
@@ -64,6 +64,10 @@
         values = sum(value != "*" for _, value in self.headers)
         return len(self.parts), self.method is not None, len(self.headers), values
 
+    def same_as(self, other: "Match") -> bool:
+        own = (self.parts, self.method, self.headers)
+        return own == (other.parts, other.method, other.headers)
+
 
 @dataclass(slots=True, frozen=True)
 class Backoff:
@@ -176,7 +180,7 @@
                 raise ValueError(f"route {route.name}: its path does not begin with {route.job_class}")
             for part in parts[1:]:
                 node = node.below.setdefault(part, _Node())
-            if any(r.match == route.match for r in node.here):
+            if any(r.match.same_as(route.match) for r in node.here):
                 raise ValueError(f"route {route.name}: another one matches the same jobs")
             node.here.append(route)
             self.depth = max(self.depth, len(parts))
--- a/tests/config/test_files.py
+++ b/tests/config/test_files.py
@@ -105,6 +105,12 @@
         assert {r.name for r in found.routes.all} == set(tomllib.loads(text).get("route", {}))
 
 
+def test_the_bounds_themselves_are_within_them() -> None:
+    routes = "".join(f"route.r{n} = {{match = {{path = '/view/{n}'}}}}\n" for n in range(MOST_ROUTES))
+    for text in ("#" * MOST_BYTES, routes):
+        assert isinstance(loaded(text), Loaded)
+
+
 def test_a_file_that_cannot_be_read(tmp_path: Path) -> None:
     for path in (tmp_path / "none.toml", tmp_path, Path("a\0b.toml")):
         with pytest.raises(Findings) as e:
@@ -156,6 +162,12 @@
     ]  # fmt: skip
 
 
+def test_the_remedy_names_the_section_that_can_say_otherwise() -> None:
+    for which, where in (("match = {}", "[class.confirm]"), ("class = 'confirm'", "[route.a]")):
+        found = loaded(f"defaults.hedge_after = 'p95'\nroute.a = {{{which}}}")
+        assert isinstance(found, Findings) and found.all[0].remedy.endswith(f"hedge_most = 0 in {where}")
+
+
 def test_serve_is_refused_as_check_says(tmp_path: Path) -> None:
     (tmp_path / "platform.json").write_text(json.dumps(VARIANTS[""]))
     file = tmp_path / "c.toml"
