The sections that INI and TOML share mean the same, held by tests

The last conditions that could be changed unseen: what [door] and [door.NAME] turn on in TOML, the lines of findings on features, and reading from a file.

--- a/tests/config/test_files.py
+++ b/tests/config/test_files.py
@@ -112,10 +112,11 @@
 
 
 def test_a_file_that_cannot_be_read(tmp_path: Path) -> None:
-    for path in (tmp_path / "none.toml", tmp_path, Path("a\0b.toml")):
+    (tmp_path / "a.toml").write_text("nosuch = 1")
+    for path, code in (("none.toml", "FL101"), ("", "FL101"), ("a\0b.toml", "FL101"), ("a.toml", "FL111")):
         with pytest.raises(Findings) as e:
-            read(str(path))
-        assert codes(e.value) == {"FL101"}
+            read(str(tmp_path / path))
+        assert codes(e.value) == {code}
 
 
 def test_all_is_told_at_once_in_the_order_of_the_lines() -> None:
@@ -200,6 +201,33 @@
         assert isinstance(found, Loaded) and found.options == expected
 
 
+@pytest.mark.parametrize(
+    "text",
+    ["[door]", "[door.view]", "[door]\n[door.view]\nrate = 5", "[door.view]\nrate = 5\n[door]",
+     "[door]\nrate = 50\nburst = 60\n[door.view]\nrate = 55", "[status]\n[capture]\nfiles = 2"],
+)  # fmt: skip
+def test_a_section_means_the_same_in_both(text: str) -> None:
+    """Above all: [door.NAME] alone limits that class and no other."""
+    ini, toml = load(text, "c.ini"), load(text, "c.toml")
+    assert isinstance(ini, Loaded) and isinstance(toml, Loaded) and ini.options == toml.options
+
+
+@pytest.mark.parametrize(
+    ("text", "ini", "toml"),
+    [
+        ("[door]\nrate = 30\nburst = 20", ("FL109", 1), ("FL123", 3)),
+        ("[status]\n[door]\nrate = 5\n[door.nosuch]", ("FL161", 4), ("FL161", 4)),
+        ("\n[capture]\nring_bytes = 100000000", ("FL176", 2), ("FL176", 2)),
+    ],
+)
+def test_findings_on_features_stand_at_their_line(
+    text: str, ini: tuple[str, int], toml: tuple[str, int]
+) -> None:
+    for name, expected in (("c.ini", ini), ("c.toml", toml)):
+        found = loaded(text, name)
+        assert isinstance(found, Findings) and [(f.code, f.line) for f in found.all] == [expected]
+
+
 def test_ini_findings_stand_at_their_line() -> None:
     for text, place in (("\n[door]\nburst = 1\nrate = x", (4, 1)), ("[door]\n\n[y]", (3, 1)),
                         ("[door]\nrate = 1\nrate = 2", (3, 1))):  # fmt: skip
