--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -9,9 +9,9 @@
 from array import array
 from bisect import bisect_left, bisect_right, insort
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from hashlib import blake2b
-from itertools import chain, islice
+from itertools import islice
 from random import Random
 from sys import byteorder
 
@@ -22,7 +22,6 @@
 POINTS = 32  # ring marks a worker and hash: evens out the arcs of neighbours
 ARC_BITS = 8  # a ring is cut into so many arcs (as a power of 2), each a sorted row of its own
 SHIFT = 64 - ARC_BITS
-SLICE, LOOKS = 16, 1000  # entries of a PATCH, and of a list compared in one step: about 2 ms and 0.5 ms
 KEPT_KEYS = 1024  # keys whose pairs are kept while the rings stay as they are: 0.5 MB for each needed kind
 FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
 
@@ -44,31 +43,6 @@
     return points
 
 
-def differences(
-    old: Mapping[str, WorkerEntry], new: Iterable[WorkerEntry]
-) -> Iterator[tuple[WorkerEntry, ...]]:
-    """PATCHes that lead from the entries known to a whole list, in slices; what is not ready comes first.
-
-    Who is missing is GONE. The weight is left out, as no decision looks at it. A slice holds up to SLICE
-    entries, or none where LOOKS in a row have not changed, so that a caller may let others in between: then
-    no step takes longer than a slice. `old` must stay as it is until the end. O(entries).
-    """
-    named = {e.worker: e for e in new}
-    found: list[WorkerEntry] = []
-    joins: list[WorkerEntry] = []
-    left = (e._replace(state=State.GONE) for e in old.values() if e.worker not in named)
-    for n, e in enumerate(chain(named.values(), left), 1):
-        was = old.get(e.worker)
-        if was is None or (was != e and was[:-1] != e[:-1]):
-            (joins if e.state is State.READY else found).append(e)
-        if len(found) == SLICE or n % LOOKS == 0:
-            yield tuple(found)
-            found.clear()
-    yield tuple(found)
-    for at in range(0, len(joins), SLICE):
-        yield tuple(joins[at : at + SLICE])
-
-
 class Ring:
     """One consistent-hash ring: in place of '% |W|', where a join or leave would move nearly every key.
 
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -108,7 +108,7 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.actions = now, []
         self.unseen += event.seconds if isinstance(event, Unseen) else 0.0
-        self.seen = now - self.unseen  # a clock that stands still meanwhile: no worker is blamed for it
+        self.seen = max(self.seen, now - self.unseen)  # stands still meanwhile: no worker is blamed for it
         self.handlers.get(type(event), lambda e: None)(event)
         if not self.timer_due:
             self.timer_due = True
