Simulator: the program on virtual clocks and a virtual network, with faults from a seed

Failures of timing can't be reproduced with socket tests: they wait on real time and see a handful of orders. finchladder/sim runs the very program (net/node.py) on an event loop at virtual time, with sockets over an in-memory network, between the lab's models of real servers, discovery, front and clients. A seed draws the deployment, the jobs and the faults (30 kinds, at a time or aimed at a moment); the lab's judge is asked after every record, inner invariants are looked at after every turn, and after the last fault all must be served again. Commands: sim run, search, replay, shrink, explain, mutants. The judge's class is public now, and the kernel can run one event.

--- a/finchladder/cli/replay.py
+++ b/finchladder/cli/replay.py
@@ -18,6 +18,7 @@
 
 def run(args: argparse.Namespace) -> None:
     """Exit status as diff's: 0 all as it was, 1 some differs, 2 it can't be read."""
+
     def warn(text: str) -> None:
         print(f"finchladder: {args.file}: {' '.join(text.split())}", file=sys.stderr)
 
--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -32,9 +32,7 @@
     """As text, or as one JSON object a line: `text`, and `record` with what was bound to it in `extra`."""
     logger.remove()
     logger.configure(extra={"node": node})  # the text does not show it
-    return logger.add(
-        sink, level="INFO", backtrace=False, diagnose=False, serialize=log_format == "json"
-    )
+    return logger.add(sink, level="INFO", backtrace=False, diagnose=False, serialize=log_format == "json")
 
 
 async def serve(setup: Setup, options: Options) -> None:
--- /dev/null
+++ b/finchladder/cli/sim.py
@@ -0,0 +1,179 @@
+"""`finchladder sim`: the program on a virtual clock and network, with faults from a seed."""
+
+import argparse
+import os
+import sys
+import time
+from pathlib import Path
+
+from finchladder.cli.front import fail
+
+UNITS = {"s": 1, "m": 60, "h": 3600}
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    parser.description = "The program on a virtual clock and network, with faults from a seed."
+    commands = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+
+    run = commands.add_parser("run", help="play one seed")
+    run.add_argument("--seed", type=int, required=True)
+    run.add_argument("--steps", type=int, metavar="M", help="go on with the next seeds until so many steps")
+    run.add_argument("--out", metavar="TRACE", help="write the trace of the (last) run here")
+
+    search = commands.add_parser("search", help="play many seeds")
+    search.add_argument(
+        "--seeds", type=_span, required=True, metavar="A..B", help="from A up to B; `A..`: on"
+    )
+    search.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
+    search.add_argument("--for", dest="for_s", type=_duration, metavar="8h", help="begin no seed later")
+    search.add_argument("--out", default="sim-found", metavar="DIR", help="for traces of what was found")
+    search.add_argument("--first", action="store_true", help="end with the first violation")
+    search.add_argument("--coverage", action="store_true", help="print which fault met which stage")
+
+    replay = commands.add_parser("replay", help="play a trace anew, and compare line by line")
+    shrink = commands.add_parser("shrink", help="make a trace small that still fails the same")
+    explain = commands.add_parser("explain", help="tell a trace as a story, with the lines of code")
+    for command in (replay, shrink, explain):
+        command.add_argument("trace", metavar="TRACE")
+    shrink.add_argument("--out", metavar="TRACE", help="default: beside it, with .small before the ending")
+
+    mutants = commands.add_parser("mutants", help="take out one guard at a time, and see that it is missed")
+    mutants.add_argument("names", nargs="*", metavar="NAME", help="only these")
+    mutants.add_argument("--folder", default="tests/sim/mutants", help="of patches")
+    mutants.add_argument("--seeds", type=int, default=2000, metavar="N", help="at most, for each")
+    mutants.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
+    mutants.add_argument("--out", default="sim-mutants", metavar="DIR", help="for shrunk traces")
+    mutants.add_argument("--no-shrink", action="store_true")
+
+
+def _span(text: str) -> range:
+    first, dots, last = text.partition("..")
+    try:
+        if not dots:
+            return range(int(first), int(first) + 1)
+        return range(int(first), int(last) + 1 if last else sys.maxsize)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text!r} is not like 1..100") from None
+
+
+def _duration(text: str) -> float:
+    try:
+        return float(text[:-1]) * UNITS[text[-1]]
+    except (ValueError, KeyError, IndexError):
+        raise argparse.ArgumentTypeError(f"{text!r} is not like 90s, 30m or 8h") from None
+
+
+def run(args: argparse.Namespace) -> None:
+    try:
+        status = ACTIONS[args.action](args)
+    except (OSError, ValueError) as e:
+        fail(str(e))
+    if status:
+        sys.exit(status)
+
+
+def _run(args: argparse.Namespace) -> int:
+    from finchladder.sim import trace
+    from finchladder.sim.plan import draw
+
+    seed, steps, began = args.seed, 0, time.perf_counter()
+    while True:
+        lines, outcome = trace.record(draw(seed))
+        steps += outcome.steps
+        v = outcome.violation
+        print(
+            f"seed {seed}: {outcome.steps} steps, {outcome.virtual_s:.1f} s, {outcome.faults} faults,"
+            f" answers {outcome.answers}, digest {outcome.digest}"
+        )
+        if v is not None or args.steps is None or steps >= args.steps:
+            break
+        seed += 1
+    took = time.perf_counter() - began
+    print(f"{steps} steps in {took:.1f} s, {steps / took:.0f} a second")
+    if args.out:
+        trace.write(Path(args.out), lines)
+    if v is None:
+        return 0
+    print(f"{v.name}: {v.text} ({v.at:.6f} s, step {v.step})")
+    return 1
+
+
+def _search(args: argparse.Namespace) -> int:
+    from finchladder.sim.coverage import table
+    from finchladder.sim.search import search
+
+    until = time.monotonic() + args.for_s if args.for_s else None
+    tally = search(
+        args.seeds, args.jobs, Path(args.out), lambda text: print(text, flush=True), until, args.first
+    )
+    print(tally.text(args.jobs))
+    if args.coverage:
+        print(table(tally.coverage))
+    for name, count in tally.kinds.most_common():
+        print(f"{count} times {name}, first by seed {tally.first[name]}")
+    return 1 if tally.kinds or tally.errors else 0
+
+
+def _replay(args: argparse.Namespace) -> int:
+    from finchladder.sim import trace
+
+    plan, before = trace.read(Path(args.trace))
+    now, outcome = trace.record(plan)
+    if before[0] != now[0]:
+        print("the program is not the one that made this trace")
+    different = trace.first_difference(before, now)
+    if different is None:
+        print(f"the same to the byte: {len(now)} lines, digest {outcome.digest}")
+    else:
+        number, a, b = different
+        print(
+            f"line {number} was  {a.decode() or 'not there'}\nline {number} now  {b.decode() or 'not there'}"
+        )
+    v = outcome.violation
+    print(f"{v.name}: {v.text}" if v is not None else "nothing is broken")
+    return 1 if different is not None else 0
+
+
+def _shrink(args: argparse.Namespace) -> int:
+    from finchladder.sim import trace
+    from finchladder.sim.shrink import Shrinker
+
+    path = Path(args.trace)
+    plan, before = trace.read(path)
+    outcome = trace.record(plan)[1]
+    if outcome.violation is None:
+        raise ValueError(f"{path}: nothing is broken in it: there is nothing to shrink to")
+    shrinker = Shrinker(plan, outcome.violation.name, print)
+    lines, _ = trace.record(shrinker.run())
+    out = Path(args.out) if args.out else path.with_suffix(f".small{path.suffix}")
+    trace.write(out, lines)
+    print(f"{len(before)} lines became {len(lines)}: {out}")
+    return 0
+
+
+def _explain(args: argparse.Namespace) -> int:
+    from finchladder.sim import trace
+    from finchladder.sim.explain import explain
+
+    for line in explain(trace.read(Path(args.trace))[0]):
+        print(line)
+    return 0
+
+
+def _mutants(args: argparse.Namespace) -> int:
+    from finchladder.sim.mutants import hunt, load, report
+
+    mutants = [m for m in load(Path(args.folder)) if not args.names or m.name in args.names]
+    if not mutants:
+        raise ValueError(f"{args.folder}: no such mutants")
+    out = None if args.no_shrink else Path(args.out)
+    hunts = hunt(mutants, args.seeds, args.jobs, out, lambda text: print(text, flush=True))
+    for line in report(hunts):
+        print(line)
+    return 0 if all(h.seeds for h in hunts) else 1
+
+
+ACTIONS = {
+    "run": _run, "search": _search, "replay": _replay, "shrink": _shrink, "explain": _explain,
+    "mutants": _mutants,
+}  # fmt: skip
--- a/finchladder/config/platform.py
+++ b/finchladder/config/platform.py
@@ -1,6 +1,6 @@
 """The platform's configuration: the environment's variables and the JSON file that NODE_CONFIG names."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import NamedTuple
 
@@ -51,19 +51,25 @@
     limits: Limits
 
 
-def read_file(env: Mapping[str, str], *needed: str) -> File:
+def read_bytes(path: str) -> bytes:
+    return Path(path).read_bytes()
+
+
+def read_file(
+    env: Mapping[str, str], *needed: str, read: Callable[[str], bytes] = read_bytes
+) -> File:
     for name in (*needed, "NODE_CONFIG"):
         if not env.get(name):
             raise ValueError(f"{name} is not set")
     try:
-        return msgspec.json.decode(Path(env["NODE_CONFIG"]).read_bytes(), type=File)
+        return msgspec.json.decode(read(env["NODE_CONFIG"]), type=File)
     except (OSError, msgspec.MsgspecError) as e:
         raise ValueError(f"{env['NODE_CONFIG']}: {e}") from None
 
 
-def read_setup(env: Mapping[str, str]) -> Setup:
-    """ValueError says in one line what can't be used."""
-    file = read_file(env, "NODE_LISTEN")
+def read_setup(env: Mapping[str, str], read: Callable[[str], bytes] = read_bytes) -> Setup:
+    """ValueError says in one line what can't be used. `read` gets NODE_CONFIG, and gives the file's bytes."""
+    file = read_file(env, "NODE_LISTEN", read=read)
     try:
         caps = msgspec.json.decode(file.settings, type=NetPart).caps
     except msgspec.MsgspecError as e:
--- a/finchladder/lab/judge.py
+++ b/finchladder/lab/judge.py
@@ -70,10 +70,13 @@
 
 def judge(ledger: Ledger) -> Verdict:
     """Sees every try and every run once: O(records), and O(log n) for what a dispatcher had been told."""
-    return _Judge(ledger).judge()
+    return Judge(ledger).judge()
 
 
-class _Judge:
+class Judge:
+    """`answer` looks at a try that has ended, `once` and `drain` at its runs, `budget` at a cold start; each
+    adds to `found`. `judge` looks at all of a ledger."""
+
     def __init__(self, ledger: Ledger) -> None:
         e = ledger.experiment
         self.ledger, self.e = ledger, e
--- a/finchladder/lab/models/kernel.py
+++ b/finchladder/lab/models/kernel.py
@@ -60,6 +60,18 @@
             self._cancelled -= 1
         return self._heap[0][0] if self._heap else None
 
+    def step(self) -> bool:
+        """Runs the next event; False: there is none."""
+        while self._heap:
+            due, _, event = heappop(self._heap)
+            call, event.call = event.call, None
+            if call is not None:
+                self.now = due
+                call()
+                return True
+            self._cancelled -= 1
+        return False
+
     def run(self, until: float = inf) -> int:
         """Runs all events up to `until`, itself included; then it is `until`. Returns how many were run."""
         count = 0
--- /dev/null
+++ b/finchladder/sim/inner.py
@@ -0,0 +1,124 @@
+"""What must hold inside a dispatcher, looked at from outside: after each turn, and when all is quiet."""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from finchladder.core import api
+from finchladder.net.node import Node
+from finchladder.net.recorder import Recorder
+from finchladder.net.servers import IN_USE_EACH
+
+if TYPE_CHECKING:
+    from finchladder.sim.process import Process
+
+WHOLE_EVERY = 32  # turns between two looks at whole tables
+SPIN_S, SPIN_TURNS = 0.2, 6000  # more turns within so long: something stays ready and nobody takes it
+
+
+class Tap:
+    """Between the module's actor and what it tells: each send has one end, no end comes without a send."""
+
+    def __init__(self, inner: "Inner", further: Recorder | None) -> None:
+        self.inner, self.further = inner, further
+        self.out: dict[tuple[str, int], str] = {}
+        self.sent: dict[str, int] = {}
+
+    def decided(
+        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
+    ) -> None:
+        if self.further is not None:
+            self.further.decided(t, event, actions, error)
+        if isinstance(event, api.Ended):
+            key = event.request, event.attempt
+            if self.out.pop(key, None) is None:
+                self.inner.found("ends", f"the end of {key} was told again, or it was never sent")
+        for a in actions:
+            if isinstance(a, api.Send):
+                number = self.sent.get(a.request, 0)
+                self.sent[a.request] = number + 1
+                self.out[a.request, number] = a.worker
+
+
+class Inner:
+    """Of one start of one dispatcher."""
+
+    def __init__(self, process: "Process", node: Node) -> None:
+        self.process, self.node, self.run = process, node, process.run
+        further = node.module.tap
+        self.tap = Tap(self, further if isinstance(further, Recorder) else None)
+        node.module.tap = self.tap
+        self.sockets = node.setup.limits.sockets
+        self.places = node.servers.all_in_use.free
+        self.room = node.bodies.free
+        self.turns = 0
+        self.spin_at, self.spin_turns = process.run.kernel.now, 0
+
+    def found(self, kind: str, text: str) -> None:
+        self.run.found(kind, text, node=self.process.name)
+
+    def turned(self) -> None:
+        self.turns += 1
+        node = self.node
+        now = self.run.kernel.now
+        if now - self.spin_at >= SPIN_S:
+            self.spin_at, self.spin_turns = now, 0
+        self.spin_turns += 1
+        if self.spin_turns > SPIN_TURNS:
+            self.found("spins", f"{self.spin_turns} turns of the loop within {SPIN_S} s")
+        if node.module.waiting:
+            self.found("mailbox", f"{node.module.waiting} items wait for the module though it rests")
+        if node.flows.open > node.intake.most_open:
+            self.found("bounds", f"{node.flows.open} flows are open, {node.intake.most_open} may be")
+        if len(node.clients.edges) > node.clients.edges.most:
+            self.found("bounds", f"{len(node.clients.edges)} edge connections")
+        if not 0 <= node.servers.all_in_use.free <= self.places:
+            self.found("bounds", f"{node.servers.all_in_use.free} places of {self.places} are free")
+        if len(node.servers.kept.lines) > node.servers.kept.most:
+            self.found("bounds", f"{len(node.servers.kept.lines)} kept lines")
+        loop = self.process.loop
+        if loop is not None and len(loop.sockets) > self.sockets:
+            self.found("bounds", f"{len(loop.sockets)} sockets, {self.sockets} may be")
+        if self.turns % WHOLE_EVERY == 0:
+            self.whole()
+
+    def whole(self) -> None:
+        """Tables that have to agree with each other."""
+        node = self.node
+        open_ = sum(f.answer is None for f in node.flows.by_id.values())
+        if open_ != node.flows.open:
+            self.found("tables", f"{node.flows.open} flows count as open, {open_} are")
+        for flow in node.flows.by_id.values():
+            if flow.answer is not None and all(s.ended for s in flow.schedulings):
+                self.found("tables", f"{flow.id} is over and still in the table")
+        for actor in node.servers.actors.values():
+            for id, s in actor.live.items():
+                if s.ended or node.flows.by_id.get(id) is not s.flow:
+                    self.found("tables", f"{actor.name} holds {id}, which is over")
+            if not 0 <= actor.in_use.free <= IN_USE_EACH:
+                self.found("bounds", f"{actor.name}: {actor.in_use.free} places are free")
+
+    def quiet(self) -> None:
+        """Nothing is asked and nothing is under way: what is still held is held for good."""
+        node = self.node
+        self.whole()
+        module = node.module.dispatcher
+        actors = node.servers.actors.values()
+        left = {
+            "flows": list(node.flows.by_id), "open flows": node.flows.open,
+            "drilled flows": len(node.intake.held),
+            "sends without an end": list(self.tap.out), "jobs of the decisions": list(module.jobs),
+            "held jobs": [j for groups in module.held.values() for jobs in groups.values() for j in jobs],
+            "timers": len(node.timers.wheel),
+            "bytes for bodies": self.room - node.bodies.free,
+            "places in use": self.places - node.servers.all_in_use.free,
+            "jobs at real servers": [id for a in actors for id in a.live],
+            "busy lines": sum(a.busy for a in actors),
+            "places of one real server": sum(IN_USE_EACH - a.in_use.free for a in actors),
+            "waiting for a place": len(node.servers.all_in_use.queue),
+            "real servers with load": [w.address for w in module.workers.values() if w.load],
+        }  # fmt: skip
+        if node.flows.status is not None:
+            left["jobs whose status is open"] = list(node.flows.status.open)
+        for what, value in left.items():
+            if value:
+                self.found("left over", f"{what}: {value}")
--- /dev/null
+++ b/finchladder/sim/plan.py
@@ -0,0 +1,300 @@
+"""What a run plays: its world, its jobs, its faults and their times. Drawn from a seed, or cut down by hand.
+
+A plan is all that a run needs, so a trace that carries one can be played anywhere, whatever this file comes
+to draw later. Times are seconds from the run's begin.
+"""
+
+from random import Random
+from typing import Literal
+
+import msgspec
+
+from finchladder.lab.experiment import (
+    Callbacks,
+    Discovery,
+    Experiment,
+    Front,
+    JobClass,
+    Load,
+    Phase,
+    Pool,
+    Program,
+    Retries,
+)
+from finchladder.sim.draws import some, spread, stream
+
+BOOT_S = 0.6  # dispatchers are up and admitted by then
+SETTLE_S = 9.0  # after the last fault all is served again within this: the claim of liveness
+CALM_S = 1.0  # the calm jobs come within it
+END_S = 6.0  # after the last job all processes are told to leave, and have left by then
+
+Moment = Literal[
+    "start",  # a dispatcher's process has begun
+    "list",  # discovery has written a change to a dispatcher
+    "asked",  # a client has written a request's last byte
+    "taken",  # a request's last byte has come to a real server
+    "accepted",  # its 202 has been written
+    "started",  # a real server has written a call-back of a start
+    "result",  # a real server has written a call-back of an end, which nobody has read
+    "term",  # SIGTERM was sent
+    "answer",  # a dispatcher has written a client's answer
+]
+FaultKind = Literal[
+    # dispatchers
+    "kill", "term", "pause", "clock", "sluggish",
+    # real servers
+    "crash", "drain", "slow", "errors", "swallow", "freeze",
+    # everything at once: all real servers die and come back cold, all dispatchers start anew
+    "blackout",
+    # the list
+    "list_silent", "list_late", "list_gap", "list_break", "list_move",
+    # connections
+    "cut", "half_cut", "silence", "deaf", "refuse", "delay", "stall",
+    "break_calls",
+    # clients
+    "leave", "burst", "rude", "hold", "drill",
+]  # fmt: skip
+OF_DISPATCHERS: tuple[FaultKind, ...] = ("kill", "term", "pause", "clock", "sluggish")
+OF_SERVERS: tuple[FaultKind, ...] = ("crash", "drain", "slow", "errors", "swallow", "freeze")
+OF_LIST: tuple[FaultKind, ...] = ("list_silent", "list_late", "list_gap", "list_break", "list_move")
+OF_LINKS: tuple[FaultKind, ...] = ("cut", "half_cut", "silence", "deaf", "refuse", "delay", "stall")
+OF_CLIENTS: tuple[FaultKind, ...] = ("leave", "burst", "rude", "hold", "drill")
+KINDS: tuple[FaultKind, ...] = (
+    *OF_DISPATCHERS, *OF_SERVERS, "blackout", *OF_LIST, *OF_LINKS, "break_calls", *OF_CLIENTS
+)  # fmt: skip
+MOMENTS: tuple[Moment, ...] = (
+    "start", "list", "asked", "taken", "accepted", "started", "result", "term", "answer"
+)  # fmt: skip
+
+
+class Job(msgspec.Struct, omit_defaults=True, tag="job"):
+    """One wish of a client."""
+
+    number: int
+    at: float
+    client: int
+    job_class: str
+    key: str = ""
+    work_s: float = 0.02
+    slots: int = 1
+    body: int = 2  # bytes
+    leaves_s: float = 0.0  # the client goes after so long; 0: it waits as long as it said
+    calm: bool = False  # must be served: it comes when all faults are long over
+
+
+class Fault(msgspec.Struct, omit_defaults=True, tag="fault"):
+    """Something that goes wrong: at a time, or `after_s` a moment, the nth of its kind from `at` on."""
+
+    kind: FaultKind
+    at: float
+    on: Moment | None = None
+    nth: int = 1
+    after_s: float = 0.0
+    target: str = ""  # a dispatcher, a real server, or a link "a~b"; empty: whom the moment is about
+    for_s: float = 0.0
+    size: float = 0.0
+    number: int = 0
+
+
+class World(msgspec.Struct, omit_defaults=True):
+    """What does not change in a run."""
+
+    latency_s: float = 0.0005
+    jitter: float = 0.5
+    cut: Literal["whole", "few", "many"] = "whole"
+    buffer: int = 262_144
+    reset_drops: float = 0.5
+    pace_s: float = 0.0001  # between being ready and running, at the most
+    options: str = ""  # the operator's file
+    clients: int = 4
+    wall: float = 1_700_000_000.0
+
+
+class Plan(msgspec.Struct, omit_defaults=True):
+    seed: int
+    experiment: Experiment
+    world: World
+    jobs: list[Job] = []
+    faults: list[Fault] = []
+    calm_at: float = 0.0  # all faults are over by `calm_at` minus SETTLE_S
+    ends: bool = True  # all processes are told to leave, and looked at when they have left
+
+
+def dispatcher_names(plan: Plan) -> list[str]:
+    return [f"n{i + 1}" for i in range(plan.experiment.dispatchers)]
+
+
+def server_names(plan: Plan) -> list[str]:
+    return [f"w{i + 1}" for i in range(sum(p.count for p in plan.experiment.pool))]
+
+
+# --- drawing
+
+
+def draw(seed: int) -> Plan:
+    """The plan of that seed. What it draws depends on the seed and on this file alone."""
+    r = stream(seed, "plan")
+    faulty_s = r.choice([2.0, 4.0, 6.0])
+    experiment = _experiment(r, seed)
+    plan = Plan(seed, experiment, _world(r), calm_at=BOOT_S + faulty_s + SETTLE_S)
+    plan.jobs = _jobs(stream(seed, "jobs"), plan, faulty_s)
+    plan.faults = _faults(stream(seed, "faults"), plan, faulty_s)
+    return plan
+
+
+def _experiment(r: Random, seed: int) -> Experiment:
+    zones = ["a", "b"][: r.choice([1, 1, 2])]
+    aim_s = r.choice([0.3, 0.5])
+    classes = [JobClass("view", "retryable", aim_s=aim_s, deadline_s=r.choice([1.5, 3.0]))]
+    if r.random() < 0.8:
+        classes.append(
+            JobClass("confirm", "fragile", worth=10.0, aim_s=2 * aim_s, deadline_s=r.choice([2.0, 4.0]))
+        )
+    if r.random() < 0.5:
+        groups: list[Literal["all", "zone", "cell"]] = ["all", "zone", "cell"]
+        group = r.choice(groups)
+        window_s = r.choice([0.6, 5.0])
+        classes.append(
+            JobClass(
+                "book", "dedup", aim_s=aim_s, deadline_s=r.choice([1.5, 3.0]), group=group, window_s=window_s
+            )
+        )
+    for c in classes:
+        c.share, c.work_s = 1 / len(classes), 0.05
+    pools = [_pool(r) for _ in range(r.choice([1, 1, 2]))]
+    return Experiment(
+        name="sim",
+        load=Load(
+            phase=[Phase("all", for_s=60.0)],
+            retries=Retries(kind=r.choice(["after", "after", "at_once", "none"]), tries=r.choice([2, 3, 5])),
+        ),
+        seed=seed,
+        zones=zones,
+        dispatchers=r.choice([1, 1, 2, 2, 3]),
+        program=Program(sockets=r.choice([1024, 1024, 256])),
+        pool=pools,
+        callbacks=Callbacks(
+            early=r.choice([0.0, 0.0, 0.3]),
+            twice=r.choice([0.0, 0.0, 0.3]),
+            lost=r.choice([1.0, 0.5, 0.0]),
+            unknown_per_s=r.choice([0.0, 0.0, 2.0]),
+        ),
+        discovery=Discovery(delay_s=(0.0, r.choice([0.02, 0.1, 0.4]))),
+        front=Front(across_zones=True, notices_death_s=(0.2, 1.0)),
+        job_class=classes,
+        settings={"caps.secondCopies": r.random() < 0.5, "caps.tryLimit": r.choice([2, 3, 5])},
+    )
+
+
+def _pool(r: Random) -> Pool:
+    return Pool(
+        count=r.choice([1, 2, 3, 4]),
+        cores=r.choice([2, 4]),
+        slots=r.choice([0, 8]),
+        queue=r.choice([0, 2, 8]),
+        cold_from=0.3,
+        cold_for_s=r.choice([1.0, 2.0]),
+        handshake_s=r.choice([0.0, 0.0, 0.002]),
+        idle_s=r.choice([0.5, 2.0, 30.0]),
+        error_rate=r.choice([0.0, 0.0, 0.02]),
+        drain_returns=r.random() < 0.7,
+        cancel_stops=r.random() < 0.7,
+        progress_s=0.25,
+        report_delay_s=r.choice([0.0, 0.5]),
+    )
+
+
+def _world(r: Random) -> World:
+    options = []
+    if r.random() < 0.3:
+        options.append("[status]\nretain_ms = 2000\nmax_entries = 50\n")
+    if r.random() < 0.15:
+        options.append("[door]\nrate = 20\nburst = 20\n")
+    if r.random() < 0.3:
+        options.append("[drill]\nkey = k\n")
+    if r.random() < 0.3:
+        options.append("[capture]\nring_bytes = 200000\n")
+    return World(
+        latency_s=spread(r, 0.0001, 0.004),
+        jitter=r.choice([0.0, 0.5, 4.0]),
+        cut=r.choice(["whole", "whole", "few", "many"]),
+        buffer=r.choice([262_144, 262_144, 16_384, 4096]),
+        reset_drops=r.choice([0.0, 0.5, 1.0]),
+        pace_s=r.choice([0.00005, 0.00005, 0.001, 0.006]),
+        options="".join(options),
+        clients=r.choice([1, 3, 8]),
+    )
+
+
+def _jobs(r: Random, plan: Plan, faulty_s: float) -> list[Job]:
+    count = r.choice([10, 20, 40])
+    times = sorted(r.uniform(BOOT_S, BOOT_S + faulty_s) for _ in range(count))
+    calm = sorted(r.uniform(plan.calm_at, plan.calm_at + CALM_S) for _ in range(6))
+    jobs: list[Job] = []
+    keys = r.choice([0, 3, 30])
+    for at in times + calm:
+        c = r.choice(plan.experiment.job_class)
+        jobs.append(
+            Job(
+                number=len(jobs),
+                at=round(at, 4),
+                client=r.randrange(plan.world.clients),
+                job_class=c.name,
+                key=f"k{r.randrange(keys)}" if keys else "",
+                work_s=round(spread(r, 0.004, 0.25 if at < plan.calm_at else 0.02), 4),
+                body=r.choice([2, 2, 2, 300, 20_000, 60_000]),
+                leaves_s=round(spread(r, 0.002, 0.5), 4) if r.random() < 0.05 and at < plan.calm_at else 0.0,
+                calm=at >= plan.calm_at,
+            )
+        )
+    return jobs
+
+
+def _faults(r: Random, plan: Plan, faulty_s: float) -> list[Fault]:
+    """Swarm testing (Groce et al., 2012): which kinds a run has at all is drawn first."""
+    kinds = some(r, KINDS, r.choice([0.06, 0.12, 0.25]))
+    found: list[Fault] = []
+    for _ in range(r.choice([1, 2, 4, 8, 12])):
+        if r.random() < 0.25:
+            found += _bundle(r, plan, kinds, faulty_s)
+        else:
+            found.append(_fault(r, plan, r.choice(kinds), faulty_s, r.random() < 0.5))
+    found.sort(key=lambda f: f.at)
+    for number, fault in enumerate(found):
+        fault.number = number
+    return found
+
+
+def _bundle(r: Random, plan: Plan, kinds: list[FaultKind], faulty_s: float) -> list[Fault]:
+    """Several at one and the same moment."""
+    first = _fault(r, plan, r.choice(kinds), faulty_s, True)
+    others = [_fault(r, plan, r.choice(kinds), faulty_s, True) for _ in range(r.choice([1, 2]))]
+    for f in others:
+        f.at, f.on, f.nth = first.at, first.on, first.nth
+    return [first, *others]
+
+
+def _fault(r: Random, plan: Plan, kind: FaultKind, faulty_s: float, aimed: bool) -> Fault:
+    last = BOOT_S + faulty_s
+    f = Fault(kind, round(r.uniform(BOOT_S, last), 4))
+    if aimed:
+        f.at = round(r.uniform(0.0, last - 0.5), 4)
+        f.on, f.nth = r.choice(MOMENTS), r.choice([1, 1, 2, 3, 5, 8])
+        f.after_s = round(r.choice([0.0, 0.0, spread(r, 0.0001, 0.01), spread(r, 0.001, 0.3)]), 5)
+    if not aimed or r.random() < 0.3:
+        f.target = _target(r, plan, kind)
+    f.for_s = round(spread(r, 0.02, 2.0), 3)
+    f.size = round(r.random(), 3)
+    return f
+
+
+def _target(r: Random, plan: Plan, kind: FaultKind) -> str:
+    nodes, servers = dispatcher_names(plan), server_names(plan)
+    if kind in OF_DISPATCHERS or kind in OF_LIST:
+        return r.choice(nodes)
+    if kind in OF_SERVERS:
+        return r.choice(servers)
+    if kind in OF_LINKS:
+        other = r.choice([*servers, *servers, "clients", "registry"])
+        return f"{r.choice(nodes)}~{other}"
+    return ""
--- /dev/null
+++ b/finchladder/sim/process.py
@@ -0,0 +1,194 @@
+"""A dispatcher's process on a virtual machine: the program's own node, on a loop, sockets and clocks."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from functools import partial
+from socket import socket as Socket
+from typing import TYPE_CHECKING, Literal, cast
+
+from finchladder.config.options import CaptureOptions, Options
+from finchladder.config.platform import Setup, read_setup
+from finchladder.lab.settings import config_file
+from finchladder.net import http1
+from finchladder.net.machine import Disk, Machine
+from finchladder.net.node import Node
+from finchladder.sim.draws import stream
+from finchladder.sim.loop import VirtualLoop
+from finchladder.sim.sockets import VirtualSocket
+
+if TYPE_CHECKING:
+    from finchladder.sim.run import Run
+
+PORT = 8081
+GRACE_S = 0.7  # SIGKILL comes no earlier than the longest deadline (3 s at the least) and this after SIGTERM
+MOST_TURNS_LAST = 200  # in which all tasks must have ended once their cancelling was asked for
+
+
+class Memory(Disk):
+    """Where capture files go: nowhere, but each call is answered as a disk would."""
+
+    def __init__(self) -> None:
+        self.files: list[list[bytes]] = []
+
+    def open(self, data: bytes) -> bool:
+        self.files = [*self.files[-1:], [data]]
+        return True
+
+    def write(self, data: bytes) -> bool:
+        if not self.files:
+            return False
+        self.files[-1].append(data)
+        return True
+
+    def close(self) -> None:
+        pass
+
+
+class Process:
+    """One dispatcher over all its starts. down -> up -> leaving -> down; stopped is beside it."""
+
+    def __init__(self, run: "Run", index: int) -> None:
+        e = run.plan.experiment
+        self.run, self.index = run, index
+        self.name, self.zone = f"n{index + 1}", e.zones[index % len(e.zones)]
+        self.ip = f"10.0.0.{index + 1}"
+        self.state: Literal["down", "up", "leaving"] = "down"
+        self.stopped = False
+        self.starts = 0
+        self.wall_off = 0.0
+        self.sluggish = 1.0
+        self.loop: VirtualLoop | None = None
+        self.node: Node | None = None
+        self.main: asyncio.Task[None] | None = None
+        self.machine = Machine()
+        self.buried: list[VirtualLoop] = []
+        self.left_at = 0.0
+        self.on_exit: Callable[[], None] = lambda: None
+        self.made: Callable[[Node], None] = lambda node: None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.ip, PORT
+
+    @property
+    def is_up(self) -> bool:
+        return self.state != "down"
+
+    # --- its life
+
+    def start(self) -> None:
+        run = self.run
+        self.starts += 1
+        self.state, self.stopped, self.sluggish = "up", False, 1.0
+        self.wall_off = 0.0  # all machines read one clock: it may jump while a process runs, not before
+        random = stream(run.plan.seed, "process", self.name, self.starts)
+        most = run.plan.world.pace_s
+
+        def pace() -> float:
+            return most * self.sluggish * random.random()
+
+        self.loop = loop = VirtualLoop(run.kernel, pace, random, self._failed)
+        loop.after_turn = partial(run.turned, self)
+        if run.before_turn is not None:
+            loop.before_turn = partial(run.before_turn, self)
+        loop.fired = partial(run.step, "timer", self.name)
+        since = 1000.0 * random.random()  # no two machines count alike
+        kernel, wall = run.kernel, run.plan.world.wall
+        self.machine = Machine(
+            wall=lambda: wall + kernel.now + self.wall_off,
+            monotonic=lambda: since + kernel.now,
+            listen=self._listen,
+            connect=partial(http1.connect, make=self._socket),
+            files=self._files,
+        )
+        setup, options = self.setup(), self.run.options
+        run.struck("started", self.name)
+        run.see("start", node=self.name, servers=len(setup.known.workers.entries) if setup.known else 0)
+        self.main = loop.create_task(self._live(setup, options))
+        run.moment("start", node=self.name)
+
+    def setup(self) -> Setup:
+        run = self.run
+        seed = stream(run.plan.seed, "seed", self.name, self.starts).getrandbits(64)
+        known, registry = run.registry.last_list(self.name), run.registry.address(self.name)
+        data = config_file(run.plan.experiment, self.index, f"{self.ip}:{PORT}", registry, seed, known)
+        env = {"NODE_NAME": self.name, "NODE_LISTEN": f"{self.ip}:{PORT}", "NODE_CONFIG": "virtual"}
+        return read_setup(env, lambda path: data)
+
+    async def _live(self, setup: Setup, options: Options) -> None:
+        self.node = node = Node(setup, options, self.setup, self.machine)
+        self.made(node)
+        await node.serve()
+
+    def _failed(self, message: str, error: BaseException | None) -> None:
+        self.run.logged(self, "ERROR", f"asyncio: {message}", error)
+
+    def signal(self, number: int) -> None:
+        if self.state == "down" or self.loop is None:
+            return
+        if number == signal.SIGTERM:
+            self.left_at = self.run.kernel.now
+            self.state = "leaving"
+        if not self.loop.signal(number) and number == signal.SIGTERM:
+            self.kill()
+
+    def kill(self) -> None:
+        """SIGKILL: nothing of it runs any more, and its connections are reset."""
+        if self.state == "down":
+            return
+        assert self.loop is not None
+        self.state, self.stopped = "down", False
+        self.loop.die()
+        self._gone()
+
+    def exited(self) -> None:
+        """The program has ended by itself: what was left of it is looked at, as asyncio.run would end it."""
+        assert self.loop is not None
+        loop = self.loop
+        for task in loop.tasks():
+            loop.within(task.cancel)
+        loop.after_turn = lambda: None
+        if not loop.run_out(MOST_TURNS_LAST):
+            names = ", ".join(sorted({task.get_name() for task in loop.tasks()}))
+            self.run.found("task", f"tasks do not end when they are cancelled: {names}", node=self.name)
+        self.state, self.stopped = "down", False
+        loop.die()
+        self._gone()
+        self.on_exit()
+
+    def _gone(self) -> None:
+        assert self.loop is not None
+        net = self.run.net
+        for listener in [x for x in net.listeners.values() if x.host == self.name]:
+            listener.listening.close()  # type: ignore[attr-defined]
+        for end in net.ends_of(self.name):
+            end.reset()
+        self.buried.append(self.loop)
+
+    def pause(self) -> None:
+        if self.state != "down" and not self.stopped and self.loop is not None:
+            self.stopped = True
+            self.loop.stop_turns()
+            self.run.struck("pause", self.name)
+
+    def go_on(self) -> None:
+        if self.stopped and self.loop is not None:
+            self.stopped = False
+            self.run.struck("pause", self.name, "end")
+            self.loop.go_on()
+
+    # --- what the program is given
+
+    def _socket(self, family: int) -> Socket:
+        assert self.loop is not None
+        found = VirtualSocket(self.loop, self.run.net, self.name, self.ip, self.loop.descriptor())
+        return cast(Socket, found)
+
+    def _listen(self, address: tuple[str, int]) -> list[Socket]:
+        socket = cast(VirtualSocket, self._socket(0))
+        socket.listener = self.run.net.listen(self.name, address, socket)
+        return [cast(Socket, socket)]
+
+    def _files(self, options: CaptureOptions, name: str, start_ms: int) -> Disk | None:
+        return Memory() if options.folder is not None else None
--- /dev/null
+++ b/finchladder/sim/registry.py
@@ -0,0 +1,155 @@
+"""Discovery of a run: the lab's model, with an address of its own for each dispatcher."""
+
+from math import inf
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from finchladder.lab.models.discovery import DiscoveryModel, Line, Member
+from finchladder.lab.wire import CHUNKED_HEAD, Message, write_chunk, write_response
+from finchladder.sim.draws import stream
+from finchladder.sim.network import End, Handler, Listener
+from finchladder.sim.talk import Talk
+
+if TYPE_CHECKING:
+    from finchladder.sim.run import Run
+    from finchladder.sim.servers import Server
+
+HOST = "registry"
+PATH = "/catalog/members"
+
+
+class Watcher(Talk):
+    def __init__(self, registry: "Registry", node: str, end: End) -> None:
+        super().__init__(registry.run.net, responses=False)
+        self.registry, self.node, self.end = registry, node, end
+        self.asked: dict[int, None] = {}
+        self.headed = False
+
+    def message(self, m: Message) -> None:
+        path, _, query = m.target.partition("?")
+        wish = parse_qs(query)
+        if m.method != "GET" or path != PATH or wish.get("stream") != ["1"] or self.asked:
+            self.say(write_response(404))
+            return
+        index = wish.get("index", ["-1"])[0]
+        registry = self.registry
+        number = registry.model.watch(
+            registry.run.kernel.now, self.node, int(index) if index.isdecimal() else -1
+        )
+        self.asked[number] = None
+        registry.watchers[number] = self
+        registry.run.see("watch", node=self.node, index=index)
+        registry.played()
+
+    def line(self, line: Line) -> None:
+        """What is written here counts as told from now on."""
+        run = self.registry.run
+        self.say((b"" if self.headed else CHUNKED_HEAD) + write_chunk(line.data))
+        self.headed = True
+        if line.data != b"\n":
+            run.step("list", self.node)
+            self.registry.remember(self.node, line.data)
+            run.see("listed", node=self.node, **{told.server: told.state for told in line.told})
+            for told in line.told:
+                told.at = run.kernel.now
+                run.rules.put(told)
+            run.moment("list", end=self.end, node=self.node)
+
+    def lost(self, how: str) -> None:
+        for number in self.asked:
+            self.registry.model.unwatch(number)
+            self.registry.watchers.pop(number, None)
+        self.asked.clear()
+        self.registry.open.pop(self, None)
+
+
+class Registry:
+    def __init__(self, run: "Run") -> None:
+        self.run = run
+        nodes = list(run.processes)
+        self.model: DiscoveryModel = DiscoveryModel(
+            run.plan.experiment.discovery, nodes, stream(run.plan.seed, "registry"), run.plan.world.wall
+        )
+        self.watchers: dict[int, Watcher] = {}
+        self.open: dict[Watcher, None] = {}
+        self.known: dict[str, dict[str, Any]] = {node: {} for node in nodes}  # entries as last told
+        self.index = dict.fromkeys(nodes, 0)
+        self.ports = dict.fromkeys(nodes, 9000)
+        self.listeners: dict[str, Listener] = {}
+        self.due = inf
+        for node in nodes:
+            self._listen(node)
+
+    def describe(self, servers: "list[Server]") -> None:
+        self.model.describe(Member(s.name, s.model.zone, s.pool.kind, s.group) for s in servers)
+        self.model.addresses("", {s.name: s.address for s in servers})
+
+    def address(self, node: str) -> str:
+        return f"10.2.0.{node[1:]}:{self.ports[node]}"
+
+    def _listen(self, node: str) -> None:
+        ip, _, port = self.address(node).partition(":")
+        self.listeners[node] = self.run.net.listen(HOST, (ip, int(port)), Door(self, node))
+
+    def change(self, states: dict[str, tuple[Any, float]]) -> None:
+        self.model.change(self.run.kernel.now, states)
+        self.played()
+
+    def remember(self, node: str, data: bytes) -> None:
+        line = msgspec.json.decode(data)
+        if line["snapshot"]:
+            self.known[node].clear()
+        for entry in line["endpoints"]:
+            if entry["status"] == "gone":
+                self.known[node].pop(entry["name"], None)
+            else:
+                self.known[node][entry["name"]] = entry
+        self.index[node] = line["index"]
+
+    def last_list(self, node: str) -> dict[str, Any]:
+        endpoints = list(self.known[node].values())
+        return {"index": self.index[node], "snapshot": True, "endpoints": endpoints}
+
+    def move(self, node: str) -> None:
+        """To another address. The connections that stand fall silent, new ones are refused there."""
+        self.run.net.unlisten(self.listeners[node])
+        self.ports[node] += 1
+        self._listen(node)
+        for watcher in [w for w in self.open if w.node == node]:
+            for number in watcher.asked:
+                self.model.unwatch(number)
+                self.watchers.pop(number, None)
+            watcher.asked.clear()
+
+    def break_off(self, node: str, reset: bool) -> None:
+        for watcher in [w for w in self.open if w.node == node]:
+            watcher.lost("")
+            if reset:
+                watcher.reset()
+            else:
+                watcher.close()
+
+    def played(self) -> None:
+        for line in self.model.advance(self.run.kernel.now):
+            if (watcher := self.watchers.get(line.watch)) is not None:
+                watcher.line(line)
+        if (due := self.model.next_due()) is not None and due < self.due:
+            self.due = max(due, self.run.kernel.now)
+            self.run.kernel.at(self.due, self._ring)
+
+    def _ring(self) -> None:
+        if self.run.kernel.now >= self.due:
+            self.due = inf
+            self.played()
+
+
+class Door:
+    def __init__(self, registry: Registry, node: str) -> None:
+        self.registry, self.node = registry, node
+
+    def connected(self, end: End) -> Handler | None:
+        watcher = Watcher(self.registry, self.node, end)
+        self.registry.open[watcher] = None
+        return watcher
--- /dev/null
+++ b/finchladder/sim/sockets.py
@@ -0,0 +1,134 @@
+"""A virtual socket: what Tornado's streams and listeners ask of a real one, over an end of the network."""
+
+import asyncio
+import errno
+import socket
+from collections import deque
+from typing import Any
+
+from finchladder.sim.loop import VirtualLoop
+from finchladder.sim.network import BACKLOG, End, Handler, Listener, Network
+
+
+class VirtualSocket(Handler):
+    """Of one process, told apart by its descriptor. Just what the program uses; what is missing raises."""
+
+    family = socket.AF_INET
+
+    def __init__(self, loop: VirtualLoop, net: Network, host: str, ip: str, number: int) -> None:
+        self.loop, self.net, self.host, self.ip, self.number = loop, net, host, ip, number
+        self.reader: asyncio.Handle | None = None
+        self.writer: asyncio.Handle | None = None
+        self.end: End | None = None
+        self.listener: Listener | None = None
+        self.waiting: deque[End] = deque()  # connections to be accepted
+        loop.attach(number, self)
+
+    # --- as its loop sees it
+
+    @property
+    def readable(self) -> bool:
+        if self.end is not None:
+            return self.end.readable
+        return bool(self.waiting)
+
+    @property
+    def writable(self) -> bool:
+        return self.end is not None and (self.end.writable or bool(self.end.error))
+
+    def touched(self) -> None:
+        self.loop.touch(self.number, self)
+
+    # --- as the network sees it
+
+    def opened(self, end: End) -> None:
+        self.touched()
+
+    def refused(self, end: End) -> None:
+        self.touched()
+
+    def arrived(self, end: End) -> None:
+        self.touched()
+
+    def room(self, end: End) -> None:
+        self.touched()
+
+    def connected(self, end: End) -> Handler | None:
+        """Of a listening one."""
+        if len(self.waiting) >= BACKLOG:
+            return None
+        self.waiting.append(end)
+        self.touched()
+        return Early(self)
+
+    # --- as the program sees it
+
+    def fileno(self) -> int:
+        return self.number
+
+    def setblocking(self, flag: bool) -> None:
+        pass
+
+    def setsockopt(self, *args: Any) -> None:
+        pass
+
+    def getsockopt(self, level: int, option: int, size: int = 0) -> int:
+        if (level, option) != (socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(errno.ENOPROTOOPT, "no such option here")
+        return self.end.error if self.end is not None else 0
+
+    def connect(self, address: tuple[str, int]) -> None:
+        self.end = self.net.connect(self.host, self.ip, (address[0], address[1]), self)
+        raise BlockingIOError(errno.EINPROGRESS, "in progress")
+
+    def accept(self) -> tuple["VirtualSocket", tuple[str, int]]:
+        if not self.waiting:
+            raise BlockingIOError(errno.EAGAIN, "nobody there")
+        end = self.waiting.popleft()
+        accepted = VirtualSocket(self.loop, self.net, self.host, self.ip, self.loop.descriptor())
+        accepted.end, end.handler = end, accepted
+        return accepted, end.peer.address
+
+    def send(self, data: bytes | memoryview) -> int:
+        if self.end is None:
+            raise OSError(errno.ENOTCONN, "not connected")
+        return self.end.write(data)
+
+    def recv(self, most: int, flags: int = 0) -> bytes:
+        if self.end is None:
+            raise OSError(errno.ENOTCONN, "not connected")
+        return self.end.read(most, peek=bool(flags & socket.MSG_PEEK))
+
+    def recv_into(self, buffer: bytearray | memoryview, most: int = 0) -> int:
+        data = self.recv(most or len(buffer))
+        buffer[: len(data)] = data
+        return len(data)
+
+    def close(self) -> None:
+        self.loop.detach(self.number)
+        if self.end is not None:
+            self.end.close()
+        if self.listener is not None:
+            self.net.unlisten(self.listener)
+            for end in self.waiting:
+                end.reset()
+            self.waiting.clear()
+
+
+class Early(Handler):
+    """Of a connection that the process has not accepted: what comes is kept, and makes nothing ready."""
+
+    def __init__(self, listening: VirtualSocket) -> None:
+        self.listening = listening
+
+    def opened(self, end: End) -> None:
+        pass
+
+    def refused(self, end: End) -> None:
+        pass
+
+    def arrived(self, end: End) -> None:
+        pass
+
+    def room(self, end: End) -> None:
+        pass
