--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -17,7 +17,7 @@
 from finchladder.core.api import (
     NEVER_RAN, Action, Cancel, ClientGone, Effect, Ended, Ending, Event, Fail, Group, JobClass, ListKind,
     PeerMessage, Progress, Refuse, Request, Send, SetTimer, Settings, Started, State, Subscribe, Tell, Timer,
-    WorkerEntry, WorkerList,
+    Unseen, WorkerEntry, WorkerList,
 )  # fmt: skip
 from finchladder.core.agenda import Agenda
 from finchladder.core.counts import KeyCounts
@@ -84,7 +84,7 @@
         self.warm_done, self.warm_since = 0.0, 0.0
         self.retry_tokens = RETRY_MOST
         self.subscribed, self.ask_at, self.failures = not settings.must_ask, 0.0, 0
-        self.now, self.timer_due, self.serial = 0.0, False, 0
+        self.now, self.seen, self.unseen, self.timer_due, self.serial = 0.0, 0.0, 0.0, False, 0
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], object]] = {
             Request: self._on_request, Started: self._on_started, Ended: self._on_ended,
@@ -107,8 +107,9 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.actions = now, []
-        if type(event) in self.handlers:
-            self.handlers[type(event)](event)
+        self.unseen += event.seconds if isinstance(event, Unseen) else 0.0
+        self.seen = now - self.unseen  # a clock that stands still meanwhile: no worker is blamed for it
+        self.handlers.get(type(event), lambda e: None)(event)
         if not self.timer_due:
             self.timer_due = True
             self.actions.append(SetTimer(self.sweep, SWEEP))
@@ -131,14 +132,14 @@
         attempt = self._on_news(e)
         if attempt is None or attempt.started is not None:
             return
-        attempt.started = self.now
+        attempt.started = self.seen
         attempt.worker.unstarted.pop(attempt, None)
-        self._learn_delay(attempt.worker, self.now - attempt.sent > self.start_grace)
+        self._learn_delay(attempt.worker, self.seen - attempt.seen > self.start_grace)
 
     def _on_news(self, e: Started | Progress) -> Attempt | None:
         attempt = self._attempt(e.request, e.attempt)
         if attempt is not None:
-            attempt.told = attempt.worker.heard = self.now
+            attempt.told = attempt.worker.heard = self.seen
             if attempt.stalled and attempt.ending is None:  # not lost after all
                 attempt.stalled = False
                 self.fleet.add_load(attempt.worker, self.jobs[e.request].slots)
@@ -298,7 +299,7 @@
         if w.load >= w.t or self.now < w.rest_until:
             return False
         if w.unstarted and self.s.tells_start:
-            return self.now - next(iter(w.unstarted.values())) <= self.start_grace
+            return self.seen - next(iter(w.unstarted.values())) <= self.start_grace
         return True
 
     def _silent_at(self, job: Job) -> float:
@@ -309,7 +310,8 @@
         a = job.attempts[-1]
         if not self.s.tells_start or a.stalled or (a.started and not self.s.progress_every):
             return inf
-        return self.stall + (a.told + self.s.progress_every if a.started else max(a.sent, a.worker.heard))
+        told = a.told + self.s.progress_every if a.started else max(a.seen, a.worker.heard)
+        return self.unseen + told + self.stall
 
     def _unstall(self, job: Job, a: Attempt) -> None:
         """A job of which nothing more is told holds no slot as far as anyone can see.
@@ -372,11 +374,11 @@
             w.cold_credit -= self._cold_cost(job, w)
             w.fetched[job.key] = None
         self.retry_tokens -= any(job.may_have_run())
-        attempt = Attempt(w, self.now)
+        attempt = Attempt(w, self.now, self.seen)
         job.attempts.append(attempt)
         job.out += 1
         self.fleet.add_load(w, job.slots)
-        w.unstarted[attempt] = self.now
+        w.unstarted[attempt] = self.seen
         self._watch(job)
         self.actions.append(Send(job.id, w.address))
 
@@ -396,10 +398,9 @@
         job.done = True
         self._unhold(job)
         self.agenda.drop(job)
-        if self.s.may_cancel:
-            for n, a in enumerate(job.attempts):
-                if a.ending is None:
-                    self.actions.append(Cancel(job.id, n))
+        for n, a in enumerate(job.attempts):
+            if a.ending is None and self.s.may_cancel:
+                self.actions.append(Cancel(job.id, n))
         self._forget_if_over(job)
 
     def _forget_if_over(self, job: Job) -> None:
@@ -418,12 +419,12 @@
     def _learn_ending(self, job: Job, a: Attempt, e: Ended) -> None:
         w = a.worker
         if e.ending in (Ending.OK, Ending.ERROR, Ending.OVERLOADED):
-            w.heard = self.now
+            w.heard = self.seen
         if e.ending is Ending.OVERLOADED:
             self.strain += SMOOTH * (1 - self.strain)
             self._learn_delay(w, True)
         elif e.ending is Ending.OK:
-            ran = self.now - (a.started if a.started is not None else a.sent)
+            ran = self.seen - (a.started if a.started is not None else a.seen)
             self.run[job.cls.name] += SMOOTH * (max(ran, self.s.tick) - self.run[job.cls.name])
             if not self.fleet.is_cold(w, self.now):
                 self.warm_done += self._cost(job)
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -4,12 +4,14 @@
 the program runs on them as it stands.
 """
 
+import resource
 import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from loguru import logger
 from tornado.netutil import bind_sockets
 
 from finchladder.config.options import CaptureOptions
@@ -17,12 +19,22 @@
 from finchladder.net.disk import CaptureFiles
 from finchladder.net.http1 import Connect, connect
 
-BACKLOG = 1024
+BACKLOG, BACKLOG_PART = 1024, 1 / 4  # connections not yet accepted: at the least, and of all sockets
 
 
-def listen(address: tuple[str, int]) -> list[socket.socket]:
-    """OSError: the address can't be had."""
-    return bind_sockets(address[1], address[0], backlog=BACKLOG)
+def listen(address: tuple[str, int], sockets: int) -> list[socket.socket]:
+    """`sockets`: what the configuration allows in all. OSError: the address can't be had."""
+    return bind_sockets(address[1], address[0], backlog=max(BACKLOG, int(BACKLOG_PART * sockets)))
+
+
+def allow_descriptors(sockets: int) -> None:
+    """The system's soft limit is raised to what the configuration says; its hard limit is the operator's."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
+    if soft != resource.RLIM_INFINITY and soft < most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    if most < sockets:
+        logger.warning("limits: {} sockets are configured, and the system allows {}", sockets, most)
 
 
 class Disk(Sink, Protocol):
@@ -46,6 +58,7 @@
 
     wall: Callable[[], float] = time.time
     monotonic: Callable[[], float] = time.monotonic
-    listen: Callable[[tuple[str, int]], list[socket.socket]] = listen
+    listen: Callable[[tuple[str, int], int], list[socket.socket]] = listen
+    allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
     files: Callable[[CaptureOptions, str, int], Disk | None] = capture_files
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -418,3 +418,27 @@
 
     monkeypatch.setattr(servers.RealServer, "_begin", broken)
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(("late", "unseen"), [(0.0, False), (0.004, False), (0.3, True)])
+def test_what_the_loop_was_late_by_is_told_before_what_came_meanwhile(late: float, unseen: bool) -> None:
+    seen: list[api.Event] = []
+
+    class Watcher(Dispatcher):
+        def handle(self, now: float, event: api.Event) -> list[api.Action]:
+            seen.append(event)
+            return super().handle(now, event)
+
+    async def play() -> None:
+        now = [100.0]
+        clock = Clock(lambda: now[0], lambda: now[0])
+        module = ModuleActor(Watcher(settings(), 1), Flows(), clock)
+        module.tell(api.WorkerList(api.ListKind.WHOLE, (entry("w1"),)))  # its sweep is due in 0.05 s
+        now[0] += 0.05 + late
+        module.tell(api.ClientGone("x"))
+        module.tell(api.ClientGone("y"))
+
+    asyncio.run(play())
+    told = [e.seconds for e in seen if isinstance(e, api.Unseen)]
+    assert told == ([pytest.approx(late)] if unseen else []) and len(seen) == 3 + unseen
+    assert isinstance(seen[1], api.Unseen) == unseen
