--- a/finchladder/sim/plan.py
+++ b/finchladder/sim/plan.py
@@ -107,6 +107,7 @@
     pace_s: float = 0.0001  # between being ready and running, at the most
     options: str = ""  # the operator's file
     clients: int = 4
+    ghosts: int = 0  # entries of the list that only ever drain: they make it long
     wall: float = 1_700_000_000.0
 
 
@@ -223,6 +224,7 @@
         pace_s=r.choice([0.00005, 0.00005, 0.001, 0.006]),
         options="".join(options),
         clients=r.choice([1, 3, 8]),
+        ghosts=r.choice([0] * 11 + [400]),
     )
 
 
--- a/finchladder/sim/process.py
+++ b/finchladder/sim/process.py
@@ -99,12 +99,13 @@
             wall=lambda: wall + kernel.now + self.wall_off,
             monotonic=lambda: since + kernel.now,
             listen=self._listen,
+            allow_descriptors=lambda sockets: None,
             connect=partial(http1.connect, make=self._socket),
             files=self._files,
         )
         setup, options = self.setup(), self.run.options
         run.struck("started", self.name)
-        run.see("start", node=self.name, servers=len(setup.known.workers.entries) if setup.known else 0)
+        run.see("start", node=self.name, servers=len(run.registry.known[self.name]))
         self.main = loop.create_task(self._live(setup, options))
         run.moment("start", node=self.name)
 
@@ -185,7 +186,7 @@
         found = VirtualSocket(self.loop, self.run.net, self.name, self.ip, self.loop.descriptor())
         return cast(Socket, found)
 
-    def _listen(self, address: tuple[str, int]) -> list[Socket]:
+    def _listen(self, address: tuple[str, int], sockets: int) -> list[Socket]:
         socket = cast(VirtualSocket, self._socket(0))
         socket.listener = self.run.net.listen(self.name, address, socket)
         return [cast(Socket, socket)]
--- a/finchladder/sim/registry.py
+++ b/finchladder/sim/registry.py
@@ -51,8 +51,9 @@
         if line.data != b"\n":
             run.step("list", self.node)
             self.registry.remember(self.node, line.data)
-            run.see("listed", node=self.node, **{told.server: told.state for told in line.told})
-            for told in line.told:
+            known = [told for told in line.told if told.server in run.servers]
+            run.see("listed", node=self.node, **{told.server: told.state for told in known})
+            for told in known:
                 told.at = run.kernel.now
                 run.rules.put(told)
             run.moment("list", end=self.end, node=self.node)
@@ -85,6 +86,12 @@
     def describe(self, servers: "list[Server]") -> None:
         self.model.describe(Member(s.name, s.model.zone, s.pool.kind, s.group) for s in servers)
         self.model.addresses("", {s.name: s.address for s in servers})
+        ghosts = [f"ghost{n:04d}" for n in range(self.run.plan.world.ghosts)]
+        zone = self.run.plan.experiment.zones[0]
+        self.model.describe(Member(name, zone, "ghost") for name in ghosts)
+        self.model.addresses("", {name: f"10.9.{n // 250}.{n % 250}:1" for n, name in enumerate(ghosts)})
+        if ghosts:
+            self.model.change(self.run.kernel.now, {name: ("draining", 0.0) for name in ghosts})
 
     def address(self, node: str) -> str:
         return f"10.2.0.{node[1:]}:{self.ports[node]}"
