--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -12,7 +12,7 @@
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
-from finchladder.core.guarded import NewRoutes, decisions
+from finchladder.core.guarded import Guarded, NewRoutes, decisions
 from finchladder.core.leaving import Leaving
 from finchladder.core.routes import Routes
 from finchladder.features import snapshot
@@ -58,13 +58,14 @@
         self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
         routes = file.loaded.routes if file is not None else None
-        dispatcher, arrivals = decisions(setup.settings, seed, routes), Arrivals(options, seed)
-        self.module = ModuleActor(dispatcher, self.flows, clock)
+        decided, arrivals = decisions(setup.settings, seed, routes), Arrivals(options, seed)
+        self.dispatcher = decided.inner if isinstance(decided, Guarded) else decided
+        self.module = ModuleActor(decided, self.flows, clock)
         self.capture: Capture | None = None
         self.files: Disk | None = None
         if options.capture is not None:
             self.files = machine.files(options.capture, setup.name, int(clock() * 1000))
-            state = partial(snapshot.take, dispatcher, arrivals)
+            state = partial(snapshot.take, decided, arrivals)
             self.capture = Capture(options.capture, setup.seed, state, self.files)
             self.capture.begin(clock())
             self.module.tap = arrivals.tap = Recorder(self.capture)
--- a/finchladder/sim/coverage.py
+++ b/finchladder/sim/coverage.py
@@ -42,7 +42,7 @@
                     continue
                 out = [s for s in flow.schedulings if not s.ended and (not servers or s.worker in servers)]
                 for s in out:
-                    found[self.stage(s, p.node.module.dispatcher.jobs)] += 1
+                    found[self.stage(s, p.node.dispatcher.jobs)] += 1
                 found[HELD] += not out and not servers and flow.answer is None
         if not any(found[c] for c in COLUMNS if c != LEAVING):
             found[NOTHING] += 1
--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from finchladder.core import api
+from finchladder.core.guarded import NewRoutes
 from finchladder.net.node import Node
 from finchladder.net.recorder import Recorder
 from finchladder.net.servers import IN_USE_EACH
@@ -24,8 +25,9 @@
         self.sent: dict[str, int] = {}
 
     def decided(
-        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
-    ) -> None:
+        self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
+        error: Exception | None = None,
+    ) -> None:  # fmt: skip
         if self.further is not None:
             self.further.decided(t, event, actions, error)
         if isinstance(event, api.Ended):
@@ -101,7 +103,7 @@
         """Nothing is asked and nothing is under way: what is still held is held for good."""
         node = self.node
         self.whole()
-        module = node.module.dispatcher
+        module = node.dispatcher
         actors = node.servers.actors.values()
         left = {
             "flows": list(node.flows.by_id), "open flows": node.flows.open,
--- a/tests/core/routes.py
+++ b/tests/core/routes.py
@@ -1,6 +1,7 @@
 """Decisions under routes, on a bench: what a test says of a route stands in its file's words."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from finchladder import Dispatcher, api
 from finchladder.core.guarded import Guarded
@@ -12,7 +13,7 @@
     """A job of class X comes under the route X, if there is one."""
 
     def __init__(
-        self, routes: Routes, workers: Iterable[str | api.WorkerEntry] = (), seed: int = 1, **changes: object
+        self, routes: Routes, workers: Iterable[str | api.WorkerEntry] = (), seed: int = 1, **changes: Any
     ) -> None:
         super().__init__(seed=seed, **changes)
         self.g = Guarded(Dispatcher(settings(**changes), seed), routes, seed)
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -286,7 +286,7 @@
 def test_held_jobs_that_may_have_run_are_due_once_no_retry_is_left() -> None:
     agenda, waits = Agenda(["safe"], 0.05), {"safe": 9.0}
     for serial in range(2):
-        job = Job(api.Request(f"r{serial}", "safe", 9.0), CLASSES[0], 100.0, serial)
+        job = Job(api.Request(f"r{serial}", "safe", 9.0), CLASSES[0], 100.0, serial, 3)
         job.attempts += [Attempt(Worker(entry("w"), 2.0), 100.0, 100.0)] * serial
         agenda.hold(job)
     agenda.due(100.5, waits, no_retries=False)  # a first look may be early for all
--- a/tests/core/test_routes_model.py
+++ b/tests/core/test_routes_model.py
@@ -186,7 +186,7 @@
 
 
 def test_no_file_that_is_accepted_lets_a_path_lead_to_a_resend_that_the_class_forbids() -> None:
-    """Also with three sends, 216 files and 50,810 paths in all: half a minute, so only the first of them here."""
+    """With three sends, 216 files and 50,810 paths in all: half a minute, so only the first of them here."""
     settings = PLATFORMS[""]
     texts = [*files(1), *files(2), *islice(files(3), 2)]
     routes = [route for text in texts if (route := accepted(text, settings)) is not None]
