--- a/finchladder/core/alarms.py
+++ b/finchladder/core/alarms.py
@@ -36,6 +36,7 @@
             return None
         _, key = heappop(self.heap)
         del self.at[key]
+        self._sweep()
         return key
 
     def _sweep(self) -> None:
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -156,7 +156,7 @@
             self.fleet.add_load(attempt.worker, -job.slots)
         attempt.worker.unstarted.pop(attempt, None)
         self._learn_ending(job, attempt, e)
-        if e.finished:
+        if e.finished and not job.done:
             self._close(job)
         elif not (job.done or job.out or job.waits):
             self._place(job)
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -104,8 +104,7 @@
     def _whole(self, value: Any) -> int:
         if (number := self.numbers.get(id(value))) is None:
             number = self.numbers[id(value)] = len(self.wholes)
-            plain = msgspec.to_builtins(value, order="deterministic")
-            self.wholes.append([WHOLE.index(type(value)), plain])
+            self.wholes.append([WHOLE.index(type(value)), msgspec.to_builtins(value)])
         return number
 
 
--- a/tests/core/routes.py
+++ b/tests/core/routes.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from finchladder import Dispatcher, api
-from finchladder.core.guarded import Guarded
+from finchladder.core.guarded import Guarded, NewRoutes
 from finchladder.core.routes import Routes
 from tests.helpers import Bench, entry, settings
 
@@ -26,6 +26,9 @@
     ) -> tuple[str, list[api.Send]]:
         return super().ask(job_class, patience, **({"route": job_class} | more))
 
+    def renew(self, routes: Routes) -> None:
+        self.feed(NewRoutes(routes))  # type: ignore[arg-type]
+
     def quiet(self) -> bool:
         """Nothing is held of any job."""
         g = self.g
--- /dev/null
+++ b/tests/core/test_guarded_replay.py
@@ -0,0 +1,105 @@
+"""Days under routes: off they are as without, and a capture of them is decided alike again."""
+
+import json
+from functools import partial
+
+import pytest
+
+from finchladder import Dispatcher, api
+from finchladder.config.options import CaptureOptions
+from finchladder.config.settings import read_seed
+from finchladder.core.api import Ending as E
+from finchladder.core.api import WorkerPool
+from finchladder.core.guarded import Guarded, NewRoutes
+from finchladder.core.routes import Backoff, Hedge, Queue, RetryBudget, Route, Routes
+from finchladder.features import snapshot
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import Capture, block_of
+from finchladder.features.replay import Replay
+from tests.helpers import settings
+from tests.test_capture import FEATURES, SEED, TENANTS, Play
+
+NONE = Routes()
+IDLE = Routes(Route(c, c) for c in ("safe", "unsafe", "keyed"))
+BUDGET = RetryBudget(0.3, 0.2, repeats=True)
+ROUTES = Routes([
+    Route("safe", "safe", attempts=3, backoff=Backoff(0.05, 0.2, 0.5), hedge=Hedge(percentile=60.0, most=0.3),
+          retry_budget=BUDGET, attempt_timeout_s=0.7),
+    Route("unsafe", "unsafe", concurrency=3, queue=Queue(4, longest_wait_s=0.8), priority=2),
+    Route("keyed", "keyed", hedge=Hedge(after_s=0.1, most=0.5), resend_on=frozenset({E.ERROR, E.BROKEN}),
+          concurrency=5, queue=Queue(2), pool=WorkerPool(zones=frozenset({"", "a"}))),
+])  # fmt: skip
+OTHER = Routes([
+    Route("safe", "safe", attempts=2, retry_budget=RetryBudget(0.1, 0.1), hedge=Hedge(after_s=0.2, most=0.1)),
+    Route("unsafe", "unsafe", concurrency=1, queue=Queue(1)), Route("new", "keyed", timeout_s=1.0),
+])  # fmt: skip
+
+
+class RoutePlay(Play):
+    def __init__(self, routes: Routes, ring_bytes: int = 50_000_000) -> None:
+        super().__init__(ring_bytes=ring_bytes)
+        self.g = Guarded(self.d, routes, read_seed(SEED))
+        self.d = self.g  # type: ignore[assignment]
+        self.capture.state = partial(snapshot.take, self.g, self.arrivals)
+
+    def ask(
+        self, job_class: str = "safe", patience: float = 10.0, **more: object
+    ) -> tuple[str, list[api.Send]]:
+        route = job_class if self.serial % 5 else None
+        return super().ask(job_class, patience, **({"route": route, "repeat": self.serial % 3 == 0} | more))
+
+
+def test_routes_that_say_nothing_change_nothing() -> None:
+    plain = Play()
+    plain.play(4000)
+    for routes in (NONE, IDLE):
+        play = RoutePlay(routes)
+        play.play(4000)
+        assert play.log == plain.log and len(play.log) > 5000
+
+
+def day(ring_bytes: int = 50_000_000) -> RoutePlay:
+    play = RoutePlay(ROUTES, ring_bytes)
+    play.play(1500)
+    for routes in (OTHER, ROUTES):
+        play.feed(NewRoutes(routes))  # type: ignore[arg-type]
+        play.play(2000)
+    return play
+
+
+@pytest.mark.parametrize(("ring", "lost"), [(50_000_000, False), (400_000, True), (150_000, True)])
+def test_a_day_under_routes_with_reloads_is_decided_alike_in_a_replay(ring: int, lost: bool) -> None:
+    data = day(ring).dumped()
+    assert (json.loads(data.partition(b"\n")[0])["lost"] > 0) is lost
+    for routes, alike in ((ROUTES, True), (OTHER, False), (None, False)):
+        said, warned = list[str](), list[str]()
+        same = settings(tenants=TENANTS, may_tell=True)
+        replay = Replay(same, FEATURES, said.append, warned.append, routes)
+        if routes is None and not lost:
+            with pytest.raises(ValueError, match="the operator's file is none in TOML"):
+                replay.run(data.splitlines(keepends=True))
+            continue
+        replay.run(data.splitlines(keepends=True))
+        assert (not said) is alike and not (alike and warned) and replay.compared > (300 if lost else 10_000)
+
+
+def test_a_state_from_right_after_a_reload_leads_to_the_same_decisions() -> None:
+    """Jobs wait, are in their backoff, have copies out, and some are under limits that hold no more."""
+    play = day()
+    play.feed(NewRoutes(OTHER))  # type: ignore[arg-type]
+    play.play(20)
+    g, carried = play.g, snapshot.take(play.g, play.arrivals)
+    state = block_of([{"t": play.now, "in": "state", "state": carried}])
+    runs = g.runs.values()
+    assert any(run.waiting is not None for run in runs) and any(run.copies for run in runs) and g.alarms.at
+    assert len({id(run.rules) for run in runs}) > 3
+    assert all(scope.times is None or scope.times.buckets for scope in g.scopes.values())
+    play.capture = Capture(CaptureOptions(ring_bytes=50_000_000), SEED, lambda: None)
+    play.play(600)
+    data = [play.capture.opening(play.now, 1), state, *play.capture.dump(play.now)[1:]]
+    said, warned = list[str](), list[str]()
+    replay = Replay(settings(tenants=TENANTS, may_tell=True), FEATURES, said.append, warned.append, OTHER)
+    replay.run(b"".join(data).splitlines(keepends=True))
+    assert (said, warned) == ([], []) and replay.compared > 1000
+    inner = Dispatcher(g.s, 9)  # of one whose file has no routes any more
+    assert snapshot.restore(carried, inner, Arrivals(FEATURES, 5)) == [] and inner.jobs
--- /dev/null
+++ b/tests/core/test_limits.py
@@ -0,0 +1,155 @@
+"""The counts that limits go by: places and queue, retry budget, percentile, share of copies, alarms."""
+
+from math import inf, log
+from random import Random
+
+import pytest
+
+from finchladder.core.alarms import Alarms
+from finchladder.core.hedging import ERROR, KEEP, SAVED, Allowance, Times
+from finchladder.core.limits import Limiter
+from finchladder.core.retries import Budget
+from finchladder.core.routes import Queue, QueueOrder, RetryBudget
+
+RANKS = {
+    QueueOrder.WORTH: lambda j: (-j[1], j[2], j[3]),
+    QueueOrder.DEADLINE: lambda j: (j[2], j[3]),
+    QueueOrder.ARRIVAL: lambda j: j[3],
+}
+
+
+@pytest.mark.parametrize("order", list(QueueOrder))
+def test_a_queue_hands_out_the_best_and_turns_away_the_worst(order: QueueOrder) -> None:
+    random, limiter = Random(7), Limiter(3, Queue(4, order))
+    waiting: list[tuple[str, float, float, int]] = []
+    open_ = full = taken = 0
+    for serial in range(3000):
+        todo = random.random()
+        if todo < 0.5:
+            job = (f"j{serial}", random.choice((1.0, 10.0)), random.choice((5.0, 6.0)), serial)
+            if limiter.enter():
+                assert open_ < 3 and not waiting
+                open_ += 1
+                continue
+            assert open_ == 3 or waiting
+            waiting.append(job)
+            waiting.sort(key=RANKS[order])
+            loser = limiter.wait(*job)
+            assert (loser is None) is (len(waiting) <= 4)
+            if loser is not None:
+                assert loser == waiting.pop()[0]
+                limiter.drop(loser)
+                full += 1
+        elif todo < 0.6 and waiting:
+            limiter.drop(waiting.pop(random.randrange(len(waiting)))[0])
+        elif open_:
+            limiter.leave()
+            open_ -= 1
+            while (id := limiter.next()) is not None:
+                assert id == waiting.pop(0)[0]
+                open_, taken = open_ + 1, taken + 1
+            assert open_ == 3 or not waiting
+        limiter.drop("nobody")
+    assert full > 100 and taken > 300 and len(limiter.order) == len(limiter.ranks) == len(waiting)
+
+
+@pytest.mark.parametrize(("share", "floor", "window"), [(0.2, 1.0, 10.0), (0.0, 2.0, 3.0), (1.0, 0.0, 10.0)])
+def test_resends_of_any_window_stay_within_the_share_of_its_first_sends_and_the_floor(
+    share: float, floor: float, window: float
+) -> None:
+    random, budget = Random(3), Budget(RetryBudget(share, floor, window))
+    now, firsts, resends, denied = 1e9, list[float](), list[float](), 0
+    for step in range(10_000):
+        now += random.expovariate(40.0) * (50 if step % 4000 == 0 else 1)
+        if random.random() < (0.3 if step % 3000 < 1500 else 0.95):
+            budget.sent(now)
+            firsts.append(now)
+        elif budget.take(now):
+            resends.append(now)
+            in_window = sum(t > now - 0.9 * window for t in resends)
+            assert in_window <= share * sum(t > now - window for t in firsts) + floor * 0.9 * window + 1e-6
+        else:
+            denied += 1  # and not before they are used up
+            in_window = sum(t > now - window for t in resends)
+            allowed = share * sum(t > now - 0.9 * window for t in firsts) + floor * 0.9 * window
+            assert in_window + 1 > allowed - 1e-6 and not budget.left(now)
+        assert len(budget.slices) <= 10
+    assert denied > 1000 and len(resends) > 100
+
+
+def test_what_was_counted_outlasts_other_figures_for_the_same_window() -> None:
+    budget = Budget(RetryBudget(0.1, 0.0))
+    for _ in range(100):
+        budget.sent(50.0)
+    assert [budget.take(50.5) for _ in range(11)] == [True] * 10 + [False]
+    budget.tune(RetryBudget(0.12, 0.0))
+    assert [budget.take(51.0) for _ in range(3)] == [True, True, False]
+    assert not budget.take(61.5)  # all forgotten
+
+
+@pytest.mark.parametrize("percentile", [50.0, 95.0, 99.0])
+def test_a_percentile_is_known_within_its_error_and_follows_a_change(percentile: float) -> None:
+    random, times = Random(5), Times(percentile)
+    drawn = list[float]()
+    for scale in (0.1, 1.0):
+        for _ in range(6000):
+            drawn.append(scale * random.lognormvariate(0.0, 0.5))
+            times.add(drawn[-1])
+            assert (times.value_s is None) is (len(drawn) < max(32, round(times.needed)))
+        last = sorted(drawn[-int(max(KEEP, 2 * times.needed)) :])
+        near = [last[int(len(last) * min(1, max(0, percentile / 100 + d)))] for d in (-0.015, 0.008)]
+        assert times.value_s is not None
+        assert near[0] * (1 - ERROR) <= times.value_s <= near[1] * (1 + ERROR)
+        assert len(times.buckets) < 378 and times.total <= max(KEEP, 2 * times.needed)
+
+
+def test_bounds_of_times_and_those_that_were_cut_off() -> None:
+    times = Times(50.0)
+    for took in (0.0, 1e9, -1.0) * 40:
+        times.add(took)
+    assert times.value_s == pytest.approx(1e-3, rel=0.05) and max(times.buckets) <= 378
+    times.add_longer_than(0.5e-3)  # it may have taken any time: nothing is learned
+    assert times.total == 120
+    times.add_longer_than(0.1)
+    assert times.total == 121 and log(0.1 / 1e-3) > 0
+    unknown = Times(95.0)
+    unknown.add_longer_than(100.0)
+    assert unknown.total == 0
+
+
+@pytest.mark.parametrize("share", [0.05, 0.3, 1.0])
+def test_copies_are_at_no_moment_more_than_their_share_of_the_first_sends(share: float) -> None:
+    random, allowance = Random(1), Allowance(share)
+    sent = copies = 0
+    for step in range(20_000):
+        if random.random() < 0.8:
+            allowance.sent()
+            sent += 1
+        if step % 5000 > 1000 and allowance.left():
+            allowance.take()
+            copies += 1
+        assert copies <= share * sent
+    assert copies > share * sent * 0.7
+    for _ in range(10_000):
+        allowance.sent()
+    assert allowance.saved == SAVED  # an hour of calm must not pay for a flood
+
+
+def test_alarms_come_in_order_and_what_is_dropped_leaves_little_behind() -> None:
+    random, alarms, right = Random(2), Alarms(), dict[str, float]()
+    now = 0.0
+    for _ in range(20_000):
+        key = f"k{random.randrange(50)}"
+        if random.random() < 0.6:
+            right[key] = now + random.random()
+            alarms.put(key, right[key])
+        elif random.random() < 0.7:
+            right.pop(key, None)
+            alarms.drop(key)
+        else:
+            now += random.random() / 10
+            while (due := alarms.due(now)) is not None:
+                assert right.pop(due) <= now
+            assert all(at > now for at in right.values())
+        assert alarms.next() == min(right.values(), default=inf) and alarms.at == right
+        assert len(alarms.heap) <= 2 * len(right) + 17
