Routes on real sockets: copies, places, reloads a hundred times; a client's own retry may count

retry_budget.repeats: what a client marks with X-Repeat: 1 is taken out of the budget, as else each client that retries at once counts as a first try. Under four clients in a closed loop a hundred reloads to unusable files (five kinds) lose nothing and leave the old rules in force; the hundredth and first, usable, holds with its hash in the log.

--- a/finchladder/config/checker.py
+++ b/finchladder/config/checker.py
@@ -174,13 +174,15 @@
         void.judge("FL129", r.told(name), not r.get("backoff.base_s"), base, reason)
     for name in ("backoff.base_s", "resend_on", "retry_budget.share"):
         reason = f"{name} changes nothing, as attempts = 1 lets no job be sent again"
-        void.judge("FL134", r.told(name), r.get("attempts") == 1 and r.get(name) != [], sends, reason)
+        counts = name == "retry_budget.share" and r.get("retry_budget.repeats", False)  # clients' own, too
+        once = r.get("attempts") == 1 and not counts
+        void.judge("FL134", r.told(name), once and r.get(name) != [], sends, reason)
     again = r.told("resend_on")
     if sends is not None and sends.value > 1 and again is not None and not again.value and r.hedges is None:
         reason = f"route {r.name} has {sends.value} attempts, and no ending lets a job be sent again"
         notes.add("FL135", _last(sends, again).path, reason)
     share, least = r.told("retry_budget.share"), r.told("retry_budget.least_per_s")
-    for other in (least, r.told("retry_budget.window_s")):
+    for other in (least, r.told("retry_budget.window_s"), r.told("retry_budget.repeats")):
         void.judge("FL128", other, share is None, None, "retry_budget does not say its share")
     none = [said for said in (share, least) if said is not None and said.value == 0]
     if len(none) == 2 and r.get("attempts") != 1:
--- a/finchladder/config/levels.py
+++ b/finchladder/config/levels.py
@@ -112,7 +112,8 @@
         hedge = Hedge(r.get("hedge_after_s"), percentile, r.get("hedge_most", HEDGE_MOST))
     if "retry_budget.share" in r.said:
         least = r.get("retry_budget.least_per_s", 1.0)
-        budget = RetryBudget(r.get("retry_budget.share"), least, r.get("retry_budget.window_s", 10.0))
+        window, repeats = r.get("retry_budget.window_s", 10.0), r.get("retry_budget.repeats", False)
+        budget = RetryBudget(r.get("retry_budget.share"), least, window, repeats)
     queue = Queue(
         r.get("queue.length", 0), QueueOrder(r.get("queue.order", "worth")), r.get("queue.longest_wait_s")
     )
--- a/finchladder/config/tables.py
+++ b/finchladder/config/tables.py
@@ -62,6 +62,9 @@
     window_s: Annotated[
         float, Meta(ge=1, le=300, description="The sliding window over which both are counted.")
     ] | UnsetType = UNSET
+    repeats: Annotated[
+        bool, Meta(description="Whether a client's own retry, marked `X-Repeat: 1`, counts as a resend.")
+    ] | UnsetType = UNSET
 
 
 class QueueTable(Part):
@@ -140,7 +143,8 @@
     "backoff.base_s": "0", "backoff.most_s": "1, or `base_s` where that is more", "backoff.jitter": "0.5",
     "resend_on": "all that the class allows", "hedge_after": "no hedges", "hedge_after_s": "no hedges",
     "hedge_most": "0.05", "retry_budget.share": "no budget", "retry_budget.least_per_s": "1",
-    "retry_budget.window_s": "10", "concurrency": "no limit", "queue.length": "0", "queue.order": "worth",
+    "retry_budget.window_s": "10", "retry_budget.repeats": "false",
+    "concurrency": "no limit", "queue.length": "0", "queue.order": "worth",
     "queue.longest_wait_s": "the client's patience", "priority": "0", "pool.kinds": "any",
     "pool.zones": "any",
 }  # fmt: skip
--- a/finchladder/config/values.py
+++ b/finchladder/config/values.py
@@ -19,6 +19,7 @@
 }  # fmt: skip
 _WANTED = {
     "float": "a number", "int": "a whole number", "str": "text", "array": "an array", "object": "a table",
+    "bool": "true or false",
 }  # fmt: skip
 PATTERNS = {  # settings whose text has a form of its own: the finding's code, and the form in words
     "hedge_after": ("FL119", '"p1" to "p99.99"'),
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -23,7 +23,7 @@
 
 PAGE = (ROOT / "docs" / "ROUTES.md").read_text()
 KINDS = {"FloatType": "number", "IntType": "whole number", "StrType": "text", "ListType": "list",
-         "LiteralType": "word"}  # fmt: skip
+         "LiteralType": "word", "BoolType": "true or false"}  # fmt: skip
 CODES = re.findall(r"^\| (FL\d+) \| (.+?) \| (.+?) \| (.+?) \|$", PAGE, re.MULTILINE)
 NO_TEXT = {"FL101", "FL102", "FL103", "FL124"}  # told in words; test_files.py has them
 VARIANT = {"FL165": "no_copies", "FL175": "no_cancels"}
@@ -42,7 +42,7 @@
     plain = [getattr(t, "type", t) for t in getattr(found, "types", [found])]
     what = next(KINDS[type(t).__name__] for t in plain if type(t).__name__ in KINDS)
     words = ", ".join(f"`{word}`" for word in choices(kind)) or PATTERNS.get(name, ("", bounds(kind)))[1]
-    what = f"{what} of {words}" if choices(kind) else f"{what} {words}"
+    what = f"{what} of {words}" if choices(kind) else f"{what} {words}".rstrip()
     return f"| `{name}` | {what} | {DEFAULTS[name]} | {meta_of(kind).description} |"
 
 
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,161 @@
+"""Routes and their reload, on real sockets."""
+
+import asyncio
+import hashlib
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from tests.peers import Message, Node, RealServer, node, run
+
+HEDGED = """
+[route.hedged]
+match = { path = "/s/k", headers = { X-Hedge = "1" } }
+hedge_after_s = 0.1
+hedge_most = 1.0
+attempt_timeout_s = 1.5
+"""
+MARK = {"more": "X-Hedge: 1\r\n"}
+
+
+@asynccontextmanager
+async def routed(tmp_path: Path, text: str, *servers: RealServer) -> AsyncIterator[Node]:
+    file = tmp_path / "operator.toml"
+    file.write_text(text)
+    async with node(tmp_path, *servers, args=("--config", str(file))) as n:
+        yield n
+
+
+async def swallow(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+    await server.call_back(message.id, state="started")
+
+
+def silent_or_serving(*names: str) -> tuple[list[RealServer], list[str]]:
+    """The first of them that is asked takes its job and never ends it, whatever it is told."""
+    first = list[str]()
+
+    async def behave(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
+        if not first:
+            first.append(server.name)
+        if server.name == first[0]:
+            return await swallow(server, message, writer)
+        writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+        await server.call_back(message.id, state="done", result=f"{server.name} ran it")
+
+    return [RealServer(name, behave) for name in names], first
+
+
+async def until(done: object, log: Path | None = None) -> None:
+    while not (done() if callable(done) else done.encode() in log.read_bytes()):  # type: ignore[union-attr,attr-defined]
+        await asyncio.sleep(0.01)
+
+
+def test_a_copy_answers_and_the_silent_real_server_is_told_whatever_it_makes_of_it(tmp_path: Path) -> None:
+    async def play() -> None:
+        servers, first = silent_or_serving("w1", "w2", "w3")
+        async with routed(tmp_path, HEDGED, *servers) as n:
+            got = await n.ask("a", "/s/k/1", **MARK)
+            [slow] = [s for s in servers if s.name == first[0]]
+            [quick] = [s for s in servers if s.got and s is not slow]
+            assert (got.status, got.body) == (200, f"{quick.name} ran it".encode())
+            await until(lambda: slow.deleted == ["/jobs/a"])
+            assert 1.0 < float(slow.got[0].headers["x-time-left"]) <= 1.5
+            # it ignores that, and tells of the end all the same: nobody is served twice
+            assert await slow.call_back("a", state="done", result="late") == 204
+            others = [("b", "/s/k/1", {}), ("c", "/s/x", MARK), ("d", "/u/k/1", MARK)]  # of no route
+            plain = [asyncio.create_task(n.ask(id, path, "1", **more)) for id, path, more in others]
+            for id, task in zip("bcd", plain, strict=True):
+                await task
+                assert sum(m.id == id for s in servers for m in s.got) == 1
+
+    run(play())
+
+
+def test_a_client_that_leaves_between_the_copies_ends_both(tmp_path: Path) -> None:
+    async def play() -> None:
+        servers = [RealServer(f"w{i}", swallow) for i in range(2)]
+        async with routed(tmp_path, HEDGED, *servers) as n:
+            ask = asyncio.create_task(n.ask("a", "/s/k/1", **MARK))
+            await until(lambda: all(s.got for s in servers))
+            ask.cancel()
+            await until(lambda: [s.deleted for s in servers] == [["/jobs/a"], ["/jobs/a"]])
+
+    run(play())
+
+
+def test_a_route_has_so_many_places_and_a_client_that_repeats_pays_for_it(tmp_path: Path) -> None:
+    text = """
+[route.one]
+class = "s"
+concurrency = 1
+timeout_s = 1.0
+[route.u]
+class = "u"
+retry_budget = { share = 0.0, least_per_s = 0.1, repeats = true }
+"""
+
+    async def play() -> None:
+        server = RealServer("w1", swallow)
+        async with routed(tmp_path, text, server) as n:
+            ask = asyncio.create_task(n.ask("a"))
+            await until(lambda: server.got)
+            full = await n.ask("b")
+            assert (full.status, full.headers["retry-after"]) == (503, "1.5")
+            assert 0.5 < float(server.got[0].headers["x-time-left"]) <= 1.0
+            assert (await ask).status == 503  # its route's time is up
+            assert (await n.ask("c", "/u", more="X-Repeat: 1\r\n")).status == 503
+            assert len(server.got) == 1
+
+    run(play())
+
+
+def test_a_file_is_taken_whole_or_not_at_all_a_hundred_times_under_load(tmp_path: Path) -> None:
+    good = "[route.s]\nclass = 's'\nattempts = 1\n"
+    bad = ["[route.s]\nclass = 's'\nattempts = 0\n", "[route.s", "", "[capture]\n" + good, "\xff"]
+    file, log = tmp_path / "operator.toml", tmp_path / "log"
+    version = hashlib.sha256(good.encode()).hexdigest()[:12]
+
+    async def play() -> None:
+        servers = [RealServer(f"w{i}") for i in range(3)]
+        async with routed(tmp_path, good, *servers) as n:
+            await until(f"routes: version {version} holds, 1 route", log)
+            asked, going = 0, True
+
+            async def load() -> None:
+                nonlocal asked
+                while going:
+                    asked += 1
+                    assert (await n.ask(f"a{asked}")).status == 200
+
+            clients = [asyncio.create_task(load()) for _ in range(4)]
+            for turn in range(100):
+                file.write_bytes(bad[turn % len(bad)].encode("latin-1") if turn % 5 != 2 else b"x = 1")
+                n.process.send_signal(signal.SIGHUP)
+                await until(lambda turn=turn: log.read_text().count("stays in force") > turn)
+                assert not any(c.done() for c in clients)
+            going = False
+            await asyncio.gather(*clients)
+            assert asked > 100 and f"routes: version {version} stays in force" in log.read_text()
+            assert "operator.toml:3:1: FL118" in log.read_text()
+            assert "[capture] would change" in log.read_text()
+            for s in servers:
+                s.behaviour = refuse
+            assert (await n.ask("x")).status == 503 and sum(m.id == "x" for s in servers for m in s.got) == 1
+            file.write_text(new := good.replace("attempts = 1", "attempts = 3"))
+            for _ in range(3):  # one after another, and the last of them at least once more
+                n.process.send_signal(signal.SIGHUP)
+            later = hashlib.sha256(new.encode()).hexdigest()[:12]
+            await until(f"version {later} holds, in place of {version}, 1 route", log)
+            assert (await n.ask("y")).status == 503 and sum(m.id == "y" for s in servers for m in s.got) == 3
+            n.process.send_signal(signal.SIGHUP)
+            await until(f"version {later} holds already", log)
+            n.process.terminate()
+            assert await n.process.wait() == 0
+
+    run(play())
+
+
+async def refuse(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
