--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -74,12 +74,14 @@
         intake.leave()
         await asyncio.sleep(IDLE_STAYS)
         while True:
-            busy = any(e.busy for e in self.edges)
+            over, stays = not intake.flows.open, False
             for edge in list(self.edges):
-                # one just accepted is not idle: a call-back, and a result in it, may be on its way
-                idle = not edge.busy and not edge.calls_back
-                if idle and self.edges.older(self.clock(), edge, JUST_CAME):
+                # one just accepted is not idle while jobs are open: a result may be on its way
+                idle = over or self.edges.older(self.clock(), edge, JUST_CAME)
+                if edge.busy or (not edge.calls_back and not (idle and edge.channel.quiet())):
+                    stays = True  # also where a request has come that was not looked at yet
+                elif not edge.calls_back:
                     edge.channel.close()
-            if not intake.flows.open and not busy:
+            if over and not stays:
                 return
             await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,56 @@
+"""A dispatcher that leaves closes what is idle, and nothing on which a request has come."""
+
+import asyncio
+import socket
+import time
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from finchladder.core.bodies import BodyRoom
+from finchladder.core.leaving import Leaving
+from finchladder.net import clients
+from finchladder.net.control import Reply
+from finchladder.net.front import Front
+from tests.peers import HEALTH, read_message
+
+
+class Desk:
+    """Answers everything at once; no job is ever open."""
+
+    def __init__(self) -> None:
+        self.leaving, self.clock, self.flows = Leaving(), time.monotonic, SimpleNamespace(open=0)
+        self.intake = self
+
+    def leave(self) -> None:
+        self.leaving.begin(self.clock())
+
+    async def answer(self, edge: Any, head: Any, body: bytes) -> Reply:
+        return Reply(200)
+
+
+@pytest.mark.parametrize("young", [True, False])
+def test_a_request_that_has_come_is_answered(young: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whatever the age of its kept connection; and all are closed when the dispatcher may end."""
+
+    async def play() -> None:
+        parts = clients.Clients(cast(Front, Desk()), BodyRoom(1 << 20, 0), 128)
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setblocking(False)
+            parts.add_socket(listening)
+            kept = [await asyncio.open_connection(*listening.getsockname()) for _ in range(2)]
+            for reader, writer in kept:
+                writer.write(HEALTH)
+                assert (await read_message(reader)).status == 200
+            used, idle = kept
+            used[1].write(HEALTH)  # it is sent at once: it has come, and the loop has not looked
+            await parts.leave()
+            assert all(edge.channel.stream.closed() for edge in parts.edges)
+            assert (await read_message(used[0])).status == 200
+            assert await used[0].read() == await idle[0].read() == b""
+            parts.stop()
+
+    monkeypatch.setattr(clients, "IDLE_STAYS", 0.0)
+    monkeypatch.setattr(clients, "JUST_CAME", 60.0 if young else 0.0)
+    asyncio.run(asyncio.wait_for(play(), 20))
