--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -14,6 +14,7 @@
 from msgspec import Meta
 
 from finchladder.core import api
+from finchladder.core.overload import OverloadSettings
 
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
@@ -56,6 +57,19 @@
         return RING_TAKES * self.ring_bytes + waiting
 
 
+class OverloadOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    target_s: Annotated[float, Meta(ge=0.005, le=1)] = 0.03
+    cpu_from: Annotated[float, Meta(ge=0.5, le=1)] = 0.85
+    refuse_share: Annotated[float, Meta(ge=0.01, le=0.5)] = 0.03
+    unread_share: Annotated[float, Meta(ge=0, le=0.9)] = 0.3
+    calm_s: Annotated[float, Meta(ge=0.1, le=1.5)] = 0.5
+    hold_s: Annotated[float, Meta(ge=0.1, le=60)] = 2.0
+
+    def limits(self, retry_after_s: float) -> OverloadSettings:
+        """`retry_after_s`: the longest that clients follow, by the platform's settings."""
+        return OverloadSettings(**msgspec.structs.asdict(self), retry_after_s=min(retry_after_s, 60.0))
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -64,6 +78,7 @@
     status: StatusOptions | None = None
     drill: DrillOptions | None = None
     capture: CaptureOptions | None = None
+    overload: OverloadOptions | None = None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
@@ -157,5 +172,5 @@
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
-    "capture": CaptureOptions,
+    "capture": CaptureOptions, "overload": OverloadOptions,
 }  # fmt: skip
--- a/finchladder/config/platform.py
+++ b/finchladder/config/platform.py
@@ -28,6 +28,7 @@
 class Limits(msgspec.Struct):
     sockets: int = 1024
     memory_mb: int = 192
+    cores: float = 1.0
 
 
 class File(msgspec.Struct):
@@ -72,6 +73,8 @@
         raise ValueError("settings: connIdleS and connectTimeoutS must be above 0")
     if file.limits.sockets < LEAST_SOCKETS or file.limits.memory_mb < LEAST_MEMORY:
         raise ValueError(f"limits: {LEAST_SOCKETS} sockets and {LEAST_MEMORY} MB are the least")
+    if not file.limits.cores > 0:
+        raise ValueError("limits: cores must be above 0")
     discovery = file.discovery or env.get("NODE_DISCOVERY")
     if not discovery:
         raise ValueError("neither the configuration nor NODE_DISCOVERY names discovery")
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -24,15 +24,26 @@
         self.front, self.bodies, self.clock = front, bodies, front.intake.clock
         self.edges: EdgeTable[EdgeConnection] = EdgeTable(int(EDGE * sockets))
         self.tasks: set[asyncio.Task[None]] = set()
+        self.listening: list[socket.socket] = []
         self.stops: list[Callable[[], None]] = []
+        if front.gate is not None:
+            front.gate.accept = self.accept
 
     def add_socket(self, listening: socket.socket) -> None:
+        self.listening.append(listening)
         self.stops.append(add_accept_handler(listening, self._accepted))
 
     def stop(self) -> None:
         """Accepts no more. What was accepted goes on."""
         for stop in self.stops:
             stop()
+        self.stops.clear()
+
+    def accept(self, on: bool) -> None:
+        """Off: who connects waits in the system's queue."""
+        self.stop()
+        if on:
+            self.stops = [add_accept_handler(listening, self._accepted) for listening in self.listening]
 
     def _accepted(self, connection: socket.socket, address: Any) -> None:
         """Counts at once, as many connections come in one turn of the loop: a count that lags runs over."""
@@ -58,6 +69,8 @@
     def _drop(self, edge: EdgeConnection) -> None:
         edge.body.hold(0)
         self.edges.drop(edge)
+        if self.front.gate is not None:
+            self.front.gate.drop(edge)
 
     def _make_room(self) -> bool:
         edge = self.edges.make_room(self.clock(), lambda e: e.channel.quiet())
@@ -72,6 +85,8 @@
         """After SIGTERM: listens on, answers all that was taken, closes what is idle, returns when done."""
         intake = self.front.intake
         intake.leave()
+        if self.front.gate is not None:
+            self.front.gate.leave()
         await asyncio.sleep(IDLE_STAYS)
         while True:
             busy = any(e.busy for e in self.edges)
--- a/finchladder/net/edge.py
+++ b/finchladder/net/edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from functools import partial
 from typing import Protocol
 
 from finchladder.core.bodies import NoRoom, Reservation
@@ -28,11 +29,21 @@
 LINGER = 0.5  # for reading what a client still sends of a request that was turned away
 
 
+class Gatekeeper(Protocol):
+    """Says whether what has come on a connection that waits for a message is to be read now."""
+
+    def passes(self, edge: "EdgeConnection") -> bool: ...
+    def drop(self, edge: "EdgeConnection") -> None: ...
+
+
 class Desk(Protocol):
     """Knows what is answered to a message. BadMessage: it can't be used, and its connection is closed."""
 
     intake: Intake
 
+    @property
+    def keeper(self) -> Gatekeeper | None: ...
+
     async def answer(self, edge: "EdgeConnection", head: Head, body: bytes) -> Reply: ...
 
 
@@ -54,6 +65,8 @@
         self.busy = False  # between a message's first byte and its answer's last
         self.calls_back = False
         self.worth = Worth.NEW
+        self.let_in = False  # by the gate: the next message is read at once
+        self.first_within: asyncio.Timeout | None = None
         stream.set_close_callback(self._closed)
 
     def used(self, worth: Worth) -> None:
@@ -87,8 +100,9 @@
 
     async def serve(self) -> None:
         try:
-            async with asyncio.timeout(FIRST_WITHIN):
+            async with asyncio.timeout(FIRST_WITHIN) as self.first_within:
                 message = await self._read()
+            self.first_within = None
             while await self._work(*message):
                 message = await self._read()
         except BadMessage as e:
@@ -108,7 +122,7 @@
         if not self.channel.parser.begun:
             self.busy = False
             self.table.idle(self.clock(), self, self.worth)
-            await self.channel.fill()
+            await self._first_bytes()
         self.busy = True
         head = self.channel.parser.take_head()
         if head is not None:
@@ -122,6 +136,20 @@
         self.table.work(self)
         return message
 
+    async def _first_bytes(self) -> None:
+        if self.desk.keeper is None or self.calls_back:
+            return await self.channel.fill()
+        self.channel.stream.gate = partial(self.desk.keeper.passes, self)
+        try:
+            await self.channel.fill()
+        finally:
+            self.channel.stream.gate, self.let_in = None, False
+
+    def whole_in_time(self) -> None:
+        """Its first message is there, and left unread for a while: that is not its client's fault."""
+        if self.first_within is not None:
+            self.first_within.reschedule(None)
+
     async def _work(self, head: Head, body: bytes) -> bool:
         """True: the connection is kept."""
         reply = await self.desk.answer(self, head, body)
--- a/finchladder/net/front.py
+++ b/finchladder/net/front.py
@@ -6,6 +6,7 @@
 from finchladder.net.control import Controls, Reply
 from finchladder.net.edge import EdgeConnection
 from finchladder.net.flows import Answer, Flow
+from finchladder.net.gate import Gate
 from finchladder.net.http1 import BadMessage, Head
 from finchladder.net.intake import Intake, Repeated
 from finchladder.net.messages import (
@@ -36,11 +37,15 @@
 
     def __init__(
         self, intake: Intake, controls: Controls, ready: Callable[[], bool],
-        called_back: Callable[[CallBack], None],
+        called_back: Callable[[CallBack], None], gate: Gate | None = None,
     ) -> None:  # fmt: skip
-        self.intake, self.controls = intake, controls
+        self.intake, self.controls, self.gate = intake, controls, gate
         self.ready, self.called_back = ready, called_back
 
+    @property
+    def keeper(self) -> Gate | None:
+        return self.gate
+
     async def answer(self, edge: EdgeConnection, head: Head, body: bytes) -> Reply:
         path = head.target.partition("?")[0]
         if path == CALL_BACK:
@@ -73,6 +78,12 @@
             if verdict.wait > 0:
                 edge.used(Worth.ASKED)
                 return Reply(429, b"too many requests\n", (f"Retry-After: {verdict.wait:g}",))
+            if self.gate is not None and verdict.drill is None:
+                refusal = self.gate.judge(job_class, left_s)
+                if refusal is not None:
+                    self.gate.hold(edge, refusal)
+                    edge.used(Worth.ASKED)
+                    return reply_of(Answer("refused", retry_after=refusal.retry_after_s))
             message = HttpMessage(head.method, head.target, head.headers, body)
             deadline = self.intake.deadline(left_s)
             flow = Flow(id, job_class, key, facts, message, deadline, edge.deliver)
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 as this project speaks it: parsers that take bytes however they are split, and writers."""
 
+import asyncio
 import re
 import socket
 from asyncio import Future
@@ -280,10 +281,13 @@
 class Stream(IOStream):
     """Asks the socket once for what is there: IOStream's own asks again until there is nothing.
 
-    `put` writes without a future where the socket takes all at once, as it mostly does.
+    `put` writes without a future where the socket takes all at once, as it mostly does. A `gate` may say that
+    nothing is to be read now; then the loop leaves the socket alone until `resume`.
     """
 
     short = False  # the last read was not filled: nothing more was there
+    gate: Callable[[], bool] | None = None
+    paused = False
 
     def put(self, data: bytes) -> Future[None] | None:
         """None: the last byte is written. Else what waits for that, or StreamClosedError."""
@@ -301,11 +305,29 @@
         if self.short:
             self.short = False
             return None
+        if self.gate is not None and not self.gate():
+            self._pause()
+            return None
         count = super().read_from_fd(buf)
         self.short = count is not None and 0 < count < len(buf)
         return count
 
 
+    def _pause(self) -> None:
+        if not self.paused:
+            self.paused = True
+            asyncio.get_running_loop().call_soon(self._leave_out)  # the read that asked may add it yet
+
+    def _leave_out(self) -> None:
+        if self.paused and not self.closed():
+            self.io_loop.update_handler(self.fileno(), 0)
+
+    def resume(self) -> None:
+        if self.paused and not self.closed():
+            self.paused = False
+            self.io_loop.update_handler(self.fileno(), self.io_loop.READ | self.io_loop.ERROR)
+
+
 class Channel:
     """One connection: a stream and the parser of what comes on it."""
 
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -58,6 +58,7 @@
 
     wall: Callable[[], float] = time.time
     monotonic: Callable[[], float] = time.monotonic
+    cpu: Callable[[], float] = time.process_time
     listen: Callable[[tuple[str, int], int], list[socket.socket]] = listen
     allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -17,10 +17,11 @@
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import Capture
 from finchladder.features.status import JobStatus
-from finchladder.net.clients import Clients
+from finchladder.net.clients import EDGE, Clients
 from finchladder.net.control import Controls
 from finchladder.net.flows import Flows
 from finchladder.net.front import Front
+from finchladder.net.gate import Gate
 from finchladder.net.intake import Intake
 from finchladder.net.machine import Disk, Machine
 from finchladder.net.module import Clock, ModuleActor
@@ -66,7 +67,12 @@
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
-        front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back)
+        self.gate: Gate | None = None
+        if options.overload is not None:
+            limits = options.overload.limits(setup.settings.max_retry_after)
+            most, cores = int(EDGE * sockets), setup.limits.cores
+            self.gate = Gate(setup.settings.classes, limits, seed, most, self.timers, cores, machine.cpu)
+        front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back, self.gate)
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
 
@@ -79,6 +85,8 @@
         for listening in self.machine.listen(setup.listen, setup.limits.sockets):
             self.clients.add_socket(listening)
         self.servers.start()
+        if self.gate is not None:
+            self.gate.start()
         self.service.start(setup.known)
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
