--- a/finchladder/net/front.py
+++ b/finchladder/net/front.py
@@ -59,7 +59,7 @@
             up = self.ready() and not self.intake.leaving.begun
             edge.used(Worth.ASKED)
             return Reply(200, b"up\n") if up else Reply(503, b"not up\n")
-        if (reply := self.controls.answer(head, body)) is not None:
+        if path.startswith("/_") and (reply := self.controls.answer(head, body)) is not None:
             edge.used(Worth.ASKED)
             return reply
         return await self._job(edge, head, body)
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -45,13 +45,22 @@
         self.status, self.allow = status, allow
 
 
+class Frame(NamedTuple):
+    """How the end of a message's body is told."""
+
+    chunked: bool
+    length: int
+    until_close: bool
+
+
 class Headers:
     """Header fields in the order in which they came; names match in any case."""
 
-    __slots__ = ("fields", "_values")
+    __slots__ = ("fields", "frame", "_values")
 
     def __init__(self, fields: list[tuple[str, str]]) -> None:
         self.fields = fields
+        self.frame: Frame | None = None  # of the message whose head they are in, once it was asked for
         self._values: dict[str, list[str]] = {}  # by name in lower case
         for name, value in fields:
             self._values.setdefault(name.lower(), []).append(value)
@@ -137,26 +146,34 @@
 _known_response = lru_cache(KNOWN)(_response)
 
 
+def frame_of(head: Head) -> Frame:
+    codings, lengths = head.headers.all("transfer-encoding"), set(head.headers.all("content-length"))
+    if codings and (lengths or not head.minor or [c.lower() for c in codings] != ["chunked"]):
+        raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
+    if lengths:
+        length = lengths.pop()
+        if lengths or not _LENGTH.fullmatch(length):
+            raise BadMessage(400, "unusable content length")
+        return Frame(False, int(length), False)
+    ends = head.status and head.status not in (204, 304) and head.status >= 200
+    return Frame(bool(codings), 0, bool(ends and not codings))
+
+
 class Body:
     """Takes one message's body off the front of a buffer."""
 
+    __slots__ = (
+        "chunked", "left", "until_close", "done", "plain", "trailer", "trailers", "trailer_bytes",
+    )  # fmt: skip
+
     def __init__(self, head: Head) -> None:
-        codings, lengths = head.headers.all("transfer-encoding"), set(head.headers.all("content-length"))
-        self.chunked = bool(codings)
-        self.until_close = False
-        self.left = 0
-        self.trailer = False
-        self.trailers, self.trailer_bytes = 0, 0
+        frame = head.headers.frame
+        if frame is None:
+            frame = head.headers.frame = frame_of(head)
+        self.chunked, self.left, self.until_close = frame
         self.plain = not head.status
-        if codings and (lengths or not head.minor or [c.lower() for c in codings] != ["chunked"]):
-            raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
-        if lengths:
-            length = lengths.pop()
-            if lengths or not _LENGTH.fullmatch(length):
-                raise BadMessage(400, "unusable content length")
-            self.left = int(length)
-        elif head.status and head.status not in (204, 304) and head.status >= 200:
-            self.until_close = not codings
+        self.trailer = False
+        self.trailers = self.trailer_bytes = 0
         self.done = not (self.chunked or self.left or self.until_close)
 
     def take(self, buffer: bytearray) -> bytes:
@@ -262,16 +279,20 @@
 
     def poll(self) -> tuple[Head, bytes] | None:
         """The next whole message, or None until more bytes have come."""
-        head = self.take_head()
-        if head is None or self.body is None:
+        head = self.head or self.take_head()
+        if head is None or (body := self.body) is None:
             return None
-        if self.body.done and not self.got:  # nothing follows its head, as mostly
+        if not (body.chunked or body.until_close or self.got) and body.left <= len(self.buffer):
+            got = b""  # the whole of it is there, as mostly
+            if body.left:
+                got = bytes(self.buffer[: body.left])
+                del self.buffer[: body.left]
             self.head = self.body = None
-            return head, b""
+            return head, got
         self.got += self.take_piece()
         if len(self.got) > self.limit(head):
             raise BadMessage(413, "body too long")
-        if not self.body.done:
+        if not body.done:
             return None
         message = head, bytes(self.got)
         self.head, self.body, self.got = None, None, bytearray()
--- a/finchladder/net/messages.py
+++ b/finchladder/net/messages.py
@@ -30,7 +30,8 @@
     body: bytes
 
     def request(self, host: str, time_left_s: float) -> bytes:
-        dropped = HOP | self.headers.words("connection")
+        named = self.headers.words("connection")
+        dropped = HOP | named if named else HOP
         fields = [(n, v) for n, v in self.headers.fields if n.lower() not in dropped]
         fields += [("Host", host), ("X-Time-Left", f"{time_left_s:.3f}")]
         return write_request(self.method, self.target, fields, self.body)
@@ -80,6 +81,8 @@
 def read_facts(head: Head) -> dict[str, float]:
     """X-Facts: name=value pairs; of those known here each must be a number that can be."""
     facts: dict[str, float] = {}
+    if not head.headers.all("x-facts"):
+        return facts
     for pair in ",".join(head.headers.all("x-facts")).split(","):
         name, _, value = (part.strip() for part in pair.partition("="))
         if name not in ("slots", "memory"):
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -81,8 +81,6 @@
     def receive(self, item: Item) -> None:
         now = self.clock()
         self._look(now)
-        if isinstance(item, api.WorkerList):
-            self.lists = max(0, self.lists - 1)
         if isinstance(item, Flow):
             if item.answer is not None:  # the client left before its request was looked at
                 return
@@ -93,6 +91,8 @@
             event = api.Ended(s.flow.id, s.number, item.ending, finished, item.took, item.report)
         else:
             event = item
+            if isinstance(item, api.WorkerList):
+                self.lists = max(0, self.lists - 1)
         for action in self._decide(now, event):
             self._carry_out(action, now)
 
@@ -121,7 +121,10 @@
         return actions
 
     def _carry_out(self, action: api.Action, now: float) -> None:
-        if isinstance(action, api.SetTimer):
+        if isinstance(action, api.Send | api.Cancel | api.Refuse | api.Fail):
+            if (flow := self.flows.by_id.get(action.request)) is not None:
+                self._for_flow(flow, action, now)
+        elif isinstance(action, api.SetTimer):
             if action.token == SWEEP:
                 self.beat = now + action.after
             IOLoop.current().call_later(max(0.0, action.after), self._due, api.Timer(action.token))
@@ -129,10 +132,8 @@
             self.log.info("module: {}", action.text)
         elif isinstance(action, api.Subscribe):
             self.subscribe(action.on)
-        elif isinstance(action, api.Tell):
+        else:
             self.log.warning("module: no peers can be told anything here")
-        elif (flow := self.flows.by_id.get(action.request)) is not None:
-            self._for_flow(flow, action, now)
 
     def _for_flow(
         self, flow: Flow, action: api.Send | api.Cancel | api.Refuse | api.Fail, now: float
