--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -161,6 +161,16 @@
                 await asyncio.sleep(back)
                 await self._again()
 
+    def hold_to_memory(self) -> None:
+        """As the platform does: SIGKILL to one that took more than its limit, and it has died by itself."""
+        child, limit_mb = self.child, self.run.e.program.memory_mb
+        if child is None or not child.running or child.expected or child.overfed:
+            return
+        if (peak := child.peak()) > limit_mb << 20:
+            child.overfed = True
+            self.run.struck("memory", self.name, f"{peak / 2**20:.0f} MB of {limit_mb}")
+            child.signal(signal.SIGKILL)
+
     async def _again(self) -> None:
         try:
             await self.start()
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -213,13 +213,13 @@
     """Something that goes wrong. Either at a time, or drawn: `count` of them at times drawn from the seed.
 
     kill: SIGKILL (dispatcher) or its model's equal (real server: connections reset), back after `for_s`
-    (0: never); restart: SIGTERM, back `for_s` after it has ended; roll: restart of `share` of the dispatchers, `batch`
-    of them at a time; pause: SIGSTOP, and SIGCONT after `for_s`; crash: `share` of the real servers die
-    together, back cold after `for_s`; drain: told as draining, gone when idle, back cold after `for_s`; slow:
-    speed times `size` for `for_s`; errors: jobs fail at rate `size`; swallow: requests are taken and never
-    answered; vanish: `share` of the entries is missing from one whole list and back in the next; cut: no
-    bytes pass between the zones `between`; burst: rate times `size`; scan: `size` of the jobs ask for keys
-    wanted once; hot_key: `size` of the jobs ask for one key.
+    (0: never); restart: SIGTERM, back `for_s` after it has ended; roll: restart of `share` of the
+    dispatchers, `batch` of them at a time; pause: SIGSTOP, and SIGCONT after `for_s`; crash: `share` of the
+    real servers die together, back cold after `for_s`; drain: told as draining, gone when idle, back cold
+    after `for_s`; slow: speed times `size` for `for_s`; errors: jobs fail at rate `size`; swallow: requests
+    are taken and never answered; vanish: `share` of the entries is missing from one whole list and back in
+    the next; cut: no bytes pass between the zones `between`; burst: rate times `size`; scan: `size` of the
+    jobs ask for keys wanted once; hot_key: `size` of the jobs ask for one key.
     """
 
     kind: FaultKind
--- a/finchladder/lab/processes.py
+++ b/finchladder/lab/processes.py
@@ -55,6 +55,7 @@
         self.start = 0  # counts the starts of a dispatcher
         self.expected = False  # its end is wanted
         self.paused = False
+        self.overfed = False  # killed, as it took more memory than it may
 
     @property
     def running(self) -> bool:
@@ -102,6 +103,14 @@
         cpu = (int(stat[11]) + int(stat[12])) / TICKS  # utime and stime
         return Sample(self.name, now, cpu, pages * PAGE, fds, self.start)
 
+    def peak(self) -> int:
+        """Bytes that were resident at most since its start; 0: it is gone."""
+        try:
+            lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
+            return next(int(line.split()[1]) << 10 for line in lines if line.startswith("VmHWM:"))
+        except (OSError, StopIteration):
+            return 0
+
 
 async def start(
     name: str,
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -236,6 +236,8 @@
             for child in self.children:
                 if child.running and (sample := child.sample(time.monotonic())) is not None:
                     self.ledger.put(sample)
+            for d in self.dispatchers:
+                d.hold_to_memory()
             self.ledger.flush()
             due = max(due + SAMPLE_S, time.monotonic())
             await asyncio.sleep(due - time.monotonic())
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -202,6 +202,30 @@
     assert drawn[0] != drawn[1]
 
 
+def test_who_takes_more_memory_than_the_limit_is_killed_once_and_it_is_written_down(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    struck: list[tuple[str, ...]] = []
+    small = msgspec.convert(tomllib.loads(SMALL) | {"program": {"memory_mb": 64}}, Experiment)
+    run = SimpleNamespace(e=small, struck=lambda *what: struck.append(what))
+    dispatcher = Dispatcher(cast(Run, run), 0, "127.0.0.1")
+    dispatcher.hold_to_memory()  # it was never started
+    own = cast(asyncio.subprocess.Process, SimpleNamespace(pid=os.getpid(), returncode=None))
+    child = dispatcher.child = Child("n1", own, tmp_path / "log")
+    sample = child.sample(0.0)
+    assert sample and sample.rss <= child.peak() < 1 << 40
+    signals: list[int] = []
+    monkeypatch.setattr(child, "signal", signals.append)
+    monkeypatch.setattr(child, "peak", lambda: 64 << 20)
+    dispatcher.hold_to_memory()
+    assert not struck
+    monkeypatch.setattr(child, "peak", lambda: 65 << 20)
+    dispatcher.hold_to_memory()
+    dispatcher.hold_to_memory()  # its death is not seen yet
+    assert struck == [("memory", "n1", "65 MB of 64")] and signals == [signal.SIGKILL]
+    assert not child.expected  # so that its end is a death, no excuse and no planned one
+
+
 def test_states_that_come_early_wait_for_the_addresses(tmp_path: Path) -> None:
     """The first part of the fleet tells of its real servers while the second is not there yet."""
 
