Lab: a deployment's memory, zones' shares, starts told later, cells, and cancels that stop nothing

An experiment could not say what deployments differ in: jobs' memory units, attempts that take each their own time, real servers' group and weight, what a cancel does to what still waits, clients' shares by zone and their latency, a delay of discovery that starts alone have, and dispatchers that hear of a change nearly together.

--- a/finchladder/lab/check.py
+++ b/finchladder/lab/check.py
@@ -300,11 +300,15 @@
         else:
             most = 2 ** max(i for i, share in enumerate(c.slots) if share > 0)
             pools = _runs(e, c.kind)
+            if pools and max(p.memory for p in pools) < c.memory:
+                yield f"class.{n}.memory: jobs that take {c.memory:g} units fit no real server"
             if pools and max(p.slots or p.cores for p in pools) < most:
                 yield f"class.{n}.slots: jobs that take {most} slots fit no real server"
 
 
 def _load(e: Experiment) -> Iterator[str]:
+    if e.load.zone_shares and (len(e.load.zone_shares) != len(e.zones) or not _whole(e.load.zone_shares)):
+        yield f"load.zone_shares: one for each of the {len(e.zones)} zones, and all add up to 1"
     names = [p.name for p in e.load.phase]
     if not names:
         yield "load.phase: there is none"
--- a/finchladder/lab/drivers/fleet.py
+++ b/finchladder/lab/drivers/fleet.py
@@ -504,6 +504,8 @@
             return None
         key = parts[-1] if len(parts) > 1 else ""
         slots, memory = facts.get("slots", 1.0), facts.get("memory", 0.0)
+        if sigma := known.attempt_sigma:
+            work *= self.rng.lognormvariate(-sigma * sigma / 2, sigma)
         safe = known.effect != "fragile"
         return JobIn(id, known.name, key, work, slots, memory, known.priority, safe)
 
--- a/finchladder/lab/drivers/relay.py
+++ b/finchladder/lab/drivers/relay.py
@@ -399,6 +399,8 @@
         self.relay, self.plan = relay, plan
         network = relay.network
         self.mean = network.same_zone_s if plan.source == plan.sink else network.cross_zone_s
+        if plan.name.startswith("clients>") and network.client_s is not None:
+            self.mean = network.client_s
         self.pairs: set[Pair] = set()
         self.faults: list[LinkFault] = []
         self.listener = Listener(relay.process.loop, relay.process.plan.host, lambda: Pair(self).up.source)
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -50,9 +50,12 @@
     work_s: Above = 0.02  # mean running time on one core at speed 1
     work_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.5  # of the logarithm; 0: always the mean
     work_law: Literal["lognormal", "exponential", "fixed"] = "lognormal"
+    attempt_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.0  # of each attempt's own factor, of mean 1
     slots: list[Share] = msgspec.field(
         default_factory=lambda: [1.0]
     )  # shares of jobs that take 1, 2, 4, 8 slots
+    memory: Annotated[float, Meta(ge=0, le=1e9)] = 0.0  # mean of the units that a job takes
+    memory_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.0  # of the logarithm
     patience_s: Seconds = 0.0  # of one try; 0: what is left of the deadline
     group: Literal["all", "zone", "cell"] = "all"  # dedup: real servers that drop each other's repeats
     window_s: Seconds = 5.0  # dedup: how long, from the first send that may have run
@@ -73,6 +76,8 @@
     count: Count = 1
     kind: str = ""
     zones: list[str] = []  # spread over these in turn; empty: over all zones
+    group: int = 0  # those that drop each other's repeats, where a class's group is "cell"
+    weight: Above = 1.0  # as discovery tells it
     cores: Count = 4
     speed: Span = 1.0  # work done by a core in a second
     slots: Annotated[int, Meta(ge=0)] = 0  # jobs in work; 0: as many as cores
@@ -93,6 +98,7 @@
     error_rate: Share = 0.0  # jobs that end as `failed` after they ran
     drain_returns: bool = True  # hands back what has not begun when it drains
     cancel_stops: bool = True  # DELETE stops the work; else it goes on unseen
+    cancel_unqueues: bool = True  # DELETE takes off the queue what waits; else that runs, too, unseen
     checkpoint_s: Seconds = 0.0  # jobs that are safe to repeat go on from their last saved state; 0: never
     tells_start: bool = True
     progress_s: Seconds = 1.0  # 0: no progress is told
@@ -119,6 +125,8 @@
 
 class Discovery(Part):
     delay_s: Span = 0.05  # from a change to its telling, drawn for each dispatcher and change
+    start_delay_s: Span | None = None  # the same of a start; None: as any change
+    spread_s: Seconds | None = None  # one delay for all, each up to so much later; None: each its own
     renew_share: Share = 0.0  # part of the entries whose weight is renewed, each `renew_every_s`
     renew_every_s: Above = 0.5
     empty_line_s: Above = 2.0
@@ -138,6 +146,7 @@
     on: bool = False
     same_zone_s: Seconds = 0.0002  # one way
     cross_zone_s: Seconds = 0.002
+    client_s: Seconds | None = None  # between clients and dispatchers; None: as in one zone
     jitter: Share = 0.1  # of the latency, evenly up and down
     segment: Annotated[int, Meta(ge=0, le=65_536)] = 0  # bytes passed on at once; 0: as they come
 
@@ -175,6 +184,7 @@
 class Load(Part):
     phase: list[Phase]
     processes: Annotated[int, Meta(ge=1, le=64)] = 1
+    zone_shares: list[Share] = []  # of the clients, in the order of the zones; empty: evenly
     connections: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # held open from the start on, idle ones too
     most_in_flight: Count = 100_000  # tries at once in open loop; beyond it the run is invalid
     impatient: Share = 0.0  # part of the clients that close after a tenth of their patience
--- a/finchladder/lab/models/clients.py
+++ b/finchladder/lab/models/clients.py
@@ -5,7 +5,9 @@
 """
 
 import random
+from bisect import bisect_right
 from dataclasses import dataclass
+from itertools import accumulate
 from typing import NamedTuple
 
 from finchladder.lab.experiment import Experiment, JobClass, Retries
@@ -42,22 +44,23 @@
 
 
 def population(experiment: Experiment, seed: int, part: int) -> list[Client]:
-    """The clients of one process. Shares are met to the nearest client; zones by gateway, in turn."""
+    """The clients of one process. Shares are met to the nearest client; zones are the gateways'."""
     rng, load = random.Random(f"clients {seed} {part}"), experiment.load
 
     def some(share: float) -> set[int]:
         return set(rng.sample(range(CLIENTS), round(share * CLIENTS)))
 
     honours, impatient = some(load.retries.honour), some(load.impatient)
-    zones = experiment.zones
+    zones, ends = experiment.zones, list(accumulate(load.zone_shares))
+
+    def zone(gateway: int) -> str:
+        if not ends:
+            return zones[(part * GATEWAYS + gateway) % len(zones)]
+        place = (gateway + 0.5) / GATEWAYS * ends[-1]  # shares are met to the nearest gateway
+        return zones[bisect_right(ends, place)]
+
     return [
-        Client(
-            f"c{part}-{i}",
-            i % GATEWAYS,
-            zones[(part * GATEWAYS + i % GATEWAYS) % len(zones)],
-            i in honours,
-            i in impatient,
-        )
+        Client(f"c{part}-{i}", i % GATEWAYS, zone(i % GATEWAYS), i in honours, i in impatient)
         for i in range(CLIENTS)
     ]
 
--- a/finchladder/lab/models/discovery.py
+++ b/finchladder/lab/models/discovery.py
@@ -188,9 +188,13 @@
         self.index += 1
         self.members.update((m.name, m) for m in changed)
         version = _Version(self.index, changed, hidden)
+        config, span = self.config, self.config.delay_s
+        if config.start_delay_s is not None and any(m.state == "ready" for m in changed):
+            span = config.start_delay_s
+        common_s = draw(span, self.rng) if config.spread_s is not None else 0.0
         for agent in self._agents.values():
-            delay_s = draw(self.config.delay_s, self.rng) + agent.extra_s
-            agent.last_due = max(agent.last_due, now + delay_s)
+            own_s = draw(span, self.rng) if config.spread_s is None else self.rng.uniform(0, config.spread_s)
+            agent.last_due = max(agent.last_due, now + common_s + own_s + agent.extra_s)
             self._push(agent.last_due, "see", (agent, version))
         return self.index
 
--- a/finchladder/lab/models/realserver.py
+++ b/finchladder/lab/models/realserver.py
@@ -8,7 +8,7 @@
 | fetching, running | pushed out by `suspend` / `kill` | waiting (with what it has done) / over (`lost`) |
 | running | its work is done | over (`done` or `failed`) |
 | any | cancel, death of the process | over (`cancelled`, `killed`) |
-| fetching, running | cancel where that stops nothing | as it was, but unseen: no more is told of it |
+| any | cancel where that does not stop it | as it was, but unseen: no more is told of it |
 
 All running jobs progress alike: each slot has min(1, cores / slots in use) of a core. So the progress that a
 job would have made since the start is one figure for all (processor sharing by virtual time, as in fair
@@ -296,7 +296,7 @@
         if job is None:
             return False
         self._settle(now)
-        if self.pool.cancel_stops or not job.began:
+        if self.pool.cancel_stops or (self.pool.cancel_unqueues and not job.began):
             self._over(now, job, "cancelled")
             self._begin_waiting(now)
         else:
@@ -643,7 +643,7 @@
     def _tell_start(self, at: float, job: _Job) -> None:
         job.began = True
         self._out.append(records.Began(job.spec.id, self.name, self.epoch, at))
-        if self.pool.tells_start:
+        if self.pool.tells_start and not job.unseen:
             self._out.append(Told(at, job.spec.id, "started"))
 
     def _tell_progress(self, at: float, job: _Job) -> None:
--- a/tests/lab/test_check.py
+++ b/tests/lab/test_check.py
@@ -64,6 +64,13 @@
         (["class.0.patience_s=9.0"], "class.0.patience_s", "beyond the deadline"),
         (["class.0.slots=[0.5, 0.1]"], "class.0.slots", "add up to 1"),
         (["class.1.slots=[0.5, 0.0, 0.0, 0.5]"], "class.1.slots", "take 8 slots"),
+        (
+            ["class.0.memory=2.0", "pool.0.memory=1.0", "pool.1.memory=1.0"],
+            "class.0.memory",
+            "fit no real server",
+        ),
+        (["load.zone_shares=[1.0]"], "load.zone_shares", "one for each of the 2 zones"),
+        (["load.zone_shares=[0.5, 0.4]"], "load.zone_shares", "add up to 1"),
         (["pool.1.zones=['c']"], "pool.1.zones", "no zone c"),
         (["pool.0.speed=[2.0, 1.0]"], "pool.0.speed", "no range"),
         (["pool.0.speed=0.0"], "pool.0.speed", "above 0"),
