Lab: dispatchers may stand in zones of their own choice

They were spread over the zones in turn; a deployment with two of four in one zone could not be said. The ledger, the relays and what a dispatcher is told go by Experiment.zone_of.

--- a/finchladder/lab/check.py
+++ b/finchladder/lab/check.py
@@ -51,10 +51,6 @@
     return [f"n{i}" for i in range(1, e.dispatchers + 1)]
 
 
-def dispatcher_zone(e: Experiment, index: int) -> str:
-    return e.zones[index % len(e.zones)]
-
-
 class Placed(NamedTuple):
     name: str
     pool: int
@@ -262,6 +258,9 @@
 def _deployment(e: Experiment) -> Iterator[str]:
     if name := _twice(e.zones):
         yield f"zones: {name} stands there twice"
+    for zone in e.dispatcher_zones:
+        if zone not in e.zones:
+            yield f"dispatcher_zones: there is no zone {zone}; there are {', '.join(e.zones)}"
     if not e.pool and not e.program.null:
         yield "pool: there is none, and only the null target does without"
     for n, pool in enumerate(e.pool):
--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from finchladder.lab.check import REPOSITORY, dispatcher_zone, resolve
+from finchladder.lab.check import REPOSITORY, resolve
 from finchladder.lab.experiment import Experiment
 from finchladder.lab.processes import Child, LabError, start
 from finchladder.lab.settings import config_file
@@ -87,7 +87,7 @@
 
     def __init__(self, run: "Run", index: int, host: str) -> None:
         self.run, self.index = run, index
-        self.name, self.zone = f"n{index + 1}", dispatcher_zone(run.e, index)
+        self.name, self.zone = f"n{index + 1}", run.e.zone_of(index)
         self.host, self.address = host, f"{host}:{PORT}"
         self.discovery = ""  # where it finds discovery
         self.asked = ""  # the same without a relay between
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -252,7 +252,8 @@
     zones: Annotated[list[Name], Meta(min_length=1, max_length=64)] = msgspec.field(
         default_factory=lambda: ["a"]
     )
-    dispatchers: Annotated[int, Meta(ge=1, le=1000)] = 1  # spread over the zones in turn
+    dispatchers: Annotated[int, Meta(ge=1, le=1000)] = 1
+    dispatcher_zones: list[str] = []  # they are spread over these in turn; empty: over all zones
     fleet_processes: Annotated[int, Meta(ge=1, le=64)] = 1
     program: Program = msgspec.field(default_factory=Program)
     pool: list[Pool] = []
@@ -272,3 +273,8 @@
     cold_window_s: Above = 2.0
     drain_grace_s: Above = 0.5
     slack_s: Seconds = 0.05  # every time limit is so much longer on sockets
+
+    def zone_of(self, index: int) -> str:
+        """The zone of the dispatcher n1 (index 0) and so on."""
+        zones = self.dispatcher_zones or self.zones
+        return zones[index % len(zones)]
--- a/finchladder/lab/faults.py
+++ b/finchladder/lab/faults.py
@@ -12,7 +12,6 @@
     LOAD_FAULTS,
     SERVER_FAULTS,
     dispatcher_names,
-    dispatcher_zone,
     place_servers,
 )
 from finchladder.lab.experiment import Experiment, Fault
@@ -51,7 +50,7 @@
     found = []
     servers = place_servers(e)
     for index, name in enumerate(dispatcher_names(e)):
-        zone = dispatcher_zone(e, index)
+        zone = e.zone_of(index)
         found += [Link(f"clients>{name}", zone, zone), Link(f"{name}>discovery", zone, zone)]
         found += [Link(f"{z}>{name}", z, zone) for z in sorted({s.zone for s in servers})]
         found += [Link(f"{name}>{s.name}", zone, s.zone) for s in servers]
@@ -96,7 +95,7 @@
         fitting = [
             n
             for i, n in enumerate(names)
-            if fault.target in ("any", "all", n) or (group == "zone" and dispatcher_zone(e, i) == name)
+            if fault.target in ("any", "all", n) or (group == "zone" and e.zone_of(i) == name)
         ]
         return _some(fault, fitting, rng), "dispatchers"
     return [], "discovery"
--- a/finchladder/lab/ledger.py
+++ b/finchladder/lab/ledger.py
@@ -95,9 +95,9 @@
         return [f"n{n + 1}" for n in range(self.experiment.dispatchers)]
 
     def zone(self, dispatcher: str) -> str:
-        """The zone of n1, n2 and so on: the experiment's zones in turn; empty for another name."""
-        number, zones = dispatcher[1:], self.experiment.zones
-        return zones[(int(number) - 1) % len(zones)] if number.isdigit() else ""
+        """The zone of n1, n2 and so on; empty for another name."""
+        number = dispatcher[1:]
+        return self.experiment.zone_of(int(number) - 1) if number.isdigit() else ""
 
     def intervals(self, kinds: frozenset[str], target: str) -> list[tuple[float, float]]:
         """When faults of these kinds struck `target`; one without an end lasts for good."""
--- a/finchladder/lab/settings.py
+++ b/finchladder/lab/settings.py
@@ -17,7 +17,7 @@
     kinds = sorted({p.kind for p in e.pool if p.kind})
     cold = [p for p in e.pool if p.cold_from < 1] or e.pool
     settings: dict[str, Any] = {
-        "az": e.zones[index % len(e.zones)],
+        "az": e.zone_of(index),
         "balancers": e.dispatchers,
         "selfIndex": index,
         "zones": e.zones,
--- a/tests/lab/test_check.py
+++ b/tests/lab/test_check.py
@@ -9,6 +9,7 @@
 from finchladder.core import api
 from finchladder.lab import faults
 from finchladder.lab.check import Unusable, load, override, place_servers
+from finchladder.lab.ledger import Ledger
 from finchladder.lab.settings import platform_settings
 
 BENCHMARKS = Path(__file__).resolve().parents[2] / "benchmarks"
@@ -69,6 +70,7 @@
             "class.0.memory",
             "fit no real server",
         ),
+        (["dispatcher_zones=['a', 'c']"], "dispatcher_zones", "no zone c"),
         (["load.zone_shares=[1.0]"], "load.zone_shares", "one for each of the 2 zones"),
         (["load.zone_shares=[0.5, 0.4]"], "load.zone_shares", "add up to 1"),
         (["pool.1.zones=['c']"], "pool.1.zones", "no zone c"),
@@ -210,6 +212,20 @@
     assert (settings.cold_from, settings.cold_for, settings.tells_start) == (0.3, 8.5, True)
 
 
+def test_dispatchers_go_through_their_zones_in_turn(file: Path) -> None:
+    for sets, zones in (
+        (["dispatchers=3"], "aba"),
+        (["dispatchers=3", "dispatcher_zones=['b', 'b', 'a']"], "bba"),
+    ):
+        [variant] = load(file, sets)
+        e, ledger = variant.experiment, Ledger(variant.experiment)
+        assert "".join(ledger.zone(name) for name in ledger.dispatchers) == zones
+        assert "".join(platform_settings(e, i)["az"] for i in range(3)) == zones
+        assert (
+            "".join(link.from_zone for link in faults.links(e) if link.name.startswith("clients>")) == zones
+        )
+
+
 def test_real_servers_go_through_their_zones_in_turn(file: Path) -> None:
     placed = place_servers(load(file)[0].experiment)
     assert [(s.name, s.pool, s.zone) for s in placed] == [
