--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from finchladder.lab.check import REPOSITORY, dispatcher_zone, resolve
+from finchladder.lab.check import REPOSITORY, resolve
 from finchladder.lab.experiment import Experiment
 from finchladder.lab.processes import Child, LabError, start
 from finchladder.lab.settings import config_file
@@ -24,7 +24,7 @@
 
 PORT = 8081  # of every dispatcher, each at an address of its own: none is taken by an outgoing connection
 OPEN_S = 30.0  # a dispatcher is healthy by then
-FRONT_KNOWS_S = 0.3  # after SIGTERM new connections keep coming for so long
+FRONT_KNOWS_S = (0.2, 0.4)  # after SIGTERM new connections keep coming for so long, drawn each time
 GRACE_S = 0.7  # SIGKILL comes no earlier than the longest deadline (3 s at the least) and this after SIGTERM
 KILL_S = 15.0  # the kernel has ended a killed process by then
 ASK_S = 0.5  # for discovery's answer about a dispatcher's last list
@@ -87,7 +87,7 @@
 
     def __init__(self, run: "Run", index: int, host: str) -> None:
         self.run, self.index = run, index
-        self.name, self.zone = f"n{index + 1}", dispatcher_zone(run.e, index)
+        self.name, self.zone = f"n{index + 1}", run.e.zone_of(index)
         self.host, self.address = host, f"{host}:{PORT}"
         self.discovery = ""  # where it finds discovery
         self.asked = ""  # the same without a relay between
@@ -95,6 +95,7 @@
         self.child: Child | None = None
         self.starts = 0
         self.busy = asyncio.Lock()  # one fault at a time ends and starts it
+        self.rng = random.Random(f"{run.e.seed}/{self.name}/front")
 
     def write_config(self) -> Path:
         path = self.run.out / "config" / f"{self.name}.json"
@@ -160,6 +161,16 @@
                 await asyncio.sleep(back)
                 await self._again()
 
+    def hold_to_memory(self) -> None:
+        """As the platform does: SIGKILL to one that took more than its limit, and it has died by itself."""
+        child, limit_mb = self.child, self.run.e.program.memory_mb
+        if child is None or not child.running or child.expected or child.overfed:
+            return
+        if (peak := child.peak()) > limit_mb << 20:
+            child.overfed = True
+            self.run.struck("memory", self.name, f"{peak / 2**20:.0f} MB of {limit_mb}")
+            child.signal(signal.SIGKILL)
+
     async def _again(self) -> None:
         try:
             await self.start()
@@ -181,7 +192,7 @@
                 await self._again()
                 self.run.struck("kill", self.name, "end")
 
-    async def restart(self, kind: str) -> None:
+    async def restart(self, kind: str, for_s: float) -> None:
         async with self.busy:
             child = self.child
             if child is not None and child.running:
@@ -191,11 +202,12 @@
                 if not await child.end(signal.SIGTERM, longest + GRACE_S):
                     self.run.struck(kind, self.name, "killed")
                 await told
+            await asyncio.sleep(for_s)
             await self._again()
             self.run.struck(kind, self.name, "end")
 
     async def _front_learns(self) -> None:
-        await asyncio.sleep(FRONT_KNOWS_S)
+        await asyncio.sleep(self.rng.uniform(*FRONT_KNOWS_S))
         self.run.tell_front("down", self.name, planned=True)
 
     async def pause(self, for_s: float) -> None:
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -178,7 +178,7 @@
                     for_clients[dispatcher] = address
                 else:
                     for_servers[name] = address
-        placed = [ServerPlan(s.name, s.pool, s.zone) for s in place_servers(e)]
+        placed = [ServerPlan(s.name, s.pool, s.zone, e.pool[s.pool].group) for s in place_servers(e)]
         if placed and not e.program.null:
             await self._begin_world(placed, direct, for_servers)
         if load:
@@ -236,6 +236,8 @@
             for child in self.children:
                 if child.running and (sample := child.sample(time.monotonic())) is not None:
                     self.ledger.put(sample)
+            for d in self.dispatchers:
+                d.hold_to_memory()
             self.ledger.flush()
             due = max(due + SAMPLE_S, time.monotonic())
             await asyncio.sleep(due - time.monotonic())
@@ -297,11 +299,11 @@
         elif fault.kind == "pause":
             await asyncio.gather(*(d.pause(strike.for_s) for d in struck))
         elif fault.kind == "restart":
-            await asyncio.gather(*(d.restart("restart") for d in struck))
+            await asyncio.gather(*(d.restart("restart", strike.for_s) for d in struck))
         else:
             size = max(1, round(fault.batch * len(self.dispatchers)))
             for i in range(0, len(struck), size):
-                await asyncio.gather(*(d.restart("roll") for d in struck[i : i + size]))
+                await asyncio.gather(*(d.restart("roll", strike.for_s) for d in struck[i : i + size]))
 
     async def _tell_progress(self, begin: float, whole: float) -> None:
         while True:
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 as this project speaks it: parsers that take bytes however they are split, and writers."""
 
+import asyncio
 import re
 import socket
 from asyncio import Future
@@ -44,13 +45,22 @@
         self.status, self.allow = status, allow
 
 
+class Frame(NamedTuple):
+    """How the end of a message's body is told."""
+
+    chunked: bool
+    length: int
+    until_close: bool
+
+
 class Headers:
     """Header fields in the order in which they came; names match in any case."""
 
-    __slots__ = ("fields", "_values")
+    __slots__ = ("fields", "frame", "_values")
 
     def __init__(self, fields: list[tuple[str, str]]) -> None:
         self.fields = fields
+        self.frame: Frame | None = None  # of the message whose head they are in, once it was asked for
         self._values: dict[str, list[str]] = {}  # by name in lower case
         for name, value in fields:
             self._values.setdefault(name.lower(), []).append(value)
@@ -136,26 +146,34 @@
 _known_response = lru_cache(KNOWN)(_response)
 
 
+def frame_of(head: Head) -> Frame:
+    codings, lengths = head.headers.all("transfer-encoding"), set(head.headers.all("content-length"))
+    if codings and (lengths or not head.minor or [c.lower() for c in codings] != ["chunked"]):
+        raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
+    if lengths:
+        length = lengths.pop()
+        if lengths or not _LENGTH.fullmatch(length):
+            raise BadMessage(400, "unusable content length")
+        return Frame(False, int(length), False)
+    ends = head.status and head.status not in (204, 304) and head.status >= 200
+    return Frame(bool(codings), 0, bool(ends and not codings))
+
+
 class Body:
     """Takes one message's body off the front of a buffer."""
 
+    __slots__ = (
+        "chunked", "left", "until_close", "done", "plain", "trailer", "trailers", "trailer_bytes",
+    )  # fmt: skip
+
     def __init__(self, head: Head) -> None:
-        codings, lengths = head.headers.all("transfer-encoding"), set(head.headers.all("content-length"))
-        self.chunked = bool(codings)
-        self.until_close = False
-        self.left = 0
-        self.trailer = False
-        self.trailers, self.trailer_bytes = 0, 0
+        frame = head.headers.frame
+        if frame is None:
+            frame = head.headers.frame = frame_of(head)
+        self.chunked, self.left, self.until_close = frame
         self.plain = not head.status
-        if codings and (lengths or not head.minor or [c.lower() for c in codings] != ["chunked"]):
-            raise BadMessage(400, "unusable transfer coding")  # two framings: peers would differ on the end
-        if lengths:
-            length = lengths.pop()
-            if lengths or not _LENGTH.fullmatch(length):
-                raise BadMessage(400, "unusable content length")
-            self.left = int(length)
-        elif head.status and head.status not in (204, 304) and head.status >= 200:
-            self.until_close = not codings
+        self.trailer = False
+        self.trailers = self.trailer_bytes = 0
         self.done = not (self.chunked or self.left or self.until_close)
 
     def take(self, buffer: bytearray) -> bytes:
@@ -261,16 +279,20 @@
 
     def poll(self) -> tuple[Head, bytes] | None:
         """The next whole message, or None until more bytes have come."""
-        head = self.take_head()
-        if head is None or self.body is None:
+        head = self.head or self.take_head()
+        if head is None or (body := self.body) is None:
             return None
-        if self.body.done and not self.got:  # nothing follows its head, as mostly
+        if not (body.chunked or body.until_close or self.got) and body.left <= len(self.buffer):
+            got = b""  # the whole of it is there, as mostly
+            if body.left:
+                got = bytes(self.buffer[: body.left])
+                del self.buffer[: body.left]
             self.head = self.body = None
-            return head, b""
+            return head, got
         self.got += self.take_piece()
         if len(self.got) > self.limit(head):
             raise BadMessage(413, "body too long")
-        if not self.body.done:
+        if not body.done:
             return None
         message = head, bytes(self.got)
         self.head, self.body, self.got = None, None, bytearray()
@@ -280,10 +302,13 @@
 class Stream(IOStream):
     """Asks the socket once for what is there: IOStream's own asks again until there is nothing.
 
-    `put` writes without a future where the socket takes all at once, as it mostly does.
+    `put` writes without a future where the socket takes all at once, as it mostly does. A `gate` may say that
+    nothing is to be read now; then the loop leaves the socket alone until `resume`.
     """
 
     short = False  # the last read was not filled: nothing more was there
+    gate: Callable[[], bool] | None = None
+    paused = False
 
     def put(self, data: bytes) -> Future[None] | None:
         """None: the last byte is written. Else what waits for that, or StreamClosedError."""
@@ -301,11 +326,29 @@
         if self.short:
             self.short = False
             return None
+        if self.gate is not None and not self.gate():
+            self._pause()
+            return None
         count = super().read_from_fd(buf)
         self.short = count is not None and 0 < count < len(buf)
         return count
 
 
+    def _pause(self) -> None:
+        if not self.paused:
+            self.paused = True
+            asyncio.get_running_loop().call_soon(self._leave_out)  # the read that asked may add it yet
+
+    def _leave_out(self) -> None:
+        if self.paused and not self.closed():
+            self.io_loop.update_handler(self.fileno(), 0)
+
+    def resume(self) -> None:
+        if self.paused and not self.closed():
+            self.paused = False
+            self.io_loop.update_handler(self.fileno(), self.io_loop.READ | self.io_loop.ERROR)
+
+
 class Channel:
     """One connection: a stream and the parser of what comes on it."""
 
