--- a/finchladder/core/guarded.py
+++ b/finchladder/core/guarded.py
@@ -22,7 +22,6 @@
 """
 
 from collections.abc import Callable
-from math import inf
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -68,10 +67,10 @@
 class Scope:
     """A route's limits for one class, and what is counted for them. Equal ones of one route are shared."""
 
-    __slots__ = ("route", "limiter", "budget", "hedges", "times")
+    __slots__ = ("route", "own", "limiter", "budget", "hedges", "times")
 
-    def __init__(self, route: Route) -> None:
-        self.route = route
+    def __init__(self, route: Route, own: Own) -> None:
+        self.route, self.own = route, own  # `own`: what of it the Dispatcher goes by
         self.limiter: Limiter | None = None
         self.budget: Budget | None = None
         self.hedges: Allowance | None = None
@@ -81,16 +80,17 @@
 class Run:
     """A job under a route, from its arrival to its answer and the end of its last attempt."""
 
-    __slots__ = ("id", "scope", "rules", "waiting", "arrived", "deadline", "serial", "repeat", "most",
-                 "sends", "copies", "out", "paid", "hedged", "done")  # fmt: skip
+    __slots__ = ("id", "scope", "rules", "waiting", "arrived", "deadline", "serial", "repeat", "own",
+                 "most", "sends", "copies", "out", "paid", "hedged", "done")  # fmt: skip
 
-    def __init__(self, request: Request, scope: Scope, now: float, serial: int, most: int) -> None:
+    def __init__(self, request: Request, scope: Scope, now: float, serial: int) -> None:
         self.id, self.scope, self.rules = request.id, scope, scope.route
         self.waiting: Request | None = request  # until it is handed on
         self.arrived, self.deadline, self.serial = now, now + request.patience, serial
         budget = scope.route.retry_budget
         self.repeat = request.repeat and budget is not None and budget.repeats  # its client's own resend
-        self.most, self.sends, self.copies = most, 0, 0
+        self.own = scope.own
+        self.most, self.sends, self.copies = scope.own.sends, 0, 0
         self.out = 0  # attempts that have not ended, a bit for each
         self.paid = False  # its next resend is taken out of the budget already
         self.hedged = False  # a copy was offered: there is one offer a job
@@ -119,15 +119,18 @@
     def handle(self, now: float, event: Event | NewRoutes) -> list[Action]:
         self.now = now
         handler = self.handlers.get(type(event))
+        if handler is None and not self.runs:
+            return self.inner.handle(now, event)  # type: ignore[arg-type]
         actions = self._pass(event) if handler is None else handler(event)  # type: ignore[arg-type]
         while self.freed:
             limiter = self.freed.pop()
             while (id := limiter.next()) is not None:
                 actions += self._hand_on(self.runs[id])
-        due = self.alarms.next()
-        if due < (inf if self.timer_at is None else self.timer_at):
-            self.timer_at = due
-            actions.append(SetTimer(max(0.0, due - now), GUARD))
+        if self.alarms.at:
+            due = self.alarms.next()
+            if self.timer_at is None or due < self.timer_at:
+                self.timer_at = due
+                actions.append(SetTimer(max(0.0, due - now), GUARD))
         return actions
 
     # --- what comes in ------------------------------------------------------------------------------------
@@ -137,8 +140,7 @@
         if scope is None:
             return self._pass(r)
         self.serial += 1
-        most = min(scope.route.attempts or self.s.max_attempts, self.s.max_attempts)
-        run = self.runs[r.id] = Run(r, scope, self.now, self.serial, most)
+        run = self.runs[r.id] = Run(r, scope, self.now, self.serial)
         if run.repeat and not self._pay(run):
             return self._refuse(run)
         if scope.limiter is None or scope.limiter.enter():
@@ -208,9 +210,9 @@
         r, run.waiting = run.waiting, None
         assert r is not None
         self.alarms.drop(run.id)
-        own = Own(run.most, run.rules.priority, self._pool(run.rules))
+        left = r.patience - (self.now - run.arrived)
         try:
-            return self._pass(r._replace(patience=r.patience - (self.now - run.arrived), own=own))
+            return self._pass(Request(r.id, r.job_class, left, *r[3:-1], run.own))
         except Exception:
             self._close(run)  # a place must not stay taken for what nobody decides on
             raise
@@ -267,17 +269,17 @@
             return actions
         out: list[Action] = []
         for a in actions:
-            run = self.runs.get(a.request) if isinstance(a, Send | Cancel | Refuse | Fail) else None
-            if run is None:
-                out.append(a)
-            elif isinstance(a, Send):
-                out.append(self._sent(run, a))
-            elif isinstance(a, Cancel):
-                if run.done or self._may_move(run, a.attempt):
-                    out.append(a)
-            else:
+            if isinstance(a, Send):
+                run = self.runs.get(a.request)
+                out.append(a if run is None else self._sent(run, a))
+                continue
+            if isinstance(a, Cancel):
+                run = self.runs.get(a.request)
+                if run is not None and not run.done and not self._may_move(run, a.attempt):
+                    continue
+            elif isinstance(a, Refuse | Fail) and (run := self.runs.get(a.request)) is not None:
                 self._close(run)
-                out.append(a)
+            out.append(a)
         return out
 
     def _sent(self, run: Run, a: Send) -> Send:
@@ -295,7 +297,7 @@
                 after_s = scope.times.value_s
             if after_s is not None:
                 self.alarms.put(run.id, self.now + after_s)
-        return a if rules.attempt_timeout_s is None else a._replace(timeout=rules.attempt_timeout_s)
+        return a if rules.attempt_timeout_s is None else Send(a.request, a.worker, rules.attempt_timeout_s)
 
     def _may_move(self, run: Run, attempt: int) -> bool:
         """The Dispatcher takes a silent worker's job elsewhere: not if it could not be sent again then."""
@@ -343,13 +345,15 @@
         """These hold for what comes; counts go on where the setting is the same. O(routes, runs, workers)."""
         old, self.scopes = self.scopes, {}
         for route in routes.all:
-            self.scopes[route.name, route.job_class] = Scope(route)
+            most = min(route.attempts or self.s.max_attempts, self.s.max_attempts)
+            own = Own(most, route.priority, self._pool(route))
+            self.scopes[route.name, route.job_class] = Scope(route, own)
         self._limiters()
         self._counters(old)
         for run in self.runs.values():
             self._move(run)
-        needed = {self._pool(scope.route) for scope in self.scopes.values()}
-        needed |= {self._pool(run.rules) for run in self.runs.values()}
+        needed = {scope.own.pool for scope in self.scopes.values()}
+        needed |= {run.own.pool for run in self.runs.values()}
         fleet = self.inner.fleet
         fleet.drop([p for p in fleet.pools if isinstance(p, WorkerPool) and p not in needed])
         for pool in needed - {None}:
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from finchladder.core.alarms import Alarms
-from finchladder.core.api import Ending, JobClass, Request, WorkerPool
+from finchladder.core.api import Ending, JobClass, Own, Request, WorkerPool
 from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
 from finchladder.core.guarded import Guarded, Run, Scope
@@ -33,7 +33,7 @@
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
 RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts, Asking, Told, Run, Scope, Limiter, Budget,
                             Allowance, Times, Alarms)  # fmt: skip
-WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request)  # values that are never changed
+WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request, Own)  # values that are never changed
 FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
            "fleet", "agenda"}  # fmt: skip
 ROUND = {"s", "handlers", "inner", "margin_s", "freed"}  # the same of what stands round the Dispatcher
