Membership decides what is believed of several lists, beside an oracle in all small histories

Discovery's list is trusted line by line, and a second source needs a rule for who is believed. Three tables: how far a source's words count, what is believed of one real server, and when a mass that vanishes is held. A drain told by any source holds, for the start it is about and those before.

It found four faults on the way: drains of a doubted list outlived it, an entry that drained elsewhere was put back with a mass, a source that was only heard again got its old weight back, and a drain within a replay was forgotten.

--- a/finchladder/core/membership.py
+++ b/finchladder/core/membership.py
@@ -2,80 +2,66 @@
 
 What goes in: `Report` (a whole list, or changed entries) and `heard` (nothing new, but alive), each with the
 time; `due` when `next_due` has come. What comes out: `Decided`, the differences of the believed list.
+
+- One source leads: the first that is live. It says who is there. Another takes over when it is lost.
+- Any source's word that a real server drains holds, for the start that it is about and those before.
+- Of two starts of one real server the newer counts, whoever tells of it.
+- A mass that vanishes at once, and what comes and goes too often, is not believed at once (vanishing.py).
+- What a source tells out of its order waits until it is clear what it is (sources.py).
 """
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 from math import inf
 from typing import NamedTuple
 
-from finchladder.core.api import WorkerList
-
-Address = tuple[str, int]  # host as numbers, port
-
-ANY_START = inf  # as `born` of a DRAINING entry: a notice that holds whatever start it is of
+from finchladder.core.api import ListKind, State, WorkerEntry, WorkerList
+from finchladder.core.differing import DISAGREE_S, Differing
+from finchladder.core.sources import ANY_START as ANY_START
+from finchladder.core.sources import NOTHING, Standing, Teller, Told
+from finchladder.core.sources import Address as Address
+from finchladder.core.sources import Report as Report
+from finchladder.core.sources import Source as Source
+from finchladder.core.vanishing import Flaps, Turn, Vanishing
 
-
-class Source(NamedTuple):
-    """One that tells a list, by the name that the log has for it. The first of several goes before the next.
-
-    `quiet_s`: heard nothing for so long, it is lost. A `past` source tells a list of before, once: it is
-    never alive, so that any other goes before it.
-    """
-
-    name: str
-    quiet_s: float = 3.0
-    past: bool = False
-
-
-class Report(NamedTuple):
-    """What a source tells. `workers.kind`: WHOLE (what is missing is gone) or PATCH (changed entries alone).
-
-    `version` orders what one source tells within one `epoch` (etcd: revision and cluster id; discovery: index
-    and ""). An entry may lack its address where it only says that a real server drains (its `born` is
-    ANY_START then, unless the start is known). `in_step`: nothing that was so before is still to come.
-    """
-
-    source: str
-    version: int
-    workers: WorkerList
-    addresses: dict[str, Address]
-    epoch: str = ""
-    in_step: bool = True
+SLICE = 256  # entries told to be ready that one step goes through: some 2 ms
+NAMES_TOLD = 3
 
 
 class What(Enum):
-    """What is worth a line in the log; `Fact.count` and `Fact.seconds` as said here."""
-
-    LEADS = "leads"  # `source` is followed from now on; count: entries that changed by it
-    LOST = "lost"  # nothing was heard of `source` for so long; count: entries it last told
-    BACK = "back"  # `source` is heard and in step again, after so long
-    STALE = "stale"  # a report of `source` is older than what it told before, and was dropped
-    BEHIND = "behind"  # `source` tells a whole list older than what it told before: doubted; count: versions
-    ANEW = "anew"  # the doubted list, or one of another epoch, is now that of `source`
-    HOLDING = "holding"  # so many entries (`count`) vanished within so long: they stay until a second sign
-    RELEASED = "released"  # of those so many are believed gone
-    RETURNED = "returned"  # all that were held are listed again, or gone
-    FLAPS = "flaps"  # `names` came and went too often: they stay out until they are steady
-    DISAGREE = "disagree"  # `source` says otherwise of `names` than who leads
-    AGREED = "agreed"
-    OLD = "old"  # the list in use is so old that any other is taken
-    FULL = "full"  # `source` tells more entries than are kept; count: those left out
+    """What is worth a line in the log; `Fact.number` and `Fact.seconds` as said here."""
+
+    LEADS = "leads"  # `source` is followed from now on; number: entries that it lists
+    LOST = "lost"  # nothing was heard of `source` for so long; number: entries it last told
+    BACK = "back"  # `source` is in step again, after so long
+    STALE = "stale"  # a report of `source` does not follow on what it told before, and was dropped
+    BEHIND = "behind"  # `source` tells a list that is so many versions older than its last: it is doubted
+    ANEW = "anew"  # `source` has begun anew: the doubted list, or one of another epoch, holds
+    HOLDING = "holding"  # so many entries vanished at once: they stay until a second sign
+    RELEASED = "released"  # so many of them are gone
+    RETURNED = "returned"  # of all that were held, each is listed again or gone
+    FLAPS = "flaps"  # `names` came and went too often: they must be steady first
+    DISAGREE = "disagree"  # `source`, who does not lead, says otherwise of so many entries, `names` first
+    AGREED = "agreed"  # it does no more
+    OLD = "old"  # the list in use was last told so long ago that any other is taken
+    FULL = "full"  # `source` tells so many entries more than are kept
 
 
 class Fact(NamedTuple):
     what: What
     source: str = ""
     names: tuple[str, ...] = ()  # the first few concerned
-    count: int = 0
+    number: int = 0
     seconds: float = 0.0
 
 
 class Decided(NamedTuple):
     """What has changed of the believed list: what RealServers.update takes, what is not ready first.
 
-    The first one that has entries is WHOLE (of a past source: STALE), all others are PATCH. There is nothing
-    to apply where `workers.entries` is empty.
+    The first one that has entries is WHOLE (of a list of before: STALE), all others are PATCH. There is
+    nothing to apply where `workers.entries` is empty.
     """
 
     workers: WorkerList
@@ -85,15 +71,15 @@
 
 @dataclass(frozen=True, slots=True)
 class MembershipSettings:
-    """Shares are of the believed entries; times are seconds."""
+    """Shares are of the believed entries that do not drain; times are seconds."""
 
     max_vanish: float = 0.5  # more gone at once, without having drained, is not believed; 1: always believed
     vanish_window_s: float = 10.0  # what "at once" means: leases that were cut off end over their whole time
     hold_s: float = 900.0  # held without a second sign for so long, it is believed where others are ready
     max_age_s: float = 3600.0  # beyond it a list is not started with, and protects itself no more
-    settle_s: float = 5.0  # a better source must have been alive for so long before it leads again
+    settle_s: float = 5.0  # a better source must have been live for so long before it leads again
     back_s: float = 1.5  # a source that tells older versions for so long has begun anew
-    flap_most: int = 3  # times that an entry may become ready within `flap_window_s`
+    flap_most: int = 3  # times that an entry may stop being ready within `flap_window_s`
     flap_window_s: float = 60.0
     flap_hold_s: float = 1.5  # beyond that it must have been ready for so long
 
@@ -106,3 +92,425 @@
         for name, (least, most) in bounds.items():
             if not least <= getattr(self, name) <= most:
                 raise ValueError(f"membership: {name} must be from {least:g} to {most:g}")
+
+
+class Belief(Enum):
+    """What is believed of one real server."""
+
+    ABSENT = "absent"
+    READY = "ready"
+    DRAINING = "draining"
+    HELD = "held"  # listed no more, but so many vanished with it that it stays as it was
+    DAMPED = "damped"  # told to be ready, but it came and went too often
+
+
+class Says(Enum):
+    """What the sources, taken together, say of it."""
+
+    READY = "ready"
+    FLAPS = "flaps"  # ready, and it has come and gone too often
+    DRAINING = "draining"
+    GONE = "gone"
+    MASS = "mass"  # gone, with too many others
+
+
+B = Belief
+TRANSITIONS = {
+    (B.ABSENT, Says.READY): B.READY,
+    (B.ABSENT, Says.FLAPS): B.DAMPED,
+    (B.ABSENT, Says.DRAINING): B.DRAINING,
+    (B.ABSENT, Says.GONE): B.ABSENT,
+    (B.ABSENT, Says.MASS): B.HELD,  # vanished within the window, before there were too many
+    (B.READY, Says.READY): B.READY,
+    (B.READY, Says.DRAINING): B.DRAINING,
+    (B.READY, Says.GONE): B.ABSENT,
+    (B.READY, Says.MASS): B.HELD,
+    (B.DRAINING, Says.READY): B.READY,
+    (B.DRAINING, Says.FLAPS): B.DAMPED,
+    (B.DRAINING, Says.DRAINING): B.DRAINING,
+    (B.DRAINING, Says.GONE): B.ABSENT,
+    (B.HELD, Says.READY): B.READY,
+    (B.HELD, Says.DRAINING): B.DRAINING,
+    (B.HELD, Says.GONE): B.ABSENT,
+    (B.HELD, Says.MASS): B.HELD,
+    (B.DAMPED, Says.READY): B.READY,
+    (B.DAMPED, Says.FLAPS): B.DAMPED,
+    (B.DAMPED, Says.DRAINING): B.DRAINING,
+    (B.DAMPED, Says.GONE): B.ABSENT,
+}
+STATES = {
+    B.ABSENT: State.GONE, B.READY: State.READY, B.DRAINING: State.DRAINING, B.HELD: State.READY,
+    B.DAMPED: State.DRAINING,
+}  # fmt: skip
+
+
+OUT = frozenset({B.ABSENT, B.DRAINING, B.DAMPED})  # what gets nothing new
+HEARD = frozenset({Standing.LIVE, Standing.CATCHING, Standing.BEHIND})
+
+
+class Believed:
+    """One real server of the list; `entry.state` is the sources' word, `belief` what holds."""
+
+    __slots__ = ("belief", "entry", "address")
+
+    def __init__(self, belief: Belief, entry: WorkerEntry, address: Address) -> None:
+        self.belief, self.entry, self.address = belief, entry, address
+
+    def told(self) -> tuple[WorkerEntry, Address]:
+        state = STATES[self.belief]
+        return (self.entry if self.entry.state is state else self.entry._replace(state=state)), self.address
+
+
+Shown = tuple[WorkerEntry, Address]
+
+
+class Membership:
+    """Sources best first. A change costs O(entries changed x sources), a whole list O(its entries), another
+    leader or a source that is lost or back O(entries of both lists); nothing else grows with the fleet.
+    """
+
+    def __init__(self, sources: Sequence[Source], settings: MembershipSettings) -> None:
+        self.s = settings
+        self.tellers = [Teller(source, rank) for rank, source in enumerate(sources)]
+        self.by_name = {t.source.name: t for t in self.tellers}
+        if len(self.by_name) < len(self.tellers) or not self.tellers:
+            raise ValueError("membership: sources are needed, each with a name of its own")
+        self.lead: Teller | None = None
+        self.weighing: list[Teller] = []  # whose drains hold; the leader first
+        self.others: list[Teller] = []  # who is live and does not lead
+        self.list: dict[str, Believed] = {}
+        self.counts = dict.fromkeys(Belief, 0)
+        self.vanishing = Vanishing(settings.max_vanish, settings.vanish_window_s, settings.hold_s)
+        self.flaps = Flaps(settings.flap_most, settings.flap_window_s, settings.flap_hold_s)
+        self.differing = Differing()
+        self.dropped: set[str] = set()  # sources whose reports were dropped since one was taken
+        self.lost: set[str] = set()  # sources that were live, and are lost
+        self.began = self.old = False
+        self.ready: dict[str, None] = {}  # told of as ready, and not gone through yet
+        self._before: dict[str, Shown | None] = {}  # of what the step has touched
+        self._damped: list[str] = []
+        self._facts: list[Fact] = []
+
+    # --- what goes in
+
+    def report(self, now: float, r: Report) -> Decided:
+        """KeyError: a source that was not named at the start."""
+        t = self.by_name[r.source]
+        if r.workers.kind is ListKind.STALE and r.age_s > self.s.max_age_s:
+            self._tell(What.OLD, t, seconds=r.age_s)
+            return self._step(now, t, lambda: NOTHING)
+        return self._step(now, t, lambda: t.report(now, r))
+
+    def heard(self, now: float, source: str, in_step: bool = True) -> Decided:
+        """There is nothing new, but the source is there."""
+        t = self.by_name[source]
+        return self._step(now, t, lambda: t.heard(now, in_step))
+
+    def due(self, now: float) -> Decided:
+        """What the time brings; to be called at `next_due`, and harmless at any other time."""
+        return self._step(now, None, lambda: NOTHING)
+
+    # --- what can be asked
+
+    @property
+    def up(self) -> bool:
+        """Whether there is a list; an empty one from before is none."""
+        return bool(self.list) or any(t.live for t in self.tellers)
+
+    def age_s(self, now: float) -> float:
+        """Since the list in use was last known to hold."""
+        return inf if self.lead is None else now - self.lead.good_at
+
+    @property
+    def next_due(self) -> float:
+        """The time at which `due` may change something; -inf: now, inf: at none."""
+        s, lead = self.s, self.lead
+        if self.ready:
+            return -inf
+        times = [self.vanishing.next_due(self._listed()), self.flaps.next_due(), self.differing.next_due()]
+        for t in self.tellers:
+            times.append(t.forgets_at)
+            if t.standing in HEARD:
+                times.append(t.heard_at + t.source.quiet_s)
+            if t.standing is Standing.BEHIND:
+                times.append(t.since if self.old else t.since + s.back_s)
+            if lead is not None and t.live and t.rank < lead.rank:
+                times.append(t.since + s.settle_s)
+            if t is not lead and t in self.weighing and not t.live:
+                times.append(t.good_at + s.max_age_s)
+        if lead is not None and not self.old and not any(t.live for t in self.tellers):
+            times.append(lead.good_at + s.max_age_s)
+        return min(times)
+
+    # --- a step
+
+    def _step(self, now: float, teller: Teller | None, act: Callable[[], Told]) -> Decided:
+        before = [t.standing for t in self.tellers]
+        names = self._time(now)
+        if teller is not None:
+            first, told = not teller.listed, self._heed(now, teller, act())
+            if not (first and teller.live):  # else nothing hung on its words before
+                names |= told
+        turned = [(t, was) for t, was in zip(self.tellers, before, strict=True) if t.standing is not was]
+        for t, was in turned:
+            self._note(now, t, was)
+        names |= self._choose(now)
+        for t, was in turned:  # whether its words count where they are not the leader's
+            if self.lead is not None and t is not self.lead and Standing.LIVE in (was, t.standing):
+                names |= _unlike(t, self.lead)
+        names |= self._weigh(now)
+        if self.lead is not None:
+            self._go_through(now, names, self.lead)
+        self._guard(now)
+        self._undamp(now)
+        self._differ(now)
+        return self._decided(now)
+
+    def _time(self, now: float) -> dict[str, None]:
+        names: dict[str, None] = {}
+        for t in self.tellers:
+            if t.standing is Standing.BEHIND and (self.old or now >= t.since + self.s.back_s):
+                names |= self._heed(now, t, t.anew(now))
+            if t.standing in HEARD and now >= t.heard_at + t.source.quiet_s:
+                names |= t.quiet(now).names
+            names |= t.forget(now)
+        return names
+
+    def _heed(self, now: float, t: Teller, told: Told) -> dict[str, None]:
+        if told.stale:
+            if t.source.name not in self.dropped:
+                self._tell(What.STALE, t)
+            self.dropped.add(t.source.name)
+        elif told.names:
+            self.dropped.discard(t.source.name)
+        if told.behind:
+            self._tell(What.BEHIND, t, number=told.behind)
+        if told.anew:
+            self._tell(What.ANEW, t, number=len(t.table))
+        if told.left_out:
+            self._tell(What.FULL, t, number=told.left_out)
+        return told.names
+
+    def _note(self, now: float, t: Teller, was: Standing) -> None:
+        name = t.source.name
+        if t.standing is Standing.LOST and was in (Standing.LIVE, Standing.BEHIND):
+            self.lost.add(name)
+            self._tell(What.LOST, t, number=len(t.table), seconds=now - t.heard_at)
+        elif t.live and name in self.lost:
+            self.lost.discard(name)
+            self._tell(What.BACK, t)
+
+    def _choose(self, now: float) -> dict[str, None]:
+        """Who leads, and of whom it must be judged anew if that has changed."""
+        cur = self.lead
+        live = [t for t in self.tellers if t.live]
+        if live:
+            self.old = False
+        elif cur is not None and not self.old and now >= cur.good_at + self.s.max_age_s:
+            self.old = True
+            self._tell(What.OLD, cur, seconds=now - cur.good_at)
+        if cur is not None and (cur.live or (cur.standing is Standing.BEHIND and not self.old)):
+            new = next((t for t in live if t.rank < cur.rank and now >= t.since + self.s.settle_s), cur)
+        else:
+            found = live or ([cur] if cur is not None else [t for t in self.tellers if t.listed])
+            if not found:
+                return {}
+            new = found[0]
+        if new is cur:
+            return {}
+        self.lead = new
+        self._tell(What.LEADS, new, number=len(new.table))
+        self.differing.clear()
+        if cur is None:
+            return dict.fromkeys(new.table)
+        return _unlike(cur, new) | self.vanishing.held | dict.fromkeys(self.flaps.damped)
+
+    def _weigh(self, now: float) -> dict[str, None]:
+        """Whose words count. Drains of a lost source hold until its list is too old."""
+        was, lead = self.weighing, self.lead
+        self.others = [t for t in self.tellers if t.live and t is not lead]
+        self.weighing = [lead] if lead is not None else []
+        for t in self.tellers:
+            lately = t.live or now < t.good_at + self.s.max_age_s
+            if t is not lead and t.listed and lately and not t.source.past:
+                self.weighing.append(t)
+        names: dict[str, None] = {}
+        for t in was:
+            if t not in self.weighing:
+                names |= t.drained()
+        return names
+
+    # --- one real server
+
+    def _go_through(self, now: float, names: dict[str, None], lead: Teller) -> None:
+        """What is gone or drains at once, as a mass is only seen whole; the rest in slices."""
+        for name in names:
+            word = lead.table.get(name)
+            if word is None or any(name in t.may_drain for t in self.weighing):
+                self.ready.pop(name, None)
+                self._judge(now, name, lead)
+            else:
+                self.ready[name] = None
+        for name in list(islice(self.ready, SLICE)):
+            del self.ready[name]
+            self._judge(now, name, lead)
+
+    def _judge(self, now: float, name: str, lead: Teller) -> None:
+        word = lead.table.get(name)
+        if self.others or self.differing.told or self.differing.new:
+            self.differing.see(now, name, lead, self.others)
+        if word is None or word.address is None:
+            return self._missing(now, name)
+        entry, address = word.entry, word.address
+        newest = entry.born if entry.born != ANY_START else -1.0
+        drains = max(t.drains(name) for t in self.weighing)
+        for t in self.others:
+            other = t.table.get(name)
+            if other is not None and other.address is not None and newest < other.entry.born < ANY_START:
+                entry, address, newest = other.entry, other.address, other.entry.born
+        b = self.list.get(name)
+        belief = b.belief if b is not None else Belief.ABSENT
+        if drains >= entry.born:
+            says = Says.DRAINING
+        elif belief in OUT and (belief is Belief.DAMPED or self.flaps.too_often(now, name)):
+            says = Says.FLAPS
+        else:
+            says = Says.READY
+        if entry.born == ANY_START:  # a notice, and of the real server itself nothing newer is known
+            entry = entry._replace(born=b.entry.born if b is not None else 0.0)
+        if self.vanishing.gone or self.vanishing.held:
+            self.vanishing.came_back(now, name)
+        self._set(now, name, says, entry, address)
+
+    def _missing(self, now: float, name: str) -> None:
+        """Who leads does not list it."""
+        b = self.list.get(name) or self.vanishing.gone.get(name)
+        if b is None:
+            return
+        drained = any(t.drains(name) >= b.entry.born for t in self.weighing)
+        if drained or any(name in t.left for t in self.others):
+            self.vanishing.settled(name)
+            says = Says.GONE
+        elif not isinstance(b, Believed):  # vanished before, and no second sign of it
+            return
+        elif b.belief in OUT:
+            says = Says.GONE
+        elif self.vanishing.holding:
+            self.vanishing.hold(name)
+            says = Says.MASS
+        else:
+            self.vanishing.vanished(now, name, b.entry, b.address)
+            says = Says.GONE
+        self._set(now, name, says, b.entry, b.address)
+
+    def _set(self, now: float, name: str, says: Says, entry: WorkerEntry, address: Address) -> None:
+        b = self.list.get(name)
+        if name not in self._before:
+            self._before[name] = b.told() if b is not None else None
+        old = b.belief if b is not None else Belief.ABSENT
+        new = TRANSITIONS[old, says]
+        if new is not old:
+            self.counts[old] -= 1
+            self.counts[new] += 1
+        if new is Belief.ABSENT:
+            self.list.pop(name, None)
+        elif b is None:
+            self.list[name] = Believed(new, entry, address)
+        else:
+            b.belief, b.entry, b.address = new, entry, address
+        if new is Belief.DAMPED:
+            self.flaps.damp(now, name)
+            if old is not Belief.DAMPED:
+                self._damped.append(name)
+        elif old is Belief.DAMPED:
+            self.flaps.let_go(name)
+
+    # --- all of them
+
+    def _listed(self) -> int:
+        return self.counts[Belief.READY] + self.counts[Belief.HELD] + self.counts[Belief.DAMPED]
+
+    def _guard(self, now: float) -> None:
+        back = self.vanishing.mass(now, self._listed())
+        for name, gone in back.items():
+            self._set(now, name, Says.MASS, gone.entry, gone.address)
+        if back:
+            self._tell(What.HOLDING, self.lead, list(back), len(back), self.s.vanish_window_s)
+        while (turn := self.vanishing.due(now, self._listed(), self.counts[Belief.READY])) is not None:
+            if turn is Turn.OVER:
+                self._tell(What.RETURNED, self.lead)
+                continue
+            over = [name for name in self.vanishing.held if turn is Turn.FEW or not self._elsewhere(name)]
+            for name in over:
+                b = self.list[name]
+                self.vanishing.settled(name)
+                self._set(now, name, Says.GONE, b.entry, b.address)
+            if over:
+                self._tell(What.RELEASED, self.lead, over, len(over))
+
+    def _elsewhere(self, name: str) -> bool:
+        """Whether another live source lists it."""
+        return any((w := t.table.get(name)) is not None and w.address is not None for t in self.others)
+
+    def _undamp(self, now: float) -> None:
+        if self._damped:
+            self._tell(What.FLAPS, self.lead, self._damped, len(self._damped))
+            self._damped = []
+        none_left = not self.counts[Belief.READY] and not self.counts[Belief.HELD]
+        for name in list(self.flaps.damped) if none_left else self.flaps.steady(now):
+            b = self.list[name]
+            self._set(now, name, Says.READY, b.entry, b.address)
+
+    def _differ(self, now: float) -> None:
+        if found := self.differing.due(now):
+            source, names = found
+            self._facts.append(Fact(What.DISAGREE, source, tuple(names[:NAMES_TOLD]), len(names), DISAGREE_S))
+        if self.differing.over():
+            self._tell(What.AGREED, self.lead)
+
+    def _tell(
+        self, what: What, t: Teller | None, names: Sequence[str] = (), number: int = 0, seconds: float = 0.0
+    ) -> None:
+        source = t.source.name if t is not None else ""
+        self._facts.append(Fact(what, source, tuple(names[:NAMES_TOLD]), number, seconds))
+
+    def _decided(self, now: float) -> Decided:
+        first: list[WorkerEntry] = []
+        rest: list[WorkerEntry] = []
+        addresses: dict[str, Address] = {}
+        for name, before in self._before.items():
+            b = self.list.get(name)
+            was = before[0].state if before is not None else State.GONE
+            if b is None:
+                if before is not None:
+                    first.append(before[0]._replace(state=State.GONE))
+                state = State.GONE
+            else:
+                entry, address = shown = b.told()
+                state = entry.state
+                if before is None or not _alike(before, shown):
+                    (rest if state is State.READY else first).append(entry)
+                    addresses[name] = address
+            if was is State.READY and state is not State.READY:
+                self.flaps.leaves(now, name)
+        entries = (*first, *rest)
+        kind = ListKind.PATCH
+        if entries and not self.began:
+            self.began = True
+            kind = ListKind.WHOLE if any(t.live for t in self.tellers) else ListKind.STALE
+        facts, self._facts, self._before = tuple(self._facts), [], {}
+        return Decided(WorkerList(kind, entries), addresses, facts)
+
+
+def _alike(a: Shown, b: Shown) -> bool:
+    """But for their weight, which no decision goes by."""
+    return a[0][:-1] == b[0][:-1] and a[1] == b[1]
+
+
+def _unlike(a: Teller, b: Teller) -> dict[str, None]:
+    """Names of which the two say otherwise, or remember something."""
+    names = {name: None for name, word in a.table.items() if b.table.get(name) != word}
+    names.update((name, None) for name in b.table if name not in a.table)
+    for marks in (a.left, a.kept, b.left, b.kept):
+        names.update(dict.fromkeys(marks))
+    return names
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,396 @@
+"""Membership: every small history beside an oracle, long random ones, and a table of cases for each rule."""
+
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchladder.core import api, membership, sources, vanishing
+from finchladder.core.membership import ANY_START, MembershipSettings, Source, What
+from finchladder.core.sources import Standing
+from tests.core.membership_oracle import (
+    ABC,
+    BOTH,
+    PAST,
+    SOURCES,
+    Act,
+    D,
+    G,
+    Pair,
+    R,
+    Word,
+    check_all,
+    random_history,
+)  # fmt: skip
+
+ETCD, DISCOVERY = "etcd", "discovery"
+SECOND = 2  # ticks
+
+
+def test_all_histories_of_three_actions() -> None:
+    assert check_all(3, BOTH) == 1728
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        [Act(DISCOVERY, ABC, whole=True, before=True)],
+        [Act(ETCD, ABC, whole=True, in_step=False), Act(DISCOVERY, {"a": Word(R)}, whole=True)],
+        [*BOTH, Act(ticks=10), Act(DISCOVERY)],
+        [*BOTH, Act(ETCD, {}, whole=True)],
+    ],
+)
+def test_all_histories_of_two_actions_from_other_beginnings(first: list[Act]) -> None:
+    assert check_all(2, first) == 144
+
+
+WORDS = st.builds(Word, st.sampled_from([R, R, D, G]))
+
+
+class Seen(dict[Any, Any]):
+    def __init__(self, table: dict[Any, Any]) -> None:
+        super().__init__(table)
+        self.seen: set[Any] = set()
+
+    def __getitem__(self, pair: Any) -> Any:
+        self.seen.add(pair)
+        return super().__getitem__(pair)
+
+
+def test_random_histories_that_take_every_transition(monkeypatch: pytest.MonkeyPatch) -> None:
+    tables = {module: Seen(module.TRANSITIONS) for module in (membership, sources, vanishing)}
+    for module, table in tables.items():
+        monkeypatch.setattr(module, "TRANSITIONS", table)
+
+    for seed in range(120):
+        rules, acts = random_history(Random(seed))
+        pair = Pair([*SOURCES, PAST], rules)
+        for act in acts:
+            pair.play(act)
+    assert {(module, *pair) for module, t in tables.items() for pair in t if pair not in t.seen} == set()
+
+
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(st.lists(st.dictionaries(st.sampled_from("abcdefgh"), WORDS, max_size=2), max_size=20))
+def test_one_source_that_changes_slowly_is_simply_followed(changes: list[dict[str, Word]]) -> None:
+    pair, truth = Pair([Source(DISCOVERY)], MembershipSettings()), dict[str, Word]()
+    for words in [{n: Word(R) for n in "abcdefgh"}, *changes]:
+        usable = {n: Word(w.state, 0.0) for n, w in words.items()}
+        pair.play(Act(DISCOVERY, usable, whole=not truth))
+        truth |= usable
+        pair.play(Act(ticks=12 * SECOND))
+        listed = {n: w.state for n, w in truth.items() if w.state is not G}
+        assert {n: s for n, (s, *_) in pair.told.items()} == listed
+
+
+# --- rule by rule -------------------------------------------------------------------------------------------
+
+
+class Case:
+    """Both sources have told ten ready real servers; etcd leads."""
+
+    def __init__(self, count: int = 10, **rules: Any) -> None:
+        self.pair = Pair(SOURCES, MembershipSettings(**rules))
+        self.facts: list[membership.Fact] = []
+        apply = self.pair.apply
+
+        def keep(d: membership.Decided) -> None:
+            self.facts.extend(d.facts)
+            apply(d)
+
+        self.pair.apply = keep  # type: ignore[method-assign]
+        self.all = {f"w{n}": Word(R) for n in range(count)}
+        for source in (ETCD, DISCOVERY):
+            self.tell(source, self.all, whole=True)
+
+    def tell(self, source: str, words: dict[str, Word] | None, **more: Any) -> None:
+        self.pair.play(Act(source, words, **more))
+
+    def wait(self, seconds: float, *heard: str) -> None:
+        """These sources are heard meanwhile."""
+        for _ in range(int(seconds)):
+            self.pair.play(Act(ticks=SECOND))
+            for source in heard:
+                self.pair.play(Act(source))
+        self.pair.play(Act(ticks=int(SECOND * (seconds % 1))))
+
+    def state(self, name: str) -> api.State:
+        return self.pair.told[name][0] if name in self.pair.told else G
+
+    def ready(self) -> int:
+        return sum(state is R for state, *_ in self.pair.told.values())
+
+    def lead(self) -> str:
+        assert self.pair.m.lead is not None
+        return self.pair.m.lead.source.name
+
+    def told(self) -> list[What]:
+        found = [f.what for f in self.facts]
+        self.facts.clear()
+        return found
+
+
+BORN = 5.0  # a later start
+
+
+@pytest.mark.parametrize(
+    ("lead", "other", "believed"),
+    [
+        (Word(R), Word(R), R),
+        (Word(R), Word(D), D),
+        (Word(D), Word(R), D),
+        (Word(R), Word(G), R),
+        (Word(G), Word(R), G),
+        (Word(G), Word(D), G),
+        (Word(R, BORN), Word(D), R),  # the drain was about the start before
+        (Word(D), Word(R, BORN), R),
+        (Word(R), Word(D, BORN), D),
+        (Word(R, BORN), Word(D, ANY_START, 0), D),  # a notice holds for any start
+        (Word(D, ANY_START), Word(R, BORN), D),
+        (Word(G), Word(D, ANY_START, 0), G),  # a notice alone lists nobody
+        (Word(D, ANY_START, 0), Word(R), G),
+    ],
+)
+def test_two_sources_disagree_about_one_real_server_for_a_minute(
+    lead: Word, other: Word, believed: api.State
+) -> None:
+    case = Case()
+    case.tell(ETCD, {"w0": lead})
+    case.tell(DISCOVERY, {"w0": other})
+    for _ in range(60):
+        case.wait(1, ETCD, DISCOVERY)
+        assert case.state("w0") is believed and case.ready() == 9 + (believed is R)
+        born = case.pair.told.get("w0", (G, 0.0))[1]
+        assert born == max(w.born for w in (lead, other) if w.born != ANY_START) or believed is G
+    notice = ANY_START in (lead.born, other.born)
+    wanted = [What.LEADS] + [What.DISAGREE] * (lead.state is not other.state and not notice)
+    assert case.told() == wanted  # and once only
+
+
+def test_a_drain_holds_though_its_source_is_lost_or_lists_the_real_server_no_more() -> None:
+    case = Case()
+    case.tell(DISCOVERY, {"w0": Word(D), "w1": Word(D)})
+    case.tell(DISCOVERY, {"w1": Word(G)})
+    case.wait(200, ETCD)
+    assert (case.state("w0"), case.state("w1")) == (D, D) and What.LOST in case.told()
+    case.tell(ETCD, {"w0": Word(R, BORN), "w1": Word(R, BORN)})
+    assert case.ready() == 10
+
+
+def test_drains_of_a_lost_source_end_with_the_age_of_its_list() -> None:
+    case = Case(max_age_s=60.0)
+    case.tell(DISCOVERY, {"w0": Word(D)})
+    case.wait(59, ETCD)
+    assert case.state("w0") is D
+    case.wait(1, ETCD)
+    assert case.state("w0") is R
+
+
+def test_another_leads_when_the_first_is_lost_and_gives_back_once_that_is_steady() -> None:
+    case = Case()
+    case.tell(DISCOVERY, {"w0": Word(G)})
+    case.wait(2.5, DISCOVERY)
+    assert (case.lead(), case.state("w0")) == (ETCD, R)
+    case.wait(0.5, DISCOVERY)
+    assert (case.lead(), case.state("w0")) == (DISCOVERY, G)
+    case.tell(ETCD, None)
+    case.wait(4, ETCD, DISCOVERY)
+    assert case.lead() == DISCOVERY
+    case.wait(1, ETCD, DISCOVERY)
+    assert (case.lead(), case.state("w0")) == (ETCD, R)
+    assert case.told() == [What.LEADS, What.LOST, What.LEADS, What.BACK, What.LEADS]
+
+
+def test_a_stall_that_ends_in_a_replay() -> None:
+    """The connection stands for a minute; meanwhile discovery tells drains, leavings and a restart."""
+    case = Case()
+    case.wait(10, DISCOVERY)
+    case.tell(DISCOVERY, {"w0": Word(D), "w1": Word(D), "w2": Word(D)})
+    case.tell(DISCOVERY, {"w1": Word(G), "w2": Word(R, BORN)})
+    case.wait(50, DISCOVERY)
+    for n in range(3):  # old words, one after another
+        case.tell(ETCD, {"w3": Word(D), "w1": Word(R), "w2": Word(D)}, in_step=False)
+        case.tell(ETCD, {"w3": Word(R), "w4": Word(G)}, in_step=False)
+        assert (case.state("w3"), case.state("w4"), case.state("w2"), case.ready()) == (R, R, R, 8), n
+    case.tell(ETCD, {"w4": Word(R), "w2": Word(R, BORN)})  # in step
+    case.wait(30, ETCD, DISCOVERY)
+    assert case.lead() == ETCD
+    assert [case.state(f"w{n}") for n in range(5)] == [D, D, R, R, R]
+
+
+def test_what_follows_on_nothing_is_dropped_and_told_of_once() -> None:
+    case = Case()
+    case.told()
+    for _ in range(3):
+        case.tell(ETCD, {"w0": Word(G)}, step=-1)
+    case.tell(ETCD, {"w0": Word(G)}, step=9, epoch="another")
+    assert case.ready() == 10 and case.told() == [What.STALE]
+
+
+@pytest.mark.parametrize(("epoch", "step", "at_once"), [("", -5, False), ("restored", -5, True)])
+def test_a_source_restored_from_a_backup(epoch: str, step: int, at_once: bool) -> None:
+    """The list in use stays until the new one is whole and believed; what drains holds, old or new."""
+    case = Case(count=4)
+    case.tell(ETCD, {"w0": Word(D)})
+    backup = {n: w for n, w in case.all.items() if n != "w3"} | {"w1": Word(D)}
+    case.tell(ETCD, backup, whole=True, step=step, epoch=epoch)
+    assert [case.state(f"w{n}") for n in range(4)] == [D, D, R, G if at_once else R]
+    case.wait(1.5, ETCD)
+    assert [case.state(f"w{n}") for n in range(4)] == [D, D, R, G]
+    assert case.told() == [What.LEADS] + [What.BEHIND] * (not at_once) + [What.ANEW]
+    case.tell(ETCD, {"w0": Word(R, BORN), "w1": Word(R)}, epoch=epoch)
+    assert case.ready() == 3
+
+
+def test_a_member_that_lags_answers_the_range_and_another_the_watch() -> None:
+    case = Case(count=4)
+    case.tell(ETCD, {"w0": Word(D)}, step=3)
+    case.tell(ETCD, case.all, whole=True, step=-2)
+    assert (case.state("w0"), case.pair.m.by_name[ETCD].standing) == (D, Standing.BEHIND)
+    case.tell(ETCD, {"w1": Word(D)})
+    case.tell(ETCD, {"w0": Word(D)})
+    assert (case.state("w0"), case.state("w1"), case.lead()) == (D, D, ETCD)
+    assert case.pair.m.by_name[ETCD].live and What.ANEW not in case.told()
+
+
+def test_a_mass_of_leases_that_end_is_not_believed() -> None:
+    case = Case(count=20, hold_s=10.0)
+    for n in range(20):  # one by one, within the window
+        case.tell(ETCD, {f"w{n}": Word(G)})
+        assert case.ready() >= 10
+    assert case.ready() == 20 and What.HOLDING in case.told()
+    case.tell(ETCD, {"w0": Word(D)})  # one that comes back to drain
+    case.tell(DISCOVERY, {"w1": Word(D)})
+    case.tell(DISCOVERY, {"w2": Word(G)})  # the second sign
+    assert (case.state("w0"), case.state("w1"), case.state("w2"), case.ready()) == (D, G, G, 17)
+    case.wait(60, ETCD, DISCOVERY)
+    assert case.ready() == 17
+    for n in range(3, 19):  # they come back, one after another; one does not
+        case.wait(0.5, ETCD, DISCOVERY)
+        case.tell(ETCD, {f"w{n}": Word(R)})
+        assert case.ready() == 17
+    case.wait(1, ETCD, DISCOVERY)
+    assert case.state("w19") is G and case.ready() == 16 and not case.pair.m.vanishing.holding
+
+
+@pytest.mark.parametrize(
+    ("gone", "share", "window", "believed"),
+    [
+        (5, 0.5, 10.0, True),
+        (6, 0.5, 10.0, False),
+        (4, 0.3, 10.0, False),
+        (10, 1.0, 10.0, True),
+        (6, 0.5, 1.0, True),
+    ],
+)
+def test_how_many_may_vanish(gone: int, share: float, window: float, believed: bool) -> None:
+    case = Case(max_vanish=share, vanish_window_s=window)
+    for n in range(gone):
+        case.tell(ETCD, {f"w{n}": Word(G)})
+        case.wait(0.5, ETCD, DISCOVERY)
+    assert case.ready() == (10 - gone if believed else 10)
+
+
+def test_whoever_drained_may_go_in_any_number_and_a_fleet_may_be_replaced() -> None:
+    case = Case()
+    case.tell(ETCD, {n: Word(D) for n in case.all})
+    case.tell(ETCD, {f"x{n}": Word(R) for n in range(10)}, whole=True)
+    assert case.ready() == 10 and case.state("w0") is G
+    case.tell(ETCD, {f"y{n}": Word(R) for n in range(10)}, whole=True)
+    assert case.ready() == 10 and case.state("x0") is G and What.HOLDING not in case.told()
+
+
+def test_an_empty_list_is_never_believed_but_part_of_a_fleet_is_after_a_while() -> None:
+    case = Case(hold_s=20.0)
+    case.tell(DISCOVERY, {f"w{n}": Word(G) for n in range(4)})
+    case.tell(ETCD, {}, whole=True)
+    assert case.ready() == 6  # those that both lack are gone
+    case.wait(3, ETCD)  # discovery is lost: nobody lists them
+    case.wait(100, ETCD)
+    assert case.ready() == 6
+    case.tell(ETCD, {"x": Word(R)})
+    case.wait(20, ETCD)
+    assert case.ready() == 1
+
+
+def test_an_entry_that_comes_and_goes_must_be_steady_unless_it_is_the_last() -> None:
+    case = Case(count=3)
+    for _ in range(3):
+        case.tell(ETCD, {"w0": Word(G)})
+        case.tell(ETCD, {"w0": Word(R)})
+    assert case.state("w0") is D and case.told()[-1] is What.FLAPS
+    case.wait(1, ETCD, DISCOVERY)
+    case.tell(ETCD, {"w0": Word(D)})
+    case.tell(ETCD, {"w0": Word(R)})
+    case.wait(1, ETCD, DISCOVERY)
+    assert case.state("w0") is D
+    case.wait(0.5, ETCD, DISCOVERY)
+    assert case.state("w0") is R
+    case.tell(ETCD, {"w0": Word(D)})
+    case.tell(ETCD, {"w0": Word(R), "w1": Word(D), "w2": Word(D)})
+    assert case.ready() == 1  # rather than nobody
+
+
+def test_a_list_of_before_is_used_until_a_source_lives_and_not_if_it_is_too_old() -> None:
+    for age, used in ((100.0, True), (7200.0, False)):
+        m = membership.Membership([Source(DISCOVERY), PAST], MembershipSettings())
+        entries = (api.WorkerEntry("a", R), api.WorkerEntry("b", D))
+        workers = api.WorkerList(api.ListKind.STALE, entries)
+        first = m.report(
+            50.0, membership.Report(PAST.name, 3, workers, dict.fromkeys("ab", ("h", 1)), age_s=age)
+        )
+        assert (m.up, len(first.workers.entries), m.age_s(50.0) == age) == (used, 2 * used, used)
+        told = [f.what for f in first.facts]
+        assert told == [What.LEADS if used else What.OLD]
+        whole = api.WorkerList(api.ListKind.WHOLE, (api.WorkerEntry("b", R), api.WorkerEntry("a", R)))
+        live = m.report(60.0, membership.Report(DISCOVERY, 1, whole, dict.fromkeys("ab", ("h", 1))))
+        assert {e.worker for e in live.workers.entries} == (
+            {"b"} if used else {"a", "b"}
+        )  # its drain is over
+        assert live.workers.kind is (api.ListKind.PATCH if used else api.ListKind.WHOLE)
+
+
+def test_without_any_source_the_list_stays_and_its_age_is_told() -> None:
+    case = Case(count=4, max_age_s=60.0, back_s=600.0)
+    case.wait(70)
+    assert case.ready() == 4 and case.told().count(What.OLD) == 1
+    case.tell(ETCD, {"w0": Word(R), "w1": Word(R)}, whole=True, step=-5)  # doubted no more
+    case.wait(0.5)
+    assert case.ready() == 2
+
+
+def test_a_long_list_is_gone_through_in_slices_and_ends_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(membership, "SLICE", 2)
+    m = membership.Membership([Source(DISCOVERY)], MembershipSettings())
+    entries = tuple(api.WorkerEntry(f"w{n}", D if n > 6 else R) for n in range(9))
+    where = {e.worker: ("h", 1) for e in entries}
+    told = m.report(1.0, membership.Report(DISCOVERY, 1, api.WorkerList(api.ListKind.WHOLE, entries), where))
+    names = [e.worker for e in told.workers.entries]
+    assert names == ["w7", "w8", "w0", "w1"]  # what drains comes first, all of it
+    gone = api.WorkerList(api.ListKind.PATCH, (api.WorkerEntry("w5", G),))
+    assert m.next_due < 1.0
+    for _ in range(2):
+        names += [e.worker for e in m.due(1.0).workers.entries]
+    names += [e.worker for e in m.report(1.0, membership.Report(DISCOVERY, 2, gone, {})).workers.entries]
+    assert names == ["w7", "w8", "w0", "w1", "w2", "w3", "w4", "w5", "w5", "w6"] and m.next_due > 1.0
+
+
+@pytest.mark.parametrize(("most", "left_out"), [(3, 2), (5, 0)])
+def test_more_names_than_are_kept_are_left_out(
+    most: int, left_out: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(sources, "MOST_NAMES", most)
+    m = membership.Membership([Source(DISCOVERY)], MembershipSettings())
+    workers = api.WorkerList(api.ListKind.WHOLE, tuple(api.WorkerEntry(name, R) for name in "abcde"))
+    told = m.report(1.0, membership.Report(DISCOVERY, 1, workers, dict.fromkeys("abcde", ("h", 1))))
+    assert len(told.workers.entries) == 5 - left_out
+    assert [f.number for f in told.facts if f.what is What.FULL] == [left_out] * (left_out > 0)
+
+
+@pytest.mark.parametrize("name", MembershipSettings.__dataclass_fields__)
+def test_settings_have_bounds(name: str) -> None:
+    for value in (-1, 10_000_000):
+        with pytest.raises(ValueError, match=f"membership: {name} must be from"):
+            MembershipSettings(**{name: value})
