--- a/finchladder/lab/check.py
+++ b/finchladder/lab/check.py
@@ -51,10 +51,6 @@
     return [f"n{i}" for i in range(1, e.dispatchers + 1)]
 
 
-def dispatcher_zone(e: Experiment, index: int) -> str:
-    return e.zones[index % len(e.zones)]
-
-
 class Placed(NamedTuple):
     name: str
     pool: int
@@ -262,6 +258,9 @@
 def _deployment(e: Experiment) -> Iterator[str]:
     if name := _twice(e.zones):
         yield f"zones: {name} stands there twice"
+    for zone in e.dispatcher_zones:
+        if zone not in e.zones:
+            yield f"dispatcher_zones: there is no zone {zone}; there are {', '.join(e.zones)}"
     if not e.pool and not e.program.null:
         yield "pool: there is none, and only the null target does without"
     for n, pool in enumerate(e.pool):
@@ -300,11 +299,15 @@
         else:
             most = 2 ** max(i for i, share in enumerate(c.slots) if share > 0)
             pools = _runs(e, c.kind)
+            if pools and max(p.memory for p in pools) < c.memory:
+                yield f"class.{n}.memory: jobs that take {c.memory:g} units fit no real server"
             if pools and max(p.slots or p.cores for p in pools) < most:
                 yield f"class.{n}.slots: jobs that take {most} slots fit no real server"
 
 
 def _load(e: Experiment) -> Iterator[str]:
+    if e.load.zone_shares and (len(e.load.zone_shares) != len(e.zones) or not _whole(e.load.zone_shares)):
+        yield f"load.zone_shares: one for each of the {len(e.zones)} zones, and all add up to 1"
     names = [p.name for p in e.load.phase]
     if not names:
         yield "load.phase: there is none"
