Membership on the loop: [membership] turns it on, and the last good list outlives a process

What sources tell is reported to the decision, and only what is believed is applied, in the slices of before. A file holds the last good list: written on a thread, moved into place, with checksum, version and time; one that can't be used is named and set aside. Without the section nothing of it is loaded and lists go straight to the real servers, as before.

--- a/finchladder/config/addresses.py
+++ b/finchladder/config/addresses.py
@@ -15,3 +15,8 @@
     if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"unusable port in {text!r}")
     return host, int(port)
+
+
+def show_address(address: tuple[str, int]) -> str:
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/finchladder/config/entries.py
+++ b/finchladder/config/entries.py
@@ -1,20 +1,23 @@
 """The service entries: discovery's list as JSON, one line of its watch or the last known one in a file."""
 
-from collections.abc import Generator
+from collections.abc import Generator, Iterable
 from typing import Literal, NamedTuple
 
 import msgspec
 
-from finchladder.config.addresses import parse_address
+from finchladder.config.addresses import parse_address, show_address
 from finchladder.core import api
 
-STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
+Status = Literal["ready", "draining", "gone"]
+STATES: dict[Status, api.State] = {
+    "ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE,
+}  # fmt: skip
 
 
 class ServiceEntry(msgspec.Struct):
     name: str
     address: str
-    status: Literal["ready", "draining", "gone"]
+    status: Status
     zone: str = ""
     type: str = ""
     group: int = 0
@@ -70,8 +73,13 @@
     endpoints: list[msgspec.Raw]
 
 
+class _Index(msgspec.Struct):
+    index: int
+
+
 _decoder = msgspec.json.Decoder(ServiceList)
 _long = msgspec.json.Decoder(_Long)
+_index = msgspec.json.Decoder(_Index)
 _entry = msgspec.json.Decoder(ServiceEntry)
 
 
@@ -84,6 +92,42 @@
         raise ValueError(str(e)) from None
 
 
+def read_long(line: bytes, slice_of: int, kind: api.ListKind | None = None) -> Generator[None, None, News]:
+    """As `read_list`, so many entries between two pauses."""
+    entries: list[api.WorkerEntry] = []
+    addresses: dict[str, tuple[str, int]] = {}
+    try:
+        found = _long.decode(line)
+        yield
+        for n, raw in enumerate(found.endpoints, 1):
+            e = _entry.decode(raw)
+            entries.append(e.worker())
+            if e.status != "gone":
+                addresses[e.name] = parse_address(e.address)
+            if not n % slice_of:
+                yield
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from None
+    kind = kind or (api.ListKind.WHOLE if found.snapshot else api.ListKind.PATCH)
+    return News(found.index, api.WorkerList(kind, tuple(entries)), addresses)
+
+
+def version_of(line: bytes) -> int:
+    """Of a list that was found usable."""
+    return _index.decode(line).index
+
+
+def write_list(version: int, entries: Iterable[tuple[api.WorkerEntry, tuple[str, int]]]) -> bytes:
+    """A whole list in discovery's form, which `read_list` reads."""
+    words = {state: word for word, state in STATES.items()}
+    listed = [
+        ServiceEntry(e.worker, show_address(address), words[e.state], e.zone, e.kind, e.cell, e.weight,
+                     round(e.born * 1000, 3))
+        for e, address in entries
+    ]  # fmt: skip
+    return msgspec.json.encode(ServiceList(version, True, listed))
+
+
 class EntryTable:
     """All entries as they were last told: of a long list only what differs is worth the work."""
 
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -8,7 +8,7 @@
 from configparser import ConfigParser
 from configparser import Error as IniError
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import TYPE_CHECKING, Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -16,6 +16,9 @@
 from finchladder.core import api
 from finchladder.core.overload import OverloadSettings
 
+if TYPE_CHECKING:
+    from finchladder.core.membership import MembershipSettings
+
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
 RING_TAKES = 3  # bytes for each of the ring: 1.4 measured with its objects, and as much while it is dumped
@@ -70,6 +73,23 @@
         return OverloadSettings(**msgspec.structs.asdict(self), retry_after_s=min(retry_after_s, 60.0))
 
 
+class MembershipOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    last_good: Annotated[str, Meta(min_length=1)] | None = None
+    lead: Literal["discovery", "etcd"] = "discovery"
+    max_vanish: Annotated[float, Meta(ge=0.05, le=1)] = 0.5
+    vanish_window_s: Annotated[float, Meta(ge=1, le=300)] = 10.0
+    hold_s: Annotated[float, Meta(ge=10, le=86_400)] = 900.0
+    max_age_s: Annotated[float, Meta(ge=60, le=2_592_000)] = 3600.0
+    flap_most: Annotated[int, Meta(ge=1, le=100)] = 3
+    flap_hold_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.5
+
+    def rules(self) -> "MembershipSettings":
+        from finchladder.core.membership import MembershipSettings  # which is loaded where it is on
+
+        given = msgspec.structs.asdict(self)
+        return MembershipSettings(**{k: v for k, v in given.items() if k not in ("last_good", "lead")})
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -79,6 +99,7 @@
     drill: DrillOptions | None = None
     capture: CaptureOptions | None = None
     overload: OverloadOptions | None = None
+    membership: MembershipOptions | None = None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
@@ -142,7 +163,11 @@
 def read_ini(text: str, path: str) -> Options:
     """ValueError says in one line what can't be used; `path` is named there."""
     try:
-        return options_of(ini_sections(text, path))
+        sections = ini_sections(text, path)
+        options = options_of(sections)
+        if (reason := at_odds(sections)) is not None:
+            raise ValueError(f"[membership]: {reason}")
+        return options
     except (IniError, ValueError) as e:
         raise ValueError(f"{path}: {e}") from None
 
@@ -163,6 +188,13 @@
     return msgspec.convert(found | {"door_of": classes}, Options)
 
 
+def at_odds(sections: Mapping[str, Mapping[str, object]]) -> str | None:
+    """What no section can tell by itself, of sections that can be used."""
+    if sections.get("membership", {}).get("lead") == "etcd" and "etcd" not in sections:
+        return "lead is etcd, and there is no section [etcd]"
+    return None
+
+
 def _section(name: str, values: Mapping[str, object], kind: type[T], strict: bool) -> T:
     try:
         return msgspec.convert(dict(values), kind, strict=strict)
@@ -172,5 +204,5 @@
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
-    "capture": CaptureOptions, "overload": OverloadOptions,
+    "capture": CaptureOptions, "overload": OverloadOptions, "membership": MembershipOptions,
 }  # fmt: skip
--- a/finchladder/config/routes.py
+++ b/finchladder/config/routes.py
@@ -11,7 +11,7 @@
 from finchladder.config.checker import check
 from finchladder.config.codes import Findings, Notes, Unusable, listed, shown
 from finchladder.config.levels import Resolved, build, resolve
-from finchladder.config.options import OFF, SECTIONS, Options, is_toml, options_of, read_ini
+from finchladder.config.options import OFF, SECTIONS, Options, at_odds, is_toml, options_of, read_ini
 from finchladder.config.places import Path, Place, Places, ini_places, toml_places
 from finchladder.config.tables import LEVELS, NAME, Limits, RouteTable
 from finchladder.config.values import Leaves, Said, kind_of, leaves
@@ -172,6 +172,8 @@
             reason = str(e).partition("]: ")[2]
             key = next((word for word in reason.split() if word in values), "")
             notes.add("FL123", (*name.split(".", 1), key), reason)
+    if len(notes.found) == before and (odds := at_odds(given)) is not None:
+        notes.add("FL123", ("membership", "lead"), odds)
     return options_of(given, strict=True) if len(notes.found) == before else OFF
 
 
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 from tornado.netutil import bind_sockets
@@ -20,6 +20,9 @@
 from finchladder.net.disk import CaptureFiles
 from finchladder.net.http1 import Connect, connect
 
+if TYPE_CHECKING:
+    from finchladder.net.membership import File
+
 BACKLOG, BACKLOG_PART = 1024, 1 / 4  # connections not yet accepted: at the least, and of all sockets
 
 
@@ -64,4 +67,5 @@
     allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
     files: Callable[[CaptureOptions, str, int], Disk | None] = capture_files
+    last_good: "Callable[[str], File] | None" = None  # None: a file on the machine's own disk
     aside: Callable[[Callable[[], Any]], Awaitable[Any]] = asyncio.to_thread  # what would hold up the loop
--- /dev/null
+++ b/finchladder/net/membership.py
@@ -0,0 +1,257 @@
+"""Membership on the loop: sources report here, what is decided is applied, told and kept on disk."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from functools import partial
+from math import inf
+from typing import Protocol
+
+from finchladder.config.entries import Change, News, read_list, read_long, version_of, write_list
+from finchladder.core import api
+from finchladder.core.membership import (
+    Belief,
+    Decided,
+    Fact,
+    Membership,
+    MembershipSettings,
+    Report,
+    Source,
+    What,
+)  # fmt: skip
+from finchladder.net.actor import Actor
+from finchladder.net.http1 import Connect
+from finchladder.net.service import LONG, READ_AT_ONCE, SILENCE, ServiceActor
+from finchladder.store.lastgood import LastGood, LastGoodFile
+
+DISCOVERY, LAST_GOOD = "discovery", "last good list"
+ROOM = 64
+QUIET = SILENCE + 1.0  # seconds: a watch that fell silent is begun again before its source counts as lost
+READ_WITHIN = 2.0  # seconds for the file at a start: a disk that hangs must not keep a dispatcher away
+WRITE_AFTER, WRITE_EVERY = 5.0, 60.0  # seconds from a change, and without one: then its time is renewed
+LINE_EVERY = 1.0  # seconds between two lines of the log about the same kind of fact
+
+LINES: dict[What, tuple[str, str]] = {
+    What.LEADS: ("INFO", "{f.source} leads, with {f.number} entries"),
+    What.LOST: ("WARNING", "nothing heard of {f.source} for {f.seconds:.1f} s; what it said to drain drains"),
+    What.BACK: ("INFO", "{f.source} is back"),
+    What.STALE: ("WARNING", "{f.source} told what does not follow on its list, and that is dropped"),
+    What.BEHIND: ("WARNING", "{f.source} told a list {f.number} versions older than its last, which stays"),
+    What.ANEW: ("WARNING", "{f.source} has begun anew, with {f.number} entries"),
+    What.HOLDING: ("WARNING", "{f.number} entries vanished within {f.seconds:g} s ({names}), and stay"),
+    What.RELEASED: ("WARNING", "{f.number} entries that vanished are gone ({names})"),
+    What.RETURNED: ("INFO", "what had vanished is back or gone"),
+    What.FLAPS: ("WARNING", "{f.number} entries come and go, and must be steady first ({names})"),
+    What.DISAGREE: ("WARNING", "{f.source} says otherwise of {f.number} entries ({names})"),
+    What.AGREED: ("INFO", "the sources agree again"),
+    What.OLD: ("ERROR", "the list of {f.source} is {f.seconds:.0f} s old, which is too old"),
+    What.FULL: ("ERROR", "{f.source} tells {f.number} entries more than are kept"),
+}
+
+
+class Applying(Protocol):
+    """Where the believed list goes."""
+
+    def tell(self, workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None: ...
+    def change(
+        self, entries: Sequence[api.WorkerEntry], addresses: dict[str, tuple[str, int]]
+    ) -> None: ...  # in slices
+
+
+Found = tuple[LastGood, News]
+
+
+class File(Protocol):
+    """As store.lastgood.LastGoodFile."""
+
+    def begin(self, found: Callable[[Found | None], None]) -> None: ...
+    def put(self, made: Callable[[], LastGood]) -> None: ...
+    def close(self) -> None: ...
+
+
+class MembershipActor(Actor[Report]):
+    """Sources best first. `report` and `heard` may be called at any time, on the loop."""
+
+    def __init__(
+        self, sources: Sequence[Source], rules: MembershipSettings, clock: Callable[[], float],
+        applying: Applying, at_once: int, file: File | None = None,
+    ) -> None:  # fmt: skip
+        """`at_once`: so many entries are applied in one turn of the loop."""
+        super().__init__("membership", ROOM)
+        past = [Source(LAST_GOOD, past=True)] if file is not None else []
+        self.membership = Membership([*sources, *past], rules)
+        self.clock, self.applying, self.at_once, self.file = clock, applying, at_once, file
+        self.timer: asyncio.TimerHandle | None = None
+        self.due = inf  # when it rings, in the clock's time
+        self.saving: asyncio.TimerHandle | None = None
+        self.said: dict[What, tuple[float, int]] = {}  # when last, and how many lines are kept back since
+
+    @property
+    def up(self) -> bool:
+        return self.membership.up
+
+    def receive(self, report: Report) -> None:
+        self._do(self.membership.report(self.clock(), report))
+
+    def report(self, report: Report) -> None:
+        self.post(report)
+
+    def heard(self, source: str, in_step: bool = True) -> None:
+        self._do(self.membership.heard(self.clock(), source, in_step))
+
+    def _ring(self) -> None:
+        self.due, self.timer = inf, None
+        self._do(self.membership.due(self.clock()))
+
+    def _do(self, decided: Decided) -> None:
+        for fact in decided.facts:
+            self._say(fact)
+        entries = decided.workers.entries
+        if len(entries) > self.at_once:
+            self.applying.change(entries, decided.addresses)
+        elif entries:
+            self.applying.tell(decided.workers, decided.addresses)
+        if entries and self.file is not None:
+            self._save_after(WRITE_AFTER)
+        due = self.membership.next_due
+        if due < self.due:  # one that rings too early does no harm
+            if self.timer is not None:
+                self.timer.cancel()
+            wait = max(0.0, due - self.clock())
+            self.due, self.timer = due, asyncio.get_running_loop().call_later(wait, self._ring)
+
+    def _say(self, f: Fact) -> None:
+        now = self.clock()
+        last, kept_back = self.said.get(f.what, (-inf, 0))
+        if now < last + LINE_EVERY:
+            self.said[f.what] = last, kept_back + 1
+            return
+        self.said[f.what] = now, 0
+        level, text = LINES[f.what]
+        more = ", .." if f.number > len(f.names) else ""
+        line = text.format(f=f, names=", ".join(f.names) + more)
+        self.log.log(level, "membership: {}{}", line, f" (and {kept_back} such lines)" if kept_back else "")
+
+    # --- the list on disk
+
+    async def begin(self, known: bytes) -> bytes:
+        """Takes the last good list where it is the better one; returns `known` where that is still needed."""
+        if self.file is None:
+            return known
+        loop = asyncio.get_running_loop()
+        read: asyncio.Future[Found | None] = loop.create_future()
+
+        def done(found: Found | None) -> None:
+            if not read.done():
+                read.set_result(found)
+
+        def tell(found: Found | None) -> None:
+            with suppress(RuntimeError):  # the loop has ended meanwhile
+                loop.call_soon_threadsafe(done, found)
+
+        self.file.begin(tell)
+        try:
+            async with asyncio.timeout(READ_WITHIN):
+                found = await read
+        except TimeoutError:
+            self.log.error("membership: the last good list can't be read within {:g} s", READ_WITHIN)
+            return known
+        if found is not None:
+            self._take(*found, version_of(known) if known else -1)
+        return b"" if self.membership.up else known
+
+    def _take(self, good: LastGood, news: News, known_version: int) -> None:
+        if good.source == DISCOVERY and good.version < known_version:
+            return
+        age = max(0.0, self.clock() - good.time_s)
+        self.report(Report(LAST_GOOD, good.version, news.workers, news.addresses, age_s=age))
+        if self.membership.up:
+            text = "membership: started with the last good list, of {}, {} entries, {:.0f} s old"
+            self.log.warning(text, good.source, len(news.workers.entries), age)
+
+    def _save_after(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        if self.saving is None or self.saving.when() > loop.time() + seconds:
+            if self.saving is not None:
+                self.saving.cancel()
+            self.saving = loop.call_later(seconds, self._save)
+
+    def _save(self) -> None:
+        self.saving = None
+        self._put()
+        self._save_after(WRITE_EVERY)
+
+    def _put(self) -> None:
+        lead = self.membership.lead
+        if self.file is None or lead is None or not lead.live:
+            return  # what is there is no better than the file
+        drains = api.State.DRAINING
+        listed = [
+            (b.entry._replace(state=drains) if b.belief is Belief.DRAINING else b.entry, b.address)
+            for b in self.membership.list.values()
+        ]
+        self.file.put(partial(_last_good, lead.source.name, lead.version, lead.good_at, listed))
+
+    def close(self) -> None:
+        """The list of now is the last thing that is written."""
+        for timer in (self.timer, self.saving):
+            if timer is not None:
+                timer.cancel()
+        if self.file is not None:
+            self._put()
+            self.file.close()
+
+
+def _last_good(
+    source: str, version: int, time_s: float, listed: list[tuple[api.WorkerEntry, tuple[str, int]]]
+) -> LastGood:
+    return LastGood(source, version, time_s, write_list(version, listed))
+
+
+async def read_in_slices(line: bytes, kind: api.ListKind | None = None) -> News:
+    """ValueError: it can't be used."""
+    if len(line) <= LONG:
+        return read_list(line, kind)
+    reading = read_long(line, READ_AT_ONCE, kind)
+    while True:
+        try:
+            next(reading)
+        except StopIteration as over:
+            news: News = over.value
+            return news
+        await asyncio.sleep(0)
+
+
+class Through:
+    """The slices of an actor that watches nothing."""
+
+    def __init__(self, actor: ServiceActor) -> None:
+        self.actor = actor
+
+    def tell(self, workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
+        self.actor.post(News(0, workers, addresses))
+
+    def change(self, entries: Sequence[api.WorkerEntry], addresses: dict[str, tuple[str, int]]) -> None:
+        self.actor._changed(Change(0, list(entries), addresses), known=False)
+
+
+class DiscoverySource(ServiceActor):
+    """Discovery's watch as one source of several: its lists are reported, not applied."""
+
+    def __init__(self, address: tuple[str, int], members: MembershipActor, connect: Connect) -> None:
+        super().__init__(address, lambda workers, addresses: None, lambda names: None, connect)
+        self.members = members
+
+    def receive(self, news: News) -> None:
+        self.members.report(Report(DISCOVERY, news.version, news.workers, news.addresses))
+        self.index = news.version
+
+    async def take(self, line: bytes, known: bool = False) -> None:
+        self.post(await read_in_slices(line, api.ListKind.STALE if known else None))
+
+    def heard(self) -> None:
+        self.members.heard(DISCOVERY)
+
+
+def last_good_file(path: str) -> LastGoodFile[News]:
+    return LastGoodFile(path, partial(read_list, kind=api.ListKind.STALE))
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from finchladder.config.options import Options
+from finchladder.config.options import MembershipOptions, Options
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
@@ -30,11 +30,12 @@
 from finchladder.net.recorder import Recorder
 from finchladder.net.reload import Reload, count
 from finchladder.net.servers import RealServers
-from finchladder.net.service import ServiceActor
+from finchladder.net.service import APPLY_AT_ONCE, ServiceActor
 from finchladder.net.timers import Timers
 
 if TYPE_CHECKING:
     from finchladder.config.routes import Loaded
+    from finchladder.net.membership import MembershipActor
 
 
 class OperatorFile(NamedTuple):
@@ -80,6 +81,9 @@
         self.service = ServiceActor(
             setup.discovery, self.servers.update, self.servers.retire, machine.connect
         )
+        self.members: MembershipActor | None = None
+        if options.membership is not None:
+            self._believe(options.membership)
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         self.reload: Reload | None = None
@@ -92,10 +96,24 @@
             limits = options.overload.limits(setup.settings.max_retry_after)
             most, cores = int(EDGE * sockets), setup.limits.cores
             self.gate = Gate(setup.settings.classes, limits, seed, most, self.timers, cores, machine.cpu)
-        front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back, self.gate)
+        lists = self.members or self.service
+        front = Front(self.intake, controls, lambda: lists.up, self.servers.called_back, self.gate)
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
 
+    def _believe(self, options: MembershipOptions) -> None:
+        """Lists are believed by the rules of membership, and no more as they come."""
+        # only a dispatcher that is to do so loads them
+        from finchladder.core.membership import Source
+        from finchladder.net import membership
+
+        make, file = self.machine.last_good or membership.last_good_file, options.last_good
+        self.members = membership.MembershipActor(
+            [Source(membership.DISCOVERY, membership.QUIET)], options.rules(), self.clock,
+            membership.Through(self.service), APPLY_AT_ONCE, make(file) if file is not None else None,
+        )  # fmt: skip
+        self.service = membership.DiscoverySource(self.setup.discovery, self.members, self.machine.connect)
+
     async def serve(self) -> None:
         """Until SIGTERM or SIGINT, and then until all that was taken is answered."""
         setup, loop, left = self.setup, asyncio.get_running_loop(), asyncio.Event()
@@ -107,7 +125,8 @@
         self.servers.start()
         if self.gate is not None:
             self.gate.start()
-        self.service.start(setup.known)
+        known = setup.known if self.members is None else await self.members.begin(setup.known)
+        self.service.start(known)
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
@@ -117,6 +136,8 @@
         await left.wait()
         logger.info("{}: leaving", setup.name)
         await self.clients.leave()
+        if self.members is not None:
+            self.members.close()
         if self.files is not None:
             self.files.close()
         logger.info("{}: left", setup.name)
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -159,6 +159,8 @@
                 for line in lines.feed(channel.parser.take_piece()):
                     if line:
                         await self.take(line)
+                    else:
+                        self.heard()
                 if channel.parser.body is None or channel.parser.body.done:
                     return
                 async with asyncio.timeout(SILENCE):
@@ -167,5 +169,8 @@
             if channel is not None:
                 channel.close()
 
+    def heard(self) -> None:
+        """There is nothing new."""
+
     def _host(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
--- /dev/null
+++ b/finchladder/store/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives a process."""
--- /dev/null
+++ b/finchladder/store/lastgood.py
@@ -0,0 +1,180 @@
+"""The last good list: one file that a dispatcher can start with while every source is away.
+
+A line of JSON about it (what it is, source, version, time, size, checksum), then the list. It is written
+beside its place and moved there, so it is whole or as it was. One that can't be used, or is none of this
+program's, is moved aside and named.
+"""
+
+import hashlib
+import os
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Generic, Literal, NamedTuple, TypeVar
+
+import msgspec
+from loguru import logger
+
+T = TypeVar("T")
+
+MOST_BYTES = 16 * 1024 * 1024  # some 100,000 entries
+HEAD_BYTES = 1024
+LAST_WORDS = 1.0  # seconds at the end for what is not yet written
+ASIDE = ".set-aside"
+
+
+class Head(msgspec.Struct, forbid_unknown_fields=True):
+    what: Literal["finchladder last good list"]
+    format: Literal[1]
+    source: str
+    version: int
+    time_s: float  # Unix time at which the list was known to hold
+    size: int
+    sha256: str
+
+
+class LastGood(NamedTuple):
+    source: str  # whose version it is
+    version: int
+    time_s: float
+    body: bytes
+
+
+class Unusable(ValueError):
+    """There is a file, and it can't be used; the message says why."""
+
+
+def encode(found: LastGood) -> bytes:
+    head = Head("finchladder last good list", 1, found.source, found.version, found.time_s,
+                len(found.body), hashlib.sha256(found.body).hexdigest())  # fmt: skip
+    return msgspec.json.encode(head) + b"\n" + found.body
+
+
+def decode(data: bytes) -> LastGood:
+    """Raises Unusable; nothing of a file that is not whole is used."""
+    line, _, body = data.partition(b"\n")
+    try:
+        head = msgspec.json.decode(line[:HEAD_BYTES], type=Head)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        raise Unusable("it is no list of this program") from None
+    if len(body) != head.size:
+        raise Unusable(f"it has {len(body)} bytes of a list of {head.size}")
+    if hashlib.sha256(body).hexdigest() != head.sha256:
+        raise Unusable("its checksum is wrong")
+    return LastGood(head.source, head.version, head.time_s, body)
+
+
+def read(path: Path) -> LastGood | None:
+    """None: there is none. Raises Unusable, and OSError where it can't be read."""
+    try:
+        with path.open("rb") as file:
+            data = file.read(MOST_BYTES + HEAD_BYTES + 1)
+    except FileNotFoundError:
+        return None
+    if len(data) > MOST_BYTES + HEAD_BYTES:
+        raise Unusable(f"it is larger than {MOST_BYTES} bytes")
+    return decode(data)
+
+
+def set_aside(path: Path) -> Path:
+    """Out of the way of the next one; what was set aside before is overwritten. Raises OSError."""
+    to = path.with_name(path.name + ASIDE)
+    os.replace(path, to)
+    return to
+
+
+def write(path: Path, found: LastGood) -> None:
+    """Raises OSError, and ValueError for one that is too large; the file is as it was then."""
+    if len(found.body) > MOST_BYTES:
+        raise ValueError(f"the list has {len(found.body)} bytes, and {MOST_BYTES} is the most")
+    path.parent.mkdir(parents=True, exist_ok=True)
+    new = path.with_name(path.name + ".new")
+    try:
+        with new.open("wb") as file:
+            file.write(encode(found))
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(new, path)
+    except OSError:
+        with suppress(OSError):
+            new.unlink()
+        raise
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)  # the move itself must outlive a power cut
+    finally:
+        os.close(folder)
+
+
+class LastGoodFile(threading.Thread, Generic[T]):
+    """Reads the file once, then writes what it was handed last, all on this thread: nobody may have to wait
+    for a disk that hangs. What comes while it writes takes the place of what still waits: one list at most.
+    """
+
+    def __init__(self, path: str, parse: Callable[[bytes], T]) -> None:
+        """`parse` raises ValueError for a body that can't be used."""
+        super().__init__(name="last good list", daemon=True)
+        self.path, self.parse = Path(path), parse
+        self.found: Callable[[tuple[LastGood, T] | None], None] = lambda found: None
+        self.wake, self.lock, self.closing = threading.Event(), threading.Lock(), False
+        self.waiting: Callable[[], LastGood] | None = None
+        self.told = False  # a failing disk is told of once, until it works again
+
+    def begin(self, found: Callable[[tuple[LastGood, T] | None], None]) -> None:
+        """`found` is called on the thread, with None where there is no file that can be used."""
+        self.found = found
+        self.start()
+
+    def put(self, made: Callable[[], LastGood]) -> None:
+        """`made` is called on the thread: it must not look at what the loop changes."""
+        with self.lock:
+            self.waiting = made
+        self.wake.set()
+
+    def close(self) -> None:
+        with self.lock:
+            self.closing = True
+        self.wake.set()
+        if self.is_alive():
+            self.join(LAST_WORDS)
+
+    def run(self) -> None:
+        self.found(self._read())
+        while True:
+            self.wake.wait()
+            with self.lock:
+                self.wake.clear()
+                made, self.waiting = self.waiting, None
+                closing = self.closing
+            if made is not None:
+                self._write(made)
+            if closing:
+                return
+
+    def _read(self) -> tuple[LastGood, T] | None:
+        try:
+            found = read(self.path)
+            return (found, self.parse(found.body)) if found is not None else None
+        except OSError as e:
+            logger.error("last good list: {} can't be read: {}", self.path, e.strerror)
+        except ValueError as e:
+            try:
+                logger.error("last good list: {}: {}; it is now {}", self.path, e, set_aside(self.path))
+            except OSError as error:
+                text = "last good list: {}: {}; it can't be set aside: {}"
+                logger.error(text, self.path, e, error.strerror)
+        return None
+
+    def _write(self, made: Callable[[], LastGood]) -> None:
+        try:
+            write(self.path, made())
+        except (OSError, ValueError) as e:
+            if not self.told:
+                self.told = True
+                why = getattr(e, "strerror", None) or e
+                logger.error("last good list: {} can't be written: {}", self.path, why)
+            return
+        if self.told:
+            self.told = False
+            logger.info("last good list: {} can be written again", self.path)
--- /dev/null
+++ b/tests/test_believing.py
@@ -0,0 +1,265 @@
+"""Membership around its decision: the last good list on disk, the actor, and the program as it is started."""
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loguru import logger
+
+from finchladder.config.entries import News, read_list, read_long, write_list
+from finchladder.core import api
+from finchladder.core.membership import MembershipSettings, Report, Source
+from finchladder.net.membership import Found, MembershipActor, last_good_file
+from finchladder.store import lastgood
+from finchladder.store.lastgood import LastGood, LastGoodFile
+from tests.peers import HEALTH, RealServer, exchange, list_line, node, run
+
+R, D, G = api.State.READY, api.State.DRAINING, api.State.GONE
+Entries = list[tuple[api.WorkerEntry, tuple[str, int]]]
+LISTED: Entries = [
+    (api.WorkerEntry("a", R, "z", "k", 3, 1796122054.884, 2.0), ("127.0.0.1", 80)),
+    (api.WorkerEntry("b", D), ("::1", 81)),
+]
+GOOD = LastGood("etcd", 7, 1796122054.5, write_list(7, LISTED))
+
+
+def test_a_written_list_is_read_as_it_was() -> None:
+    news = read_list(GOOD.body)
+    assert news.workers == api.WorkerList(api.ListKind.WHOLE, tuple(e for e, _ in LISTED))
+    assert news.addresses == {e.worker: address for e, address in LISTED}
+    assert list(read_long(GOOD.body, 1)) == [None] * 3
+    with pytest.raises(ValueError, match="asleep"):
+        list(read_long(GOOD.body.replace(b"draining", b"asleep"), 1))
+
+
+def log_of(work: Callable[[], Any]) -> tuple[Any, str]:
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    try:
+        return work(), "".join(lines)
+    finally:
+        logger.remove(sink)
+
+
+def read(path: Path) -> tuple[Found | None, str]:
+    """As the thread does it."""
+    found: tuple[Found | None, str] = log_of(last_good_file(str(path))._read)
+    return found
+
+
+def test_a_list_is_written_whole_and_read_back(tmp_path: Path) -> None:
+    path = tmp_path / "new" / "last"
+    assert read(path) == (None, "")
+    lastgood.write(path, GOOD)
+    lastgood.write(path, GOOD._replace(version=8))
+    found, said = read(path)
+    assert found is not None and (found[0].version, said) == (8, "")
+    assert len(found[1].workers.entries) == 2 and found[1].workers.kind is api.ListKind.STALE
+    assert os.listdir(path.parent) == ["last"]
+
+
+WHOLE = lastgood.encode(GOOD)
+HEAD, _, BODY = WHOLE.partition(b"\n")
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"", "no list of this program"),
+        (b"127.0.0.1 localhost\n", "no list of this program"),
+        (HEAD.replace(b'"format":1', b'"format":2') + b"\n" + BODY, "no list of this program"),
+        (b"\xff" + WHOLE, "no list of this program"),
+        (HEAD, "0 bytes of a list of"),
+        (WHOLE[:-9], "bytes of a list of"),
+        (WHOLE + b"{}", "bytes of a list of"),
+        (WHOLE.replace(b'"a"', b'"c"'), "checksum is wrong"),
+        (lastgood.encode(GOOD._replace(body=b'{"index":1}')), "missing required field"),
+        (b" " * (lastgood.MOST_BYTES + 2000), "larger than"),
+    ],
+    ids=range(10),
+)
+def test_a_broken_or_foreign_file_is_named_and_set_aside(data: bytes, why: str, tmp_path: Path) -> None:
+    path = tmp_path / "last"
+    path.write_bytes(data)
+    found, said = read(path)
+    assert found is None and why in said and f"{path}: " in said and f"it is now {path}.set-aside" in said
+    assert os.listdir(tmp_path) == ["last.set-aside"] and (tmp_path / "last.set-aside").read_bytes() == data
+
+
+def test_a_failing_disk_is_told_of_once_and_leaves_the_file_as_it_was(tmp_path: Path) -> None:
+    path = tmp_path / "last"
+    file: LastGoodFile[News] = last_good_file(str(path))
+    file._write(lambda: GOOD)
+    (tmp_path / "last.new").mkdir()  # it can't be written beside its place
+    said = log_of(lambda: file._write(lambda: GOOD._replace(version=9)))[1]
+    said += log_of(lambda: file._write(lambda: GOOD._replace(version=9)))[1]
+    assert said.count("can't be written") == 1 and lastgood.decode(path.read_bytes()).version == 7
+    (tmp_path / "last.new").rmdir()
+    too_large = GOOD._replace(body=b" " * (lastgood.MOST_BYTES + 1))
+    said = log_of(lambda: file._write(lambda: GOOD))[1] + log_of(lambda: file._write(lambda: too_large))[1]
+    assert "can be written again" in said and "16777216 is the most" in said
+    assert lastgood.decode(path.read_bytes()).version == 7
+
+
+def test_the_thread_reads_first_and_writes_the_newest_before_it_ends(tmp_path: Path) -> None:
+    path, found = tmp_path / "last", list[Found | None]()
+    file = last_good_file(str(path))
+    for n in range(5):
+        file.put(lambda n=n: GOOD._replace(version=n))  # type: ignore[misc]
+    file.begin(found.append)
+    file.close()
+    assert found == [None] and lastgood.decode(path.read_bytes()).version == 4
+
+
+# --- the actor ----------------------------------------------------------------------------------------------
+
+
+class Applied:
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, int]] = []
+        self.states: dict[str, api.State] = {}
+
+    def tell(self, workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
+        self._keep("tell", workers.entries)
+
+    def change(self, entries: Any, addresses: dict[str, tuple[str, int]]) -> None:
+        self._keep("change", entries)
+
+    def _keep(self, how: str, entries: Any) -> None:
+        self.calls.append((how, len(entries)))
+        self.states |= {e.worker: e.state for e in entries}
+
+
+class Disk:
+    """Holds one list, and is as slow as it is told."""
+
+    def __init__(self, good: LastGood | None, answers: bool = True) -> None:
+        self.good, self.answers = good, answers
+
+    def begin(self, found: Callable[[Found | None], None]) -> None:
+        if self.answers:
+            found((self.good, read_list(self.good.body, api.ListKind.STALE)) if self.good else None)
+
+    def put(self, made: Callable[[], LastGood]) -> None:
+        self.good = made()
+
+    def close(self) -> None:
+        pass
+
+
+def whole(names: dict[str, api.State], version: int = 5) -> Report:
+    entries = tuple(api.WorkerEntry(name, state) for name, state in names.items())
+    workers = api.WorkerList(api.ListKind.WHOLE, entries)
+    return Report("discovery", version, workers, dict.fromkeys(names, ("127.0.0.1", 80)))
+
+
+def test_a_long_list_comes_in_slices_and_time_is_kept() -> None:
+    async def play() -> None:
+        applied, now = Applied(), [100.0]
+        sources = [Source("discovery", 0.0), Source("etcd", 60.0)]
+        actor = MembershipActor(sources, MembershipSettings(), lambda: now[0], applied, 16)
+        actor.heard("etcd")
+        actor.report(whole({f"w{n}": D if n < 9 else R for n in range(600)}))
+        assert actor.up and applied.calls == [("change", 9 + 256)]
+        while len(applied.states) < 600:
+            await asyncio.sleep(0.001)
+        assert not actor.membership.tellers[0].live  # its time was up as it was told
+        actor.report(whole({"w0": R}, 6))
+        assert applied.calls[-1] == ("tell", 9) and applied.states["w0"] is R
+        actor.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("source", "version", "age", "known", "answers", "used"),
+    [
+        ("discovery", 7, 60.0, 6, True, True),
+        ("discovery", 7, 60.0, 8, True, False),  # what the configuration knows is newer
+        ("etcd", 7, 60.0, 8, True, True),  # no such order between the two
+        ("etcd", 7, 7200.0, 8, True, False),
+        ("etcd", 7, 60.0, None, False, False),  # the disk hangs
+    ],
+)
+def test_which_list_a_start_begins_with(
+    source: str, version: int, age: float, known: int | None, answers: bool, used: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:  # fmt: skip
+    monkeypatch.setattr("finchladder.net.membership.READ_WITHIN", 0.02)
+
+    async def play() -> None:
+        good = LastGood(source, version, 1000.0 - age, GOOD.body)
+        applied, disk = Applied(), Disk(good, answers)
+        rules = MembershipSettings()
+        actor = MembershipActor([Source("discovery")], rules, lambda: 1000.0, applied, 16, disk)
+        line = list_line(known, [], True) if known is not None else b""
+        assert await actor.begin(line) == (b"" if used else line)
+        assert applied.states == ({"a": R, "b": D} if used else {})
+        actor.close()
+        assert disk.good == good  # a list of before is not written again, as if it were of now
+        actor.report(whole({"a": R, "c": D}))
+        actor.close()
+        assert disk.good is not None and (disk.good.source, disk.good.time_s) == ("discovery", 1000.0)
+        assert {e.worker: e.state for e in read_list(disk.good.body).workers.entries} == {"a": R, "c": D}
+
+    asyncio.run(play())
+
+
+def test_lines_of_one_kind_are_not_told_more_than_once_a_second() -> None:
+    async def play() -> None:
+        now = [100.0]
+        actor = MembershipActor([Source("discovery")], MembershipSettings(), lambda: now[0], Applied(), 16)
+        for n in range(30):
+            actor.report(whole({"a": R}, 10 - 10 * (n % 2)))
+            now[0] += 0.5 + 1.5 * (n % 2)
+        actor.close()
+
+    _, said = log_of(lambda: asyncio.run(play()))
+    assert said.count("older than its last") == 15
+    _, said = log_of(lambda: asyncio.run(many()))
+    assert said.count("does not follow") == 2 and "(and 8 such lines)" in said
+
+
+async def many() -> None:
+    now = [100.0]
+    actor = MembershipActor([Source("discovery")], MembershipSettings(), lambda: now[0], Applied(), 16)
+    patch = api.WorkerList(api.ListKind.PATCH, (api.WorkerEntry("a", D),))
+    for n in range(10):
+        actor.report(whole({"a": R, f"b{n}": R}, 10 + n))
+        now[0] += 1.0 * (n == 9)
+        actor.report(Report("discovery", 1, patch, {}))
+    actor.close()
+
+
+# --- the program --------------------------------------------------------------------------------------------
+
+
+def test_a_dispatcher_keeps_its_list_and_starts_with_it(tmp_path: Path) -> None:
+    ini = f"[membership]\nlast_good = {tmp_path / 'last'}\n"
+
+    async def play() -> None:
+        one, two = RealServer("w1"), RealServer("w2")
+        async with node(tmp_path, one, two, ini=ini) as n:
+            n.discovery.push(list_line(4, [two.entry("draining")]))
+            while (await n.ask(os.urandom(8).hex())).body.startswith(b"w2"):
+                await asyncio.sleep(0.02)
+            n.discovery.push(list_line(5, [], True))  # everything vanishes: that is not believed
+            await asyncio.sleep(0.2)
+            assert [(await n.ask(f"a{i}", f"/s/k{i}")).body for i in range(4)] == [
+                f"w1 ran a{i}".encode() for i in range(4)
+            ]
+            n.process.send_signal(signal.SIGTERM)
+            assert await n.process.wait() == 0
+        log = (tmp_path / "log").read_text()
+        assert "membership: 1 entries vanished within 10 s (w1), and stay" in log
+        assert lastgood.decode((tmp_path / "last").read_bytes())[:2] == ("discovery", 5)
+        async with node(tmp_path, one, ini=ini, known=None) as n:  # known to nobody but the file
+            assert (await exchange(n.port, HEALTH)).status == 200
+            assert (await n.ask("b1")).body == b"w1 ran b1"
+        assert "started with the last good list, of discovery, 1 entries" in (tmp_path / "log").read_text()
+
+    run(play())
