--- a/finchladder/lab/wire.py
+++ b/finchladder/lab/wire.py
@@ -46,7 +46,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.out.body += body
-        if len(self.out.body) > MOST_BODY:
+        if len(self.out.body) > self.out.most_body:
             raise WireError("body too long")
 
     def on_message_complete(self) -> None:
@@ -56,7 +56,8 @@
 class Parser:
     """Feed it; it returns the messages that became whole. `begun`: some of a message has come."""
 
-    def __init__(self, responses: bool) -> None:
+    def __init__(self, responses: bool, most_body: int = MOST_BODY) -> None:
+        self.most_body = most_body
         calls = _Callbacks(self)
         self.raw: httptools.HttpResponseParser | httptools.HttpRequestParser = (
             httptools.HttpResponseParser(calls) if responses else httptools.HttpRequestParser(calls)
