--- a/finchladder/config/addresses.py
+++ b/finchladder/config/addresses.py
@@ -1,6 +1,30 @@
 """Addresses as they stand in configurations and lists."""
 
+import re
 import socket
+from typing import NamedTuple
+
+_URL = re.compile(r"(https?)://(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._-]+)(?::([0-9]{1,5}))?/?", re.ASCII)
+
+
+class Endpoint(NamedTuple):
+    """Where a service of another's is asked, by name or number."""
+
+    tls: bool
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"http{'s' if self.tls else ''}://{host}:{self.port}"
+
+
+def parse_url(text: str, port: int) -> Endpoint:
+    """`http://host:port` or https; `port`: where it names none."""
+    m = _URL.fullmatch(text)
+    if m is None or not 0 < int(m[3] or port) < 65536:
+        raise ValueError(f"unusable URL {text!r}: it must be as http://127.0.0.1:{port}")
+    return Endpoint(m[1] == "https", m[2].strip("[]"), int(m[3] or port))
 
 
 def parse_address(text: str) -> tuple[str, int]:
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -8,20 +8,22 @@
 from configparser import ConfigParser
 from configparser import Error as IniError
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta
 
+from finchladder.config.addresses import Endpoint, parse_url
 from finchladder.core import api
 from finchladder.core.overload import OverloadSettings
 
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
 RING_TAKES = 3  # bytes for each of the ring: 1.4 measured with its objects, and as much while it is dumped
+ETCD_PORT = 2379
 PART = 4  # all features together may take 1/4 of the memory; the room for bodies gives way to them
 
-T = TypeVar("T")
+Part = TypeVar("Part", bound=msgspec.Struct)
 Rate = Annotated[float, Meta(gt=0, le=10_000)]
 Count = Annotated[int, Meta(ge=1)]
 
@@ -70,6 +72,37 @@
         return OverloadSettings(**msgspec.structs.asdict(self), retry_after_s=min(retry_after_s, 60.0))
 
 
+Named = Annotated[str, Meta(min_length=1, max_length=4096)]
+
+
+class EtcdOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Files are PEM; of a password file the first line counts."""
+
+    endpoints: Annotated[list[Annotated[str, Meta(max_length=300)]], Meta(min_length=1, max_length=16)] = (
+        msgspec.field(default_factory=lambda: ["http://127.0.0.1:2379"])
+    )
+    prefix: Annotated[str, Meta(pattern=r"\A(/[A-Za-z0-9._-]+){1,16}\Z", max_length=256)] = "/finchladder"
+    user: Named | None = None
+    password_file: Named | None = None
+    ca_file: Named | None = None
+    cert_file: Named | None = None
+    key_file: Named | None = None
+
+    def __post_init__(self) -> None:
+        found = self.addresses()
+        if len(set(found)) < len(found):
+            raise ValueError("endpoints names one twice")
+        if (self.user is None) != (self.password_file is None):
+            raise ValueError("user and password_file are needed together")
+        if (self.cert_file is None) != (self.key_file is None):
+            raise ValueError("cert_file and key_file are needed together")
+        if (self.ca_file or self.cert_file) and not all(e.tls for e in found):
+            raise ValueError("ca_file and cert_file are for endpoints that begin with https:// alone")
+
+    def addresses(self) -> list[Endpoint]:
+        return [parse_url(url, ETCD_PORT) for url in self.endpoints]
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -79,6 +112,7 @@
     drill: DrillOptions | None = None
     capture: CaptureOptions | None = None
     overload: OverloadOptions | None = None
+    etcd: EtcdOptions | None = None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
@@ -163,14 +197,23 @@
     return msgspec.convert(found | {"door_of": classes}, Options)
 
 
-def _section(name: str, values: Mapping[str, object], kind: type[T], strict: bool) -> T:
+def _section(name: str, values: Mapping[str, object], kind: type[Part], strict: bool) -> Part:
     try:
-        return msgspec.convert(dict(values), kind, strict=strict)
+        return msgspec.convert(dict(values) if strict else from_text(kind, values), kind, strict=strict)
     except msgspec.ValidationError as e:
         raise ValueError(f"[{name}]: {e}") from None
 
 
+def from_text(kind: type[msgspec.Struct], values: Mapping[str, object]) -> dict[str, Any]:
+    """A setting that is a list stands in an INI file as text, with commas between."""
+    lists = {f.name for f in msgspec.structs.fields(kind) if "list[" in str(f.type)}
+    return {
+        name: [one.strip() for one in value.split(",")] if name in lists and isinstance(value, str) else value
+        for name, value in values.items()
+    }
+
+
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
-    "capture": CaptureOptions, "overload": OverloadOptions,
+    "capture": CaptureOptions, "overload": OverloadOptions, "etcd": EtcdOptions,
 }  # fmt: skip
--- a/finchladder/config/render.py
+++ b/finchladder/config/render.py
@@ -7,7 +7,7 @@
 
 from finchladder.config.codes import Findings
 from finchladder.config.levels import EITHER, Resolved
-from finchladder.config.options import SECTIONS, ini_sections, is_toml, read_ini
+from finchladder.config.options import SECTIONS, from_text, ini_sections, is_toml, read_ini
 from finchladder.config.places import Places
 from finchladder.config.routes import load
 from finchladder.config.tables import DEFAULTS, fields_of
@@ -77,8 +77,9 @@
             lines.append(f"[{part}.{_key(job_class)}]" if dot else f"[{part}]")
         elif key is not None and (section, key) not in written:
             written.add((section, key))
-            kind = fields_of(SECTIONS[section.partition(".")[0]])[key]
-            value = msgspec.convert(sections[section][key], kind, strict=False)
+            table = SECTIONS[section.partition(".")[0]]
+            text = from_text(table, {key: sections[section][key]})[key]
+            value = msgspec.convert(text, fields_of(table)[key], strict=False)
             lines.append(f"{key} = {_toml_value(value)}")
     found = "\n".join(lines).strip("\n") + "\n"
     made = load(found, "converted.toml")
--- /dev/null
+++ b/finchladder/net/etcd/keys.py
@@ -0,0 +1,126 @@
+"""What the keys below a prefix say of the real servers: PREFIX/members/NAME and PREFIX/drain/NAME.
+
+The value of a member is its service entry, in discovery's form and under its own name. A drain notice may
+hold anything: that it is there is what it says. An entry that can't be used changes nothing: what was said
+of that name before still holds.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from finchladder.config.addresses import parse_address
+from finchladder.config.entries import ServiceEntry
+from finchladder.core import api
+from finchladder.core.membership import ANY_START, Address
+from finchladder.net.etcd.messages import Item
+
+MOST_VALUE = 8 * 1024  # bytes of an entry
+MOST_NAMES = 50_000  # of real servers, and of notices; what is beyond is left out
+MOST_TOLD = 256  # keys that are remembered as unusable, so that each is told of once
+
+_decode = msgspec.json.Decoder(ServiceEntry).decode
+
+
+class Member(NamedTuple):
+    worker: api.WorkerEntry
+    address: Address
+
+
+class Keys:
+    """By name, as the keys were last told. `unusable` takes the news of each unusable key once."""
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self.members_at, self.drain_at = f"{prefix}/members/".encode(), f"{prefix}/drain/".encode()
+        self.members: dict[str, Member] = {}
+        self.drains: dict[str, None] = {}
+        self.bad: dict[bytes, str] = {}
+        self.news: list[str] = []  # for the log: unusable keys not yet told of
+
+    def begin_anew(self) -> "Keys":
+        """For a list that is yet to come: whatever is said again there counts, and what is not is gone."""
+        new = Keys(self.prefix)
+        new.bad = self.bad
+        return new
+
+    def take(self, item: Item, before: "Keys | None" = None) -> str | None:
+        """The real server that it may have changed. `before`: where to find what held."""
+        if item.key.startswith(self.drain_at):
+            if (name := self._name(item, self.drain_at)) is None:
+                return None
+            if item.deleted:
+                self.drains.pop(name, None)
+            elif len(self.drains) < MOST_NAMES or name in self.drains:
+                self.drains[name] = None
+            return name
+        if not item.key.startswith(self.members_at) or (name := self._name(item, self.members_at)) is None:
+            return None
+        if item.deleted:
+            self.members.pop(name, None)
+            self.bad.pop(item.key, None)
+        else:
+            try:
+                found: Member | None = self._member(name, item.value)
+                self.bad.pop(item.key, None)
+            except ValueError as e:
+                self._unusable(item.key, str(e))
+                found = (before or self).members.get(name)
+            if found is not None and (len(self.members) < MOST_NAMES or name in self.members):
+                self.members[name] = found
+        return name
+
+    def _name(self, item: Item, at: bytes) -> str | None:
+        try:
+            name = item.key[len(at) :].decode()
+        except UnicodeDecodeError:
+            name = ""
+        if not name or "/" in name or not name.isprintable():
+            if not item.deleted:
+                self._unusable(item.key, "no name of a real server")
+            return None
+        return name
+
+    def _member(self, name: str, value: bytes | None) -> Member:
+        if value is None or len(value) > MOST_VALUE:
+            raise ValueError(f"longer than {MOST_VALUE} bytes")
+        try:
+            entry = _decode(value)
+        except msgspec.MsgspecError as e:
+            raise ValueError(str(e)) from None
+        if entry.name != name:
+            raise ValueError(f"the entry of {entry.name[:64]!r}, under another's name")
+        return Member(entry.worker(), parse_address(entry.address))
+
+    def _unusable(self, key: bytes, why: str) -> None:
+        if self.bad.get(key) == why:
+            return
+        if key not in self.bad and len(self.bad) >= MOST_TOLD:
+            self.bad.pop(next(iter(self.bad)))  # a flood of them may be told of again; no memory grows
+        self.bad[key] = why
+        shown = key[:128].decode("utf-8", "backslashreplace")
+        self.news.append(f"{shown}: {why}; it is left out")
+
+    def worker(self, name: str) -> api.WorkerEntry:
+        """What holds of it now; GONE: nothing is said of it."""
+        member = self.members.get(name)
+        if member is not None and member.worker.state is api.State.GONE:
+            member = None
+        if name not in self.drains:
+            return member.worker if member is not None else api.WorkerEntry(name, api.State.GONE)
+        known = member.worker if member is not None else api.WorkerEntry(name, api.State.DRAINING)
+        return known._replace(state=api.State.DRAINING, born=ANY_START)
+
+    def workers(self, names: Iterable[str]) -> tuple[tuple[api.WorkerEntry, ...], dict[str, Address]]:
+        """Entries, and the addresses of those that have one."""
+        entries = tuple(self.worker(name) for name in names)
+        addresses = {
+            e.worker: self.members[e.worker].address
+            for e in entries if e.state is not api.State.GONE and e.worker in self.members
+        }  # fmt: skip
+        return entries, addresses
+
+    def names(self) -> list[str]:
+        """All that anything is said of."""
+        return [*self.members, *(name for name in self.drains if name not in self.members)]
--- /dev/null
+++ b/finchladder/net/etcd/messages.py
@@ -0,0 +1,357 @@
+"""etcd's messages as its JSON gateway writes them: what is asked, and answers read in bounded memory.
+
+Source: etcd's `rpc.proto`, and the gateway's rules: bytes are base64, 64-bit numbers text, zero is left out.
+"""
+
+import re
+from base64 import b64decode, b64encode
+from typing import Any, NamedTuple
+
+import msgspec
+
+PLAIN = 64 * 1024  # bytes of an answer that is decoded whole; a longer one is taken apart as it comes
+MOST_ITEM = 32 * 1024  # bytes of a key with its value in JSON: no entry is a tenth as long
+MOST_FRAME = 32 * 1024  # of all else in an answer
+MOST_ITEMS = 200_000  # keys or events in one answer
+HEAD = 4096  # of an item too long: what is looked at for its key
+
+INVALID, DENIED, PRECONDITION, UNAUTHENTICATED = 3, 7, 9, 16  # codes of gRPC
+_TOKEN_WORDS = ("invalid auth token", "user name is empty", "revision of auth store is old")
+
+
+class BadAnswer(Exception):
+    """No answer of an etcd, or one beyond all bounds."""
+
+
+class Header(msgspec.Struct):
+    cluster_id: int = 0
+    member_id: int = 0
+    revision: int = 0
+    raft_term: int = 0
+
+
+class Kv(msgspec.Struct):
+    key: bytes = b""
+    create_revision: int = 0
+    mod_revision: int = 0
+    value: bytes = b""
+    lease: int = 0
+
+
+class Item(NamedTuple):
+    """A key as a range or a watch tells it. `value` None: it is too long to be any entry."""
+
+    key: bytes
+    mod: int
+    value: bytes | None = b""
+    deleted: bool = False
+    fresh: bool = False  # it was not there before
+
+
+class Refusal(NamedTuple):
+    """An error that etcd answered, by gRPC's code and its own words."""
+
+    code: int
+    text: str
+
+    @property
+    def token(self) -> bool:
+        """Whether another login may help."""
+        return self.code == UNAUTHENTICATED or any(words in self.text for words in _TOKEN_WORDS)
+
+    @property
+    def final(self) -> bool:
+        """Whether it stays so until somebody changes a setting, here or there."""
+        return self.code in (INVALID, DENIED, PRECONDITION, UNAUTHENTICATED)
+
+    @property
+    def compacted(self) -> bool:
+        return "has been compacted" in self.text
+
+
+class Answer(NamedTuple):
+    """A message: of a call, or one of a watch."""
+
+    header: Header
+    items: list[Item]
+    more: bool = False
+    total: int = 0
+    created: bool = False
+    canceled: bool = False
+    compacted: int = 0
+    fragment: bool = False
+    refusal: Refusal | None = None
+    token: str = ""
+    lease: int = 0
+    ttl_s: int = 0
+
+
+class _Event(msgspec.Struct):
+    kv: Kv = msgspec.field(default_factory=Kv)
+    type: str | int = "PUT"
+
+
+class _Result(msgspec.Struct):
+    header: Header = msgspec.field(default_factory=Header)
+    events: list[_Event] = []
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    cancel_reason: str = ""
+    fragment: bool = False
+    ttl: int = msgspec.field(default=0, name="TTL")
+    id: int = msgspec.field(default=0, name="ID")
+
+
+class _Error(msgspec.Struct):
+    message: str = ""
+    grpc_code: int = 0
+    code: int = 0
+
+
+class _Any(msgspec.Struct):
+    """All fields of the answers that are asked for here: of a call, or `result` of a stream."""
+
+    header: Header = msgspec.field(default_factory=Header)
+    kvs: list[Kv] = []
+    more: bool = False
+    count: int = 0
+    token: str = ""
+    id: int = msgspec.field(default=0, name="ID")
+    ttl: int = msgspec.field(default=0, name="TTL")
+    result: _Result | None = None
+    error: str | _Error | None = None
+    message: str = ""
+    code: int = 0
+
+
+_decode = msgspec.json.Decoder(_Any, strict=False).decode
+_decode_event = msgspec.json.Decoder(_Event, strict=False).decode
+_decode_kv = msgspec.json.Decoder(Kv, strict=False).decode
+_KEY = re.compile(rb'"key"\s*:\s*"([A-Za-z0-9+/]*=*)"')
+_CREATED = re.compile(rb'"create_revision"\s*:\s*"(\d{1,19})"')
+_MOD = re.compile(rb'"mod_revision"\s*:\s*"(\d{1,19})"')
+_OUTSIDE, _INSIDE = re.compile(rb'["{}\[\]]'), re.compile(rb'["\\]')
+
+
+def _item(event: _Event) -> Item:
+    kv, deleted = event.kv, event.type in ("DELETE", 1)
+    return Item(kv.key, kv.mod_revision, kv.value, deleted, kv.create_revision == kv.mod_revision)
+
+
+def _answer(found: _Any, items: list[Item]) -> Answer:
+    if isinstance(e := found.error, _Error):
+        return Answer(found.header, [], refusal=Refusal(e.grpc_code or e.code, e.message))
+    if e is not None or found.code:  # newer gateways leave out `error`
+        return Answer(found.header, [], refusal=Refusal(found.code, found.message or e or ""))
+    if (r := found.result) is None:
+        return Answer(found.header, items, found.more, found.count, token=found.token, lease=found.id,
+                      ttl_s=found.ttl)  # fmt: skip
+    refusal = Refusal(_code_in(r.cancel_reason), r.cancel_reason) if r.canceled else None
+    return Answer(r.header, items, False, 0, r.created, r.canceled, r.compact_revision, r.fragment, refusal,
+                  lease=r.id, ttl_s=r.ttl)  # fmt: skip
+
+
+def _code_in(reason: str) -> int:
+    """A watch that is refused says the code in words alone."""
+    if "PermissionDenied" in reason:
+        return DENIED
+    return UNAUTHENTICATED if "Unauthenticated" in reason else 0
+
+
+class Reader:
+    """Answers out of pieces that end anywhere: the one body of a call, or the lines of a watch.
+
+    What is longer than PLAIN is never held whole: each key is taken out as it comes, and one that is too
+    long is passed over. So much as MOST_ITEM + MOST_FRAME + PLAIN bytes are held, and the items themselves.
+    """
+
+    def __init__(self, lines: bool) -> None:
+        self.lines = lines
+        self.buffer = bytearray()
+        self.apart: _Apart | None = None
+
+    def feed(self, piece: bytes) -> list[Answer]:
+        """The answers that became whole. BadAnswer: the connection is to be closed."""
+        found: list[Answer] = []
+        self.buffer += piece
+        while self.buffer:
+            if self.apart is not None:
+                used = self.apart.feed(self.buffer)
+                del self.buffer[:used]
+                if not self.apart.whole:
+                    break
+                found.append(self.apart.answer())
+                self.apart = None
+            elif self.lines and (end := self.buffer.find(b"\n", 0, PLAIN)) >= 0:
+                line = bytes(self.buffer[:end])
+                del self.buffer[: end + 1]
+                if line.strip():
+                    found.append(self._plain(line))
+            elif len(self.buffer) > PLAIN:
+                self.apart = _Apart(3 if self.lines else 2)
+            else:
+                break
+        return found
+
+    def end(self) -> Answer:
+        """Of a call: its body is whole."""
+        if self.apart is not None:
+            raise BadAnswer("an answer broke off")
+        return self._plain(bytes(self.buffer))
+
+    def _plain(self, data: bytes) -> Answer:
+        try:
+            found = _decode(data)
+        except msgspec.MsgspecError as e:
+            raise BadAnswer(f"unreadable answer: {e}") from None
+        if found.result is not None:
+            return _answer(found, [_item(e) for e in found.result.events])
+        return _answer(found, [Item(kv.key, kv.mod_revision, kv.value) for kv in found.kvs])
+
+
+class _Apart:
+    """One long answer: objects in its array, which lies at `level`, are taken out, the rest is the frame."""
+
+    def __init__(self, level: int) -> None:
+        self.level = level
+        self.depth = 0
+        self.quoted = self.escaped = self.whole = False
+        self.among = False  # within the array, between its items
+        self.frame = bytearray()
+        self.item: bytearray | None = None
+        self.length = 0  # of the item, kept or not
+        self.items: list[Item] = []
+
+    def feed(self, data: bytearray) -> int:
+        """How much of it belongs to the answer."""
+        at = 0
+        while at < len(data) and not self.whole:
+            if self.escaped:
+                self._keep(data[at : at + 1])
+                self.escaped, at = False, at + 1
+                continue
+            m = (_INSIDE if self.quoted else _OUTSIDE).search(data, at)
+            if m is None:
+                self._keep(data[at:])
+                return len(data)
+            self._keep(data[at : m.start()])
+            at = m.end()
+            self._token(m[0])
+        return at
+
+    def _token(self, token: bytes | bytearray) -> None:
+        if self.quoted:
+            self.quoted, self.escaped = token != b'"', token == b"\\"
+            return self._keep(token)
+        if token == b'"':
+            self.quoted = True
+        elif token in (b"{", b"["):
+            if self.among and self.item is None:
+                self.item, self.length = bytearray(), 0
+            self.depth += 1
+        else:
+            self.depth -= 1
+            self.among = self.among and self.depth >= self.level
+        self._keep(token)
+        if token == b"[" and self.depth == self.level and self.item is None:
+            self.among = True
+        if self.item is not None and self.depth == self.level:
+            self._take(bytes(self.item))
+            self.item = None
+        self.whole = not self.depth
+
+    def _keep(self, part: bytes | bytearray) -> None:
+        if self.item is None:
+            self.frame += part if not self.among else b""  # the commas between items would be left over
+            if len(self.frame) > MOST_FRAME:
+                raise BadAnswer("an answer beyond all bounds")
+            return
+        self.length += len(part)
+        self.item += part[: max(0, MOST_ITEM - len(self.item))]
+
+    def _take(self, data: bytes) -> None:
+        if len(self.items) >= MOST_ITEMS:
+            raise BadAnswer("an answer with too many keys")
+        if self.length > MOST_ITEM:
+            key, created, mod = (found.search(data[:HEAD]) for found in (_KEY, _CREATED, _MOD))
+            if key is None or created is None or mod is None:
+                raise BadAnswer("a key longer than any")
+            self.items.append(Item(b64decode(key[1]), int(mod[1]), None, False, created[1] == mod[1]))
+            return
+        try:
+            if self.level == 3:
+                self.items.append(_item(_decode_event(data)))
+            else:
+                kv = _decode_kv(data)
+                self.items.append(Item(kv.key, kv.mod_revision, kv.value))
+        except msgspec.MsgspecError as e:
+            raise BadAnswer(f"unreadable answer: {e}") from None
+
+    def answer(self) -> Answer:
+        try:
+            return _answer(_decode(bytes(self.frame)), self.items)
+        except msgspec.MsgspecError as e:
+            raise BadAnswer(f"unreadable answer: {e}") from None
+
+
+# --- what is asked
+
+
+def _write(**fields: Any) -> bytes:
+    return msgspec.json.encode({
+        name: b64encode(value).decode() if isinstance(value, bytes) else value
+        for name, value in fields.items() if value
+    })  # fmt: skip
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """The first key behind all that begin so."""
+    stem = prefix.rstrip(b"\xff")
+    return stem[:-1] + bytes([stem[-1] + 1]) if stem else b"\0"
+
+
+def get(key: bytes) -> bytes:
+    """Of one key, linearizable: whoever answers has a quorum behind it."""
+    return _write(key=key)
+
+
+def list_page(prefix: bytes, after: bytes, revision: int, limit: int) -> bytes:
+    """Keys behind `after`, in their order, as of the revision; 0: as of now."""
+    first = after + b"\0" if after else prefix
+    return _write(key=first, range_end=prefix_end(prefix), revision=revision, limit=limit)
+
+
+def newer(prefix: bytes, revision: int, than: int) -> bytes:
+    """One key that changed later than that and is there at the revision, and how many are there in all."""
+    end = prefix_end(prefix)
+    return _write(
+        key=prefix, range_end=end, revision=revision, min_mod_revision=than + 1, limit=1, keys_only=True
+    )
+
+
+def watch(prefix: bytes, start: int) -> bytes:
+    asked = _write(
+        key=prefix, range_end=prefix_end(prefix), start_revision=start, progress_notify=True, fragment=True
+    )
+    return b'{"create_request":%b}' % asked
+
+
+def put(key: bytes, value: bytes, lease: int = 0) -> bytes:
+    return _write(key=key, value=value, lease=lease)
+
+
+def delete(key: bytes) -> bytes:
+    return _write(key=key)
+
+
+def login(user: str, password: str) -> bytes:
+    return msgspec.json.encode({"name": user, "password": password})
+
+
+def grant(ttl_s: int) -> bytes:
+    return _write(TTL=ttl_s)
+
+
+def lease(id: int) -> bytes:
+    return _write(ID=id)
--- /dev/null
+++ b/finchladder/net/etcd/wire.py
@@ -0,0 +1,245 @@
+"""Connections to an etcd's endpoints, over TLS or plain, and calls on them."""
+
+import asyncio
+import logging
+import socket
+import ssl
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from os import stat
+from typing import Any, cast
+
+from finchladder.config.addresses import Endpoint
+from finchladder.config.options import EtcdOptions
+from finchladder.net import http1
+from finchladder.net.etcd.messages import Answer, BadAnswer, Header, Reader, Refusal, login
+from finchladder.net.http1 import BadMessage, Channel, Connect, Stream, StreamClosedError
+
+MOST_BODY = 1 << 30  # bytes of an answer, which is never held whole
+ANSWER_S = 1.0  # for a connection with its handshake, or for the next piece of an answer
+CALL_S = 10.0  # for a whole answer, however long
+KEEPALIVE_S, KEEPALIVE_TRIES = 3, 3  # a watch that is cut off in silence: the kernel asks, and tells it
+PASSWORD_BYTES = 4096
+
+Aside = Callable[[Callable[[], Any]], Awaitable[Any]]
+TROUBLE = (StreamClosedError, OSError, TimeoutError, BadMessage, BadAnswer)
+
+
+class NoLogin(Exception):
+    """User and password, or what they are read from, can't be used."""
+
+
+def why(e: BaseException) -> str:
+    """One line for the log, that says what an operator may look at."""
+    real = getattr(e, "real_error", None) or e
+    if isinstance(real, ssl.SSLCertVerificationError):
+        return f"its certificate is refused: {real.verify_message}"
+    if isinstance(real, ssl.SSLError):
+        return f"TLS failed: {real.reason or real}"
+    if isinstance(real, TimeoutError):
+        return "no answer in time"
+    if isinstance(real, StreamClosedError):
+        return "the connection broke"
+    return f"{getattr(real, 'strerror', None) or real or type(real).__name__}"
+
+
+def refused_by_tls(e: BaseException) -> bool:
+    return isinstance(getattr(e, "real_error", None) or e, ssl.SSLError)
+
+
+class Tls:
+    """The context of TLS, made anew when one of its files has changed."""
+
+    def __init__(self, options: EtcdOptions, aside: Aside) -> None:
+        self.ca, self.cert, self.key = options.ca_file, options.cert_file, options.key_file
+        self.aside = aside
+        self.made: ssl.SSLContext | None = None
+        self.of: list[tuple[int, int, int]] = []
+        # Tornado's own line for each failed handshake says nothing that is not told here, and once
+        logging.getLogger("tornado.general").addFilter(lambda r: not r.msg.startswith("SSL Error on"))
+
+    async def context(self) -> ssl.SSLContext:
+        """OSError (ssl.SSLError is one): a file can't be read, or used."""
+        made: ssl.SSLContext = await self.aside(self._read)
+        return made
+
+    def _read(self) -> ssl.SSLContext:
+        files = [name for name in (self.ca, self.cert, self.key) if name is not None]
+        found = [stat(name) for name in files]
+        of = [(s.st_mtime_ns, s.st_size, s.st_ino) for s in found]
+        if self.made is None or of != self.of:
+            context = ssl.create_default_context(cafile=self.ca)
+            if self.cert is not None:
+                context.load_cert_chain(self.cert, self.key)
+            self.made, self.of = context, of
+        return self.made
+
+
+class TlsChannel(Channel):
+    """Tornado's own stream for TLS, which has no short way of writing."""
+
+    async def write(self, data: bytes) -> None:
+        await self.stream.write(data)
+
+
+class Wires:
+    """Makes connections to endpoints. OSError, StreamClosedError, TimeoutError: there is none."""
+
+    def __init__(self, options: EtcdOptions, connect: Connect, aside: Aside) -> None:
+        self.connect = connect
+        self.tls = Tls(options, aside) if any(e.tls for e in options.addresses()) else None
+
+    async def open(self, endpoint: Endpoint) -> Channel:
+        async with asyncio.timeout(ANSWER_S):
+            channel = await self.connect(await self._address(endpoint))
+            try:
+                channel.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+                for option, value in (
+                    (socket.TCP_KEEPIDLE, KEEPALIVE_S), (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+                    (socket.TCP_KEEPCNT, KEEPALIVE_TRIES),
+                ):  # fmt: skip
+                    channel.stream.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+                if endpoint.tls:
+                    channel = await self._wrapped(channel, endpoint)
+                channel.parser.limit = lambda head: MOST_BODY
+                return channel
+            except BaseException:
+                channel.close()
+                raise
+
+    async def _wrapped(self, channel: Channel, endpoint: Endpoint) -> Channel:
+        assert self.tls is not None
+        context = await self.tls.context()
+        stream = await channel.stream.start_tls(False, context, endpoint.host)
+        return TlsChannel(cast(Stream, stream), http1.server_parser())
+
+    async def _address(self, endpoint: Endpoint) -> tuple[str, int]:
+        if ":" in endpoint.host or endpoint.host.replace(".", "").isdigit():
+            return endpoint.host, endpoint.port
+        found = await asyncio.get_running_loop().getaddrinfo(
+            endpoint.host, endpoint.port, type=socket.SOCK_STREAM
+        )
+        return str(found[0][4][0]), endpoint.port
+
+
+class Link:
+    """One endpoint in use: a connection for calls, and others for watches. Calls are made one at a time."""
+
+    def __init__(self, wires: Wires, endpoint: Endpoint, options: EtcdOptions, aside: Aside) -> None:
+        self.wires, self.endpoint, self.options, self.aside = wires, endpoint, options, aside
+        self.token = ""
+        self.calls: Channel | None = None
+        self.logins = 0
+
+    async def open(self) -> None:
+        """Connects and logs in. NoLogin besides what `call` raises."""
+        self.calls = await self.wires.open(self.endpoint)
+        await self.log_in()
+
+    async def log_in(self) -> None:
+        """Nothing to do without a user."""
+        if self.options.user is None:
+            return
+        try:
+            password = await self.aside(self._password)
+        except (OSError, ValueError) as e:
+            raise NoLogin(f"{self.options.password_file} can't be read: {why(e)}") from None
+        answer = await self._call("auth/authenticate", login(self.options.user, password))
+        if answer.refusal is not None:
+            raise NoLogin(f"refused user {self.options.user}: {answer.refusal.text}")
+        self.token = answer.token
+        self.logins += 1
+
+    def _password(self) -> str:
+        assert self.options.password_file is not None
+        with open(self.options.password_file, "rb") as file:
+            return file.read(PASSWORD_BYTES).decode().split("\n", 1)[0].rstrip("\r")
+
+    async def call(self, path: str, body: bytes) -> Answer:
+        """TROUBLE, NoLogin. A token that has ended is had anew, once."""
+        answer = await self._call(path, body)
+        if answer.refusal is not None and answer.refusal.token and self.options.user is not None:
+            await self.log_in()
+            answer = await self._call(path, body)
+        return answer
+
+    async def _call(self, path: str, body: bytes) -> Answer:
+        kept = self.calls is not None and not self.calls.stream.closed()
+        async with asyncio.timeout(CALL_S):
+            try:
+                return await self._once(path, body)
+            except StreamClosedError:
+                if not kept:
+                    raise
+            return await self._once(path, body)  # it was closed while nobody used it
+
+    async def _once(self, path: str, body: bytes) -> Answer:
+        channel, self.calls = self.calls, None  # a call that breaks off leaves a connection of no use
+        if channel is None or channel.stream.closed():
+            channel = await self.wires.open(self.endpoint)
+        try:
+            await self._ask(channel, path, body)
+            answer = await self._answer(channel)
+        except BaseException:
+            channel.close()
+            raise
+        self.calls = channel
+        return answer
+
+    async def _ask(self, channel: Channel, path: str, body: bytes) -> None:
+        fields = [("Host", str(self.endpoint).partition("//")[2]), ("Content-Type", "application/json")]
+        if self.token:
+            fields.append(("Authorization", self.token))
+        async with asyncio.timeout(ANSWER_S):
+            await channel.write(http1.write_request("POST", f"/v3/{path}", fields, body))
+
+    async def _answer(self, channel: Channel) -> Answer:
+        reader = Reader(lines=False)
+        async with asyncio.timeout(ANSWER_S):
+            head = await channel.head()
+        found: list[Answer] = []
+        while True:
+            found += reader.feed(channel.parser.take_piece())
+            if channel.parser.body is None or channel.parser.body.done:
+                break
+            async with asyncio.timeout(ANSWER_S):
+                await channel.fill()
+            await asyncio.sleep(0)  # what has come already is no reason to keep the loop
+        channel.parser.head = channel.parser.body = None
+        try:
+            answer = found[0] if found else reader.end()
+        except BadAnswer:
+            if head.status == 200:
+                raise
+            answer = Answer(Header(), [])
+        if head.status != 200 and answer.refusal is None:
+            answer = answer._replace(refusal=Refusal(0, f"answered {head.status}"))
+        if not head.keeps:
+            channel.close()
+        return answer
+
+    async def watch(self, body: bytes) -> AsyncGenerator[Answer, None]:
+        """The messages of a watch, until it ends. TROUBLE."""
+        channel = await self.wires.open(self.endpoint)
+        try:
+            await self._ask(channel, "watch", body)
+            async with asyncio.timeout(ANSWER_S):
+                head = await channel.head()
+            if head.status != 200:
+                answer = await self._answer(channel)
+                yield answer._replace(canceled=True)
+                return
+            reader = Reader(lines=True)
+            while True:
+                for answer in reader.feed(channel.parser.take_piece()):
+                    yield answer
+                if channel.parser.body is None or channel.parser.body.done:
+                    return
+                await channel.fill()
+                await asyncio.sleep(0)
+        finally:
+            channel.close()
+
+    def close(self) -> None:
+        if self.calls is not None:
+            self.calls.close()
+            self.calls = None
