--- a/finchladder/net/etcd/wire.py
+++ b/finchladder/net/etcd/wire.py
@@ -8,6 +8,8 @@
 from os import stat
 from typing import Any, cast
 
+from tornado.iostream import SSLIOStream
+
 from finchladder.config.addresses import Endpoint
 from finchladder.config.options import EtcdOptions
 from finchladder.net import http1
@@ -17,7 +19,10 @@
 MOST_BODY = 1 << 30  # bytes of an answer, which is never held whole
 ANSWER_S = 1.0  # for a connection with its handshake, or for the next piece of an answer
 CALL_S = 10.0  # for a whole answer, however long
-KEEPALIVE_S, KEEPALIVE_TRIES = 3, 3  # a watch that is cut off in silence: the kernel asks, and tells it
+KEEP_ALIVE = (  # a watch that is cut off in silence: the kernel asks each 3 s, and after 3 tries it tells
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 3),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 3), (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)  # fmt: skip
 PASSWORD_BYTES = 4096
 
 Aside = Callable[[Callable[[], Any]], Awaitable[Any]]
@@ -90,26 +95,23 @@
 
     async def open(self, endpoint: Endpoint) -> Channel:
         async with asyncio.timeout(ANSWER_S):
-            channel = await self.connect(await self._address(endpoint))
-            try:
-                channel.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-                for option, value in (
-                    (socket.TCP_KEEPIDLE, KEEPALIVE_S), (socket.TCP_KEEPINTVL, KEEPALIVE_S),
-                    (socket.TCP_KEEPCNT, KEEPALIVE_TRIES),
-                ):  # fmt: skip
-                    channel.stream.socket.setsockopt(socket.IPPROTO_TCP, option, value)
-                if endpoint.tls:
-                    channel = await self._wrapped(channel, endpoint)
-                channel.parser.limit = lambda head: MOST_BODY
-                return channel
-            except BaseException:
-                channel.close()
-                raise
-
-    async def _wrapped(self, channel: Channel, endpoint: Endpoint) -> Channel:
+            address = await self._address(endpoint)
+            channel = await (self._by_tls(endpoint, address) if endpoint.tls else self.connect(address))
+        for level, option, value in KEEP_ALIVE:
+            channel.stream.socket.setsockopt(level, option, value)
+        channel.parser.limit = lambda head: MOST_BODY
+        return channel
+
+    async def _by_tls(self, endpoint: Endpoint, address: tuple[str, int]) -> Channel:
         assert self.tls is not None
         context = await self.tls.context()
-        stream = await channel.stream.start_tls(False, context, endpoint.host)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        stream = SSLIOStream(socket.socket(family), ssl_options=context, read_chunk_size=http1.READ)
+        try:
+            await stream.connect(address, server_hostname=endpoint.host)
+        except BaseException:
+            stream.close()
+            raise
         return TlsChannel(cast(Stream, stream), http1.server_parser())
 
     async def _address(self, endpoint: Endpoint) -> tuple[str, int]:
--- /dev/null
+++ b/tests/etcd/test_follow.py
@@ -0,0 +1,224 @@
+"""The client on sockets: TLS, logins, files that change, endpoints that break."""
+
+import asyncio
+import ssl
+import time
+from collections.abc import Callable, Coroutine
+from datetime import datetime, timedelta
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+import trustme
+from loguru import logger
+
+from finchladder.config.options import EtcdOptions
+from finchladder.core import api
+from finchladder.core.membership import Report
+from finchladder.lab.etcd.auth import Permission
+from finchladder.lab.etcd.server import Etcd
+from finchladder.lab.etcd.store import Keys, Put
+from finchladder.net import http1
+from finchladder.net.etcd.follow import EtcdActor
+from finchladder.net.etcd.state import State
+from tests.etcd.play import entry
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        while not holds():
+            await asyncio.sleep(0.005)
+
+
+class Followed:
+    """An actor that follows, and what it told."""
+
+    def __init__(self, **options: Any) -> None:
+        self.states: dict[str, str] = {}
+        self.lines: list[str] = []
+        self.sink = logger.add(lambda m: self.lines.append(m.record["message"]), level="INFO")
+        self.actor = EtcdActor(
+            EtcdOptions(**options), self.report, lambda source, in_step: None, http1.connect,
+            asyncio.to_thread, time.monotonic, Random(1),
+        )  # fmt: skip
+        self.actor.start()
+
+    def report(self, r: Report) -> None:
+        if r.workers.kind is api.ListKind.WHOLE:
+            self.states = {}
+        self.states |= {e.worker: e.state.value for e in r.workers.entries}
+
+    @property
+    def follows(self) -> bool:
+        return self.actor.follower.state is State.FOLLOWING
+
+    def close(self) -> None:
+        self.actor.stop()
+        logger.remove(self.sink)
+
+
+def put(etcd: Etcd, key: str, value: bytes = b"") -> None:
+    etcd.cluster.store.txn(Put(f"/finchladder/{key}".encode(), value))
+    etcd.cluster.written()
+
+
+def play(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 60))
+
+
+class Pki:
+    """An authority, and files of certificates that it issued."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.ca = folder, trustme.CA()
+        self.ca.cert_pem.write_to_path(str(folder / "ca.pem"))
+
+    def issue(self, name: str, *hosts: str, **more: Any) -> None:
+        made = self.ca.issue_cert(*hosts, **more)
+        made.private_key_pem.write_to_path(str(self.folder / f"{name}.key"))
+        for n, pem in enumerate(made.cert_chain_pems):
+            pem.write_to_path(str(self.folder / f"{name}.pem"), append=n > 0)
+
+    def server(self, *, asks_clients: bool = False) -> ssl.SSLContext:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(self.folder / "server.pem", self.folder / "server.key")
+        if asks_clients:
+            context.load_verify_locations(self.folder / "ca.pem")
+            context.verify_mode = ssl.CERT_REQUIRED
+        return context
+
+    def files(self, client: bool = True) -> dict[str, str]:
+        own = {"cert_file": "client.pem", "key_file": "client.key"} if client else {}
+        return {name: str(self.folder / file) for name, file in ({"ca_file": "ca.pem"} | own).items()}
+
+
+def test_a_list_of_10_000_with_one_of_1_mb_and_then_a_burst_in_one_message() -> None:
+    async def work() -> None:
+        etcd = Etcd()
+        urls = await etcd.open()
+        for n in range(10_000):
+            put(etcd, f"members/w{n:05}", entry(f"w{n:05}"))
+        put(etcd, "members/w00500", b"x" * 1_000_000)
+        f = Followed(endpoints=urls)
+        await until(lambda: f.follows)
+        assert len(f.states) == 9_999 and len(f.lines) == 1 and "w00500" in f.lines[0]
+        etcd.cluster.stall()
+        for n in range(2_000):
+            put(etcd, f"drain/w{n:05}")
+        etcd.cluster.stall(on=False, now=asyncio.get_running_loop().time())
+        await until(lambda: list(f.states.values()).count("draining") == 2_000)
+        f.close()
+        etcd.close()
+
+    play(work())
+
+
+def test_tls_with_certificates_of_both_and_files_that_change(tmp_path: Path) -> None:
+    async def work() -> None:
+        pki = Pki(tmp_path)
+        pki.issue("server", "127.0.0.1")
+        pki.issue("client", "client.example")
+        etcd = Etcd(tls=pki.server(asks_clients=True))
+        (url,) = await etcd.open()
+        put(etcd, "members/a", entry("a"))
+        f, without = Followed(endpoints=[url], **pki.files()), Followed(endpoints=[url], **pki.files(False))
+        await until(lambda: f.follows and bool(without.lines))
+        assert f.states == {"a": "ready"} and not without.follows
+        assert sum("TLS failed" in line or "broke" in line for line in without.lines) >= 1
+        without.close()
+        # the authority itself is another one from now on; without reading the files again nothing would go
+        new = Pki(tmp_path)
+        new.issue("server", "127.0.0.1")
+        new.issue("client", "client.example")
+        etcd.servers[0].tls = new.server(asks_clients=True)
+        etcd.cluster.cut()
+        etcd.cluster.cut(on=False)
+        put(etcd, "drain/a")
+        await until(lambda: f.states == {"a": "draining"})
+        f.close()
+        etcd.close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("fault", ["expired", "wrong CA", "other name", "no TLS", "no file"])
+def test_a_certificate_that_is_none_is_told_of_once_and_tried_on(fault: str, tmp_path: Path) -> None:
+    async def work() -> None:
+        pki, last = Pki(tmp_path), datetime.now() - timedelta(days=1)
+        ends = {"not_before": last - timedelta(days=9), "not_after": last} if fault == "expired" else {}
+        pki.issue("server", "other.example" if fault == "other name" else "127.0.0.1", **ends)
+        etcd = Etcd(tls=None if fault == "no TLS" else pki.server())
+        (url,) = await etcd.open()
+        if fault == "wrong CA":
+            Pki(tmp_path)
+        elif fault == "no file":
+            (tmp_path / "ca.pem").unlink()
+        f = Followed(endpoints=[url.replace("http:", "https:")], ca_file=str(tmp_path / "ca.pem"))
+        await until(lambda: f.actor.follower.failures > 3)
+        assert len(f.lines) == 1 and url.partition("//")[2] in f.lines[0], f.lines
+        said = {"expired": "has expired", "wrong CA": "verify failed|self-signed|unable to get",
+                "other name": "IP address mismatch", "no TLS": "reset by peer", "no file": "No such file"}[fault]
+        assert any(words in f.lines[0] for words in said.split("|")), f.lines
+        if fault == "expired":  # and once it is another, all is well
+            pki.issue("server", "127.0.0.1")
+            etcd.servers[0].tls = pki.server()
+            etcd.cluster.cut()
+            etcd.cluster.cut(on=False)
+            await until(lambda: f.follows)
+            assert len(f.lines) == 2
+        f.close()
+        etcd.close()
+
+    play(work())
+
+
+def test_a_login_from_a_file_that_is_read_again(tmp_path: Path) -> None:
+    async def work() -> None:
+        etcd = Etcd()
+        urls = await etcd.open()
+        auth = etcd.cluster.auth
+        auth.add_user("root", "r", ["root"])
+        auth.add_user("reader", "one", ["reads"])
+        auth.add_role("reads", Permission("READ", Keys(b"/finchladder/", b"/finchladder0")))
+        auth.enable()
+        put(etcd, "members/a", entry("a"))
+        password = tmp_path / "password"
+        password.write_text("wrong\n")
+        f = Followed(endpoints=urls, user="reader", password_file=str(password))
+        await until(lambda: f.actor.follower.failures > 1)
+        assert len(f.lines) == 1 and "refused user reader" in f.lines[0] and "wrong" not in f.lines[0]
+        password.write_text("one\n")
+        await until(lambda: f.follows)
+        assert f.states == {"a": "ready"}
+        etcd.servers[0].expire_tokens(cancel=True)
+        put(etcd, "drain/a")
+        await until(lambda: f.states == {"a": "draining"})
+        f.close()
+        etcd.close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("body", [b"<html>", b'{"hello":1}', b""])
+def test_what_is_no_etcd_is_told_of_and_the_next_endpoint_is_followed(body: bytes) -> None:
+    async def work() -> None:
+        async def odd(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            await reader.read(1000)
+            writer.close()
+
+        server = await asyncio.start_server(odd, "127.0.0.1", 0)
+        etcd = Etcd()
+        (url,) = await etcd.open()
+        none = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        f, alone = Followed(endpoints=[none, url, "http://localhost:1"]), Followed(endpoints=[none])
+        await until(lambda: f.follows and bool(alone.lines))
+        assert str(f.actor.endpoints[f.actor.follower.at]) == url
+        assert "answered 404" in alone.lines[0]
+        f.close()
+        alone.close()
+        server.close()
+        etcd.close()
+
+    play(work())
