--- a/finchladder/cli/etcd.py
+++ b/finchladder/cli/etcd.py
@@ -74,7 +74,10 @@
     given: dict[str, Any] = {name: value for name in names if (value := getattr(args, name)) is not None}
     if args.endpoint:
         given["endpoints"] = args.endpoint
-    return msgspec.convert(msgspec.structs.asdict(found) | given, EtcdOptions)
+    try:
+        return msgspec.convert(msgspec.structs.asdict(found) | given, EtcdOptions)
+    except msgspec.ValidationError as e:
+        raise ValueError(f"etcd: {e}") from None
 
 
 def run(args: argparse.Namespace) -> None:
