--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 from functools import partial
+from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
@@ -35,6 +36,7 @@
 
 if TYPE_CHECKING:
     from finchladder.config.routes import Loaded
+    from finchladder.net.etcd.follow import EtcdActor
     from finchladder.net.membership import MembershipActor
 
 
@@ -82,8 +84,9 @@
             setup.discovery, self.servers.update, self.servers.retire, machine.connect
         )
         self.members: MembershipActor | None = None
-        if options.membership is not None:
-            self._believe(options.membership)
+        self.etcd: EtcdActor | None = None
+        if options.membership is not None or options.etcd is not None:
+            self._believe(options, seed)
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         self.reload: Reload | None = None
@@ -101,18 +104,28 @@
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
 
-    def _believe(self, options: MembershipOptions) -> None:
+    def _believe(self, options: Options, seed: int) -> None:
         """Lists are believed by the rules of membership, and no more as they come."""
         # only a dispatcher that is to do so loads them
         from finchladder.core.membership import Source
         from finchladder.net import membership
 
-        make, file = self.machine.last_good or membership.last_good_file, options.last_good
-        self.members = membership.MembershipActor(
-            [Source(membership.DISCOVERY, membership.QUIET)], options.rules(), self.clock,
-            membership.Through(self.service), APPLY_AT_ONCE, make(file) if file is not None else None,
-        )  # fmt: skip
-        self.service = membership.DiscoverySource(self.setup.discovery, self.members, self.machine.connect)
+        own, machine = options.membership or MembershipOptions(), self.machine
+        sources = [Source(membership.DISCOVERY, membership.QUIET)]
+        if options.etcd is not None:
+            from finchladder.net.etcd import follow, state
+
+            sources.insert(0 if own.lead == state.SOURCE else 1, Source(state.SOURCE, state.QUIET_S))
+        file = (machine.last_good or membership.last_good_file)(own.last_good) if own.last_good else None
+        self.members = members = membership.MembershipActor(
+            sources, own.rules(), self.clock, membership.Through(self.service), APPLY_AT_ONCE, file
+        )
+        self.service = membership.DiscoverySource(self.setup.discovery, members, machine.connect)
+        if options.etcd is not None:
+            self.etcd = follow.EtcdActor(
+                options.etcd, members.report, members.heard, machine.connect, machine.aside,
+                machine.monotonic, Random(f"{seed}/etcd"),
+            )  # fmt: skip
 
     async def serve(self) -> None:
         """Until SIGTERM or SIGINT, and then until all that was taken is answered."""
@@ -127,6 +140,8 @@
             self.gate.start()
         known = setup.known if self.members is None else await self.members.begin(setup.known)
         self.service.start(known)
+        if self.etcd is not None:
+            self.etcd.start()
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
@@ -136,6 +151,8 @@
         await left.wait()
         logger.info("{}: leaving", setup.name)
         await self.clients.leave()
+        if self.etcd is not None:
+            self.etcd.stop()
         if self.members is not None:
             self.members.close()
         if self.files is not None:
