--- a/tests/test_believing.py
+++ b/tests/test_believing.py
@@ -13,6 +13,8 @@
 from finchladder.config.entries import News, read_list, read_long, write_list
 from finchladder.core import api
 from finchladder.core.membership import MembershipSettings, Report, Source
+from finchladder.lab.etcd.server import Etcd
+from finchladder.lab.etcd.store import Put
 from finchladder.net.membership import Found, MembershipActor, last_good_file
 from finchladder.store import lastgood
 from finchladder.store.lastgood import LastGood, LastGoodFile
@@ -263,3 +265,31 @@
         assert "started with the last good list, of discovery, 1 entries" in (tmp_path / "log").read_text()
 
     run(play())
+
+
+def test_a_drain_in_etcd_counts_beside_discovery_and_etcd_may_come_and_go(tmp_path: Path) -> None:
+    async def play() -> None:
+        one, two = RealServer("w1"), RealServer("w2")
+        etcd = Etcd()
+        urls = await etcd.open()
+        ini = f"[etcd]\nendpoints = {urls[0]}\n[membership]\nlead = etcd\n"
+
+        async def runs_at(id: str) -> bytes:
+            return (await n.ask(id)).body[:2]
+
+        async with node(tmp_path, one, two, ini=ini) as n:
+            n.discovery.push(list_line(2, [], False))  # discovery is live, etcd is empty and will lead
+            etcd.cluster.store.txn(Put(b"/finchladder/drain/w1", b""))
+            etcd.cluster.written()
+            while await runs_at(os.urandom(8).hex()) != b"w2":
+                await asyncio.sleep(0.01)
+            for i in range(12):
+                assert await runs_at(f"a{i}") == b"w2"
+            etcd.close()
+            n.discovery.push(list_line(3, [one.entry("ready")], False))
+            for i in range(12):
+                assert await runs_at(f"b{i}") == b"w2"  # the notice holds though etcd is away
+        log = (tmp_path / "log").read_text()
+        assert "membership: discovery leads, with 2 entries" in log and "Traceback" not in log
+
+    run(play())
