--- a/tests/test_believing.py
+++ b/tests/test_believing.py
@@ -11,6 +11,9 @@
 from loguru import logger
 
 from finchladder.config.entries import News, read_list, read_long, write_list
+from finchladder.config.options import MembershipOptions
+from finchladder.config.tables import fields_of
+from finchladder.config.values import meta_of
 from finchladder.core import api
 from finchladder.core.membership import MembershipSettings, Report, Source
 from finchladder.lab.etcd.server import Etcd
@@ -18,7 +21,7 @@
 from finchladder.net.membership import Found, MembershipActor, last_good_file
 from finchladder.store import lastgood
 from finchladder.store.lastgood import LastGood, LastGoodFile
-from tests.peers import HEALTH, RealServer, exchange, list_line, node, run
+from tests.peers import HEALTH, ROOT, RealServer, exchange, list_line, node, run
 
 R, D, G = api.State.READY, api.State.DRAINING, api.State.GONE
 Entries = list[tuple[api.WorkerEntry, tuple[str, int]]]
@@ -117,6 +120,21 @@
     assert found == [None] and lastgood.decode(path.read_bytes()).version == 4
 
 
+def test_the_page_has_the_settings_as_they_are() -> None:
+    page = (ROOT / "docs" / "MEMBERSHIP.md").read_text()
+    lines = [[cell.strip(" `") for cell in line.split("|")] for line in page.splitlines()]
+    rows = {line[1]: line[3:5] for line in lines if len(line) == 6}
+    del rows["setting in `[membership]"], rows["---"]
+    assert rows.keys() == fields_of(MembershipOptions).keys()
+    for name, kind in fields_of(MembershipOptions).items():
+        default, meta = getattr(MembershipOptions(), name), meta_of(kind)
+        told = default if isinstance(default, str) else f"{default:g}" if default else "none"
+        least = "" if meta.ge is None else f"{meta.ge:g} to {meta.le}"
+        assert (rows[name][0].removesuffix(" s"), rows[name][1]) == (least, told), name
+    rules = {f: getattr(MembershipOptions().rules(), f) for f in MembershipSettings.__dataclass_fields__}
+    assert rules == {f: getattr(MembershipSettings(), f) for f in rules}  # what the file leaves out
+
+
 # --- the actor ----------------------------------------------------------------------------------------------
 
 
