--- a/finchladder/lab/figures.py
+++ b/finchladder/lab/figures.py
@@ -16,6 +16,7 @@
 
 from finchladder.lab import ledger as ledgers
 from finchladder.lab import records
+from finchladder.lab.check import place_servers
 from finchladder.lab.judge import Verdict, judge, setting
 from finchladder.lab.ledger import Ledger, Try
 
@@ -153,6 +154,7 @@
     stated = {name: setting(e, f"prices.{name}") for name in PRICES if f"prices.{name}" in e.settings}
     if not stated:
         return {}
+    goes_on = {s.name for s in place_servers(e) if not e.pool[s.pool].cancel_stops}
     crossed = 0
     work = wasted = 0.0
     for tries in ledger.jobs.values():
@@ -166,7 +168,10 @@
                 crossed += bool(born and zone and born.zone != zone)
                 if run.began is not None and (won is None or run.result != won):
                     took = (run.ended or run.began) - run.began
-                    whole = run.how in ("done", "failed")
+                    # what a cancel does not stop is done to its end, though nobody is told
+                    whole = run.how in ("done", "failed") or (
+                        run.how == "cancelled" and run.server in goes_on
+                    )
                     wasted += (t.asked.work if whole else min(took, t.asked.work)) * slots
     unserved = (j.state != SERVED) & (j.ended - j.due > j.aim)
     shares = {
--- a/tests/lab/test_figures.py
+++ b/tests/lab/test_figures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from finchladder.lab import compare, figures, ledger, report
-from finchladder.lab.experiment import Experiment, JobClass, Load, Phase
+from finchladder.lab.experiment import Experiment, JobClass, Load, Phase, Pool
 from finchladder.lab.records import (
     Answered,
     Asked,
@@ -152,6 +152,9 @@
     records += [Ended("view2", "w", 1, 104.05, "cancelled")]
     parts = summary(records, prices_waste=1.0, prices_lateFail=1.0)["g_parts"]
     assert parts["prices"] == {"waste": 0.25, "lateFail": 0.5}
+    unstopped = msgspec.structs.replace(DAY, pool=[Pool(cancel_stops=False)])  # it ran to its end, unseen
+    records = [msgspec.structs.replace(r, server="w0001") if hasattr(r, "server") else r for r in records]
+    assert summary(records, unstopped, prices_waste=1.0)["g_parts"]["prices"] == {"waste": 0.5}
 
 
 def test_same_figures_whatever_the_order_of_the_files() -> None:
