--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -137,6 +137,7 @@
     """An etcd beside discovery, told of the real servers at once. Dispatchers are given its endpoints."""
 
     members: Annotated[int, Meta(ge=0, le=9)] = 0  # 0: there is none
+    followed: bool = True  # False: it is there, and no dispatcher is told of it
 
 
 class Front(Part):
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -67,12 +67,12 @@
     def command(self, config: str = "") -> list[str]:
         """`config`: the operator's file, where it is another one than the experiment names."""
         p = self.e.program
+        added = ["--config", config] if config else []
         if p.null:
             return [sys.executable, "-m", "finchladder.lab.null"]
         if p.command:
-            return [sys.executable if p.command[0] == "python" else p.command[0], *p.command[1:]]
-        config = config or p.config
-        return [sys.executable, "-m", "finchladder", *(["--config", config] if config else [])]
+            return [sys.executable if p.command[0] == "python" else p.command[0], *p.command[1:], *added]
+        return [sys.executable, "-m", "finchladder", *(added or (["--config", p.config] if p.config else []))]
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
@@ -217,7 +217,7 @@
         if self.e.etcd.members:
             etcd = await self._begin(self._plan("etcd", servers=placed, dispatchers=direct))
             for name, urls in (await etcd.opened(OPEN_S)).items():
-                self.by_name[name].etcd = urls
+                self.by_name[name].etcd = urls if self.e.etcd.followed else []
         self._asked(registries)
         by_dispatcher = {"": addresses}
         if self.e.network.on:
