--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -4,11 +4,12 @@
 import signal
 from collections.abc import Callable
 from functools import partial
+from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
 
-from finchladder.config.options import Options
+from finchladder.config.options import MembershipOptions, Options
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
@@ -30,11 +31,13 @@
 from finchladder.net.recorder import Recorder
 from finchladder.net.reload import Reload, count
 from finchladder.net.servers import RealServers
-from finchladder.net.service import ServiceActor
+from finchladder.net.service import APPLY_AT_ONCE, ServiceActor
 from finchladder.net.timers import Timers
 
 if TYPE_CHECKING:
     from finchladder.config.routes import Loaded
+    from finchladder.net.etcd.follow import EtcdActor
+    from finchladder.net.membership import MembershipActor
 
 
 class OperatorFile(NamedTuple):
@@ -80,6 +83,10 @@
         self.service = ServiceActor(
             setup.discovery, self.servers.update, self.servers.retire, machine.connect
         )
+        self.members: MembershipActor | None = None
+        self.etcd: EtcdActor | None = None
+        if options.membership is not None or options.etcd is not None:
+            self._believe(options, seed)
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         self.reload: Reload | None = None
@@ -92,10 +99,34 @@
             limits = options.overload.limits(setup.settings.max_retry_after)
             most, cores = int(EDGE * sockets), setup.limits.cores
             self.gate = Gate(setup.settings.classes, limits, seed, most, self.timers, cores, machine.cpu)
-        front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back, self.gate)
+        lists = self.members or self.service
+        front = Front(self.intake, controls, lambda: lists.up, self.servers.called_back, self.gate)
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
 
+    def _believe(self, options: Options, seed: int) -> None:
+        """Lists are believed by the rules of membership, and no more as they come."""
+        # only a dispatcher that is to do so loads them
+        from finchladder.core.membership import Source
+        from finchladder.net import membership
+
+        own, machine = options.membership or MembershipOptions(), self.machine
+        sources = [Source(membership.DISCOVERY, membership.QUIET)]
+        if options.etcd is not None:
+            from finchladder.net.etcd import follow, state
+
+            sources.insert(0 if own.lead == state.SOURCE else 1, Source(state.SOURCE, state.QUIET_S))
+        file = (machine.last_good or membership.last_good_file)(own.last_good) if own.last_good else None
+        self.members = members = membership.MembershipActor(
+            sources, own.rules(), self.clock, membership.Through(self.service), APPLY_AT_ONCE, file
+        )
+        self.service = membership.DiscoverySource(self.setup.discovery, members, machine.connect)
+        if options.etcd is not None:
+            self.etcd = follow.EtcdActor(
+                options.etcd, members.report, members.heard, machine.connect, machine.aside,
+                machine.monotonic, Random(f"{seed}/etcd"),
+            )  # fmt: skip
+
     async def serve(self) -> None:
         """Until SIGTERM or SIGINT, and then until all that was taken is answered."""
         setup, loop, left = self.setup, asyncio.get_running_loop(), asyncio.Event()
@@ -107,7 +138,10 @@
         self.servers.start()
         if self.gate is not None:
             self.gate.start()
-        self.service.start(setup.known)
+        known = setup.known if self.members is None else await self.members.begin(setup.known)
+        self.service.start(known)
+        if self.etcd is not None:
+            self.etcd.start()
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
@@ -117,6 +151,10 @@
         await left.wait()
         logger.info("{}: leaving", setup.name)
         await self.clients.leave()
+        if self.etcd is not None:
+            self.etcd.stop()
+        if self.members is not None:
+            self.members.close()
         if self.files is not None:
             self.files.close()
         logger.info("{}: left", setup.name)
