--- a/finchladder/lab/check.py
+++ b/finchladder/lab/check.py
@@ -335,6 +335,8 @@
         yield "in_flight: either a rate (open loop) or requests in flight (closed loop), not both"
     elif not phase.rate and not phase.in_flight and not phase.to_rate and not e.load.connections:
         yield "rate: no load: neither rate nor in_flight nor load.connections says any"
+    if phase.skip_s >= phase.for_s:
+        yield f"skip_s: all of its {phase.for_s:g} s, so nothing of it would count"
     if phase.in_flight and phase.to_rate is not None:
         yield "to_rate: a closed loop has no rate"
     for name in phase.classes:
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -186,6 +186,7 @@
     classes: dict[str, Share] = {}  # shares for this phase in place of the classes' own
     keys: Keys | None = None
     counted: bool = True  # False: warming up; not part of the figures
+    skip_s: Seconds = 0.0  # so much at its begin is not part of the figures
 
 
 class Load(Part):
--- a/finchladder/lab/ledger.py
+++ b/finchladder/lab/ledger.py
@@ -129,17 +129,22 @@
         return starts[index - 1] if index else 0.0
 
     def phases(self) -> list[tuple[float, float, str, bool]]:
-        """(begin, end, name, counted) of each; one phase that counts, over the whole run, without marks."""
+        """(begin, end, name, counted) of each, what is skipped apart; one that counts without marks."""
         marks = [m for m in self.marks if ":" not in m.name]
         end = next((m.at for m in self.marks if m.name == "run:arrivals_end"), self.last)
         if not marks:
             return [(self.first, max(end, self.first), "", True)]
-        counted = [p.counted for p in self.experiment.load.phase]
+        phases = self.experiment.load.phase
         ends = [m.at for m in marks[1:]] + [max(end, marks[-1].at)]
-        return [
-            (m.at, until, m.name, counted[n] if n < len(counted) else True)
-            for n, (m, until) in enumerate(zip(marks, ends, strict=True))
-        ]
+        found = []
+        for n, (m, until) in enumerate(zip(marks, ends, strict=True)):
+            begin, counted = m.at, True
+            if n < len(phases):
+                counted, begin = phases[n].counted, min(until, m.at + phases[n].skip_s)
+            if begin > m.at:
+                found.append((m.at, begin, m.name, False))
+            found.append((begin, until, m.name, counted))
+        return found
 
 
 def load(folder: Path) -> Ledger:
--- a/tests/lab/test_check.py
+++ b/tests/lab/test_check.py
@@ -97,6 +97,7 @@
         (["pool=[]"], "pool", "there is none"),
         (["load.phase=[]"], "load.phase", "there is none"),
         (["load.phase.0.counted=false"], "load.phase", "none of them is counted"),
+        (["load.phase.0.skip_s=10.0"], "load.phase.0.skip_s", "nothing of it would count"),
         (["load.phase.0.rate=0.0"], "load.phase.0.rate", "no load"),
         (["load.phase.0.in_flight=3"], "load.phase.0.in_flight", "not both"),
         (["load.phase.0.classes={nix=1.0}"], "load.phase.0.classes.nix", "no such class"),
--- a/tests/lab/test_figures.py
+++ b/tests/lab/test_figures.py
@@ -102,6 +102,14 @@
     assert s["latency"]["confirm"]["p50_ms"] == pytest.approx(500, rel=1e-3)
 
 
+def test_what_a_phase_skips_does_not_count() -> None:
+    warm, day = DAY.load.phase
+    load = msgspec.structs.replace(DAY.load, phase=[warm, msgspec.structs.replace(day, skip_s=4.5)])
+    s = summary(MIXED, msgspec.structs.replace(DAY, load=load))
+    assert (s["offered"], s["counted_s"], s["goodput_per_s"]) == (7, 23.5, pytest.approx(4 / 23.5, abs=1e-6))
+    assert s["lost"] == 1  # the rules are the whole run's
+
+
 def test_a_retry_belongs_to_its_first_try() -> None:
     late = flat(
         job(1, 103.0, 0.1, 503),
