Aperture and zone spill hooked in: a filter of lists, and pools by zone

A real server gives bounded connections and a full zone turns jobs away; both modules stood unwired. core/members.py stands between the list that was read and the one that is applied; core/zones.py is a Dispatcher that asks pools by zone in turn. Both are off without their section.

--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -52,7 +52,7 @@
         setup = read_setup(os.environ)
         file = read_file(args.config, setup) if args.config is not None and is_toml(args.config) else None
         options = file.loaded.options if file is not None else read_options(args.config)
-        options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb)
+        options.check([c.name for c in setup.settings.classes], setup.limits.memory_mb, setup.settings)
     except Refused as e:
         print(e, file=sys.stderr)
         sys.exit(2)
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -14,7 +14,9 @@
 from msgspec import Meta
 
 from finchladder.core import api
+from finchladder.core.aperture import Aperture, ApertureSettings
 from finchladder.core.overload import OverloadSettings
+from finchladder.core.spill import SpillSettings
 
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
@@ -70,6 +72,33 @@
         return OverloadSettings(**msgspec.structs.asdict(self), retry_after_s=min(retry_after_s, 60.0))
 
 
+class ApertureOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    server_connections: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
+    connections_each: Annotated[int, Meta(ge=1, le=24)] = 24
+    least: Annotated[int, Meta(ge=2, le=1000)] = 4
+
+    def __post_init__(self) -> None:
+        self.settings()
+
+    def settings(self) -> ApertureSettings:
+        return ApertureSettings(**msgspec.structs.asdict(self))
+
+
+class SpillOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    full_at: Annotated[float, Meta(ge=0, lt=1)] = 0.05
+    back_at: Annotated[float, Meta(gt=0, le=1)] = 0.2
+    refused_at: Annotated[float, Meta(gt=0, le=1)] = 0.1
+    full_s: Annotated[float, Meta(ge=0.1, le=600)] = 0.5
+    back_s: Annotated[float, Meta(ge=0.1, le=600)] = 5.0
+    ramp_s: Annotated[float, Meta(ge=0.1, le=600)] = 5.0
+
+    def __post_init__(self) -> None:
+        self.settings()
+
+    def settings(self) -> SpillSettings:
+        return SpillSettings(**msgspec.structs.asdict(self))
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -79,6 +108,11 @@
     drill: DrillOptions | None = None
     capture: CaptureOptions | None = None
     overload: OverloadOptions | None = None
+    aperture: ApertureOptions | None = None
+    spill: SpillOptions | None = None
+
+    def spilling(self) -> SpillSettings | None:
+        return self.spill.settings() if self.spill is not None else None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
@@ -87,8 +121,12 @@
         entries = self.status.max_entries * ENTRY_BYTES if self.status is not None else 0
         return tracked + entries + (self.capture.memory() if self.capture is not None else 0)
 
-    def check(self, classes: Iterable[str], memory_mb: int) -> None:
+    def check(
+        self, classes: Iterable[str], memory_mb: int, settings: api.Settings | None = None
+    ) -> None:
         """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
+        if self.aperture is not None and settings is not None:
+            Aperture(settings.index, settings.dispatchers, self.aperture.settings())
         known = set(classes)
         for name in self.door_of:
             if name not in known:
@@ -172,5 +210,6 @@
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
-    "capture": CaptureOptions, "overload": OverloadOptions,
+    "capture": CaptureOptions, "overload": OverloadOptions, "aperture": ApertureOptions,
+    "spill": SpillOptions,
 }  # fmt: skip
--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -3,13 +3,14 @@
 Costs, with n ready workers and p = 2 x POINTS marks of each: a worker comes or goes O(p log n), and in memory
 p times half an arc of n / 8 marks is moved; a change of load or zone O(log levels); any other change of an
 entry O(1). Owners of a key O(log n), the least-loaded O(workers looked at). Memory: about 1.3 KB a ready
-worker and needed kind. A route's pool that leaves out some workers is like one more needed kind.
+worker and needed kind. A route's pool that leaves out some workers is like one more needed kind, and split by
+zone each pool takes twice as much.
 """
 
 from array import array
 from bisect import bisect_left, bisect_right, insort
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from hashlib import blake2b
 from itertools import islice
 from random import Random
@@ -97,7 +98,8 @@
 class Pool:
     """The ready workers that some jobs may go to: those of one needed kind, or of a route's pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, zones: Iterable[str] = ()) -> None:
+        self.parts = {zone: Pool() for zone in zones}  # those of a zone alone
         self.rings = (Ring(), Ring())
         self.size = self.version = 0
         self.known: dict[int, tuple[int, list[list[Worker]]]] = {}  # pairs by key, as of which version
@@ -186,6 +188,10 @@
     return needed.holds(w.kind, w.zone) if isinstance(needed, WorkerPool) else needed in (None, w.kind)
 
 
+def _with_part(pool: Pool, w: Worker) -> tuple[Pool, ...]:
+    return (pool,) if (part := pool.parts.get(w.zone)) is None else (pool, part)
+
+
 class Fleet:
     """Holds `workers` true to its pools: the ready ones, and others while they have slots in flight.
 
@@ -195,13 +201,16 @@
 
     def __init__(
         self, workers: dict[str, Worker], kinds: Iterable[str | None], zone: str, cold_for_s: float,
-        suspect_from: float,
+        suspect_from: float, split: Sequence[str] = (),
     ) -> None:  # fmt: skip
-        """`suspect_from`: share of bad endings above which a worker is counted in `suspects`."""
-        self.workers, self.zone = workers, zone
+        """`suspect_from`: share of bad endings above which a worker is counted in `suspects`.
+
+        `split`: zones by which each pool has parts.
+        """
+        self.workers, self.zone, self.split = workers, zone, split
         self.cold_for_s, self.suspect_from = cold_for_s, suspect_from
-        self.pools: dict[Needed, Pool] = {kind: Pool() for kind in kinds}
-        self.by_zone = False  # whether a pool goes by zones
+        self.pools: dict[Needed, Pool] = {kind: Pool(split) for kind in kinds}
+        self.by_zone = bool(split)  # whether a pool goes by zones
         self.ready = self.turns = 0
         self.leaving: dict[Worker, None] = {}  # not ready and without load: forgotten with the next list
         self.suspects: dict[Worker, None] = {}
@@ -223,14 +232,16 @@
         """Whom it holds; made when it is first asked for, at the cost of all its workers' joining."""
         found = self.pools.get(needed)
         if found is None:
-            found = self.pools[needed] = Pool()
+            found = self.pools[needed] = Pool(self.split)
             self.by_zone = self.by_zone or (isinstance(needed, WorkerPool) and bool(needed.zones))
             for w in sorted(self.workers.values(), key=lambda w: w.turn):
                 if w.ready and _holds(needed, w):
-                    w.pools += (found,)
-                    found.change(w, True, (ring_points(w.address, 0), ring_points(w.address, 1)))
-                    if w.level is not None:
-                        found.enter(w, w.level)
+                    points = ring_points(w.address, 0), ring_points(w.address, 1)
+                    for pool in _with_part(found, w):
+                        w.pools += (pool,)
+                        pool.change(w, True, points)
+                        if w.level is not None:
+                            pool.enter(w, w.level)
         return found
 
     def drop(self, needed: Iterable[Needed]) -> None:
@@ -242,7 +253,8 @@
                 w.pools = self._pools_of(w)
 
     def _pools_of(self, w: Worker) -> tuple[Pool, ...]:
-        return tuple(pool for needed, pool in self.pools.items() if _holds(needed, w))
+        whole = (pool for needed, pool in self.pools.items() if _holds(needed, w))
+        return tuple(pool for one in whole for pool in _with_part(one, w))
 
     def update(self, w: Worker, e: WorkerEntry) -> bool:
         """What the entry says of the worker; True: it has joined, and is not in a row until `enter`."""
--- a/finchladder/core/guarded.py
+++ b/finchladder/core/guarded.py
@@ -51,6 +51,8 @@
 from finchladder.core.policy import Dispatcher
 from finchladder.core.retries import Budget
 from finchladder.core.routes import Queue, RetryBudget, Route, Routes
+from finchladder.core.spill import SpillSettings
+from finchladder.core.zones import Zoned
 
 GUARD = 2  # timer token; the Dispatcher's own are 0 and 1
 EARLY_S = 1e-4  # a timer may come so much before its time, as clocks are rounded
@@ -419,7 +421,9 @@
     def handle(self, now: float, event: Any) -> list[Action]: ...
 
 
-def decisions(settings: Settings, seed: int, routes: Routes | None) -> Dispatcher | Guarded:
-    """None: there is no file that could have routes, now or later."""
-    dispatcher = Dispatcher(settings, seed)
+def decisions(
+    settings: Settings, seed: int, routes: Routes | None, spill: SpillSettings | None = None
+) -> Dispatcher | Guarded:
+    """`routes` None: there is no file that could have them, now or later. `spill` None: zones are as one."""
+    dispatcher = Dispatcher(settings, seed) if spill is None else Zoned(settings, seed, spill)
     return dispatcher if routes is None else Guarded(dispatcher, routes, seed)
--- /dev/null
+++ b/finchladder/core/members.py
@@ -0,0 +1,53 @@
+"""Aperture in front of the decisions: lists of all real servers go in, lists of those in the subset come out.
+
+What is outside is not known behind it. What leaves the subset is told as gone, so it gets nothing new, its
+kept connections close, and what runs there ends as always.
+"""
+
+from collections.abc import Iterable
+
+from finchladder.core.aperture import Aperture, ApertureSettings
+from finchladder.core.api import ListKind, State, WorkerEntry, WorkerList
+
+Address = tuple[str, int]
+
+
+class Members:
+    """Costs: an entry O(1), one that joins or leaves O(log n + width) and n moved pointers.
+
+    Memory: two entries for each listed real server, some 0.5 KB.
+    """
+
+    def __init__(self, index: int, dispatchers: int, settings: ApertureSettings) -> None:
+        self.aperture = Aperture(index, dispatchers, settings)
+        self.listed: dict[str, WorkerEntry] = {}  # ready or draining, as last told
+        self.addresses: dict[str, Address] = {}
+
+    def take(
+        self, told: WorkerList, addresses: dict[str, Address]
+    ) -> tuple[WorkerList, dict[str, Address]]:
+        """What is to be told in its place, and the addresses of that."""
+        named = {e.worker: e for e in told.entries}  # of two entries for one, the last holds
+        self.addresses.update(addresses)
+        here = {name: e for name, e in named.items() if e.state is not State.GONE}
+        strata = [(name, (e.zone, e.kind)) for name, e in here.items()]
+        if told.kind in (ListKind.WHOLE, ListKind.STALE):
+            self.listed = here
+            self.addresses = {name: at for name, at in self.addresses.items() if name in here}
+            self.aperture.replace(strata)
+            return self._out(told.kind, (e for name, e in here.items() if name in self.aperture))
+        gone = [name for name in named if name not in here]
+        self.listed |= here
+        change = self.aperture.change(strata, gone)
+        out = [self.listed[name]._replace(state=State.GONE) for name in sorted(change.left)]
+        for name in gone:
+            self.listed.pop(name, None)
+            self.addresses.pop(name, None)
+        out += [e for name, e in here.items() if name in self.aperture and name not in change.entered]
+        out += [self.listed[name] for name in sorted(change.entered)]
+        return self._out(told.kind, out)
+
+    def _out(self, kind: ListKind, entries: Iterable[WorkerEntry]) -> tuple[WorkerList, dict[str, Address]]:
+        out = WorkerList(kind, tuple(entries))
+        here = (e.worker for e in out.entries if e.state is not State.GONE)
+        return out, {name: self.addresses[name] for name in here if name in self.addresses}
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -6,7 +6,7 @@
 Read top-down: events, placing, the one way out (_send), the one way to end (_end), learning, the worker list.
 """
 
-from collections.abc import Callable, Iterator  # noqa: I001
+from collections.abc import Callable, Iterable, Iterator  # noqa: I001
 from itertools import islice
 from math import inf
 from random import Random
@@ -22,7 +22,7 @@
 from finchladder.core.counts import KeyCounts
 from finchladder.core.fleet import Fleet, Pool
 from finchladder.core.records import Attempt, Held, Job, Line, Worker
-from finchladder.core.told import Told
+from finchladder.core.told import Share, Told
 
 SAMPLE = 12  # workers, pairs or waiting keys looked at in one choice: its cost stays flat as all grows
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
@@ -43,24 +43,9 @@
 SWEEPS, SCAN = 20, 4  # looks at held jobs within the shortest aim; one in so many is at all open jobs: CPU
 
 
-class Share:
-    """What part of a tenant's requests is within its share, by the rate that all dispatchers see of it."""
-
-    def __init__(self, quota: float) -> None:
-        self.quota = quota
-        self.own, self.peers = 0.0, 0.0  # requests a second
-        self.count, self.credit = 0, 0.0
-
-    def in_share(self) -> bool:
-        self.count += 1
-        self.credit += min(1.0, self.quota / max(self.own + self.peers, self.quota))
-        if self.credit < 1:
-            return False
-        self.credit -= 1
-        return True
-
-
 class Dispatcher:
+    split: tuple[str, ...] = ()  # zones that have pools of their own
+
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s = settings
         self.random = Random(seed)
@@ -96,7 +81,7 @@
     def reindex(self) -> None:
         """Makes anew what follows from the records; whoever replaces them must call it."""
         kinds = [kind or None for kind in sorted({c.kind or "" for c in self.s.classes})]
-        self.fleet = Fleet(self.workers, kinds, self.s.zone, self.s.cold_for, SUSPECT)
+        self.fleet = Fleet(self.workers, kinds, self.s.zone, self.s.cold_for, SUSPECT, self.split)
         self.agenda = Agenda(self.classes, self.sweep)
         for job in self.jobs.values():
             if not job.done:
@@ -256,7 +241,16 @@
     def _pick(self, job: Job) -> Worker | None:
         if not self._resend_allowed(job):
             return None
-        pool = self.fleet.pool(job.pool)
+        for pool in self._pools(job):
+            if (worker := self._pick_from(pool, job)) is not None:
+                return worker
+        return None
+
+    def _pools(self, job: Job) -> Iterable[Pool]:
+        """Whom it may go to, in the order in which they are asked; zones.py has another one."""
+        return (self.fleet.pool(job.pool),)
+
+    def _pick_from(self, pool: Pool, job: Job) -> Worker | None:
         if job.key is not None:
             # overflow of a key goes round its own rings first: every node finds the same few workers, which
             # then hold what the key needs; scattered over the fleet each overflow would cost a fetch
--- a/finchladder/core/spill.py
+++ b/finchladder/core/spill.py
@@ -70,6 +70,9 @@
 class Spill:
     """To be told of all zones every 100 ms or so; asked for each job that home would get."""
 
+    __slots__ = ("s", "state", "target", "part", "credit", "full_since", "room_since", "wait", "changed_at",
+                 "looked_at")  # fmt: skip
+
     def __init__(self, settings: SpillSettings) -> None:
         self.s = settings
         self.state = State.HOME
@@ -79,7 +82,7 @@
         self.full_since: float | None = None
         self.room_since: float | None = None
         self.wait = 1.0  # times that full_s and back_s count
-        self.changed_at = float("-inf")  # when home was last left, or spilling begun anew
+        self.changed_at: float | None = None  # when home was last left, or spilling begun anew
         self.looked_at = 0.0
 
     def observe(self, now: float, home: Zone, others: Mapping[str, Zone], away: float = 0.0) -> None:
@@ -115,10 +118,14 @@
     def _is_full(self, zone: Zone) -> bool:
         return zone.free_part <= self.s.full_at or zone.refused > self.s.refused_at * max(zone.sent, 1)
 
+    def _soon(self, now: float) -> bool:
+        """Whether the change before was so near that it is to be waited for longer."""
+        return self.changed_at is not None and now - self.changed_at < 2 * AGAIN_MOST * self.s.back_s
+
     def _sign(self, now: float) -> Sign | None:
         if self.state is not State.HOME and self.target is None:
             return Sign.NOWHERE
-        if now - self.changed_at >= 2 * AGAIN_MOST * self.s.back_s:
+        if not self._soon(now):
             self.wait = 1.0
         wait = self.wait if self.state is State.HOME else 1.0  # the way back to a zone that was left is short
         if self.full_since is not None and now - self.full_since >= self.s.full_s * wait:
@@ -130,8 +137,7 @@
     def _go(self, sign: Sign, now: float) -> None:
         self.state = TRANSITIONS[self.state, sign]
         if sign is Sign.FULL:
-            again = now - self.changed_at < 2 * AGAIN_MOST * self.s.back_s
-            self.wait = min(AGAIN_MOST, 2 * self.wait) if again else 1.0
+            self.wait = min(AGAIN_MOST, 2 * self.wait) if self._soon(now) else 1.0
             self.changed_at = now
             self.part = max(self.part, 0.1)
             self.room_since = None
--- a/finchladder/core/told.py
+++ b/finchladder/core/told.py
@@ -1,4 +1,4 @@
-"""What peers told of their tenants' rates: the message, and how long it counts."""
+"""Tenants' shares: what peers told of their rates, the message and how long it counts, and who is within."""
 
 import struct
 from collections.abc import Iterable
@@ -28,3 +28,20 @@
     def sum(self, n: int, since: float) -> float:
         """Of the n-th tenant's rates, as told after `since`."""
         return sum(rates[n] for at, rates in self.of.values() if at > since)
+
+
+class Share:
+    """What part of a tenant's requests is within its share, by the rate that all dispatchers see of it."""
+
+    def __init__(self, quota: float) -> None:
+        self.quota = quota
+        self.own, self.peers = 0.0, 0.0  # requests a second
+        self.count, self.credit = 0, 0.0
+
+    def in_share(self) -> bool:
+        self.count += 1
+        self.credit += min(1.0, self.quota / max(self.own + self.peers, self.quota))
+        if self.credit < 1:
+            return False
+        self.credit -= 1
+        return True
--- a/finchladder/features/replay.py
+++ b/finchladder/features/replay.py
@@ -233,7 +233,8 @@
     def _fresh(self) -> tuple[Dispatcher | Guarded, Arrivals]:
         assert self.opening is not None
         seed = read_seed(self.opening.seed)
-        return decisions(self.settings, seed, self.routes), Arrivals(self.options, seed)
+        made = decisions(self.settings, seed, self.routes, self.options.spilling())
+        return made, Arrivals(self.options, seed)
 
     def _restore(self, record: StateIn) -> None:
         dispatcher, arrivals = self._fresh()
--- a/finchladder/lab/settings.py
+++ b/finchladder/lab/settings.py
@@ -96,7 +96,7 @@
         return str(error)
     try:
         options = read_options(e.program.config or None)
-        options.check([c.name for c in read.classes], e.program.memory_mb)
+        options.check([c.name for c in read.classes], e.program.memory_mb, read)
     except ValueError as error:
         return f"program.config: {error}"
     return None
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -14,6 +14,7 @@
 from finchladder.core.bodies import BodyRoom
 from finchladder.core.guarded import Guarded, NewRoutes, decisions
 from finchladder.core.leaving import Leaving
+from finchladder.core.members import Members
 from finchladder.core.routes import Routes
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
@@ -29,7 +30,7 @@
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.recorder import Recorder
 from finchladder.net.reload import Reload, count
-from finchladder.net.servers import RealServers
+from finchladder.net.servers import IN_USE_EACH, RealServers
 from finchladder.net.service import ServiceActor
 from finchladder.net.timers import Timers
 
@@ -59,7 +60,8 @@
         self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
         routes = file.loaded.routes if file is not None else None
-        decided, arrivals = decisions(setup.settings, seed, routes), Arrivals(options, seed)
+        decided = decisions(setup.settings, seed, routes, options.spilling())
+        arrivals = Arrivals(options, seed)
         self.dispatcher = decided.inner if isinstance(decided, Guarded) else decided
         self.module = ModuleActor(decided, self.flows, clock)
         self.capture: Capture | None = None
@@ -72,13 +74,18 @@
             self.module.tap = arrivals.tap = Recorder(self.capture)
         self.timers = Timers(clock)
         caps = setup.caps
+        members, each = None, IN_USE_EACH
+        if options.aperture is not None:
+            subset = options.aperture.settings()
+            members = Members(setup.settings.index, setup.settings.dispatchers, subset)
+            each = subset.connections_each
         self.servers = RealServers(
             self.flows, self.module, self.timers, caps.connect_timeout_s, caps.conn_idle_s, sockets,
-            machine.connect,
+            machine.connect, each,
         )  # fmt: skip
         self.module.carrier = self.servers
         self.service = ServiceActor(
-            setup.discovery, self.servers.update, self.servers.retire, machine.connect
+            setup.discovery, self.servers.update, self.servers.retire, machine.connect, members
         )
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -101,6 +101,7 @@
     def __init__(
         self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, timers: Timers,
         connect_timeout: float, trust: Trust, all_in_use: Places, kept: KeptLines, connect: Connect,
+        each: int,
     ) -> None:  # fmt: skip
         super().__init__(f"real server {name}", ROOM)
         self.connect = connect
@@ -111,7 +112,7 @@
         self.live: dict[str, Scheduling] = {}
         self.idle: list[Line] = []  # the one used last is the last
         self.busy = 0
-        self.in_use, self.all_in_use = Places(IN_USE_EACH), all_in_use
+        self.in_use, self.all_in_use = Places(each), all_in_use
 
     @property
     def log(self) -> "Logger":
@@ -309,10 +310,11 @@
 
     def __init__(
         self, flows: Flows, module: ModuleActor, timers: Timers, connect_timeout: float, conn_idle: float,
-        sockets: int, connect: Connect,
+        sockets: int, connect: Connect, each: int = IN_USE_EACH,
     ) -> None:  # fmt: skip
+        """`each`: connections to one real server at the most."""
         self.flows, self.module, self.clock, self.timers = flows, module, module.clock, timers
-        self.connect = connect
+        self.connect, self.each = connect, each
         self.connect_timeout, self.trust = connect_timeout, Trust(self.clock(), conn_idle * IDLE_PART)
         self.actors: dict[str, RealServer] = {}
         self.starts: dict[str, float] = {}
@@ -358,7 +360,7 @@
     def _add(self, name: str, address: tuple[str, int]) -> RealServer:
         actor = self.actors[name] = RealServer(
             name, address, self.flows, self.module, self.timers,
-            self.connect_timeout, self.trust, self.all_in_use, self.kept, self.connect,
+            self.connect_timeout, self.trust, self.all_in_use, self.kept, self.connect, self.each,
         )  # fmt: skip
         return actor
 
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -1,11 +1,12 @@
 """Discovery: the reader that watches the list of service entries."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import islice
 
 from finchladder.config.entries import Change, EntryTable, News, read_list
 from finchladder.core import api
+from finchladder.core.members import Members
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.http1 import BadMessage, Channel, Connect, StreamClosedError
@@ -16,7 +17,8 @@
 MAX_LINE = 8 * 1024 * 1024
 ROOM = 64
 LONG = 48 * 1024  # bytes: some 350 entries; a shorter line is read and applied at once
-READ_AT_ONCE, APPLY_AT_ONCE = 512, 16  # entries of a longer one in one turn of the loop: some 2 ms each
+# entries of a longer one in one turn of the loop: some 2 ms each
+READ_AT_ONCE, SIFT_AT_ONCE, APPLY_AT_ONCE = 512, 256, 16
 
 Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
 
@@ -38,21 +40,37 @@
         return [bytes(line).strip() for line in lines]
 
 
+def _taken(
+    waiting: dict[str, api.WorkerEntry], addresses: dict[str, tuple[str, int]], most: int
+) -> tuple[api.WorkerList, dict[str, tuple[str, int]]]:
+    """So many entries out of these, and their addresses."""
+    names = list(islice(waiting, most))
+    entries = tuple(waiting.pop(name) for name in names)
+    found = {n: addresses.pop(n) for n in names if n in addresses}
+    return api.WorkerList(api.ListKind.PATCH, entries), found
+
+
 class ServiceActor(Actor[News]):
     """Keeps the version of the list last read, and watches for what comes after it.
 
     A long list is read and applied in slices, so that no turn of the loop waits for it: what drains or is
     gone first, and with `retire` even ahead of that. News that come meanwhile overtake the slices to come.
+    Where `members` says who of the list is used, it is asked about a long one whole before any of it is
+    applied: its subset must not follow a list that is half read.
     """
 
     def __init__(
-        self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None], connect: Connect
-    ) -> None:
+        self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None], connect: Connect,
+        members: Members | None = None,
+    ) -> None:  # fmt: skip
         super().__init__("service list", ROOM)
         self.address, self.apply, self.retire, self.connect = address, apply, retire, connect
         self.index = 0
         self.up = self.established = False
-        self.table = EntryTable()
+        self.table, self.members = EntryTable(), members
+        # entries about which the members are still to be asked, and their addresses
+        self.told: dict[str, api.WorkerEntry] = {}
+        self.told_addresses: dict[str, tuple[str, int]] = {}
         # entries still to be applied, by name: the newest word alone; those not ready go first
         self.urgent: dict[str, api.WorkerEntry] = {}
         self.rest: dict[str, api.WorkerEntry] = {}
@@ -61,11 +79,16 @@
         self.applying: asyncio.Task[None] | None = None
 
     def receive(self, news: News) -> None:
-        for e in news.workers.entries:
+        workers, addresses = news.workers, news.addresses
+        for e in workers.entries:
             self._drop(e.worker)
-        if news.workers.kind is not api.ListKind.PATCH:
+        if workers.kind is not api.ListKind.PATCH:
             self.urgent, self.rest, self.addresses = {}, {}, {}
-        self.apply(news.workers, news.addresses)
+            self.told, self.told_addresses = {}, {}
+        if self.members is not None:
+            workers, addresses = self.members.take(workers, addresses)
+            self._forestall(workers.entries)
+        self.apply(workers, addresses)
         self.table.keep(news)
         self.index = news.version
         # an empty list from before is no list: nothing could be served on it
@@ -86,22 +109,46 @@
     def _changed(self, change: Change, known: bool) -> None:
         for e in change.entries:
             self._drop(e.worker)
-            (self.rest if e.state is api.State.READY else self.urgent)[e.worker] = e
-        self.addresses |= change.addresses
+        if self.members is None:
+            self._queue(change.entries, change.addresses)
+        else:  # what is gone comes last: the subset moves once where one goes and another comes
+            entries = sorted(change.entries, key=lambda e: e.state is api.State.GONE)
+            self.told.update((e.worker, e) for e in entries)
+            self.told_addresses |= change.addresses
         self.retire([e.worker for e in change.entries if e.state is not api.State.READY])
         self.index, self.up = change.version, self.up or bool(self.table.told) or not known
         if self.applying is None or self.applying.done():
             self.applying = self.spawn(self._apply_on())
 
+    def _queue(self, entries: Iterable[api.WorkerEntry], addresses: dict[str, tuple[str, int]]) -> None:
+        for e in entries:
+            (self.rest if e.state is api.State.READY else self.urgent)[e.worker] = e
+        self.addresses |= addresses
+
     async def _apply_on(self) -> None:
-        while waiting := self.urgent or self.rest:
-            names = list(islice(waiting, APPLY_AT_ONCE))
-            entries = tuple(waiting.pop(name) for name in names)
-            addresses = {n: self.addresses.pop(n) for n in names if n in self.addresses}
-            self.apply(api.WorkerList(api.ListKind.PATCH, entries), addresses)
+        while waiting := self.told or self.urgent or self.rest:
+            if self.told:
+                change = _taken(self.told, self.told_addresses, SIFT_AT_ONCE)
+                assert self.members is not None
+                workers, addresses = self.members.take(*change)
+                self._forestall(workers.entries)
+                self._queue(workers.entries, addresses)
+            else:
+                self.apply(*_taken(waiting, self.addresses, APPLY_AT_ONCE))
             await asyncio.sleep(0)
 
     def _drop(self, name: str) -> None:
+        """What is still to be done about it is overtaken."""
+        self.told.pop(name, None)
+        self.told_addresses.pop(name, None)
+        self._forestall_one(name)
+
+    def _forestall(self, entries: Iterable[api.WorkerEntry]) -> None:
+        """Only what the members said before: a newer word about one may still wait for them."""
+        for e in entries:
+            self._forestall_one(e.worker)
+
+    def _forestall_one(self, name: str) -> None:
         self.urgent.pop(name, None)
         self.rest.pop(name, None)
         self.addresses.pop(name, None)
