Spill sees which real servers are open; tests of members, zones and sliced states

Learned thresholds follow the load, so few slots seemed free and the other zone looked full: 9 spillings began in 30 s.

--- a/finchladder/core/spill.py
+++ b/finchladder/core/spill.py
@@ -22,7 +22,7 @@
     FULL = "full"  # home has been full for full_s, and another zone has room
     ROOM = "room"  # home has had room for all of it for back_s
     DONE = "done"  # nothing is sent away any more
-    NOWHERE = "nowhere"  # no other zone has room
+    NOWHERE = "nowhere"  # no other zone has had room for full_s
 
 
 TRANSITIONS = {
@@ -55,23 +55,32 @@
 
 
 class Zone(NamedTuple):
-    """What is seen of a zone: slots of its ready real servers, those free, and sends since the last look."""
+    """What is seen of a zone: slots of its ready real servers, those free, and sends since the last look.
+
+    `open`: slots of those real servers that would take a job now, busy ones among them. Where slots are only
+    learned from what is sent, few seem free of those that are not asked for more. None: as many as are free.
+    """
 
     slots: float
     free: float
     sent: int = 0
     refused: int = 0
+    open: float | None = None
 
     @property
     def free_part(self) -> float:
         return self.free / self.slots if self.slots > 0 else 0.0
 
+    @property
+    def open_part(self) -> float:
+        return self.free_part if self.open is None else self.open / self.slots if self.slots > 0 else 0.0
+
 
 class Spill:
     """To be told of all zones every 100 ms or so; asked for each job that home would get."""
 
-    __slots__ = ("s", "state", "target", "part", "credit", "full_since", "room_since", "wait", "changed_at",
-                 "looked_at")  # fmt: skip
+    __slots__ = ("s", "state", "target", "part", "credit", "full_since", "room_since", "none_since", "wait",
+                 "changed_at", "looked_at")  # fmt: skip
 
     def __init__(self, settings: SpillSettings) -> None:
         self.s = settings
@@ -81,6 +90,7 @@
         self.credit = 0.0
         self.full_since: float | None = None
         self.room_since: float | None = None
+        self.none_since: float | None = None  # since then no other zone has room
         self.wait = 1.0  # times that full_s and back_s count
         self.changed_at: float | None = None  # when home was last left, or spilling begun anew
         self.looked_at = 0.0
@@ -94,11 +104,15 @@
         self.room_since = (now if self.room_since is None else self.room_since) if room else None
         target = others.get(self.target) if self.target is not None else None
         if self.state is State.HOME or target is None or self._is_full(target):
-            open_ = [z for z in sorted(others) if others[z].free_part >= self.s.back_at]
-            self.target = max(open_, key=lambda z: others[z].free, default=None)
+            open_ = [z for z in sorted(others) if others[z].open_part >= self.s.back_at]
+            self.target = max(open_, key=lambda z: others[z].open_part * others[z].slots, default=None)
+        lacking = self.target is None
+        self.none_since = (now if self.none_since is None else self.none_since) if lacking else None
         if (sign := self._sign(now)) is not None:
             self._go(sign, now)
-        if self.state is State.SPILLING and full:
+        if self.state is State.SPILLING and lacking:
+            self.part *= max(0.0, 1 - took / self.s.full_s)  # it was too much for the others
+        elif self.state is State.SPILLING and full:
             self.part = min(1.0, self.part + max(0.1, self.part) * took / self.s.full_s)
         elif self.state is State.SPILLING and home.free_part >= self.s.back_at:
             self.part *= max(0.0, 1 - took / self.s.ramp_s)  # more goes away than must
@@ -116,15 +130,16 @@
         return self.target
 
     def _is_full(self, zone: Zone) -> bool:
-        return zone.free_part <= self.s.full_at or zone.refused > self.s.refused_at * max(zone.sent, 1)
+        return zone.open_part <= self.s.full_at or zone.refused > self.s.refused_at * max(zone.sent, 1)
 
     def _soon(self, now: float) -> bool:
         """Whether the change before was so near that it is to be waited for longer."""
         return self.changed_at is not None and now - self.changed_at < 2 * AGAIN_MOST * self.s.back_s
 
     def _sign(self, now: float) -> Sign | None:
-        if self.state is not State.HOME and self.target is None:
-            return Sign.NOWHERE
+        if self.state is not State.HOME and self.none_since is not None:
+            if now - self.none_since >= self.s.full_s:
+                return Sign.NOWHERE
         if not self._soon(now):
             self.wait = 1.0
         wait = self.wait if self.state is State.HOME else 1.0  # the way back to a zone that was left is short
--- a/finchladder/core/zones.py
+++ b/finchladder/core/zones.py
@@ -6,7 +6,8 @@
 | has come, otherwise | home |
 | waits, while work goes away | home, the other zone |
 | waits, while none does | home |
-| has waited for LINGER, was sent before, or may not run at home | home, all zones |
+| has waited for LINGER | home, all zones |
+| was sent before, or may not run at home | all zones |
 
 So no job is refused for want of room at home while another zone has some. All of it holds within the kinds
 and zones that the job's own pool allows.
@@ -23,7 +24,6 @@
 
 LOOK_EVERY_S = 0.1
 LOOK_AT = 128  # of a zone's workers at most: of more, at random points of its ring; a look costs 0.1 ms each
-BARELY = 0.1  # of its threshold: the least room of a worker under it, as the threshold follows the load up
 LINGER = 0.25  # part of its aim for which a job waits for home alone
 
 
@@ -94,23 +94,25 @@
         """
         few = part.size <= LOOK_AT
         looked = list(part.by_load(LOOK_AT) if few else part.anyone(self.draws, LOOK_AT))
-        slots = free = load = 0.0
+        slots = free = open_ = load = 0.0
         for w in looked:
             load += w.load
             if not w.ejected_until and not self.fleet.is_cold(w, self.now):
                 slots += w.t
-                free += max(w.t - w.load, BARELY * w.t) if self._under_t(w) else 0.0
+                if self._under_t(w):
+                    free += w.t - w.load
+                    open_ += w.t
         scale = part.size / len(looked) if looked else 0.0
         sent, refused = self.counts.get((kind, zone), (0, 0))
-        return Zone(slots * scale, free * scale, sent, refused), load * scale
+        return Zone(slots * scale, free * scale, sent, refused, open_ * scale), load * scale
 
     def _pools(self, job: Job) -> Iterable[Pool]:
         whole = self.fleet.pool(job.pool)
         home = whole.parts.get(self.s.zone)
-        if home is None or not home.size:
+        if home is None or not home.size or job.attempts:
             return (whole,)
         waited = self.now - job.arrived
-        if job.attempts or waited >= LINGER * job.cls.aim:
+        if waited >= LINGER * job.cls.aim:
             return home, whole
         spill = self.spills[job.cls.kind]
         zone = spill.target if spill.state is not State.HOME else None
--- /dev/null
+++ b/tests/core/test_members.py
@@ -0,0 +1,195 @@
+"""The aperture in front of the fleet index: what is outside is not known behind it, what leaves ends well."""
+
+import asyncio
+import json
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from finchladder import Dispatcher, api
+from finchladder.config.entries import read_list
+from finchladder.config.options import ApertureOptions, read_ini
+from finchladder.core.aperture import Aperture, ApertureSettings
+from finchladder.core.api import ListKind, State
+from finchladder.core.members import Members
+from finchladder.net import http1, service
+from finchladder.net.service import ServiceActor
+from tests.helpers import Bench, entry, settings
+
+TEN = ApertureSettings(server_connections=240, connections_each=24)  # a real server serves ten dispatchers
+AT = ("127.0.0.1", 80)
+Told = tuple[api.WorkerList, dict[str, tuple[str, int]]]
+
+
+def told(kind: ListKind, *entries: api.WorkerEntry) -> Told:
+    listed = {e.worker: AT for e in entries if e.state is not State.GONE}
+    return api.WorkerList(kind, entries), listed
+
+
+def names(n: int) -> list[str]:
+    return [f"s-{i}" for i in range(n)]
+
+
+class Behind:
+    """The decisions behind the members, told only what comes out."""
+
+    def __init__(self, index: int = 7, dispatchers: int = 40, n: int = 200) -> None:
+        self.members = Members(index, dispatchers, TEN)
+        self.bench = Bench()
+        self.names = names(n)
+        self.take(ListKind.WHOLE, *(entry(name, zone="ab"[i % 2]) for i, name in enumerate(self.names)))
+
+    def take(self, kind: ListKind, *entries: api.WorkerEntry) -> api.WorkerList:
+        out, addresses = self.members.take(*told(kind, *entries))
+        assert set(addresses) == {e.worker for e in out.entries if e.state is not State.GONE}
+        self.bench.feed(out)
+        return out
+
+    @property
+    def ready(self) -> set[str]:
+        return {w.address for w in self.bench.d.workers.values() if w.ready}
+
+
+def test_both_homes_of_a_key_are_inside_and_what_is_outside_is_not_known() -> None:
+    b = Behind()
+    inside = {name for name in b.names if name in b.members.aperture}
+    assert b.ready == inside and len(inside) == 50  # a quarter in each zone
+    pool = b.bench.d.fleet.pools[None]
+    for key in range(300):
+        assert {w.address for w in pool.pairs(key, 1)[0]} <= inside
+        name, [sent] = b.bench.ask(key=key)
+        assert sent.worker in inside
+        b.bench.serve(name)
+
+
+@pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
+def test_news_of_what_is_outside_is_void_but_for_what_moves_by_it(state: State) -> None:
+    b = Behind()
+    outside = next(name for name in b.names if name not in b.members.aperture)
+    before, zone = b.ready, b.members.listed[outside].zone
+    out = b.take(ListKind.PATCH, entry(outside, state, zone=zone))
+    if state is State.DRAINING:
+        assert out.entries == () and b.ready == before  # a drain shifts no slice
+    assert outside not in {e.worker for e in out.entries} and len(b.ready - before) <= 2
+    inside = sorted(b.ready)[0]
+    zone = b.members.listed[inside].zone
+    assert entry(inside, State.DRAINING, zone=zone) in b.take(
+        ListKind.PATCH, entry(inside, State.DRAINING, zone=zone)
+    ).entries
+    assert inside not in b.ready
+
+
+def test_a_join_or_a_leave_moves_few_and_what_left_gets_nothing_new_while_its_job_ends_as_always() -> None:
+    b = Behind()
+    jobs = {sent.worker: name for name, [sent] in (b.bench.ask() for _ in range(50))}
+    assert len(jobs) == 50
+    for step in range(200):
+        if step % 2:
+            name = b.names[step]
+            b.take(ListKind.PATCH, entry(name, State.GONE))
+        else:
+            b.take(ListKind.PATCH, entry(f"new-{step}", zone="a"))
+    left = set(jobs) - b.ready
+    assert left and all(b.bench.d.workers[name].load == 1 for name in left)
+    for _ in range(100):
+        _, sent = b.bench.ask()
+        assert not {s.worker for s in sent} & left
+    for name in left:
+        b.bench.serve(jobs[name])
+    b.take(ListKind.PATCH)
+    assert not left & set(b.bench.d.workers)
+
+
+@examples(max_examples=40, deadline=None, derandomize=True, database=None)
+@given(st.integers(0, 2**32), st.integers(0, 39))
+def test_entry_by_entry_what_is_known_behind_is_what_a_whole_list_gives(seed: int, index: int) -> None:
+    random, b = Random(seed), Behind(index, 40, 60)
+    held = {name: entry(name, zone="ab"[i % 2]) for i, name in enumerate(b.names)}
+    for _ in range(40):
+        some = []
+        for _ in range(random.randrange(1, 6)):
+            name = f"s-{random.randrange(90)}"
+            e = entry(name, random.choice([*State, State.READY]), zone=random.choice("ab"))
+            some.append(e)
+            held[name] = e
+            if e.state is State.GONE:
+                del held[name]
+        if random.random() < 0.1:
+            b.take(random.choice([ListKind.WHOLE, ListKind.STALE]), *held.values())
+        else:
+            b.take(ListKind.PATCH, *some)
+        whole = Aperture(index, 40, TEN)
+        whole.replace((e.worker, (e.zone, e.kind)) for e in held.values())
+        assert b.ready == {n for n, e in held.items() if n in whole and e.state is State.READY}
+
+
+def line(entries: list[api.WorkerEntry], whole: bool, index: int) -> bytes:
+    listed = [{"name": e.worker, "address": "127.0.0.1:80", "status": e.state.value, "zone": e.zone}
+              for e in entries]  # fmt: skip
+    return json.dumps({"index": index, "snapshot": whole, "endpoints": listed}).encode()
+
+
+def test_a_long_list_is_taken_whole_before_any_of_it_is_applied_and_news_overtake_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Half read, it would have another subset, whose real servers would come and go."""
+
+    async def play() -> None:
+        monkeypatch.setattr(service, "LONG", 2000)
+        monkeypatch.setattr(service, "SIFT_AT_ONCE", 16)
+        applied: list[api.WorkerEntry] = []
+        members = Members(7, 40, TEN)
+
+        def apply(workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
+            applied.extend(workers.entries)
+
+        actor = ServiceActor(AT, apply, lambda names: None, http1.connect, members)
+        whole = [entry(name) for name in names(200)]
+        await actor.take(line(whole, True, 1))
+        while not members.listed:
+            await asyncio.sleep(0)
+        actor.post(read_list(line([entry("s-199", State.DRAINING), entry("s-3", State.GONE)], False, 2)))
+        while actor.told or actor.urgent or actor.rest:
+            await asyncio.sleep(0)
+        ready = {name: e.state for e in applied for name in [e.worker]}
+        final = Aperture(7, 40, TEN)
+        final.replace((e.worker, (e.zone, e.kind)) for e in whole if e.worker != "s-3")
+        state = {"s-199": State.DRAINING}
+        assert {n for n, s in ready.items() if s is not State.GONE} == {n for n in names(200) if n in final}
+        assert all(s is state.get(n, State.READY) for n, s in ready.items() if s is not State.GONE)
+        assert len(applied) <= 50 + 16  # the subset, and what the first slices' subsets had of it
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("text", "error"),
+    [
+        ("[aperture]\nserver_connections = 10\nconnections_each = 11", "connections_each must be 1 to"),
+        ("[aperture]\nconnections_each = 25", "<= 24"),
+        ("[aperture]\nleast = 1", ">= 2"),
+        ("[spill]\nfull_at = 0.5\nback_at = 0.4", "below back_at"),
+        ("[spill]\nramp_s = 0", ">= 0.1"),
+        ("[spill]\nrefused_at = 0", "> 0"),
+    ],
+)
+def test_settings_that_cant_be_used_are_said_in_one_line(text: str, error: str) -> None:
+    with pytest.raises(ValueError, match=error):
+        read_ini(text, "a.ini")
+
+
+def test_an_index_beyond_the_dispatchers_ends_the_start() -> None:
+    options = read_ini("[aperture]", "a.ini")
+    assert options.aperture == ApertureOptions()
+    with pytest.raises(ValueError, match="none of 3"):
+        options.check([], 192, settings(index=3, dispatchers=3))
+    options.check([], 192, settings(index=2, dispatchers=3))
+    read_ini("", "a.ini").check([], 192, settings(index=3, dispatchers=3))
+
+
+def test_off_there_is_neither_filter_nor_split() -> None:
+    assert Dispatcher(settings(), 1).fleet.pools[None].parts == {}
+    assert ServiceActor(AT, lambda *a: None, lambda names: None, http1.connect).members is None
--- /dev/null
+++ b/tests/core/test_zones.py
@@ -0,0 +1,208 @@
+"""Jobs stay in their zone while it has room, a part goes and comes back, and none is refused for it."""
+
+import json
+from collections import Counter
+from random import Random
+
+import pytest
+
+from finchladder import api
+from finchladder.config.options import CaptureOptions, Options, SpillOptions
+from finchladder.config.settings import read_seed
+from finchladder.core.api import Ending, ListKind, State, WorkerPool
+from finchladder.core.guarded import Guarded, decisions
+from finchladder.core.routes import NO_ROUTES
+from finchladder.core.spill import SpillSettings
+from finchladder.core.zones import LINGER, LOOK_AT, Zoned
+from finchladder.features import snapshot
+from finchladder.features.arrivals import Arrivals
+from finchladder.features.capture import Capture
+from tests.core.test_fleet import DAY, History
+from tests.helpers import Bench, entry, settings
+from tests.test_capture import replayed
+
+SPILL = SpillSettings()
+TWO: dict[str, object] = {"zones": ("a", "b"), "zone": "a"}
+NO_TENANTS: dict[str, object] = {"tenants": (), "may_tell": False}
+
+
+class Zones(Bench):
+    """A fleet whose real servers start at most `room` jobs at once each; more are turned away."""
+
+    def __init__(self, home: int, other: int, room: int = 4, **changes: object) -> None:
+        super().__init__(seed=1)
+        self.d: Zoned = Zoned(settings(**(TWO | changes)), 1, SPILL)
+        self.room = room
+        self.busy = Counter[str]()
+        self.ends: list[tuple[float, str, str]] = []
+        self.zone = {f"a{i}": "a" for i in range(home)} | {f"b{i}": "b" for i in range(other)}
+        self.feed(api.WorkerList(ListKind.WHOLE, tuple(entry(n, zone=z) for n, z in self.zone.items())))
+
+    def went(self, request: str) -> list[str]:
+        return [self.zone[s.worker] for s in self.sends(request)]
+
+    def play(self, seconds: float, rate: float, took: float = 0.5) -> Counter[str]:
+        """Jobs come evenly; where they went."""
+        found, end, known = Counter[str](), self.now + seconds, len(self.log)
+        while self.now < end:
+            self.ask("safe")
+            known = self._carry(known, found, took)
+            until = self.now + 1 / rate
+            while self.ends and min(self.ends)[0] <= until:
+                at, request, worker = min(self.ends)
+                self.ends.remove((at, request, worker))
+                self.run_until(at)
+                self.busy[worker] -= 1
+                if not any(r == request for _, r, w in self.ends if w != worker):
+                    self.end(request, Ending.OK, len(self.sends(request)) - 1)
+                known = self._carry(known, found, took)
+            self.run_until(until)
+            known = self._carry(known, found, took)
+        return found
+
+    def _carry(self, known: int, found: Counter[str], took: float) -> int:
+        while known < len(self.log):
+            _, a = self.log[known]
+            known += 1
+            if not isinstance(a, api.Send):
+                if isinstance(a, api.Refuse | api.Fail):
+                    found["refused"] += 1
+                continue
+            found[self.zone[a.worker]] += 1
+            attempt = len(self.d.jobs[a.request].attempts) - 1
+            if self.busy[a.worker] >= self.room:
+                found["turned away"] += 1
+                self.end(a.request, Ending.OVERLOADED, attempt)
+            else:
+                self.busy[a.worker] += 1
+                self.ends.append((self.now + took, a.request, a.worker))
+                self.start(a.request, attempt)
+        return known
+
+    def states(self) -> list[str]:
+        return [a.text.partition(",")[0].split()[-1] for _, a in self.log if isinstance(a, api.Log)]
+
+
+def test_jobs_stay_at_home_spill_when_it_is_full_and_come_back_without_flapping() -> None:
+    """Eight real servers of four slots serve 64 jobs of half a second each second."""
+    z = Zones(8, 8)
+    calm = z.play(20, 30)
+    assert set(calm) == {"a"} and z.states() == []
+    full = z.play(30, 90)
+    assert z.states()[:1] == ["spilling"] and 0.15 < full["b"] / (full["a"] + full["b"]) < 0.6
+    assert full["refused"] == 0
+    z.play(20, 30)
+    after = z.play(10, 30)
+    assert z.states() == ["spilling", "returning", "home"]
+    assert set(after) == {"a"}
+
+
+def test_a_job_that_finds_no_room_at_home_waits_a_part_of_its_aim_and_is_then_sent_anywhere() -> None:
+    z = Zones(1, 1)
+    z.d.workers["a0"].rest_until = 1e9
+    name, sent = z.ask("safe")
+    assert sent == []
+    z.run_until(z.now + LINGER * 0.9)
+    assert z.went(name) == []
+    z.run_until(z.now + LINGER * 0.3)
+    assert z.went(name) == ["b"]
+
+
+def test_what_was_sent_before_and_what_may_not_run_at_home_goes_anywhere_at_once() -> None:
+    z = Zones(1, 1)
+    name, _ = z.ask("safe")
+    z.end(name, Ending.OVERLOADED)
+    assert z.went(name) == ["a", "b"]
+    z.end(name, Ending.OK, 1)
+    own = api.Own(3, pool=WorkerPool(zones=frozenset("b")))
+    other, [sent] = z.ask("safe", own=own)
+    assert sent.worker == "b0"
+    z.end(other, Ending.OK)
+    z.patch(entry("a0", State.DRAINING, zone="a"))
+    gone, [sent] = z.ask("safe")
+    assert sent.worker == "b0"
+
+
+@pytest.mark.parametrize("size", [6, LOOK_AT + 40])
+def test_a_zone_is_seen_in_slots_and_who_is_cold_or_resting_is_not_open(size: int) -> None:
+    z = Zones(size, 2)
+    part = z.d.fleet.pool(None).parts["a"]
+    seen, load = z.d._seen(part, None, "a")
+    assert [seen.slots, seen.free, seen.open] == pytest.approx([2 * size] * 3) and load == 0
+    for w in z.d.workers.values():
+        w.rest_until = 1e9
+    assert z.d._seen(part, None, "a")[0].open_part == 0
+    for w in z.d.workers.values():
+        w.rest_until, w.t = 0.0, 20.0
+        z.d.fleet.add_load(w, 19.5)
+    seen, load = z.d._seen(part, None, "a")  # a threshold that follows the load up is no full house
+    assert [seen.free_part, seen.open_part] == pytest.approx([0.025, 1])
+    assert load == pytest.approx(19.5 * size)
+    for name in z.zone:
+        z.patch(entry(name, zone=z.zone[name], born=z.now))
+    assert z.d._seen(part, None, "a")[0].slots == 0
+
+
+def test_refusals_alone_make_home_full() -> None:
+    z = Zones(2, 2)
+    for _ in range(40):
+        name, _ = z.ask("safe")
+        if z.went(name) == ["a"]:
+            z.end(name, Ending.OVERLOADED)
+        z.end(name, Ending.OK, len(z.sends(name)) - 1)
+        for w in z.d.workers.values():
+            w.rest_until = 0.0
+        z.run_until(z.now + 0.05)
+    assert z.states() == ["spilling"] and z.d.spills[None].target == "b"
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_day_with_spill_replays_from_the_seed_and_from_a_state_in_the_middle(seed: int) -> None:
+    zoned = decisions(DAY, 5, NO_ROUTES if seed else None, SPILL)
+    assert isinstance(zoned.inner if isinstance(zoned, Guarded) else zoned, Zoned)
+    day = History(Random(seed), 20, zoned)  # type: ignore[arg-type]
+    day.begin()
+    for step in range(600):
+        day.step()
+        if step == 300:
+            arrivals, other = Arrivals(Options(), 1), decisions(DAY, 9, NO_ROUTES if seed else None, SPILL)
+            state = json.loads(json.dumps(snapshot.take(zoned, arrivals), default=list))
+            snapshot.restore(state, other, arrivals)
+            day.dispatchers.append(other)  # type: ignore[arg-type]
+    assert day.sends > 30
+    plain = decisions(DAY, 9, NO_ROUTES if seed else None)
+    snapshot.restore(snapshot.take(zoned, arrivals), plain, arrivals)  # and where it is off by now
+    snapshot.restore(snapshot.take(plain, arrivals), zoned, arrivals)
+
+
+def test_a_capture_with_spill_on_replays_by_the_operators_file() -> None:
+    z, arrivals = Zones(3, 3), Arrivals(Options(), 1)
+    z.d = Zoned(settings(**TWO), read_seed("5"), SPILL)
+    capture = Capture(CaptureOptions(ring_bytes=150_000), "5", snapshot.Taking(z.d, arrivals))
+    handle = z.d.handle
+
+    def recorded(now: float, event: api.Event) -> list[api.Action]:
+        actions = handle(now, event)
+        capture.decided(now, event, actions)
+        return actions
+
+    z.d.handle = recorded  # type: ignore[method-assign]
+    z.feed(api.WorkerList(ListKind.WHOLE, tuple(entry(n, zone=z.zone[n]) for n in z.zone)))
+    del z.d.handle  # a state holds the fields
+    z.feed = lambda event: feed(z, recorded, event)  # type: ignore[method-assign]
+    z.play(20, 40)
+    assert z.states()
+    data = b"".join(capture.dump(z.now))
+    assert b'"lost":0' not in data.partition(b"\n")[0]
+    said, warned, replay = replayed(data, Options(spill=SpillOptions()), **(TWO | NO_TENANTS))
+    assert (said, warned) == ([], []) and replay.compared > 100
+    assert replayed(data, Options(), **(TWO | NO_TENANTS))[0]
+
+
+def feed(z: Zones, handle: object, event: api.Event) -> list[api.Action]:
+    actions: list[api.Action] = handle(z.now, event)  # type: ignore[operator]
+    for a in actions:
+        z.log.append((z.now, a))
+        if isinstance(a, api.SetTimer):
+            z.timers.append((z.now + a.after, a.token))
+    return actions
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -17,6 +17,7 @@
 from finchladder.config.options import CaptureOptions, DoorOptions, DrillOptions, Options
 from finchladder.config.settings import read_seed
 from finchladder.core.api import Ending as E
+from finchladder.core.records import Job, Worker
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import OPENING, PARTS, Capture, Ring, Sink, in_line, pieces
@@ -27,6 +28,7 @@
 from finchladder.net.http1 import Head, Headers
 from finchladder.net.module import Clock
 from finchladder.net.recorder import Recorder
+from tests.core.test_fleet import DAY, History
 from tests.helpers import Bench, entry, settings
 from tests.peers import ROOT, SETTINGS, Node, RealServer, exchange, node, run
 from tests.test_sockets import turn_away
@@ -147,6 +149,83 @@
     assert plain[0] == plain[1] and plain[0].keys() >= {"retry_tokens", "strain", "warm_rate"}
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_state_written_in_slices_is_that_of_its_first_moment(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whatever is decided between the slices; and where it is left half written, nothing is left behind."""
+    monkeypatch.setattr(snapshot, "SLICE", 1)
+    monkeypatch.setattr(snapshot, "PIECE", 3)
+    random, arrivals = Random(seed), Arrivals(FEATURES, 1)
+    day = History(random, 25, Dispatcher(DAY, 5))
+    day.begin()
+    taking = snapshot.Taking(day.dispatchers[0], arrivals)
+    for n in range(25):
+        for _ in range(random.randrange(60)):
+            day.step()
+        expected = snapshot.take(day.dispatchers[0], arrivals)
+        taking.begin()
+        while (state := taking.step()) is None:
+            if random.random() < 0.7:
+                day.step()
+            if n % 5 == 4 and random.random() < 0.1:
+                taking.drop()
+                break
+        d = day.dispatchers[0]
+        assert {type(record) for record in [*d.workers.values(), *d.jobs.values()]} <= {Worker, Job}
+        if state is not None:
+            assert canonical(msgspec.json.decode(state)) == canonical(expected)
+
+
+def canonical(state: Any) -> Any:
+    """With the records numbered in the order in which they are referred to."""
+    order, rows = dict[int, int](), list[Any]()
+
+    def renumbered(value: Any) -> Any:
+        if isinstance(value, dict) and "record" in value:
+            return order.setdefault(value["record"], len(order))
+        if isinstance(value, dict):
+            return {k: renumbered(v) for k, v in value.items()}
+        return [renumbered(v) for v in value] if isinstance(value, list) else value
+
+    fields = renumbered(state["fields"])
+    while len(rows) < len(order):
+        rows.append(renumbered(state["records"][list(order)[len(rows)]]))
+    return [fields, rows, len(state["records"])]
+
+
+def test_a_field_that_is_changed_in_place_must_be_watched(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(snapshot.IN_PLACE, Worker, ("fetched",))
+    play = Play()
+    with pytest.raises(snapshot.StateError, match="Worker.unstarted"):
+        play.play(5000)
+
+
+def test_what_comes_while_a_state_is_written_stands_behind_it_in_ring_and_file(tmp_path: Path) -> None:
+    """Steps are taken between inputs here, as a loop would."""
+    disk = CaptureFiles(str(tmp_path), "n", 1, 50, 100_000_000)
+    play, later = Play(disk, file_bytes=200_000, ring_bytes=200_000), list[Callable[[], None]]()
+    play.capture.soon = later.append
+    disk.start()
+    most = 0
+    for _ in range(2500):
+        play.play(2)
+        for work in [later.pop() for _ in later[:1]]:
+            work()
+        most = max(most, len(play.capture.beginning.since) if play.capture.beginning else 0)
+    disk.close()
+    disk.join()
+    assert most > 10 and play.capture.ring.lost
+    data = play.dumped()
+    assert json.loads(data.partition(b"\n")[0])["lost"] and replayed(data)[:2] == ([], [])
+    files = sorted(tmp_path.glob("*.jsonl"))
+    assert len(files) > 5
+    for file in files:
+        assert replayed(file.read_bytes())[:2] == ([], [])
+    play.capture.gap()
+    assert play.capture.beginning is None
+
+
 def test_a_state_that_cant_be_carried_is_said_and_prints_no_false_differences() -> None:
     play = Play(options=Options(door=DoorOptions(max_keys=2000)), ring_bytes=100_000)
     for n in range(1500):  # more addresses than are carried
