--- a/benchmarks/stalls.py
+++ b/benchmarks/stalls.py
@@ -1,6 +1,6 @@
 """The longest turns of a dispatcher's loop, and its collector's pauses, while the lab plays stalls.toml.
 
-    python benchmarks/stalls.py [--sizes 14 1000 10000] [--repeats 3] [--before DIR] [lab's own arguments]
+    python benchmarks/stalls.py [--sizes 14 1000 10000] [--repeats 3] [--before DIR] [--all] [lab's own arguments]
 
 The dispatcher runs as it is, with a selector that takes the time between two waits, and a hook that names
 what ran longest between them. Times are CPU milliseconds of its one thread, so that other work on the machine
@@ -103,11 +103,13 @@
         main()
     finally:
         pauses = {n: [len(p), sum(p) * 1e3, max(p, default=0) * 1e3] for n, p in watch.pauses.items()}
-        peak = [line for line in open("/proc/self/status") if line.startswith("VmHWM")][0]
+        status = Path("/proc/self/status").read_text().splitlines()
+        peak = next(line for line in status if line.startswith("VmHWM"))
         told = {
             "turns": watch.turns, "over": watch.over, "start": watch.start * 1e3, "gc": pauses,
-            "worst": [(t * 1e3, at, name, l * 1e3, g * 1e3) for t, at, name, l, g in reversed(watch.worst)],
-            "garbage": watch.garbage, "peak_mb": int(peak.split()[1]) / 1024, "objects": len(gc.get_objects()),
+            "worst": [(t * 1e3, at, name, one * 1e3, g * 1e3) for t, at, name, one, g in watch.worst[::-1]],
+            "garbage": watch.garbage, "peak_mb": int(peak.split()[1]) / 1024,
+            "objects": len(gc.get_objects()),
         }  # fmt: skip
         Path(os.environ["STALLS_OUT"]).write_text(json.dumps(told))
 
@@ -116,12 +118,11 @@
     with tempfile.TemporaryDirectory() as folder:
         told, out = Path(folder) / "told.json", Path(folder) / "out"
         command = json.dumps([sys.executable, str(HERE / "stalls.py"), "--inside"])
-        env = os.environ | {"STALLS_OUT": str(told), "STALLS_TREE": str(tree)}
-        subprocess.run(
-            [sys.executable, "-m", "finchladder", "lab", "run", str(HERE / "stalls.toml"), "--quiet",
-             "--out", str(out), "--set", f"program.command={command}", "--set", f"pool.0.count={size}", *more],
-            env=env, check=False,
-        )  # fmt: skip
+        env = os.environ | {"STALLS_OUT": str(told), "STALLS_TREE": str(tree.resolve())}
+        run = [sys.executable, "-m", "finchladder", "lab", "run", str(HERE / "stalls.toml"), "--quiet"]
+        sets = [f"program.command={command}", f"pool.0.count={size}"]
+        run += ["--out", str(out), *(word for one in sets for word in ("--set", one)), *more]
+        subprocess.run(run, env=env, check=False, capture_output=True)
         summary = json.loads(next(out.rglob("summary.json")).read_text())
         return json.loads(told.read_text()), summary
 
@@ -131,11 +132,12 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=[10_000])
     parser.add_argument("--repeats", type=int, default=1)
     parser.add_argument("--before", type=Path)
+    parser.add_argument("--all", action="store_true", help="the worst turns too, and what ran longest in them")
     options, more = parser.parse_known_args()
     sides = {"before": options.before} if options.before else {}
     sides["now"] = HERE.parent
-    print("| real servers | | turns | over 5 / 10 / 20 ms | longest, ms | in | full collections: longest, ms | peak MB |")
-    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print("| real servers | | valid | turns | over 5 / 10 / 20 ms | longest, ms | in | full collections | MB |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for size in options.sizes:
         for _ in range(options.repeats):
             for side, tree in sides.items():
@@ -143,12 +145,12 @@
                 over, worst, full = told["over"], told["worst"], told["gc"]["2"]
                 longest = f"{worst[0][0]:.1f} | {worst[0][2]}" if worst else "under 3 |"
                 print(
-                    f"| {size:,} | {side} | {told['turns']} | {over['5']} / {over['10']} / {over['20']} | {longest}"
-                    f" | {full[0]}: {full[2]:.1f} | {told['peak_mb']:.1f} |", flush=True,
+                    f"| {size:,} | {side} | {summary['valid']} | {told['turns']} | {over['5']} / {over['10']} /"
+                    f" {over['20']} | {longest} | {full[0]}, at most {full[2]:.1f} ms |"
+                    f" {summary['dispatchers']['n1']['rss_mb']:.1f} |", flush=True,
                 )  # fmt: skip
-                if os.environ.get("STALLS_ALL"):
+                if options.all:
                     print(json.dumps(told, indent=1))
-                    print({k: summary[k] for k in ("valid", "invalid", "offered", "served", "refused", "failed", "lost")})
 
 
 if __name__ == "__main__":
--- a/finchladder/core/spill.py
+++ b/finchladder/core/spill.py
@@ -137,9 +137,9 @@
         return self.changed_at is not None and now - self.changed_at < 2 * AGAIN_MOST * self.s.back_s
 
     def _sign(self, now: float) -> Sign | None:
-        if self.state is not State.HOME and self.none_since is not None:
-            if now - self.none_since >= self.s.full_s:
-                return Sign.NOWHERE
+        nowhere = self.none_since is not None and now - self.none_since >= self.s.full_s
+        if self.state is not State.HOME and nowhere:
+            return Sign.NOWHERE
         if not self._soon(now):
             self.wait = 1.0
         wait = self.wait if self.state is State.HOME else 1.0  # the way back to a zone that was left is short
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -50,9 +50,12 @@
     work_s: Above = 0.02  # mean running time on one core at speed 1
     work_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.5  # of the logarithm; 0: always the mean
     work_law: Literal["lognormal", "exponential", "fixed"] = "lognormal"
+    attempt_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.0  # of each attempt's own factor, of mean 1
     slots: list[Share] = msgspec.field(
         default_factory=lambda: [1.0]
     )  # shares of jobs that take 1, 2, 4, 8 slots
+    memory: Annotated[float, Meta(ge=0, le=1e9)] = 0.0  # mean of the units that a job takes
+    memory_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.0  # of the logarithm
     patience_s: Seconds = 0.0  # of one try; 0: what is left of the deadline
     group: Literal["all", "zone", "cell"] = "all"  # dedup: real servers that drop each other's repeats
     window_s: Seconds = 5.0  # dedup: how long, from the first send that may have run
@@ -73,6 +76,8 @@
     count: Count = 1
     kind: str = ""
     zones: list[str] = []  # spread over these in turn; empty: over all zones
+    group: int = 0  # those that drop each other's repeats, where a class's group is "cell"
+    weight: Above = 1.0  # as discovery tells it
     cores: Count = 4
     speed: Span = 1.0  # work done by a core in a second
     slots: Annotated[int, Meta(ge=0)] = 0  # jobs in work; 0: as many as cores
@@ -93,6 +98,7 @@
     error_rate: Share = 0.0  # jobs that end as `failed` after they ran
     drain_returns: bool = True  # hands back what has not begun when it drains
     cancel_stops: bool = True  # DELETE stops the work; else it goes on unseen
+    cancel_unqueues: bool = True  # DELETE takes off the queue what waits; else that runs, too, unseen
     checkpoint_s: Seconds = 0.0  # jobs that are safe to repeat go on from their last saved state; 0: never
     tells_start: bool = True
     progress_s: Seconds = 1.0  # 0: no progress is told
@@ -119,12 +125,20 @@
 
 class Discovery(Part):
     delay_s: Span = 0.05  # from a change to its telling, drawn for each dispatcher and change
+    start_delay_s: Span | None = None  # the same of a start; None: as any change
+    spread_s: Seconds | None = None  # one delay for all, each up to so much later; None: each its own
     renew_share: Share = 0.0  # part of the entries whose weight is renewed, each `renew_every_s`
     renew_every_s: Above = 0.5
     empty_line_s: Above = 2.0
     moves_with_sighup: bool = True  # a move rewrites the dispatchers' files and sends SIGHUP
 
 
+class EtcdStandIn(Part):
+    """An etcd beside discovery, told of the real servers at once. Dispatchers are given its endpoints."""
+
+    members: Annotated[int, Meta(ge=0, le=9)] = 0  # 0: there is none
+
+
 class Front(Part):
     """Spreads the clients' connections over the dispatchers of their zone."""
 
@@ -138,6 +152,7 @@
     on: bool = False
     same_zone_s: Seconds = 0.0002  # one way
     cross_zone_s: Seconds = 0.002
+    client_s: Seconds | None = None  # between clients and dispatchers; None: as in one zone
     jitter: Share = 0.1  # of the latency, evenly up and down
     segment: Annotated[int, Meta(ge=0, le=65_536)] = 0  # bytes passed on at once; 0: as they come
 
@@ -175,6 +190,7 @@
 class Load(Part):
     phase: list[Phase]
     processes: Annotated[int, Meta(ge=1, le=64)] = 1
+    zone_shares: list[Share] = []  # of the clients, in the order of the zones; empty: evenly
     connections: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # held open from the start on, idle ones too
     most_in_flight: Count = 100_000  # tries at once in open loop; beyond it the run is invalid
     impatient: Share = 0.0  # part of the clients that close after a tenth of their patience
@@ -197,6 +213,10 @@
     "discovery_stale",
     "discovery_move",
     "vanish",  # the list
+    "etcd_stall",
+    "etcd_cut",
+    "etcd_lag",
+    "etcd_restore",  # etcd, and what it tells
     "cut",
     "reset_before",
     "reset_after",
@@ -219,7 +239,9 @@
     after `for_s`; slow: speed times `size` for `for_s`; errors: jobs fail at rate `size`; swallow: requests
     are taken and never answered; vanish: `share` of the entries is missing from one whole list and back in
     the next; cut: no bytes pass between the zones `between`; burst: rate times `size`; scan: `size` of the
-    jobs ask for keys wanted once; hot_key: `size` of the jobs ask for one key.
+    jobs ask for keys wanted once; hot_key: `size` of the jobs ask for one key. etcd_stall, etcd_cut,
+    etcd_lag: `share` of its members (0: all) stand still with their connections open, reset and refuse, or
+    answer as of the begin; etcd_restore: all are cut, and come back with another cluster id.
     """
 
     kind: FaultKind
@@ -242,13 +264,15 @@
     zones: Annotated[list[Name], Meta(min_length=1, max_length=64)] = msgspec.field(
         default_factory=lambda: ["a"]
     )
-    dispatchers: Annotated[int, Meta(ge=1, le=1000)] = 1  # spread over the zones in turn
+    dispatchers: Annotated[int, Meta(ge=1, le=1000)] = 1
+    dispatcher_zones: list[str] = []  # they are spread over these in turn; empty: over all zones
     fleet_processes: Annotated[int, Meta(ge=1, le=64)] = 1
     program: Program = msgspec.field(default_factory=Program)
     pool: list[Pool] = []
     callbacks: Callbacks = msgspec.field(default_factory=Callbacks)
     store: Store = msgspec.field(default_factory=Store)
     discovery: Discovery = msgspec.field(default_factory=Discovery)
+    etcd: EtcdStandIn = msgspec.field(default_factory=EtcdStandIn)
     front: Front = msgspec.field(default_factory=Front)
     network: Network = msgspec.field(default_factory=Network)
     job_class: list[JobClass] = msgspec.field(name="class", default_factory=lambda: [JobClass(name="view")])
@@ -262,3 +286,8 @@
     cold_window_s: Above = 2.0
     drain_grace_s: Above = 0.5
     slack_s: Seconds = 0.05  # every time limit is so much longer on sockets
+
+    def zone_of(self, index: int) -> str:
+        """The zone of the dispatcher n1 (index 0) and so on."""
+        zones = self.dispatcher_zones or self.zones
+        return zones[index % len(zones)]
--- a/finchladder/lab/faults.py
+++ b/finchladder/lab/faults.py
@@ -8,11 +8,11 @@
 
 from finchladder.lab.check import (
     DISPATCHER_FAULTS,
+    ETCD_FAULTS,
     LINK_FAULTS,
     LOAD_FAULTS,
     SERVER_FAULTS,
     dispatcher_names,
-    dispatcher_zone,
     place_servers,
 )
 from finchladder.lab.experiment import Experiment, Fault
@@ -24,8 +24,8 @@
 
     at: float  # seconds from the begin of the arrivals
     fault: Fault  # for_s, size and share as numbers
-    targets: list[str]  # dispatchers, real servers or links; none for discovery and load
-    of: str  # who carries it out: dispatchers, servers, discovery, links, load
+    targets: list[str]  # dispatchers, real servers or links; none for discovery, etcd, load
+    of: str  # who carries it out: dispatchers, servers, discovery, etcd, links, load
 
     @property
     def for_s(self) -> float:
@@ -51,7 +51,7 @@
     found = []
     servers = place_servers(e)
     for index, name in enumerate(dispatcher_names(e)):
-        zone = dispatcher_zone(e, index)
+        zone = e.zone_of(index)
         found += [Link(f"clients>{name}", zone, zone), Link(f"{name}>discovery", zone, zone)]
         found += [Link(f"{z}>{name}", z, zone) for z in sorted({s.zone for s in servers})]
         found += [Link(f"{name}>{s.name}", zone, s.zone) for s in servers]
@@ -76,6 +76,8 @@
 def _targets(e: Experiment, fault: Fault, rng: random.Random) -> tuple[list[str], str]:
     if fault.kind in LOAD_FAULTS:
         return [], "load"
+    if fault.kind in ETCD_FAULTS:
+        return [], "etcd"
     if fault.kind in LINK_FAULTS:
         return _links(e, fault, rng), "links"
     group, _, name = fault.target.partition(":")
@@ -96,7 +98,7 @@
         fitting = [
             n
             for i, n in enumerate(names)
-            if fault.target in ("any", "all", n) or (group == "zone" and dispatcher_zone(e, i) == name)
+            if fault.target in ("any", "all", n) or (group == "zone" and e.zone_of(i) == name)
         ]
         return _some(fault, fitting, rng), "dispatchers"
     return [], "discovery"
