--- a/benchmarks/stalls.py
+++ b/benchmarks/stalls.py
@@ -1,6 +1,6 @@
 """The longest turns of a dispatcher's loop, and its collector's pauses, while the lab plays stalls.toml.
 
-    python benchmarks/stalls.py [--sizes 14 1000 10000] [--repeats 3] [--before DIR] [--all] [lab's own arguments]
+    python benchmarks/stalls.py [--sizes 14 1000 10000] [--repeats 3] [--before DIR] [--all] [the lab's own]
 
 The dispatcher runs as it is, with a selector that takes the time between two waits, and a hook that names
 what ran longest between them. Times are CPU milliseconds of its one thread, so that other work on the machine
@@ -132,21 +132,21 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=[10_000])
     parser.add_argument("--repeats", type=int, default=1)
     parser.add_argument("--before", type=Path)
-    parser.add_argument("--all", action="store_true", help="the worst turns too, and what ran longest in them")
+    parser.add_argument("--all", action="store_true", help="all figures, and the worst turns one by one")
     options, more = parser.parse_known_args()
     sides = {"before": options.before} if options.before else {}
     sides["now"] = HERE.parent
-    print("| real servers | | valid | turns | over 5 / 10 / 20 ms | longest, ms | in | full collections | MB |")
+    print("| real servers | | valid | turns | over 5 / 10 / 20 ms | longest, ms | in | collections | MB |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for size in options.sizes:
         for _ in range(options.repeats):
             for side, tree in sides.items():
                 told, summary = play(size, tree, more)
                 over, worst, full = told["over"], told["worst"], told["gc"]["2"]
-                longest = f"{worst[0][0]:.1f} | {worst[0][2]}" if worst else "under 3 |"
+                longest = f"{worst[0][0]:.1f} | {worst[0][2]}" if worst else "0 |"
                 print(
-                    f"| {size:,} | {side} | {summary['valid']} | {told['turns']} | {over['5']} / {over['10']} /"
-                    f" {over['20']} | {longest} | {full[0]}, at most {full[2]:.1f} ms |"
+                    f"| {size:,} | {side} | {summary['valid']} | {told['turns']} | {over['5']} /"
+                    f" {over['10']} / {over['20']} | {longest} | {full[0]}, at most {full[2]:.1f} ms |"
                     f" {summary['dispatchers']['n1']['rss_mb']:.1f} |", flush=True,
                 )  # fmt: skip
                 if options.all:
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -55,20 +55,20 @@
 
     A long list is read and applied in slices, so that no turn of the loop waits for it: what drains or is
     gone first, and with `retire` even ahead of that. News that come meanwhile overtake the slices to come.
-    Where `members` says who of the list is used, it is asked about a long one whole before any of it is
-    applied: its subset must not follow a list that is half read.
+    Where only a `subset` of the list is used, a long one is told to it whole before any of it is applied:
+    the subset must not follow a list that is half read.
     """
 
     def __init__(
         self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None], connect: Connect,
-        members: Members | None = None,
+        subset: Members | None = None,
     ) -> None:  # fmt: skip
         super().__init__("service list", ROOM)
         self.address, self.apply, self.retire, self.connect = address, apply, retire, connect
         self.index = 0
         self.up = self.established = False
-        self.table, self.members = EntryTable(), members
-        # entries about which the members are still to be asked, and their addresses
+        self.table, self.subset = EntryTable(), subset
+        # entries that the subset is still to be told, and their addresses
         self.told: dict[str, api.WorkerEntry] = {}
         self.told_addresses: dict[str, tuple[str, int]] = {}
         # entries still to be applied, by name: the newest word alone; those not ready go first
@@ -85,8 +85,8 @@
         if workers.kind is not api.ListKind.PATCH:
             self.urgent, self.rest, self.addresses = {}, {}, {}
             self.told, self.told_addresses = {}, {}
-        if self.members is not None:
-            workers, addresses = self.members.take(workers, addresses)
+        if self.subset is not None:
+            workers, addresses = self.subset.take(workers, addresses)
             self._forestall(workers.entries)
         self.apply(workers, addresses)
         self.table.keep(news)
@@ -109,7 +109,7 @@
     def _changed(self, change: Change, known: bool) -> None:
         for e in change.entries:
             self._drop(e.worker)
-        if self.members is None:
+        if self.subset is None:
             self._queue(change.entries, change.addresses)
         else:  # what is gone comes last: the subset moves once where one goes and another comes
             entries = sorted(change.entries, key=lambda e: e.state is api.State.GONE)
@@ -129,8 +129,8 @@
         while waiting := self.told or self.urgent or self.rest:
             if self.told:
                 change = _taken(self.told, self.told_addresses, SIFT_AT_ONCE)
-                assert self.members is not None
-                workers, addresses = self.members.take(*change)
+                assert self.subset is not None
+                workers, addresses = self.subset.take(*change)
                 self._forestall(workers.entries)
                 self._queue(workers.entries, addresses)
             else:
@@ -144,7 +144,7 @@
         self._forestall_one(name)
 
     def _forestall(self, entries: Iterable[api.WorkerEntry]) -> None:
-        """Only what the members said before: a newer word about one may still wait for them."""
+        """What the subset said before: a newer word about one may still wait for it."""
         for e in entries:
             self._forestall_one(e.worker)
 
@@ -206,6 +206,8 @@
                 for line in lines.feed(channel.parser.take_piece()):
                     if line:
                         await self.take(line)
+                    else:
+                        self.heard()
                 if channel.parser.body is None or channel.parser.body.done:
                     return
                 async with asyncio.timeout(SILENCE):
@@ -214,5 +216,8 @@
             if channel is not None:
                 channel.close()
 
+    def heard(self) -> None:
+        """There is nothing new."""
+
     def _host(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
--- a/tests/core/test_members.py
+++ b/tests/core/test_members.py
@@ -192,4 +192,4 @@
 
 def test_off_there_is_neither_filter_nor_split() -> None:
     assert Dispatcher(settings(), 1).fleet.pools[None].parts == {}
-    assert ServiceActor(AT, lambda *a: None, lambda names: None, http1.connect).members is None
+    assert ServiceActor(AT, lambda *a: None, lambda names: None, http1.connect).subset is None
