--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 from collections.abc import Callable
-from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -15,6 +14,7 @@
 from finchladder.core.bodies import BodyRoom
 from finchladder.core.guarded import Guarded, NewRoutes, decisions
 from finchladder.core.leaving import Leaving
+from finchladder.core.members import Members
 from finchladder.core.routes import Routes
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
@@ -30,7 +30,7 @@
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.recorder import Recorder
 from finchladder.net.reload import Reload, count
-from finchladder.net.servers import RealServers
+from finchladder.net.servers import IN_USE_EACH, RealServers
 from finchladder.net.service import APPLY_AT_ONCE, ServiceActor
 from finchladder.net.timers import Timers
 
@@ -62,26 +62,32 @@
         self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
         routes = file.loaded.routes if file is not None else None
-        decided, arrivals = decisions(setup.settings, seed, routes), Arrivals(options, seed)
+        decided = decisions(setup.settings, seed, routes, options.spilling())
+        arrivals = Arrivals(options, seed)
         self.dispatcher = decided.inner if isinstance(decided, Guarded) else decided
         self.module = ModuleActor(decided, self.flows, clock)
         self.capture: Capture | None = None
         self.files: Disk | None = None
         if options.capture is not None:
             self.files = machine.files(options.capture, setup.name, int(clock() * 1000))
-            state = partial(snapshot.take, decided, arrivals)
-            self.capture = Capture(options.capture, setup.seed, state, self.files)
+            states = snapshot.Taking(decided, arrivals)
+            self.capture = Capture(options.capture, setup.seed, states, self.files)
             self.capture.begin(clock())
-            self.module.tap = arrivals.tap = Recorder(self.capture)
+            self.module.tap = arrivals.tap = recorder = Recorder(self.capture)
+            self.capture.soon = recorder.soon
         self.timers = Timers(clock)
         caps = setup.caps
+        subset, each = None, IN_USE_EACH
+        if options.aperture is not None:
+            aperture, own = options.aperture.settings(), setup.settings
+            subset, each = Members(own.index, own.dispatchers, aperture), aperture.connections_each
         self.servers = RealServers(
             self.flows, self.module, self.timers, caps.connect_timeout_s, caps.conn_idle_s, sockets,
-            machine.connect,
+            machine.connect, each,
         )  # fmt: skip
         self.module.carrier = self.servers
         self.service = ServiceActor(
-            setup.discovery, self.servers.update, self.servers.retire, machine.connect
+            setup.discovery, self.servers.update, self.servers.retire, machine.connect, subset
         )
         self.members: MembershipActor | None = None
         self.etcd: EtcdActor | None = None
