--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -137,6 +137,7 @@
     """An etcd beside discovery, told of the real servers at once. Dispatchers are given its endpoints."""
 
     members: Annotated[int, Meta(ge=0, le=9)] = 0  # 0: there is none
+    followed: bool = True  # False: it is there, and no dispatcher is told of it
 
 
 class Front(Part):
@@ -185,6 +186,7 @@
     classes: dict[str, Share] = {}  # shares for this phase in place of the classes' own
     keys: Keys | None = None
     counted: bool = True  # False: warming up; not part of the figures
+    skip_s: Seconds = 0.0  # so much at its begin is not part of the figures
 
 
 class Load(Part):
