--- a/finchladder/net/etcd/state.py
+++ b/finchladder/net/etcd/state.py
@@ -25,7 +25,7 @@
 WAIT_S, WAIT_MOST_S, WAIT_REFUSED_S = 0.1, 1.0, 5.0  # between two rounds over all endpoints
 SPREAD_S = 0.05  # before the next endpoint of a round: a thousand must not come there in one moment
 STEADY_S = 2.0  # a watch that stood for so long was no mistake: the next wait is short again
-MOST_ANEW = 3  # lists begun anew on one connection, as the history went away under them
+MOST_ANEW = 3  # lists or logins begun anew at once; beyond that it is a failure, and waits
 
 
 class State(Enum):
@@ -176,7 +176,7 @@
         self.behind: dict[int, None] = {}  # endpoints that told less than was seen
         self.heard_at = -QUIET_S
         self.followed_at: float | None = None
-        self.anew = 0
+        self.anew = 0  # lists and logins begun anew since an answer that was as it should be
         self.listed: Keys | None = None  # a list of which pages are still to come
         self.revision = 0  # of that list, and its cluster
         self.of = self.listed_term = 0
@@ -217,7 +217,6 @@
         return FOLLOWING
 
     def _on_opened(self, e: Opened) -> State:
-        self.anew = 0
         if not self.seen or self._quiet():
             return self._list()
         return self._watch()
@@ -225,7 +224,7 @@
     def _on_failed(self, e: Failed) -> State:
         if self.followed_at is not None and self.now - self.followed_at >= STEADY_S:
             self.failures = 0
-        self.followed_at, self.listed, self.mark = None, None, None
+        self.followed_at, self.listed, self.mark, self.anew = None, None, None, 0
         self.changed.clear()
         name = self.endpoints[self.at]
         if e.kind not in self.told:
--- a/tests/etcd/test_state.py
+++ b/tests/etcd/test_state.py
@@ -221,6 +221,21 @@
     assert p.follower.state is State.FOLLOWING
 
 
+def test_what_is_refused_each_time_waits_in_the_end() -> None:
+    for answer in (
+        Answer(Header(), [], canceled=True, refusal=Refusal(16, "invalid auth token")),
+        Answer(Header(), [], canceled=True, compacted=7),
+    ):
+        f, tries = Follower("/f", ["m"], Random(1)), 0
+        f.handle(0.0, state.Due())
+        while f.state is not State.WAITING:
+            tries += 1
+            f.handle(0.0, state.Opened())
+            f.handle(0.0, state.Page(Answer(Header(revision=3), [])))
+            f.handle(0.0, state.Told(answer))
+        assert tries == state.MOST_ANEW + 1
+
+
 def test_a_watch_that_keeps_back_is_found_and_other_keys_are_no_sign_of_one() -> None:
     p = followed()
     for _ in range(30):  # another application's keys, all the time
