--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -15,7 +15,9 @@
 
 from finchladder.config.addresses import Endpoint, parse_url
 from finchladder.core import api
+from finchladder.core.aperture import Aperture, ApertureSettings
 from finchladder.core.overload import OverloadSettings
+from finchladder.core.spill import SpillSettings
 
 if TYPE_CHECKING:
     from finchladder.core.membership import MembershipSettings
@@ -75,6 +77,33 @@
         return OverloadSettings(**msgspec.structs.asdict(self), retry_after_s=min(retry_after_s, 60.0))
 
 
+class ApertureOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    server_connections: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
+    connections_each: Annotated[int, Meta(ge=1, le=24)] = 24
+    least: Annotated[int, Meta(ge=2, le=1000)] = 4
+
+    def __post_init__(self) -> None:
+        self.settings()
+
+    def settings(self) -> ApertureSettings:
+        return ApertureSettings(**msgspec.structs.asdict(self))
+
+
+class SpillOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    full_at: Annotated[float, Meta(ge=0, lt=1)] = 0.05
+    back_at: Annotated[float, Meta(gt=0, le=1)] = 0.2
+    refused_at: Annotated[float, Meta(gt=0, le=1)] = 0.1
+    full_s: Annotated[float, Meta(ge=0.1, le=600)] = 0.5
+    back_s: Annotated[float, Meta(ge=0.1, le=600)] = 5.0
+    ramp_s: Annotated[float, Meta(ge=0.1, le=600)] = 5.0
+
+    def __post_init__(self) -> None:
+        self.settings()
+
+    def settings(self) -> SpillSettings:
+        return SpillSettings(**msgspec.structs.asdict(self))
+
+
 class MembershipOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     last_good: Annotated[str, Meta(min_length=1)] | None = None
     lead: Literal["discovery", "etcd"] = "discovery"
@@ -132,9 +161,14 @@
     drill: DrillOptions | None = None
     capture: CaptureOptions | None = None
     overload: OverloadOptions | None = None
+    aperture: ApertureOptions | None = None
+    spill: SpillOptions | None = None
     membership: MembershipOptions | None = None
     etcd: EtcdOptions | None = None
 
+    def spilling(self) -> SpillSettings | None:
+        return self.spill.settings() if self.spill is not None else None
+
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
         doors = [*self.door_of.values(), *([self.door] if self.door else [])]
@@ -142,8 +176,12 @@
         entries = self.status.max_entries * ENTRY_BYTES if self.status is not None else 0
         return tracked + entries + (self.capture.memory() if self.capture is not None else 0)
 
-    def check(self, classes: Iterable[str], memory_mb: int) -> None:
+    def check(
+        self, classes: Iterable[str], memory_mb: int, settings: api.Settings | None = None
+    ) -> None:
         """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
+        if self.aperture is not None and settings is not None:
+            Aperture(settings.index, settings.dispatchers, self.aperture.settings())
         known = set(classes)
         for name in self.door_of:
             if name not in known:
@@ -247,6 +285,6 @@
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
-    "capture": CaptureOptions, "overload": OverloadOptions, "membership": MembershipOptions,
-    "etcd": EtcdOptions,
+    "capture": CaptureOptions, "overload": OverloadOptions, "aperture": ApertureOptions,
+    "spill": SpillOptions, "membership": MembershipOptions, "etcd": EtcdOptions,
 }  # fmt: skip
