--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -8,20 +8,27 @@
 from configparser import ConfigParser
 from configparser import Error as IniError
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
 
+from finchladder.config.addresses import Endpoint, parse_url
 from finchladder.core import api
+from finchladder.core.aperture import Aperture, ApertureSettings
 from finchladder.core.overload import OverloadSettings
+from finchladder.core.spill import SpillSettings
+
+if TYPE_CHECKING:
+    from finchladder.core.membership import MembershipSettings
 
 ADDRESS_BYTES = 256  # what an address tracked by the door takes: 193 measured, longer ones take more
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
 RING_TAKES = 3  # bytes for each of the ring: 1.4 measured with its objects, and as much while it is dumped
+ETCD_PORT = 2379
 PART = 4  # all features together may take 1/4 of the memory; the room for bodies gives way to them
 
-T = TypeVar("T")
+Part = TypeVar("Part", bound=msgspec.Struct)
 Rate = Annotated[float, Meta(gt=0, le=10_000)]
 Count = Annotated[int, Meta(ge=1)]
 
@@ -70,6 +77,81 @@
         return OverloadSettings(**msgspec.structs.asdict(self), retry_after_s=min(retry_after_s, 60.0))
 
 
+class ApertureOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    server_connections: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
+    connections_each: Annotated[int, Meta(ge=1, le=24)] = 24
+    least: Annotated[int, Meta(ge=2, le=1000)] = 4
+
+    def __post_init__(self) -> None:
+        self.settings()
+
+    def settings(self) -> ApertureSettings:
+        return ApertureSettings(**msgspec.structs.asdict(self))
+
+
+class SpillOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    full_at: Annotated[float, Meta(ge=0, lt=1)] = 0.05
+    back_at: Annotated[float, Meta(gt=0, le=1)] = 0.2
+    refused_at: Annotated[float, Meta(gt=0, le=1)] = 0.1
+    full_s: Annotated[float, Meta(ge=0.1, le=600)] = 0.5
+    back_s: Annotated[float, Meta(ge=0.1, le=600)] = 5.0
+    ramp_s: Annotated[float, Meta(ge=0.1, le=600)] = 5.0
+
+    def __post_init__(self) -> None:
+        self.settings()
+
+    def settings(self) -> SpillSettings:
+        return SpillSettings(**msgspec.structs.asdict(self))
+
+
+class MembershipOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    last_good: Annotated[str, Meta(min_length=1)] | None = None
+    lead: Literal["discovery", "etcd"] = "discovery"
+    max_vanish: Annotated[float, Meta(ge=0.05, le=1)] = 0.5
+    vanish_window_s: Annotated[float, Meta(ge=1, le=300)] = 10.0
+    hold_s: Annotated[float, Meta(ge=10, le=86_400)] = 900.0
+    max_age_s: Annotated[float, Meta(ge=60, le=2_592_000)] = 3600.0
+    flap_most: Annotated[int, Meta(ge=1, le=100)] = 3
+    flap_hold_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.5
+
+    def rules(self) -> "MembershipSettings":
+        from finchladder.core.membership import MembershipSettings  # which is loaded where it is on
+
+        given = msgspec.structs.asdict(self)
+        return MembershipSettings(**{k: v for k, v in given.items() if k not in ("last_good", "lead")})
+
+
+Named = Annotated[str, Meta(min_length=1, max_length=4096)]
+
+
+class EtcdOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Files are PEM; of a password file the first line counts."""
+
+    endpoints: Annotated[list[Annotated[str, Meta(max_length=300)]], Meta(min_length=1, max_length=16)] = (
+        msgspec.field(default_factory=lambda: ["http://127.0.0.1:2379"])
+    )
+    prefix: Annotated[str, Meta(pattern=r"\A(/[A-Za-z0-9._-]+){1,16}\Z", max_length=256)] = "/finchladder"
+    user: Named | None = None
+    password_file: Named | None = None
+    ca_file: Named | None = None
+    cert_file: Named | None = None
+    key_file: Named | None = None
+
+    def __post_init__(self) -> None:
+        found = self.addresses()
+        if len(set(found)) < len(found):
+            raise ValueError("endpoints names one twice")
+        if (self.user is None) != (self.password_file is None):
+            raise ValueError("user and password_file are needed together")
+        if (self.cert_file is None) != (self.key_file is None):
+            raise ValueError("cert_file and key_file are needed together")
+        if (self.ca_file or self.cert_file) and not all(e.tls for e in found):
+            raise ValueError("ca_file and cert_file are for endpoints that begin with https:// alone")
+
+    def addresses(self) -> list[Endpoint]:
+        return [parse_url(url, ETCD_PORT) for url in self.endpoints]
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -79,6 +161,13 @@
     drill: DrillOptions | None = None
     capture: CaptureOptions | None = None
     overload: OverloadOptions | None = None
+    aperture: ApertureOptions | None = None
+    spill: SpillOptions | None = None
+    membership: MembershipOptions | None = None
+    etcd: EtcdOptions | None = None
+
+    def spilling(self) -> SpillSettings | None:
+        return self.spill.settings() if self.spill is not None else None
 
     def memory(self) -> int:
         """Bytes that the features may come to hold."""
@@ -87,8 +176,12 @@
         entries = self.status.max_entries * ENTRY_BYTES if self.status is not None else 0
         return tracked + entries + (self.capture.memory() if self.capture is not None else 0)
 
-    def check(self, classes: Iterable[str], memory_mb: int) -> None:
+    def check(
+        self, classes: Iterable[str], memory_mb: int, settings: api.Settings | None = None
+    ) -> None:
         """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
+        if self.aperture is not None and settings is not None:
+            Aperture(settings.index, settings.dispatchers, self.aperture.settings())
         known = set(classes)
         for name in self.door_of:
             if name not in known:
@@ -142,7 +235,11 @@
 def read_ini(text: str, path: str) -> Options:
     """ValueError says in one line what can't be used; `path` is named there."""
     try:
-        return options_of(ini_sections(text, path))
+        sections = ini_sections(text, path)
+        options = options_of(sections)
+        if (reason := at_odds(sections)) is not None:
+            raise ValueError(f"[membership]: {reason}")
+        return options
     except (IniError, ValueError) as e:
         raise ValueError(f"{path}: {e}") from None
 
@@ -163,14 +260,31 @@
     return msgspec.convert(found | {"door_of": classes}, Options)
 
 
-def _section(name: str, values: Mapping[str, object], kind: type[T], strict: bool) -> T:
+def at_odds(sections: Mapping[str, Mapping[str, object]]) -> str | None:
+    """What no section can tell by itself, of sections that can be used."""
+    if sections.get("membership", {}).get("lead") == "etcd" and "etcd" not in sections:
+        return "lead is etcd, and there is no section [etcd]"
+    return None
+
+
+def _section(name: str, values: Mapping[str, object], kind: type[Part], strict: bool) -> Part:
     try:
-        return msgspec.convert(dict(values), kind, strict=strict)
+        return msgspec.convert(dict(values) if strict else from_text(kind, values), kind, strict=strict)
     except msgspec.ValidationError as e:
         raise ValueError(f"[{name}]: {e}") from None
 
 
+def from_text(kind: type[msgspec.Struct], values: Mapping[str, object]) -> dict[str, Any]:
+    """A setting that is a list stands in an INI file as text, with commas between."""
+    lists = {f.name for f in msgspec.structs.fields(kind) if "list[" in str(f.type)}
+    return {
+        name: [one.strip() for one in value.split(",")] if name in lists and isinstance(value, str) else value
+        for name, value in values.items()
+    }
+
+
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
-    "capture": CaptureOptions, "overload": OverloadOptions,
+    "capture": CaptureOptions, "overload": OverloadOptions, "aperture": ApertureOptions,
+    "spill": SpillOptions, "membership": MembershipOptions, "etcd": EtcdOptions,
 }  # fmt: skip
--- a/finchladder/core/guarded.py
+++ b/finchladder/core/guarded.py
@@ -50,6 +50,8 @@
 from finchladder.core.policy import Dispatcher
 from finchladder.core.retries import Budget
 from finchladder.core.routes import Queue, RetryBudget, Route, Routes
+from finchladder.core.spill import SpillSettings
+from finchladder.core.zones import Zoned
 
 GUARD = 2  # timer token; the Dispatcher's own are 0 and 1
 EARLY_S = 1e-4  # a timer may come so much before its time, as clocks are rounded
@@ -105,6 +107,7 @@
         self.random = Random(f"{seed}/routes")  # apart: the Dispatcher's own draws stay as they are
         self.margin_s = inner.sweep + 2 * inner.s.tick  # what is not sent by then is answered
         self.scopes: dict[Key, Scope] = {}
+        self.gone: list[Scope] = []  # of routes that hold no more, while jobs go by them
         self.runs: dict[str, Run] = {}
         self.alarms = Alarms()
         self.now, self.serial = 0.0, 0
@@ -352,6 +355,8 @@
         self._counters(old)
         for run in self.runs.values():
             self._move(run)
+        held = set(self.scopes.values())
+        self.gone = list({run.scope: None for run in self.runs.values() if run.scope not in held})
         needed = {scope.own.pool for scope in self.scopes.values()}
         needed |= {run.own.pool for run in self.runs.values()}
         fleet = self.inner.fleet
@@ -423,7 +428,9 @@
     def handle(self, now: float, event: Any) -> list[Action]: ...
 
 
-def decisions(settings: Settings, seed: int, routes: Routes | None) -> Dispatcher | Guarded:
-    """None: there is no file that could have routes, now or later."""
-    dispatcher = Dispatcher(settings, seed)
+def decisions(
+    settings: Settings, seed: int, routes: Routes | None, spill: SpillSettings | None = None
+) -> Dispatcher | Guarded:
+    """`routes` None: there is no file that could have them, now or later. `spill` None: zones are as one."""
+    dispatcher = Dispatcher(settings, seed) if spill is None else Zoned(settings, seed, spill)
     return dispatcher if routes is None else Guarded(dispatcher, routes, seed)
--- a/tests/lab/test_figures.py
+++ b/tests/lab/test_figures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from finchladder.lab import compare, figures, ledger, report
-from finchladder.lab.experiment import Experiment, JobClass, Load, Phase
+from finchladder.lab.experiment import Experiment, JobClass, Load, Phase, Pool
 from finchladder.lab.records import (
     Answered,
     Asked,
@@ -102,6 +102,14 @@
     assert s["latency"]["confirm"]["p50_ms"] == pytest.approx(500, rel=1e-3)
 
 
+def test_what_a_phase_skips_does_not_count() -> None:
+    warm, day = DAY.load.phase
+    load = msgspec.structs.replace(DAY.load, phase=[warm, msgspec.structs.replace(day, skip_s=4.5)])
+    s = summary(MIXED, msgspec.structs.replace(DAY, load=load))
+    assert (s["offered"], s["counted_s"], s["goodput_per_s"]) == (7, 23.5, pytest.approx(4 / 23.5, abs=1e-6))
+    assert s["lost"] == 1  # the rules are the whole run's
+
+
 def test_a_retry_belongs_to_its_first_try() -> None:
     late = flat(
         job(1, 103.0, 0.1, 503),
@@ -152,6 +160,9 @@
     records += [Ended("view2", "w", 1, 104.05, "cancelled")]
     parts = summary(records, prices_waste=1.0, prices_lateFail=1.0)["g_parts"]
     assert parts["prices"] == {"waste": 0.25, "lateFail": 0.5}
+    unstopped = msgspec.structs.replace(DAY, pool=[Pool(cancel_stops=False)])  # it ran to its end, unseen
+    records = [msgspec.structs.replace(r, server="w0001") if hasattr(r, "server") else r for r in records]
+    assert summary(records, unstopped, prices_waste=1.0)["g_parts"]["prices"] == {"waste": 0.5}
 
 
 def test_same_figures_whatever_the_order_of_the_files() -> None:
