--- a/finchladder/core/membership.py
+++ b/finchladder/core/membership.py
@@ -327,7 +327,7 @@
         self.differing.clear()
         if cur is None:
             return dict.fromkeys(new.table)
-        return _unlike(cur, new) | self.vanishing.held | dict.fromkeys(self.flaps.damped)
+        return _unlike(cur, new)
 
     def _weigh(self, now: float) -> dict[str, None]:
         """Whose words count. Drains of a lost source hold until its list is too old."""
--- a/finchladder/core/sources.py
+++ b/finchladder/core/sources.py
@@ -243,7 +243,6 @@
             before = words.get(e.worker)
             if e.state is not State.GONE:
                 words[e.worker] = Word(e, address(e.worker))
-                waiting.drained.pop(e.worker, None)
                 if e.state is State.DRAINING:
                     self.may_drain.add(e.worker)
             else:
