--- a/tests/lab/test_figures.py
+++ b/tests/lab/test_figures.py
@@ -195,6 +195,10 @@
     assert not s["valid"] and any(words in reason for reason in s["invalid"]), s["invalid"]
 
 
+def test_a_generator_may_be_late_where_nothing_counts() -> None:
+    assert summary([*MIXED, *job(99, 101.5, 0.2, begun=101.6)])["valid"]
+
+
 def test_a_sound_run_is_valid_and_one_without_an_end_is_not() -> None:
     sound = [*MIXED, *busy(0.04), Struck(120.0, "died", "n1")]
     assert summary(sound)["valid"] and summary(sound)["crashes"] == 1
