--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -398,11 +398,13 @@
     m = membership.Membership(SOURCES, MembershipSettings())
     told, seen = dict[str, api.State](), Counter[str]()
 
-    def tell(source: str, version: int, kind: api.ListKind, names: dict[str, api.State]) -> None:
+    def tell(
+        source: str, version: int, kind: api.ListKind, names: dict[str, api.State], then: float = 1.0
+    ) -> None:
         workers = api.WorkerList(kind, tuple(api.WorkerEntry(n, s) for n, s in names.items()))
         decided = [m.report(1.0, membership.Report(source, version, workers, dict.fromkeys(names, ("h", 1))))]
         while m.next_due <= 1.0:
-            decided.append(m.due(1.0))
+            decided.append(m.due(then))
         for d in decided:
             told.update((e.worker, e.state) for e in d.workers.entries)
             seen.update(e.worker for e in d.workers.entries if e.state is G)
@@ -413,7 +415,7 @@
     tell(DISCOVERY, 1, api.ListKind.WHOLE, ready)
     tell(DISCOVERY, 2, api.ListKind.PATCH, {"w1": D, "w2": G, "w3": G})
     tell(ETCD, 2, api.ListKind.PATCH, {"w0": G} if one_before else {})
-    tell(ETCD, 3, api.ListKind.WHOLE, {})
+    tell(ETCD, 3, api.ListKind.WHOLE, {}, 2.5)  # the process is slow: the slices take over a second
     assert {n for n, s in told.items() if s is G} == {"w1", "w2", "w3"} and told["w0"] is R
     assert [seen.get(f"w{n}", 0) for n in range(4)] == [one_before, 1, 1, 1] and sum(seen.values()) < 5
     assert len(m.vanishing.held) == 17 and m.counts[membership.Belief.HELD] == 17
