--- a/finchladder/lab/models/realserver.py
+++ b/finchladder/lab/models/realserver.py
@@ -149,6 +149,7 @@
             self.zone,
             self.pool.cold_from,
             self.pool.cold_for_s,
+            warm_work=self._warm_work if self.pool.warm_by_work else 0.0,
         )
 
     def _reset(self, now: float) -> None:
@@ -406,12 +407,16 @@
             since, need = self._hot, need - whole
         return since + need
 
+    @property
+    def _warm_work(self) -> float:
+        """Work after which it is warm, in core seconds at speed 1."""
+        return self.capacity * self.pool.cold_for_s * (1 + self.pool.cold_from) / 2 * WARM_WORK
+
     def _worked_off(self, work: float) -> None:
         """Work was done, in core seconds at speed 1: a cold server may be warmer for it."""
         self._worked += work
         if self.pool.warm_by_work and self._time < self._hot:
-            whole = self.capacity * self.pool.cold_for_s * (1 + self.pool.cold_from) / 2 * WARM_WORK
-            self._floor = min(1.0, self._worked / whole)
+            self._floor = min(1.0, self._worked / self._warm_work)
             self._bend = max(self._bend, self._born + self._floor * self.pool.cold_for_s)
             if self._floor >= 1.0:
                 self._bend = self._hot = self._time
--- a/tests/lab/test_models.py
+++ b/tests/lab/test_models.py
@@ -278,6 +278,11 @@
     model = server(cold=True, cold_from=0.5, cold_for_s=4.0, warm_by_work=True, queue=99)
     play(model, (0.0, job("a", 1.5)), *[(2.5, job(str(i))) for i in range(30)])
     assert model.up
+    model.kill(200.0)
+    assert model.start(201.0, cold=True).warm_work == 1.5  # the judge must know what warms it
+    by_time = server(cold_from=0.5, cold_for_s=4.0)
+    by_time.kill(1.0)
+    assert by_time.start(2.0, cold=True).warm_work == 0.0
 
 
 def test_saved_state_is_found_on_any_server() -> None:
