--- a/finchladder/core/sources.py
+++ b/finchladder/core/sources.py
@@ -243,7 +243,6 @@
             before = words.get(e.worker)
             if e.state is not State.GONE:
                 words[e.worker] = Word(e, address(e.worker))
-                waiting.drained.pop(e.worker, None)
                 if e.state is State.DRAINING:
                     self.may_drain.add(e.worker)
             else:
@@ -303,6 +302,10 @@
 
     # --- what it says
 
+    def lists(self, name: str) -> bool:
+        word = self.table.get(name)
+        return word is not None and word.address is not None
+
     def drains(self, name: str) -> float:
         """The newest start of the real server that it says drains, or has drained; -inf: none."""
         if name not in self.may_drain:
