--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -433,6 +433,9 @@
             if not self.fleet.is_cold(w, self.now):
                 self.warm_done += self._cost(job)
             self._judge(w, 0.0)
+            for other in job.attempts:
+                if other.ending is None and other.sent < a.sent:  # a copy that was sent later ended before it
+                    self._judge(other.worker, 1.0)
             if not self.s.tells_start:
                 self._learn_delay(w, False)
         elif e.ending in (Ending.ERROR, Ending.BROKEN, Ending.UNREACHABLE, Ending.TIMED_OUT):
--- a/tests/core/test_guarded.py
+++ b/tests/core/test_guarded.py
@@ -151,6 +151,18 @@
         assert b.quiet() and not any(w.load for w in b.g.inner.workers.values())
 
 
+def test_a_worker_that_a_later_copy_overtook_is_a_suspect_and_one_that_kept_its_lead_is_not() -> None:
+    """What may not be repeated must not go there, though its own jobs still end well."""
+    for winner in (0, 1):
+        b = bench(hedge=HEDGE)
+        name, [send] = b.ask()
+        b.run_until(101.0)
+        b.end(name, E.OK, winner)
+        suspects = [w.address for w in b.g.inner.fleet.suspects]
+        assert suspects == ([send.worker] if winner else [])
+        assert all(s.worker not in suspects for _ in range(5) for s in b.ask("unsafe")[1])
+
+
 def test_one_copy_ending_badly_leaves_the_other_to_go_on() -> None:
     b = bench(hedge=HEDGE, attempts=2)
     name, _ = b.ask()
