--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -42,7 +42,7 @@
 }  # fmt: skip
 SCALARS = frozenset({type(None), bool, int, float, str})
 CONTAINERS = frozenset({dict, list, OrderedDict})
-SLICE, PIECE = 64, 512  # records, and items of a container, that are written at a time
+SLICE, PIECE, DEEP = 64, 512, 64  # records, items, and items that are containers, written at a time
 encode = msgspec.json.Encoder().encode
 WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request)  # values that are never changed
 FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
@@ -75,10 +75,14 @@
 
 
 class Frozen(NamedTuple):
-    """A container as it was: `name` as the state has it, and what it held, pairs for a dict."""
+    """A container as it was: `name` as the state has it, and what it held, pairs for a dict.
+
+    `deep`: a dict that holds containers in turn.
+    """
 
     name: str
     items: list[Any]
+    deep: bool = False
 
 
 def watched(kind: type, save: Callable[[Any], None]) -> type:
@@ -114,10 +118,11 @@
         self.decisions, self.arrivals = decisions, arrivals
         self.plain = {watched(kind, self._save): kind for kind in IN_PLACE}
         self.watch = {kind: watch for watch, kind in self.plain.items()}
-        self.work: Generator[None, None, None] | None = None
         self._clear()
 
     def _clear(self) -> None:
+        self.work: Generator[None, None, None] | None = None
+        self.out: list[bytes] = []
         self.numbers: dict[int, int] = {}  # of records and wholes, by identity
         self.records: list[Any] = []  # by number; they must live until all is written, as must the wholes
         self.rows: list[bytes | None] = []
@@ -131,7 +136,7 @@
         many: list[Any] = [*dispatcher.workers.values(), *dispatcher.jobs.values()]
         if isinstance(decisions, Guarded):
             many += decisions.runs.values()
-        self.records, self.rows = many, [None] * len(many)
+        self.records, self.rows = [*many], [None] * len(many)
         self.numbers = dict(zip(map(id, many), range(len(many)), strict=True))
         for record in many:
             record.__class__ = self.watch[type(record)]
@@ -146,7 +151,6 @@
         if (drills := arrivals.drills) is not None:
             running = [[until, order] for until, order in drills.running.values()]
             parts["drills"] = encode([put_random(drills.random), running, drills.stopped])
-        self.out: list[bytes] = []
         self.work = self._write(len(many), parts)
 
     def step(self) -> bytes | None:
@@ -155,7 +159,7 @@
         for _ in self.work:
             return None
         state = b"".join(self.out)
-        self.drop()
+        self._clear()  # none is watched any more
         return state
 
     def drop(self) -> None:
@@ -163,7 +167,6 @@
         for record in self.records:
             if type(record) in self.plain:
                 object.__setattr__(record, "__class__", self.plain[type(record)])
-        self.work, self.out = None, []
         self._clear()
 
     def _write(self, many: int, parts: dict[str, Any]) -> Generator[None, None, None]:
@@ -180,34 +183,46 @@
                 continue
             for comma, (field, value) in zip(chain([b"{"], repeat(b",")), part.items(), strict=False):
                 put(comma + encode(field) + b":")
-                yield from self._pieces(value)
+                yield from self._pieces(value, self.out)
             put(b"}")
         for number, values in self.early:
-            kind = RECORDS.index(type(self.records[number]))
-            self._row(number, [kind, *map(self._put, values)])
-            yield
+            row = [b"[%d" % RECORDS.index(type(self.records[number]))]
+            for value in values:
+                row.append(b",")
+                yield from self._pieces(value, row)
+            self.rows[number] = b"".join(row) + b"]"
         if self.wholes:
             put(b',"wholes":')
             plain = [msgspec.to_builtins(v, order="deterministic") for v in self.wholes]
             rows = [[WHOLE.index(type(v)), p] for v, p in zip(self.wholes, plain, strict=True)]
-            yield from self._pieces(Frozen("list", rows))
+            yield from self._pieces(Frozen("list", rows), self.out)
         put(b',"records":[' + b",".join(row for row in self.rows if row is not None) + b"]}")
 
-    def _pieces(self, value: Any) -> Generator[None, None, None]:
-        """A container of many is written some at a time."""
-        if not isinstance(value, Frozen) or len(value.items) <= PIECE:
-            data = encode(self._put(value))
-            self.size += len(data)
-            return self.out.append(data)
-        name, items = value
+    def _pieces(self, value: Any, out: list[bytes]) -> Generator[None, None, None]:
+        """A container of many, or of containers, is written some at a time."""
+        if not isinstance(value, Frozen) or (len(value.items) <= PIECE and not value.deep):
+            return self._out(encode(self._put(value)), out)
+        name, items, _ = value
         pairs = name != "list"
-        self.out.append(b'{"%b":[' % name.encode() if pairs else b"[")
-        for at in range(0, len(items), PIECE):
-            data = encode(self._put(Frozen("list", items[at : at + PIECE])))[1:-1]
-            self.size += len(data)
-            self.out.append((b"," if at else b"") + data)
-            yield
-        self.out.append(b"]}" if pairs else b"]")
+        out.append(b'{"%b":[' % name.encode() if pairs else b"[")
+        for at in range(0, len(items), DEEP if value.deep else PIECE):
+            if at:
+                out.append(b",")
+                yield
+            if pairs and value.deep:
+                for n, (k, v) in enumerate(items[at : at + DEEP]):
+                    self._out((b"," if n else b"") + b"[" + encode(self._put(k)) + b",", out)
+                    yield from self._pieces(v, out)
+                    out.append(b"]")
+                continue
+            some = items[at : at + PIECE]
+            put = [[self._put(k), self._put(v)] for k, v in some] if pairs else [self._put(v) for v in some]
+            self._out(encode(put)[1:-1], out)
+        out.append(b"]}" if pairs else b"]")
+
+    def _out(self, data: bytes, out: list[bytes]) -> None:
+        self.size += len(data)
+        out.append(data)
 
     def _freeze(self, value: Any) -> Any:
         """What is changed in place is copied, down to records that are watched."""
@@ -216,7 +231,7 @@
             name, items = "dict" if kind is dict else "ordered", list(value.items())
             if self._may_change(value.values()):
                 items = [(k, self._freeze(v)) for k, v in items]
-            return Frozen(name, items)
+            return Frozen(name, items, any(type(v) is Frozen for _, v in items[:1]))
         if kind is list:
             return Frozen("list", [self._freeze(v) for v in value] if self._may_change(value) else value[:])
         if kind in RECORDS and kind not in self.watch and id(value) not in self.numbers:
