--- a/finchladder/lab/drivers/fleet.py
+++ b/finchladder/lab/drivers/fleet.py
@@ -61,10 +61,12 @@
     def admit(self, now: float) -> None:
         model = self.server.model
         if not model.connection(now):
+            self.server.turned_off += 1
             if self.transport is not None:
                 self.transport.abort()
             return
         self.admitted = True
+        self.server.most_held = max(self.server.most_held, model.connections)
         if self.server.pool.handshake_s > 0:
             self.gate = now + model.handshake(now)
             self.fleet.alarm.at(self.gate, self.serve)
@@ -170,6 +172,7 @@
         self.leaves = math.inf  # a draining server may leave from then on
         self.returns = False  # the fault is over: it comes back once it has left
         self.fell = False
+        self.most_held = self.turned_off = 0  # connections at once, and those there was no place for
 
     @property
     def up(self) -> bool:
@@ -558,6 +561,8 @@
 
     async def finish(self) -> dict[str, int]:
         self._say_changes()
+        for server in self.servers.values():
+            self.process.put(records.Held(server.name, server.most_held, server.turned_off))
         return self._figures()
 
     def close(self) -> None:
--- a/finchladder/lab/figures.py
+++ b/finchladder/lab/figures.py
@@ -209,6 +209,38 @@
     return table
 
 
+def drained(ledger: Ledger) -> dict[str, float]:
+    """From a drain notice that a dispatcher was written to the last new send that came of it: percentiles.
+
+    A notice after which nothing came counts as 0. What comes past the real server's next `ready` is another
+    matter. Empty where there was no notice.
+    """
+    sent: dict[tuple[str, str], list[float]] = {}
+    for t in ledger.tries.values():
+        for run in t.runs:
+            sent.setdefault((t.asked.dispatcher, run.server), []).append(run.first)
+    took: list[float] = []
+    for key, told in ledger.told.items():
+        ready_again = [r.at for r in told[1:] if r.state == "ready"] + [np.inf]
+        for r in told:
+            if r.state == "draining":
+                until = next(at for at in ready_again if at > r.at)
+                took.append(max([0.0, *(at - r.at for at in sent.get(key, ()) if r.at < at < until)]))
+    if not took:
+        return {}
+    ranks = {f"p{int(100 * share)}": _rank(took, share) * 1000 for share in (0.5, 0.9, 0.99)}
+    return {"notices": len(took), "with_a_send": sum(t > 0 for t in took), **ranks, "max": max(took) * 1000}
+
+
+def connections(ledger: Ledger) -> dict[str, float]:
+    """That the real servers held, each at its most: mean and most over them; and those they refused."""
+    if not ledger.held:
+        return {}
+    most = [r.most for r in ledger.held]
+    refused = sum(r.refused for r in ledger.held)
+    return {"mean": sum(most) / len(most), "most": max(most), "refused": refused}
+
+
 def cpu_used(samples: list[records.Sample]) -> list[tuple[float, float]]:
     """(time, cores) between each two samples of one start."""
     pairs = zip(samples, samples[1:], strict=False)
@@ -332,6 +364,8 @@
         "undecided": verdict.undecided,
         "refusals_held": verdict.held,
         "rude": rude,
+        "drain_last_send_ms": drained(ledger),
+        "connections": connections(ledger),
         "fell": len(ledger.fell),
         "crashes": sum(f.kind == "died" and f.target in ledger.dispatchers for f in ledger.faults),
         "dispatchers": {name: used[name] for name in ledger.dispatchers if name in used},
--- a/finchladder/lab/ledger.py
+++ b/finchladder/lab/ledger.py
@@ -81,6 +81,7 @@
         self.faults: list[records.Struck] = []
         self.marks: list[records.Mark] = []
         self.rude: list[records.Rude] = []
+        self.held: list[records.Held] = []
         self.samples: dict[str, list[records.Sample]] = {}
         self.late: dict[str, list[records.Lateness]] = {}
         self.files: dict[str, int] = {}
@@ -223,6 +224,8 @@
                 ledger.faults.append(r)
             case records.Mark() as r:
                 ledger.marks.append(r)
+            case records.Held() as r:
+                ledger.held.append(r)
             case records.Rude() as r:
                 ledger.rude.append(r)
             case records.Sample() as r:
--- a/finchladder/lab/records.py
+++ b/finchladder/lab/records.py
@@ -156,6 +156,14 @@
     wrong: str = ""  # what the dispatcher did that no honest one may
 
 
+class Held(Record, tag="held"):
+    """A real server's connections over the whole run, written at its end."""
+
+    server: str
+    most: int  # that it held at once
+    refused: int  # that it had no place for
+
+
 class Mark(Record, tag="mark"):
     """A phase begins. Names with a colon are no phases: the run's limits (`run:start`, `run:arrivals_end`,
     `run:end`), and `load:overflow`, from when on arrivals were not sent as too much was in flight."""
@@ -164,7 +172,10 @@
     name: str
 
 
-Any = Asked | Answered | Told | Born | Died | Taken | Began | Ended | Struck | Sample | Lateness | Rude | Mark
+Any = (
+    Asked | Answered | Told | Born | Died | Taken | Began | Ended | Struck | Sample | Lateness | Rude | Mark
+    | Held
+)  # fmt: skip
 
 
 def digest(method: str, target: str, body: bytes) -> int:
