--- a/finchladder/core/guarded.py
+++ b/finchladder/core/guarded.py
@@ -52,7 +52,6 @@
 from finchladder.core.retries import Budget
 from finchladder.core.routes import Queue, RetryBudget, Route, Routes
 from finchladder.core.spill import SpillSettings
-from finchladder.core.zones import Zoned
 
 GUARD = 2  # timer token; the Dispatcher's own are 0 and 1
 EARLY_S = 1e-4  # a timer may come so much before its time, as clocks are rounded
@@ -425,5 +424,10 @@
     settings: Settings, seed: int, routes: Routes | None, spill: SpillSettings | None = None
 ) -> Dispatcher | Guarded:
     """`routes` None: there is no file that could have them, now or later. `spill` None: zones are as one."""
-    dispatcher = Dispatcher(settings, seed) if spill is None else Zoned(settings, seed, spill)
+    if spill is None:
+        dispatcher = Dispatcher(settings, seed)
+    else:
+        from finchladder.core.zones import Zoned  # what is off need not be loaded
+
+        dispatcher = Zoned(settings, seed, spill)
     return dispatcher if routes is None else Guarded(dispatcher, routes, seed)
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -14,7 +14,6 @@
 from finchladder.core.bodies import BodyRoom
 from finchladder.core.guarded import Guarded, NewRoutes, decisions
 from finchladder.core.leaving import Leaving
-from finchladder.core.members import Members
 from finchladder.core.routes import Routes
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
@@ -79,6 +78,8 @@
         caps = setup.caps
         subset, each = None, IN_USE_EACH
         if options.aperture is not None:
+            from finchladder.core.members import Members
+
             aperture, own = options.aperture.settings(), setup.settings
             subset, each = Members(own.index, own.dispatchers, aperture), aperture.connections_each
         self.servers = RealServers(
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -3,14 +3,17 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from itertools import islice
+from typing import TYPE_CHECKING
 
 from finchladder.config.entries import Change, EntryTable, News, read_list
 from finchladder.core import api
-from finchladder.core.members import Members
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.http1 import BadMessage, Channel, Connect, StreamClosedError
 
+if TYPE_CHECKING:
+    from finchladder.core.members import Members
+
 PATH = "/catalog/members"
 SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
 BACKOFF, BACKOFF_MOST = 0.1, 0.8  # news counts as told after 6 s: no longer wait may lie between two tries
@@ -62,7 +65,7 @@
 
     def __init__(
         self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None], connect: Connect,
-        subset: Members | None = None,
+        subset: "Members | None" = None,
     ) -> None:  # fmt: skip
         super().__init__("service list", ROOM)
         self.address, self.apply, self.retire, self.connect = address, apply, retire, connect
