Membership: drains of a doubted list count again once its source is heard

A source that was lost while its older list was doubted (back_s longer than its quiet time) and then heard again without words left its drains unapplied.

--- a/finchladder/core/sources.py
+++ b/finchladder/core/sources.py
@@ -184,7 +184,7 @@
         if not self.listed and self.waiting is None:
             return NOTHING
         self._follow(now, self._sign(in_step))
-        return self._take(now, self.waiting, {}) if self.live and self.waiting is not None else NOTHING
+        return self._take(now, self.waiting, {}) if self.live and self.waiting is not None else self._behind()
 
     def quiet(self, now: float) -> Told:
         """To be called once nothing was heard for quiet_s. What waits goes on waiting."""
@@ -204,6 +204,9 @@
         behind = self.standing is S.BEHIND
         return dict.fromkeys(self.waiting.words) if behind and self.waiting is not None else {}
 
+    def _behind(self) -> Told:
+        return Told(self._doubted()) if self.standing is S.BEHIND else NOTHING
+
     def _sign(self, in_step: bool) -> Sign:
         if self.waiting is not None and self.waiting.whole and self._older(self.waiting):
             return Sign.OLDER
@@ -234,7 +237,9 @@
             self._follow(now, self._sign(r.in_step))
         if self.live:
             return self._take(now, on, before)
-        return Told({e.worker: None for e in r.workers.entries}) if self.standing is S.BEHIND else NOTHING
+        if before:
+            return Told({e.worker: None for e in r.workers.entries})
+        return self._behind()
 
     def _add(self, waiting: _Waiting, r: Report) -> _Waiting:
         waiting.version = r.version
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -256,6 +256,17 @@
     assert case.ready() == 3
 
 
+def test_drains_of_a_doubted_list_count_while_its_source_is_heard() -> None:
+    case = Case(back_s=60.0)
+    case.tell(ETCD, case.all | {"w0": Word(D), "w1": Word(D)}, whole=True, step=-5)
+    for words in (None, {"w1": Word(R)}):
+        assert case.ready() == 8
+        case.wait(3, DISCOVERY)
+        assert case.ready() == 10 and case.lead() == DISCOVERY
+        case.tell(ETCD, words, in_step=False)
+    assert (case.state("w0"), case.state("w1")) == (D, R)
+
+
 def test_a_member_that_lags_answers_the_range_and_another_the_watch() -> None:
     case = Case(count=4)
     case.tell(ETCD, {"w0": Word(D)}, step=3)
