--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from finchladder.core.alarms import Alarms
-from finchladder.core.api import Ending, JobClass, Request, WorkerPool
+from finchladder.core.api import Ending, JobClass, Own, Request, WorkerPool
 from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
 from finchladder.core.guarded import Guarded, Run, Scope
@@ -44,7 +44,7 @@
 CONTAINERS = frozenset({dict, list, OrderedDict})
 SLICE, PIECE = 64, 512  # records, and items of a container, that are written at a time
 encode = msgspec.json.Encoder().encode
-WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request)  # values that are never changed
+WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request, Own)  # values that are never changed
 FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
            "fleet", "agenda", "split", "spill"}  # fmt: skip
 # of zones.py, which a dispatcher has if zone spill is on; what is new begins anew, as a door's table does
@@ -187,10 +187,7 @@
             self._row(number, [kind, *map(self._put, values)])
             yield
         if self.wholes:
-            put(b',"wholes":')
-            plain = [msgspec.to_builtins(v, order="deterministic") for v in self.wholes]
-            rows = [[WHOLE.index(type(v)), p] for v, p in zip(self.wholes, plain, strict=True)]
-            yield from self._pieces(Frozen("list", rows))
+            put(b',"wholes":' + encode([[WHOLE.index(type(v)), v] for v in self.wholes]))
         put(b',"records":[' + b",".join(row for row in self.rows if row is not None) + b"]}")
 
     def _pieces(self, value: Any) -> Generator[None, None, None]:
