Tests hold what four mutants of the etcd client had outlived

Of 17 guards taken out one by one 5 were missed by the tests: the step back that waits for all endpoints, old events, Raft's term, the bound on a key too long, and a token had anew by a call.

--- a/benchmarks/etcd_drains.py
+++ b/benchmarks/etcd_drains.py
@@ -125,7 +125,7 @@
     parser.add_argument("--delays", default="0.05,0.5", help="of discovery, in seconds, where it is alone")
     parser.add_argument("--cpus", type=lambda text: [int(n) for n in text.split(",")], default=[])
     args = parser.parse_args()
-    cases = [(True, 0.5)] + [(False, float(d)) for d in args.delays.split(",")]
+    cases = [(True, 0.5)] + [(False, float(d)) for d in args.delays.split(",") if d]
     for round in range(args.rounds):
         for followed, delay_s in cases:
             found = played(args, followed, delay_s)
--- a/tests/etcd/test_follow.py
+++ b/tests/etcd/test_follow.py
@@ -201,6 +201,9 @@
         password.write_text("one\n")
         await until(lambda: f.follows)
         assert f.states == {"a": "ready"}
+        etcd.servers[0].expire_tokens()
+        await until(lambda: f.actor.link is not None and f.actor.link.logins == 2)  # by the next pulse
+        assert f.follows
         etcd.servers[0].expire_tokens(cancel=True)
         put(etcd, "drain/a")
         await until(lambda: f.states == {"a": "draining"})
--- a/tests/etcd/test_messages.py
+++ b/tests/etcd/test_messages.py
@@ -6,7 +6,7 @@
 import pytest
 
 from finchladder.lab.etcd.gateway import base64
-from finchladder.net.etcd.messages import MOST_FRAME, BadAnswer, Reader, Refusal
+from finchladder.net.etcd.messages import MOST_FRAME, MOST_ITEM, BadAnswer, Reader, Refusal
 
 HEADER = {"cluster_id": "18446744073709551615", "revision": "9", "raft_term": "2"}
 
@@ -33,6 +33,13 @@
     assert [(len(a.items), a.items[-1].deleted, a.fragment) for a in both] == [(len(events), True, True)] * 2
 
 
+def test_of_a_key_too_long_no_more_is_held_than_of_any() -> None:
+    reader = Reader(False)
+    reader.feed(b'{"kvs":[{"key":"aw==","create_revision":"1","mod_revision":"2","value":"' + b"x" * 70_000)
+    reader.feed(b"x" * 1_000_000)
+    assert reader.apart is not None and len(reader.apart.item or b"") + len(reader.buffer) <= MOST_ITEM
+
+
 @pytest.mark.parametrize(
     ("body", "refusal", "kind"),
     [
--- a/tests/etcd/test_state.py
+++ b/tests/etcd/test_state.py
@@ -221,6 +221,21 @@
     assert p.follower.state is State.FOLLOWING
 
 
+@pytest.mark.parametrize("less", [Header(1, 0, 3, 2), Header(1, 0, 9, 1)], ids=["revision", "term"])
+def test_who_tells_less_than_was_told_is_left_until_all_do(less: Header) -> None:
+    f, h = Follower("/f", ["a", "b"], Random(1)), Header(1, 0, 5, 2)
+    first: list[state.Event] = [state.Due(), state.Opened(), state.Page(Answer(h, []))]
+    for event in [*first, state.Told(Answer(h, [], created=True))]:
+        f.handle(0.0, event)
+    assert not f.handle(0.0, state.Told(Answer(h, [item("w", 4)])))  # told again: no news
+    f.handle(0.0, state.Failed(state.Kind.LOST, ""))
+    for after in (State.WAITING, State.LISTING):
+        f.handle(0.1, state.Due())
+        f.handle(0.1, state.Opened())
+        f.handle(0.1, state.Told(Answer(less, [], created=True)))
+        assert f.state is after
+
+
 def test_what_is_refused_each_time_waits_in_the_end() -> None:
     for answer in (
         Answer(Header(), [], canceled=True, refusal=Refusal(16, "invalid auth token")),
