--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from finchladder.core import api
+from finchladder.features.replay import Replay
 from finchladder.net.node import Node
 from finchladder.net.recorder import Recorder
 from finchladder.net.servers import IN_USE_EACH
@@ -117,8 +118,24 @@
             "waiting for a place": len(node.servers.all_in_use.queue),
             "real servers with load": [w.address for w in module.workers.values() if w.load],
         }  # fmt: skip
+        fading = [name for name, actor in node.servers.fading.items() if actor.at_rest]
+        left["real servers that are gone for long"] = fading
         if node.flows.status is not None:
             left["jobs whose status is open"] = list(node.flows.status.open)
         for what, value in left.items():
             if value:
                 self.found("left over", f"{what}: {value}")
+        self._replay()
+
+    def _replay(self) -> None:
+        """What was captured, decided anew, comes out the same."""
+        if self.node.capture is None:
+            return
+        lines = [
+            line for block in self.node.capture.dump(self.node.clock()) for line in block.splitlines(True)
+        ]
+        differ: list[str] = []
+        replay = Replay(self.node.setup.settings, self.run.options, differ.append, lambda text: None)
+        replay.run(lines)
+        if differ:
+            self.found("capture", f"a replay decides otherwise: {differ[0]}")
--- a/finchladder/sim/registry.py
+++ b/finchladder/sim/registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from finchladder.lab.models.discovery import DiscoveryModel, Line, Member
+from finchladder.lab.records import Told
 from finchladder.lab.wire import CHUNKED_HEAD, Message, write_chunk, write_response
 from finchladder.sim.draws import stream
 from finchladder.sim.network import End, Handler, Listener
@@ -18,14 +19,18 @@
 
 HOST = "registry"
 PATH = "/catalog/members"
+TOLD_S = 6.0  # what does not arrive counts as told so much later
+LOOKS_S = 0.005
 
 
 class Watcher(Talk):
     def __init__(self, registry: "Registry", node: str, end: End) -> None:
         super().__init__(registry.run.net, responses=False)
         self.registry, self.node, self.end = registry, node, end
+        self.start = registry.run.processes[node].starts
         self.asked: dict[int, None] = {}
         self.headed = False
+        self.said = 0
 
     def message(self, m: Message) -> None:
         path, _, query = m.target.partition("?")
@@ -46,18 +51,51 @@
     def line(self, line: Line) -> None:
         """What is written here counts as told from now on."""
         run = self.registry.run
-        self.say((b"" if self.headed else CHUNKED_HEAD) + write_chunk(line.data))
+        data = (b"" if self.headed else CHUNKED_HEAD) + write_chunk(line.data)
+        self.said += len(data)
+        self.say(data)
         self.headed = True
         if line.data != b"\n":
             run.step("list", self.node)
             self.registry.remember(self.node, line.data)
             known = [told for told in line.told if told.server in run.servers]
             run.see("listed", node=self.node, **{told.server: told.state for told in known})
-            for told in known:
-                told.at = run.kernel.now
-                run.rules.put(told)
+            if self.passes:
+                self.tell(known)
+            else:
+                self.late(known, self.said, run.kernel.now)
             run.moment("list", end=self.end, node=self.node)
 
+    @property
+    def passes(self) -> bool:
+        """Whether what is written here arrives; to be asked only for news."""
+        if self.over or self.end is None:
+            return False
+        pipe = self.end.pipe
+        return not (pipe.silent or pipe.dropped or pipe.link.silent or self.out)
+
+    def tell(self, known: list[Told]) -> None:
+        for told in known:
+            told.at = self.registry.run.kernel.now
+            self.registry.run.rules.put(told)
+
+    def late(self, known: list[Told], place: int, since: float) -> None:
+        """It counts as told once it has arrived, or after TOLD_S, unless it is no news any more."""
+        run, end = self.registry.run, self.end
+        assert end is not None
+        if run.processes[self.node].starts != self.start:
+            return
+        over = self.over or end.pipe.dropped or end.error != 0
+        if not over and end.sent - end.pipe.under_way >= place:
+            self.tell(known)
+        elif run.kernel.now < since + TOLD_S:
+            run.kernel.after(LOOKS_S, lambda: self.late(known, place, since))
+        else:
+            told = run.rules.ledger.told
+            self.tell(
+                [t for t in known if not any(x.at > since for x in told.get((self.node, t.server), ()))]
+            )
+
     def lost(self, how: str) -> None:
         for number in self.asked:
             self.registry.model.unwatch(number)
