--- a/finchladder/sim/faults.py
+++ b/finchladder/sim/faults.py
@@ -253,7 +253,7 @@
                 s.drain()
                 return s.come_back
             case "slow":
-                s.model.set_speed(now, 0.01 + 0.3 * f.size)
+                s.model.set_speed(now, max(0.0, f.size - 0.5))  # 0: it stands still, and tells nothing
                 s.played()
 
                 def fast() -> None:
@@ -317,6 +317,8 @@
             b = b or random.choice([*run.servers, "clients", "registry"])
         link = run.net.link(a, b)
         self._tell(f, link.name)
+        for struck in [*run.net.links_of(a), *run.net.links_of(b)] if f.kind == "deaf" else [link]:
+            struck.struck_at = self.limit  # until then it may not do what it should
         ends = list(link.ends)
         if not f.target and who.end is not None and who.end.pipe.link is link:
             ends = [who.end]
--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -4,7 +4,9 @@
 from typing import TYPE_CHECKING
 
 from finchladder.core import api
+from finchladder.core.stages import Stage
 from finchladder.features.replay import Replay
+from finchladder.net.lines import Line
 from finchladder.net.node import Node
 from finchladder.net.recorder import Recorder
 from finchladder.net.servers import IN_USE_EACH
@@ -13,6 +15,9 @@
     from finchladder.sim.process import Process
 
 WHOLE_EVERY = 32  # turns between two looks at whole tables
+GIVES_UP_S = 1.5  # a second for a connection and an answer, and some more
+GIVEN_UP = (api.Ending.CANCELLED, api.Ending.TIMED_OUT)
+WAITS_MORE_S = 0.15  # a sluggish process is late for its timers
 SPIN_S, SPIN_TURNS = 0.2, 6000  # more turns within so long: something stays ready and nobody takes it
 
 
@@ -31,8 +36,10 @@
             self.further.decided(t, event, actions, error)
         if isinstance(event, api.Ended):
             key = event.request, event.attempt
-            if self.out.pop(key, None) is None:
+            if (server := self.out.pop(key, None)) is None:
                 self.inner.found("ends", f"the end of {key} was told again, or it was never sent")
+            elif event.ending in GIVEN_UP:
+                self.inner.given_up(event.request, server)
         for a in actions:
             if isinstance(a, api.Send):
                 number = self.sent.get(a.request, 0)
@@ -82,6 +89,26 @@
         if self.turns % WHOLE_EVERY == 0:
             self.whole()
 
+    def given_up(self, id: str, name: str) -> None:
+        """Its real server must hear of it, if nothing stands in the way."""
+        run, since, starts = self.run, self.run.kernel.now, self.process.starts
+        server = run.servers[name]
+        epoch, tale = server.model.epoch, server.tales.get(id)
+        if tale is not None and not tale.final:
+            run.kernel.after(GIVES_UP_S, lambda: look())
+
+        def look() -> None:
+            process, link = self.process, run.net.link(self.process.name, name)
+            disturbed = (
+                (server.model.epoch, process.starts, process.state) != (epoch, starts, "up")
+                or max(link.struck_at, server.paused_at) >= since
+                or not server.model.up
+                or run.rules.ledger.stopped(process.name, since, run.kernel.now) > 0
+            )
+            if not disturbed and tale is not None and server.tales.get(id) is tale and not tale.final:
+                text = f"{name} still has {id}, which was given up {GIVES_UP_S} s ago"
+                self.found("not given up", text)
+
     def whole(self) -> None:
         """Tables that have to agree with each other."""
         node = self.node
@@ -93,6 +120,14 @@
                 self.found("tables", f"{flow.id} is over and still in the table")
         for actor in node.servers.actors.values():
             for id, s in actor.live.items():
+                if isinstance(s.connection, Line) and s.connection.over:
+                    self.found("tables", f"{actor.name}: {id} waits on a line that is gone")
+                if s.stage is Stage.WAITING and not self.run.was_stopped(self.process):
+                    waits = node.clock() - s.sent
+                    if waits > node.setup.caps.connect_timeout_s + WAITS_MORE_S:
+                        self.found(
+                            "waits", f"{id} waits for a connection to {actor.server} for {waits:.3f} s"
+                        )
                 if s.ended or node.flows.by_id.get(id) is not s.flow:
                     self.found("tables", f"{actor.name} holds {id}, which is over")
             if not 0 <= actor.in_use.free <= IN_USE_EACH:
--- a/finchladder/sim/mutants.py
+++ b/finchladder/sim/mutants.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 from collections.abc import Callable, Iterator, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from pathlib import Path
 from statistics import median
 from typing import NamedTuple
@@ -137,13 +137,13 @@
     with ThreadPoolExecutor(jobs) as pool:
         futures = [pool.submit(hunt_one, mutant, most, out) for mutant in mutants]
         hunts = []
-        for future in futures:
+        for future in as_completed(futures):
             h = future.result()
             hunts.append(h)
             shrunk = f", {h.lines} lines when shrunk" if h.lines else ""
             found = f"{h.seeds} seeds: {h.violation}{shrunk}" if h.seeds else f"NOT FOUND in {most} seeds"
             say(f"{h.mutant.name} ({h.mutant.part}): {found}")
-        return hunts
+        return sorted(hunts, key=lambda h: h.mutant.name)
 
 
 def report(hunts: Sequence[Hunt]) -> Iterator[str]:
--- a/finchladder/sim/network.py
+++ b/finchladder/sim/network.py
@@ -67,6 +67,7 @@
         self.silent = False  # nothing passes, and new connections are not answered
         self.refuses = False  # new connections are refused
         self.count = 0
+        self.struck_at = -1.0  # when the run last did something to it
         self.ends: dict[End, None] = {}  # of connections that stand, the side that connected
 
 
@@ -211,6 +212,7 @@
         self.listeners: dict[tuple[str, int], Listener] = {}
         self.links: dict[tuple[str, str], Link] = {}
         self.ports: dict[str, int] = {}
+        self.hosts: dict[str, str] = {}  # by IP address, whether it listens or not
         self.on_close: Callable[[End], None] = lambda end: None
         self.on_write: Callable[[End, bytes], None] | None = None
 
@@ -246,8 +248,7 @@
     def connect(self, host: str, ip: str, address: tuple[str, int], handler: Handler) -> End:
         """The end is not up before `opened`."""
         port = self.ports[ip] = self.ports.get(ip, 30000) + 1
-        listener = self.listeners.get(address)
-        other = listener.host if listener is not None else self._host_at(address)
+        other = self.hosts[address[0]]
         link = self.link(host, other)
         link.count += 1
         end, far = End(self, host, (ip, port), link.count), End(self, other, address, link.count)
@@ -258,9 +259,6 @@
         self._knock(end, 0)
         return end
 
-    def _host_at(self, address: tuple[str, int]) -> str:
-        return f"{address[0]}:{address[1]}"
-
     def _knock(self, end: End, again: int) -> None:
         """The first packet. One that is lost comes again."""
         if end.closed or end.up or end.error:
--- a/finchladder/sim/plan.py
+++ b/finchladder/sim/plan.py
@@ -172,7 +172,7 @@
         seed=seed,
         zones=zones,
         dispatchers=r.choice([1, 1, 2, 2, 3]),
-        program=Program(sockets=r.choice([1024, 1024, 256])),
+        program=Program(sockets=r.choice([1024, 1024, 256, 128])),
         pool=pools,
         callbacks=Callbacks(
             early=r.choice([0.0, 0.0, 0.3]),
@@ -183,6 +183,7 @@
         discovery=Discovery(delay_s=(0.0, r.choice([0.02, 0.1, 0.4]))),
         front=Front(across_zones=True, notices_death_s=(0.2, 1.0)),
         job_class=classes,
+        cold_multiple=r.choice([3.0, 3.0, 2.0]),
         settings={"caps.secondCopies": r.random() < 0.5, "caps.tryLimit": r.choice([2, 3, 5])},
     )
 
@@ -285,7 +286,7 @@
         f.after_s = round(r.choice([0.0, 0.0, spread(r, 0.0001, 0.01), spread(r, 0.001, 0.3)]), 5)
     if not aimed or r.random() < 0.3:
         f.target = _target(r, plan, kind)
-    f.for_s = round(spread(r, 0.02, 2.0), 3)
+    f.for_s = round(spread(r, 0.02, 4.0), 3)
     f.size = round(r.random(), 3)
     return f
 
--- a/finchladder/sim/process.py
+++ b/finchladder/sim/process.py
@@ -53,6 +53,7 @@
         self.run, self.index = run, index
         self.name, self.zone = f"n{index + 1}", e.zones[index % len(e.zones)]
         self.ip = f"10.0.0.{index + 1}"
+        run.net.hosts[self.ip] = self.name
         self.state: Literal["down", "up", "leaving"] = "down"
         self.stopped = False
         self.starts = 0
--- a/finchladder/sim/registry.py
+++ b/finchladder/sim/registry.py
@@ -127,7 +127,10 @@
         ghosts = [f"ghost{n:04d}" for n in range(self.run.plan.world.ghosts)]
         zone = self.run.plan.experiment.zones[0]
         self.model.describe(Member(name, zone, "ghost") for name in ghosts)
-        self.model.addresses("", {name: f"10.9.{n // 250}.{n % 250}:1" for n, name in enumerate(ghosts)})
+        for n, name in enumerate(ghosts):
+            ip = f"10.9.{n // 250}.{n % 250}"
+            self.run.net.hosts[ip] = name
+            self.model.addresses("", {name: f"{ip}:1"})
         if ghosts:
             self.model.change(self.run.kernel.now, {name: ("draining", 0.0) for name in ghosts})
 
@@ -136,6 +139,7 @@
 
     def _listen(self, node: str) -> None:
         ip, _, port = self.address(node).partition(":")
+        self.run.net.hosts[ip] = HOST
         self.listeners[node] = self.run.net.listen(HOST, (ip, int(port)), Door(self, node))
 
     def change(self, states: dict[str, tuple[Any, float]]) -> None:
--- a/finchladder/sim/run.py
+++ b/finchladder/sim/run.py
@@ -215,12 +215,12 @@
             self.see("log", node=name, level=level, text=message)
         if LEVELS.get(level, 0) < 40 or message.startswith(EXPECTED_ERRORS):
             return
-        if process is not None and OVERDUE in message and self._was_stopped(process):
+        if process is not None and OVERDUE in message and self.was_stopped(process):
             return
         text = f"{message}: {type(error).__name__}: {error}" if error is not None else message
         self.found("logged", text, node=name)
 
-    def _was_stopped(self, process: Process) -> bool:
+    def was_stopped(self, process: Process) -> bool:
         now = self.kernel.now
         return self.rules.ledger.stopped(process.name, now - AFTER_STOP_S, now) > 0
 
--- a/finchladder/sim/servers.py
+++ b/finchladder/sim/servers.py
@@ -264,6 +264,7 @@
         e = run.plan.experiment
         self.run, self.name, self.host, self.pool, self.group = run, name, name, e.pool[pool], number % 2
         self.ip = f"10.1.0.{number + 1}"
+        run.net.hosts[self.ip] = name
         self.random = stream(run.plan.seed, "server", name)
         limits = e.cold_multiple, e.cold_window_s
         drawn = stream(run.plan.seed, "model", name)
@@ -275,6 +276,7 @@
         self.state: Literal["ready", "draining", "gone"] = "gone"
         self.born, self.due = 0.0, inf
         self.given_up: list[str] = []
+        self.paused_at = -1.0
         self.swallow = 0.0
         self.leaves = inf
         self.returns = self.fell = False
@@ -387,6 +389,7 @@
         if self.model.up and not self.model.paused:
             now = self.run.kernel.now
             self.model.pause(now)
+            self.paused_at = now
             self.run.put(records.Died(self.name, self.model.epoch, now, "paused"))
 
     def go_on(self) -> None:
