--- a/finchladder/cli/sim.py
+++ b/finchladder/cli/sim.py
@@ -64,6 +64,9 @@
 
 
 def run(args: argparse.Namespace) -> None:
+    from finchladder.sim.run import LOG
+
+    LOG.keep()
     try:
         status = ACTIONS[args.action](args)
     except (OSError, ValueError) as e:
--- a/finchladder/sim/explain.py
+++ b/finchladder/sim/explain.py
@@ -116,14 +116,15 @@
 
     def tracer(frame: FrameType, event: str, arg: Any) -> Any:
         nonlocal depth
-        if event == "call" and frame.f_code.co_filename.startswith(ROOMS):
+        code = frame.f_code
+        if event == "call" and code.co_filename.startswith(ROOMS) and "<locals>.<" not in code.co_qualname:
             caller = frame.f_back
             while caller is not None and not caller.f_code.co_filename.startswith(ROOMS):
                 caller = caller.f_back
             depth += 1
             entered.append(
                 Entered(
-                    depth, frame.f_code.co_filename, frame.f_lineno, frame.f_code.co_qualname,
+                    depth, code.co_filename, frame.f_lineno, code.co_qualname,
                     caller.f_code.co_filename if caller is not None else "",
                     caller.f_lineno if caller is not None else 0,
                 )
--- a/finchladder/sim/faults.py
+++ b/finchladder/sim/faults.py
@@ -1,7 +1,6 @@
 """Strikes what a plan says, at its time or its moment, and takes it back: in its time, or at the end."""
 
 import signal
-from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
@@ -70,7 +69,7 @@
         self.limit = run.begin + run.plan.calm_at - SETTLE_S
         self.aimed: list[tuple[Fault, list[int]]] = []
         self.undo: dict[int, Callable[[], None]] = {}
-        self.breaks: Counter[tuple[str, str]] = Counter()
+        self.breaks: dict[tuple[str, str], tuple[int, float]] = {}  # how many, and how long after
         self.term_s = max(3.0, *(c.deadline_s for c in run.plan.experiment.job_class)) + 0.7
         self.struck = 0
 
@@ -136,7 +135,9 @@
             node = who.node or random.choice(list(run.processes))
             server = who.server or random.choice(list(run.servers))
             self._tell(f, f"{server}>{node}")
-            self.breaks[server, node] += 1 + int(f.size * 10)
+            # before it arrives, on its arrival, after it, and with its answer under way or already there
+            after = random.choice([0.0, 0.7, 1.7, 1.7, 2.5, 4.0]) * run.plan.world.latency_s
+            self.breaks[server, node] = 1 + int(f.size * 10), after
             undo = None
         else:
             undo = self._client(f, who, random)
@@ -403,12 +404,11 @@
 
     def call_back(self, server: str, node: str, end: End | None) -> None:
         """A call-back was written: its connection may break before it, after it, or after its answer."""
-        if end is None or not self.breaks[server, node]:
+        count, after = self.breaks.get((server, node), (0, 0.0))
+        if end is None or not count:
             return
-        self.breaks[server, node] -= 1
-        random = stream(self.run.plan.seed, "break", server, node, self.breaks[server, node])
-        after = end.pipe.link.manners.latency_s * random.choice([0.0, 0.7, 1.7, 2.5, 4.0])
-        self.run.kernel.after(after, lambda: self.run.net.cut(end, both=random.random() < 0.7))
+        self.breaks[server, node] = count - 1, after
+        self.run.kernel.after(after, lambda: self.run.net.cut(end, both=count % 3 > 0))
 
     # --- clients
 
--- a/finchladder/sim/run.py
+++ b/finchladder/sim/run.py
@@ -30,7 +30,7 @@
 from finchladder.sim.inner import Inner
 from finchladder.sim.loop import VirtualLoop
 from finchladder.sim.network import End, Manners, Network
-from finchladder.sim.plan import CALM_S, END_S, SETTLE_S, Moment, Plan
+from finchladder.sim.plan import CALM_S, END_S, Moment, Plan
 from finchladder.sim.process import Process
 from finchladder.sim.registry import Registry
 from finchladder.sim.rules import Rules
@@ -258,11 +258,15 @@
     # --- the run
 
     def play(self) -> Outcome:
-        with _Quiet(self):
-            try:
-                self._play()
-            finally:
-                self._bury()
+        gc.collect()
+        gc.disable()  # what a collection runs must not depend on what was played before
+        LOG.begin(self)
+        try:
+            self._play()
+        finally:
+            self._bury()
+            LOG.end()
+            gc.enable()
         return self.outcome()
 
     def _play(self) -> None:
@@ -352,47 +356,60 @@
         return next((p for p in self.processes.values() if p.loop is not None and p.loop.running), None)
 
 
-class _Quiet:
-    """While a run plays: the log goes to it, and garbage is collected when it says so."""
+class Log:
+    """While a run plays, the program's log goes to it, and to nobody else. Making a sink takes 10 ms, so who
+    plays many runs keeps one (`keep`)."""
 
-    def __init__(self, run: Run) -> None:
-        self.run = run
+    def __init__(self) -> None:
+        self.run: Run | None = None
+        self.kept = False
+        self.number = 0
+        self.root = logging.getLogger()
+        self.before: list[logging.Handler] = []
 
-    def __enter__(self) -> None:
-        gc.collect()
-        gc.disable()
+    def keep(self) -> None:
+        if not self.kept:
+            self._open()
+            self.kept = True
+
+    def _open(self) -> None:
         logger.remove()
-        self.sink = logger.add(
+        self.number = logger.add(
             self._sink, level="WARNING", format="{message}", backtrace=False, diagnose=False
         )
-        self.handler = _Handler(self.run)
-        self.root = logging.getLogger()
-        self.before = self.root.handlers[:]
-        self.root.handlers[:] = [self.handler]
+        self.before, self.root.handlers[:] = self.root.handlers[:], [_Handler(self)]
+
+    def begin(self, run: Run) -> None:
+        if not self.kept:
+            self._open()
+        self.run = run
+
+    def end(self) -> None:
+        self.run = None
+        if not self.kept:
+            logger.remove(self.number)
+            self.root.handlers[:] = self.before
 
     def _sink(self, message: Any) -> None:
         record = message.record
         error = record["exception"].value if record["exception"] is not None else None
-        self.run.logged(self.run.whose(), record["level"].name, record["message"], error)
+        self.told(record["level"].name, record["message"], error)
 
-    def __exit__(self, *error: object) -> None:
-        logger.remove(self.sink)
-        self.root.handlers[:] = self.before
-        gc.enable()
+    def told(self, level: str, text: str, error: BaseException | None) -> None:
+        if self.run is not None:
+            self.run.logged(self.run.whose(), level, text, error)
 
 
 class _Handler(logging.Handler):
-    def __init__(self, run: Run) -> None:
+    """What Tornado logs."""
+
+    def __init__(self, log: Log) -> None:
         super().__init__(logging.WARNING)
-        self.run = run
+        self.log = log
 
     def emit(self, record: logging.LogRecord) -> None:
         error = record.exc_info[1] if record.exc_info else None
-        self.run.logged(self.run.whose(), record.levelname, record.getMessage(), error)
-
-
-def play(plan: Plan, on_seen: Callable[[Seen], None] | None = None) -> Outcome:
-    return Run(plan, on_seen).play()
+        self.log.told(record.levelname, record.getMessage(), error)
 
 
-__all__ = ["SETTLE_S", "Outcome", "Run", "Seen", "Violation", "play"]
+LOG = Log()
--- a/finchladder/sim/search.py
+++ b/finchladder/sim/search.py
@@ -12,7 +12,7 @@
 
 from finchladder.sim import trace
 from finchladder.sim.plan import draw
-from finchladder.sim.run import Outcome, Run
+from finchladder.sim.run import LOG, Outcome, Run
 
 HANGS_S = 60.0  # CPU seconds: a run that takes longer never ends, and is no result
 
@@ -62,7 +62,7 @@
     if jobs <= 1:
         yield from map(play_seed, wanted())
         return
-    with multiprocessing.get_context("fork").Pool(jobs, maxtasksperchild=500) as pool:
+    with multiprocessing.get_context("fork").Pool(jobs, LOG.keep, maxtasksperchild=500) as pool:
         # handed out a few at a time: a pool would take all the seeds at once, and play them all
         waiting = []
         for seed in wanted():
