--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -28,6 +28,7 @@
         self.inner, self.further = inner, further
         self.out: dict[tuple[str, int], str] = {}
         self.sent: dict[str, int] = {}
+        self.unwanted: list[tuple[str, int]] = []  # given up in this turn
 
     def decided(
         self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
@@ -41,6 +42,8 @@
             elif event.ending in GIVEN_UP:
                 self.inner.given_up(event.request, server)
         for a in actions:
+            if isinstance(a, api.Cancel) and (a.request, a.attempt) in self.out:
+                self.unwanted.append((a.request, a.attempt))
             if isinstance(a, api.Send):
                 number = self.sent.get(a.request, 0)
                 self.sent[a.request] = number + 1
@@ -73,6 +76,10 @@
         self.spin_turns += 1
         if self.spin_turns > SPIN_TURNS:
             self.found("spins", f"{self.spin_turns} turns of the loop within {SPIN_S} s")
+        unwanted, self.tap.unwanted = self.tap.unwanted, []
+        for key in unwanted:
+            if key in self.tap.out:
+                self.found("not given up", f"{key} was given up by the decisions, and is still out")
         if node.module.waiting:
             self.found("mailbox", f"{node.module.waiting} items wait for the module though it rests")
         if node.flows.open > node.intake.most_open:
