--- a/finchladder/sim/clients.py
+++ b/finchladder/sim/clients.py
@@ -85,6 +85,7 @@
     def message(self, m: Message) -> None:
         t, self.current = self.current, None
         self.used += 1
+        self.clients.run.moment("answer", end=self.end, node=self.node, id=t.id if t is not None else "")
         if t is None:
             if self.last:
                 self.clients.answer(self.last, m)
@@ -208,7 +209,7 @@
         run.step("wish", f"{job.number}")
         send = model.send(wish, now)
         if send is None:
-            self.wishes -= 1
+            self._done(job, "no time left")
             return
         until = now + send.patience
         t = Try(f"j{job.number}t{wish.tries}", job, self.classes[job.job_class], wish, model, until)
@@ -290,17 +291,21 @@
         t.done = True
         del self.open[t.id]
         if not t.sent and end != "answer":  # its last byte never left, so nobody has taken it
-            end, t.sent, t.node = "unconnected", now, ""
+            end, t.node = "unconnected", ""
+        t.sent = t.sent or now
         if t.id not in run.rules.ledger.tries:
             run.put(self.asked(t))
         run.put(Answered(t.id, now, end, status, body, retry_after))
         due = t.model.ended(t.wish, now, end, status, retry_after)
         if due is None:
-            self.wishes -= 1
-            run.wish_over(t, end, status)
+            self._done(t.job, f"answered {status}" if status else end, t)
         else:
             run.kernel.at(max(now, due), lambda: self.start(t.job, t.wish, t.model))
 
+    def _done(self, job: Job, how: str, last: Try | None = None) -> None:
+        self.wishes -= 1
+        self.run.wish_over(job, how, last)
+
     # --- the front
 
     def watch(self, node: str, start: int) -> None:
--- a/finchladder/sim/network.py
+++ b/finchladder/sim/network.py
@@ -78,16 +78,15 @@
 class Pipe:
     """Bytes one way. `under_way`: bytes sent that have not arrived."""
 
-    __slots__ = ("link", "random", "target", "under_way", "last", "silent", "kept", "dropped", "order")
+    __slots__ = ("link", "random", "under_way", "last", "silent", "kept", "dropped")
 
-    def __init__(self, link: Link, random: Random, target: "End") -> None:
-        self.link, self.random, self.target = link, random, target
+    def __init__(self, link: Link, random: Random) -> None:
+        self.link, self.random = link, random
         self.under_way = 0
         self.last = 0.0  # nothing may arrive before what was sent before it
         self.silent = False
         self.kept: deque[Segment] = deque()  # what was sent into the silence
         self.dropped = False  # nothing that is under way will arrive
-        self.order = 0
 
     def delay(self) -> float:
         m = self.link.manners
@@ -254,7 +253,7 @@
         end, far = End(self, host, (ip, port), link.count), End(self, other, address, link.count)
         end.peer, far.peer = far, end
         random = stream(self.seed, "connection", link.name, host, link.count)
-        end.pipe, far.pipe = Pipe(link, random, far), Pipe(link, random, end)
+        end.pipe, far.pipe = Pipe(link, random), Pipe(link, random)
         end.handler = handler
         self._knock(end, 0)
         return end
--- a/finchladder/sim/run.py
+++ b/finchladder/sim/run.py
@@ -30,7 +30,7 @@
 from finchladder.sim.inner import Inner
 from finchladder.sim.loop import VirtualLoop
 from finchladder.sim.network import End, Manners, Network
-from finchladder.sim.plan import CALM_S, END_S, Moment, Plan
+from finchladder.sim.plan import CALM_S, END_S, Job, Moment, Plan
 from finchladder.sim.process import Process
 from finchladder.sim.registry import Registry
 from finchladder.sim.rules import Rules
@@ -226,12 +226,12 @@
 
     # --- what happens to a wish, and to a process
 
-    def wish_over(self, t: Try, end: str, status: int) -> None:
-        self.answers[str(status) if status else end] += 1
-        if t.job.calm and status != 200:
-            how = f"answered {status}" if status else end
+    def wish_over(self, job: Job, how: str, last: Try | None) -> None:
+        self.answers[how.removeprefix("answered ")] += 1
+        if job.calm and how != "answered 200":
             text = f"{how}, {self.kernel.now - self.faults.limit:.1f} s after the last fault"
-            self.found("not served", text, node=t.node, id=t.id, rule="liveness")
+            id, node = (last.id, last.node) if last is not None else ("", "")
+            self.found("not served", text, node=node, id=id, rule="liveness")
 
     def turned(self, process: Process) -> None:
         if self.on_turn is not None:
