--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -3,30 +3,31 @@
 Costs, with n ready workers and p = 2 x POINTS marks of each: a worker comes or goes O(p log n), and in memory
 p times half an arc of n / 8 marks is moved; a change of load or zone O(log levels); any other change of an
 entry O(1). Owners of a key O(log n), the least-loaded O(workers looked at). Memory: about 1.3 KB a ready
-worker and needed kind.
+worker and needed kind. A route's pool that leaves out some workers is like one more needed kind, and split by
+zone each pool takes twice as much.
 """
 
 from array import array
 from bisect import bisect_left, bisect_right, insort
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Sequence
 from hashlib import blake2b
-from itertools import chain, islice
+from itertools import islice
 from random import Random
 from sys import byteorder
 
-from finchladder.core.api import State, WorkerEntry
+from finchladder.core.api import State, WorkerEntry, WorkerPool
 from finchladder.core.records import Worker
 from finchladder.core.wheel import Wheel
 
 POINTS = 32  # ring marks a worker and hash: evens out the arcs of neighbours
 ARC_BITS = 8  # a ring is cut into so many arcs (as a power of 2), each a sorted row of its own
 SHIFT = 64 - ARC_BITS
-SLICE, LOOKS = 16, 1000  # entries of a PATCH, and of a list compared in one step: about 2 ms and 0.5 ms
 KEPT_KEYS = 1024  # keys whose pairs are kept while the rings stay as they are: 0.5 MB for each needed kind
 FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
 
 Level = tuple[float, bool]  # load in slots, and whether it is in another zone
+Needed = str | WorkerPool | None  # whom a job may go to: one kind, one pool, or anyone
 
 
 def key_hashes(key: int) -> tuple[int, int]:
@@ -44,31 +45,6 @@
     return points
 
 
-def differences(
-    old: Mapping[str, WorkerEntry], new: Iterable[WorkerEntry]
-) -> Iterator[tuple[WorkerEntry, ...]]:
-    """PATCHes that lead from the entries known to a whole list, in slices; what is not ready comes first.
-
-    Who is missing is GONE. The weight is left out, as no decision looks at it. A slice holds up to SLICE
-    entries, or none where LOOKS in a row have not changed, so that a caller may let others in between: then
-    no step takes longer than a slice. `old` must stay as it is until the end. O(entries).
-    """
-    named = {e.worker: e for e in new}
-    found: list[WorkerEntry] = []
-    joins: list[WorkerEntry] = []
-    left = (e._replace(state=State.GONE) for e in old.values() if e.worker not in named)
-    for n, e in enumerate(chain(named.values(), left), 1):
-        was = old.get(e.worker)
-        if was is None or (was != e and was[:-1] != e[:-1]):
-            (joins if e.state is State.READY else found).append(e)
-        if len(found) == SLICE or n % LOOKS == 0:
-            yield tuple(found)
-            found.clear()
-    yield tuple(found)
-    for at in range(0, len(joins), SLICE):
-        yield tuple(joins[at : at + SLICE])
-
-
 class Ring:
     """One consistent-hash ring: in place of '% |W|', where a join or leave would move nearly every key.
 
@@ -120,9 +96,10 @@
 
 
 class Pool:
-    """The ready workers of one needed kind."""
+    """The ready workers that some jobs may go to: those of one needed kind, or of a route's pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, zones: Iterable[str] = ()) -> None:
+        self.parts = {zone: Pool() for zone in zones}  # those of a zone alone
         self.rings = (Ring(), Ring())
         self.size = self.version = 0
         self.known: dict[int, tuple[int, list[list[Worker]]]] = {}  # pairs by key, as of which version
@@ -207,6 +184,14 @@
             del self.levels[level], self.order[bisect_left(self.order, level)]
 
 
+def _holds(needed: Needed, w: Worker) -> bool:
+    return needed.holds(w.kind, w.zone) if isinstance(needed, WorkerPool) else needed in (None, w.kind)
+
+
+def _with_part(pool: Pool, w: Worker) -> tuple[Pool, ...]:
+    return (pool,) if (part := pool.parts.get(w.zone)) is None else (pool, part)
+
+
 class Fleet:
     """Holds `workers` true to its pools: the ready ones, and others while they have slots in flight.
 
@@ -216,12 +201,16 @@
 
     def __init__(
         self, workers: dict[str, Worker], kinds: Iterable[str | None], zone: str, cold_for_s: float,
-        suspect_from: float,
+        suspect_from: float, split: Sequence[str] = (),
     ) -> None:  # fmt: skip
-        """`suspect_from`: share of bad endings above which a worker is counted in `suspects`."""
-        self.workers, self.zone = workers, zone
+        """`suspect_from`: share of bad endings above which a worker is counted in `suspects`.
+
+        `split`: zones by which each pool has parts.
+        """
+        self.workers, self.zone, self.split = workers, zone, split
         self.cold_for_s, self.suspect_from = cold_for_s, suspect_from
-        self.pools: dict[str | None, Pool] = {kind: Pool() for kind in kinds}
+        self.pools: dict[Needed, Pool] = {kind: Pool(split) for kind in kinds}
+        self.by_zone = bool(split)  # whether a pool goes by zones
         self.ready = self.turns = 0
         self.leaving: dict[Worker, None] = {}  # not ready and without load: forgotten with the next list
         self.suspects: dict[Worker, None] = {}
@@ -239,10 +228,38 @@
             elif not w.load:
                 self.leaving[w] = None
 
+    def pool(self, needed: Needed) -> Pool:
+        """Whom it holds; made when it is first asked for, at the cost of all its workers' joining."""
+        found = self.pools.get(needed)
+        if found is None:
+            found = self.pools[needed] = Pool(self.split)
+            self.by_zone = self.by_zone or (isinstance(needed, WorkerPool) and bool(needed.zones))
+            for w in sorted(self.workers.values(), key=lambda w: w.turn):
+                if w.ready and _holds(needed, w):
+                    points = ring_points(w.address, 0), ring_points(w.address, 1)
+                    for pool in _with_part(found, w):
+                        w.pools += (pool,)
+                        pool.change(w, True, points)
+                        if w.level is not None:
+                            pool.enter(w, w.level)
+        return found
+
+    def drop(self, needed: Iterable[Needed]) -> None:
+        """Pools that no job needs any more. O(workers)."""
+        for one in needed:
+            self.pools.pop(one, None)
+        for w in self.workers.values():
+            if w.ready:
+                w.pools = self._pools_of(w)
+
+    def _pools_of(self, w: Worker) -> tuple[Pool, ...]:
+        whole = (pool for needed, pool in self.pools.items() if _holds(needed, w))
+        return tuple(pool for one in whole for pool in _with_part(one, w))
+
     def update(self, w: Worker, e: WorkerEntry) -> bool:
         """What the entry says of the worker; True: it has joined, and is not in a row until `enter`."""
         ready = e.state is State.READY
-        joins = ready and (not w.ready or w.kind != e.kind)
+        joins = ready and (not w.ready or w.kind != e.kind or (self.by_zone and w.zone != e.zone))
         if w.ready and (joins or not ready):
             self._part(w)
         w.zone, w.kind, w.cell, w.ready = e.zone, e.kind, e.cell, ready
@@ -307,7 +324,7 @@
         return self.turns
 
     def _join(self, w: Worker) -> None:
-        w.pools = tuple(p for kind, p in self.pools.items() if kind in (None, w.kind))
+        w.pools = self._pools_of(w)
         points = ring_points(w.address, 0), ring_points(w.address, 1)
         for pool in w.pools:
             pool.change(w, True, points)
--- a/finchladder/lab/models/realserver.py
+++ b/finchladder/lab/models/realserver.py
@@ -8,7 +8,7 @@
 | fetching, running | pushed out by `suspend` / `kill` | waiting (with what it has done) / over (`lost`) |
 | running | its work is done | over (`done` or `failed`) |
 | any | cancel, death of the process | over (`cancelled`, `killed`) |
-| fetching, running | cancel where that stops nothing | as it was, but unseen: no more is told of it |
+| any | cancel where that does not stop it | as it was, but unseen: no more is told of it |
 
 All running jobs progress alike: each slot has min(1, cores / slots in use) of a core. So the progress that a
 job would have made since the start is one figure for all (processor sharing by virtual time, as in fair
@@ -149,6 +149,7 @@
             self.zone,
             self.pool.cold_from,
             self.pool.cold_for_s,
+            warm_work=self._warm_work if self.pool.warm_by_work else 0.0,
         )
 
     def _reset(self, now: float) -> None:
@@ -296,7 +297,7 @@
         if job is None:
             return False
         self._settle(now)
-        if self.pool.cancel_stops or not job.began:
+        if self.pool.cancel_stops or (self.pool.cancel_unqueues and not job.began):
             self._over(now, job, "cancelled")
             self._begin_waiting(now)
         else:
@@ -406,12 +407,16 @@
             since, need = self._hot, need - whole
         return since + need
 
+    @property
+    def _warm_work(self) -> float:
+        """Work after which it is warm, in core seconds at speed 1."""
+        return self.capacity * self.pool.cold_for_s * (1 + self.pool.cold_from) / 2 * WARM_WORK
+
     def _worked_off(self, work: float) -> None:
         """Work was done, in core seconds at speed 1: a cold server may be warmer for it."""
         self._worked += work
         if self.pool.warm_by_work and self._time < self._hot:
-            whole = self.capacity * self.pool.cold_for_s * (1 + self.pool.cold_from) / 2 * WARM_WORK
-            self._floor = min(1.0, self._worked / whole)
+            self._floor = min(1.0, self._worked / self._warm_work)
             self._bend = max(self._bend, self._born + self._floor * self.pool.cold_for_s)
             if self._floor >= 1.0:
                 self._bend = self._hot = self._time
@@ -643,7 +648,7 @@
     def _tell_start(self, at: float, job: _Job) -> None:
         job.began = True
         self._out.append(records.Began(job.spec.id, self.name, self.epoch, at))
-        if self.pool.tells_start:
+        if self.pool.tells_start and not job.unseen:
             self._out.append(Told(at, job.spec.id, "started"))
 
     def _tell_progress(self, at: float, job: _Job) -> None:
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -4,12 +4,13 @@
 the program runs on them as it stands.
 """
 
+import asyncio
 import resource
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 from tornado.netutil import bind_sockets
@@ -19,6 +20,9 @@
 from finchladder.net.disk import CaptureFiles
 from finchladder.net.http1 import Connect, connect
 
+if TYPE_CHECKING:
+    from finchladder.net.membership import File
+
 BACKLOG, BACKLOG_PART = 1024, 1 / 4  # connections not yet accepted: at the least, and of all sockets
 
 
@@ -58,7 +62,10 @@
 
     wall: Callable[[], float] = time.time
     monotonic: Callable[[], float] = time.monotonic
+    cpu: Callable[[], float] = time.process_time
     listen: Callable[[tuple[str, int], int], list[socket.socket]] = listen
     allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
     files: Callable[[CaptureOptions, str, int], Disk | None] = capture_files
+    last_good: "Callable[[str], File] | None" = None  # None: a file on the machine's own disk
+    aside: Callable[[Callable[[], Any]], Awaitable[Any]] = asyncio.to_thread  # what would hold up the loop
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -8,7 +8,8 @@
 from tornado.ioloop import IOLoop
 
 from finchladder.core import api
-from finchladder.core.policy import SWEEP, Dispatcher
+from finchladder.core.guarded import Decisions, NewRoutes
+from finchladder.core.policy import SWEEP
 from finchladder.net.actor import Actor
 from finchladder.net.flows import Answer, Flow, Flows, Scheduling
 
@@ -39,8 +40,9 @@
     """Is told of each event and of what was decided on it."""
 
     def decided(
-        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
-    ) -> None: ...
+        self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
+        error: Exception | None = None,
+    ) -> None: ...  # fmt: skip
 
 
 class Ending:
@@ -54,14 +56,14 @@
         self.scheduling, self.ending, self.took, self.report = s, ending, took, report
 
 
-Item = api.Event | Flow | Ending
+Item = api.Event | NewRoutes | Flow | Ending
 
 
 LATE = 0.005  # seconds: less than so much is no lateness of the loop
 
 
 class ModuleActor(Actor[Item]):
-    def __init__(self, dispatcher: Dispatcher, flows: Flows, clock: Clock) -> None:
+    def __init__(self, dispatcher: Decisions, flows: Flows, clock: Clock) -> None:
         super().__init__("module", ROOM)
         self.dispatcher, self.flows, self.clock = dispatcher, flows, clock
         self.carrier: Carrier | None = None
@@ -81,18 +83,18 @@
     def receive(self, item: Item) -> None:
         now = self.clock()
         self._look(now)
-        if isinstance(item, api.WorkerList):
-            self.lists = max(0, self.lists - 1)
         if isinstance(item, Flow):
             if item.answer is not None:  # the client left before its request was looked at
                 return
-            event: api.Event = item.request(now)
+            event: api.Event | NewRoutes = item.request(now)
         elif isinstance(item, Ending):
             s = item.scheduling
             finished = s.flow.answer is not None
             event = api.Ended(s.flow.id, s.number, item.ending, finished, item.took, item.report)
         else:
             event = item
+            if isinstance(item, api.WorkerList):
+                self.lists = max(0, self.lists - 1)
         for action in self._decide(now, event):
             self._carry_out(action, now)
 
@@ -109,7 +111,7 @@
             for action in self._decide(now, api.Unseen(lost)):
                 self._carry_out(action, now)
 
-    def _decide(self, now: float, event: api.Event) -> list[api.Action]:
+    def _decide(self, now: float, event: api.Event | NewRoutes) -> list[api.Action]:
         try:
             actions = self.dispatcher.handle(now, event)
         except Exception as e:
@@ -121,7 +123,10 @@
         return actions
 
     def _carry_out(self, action: api.Action, now: float) -> None:
-        if isinstance(action, api.SetTimer):
+        if isinstance(action, api.Send | api.Cancel | api.Refuse | api.Fail):
+            if (flow := self.flows.by_id.get(action.request)) is not None:
+                self._for_flow(flow, action, now)
+        elif isinstance(action, api.SetTimer):
             if action.token == SWEEP:
                 self.beat = now + action.after
             IOLoop.current().call_later(max(0.0, action.after), self._due, api.Timer(action.token))
@@ -129,10 +134,8 @@
             self.log.info("module: {}", action.text)
         elif isinstance(action, api.Subscribe):
             self.subscribe(action.on)
-        elif isinstance(action, api.Tell):
+        else:
             self.log.warning("module: no peers can be told anything here")
-        elif (flow := self.flows.by_id.get(action.request)) is not None:
-            self._for_flow(flow, action, now)
 
     def _for_flow(
         self, flow: Flow, action: api.Send | api.Cancel | api.Refuse | api.Fail, now: float
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -3,39 +3,57 @@
 import asyncio
 import signal
 from collections.abc import Callable
-from functools import partial
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
 
-from finchladder.config.options import Options
+from finchladder.config.options import MembershipOptions, Options
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
+from finchladder.core.guarded import Guarded, NewRoutes, decisions
 from finchladder.core.leaving import Leaving
-from finchladder.core.policy import Dispatcher
+from finchladder.core.members import Members
+from finchladder.core.routes import Routes
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import Capture
 from finchladder.features.status import JobStatus
-from finchladder.net.clients import Clients
+from finchladder.net.clients import EDGE, Clients
 from finchladder.net.control import Controls
 from finchladder.net.flows import Flows
 from finchladder.net.front import Front
+from finchladder.net.gate import Gate
 from finchladder.net.intake import Intake
 from finchladder.net.machine import Disk, Machine
 from finchladder.net.module import Clock, ModuleActor
 from finchladder.net.recorder import Recorder
-from finchladder.net.servers import RealServers
-from finchladder.net.service import ServiceActor
+from finchladder.net.reload import Reload, count
+from finchladder.net.servers import IN_USE_EACH, RealServers
+from finchladder.net.service import APPLY_AT_ONCE, ServiceActor
 from finchladder.net.timers import Timers
 
+if TYPE_CHECKING:
+    from finchladder.config.routes import Loaded
+    from finchladder.net.etcd.follow import EtcdActor
+    from finchladder.net.membership import MembershipActor
+
+
+class OperatorFile(NamedTuple):
+    """One in TOML: as it was read at the start, and how it is read again."""
+
+    loaded: "Loaded"
+    read: Callable[[], "Loaded"]
+
 
 class Node:
     """To be made and run on the loop that its dispatcher lives on. `reread` reads its configuration again."""
 
     def __init__(
-        self, setup: Setup, options: Options, reread: Callable[[], Setup], machine: Machine | None = None
-    ) -> None:
+        self, setup: Setup, options: Options, reread: Callable[[], Setup], machine: Machine | None = None,
+        file: OperatorFile | None = None,
+    ) -> None:  # fmt: skip
         self.setup, self.reread = setup, reread
         self.machine = machine = machine or Machine()
         self.clock = clock = Clock(machine.wall, machine.monotonic)
@@ -43,33 +61,78 @@
         status = JobStatus(options.status) if options.status is not None else None
         self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
-        dispatcher, arrivals = Dispatcher(setup.settings, seed), Arrivals(options, seed)
-        self.module = ModuleActor(dispatcher, self.flows, clock)
+        routes = file.loaded.routes if file is not None else None
+        decided = decisions(setup.settings, seed, routes, options.spilling())
+        arrivals = Arrivals(options, seed)
+        self.dispatcher = decided.inner if isinstance(decided, Guarded) else decided
+        self.module = ModuleActor(decided, self.flows, clock)
         self.capture: Capture | None = None
         self.files: Disk | None = None
         if options.capture is not None:
             self.files = machine.files(options.capture, setup.name, int(clock() * 1000))
-            state = partial(snapshot.take, dispatcher, arrivals)
-            self.capture = Capture(options.capture, setup.seed, state, self.files)
+            states = snapshot.Taking(decided, arrivals)
+            self.capture = Capture(options.capture, setup.seed, states, self.files)
             self.capture.begin(clock())
-            self.module.tap = arrivals.tap = Recorder(self.capture)
+            self.module.tap = arrivals.tap = recorder = Recorder(self.capture)
+            self.capture.soon = recorder.soon
         self.timers = Timers(clock)
         caps = setup.caps
+        subset, each = None, IN_USE_EACH
+        if options.aperture is not None:
+            aperture, own = options.aperture.settings(), setup.settings
+            subset, each = Members(own.index, own.dispatchers, aperture), aperture.connections_each
         self.servers = RealServers(
             self.flows, self.module, self.timers, caps.connect_timeout_s, caps.conn_idle_s, sockets,
-            machine.connect,
+            machine.connect, each,
         )  # fmt: skip
         self.module.carrier = self.servers
         self.service = ServiceActor(
-            setup.discovery, self.servers.update, self.servers.retire, machine.connect
+            setup.discovery, self.servers.update, self.servers.retire, machine.connect, subset
         )
+        self.members: MembershipActor | None = None
+        self.etcd: EtcdActor | None = None
+        if options.membership is not None or options.etcd is not None:
+            self._believe(options, seed)
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
+        self.reload: Reload | None = None
+        if file is not None:
+            self.reload = Reload(file.loaded, file.read, machine.aside, self._hold)
+            self.intake.routes = file.loaded.routes
         controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
-        front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back)
+        self.gate: Gate | None = None
+        if options.overload is not None:
+            limits = options.overload.limits(setup.settings.max_retry_after)
+            most, cores = int(EDGE * sockets), setup.limits.cores
+            self.gate = Gate(setup.settings.classes, limits, seed, most, self.timers, cores, machine.cpu)
+        lists = self.members or self.service
+        front = Front(self.intake, controls, lambda: lists.up, self.servers.called_back, self.gate)
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
 
+    def _believe(self, options: Options, seed: int) -> None:
+        """Lists are believed by the rules of membership, and no more as they come."""
+        # only a dispatcher that is to do so loads them
+        from finchladder.core.membership import Source
+        from finchladder.net import membership
+
+        own, machine = options.membership or MembershipOptions(), self.machine
+        sources = [Source(membership.DISCOVERY, membership.QUIET)]
+        if options.etcd is not None:
+            from finchladder.net.etcd import follow, state
+
+            sources.insert(0 if own.lead == state.SOURCE else 1, Source(state.SOURCE, state.QUIET_S))
+        file = (machine.last_good or membership.last_good_file)(own.last_good) if own.last_good else None
+        self.members = members = membership.MembershipActor(
+            sources, own.rules(), self.clock, membership.Through(self.service), APPLY_AT_ONCE, file
+        )
+        self.service = membership.DiscoverySource(self.setup.discovery, members, machine.connect)
+        if options.etcd is not None:
+            self.etcd = follow.EtcdActor(
+                options.etcd, members.report, members.heard, machine.connect, machine.aside,
+                machine.monotonic, Random(f"{seed}/etcd"),
+            )  # fmt: skip
+
     async def serve(self) -> None:
         """Until SIGTERM or SIGINT, and then until all that was taken is answered."""
         setup, loop, left = self.setup, asyncio.get_running_loop(), asyncio.Event()
@@ -79,19 +142,36 @@
         for listening in self.machine.listen(setup.listen, setup.limits.sockets):
             self.clients.add_socket(listening)
         self.servers.start()
-        self.service.start(setup.known)
+        if self.gate is not None:
+            self.gate.start()
+        known = setup.known if self.members is None else await self.members.begin(setup.known)
+        self.service.start(known)
+        if self.etcd is not None:
+            self.etcd.start()
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
+        if self.reload is not None:
+            loaded = self.reload.loaded
+            logger.info("routes: version {} holds, {}", loaded.version, count(loaded.routes))
         await left.wait()
         logger.info("{}: leaving", setup.name)
         await self.clients.leave()
+        if self.etcd is not None:
+            self.etcd.stop()
+        if self.members is not None:
+            self.members.close()
         if self.files is not None:
             self.files.close()
         logger.info("{}: left", setup.name)
 
     def _reread(self) -> None:
-        """What SIGHUP asks for: the file's discovery is followed, all else holds from the next start."""
+        """What SIGHUP asks for: the file's discovery is followed, and the operator's routes hold.
+
+        All else holds from the next start.
+        """
+        if self.reload is not None:
+            self.reload.ask()
         try:
             discovery = self.reread().discovery
         except (ValueError, RecursionError) as e:
@@ -99,3 +179,8 @@
             return
         logger.info("SIGHUP: discovery is at {}:{}", *discovery)
         self.service.follow(discovery)
+
+    def _hold(self, routes: Routes) -> None:
+        """In one step: a job that has come under a route of before is decided by that."""
+        self.intake.routes = routes
+        self.module.tell(NewRoutes(routes))
--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from finchladder.core import api
+from finchladder.core.guarded import NewRoutes
 from finchladder.core.stages import Stage
 from finchladder.features.replay import Replay
 from finchladder.net.lines import Line
@@ -31,8 +32,9 @@
         self.unwanted: list[tuple[str, int]] = []  # given up in this turn
 
     def decided(
-        self, t: float, event: api.Event, actions: Sequence[api.Action], error: Exception | None = None
-    ) -> None:
+        self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
+        error: Exception | None = None,
+    ) -> None:  # fmt: skip
         if self.further is not None:
             self.further.decided(t, event, actions, error)
         if isinstance(event, api.Ended):
@@ -144,7 +146,7 @@
         """Nothing is asked and nothing is under way: what is still held is held for good."""
         node = self.node
         self.whole()
-        module = node.module.dispatcher
+        module = node.dispatcher
         actors = node.servers.actors.values()
         left = {
             "flows": list(node.flows.by_id), "open flows": node.flows.open,
