--- a/finchladder/sim/plan.py
+++ b/finchladder/sim/plan.py
@@ -135,7 +135,7 @@
 def draw(seed: int) -> Plan:
     """The plan of that seed. What it draws depends on the seed and on this file alone."""
     r = stream(seed, "plan")
-    faulty_s = r.choice([2.0, 4.0, 6.0])
+    faulty_s = r.choice([3.0, 5.0, 8.0])
     experiment = _experiment(r, seed)
     plan = Plan(seed, experiment, _world(r), calm_at=BOOT_S + faulty_s + SETTLE_S)
     plan.jobs = _jobs(stream(seed, "jobs"), plan, faulty_s)
@@ -183,6 +183,7 @@
         discovery=Discovery(delay_s=(0.0, r.choice([0.02, 0.1, 0.4]))),
         front=Front(across_zones=True, notices_death_s=(0.2, 1.0)),
         job_class=classes,
+        cold_multiple=r.choice([3.0, 3.0, 2.0]),
         settings={"caps.secondCopies": r.random() < 0.5, "caps.tryLimit": r.choice([2, 3, 5])},
     )
 
@@ -229,7 +230,7 @@
 
 
 def _jobs(r: Random, plan: Plan, faulty_s: float) -> list[Job]:
-    count = r.choice([10, 20, 40])
+    count = r.choice([15, 30, 60, 90])
     times = sorted(r.uniform(BOOT_S, BOOT_S + faulty_s) for _ in range(count))
     calm = sorted(r.uniform(plan.calm_at, plan.calm_at + CALM_S) for _ in range(6))
     jobs: list[Job] = []
@@ -256,7 +257,7 @@
     """Swarm testing (Groce et al., 2012): which kinds a run has at all is drawn first."""
     kinds = some(r, KINDS, r.choice([0.06, 0.12, 0.25]))
     found: list[Fault] = []
-    for _ in range(r.choice([1, 2, 4, 8, 12])):
+    for _ in range(r.choice([1, 3, 6, 12, 20])):
         if r.random() < 0.25:
             found += _bundle(r, plan, kinds, faulty_s)
         else:
@@ -285,7 +286,7 @@
         f.after_s = round(r.choice([0.0, 0.0, spread(r, 0.0001, 0.01), spread(r, 0.001, 0.3)]), 5)
     if not aimed or r.random() < 0.3:
         f.target = _target(r, plan, kind)
-    f.for_s = round(spread(r, 0.02, 2.0), 3)
+    f.for_s = round(spread(r, 0.02, 4.0), 3)
     f.size = round(r.random(), 3)
     return f
 
