--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -5,6 +5,9 @@
 
 from finchladder.core import api
 from finchladder.core.guarded import NewRoutes
+from finchladder.core.stages import Stage
+from finchladder.features.replay import Replay
+from finchladder.net.lines import Line
 from finchladder.net.node import Node
 from finchladder.net.recorder import Recorder
 from finchladder.net.servers import IN_USE_EACH
@@ -13,6 +16,9 @@
     from finchladder.sim.process import Process
 
 WHOLE_EVERY = 32  # turns between two looks at whole tables
+GIVES_UP_S = 1.5  # a second for a connection and an answer, and some more
+GIVEN_UP = (api.Ending.CANCELLED, api.Ending.TIMED_OUT)
+WAITS_MORE_S = 0.15  # a sluggish process is late for its timers
 SPIN_S, SPIN_TURNS = 0.2, 6000  # more turns within so long: something stays ready and nobody takes it
 
 
@@ -23,6 +29,7 @@
         self.inner, self.further = inner, further
         self.out: dict[tuple[str, int], str] = {}
         self.sent: dict[str, int] = {}
+        self.unwanted: list[tuple[str, int]] = []  # given up in this turn
 
     def decided(
         self, t: float, event: api.Event | NewRoutes, actions: Sequence[api.Action],
@@ -32,9 +39,13 @@
             self.further.decided(t, event, actions, error)
         if isinstance(event, api.Ended):
             key = event.request, event.attempt
-            if self.out.pop(key, None) is None:
+            if (server := self.out.pop(key, None)) is None:
                 self.inner.found("ends", f"the end of {key} was told again, or it was never sent")
+            elif event.ending in GIVEN_UP:
+                self.inner.given_up(event.request, server)
         for a in actions:
+            if isinstance(a, api.Cancel) and (a.request, a.attempt) in self.out:
+                self.unwanted.append((a.request, a.attempt))
             if isinstance(a, api.Send):
                 number = self.sent.get(a.request, 0)
                 self.sent[a.request] = number + 1
@@ -67,6 +78,10 @@
         self.spin_turns += 1
         if self.spin_turns > SPIN_TURNS:
             self.found("spins", f"{self.spin_turns} turns of the loop within {SPIN_S} s")
+        unwanted, self.tap.unwanted = self.tap.unwanted, []
+        for key in unwanted:
+            if key in self.tap.out:
+                self.found("not given up", f"{key} was given up by the decisions, and is still out")
         if node.module.waiting:
             self.found("mailbox", f"{node.module.waiting} items wait for the module though it rests")
         if node.flows.open > node.intake.most_open:
@@ -83,6 +98,26 @@
         if self.turns % WHOLE_EVERY == 0:
             self.whole()
 
+    def given_up(self, id: str, name: str) -> None:
+        """Its real server must hear of it, if nothing stands in the way."""
+        run, since, starts = self.run, self.run.kernel.now, self.process.starts
+        server = run.servers[name]
+        epoch, tale = server.model.epoch, server.tales.get(id)
+        if tale is not None and not tale.final:
+            run.kernel.after(GIVES_UP_S, lambda: look())
+
+        def look() -> None:
+            process, link = self.process, run.net.link(self.process.name, name)
+            disturbed = (
+                (server.model.epoch, process.starts, process.state) != (epoch, starts, "up")
+                or max(link.struck_at, server.paused_at) >= since
+                or not server.model.up
+                or run.rules.ledger.stopped(process.name, since, run.kernel.now) > 0
+            )
+            if not disturbed and tale is not None and server.tales.get(id) is tale and not tale.final:
+                text = f"{name} still has {id}, which was given up {GIVES_UP_S} s ago"
+                self.found("not given up", text)
+
     def whole(self) -> None:
         """Tables that have to agree with each other."""
         node = self.node
@@ -94,6 +129,14 @@
                 self.found("tables", f"{flow.id} is over and still in the table")
         for actor in node.servers.actors.values():
             for id, s in actor.live.items():
+                if isinstance(s.connection, Line) and s.connection.over:
+                    self.found("tables", f"{actor.name}: {id} waits on a line that is gone")
+                if s.stage is Stage.WAITING and not self.run.was_stopped(self.process):
+                    waits = node.clock() - s.sent
+                    if waits > node.setup.caps.connect_timeout_s + WAITS_MORE_S:
+                        self.found(
+                            "waits", f"{id} waits for a connection to {actor.server} for {waits:.3f} s"
+                        )
                 if s.ended or node.flows.by_id.get(id) is not s.flow:
                     self.found("tables", f"{actor.name} holds {id}, which is over")
             if not 0 <= actor.in_use.free <= IN_USE_EACH:
@@ -119,8 +162,24 @@
             "waiting for a place": len(node.servers.all_in_use.queue),
             "real servers with load": [w.address for w in module.workers.values() if w.load],
         }  # fmt: skip
+        fading = [name for name, actor in node.servers.fading.items() if actor.at_rest]
+        left["real servers that are gone for long"] = fading
         if node.flows.status is not None:
             left["jobs whose status is open"] = list(node.flows.status.open)
         for what, value in left.items():
             if value:
                 self.found("left over", f"{what}: {value}")
+        self._replay()
+
+    def _replay(self) -> None:
+        """What was captured, decided anew, comes out the same."""
+        if self.node.capture is None:
+            return
+        lines = [
+            line for block in self.node.capture.dump(self.node.clock()) for line in block.splitlines(True)
+        ]
+        differ: list[str] = []
+        replay = Replay(self.node.setup.settings, self.run.options, differ.append, lambda text: None)
+        replay.run(lines)
+        if differ:
+            self.found("capture", f"a replay decides otherwise: {differ[0]}")
