--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -3,14 +3,17 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from itertools import islice
+from typing import TYPE_CHECKING
 
 from finchladder.config.entries import Change, EntryTable, News, read_list
 from finchladder.core import api
-from finchladder.core.members import Members
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.http1 import BadMessage, Channel, Connect, StreamClosedError
 
+if TYPE_CHECKING:
+    from finchladder.core.members import Members
+
 PATH = "/catalog/members"
 SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
 BACKOFF, BACKOFF_MOST = 0.1, 0.8  # news counts as told after 6 s: no longer wait may lie between two tries
@@ -19,6 +22,7 @@
 LONG = 48 * 1024  # bytes: some 350 entries; a shorter line is read and applied at once
 # entries of a longer one in one turn of the loop: some 2 ms each
 READ_AT_ONCE, SIFT_AT_ONCE, APPLY_AT_ONCE = 512, 256, 16
+SETTLES = 1000  # entries of long lists
 
 Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
 
@@ -61,7 +65,7 @@
 
     def __init__(
         self, address: tuple[str, int], apply: Apply, retire: Callable[[list[str]], None], connect: Connect,
-        subset: Members | None = None,
+        subset: "Members | None" = None,
     ) -> None:  # fmt: skip
         super().__init__("service list", ROOM)
         self.address, self.apply, self.retire, self.connect = address, apply, retire, connect
@@ -75,6 +79,8 @@
         self.urgent: dict[str, api.WorkerEntry] = {}
         self.rest: dict[str, api.WorkerEntry] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.applied = 0  # entries out of long lists, since `settled` was last called
+        self.settled: Callable[[], None] = lambda: None  # a long list that changed many is applied
         self.watching: asyncio.Task[None]
         self.applying: asyncio.Task[None] | None = None
 
@@ -134,8 +140,13 @@
                 self._forestall(workers.entries)
                 self._queue(workers.entries, addresses)
             else:
-                self.apply(*_taken(waiting, self.addresses, APPLY_AT_ONCE))
+                some = _taken(waiting, self.addresses, APPLY_AT_ONCE)
+                self.apply(*some)
+                self.applied += len(some[0].entries)
             await asyncio.sleep(0)
+        if self.applied >= SETTLES:
+            self.applied = 0
+            self.settled()
 
     def _drop(self, name: str) -> None:
         """What is still to be done about it is overtaken."""
--- a/finchladder/sim/process.py
+++ b/finchladder/sim/process.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 from socket import socket as Socket
-from typing import TYPE_CHECKING, Literal, cast
+from typing import TYPE_CHECKING, Any, Literal, cast
 
 from finchladder.config.options import CaptureOptions, Options
 from finchladder.config.platform import Setup, read_setup
@@ -53,6 +53,7 @@
         self.run, self.index = run, index
         self.name, self.zone = f"n{index + 1}", e.zones[index % len(e.zones)]
         self.ip = f"10.0.0.{index + 1}"
+        run.net.hosts[self.ip] = self.name
         self.state: Literal["down", "up", "leaving"] = "down"
         self.stopped = False
         self.starts = 0
@@ -97,6 +98,8 @@
         kernel, wall = run.kernel, run.plan.world.wall
         self.machine = Machine(
             wall=lambda: wall + kernel.now + self.wall_off,
+            cpu=lambda: 0.0,  # a turn takes no time
+            aside=self._aside,
             monotonic=lambda: since + kernel.now,
             listen=self._listen,
             allow_descriptors=lambda sockets: None,
@@ -191,5 +194,8 @@
         socket.listener = self.run.net.listen(self.name, address, socket)
         return [cast(Socket, socket)]
 
+    async def _aside(self, call: Callable[[], Any]) -> Any:
+        return call()
+
     def _files(self, options: CaptureOptions, name: str, start_ms: int) -> Disk | None:
         return Memory() if options.folder is not None else None
