--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from finchladder.core import api
-from finchladder.core.guarded import NewRoutes
+from finchladder.core.guarded import Guarded, NewRoutes
 from finchladder.core.stages import Stage
 from finchladder.features.replay import Replay
 from finchladder.net.lines import Line
@@ -60,6 +60,7 @@
         further = node.module.tap
         self.tap = Tap(self, further if isinstance(further, Recorder) else None)
         node.module.tap = self.tap
+        self.loaded = node.reload.loaded if node.reload is not None else None  # as of the start
         self.sockets = node.setup.limits.sockets
         self.places = node.servers.all_in_use.free
         self.room = node.bodies.free
@@ -164,6 +165,8 @@
         }  # fmt: skip
         fading = [name for name, actor in node.servers.fading.items() if actor.at_rest]
         left["real servers that are gone for long"] = fading
+        if isinstance(guarded := node.module.dispatcher, Guarded):
+            left["jobs under routes"] = [*guarded.runs, *guarded.alarms.at]
         if node.flows.status is not None:
             left["jobs whose status is open"] = list(node.flows.status.open)
         for what, value in left.items():
@@ -178,8 +181,14 @@
         lines = [
             line for block in self.node.capture.dump(self.node.clock()) for line in block.splitlines(True)
         ]
+        routes = None
+        if (reload := self.node.reload) is not None:
+            routes = self.loaded.routes if self.loaded is not None else None
+            if reload.loaded is not self.loaded and self.node.capture.ring.content()[0]:
+                return  # what held where it begins is not known
         differ: list[str] = []
-        replay = Replay(self.node.setup.settings, self.run.options, differ.append, lambda text: None)
+        settings = self.node.setup.settings
+        replay = Replay(settings, self.run.options, differ.append, lambda text: None, routes)
         replay.run(lines)
         if differ:
             self.found("capture", f"a replay decides otherwise: {differ[0]}")
--- a/finchladder/sim/plan.py
+++ b/finchladder/sim/plan.py
@@ -106,6 +106,7 @@
     reset_drops: float = 0.5
     pace_s: float = 0.0001  # between being ready and running, at the most
     options: str = ""  # the operator's file
+    routes: list[str] = []  # of one in TOML beside it: as it is at the start, and at each SIGHUP in turn
     clients: int = 4
     ghosts: int = 0  # entries of the list that only ever drain: they make it long
     wall: float = 1_700_000_000.0
@@ -138,6 +139,7 @@
     faulty_s = r.choice([3.0, 5.0, 8.0])
     experiment = _experiment(r, seed)
     plan = Plan(seed, experiment, _world(r), calm_at=BOOT_S + faulty_s + SETTLE_S)
+    plan.world.routes = _routes(stream(seed, "routes"), plan)
     plan.jobs = _jobs(stream(seed, "jobs"), plan, faulty_s)
     plan.faults = _faults(stream(seed, "faults"), plan, faulty_s)
     return plan
@@ -206,6 +208,13 @@
     )
 
 
+ROUTE_LINES = {  # and how often a route has them
+    "timeout_s = 1.5": 0.3, "attempt_timeout_s = 0.4": 0.3, "hedge_after_s = 0.05\nhedge_most = 1.0": 0.5,
+    "backoff = {base_s = 0.03, most_s = 0.1}": 0.3, "retry_budget = {share = 0.2, repeats = true}": 0.3,
+    "concurrency = 2\nqueue = {length = 3, longest_wait_s = 0.3}": 0.4, "priority = 1": 0.1,
+}  # fmt: skip
+
+
 def _world(r: Random) -> World:
     options = []
     if r.random() < 0.3:
@@ -229,6 +238,21 @@
     )
 
 
+def _routes(r: Random, plan: Plan) -> list[str]:
+    """Some of them can't be used, as the platform may forbid what they ask for: a file like any other."""
+    if r.random() < 0.6:
+        return []
+
+    def one() -> str:
+        lines = []
+        for c in plan.experiment.job_class:
+            lines.append(f"[route.{c.name}]\nclass = '{c.name}'\nattempts = {r.choice([1, 2])}")
+            lines += [x for x, part in ROUTE_LINES.items() if r.random() < part]
+        return "\n".join([*lines, ""])
+
+    return [one() for _ in range(r.choice([1, 2, 4]))]
+
+
 def _jobs(r: Random, plan: Plan, faulty_s: float) -> list[Job]:
     count = r.choice([15, 30, 60, 90])
     times = sorted(r.uniform(BOOT_S, BOOT_S + faulty_s) for _ in range(count))
--- a/finchladder/sim/process.py
+++ b/finchladder/sim/process.py
@@ -1,18 +1,22 @@
 """A dispatcher's process on a virtual machine: the program's own node, on a loop, sockets and clocks."""
 
 import asyncio
+import itertools
 import signal
 from collections.abc import Callable
 from functools import partial
 from socket import socket as Socket
 from typing import TYPE_CHECKING, Any, Literal, cast
 
+from finchladder.config.codes import Findings
 from finchladder.config.options import CaptureOptions, Options
 from finchladder.config.platform import Setup, read_setup
+from finchladder.config.routes import Loaded, load
+from finchladder.core.routes import NO_ROUTES
 from finchladder.lab.settings import config_file
 from finchladder.net import http1
 from finchladder.net.machine import Disk, Machine
-from finchladder.net.node import Node
+from finchladder.net.node import Node, OperatorFile
 from finchladder.sim.draws import stream
 from finchladder.sim.loop import VirtualLoop
 from finchladder.sim.sockets import VirtualSocket
@@ -21,6 +25,7 @@
     from finchladder.sim.run import Run
 
 PORT = 8081
+EMPTY = Loaded(Options(), NO_ROUTES, "none")
 GRACE_S = 0.7  # SIGKILL comes no earlier than the longest deadline (3 s at the least) and this after SIGTERM
 MOST_TURNS_LAST = 200  # in which all tasks must have ended once their cancelling was asked for
 
@@ -121,7 +126,19 @@
         return read_setup(env, lambda path: data)
 
     async def _live(self, setup: Setup, options: Options) -> None:
-        self.node = node = Node(setup, options, self.setup, self.machine)
+        reads, texts = itertools.count(), self.run.plan.world.routes
+
+        def read() -> Loaded:
+            found = load(texts[next(reads) % len(texts)], "routes.toml", setup.settings)
+            if isinstance(found, Findings):
+                raise found
+            return found
+
+        file: OperatorFile | None = None
+        if texts:
+            first = load(texts[0], "routes.toml", setup.settings)
+            file = OperatorFile(first if isinstance(first, Loaded) else EMPTY, read)
+        self.node = node = Node(setup, options, self.setup, self.machine, file)
         self.made(node)
         await node.serve()
 
