The null load names its fields

Cause: a field had come between two of an experiment's load, and the benchmark gave them by position: it ended at once.

--- a/benchmarks/load_null.py
+++ b/benchmarks/load_null.py
@@ -63,7 +63,11 @@
 def play(options: argparse.Namespace, seed: int, out: Path) -> dict[str, float]:
     experiment = Experiment(
         "load-null",
-        Load([Phase("all", options.seconds, options.rate)], options.processes, options.connections),
+        Load(
+            [Phase("all", options.seconds, options.rate)],
+            processes=options.processes,
+            connections=options.connections,
+        ),
         keys=Keys(1_000_000),
         dispatchers=options.processes,
     )
