--- a/benchmarks/overload_curves.py
+++ b/benchmarks/overload_curves.py
@@ -1,6 +1,6 @@
 """Overload control in virtual time: one loop, its clients and their retries. Writes the design note's tables.
 
-    python -m benchmarks.overload_curves [--seconds 60] [--seed 1] [--set rivals|cheap|clients|closed|shares]
+    python -m benchmarks.overload_curves [--seconds 60] [--seed 1] [--set SET]
 
 The model: the loop is one FIFO server. A job costs it a read, a send, and (its running time later) a finish.
 Real servers have room without end. Costs are the defaults of `Costs`; where they come from is in the note.
@@ -15,10 +15,11 @@
 from math import sqrt
 from multiprocessing import Pool
 from random import Random
+from statistics import median
 from typing import Protocol
 
 from finchladder.core.api import Effect, JobClass
-from finchladder.core.overload import TICK_S, Overload, OverloadSettings, Refusal, State
+from finchladder.core.overload import TICK_S, Overload, OverloadSettings, State
 
 VIEW = JobClass("view", Effect.SAFE, 0.3, 5.0, 1.0, 0.3, 2.0)
 CONFIRM = JobClass("confirm", Effect.UNSAFE, 0.6, 7.5, 10.0, 0.3, 2.5)
@@ -28,8 +29,7 @@
 AT_ONCE_S = 0.01
 OUTSIDE_S = 1.0  # a connection that is not accepted is tried again by the client's kernel
 SPLIT = 0.4  # part of a job's CPU after reading that is spent by its send; the rest when it ends
-ROOM = 50_000  # edge connections: with all of them unread or held, none is accepted
-HELD = 1 / 3  # of them may be held after a refusal; others may ask again at once
+ROOM = 50_000  # messages that may wait unread: with so many, others wait outside
 WAKE, READ, SEND, FINISH, TICK, REFUSE, GONE = range(7)
 
 
@@ -37,12 +37,12 @@
 class Costs:
     """CPU seconds."""
 
-    job_s: float = 0.95e-3
-    read_s: float = 0.14e-3  # a job's reading, and all of a refusal that is decided after it
-    refusal_s: float = 0.017e-3  # of what waits unread
-    wake_s: float = 0.005e-3  # a connection with bytes is noted, its class peeked at, and it is left unread
+    job_s: float = 0.6e-3
+    read_s: float = 0.12e-3  # a job's reading, and all of a refusal that is decided after it
+    refusal_s: float = 0.013e-3  # of what waits unread
+    wake_s: float = 0.014e-3  # a message is received, found to be a plain job, and left unread
     gone_s: float = 0.15e-3  # a job in work whose client has left: its end, and the client's new connection
-    unread_gone_s: float = 0.03e-3  # the same where it was still unread
+    unread_gone_s: float = 0.02e-3  # the same where it was still unread
     room: int = ROOM
 
 
@@ -56,25 +56,25 @@
 
 
 class Control(Protocol):
-    def judge(self, now: float, job_class: str, left_s: float) -> Refusal | None: ...
-    def tick(self, now: float, lag_s: float, cpu_share: float, age_s: float) -> None: ...
+    def judge(self, now: float, job_class: str, left_s: float) -> float | None: ...
+    def tick(self, now: float, lag_s: float, busy: float, age_s: float) -> None: ...
 
 
 class Nothing:
-    """Lets all in; what the rivals share. Those know no worth and hold no connection."""
+    """Lets all in; what the rivals share. Those know no worth."""
 
     open = 0
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
 
-    def judge(self, now: float, job_class: str, left_s: float) -> Refusal | None:
+    def judge(self, now: float, job_class: str, left_s: float) -> float | None:
         return None
 
-    def refuse(self) -> Refusal:
-        return Refusal(self.random.uniform(0.5, 2.0), 0.0)
+    def refuse(self) -> float:
+        return self.random.uniform(0.5, 2.0)
 
-    def tick(self, now: float, lag_s: float, cpu_share: float, age_s: float) -> None: ...
+    def tick(self, now: float, lag_s: float, busy: float, age_s: float) -> None: ...
     def drops(self, now: float, age_s: float) -> bool:
         return False
 
@@ -108,7 +108,7 @@
 
     limit, long, short = 200.0, 0.0, 0.0
 
-    def judge(self, now: float, job_class: str, left_s: float) -> Refusal | None:
+    def judge(self, now: float, job_class: str, left_s: float) -> float | None:
         return self.refuse() if self.open >= self.limit else None
 
     def ended(self, rtt_s: float) -> None:
@@ -127,11 +127,11 @@
 
     share, cpu, ticks = 1.0, 0.0, 0
 
-    def judge(self, now: float, job_class: str, left_s: float) -> Refusal | None:
+    def judge(self, now: float, job_class: str, left_s: float) -> float | None:
         return self.refuse() if self.random.random() >= self.share else None
 
-    def tick(self, now: float, lag_s: float, cpu_share: float, age_s: float) -> None:
-        self.cpu, self.ticks = self.cpu + cpu_share, self.ticks + 1
+    def tick(self, now: float, lag_s: float, busy: float, age_s: float) -> None:
+        self.cpu, self.ticks = self.cpu + busy, self.ticks + 1
         if self.ticks == 4:
             self.share = max(0.02, self.share * 0.9) if self.cpu > 3.8 else min(1.0, self.share + 0.02)
             self.cpu, self.ticks = 0.0, 0
@@ -145,6 +145,7 @@
     run_s: float
     tries: int = 0
     ended: bool = False
+    passed: bool = False
     queued: float = 0.0
     taken: float = 0.0
 
@@ -184,7 +185,7 @@
         self.now, self.used, self.tally = 0.0, 0.0, Tally()
         self.events: list[tuple[float, int, Callable[[Job], None], Job]] = []
         self.queue: deque[tuple[int, Job]] = deque()
-        self.kept_out = 0  # connections held after a refusal
+        self.starts: list[float] = []  # since the last tick, seconds from the reading to the send
         self.busy = self.gate_set = False
         self.rival = control if isinstance(control, Nothing) else None
         self.chosen: Overload[Job] | None = control if isinstance(control, Overload) else None
@@ -242,7 +243,7 @@
             return self._over(job)
         if self.chosen is None or not self.chosen.gated:
             return self._put(READ, job)
-        if self.chosen.unread.size + self.kept_out >= self.costs.room:
+        if self.chosen.unread.size >= self.costs.room:
             return self.at(self.now + OUTSIDE_S, self._arrive, job)
         self._put(WAKE, job)
 
@@ -283,6 +284,7 @@
 
     def _note(self, job: Job) -> None:
         assert self.chosen is not None
+        self.chosen.turned_away(self.cost[WAKE])
         self.chosen.put(self.now, job.cls.name, job.until - self.now, job)
         self._gate(job)
 
@@ -293,35 +295,27 @@
     def _read(self, job: Job) -> None:
         if self.now >= job.until:
             return self._put(GONE, job)
-        refusal = self.control.judge(self.now, job.cls.name, job.until - self.now)
-        if refusal is not None:
-            return self._refused(job, refusal)
+        if not job.passed:
+            retry_after_s = self.control.judge(self.now, job.cls.name, job.until - self.now)
+            if retry_after_s is not None:
+                return self._refused(job, retry_after_s)
+        job.passed = False
         job.taken = self.now
         self._count_open(1)
         self._put(SEND, job)
 
-    def _refused(self, job: Job, refusal: Refusal) -> None:
+    def _refused(self, job: Job, retry_after_s: float) -> None:
         self.tally.refusals += 1
         job.tries += 1
-        wait = {"none": 1e9, "told": refusal.retry_after_s}.get(self.load.retry, AT_ONCE_S)
+        wait = {"none": 1e9, "told": retry_after_s}.get(self.load.retry, AT_ONCE_S)
         if job.tries >= TRIES or self.now + wait >= job.until:
-            self._over(job)
-            if self.load.clients and refusal.hold_s:  # its next job waits on the same connection
-                return
-        else:
-            anew = self.load.retry == "anew"
-            if anew:
-                self._put(GONE, Job(VIEW, 0.0, 0.0, 0.0, ended=True))
-            held = refusal.hold_s if self.kept_out < HELD * self.costs.room and not anew else 0.0
-            self.at(self.now + max(wait, held), self._arrive, job)
-        if refusal.hold_s and self.kept_out < HELD * self.costs.room:
-            self.kept_out += 1
-            self.at(self.now + refusal.hold_s, self._released, job)
-
-    def _released(self, job: Job) -> None:
-        self.kept_out -= 1
+            return self._over(job)
+        if self.load.retry == "anew":
+            self._put(GONE, Job(VIEW, 0.0, 0.0, 0.0, ended=True))
+        self.at(self.now + wait, self._arrive, job)
 
     def _sent(self, job: Job) -> None:
+        self.starts.append(self.now - job.taken)
         self.at(self.now + job.run_s, lambda j: self._put(FINISH, j), job)
 
     def _finished(self, job: Job) -> None:
@@ -354,7 +348,10 @@
             left = self.now >= turn.item.until
             stage = GONE if left else REFUSE if turn.worst else READ
             if turn.worst:
-                self.chosen.turned_away(1, self.cost[stage])
+                self.chosen.turned_away(self.cost[stage])
+            else:
+                self.chosen.let_in(turn.item.cls.name)
+            turn.item.passed = not turn.worst
             self._put(stage, turn.item)
         if turn.wait_s > 0 and not self.gate_set:
             self.gate_set = True
@@ -369,7 +366,8 @@
 
     def _tick(self, job: Job) -> None:
         lag, span = self.now - self.tick_due, self.now - self.tick_at
-        age = self.now - self.queue[0][1].queued if self.queue else 0.0
+        age = median(self.starts) if self.starts else 0.0
+        self.starts.clear()
         state = getattr(self.control, "state", None)
         self.control.tick(self.now, lag, min(1.0, (self.used - self.tick_used) / span), age)
         if state is not None and (after := getattr(self.control, "state", state)) is not state:
@@ -379,6 +377,7 @@
         self.at(self.tick_due, self._due, Job(VIEW, 0.0, 0.0, 0.0))
 
 
+SETS = ("rivals", "clients", "closed", "costs", "settings")
 CONTROLS: dict[str, type[Nothing]] = {
     "nothing": Nothing, "codel": CoDel, "gradient": Gradient, "cpu share": CpuShare,
 }  # fmt: skip
@@ -393,7 +392,7 @@
         control = OverloadSettings()
     if isinstance(control, str):
         return World(CONTROLS[control](seed), load, seed, costs).run()
-    made: Overload[Job] = Overload(CLASSES, control, seed, costs.room)
+    made: Overload[Job] = Overload(CLASSES, control, seed)
     return World(made, load, seed, costs).run()
 
 
@@ -426,37 +425,37 @@
         for name in (*CONTROLS, "chosen"):
             for multiple in (1.0, 1.5, 2.0, 4.0):
                 yield f"{name}, {multiple:g}x", name, Load(ramp(multiple, seconds)), plain
-    elif which == "cheap":
-        for name in (*CONTROLS, "chosen"):
-            for multiple in (2.0, 4.0):
-                yield f"{name}, {multiple:g}x", name, Load(ramp(multiple, seconds)), Costs(read_s=0.02e-3)
     elif which == "clients":
-        for name in (*CONTROLS, "chosen"):
+        for name in ("nothing", "chosen"):
             for retry in ("none", "told", "at once", "anew"):
                 yield f"{name}, 4x, retry {retry}", name, Load(ramp(4, seconds), retry), plain
-        for room in (1000, 20_000):
-            yield f"chosen, 4x, {room} connections", "chosen", Load(ramp(4, seconds)), Costs(room=room)
-        cheap, dear = Costs(0.475e-3), Costs(refusal_s=0.14e-3, unread_gone_s=0.15e-3)
-        yield "chosen, 4x, refused after reading alone", "chosen", Load(ramp(4, seconds)), dear
-        for share in (0.02, 0.03):
-            case = f"chosen, 4x, job at half the cost, refuse_share {share:g}"
-            yield case, OverloadSettings(refuse_share=share), Load(ramp(4, seconds)), cheap
-        yield "chosen, 4x, noting costs 20 us", "chosen", Load(ramp(4, seconds)), Costs(wake_s=2e-5)
+        for room in (375, 1000, 5000):
+            yield f"chosen, 4x, {room} may wait", "chosen", Load(ramp(4, seconds)), Costs(room=room)
     elif which == "closed":
         for name in ("nothing", "chosen"):
             for n in (128, 256, 512, 1024, 2048):
                 yield f"{name}, {n} clients", name, Load(((5, 1), (seconds, 1)), "told", n), plain
+    elif which == "costs":
+        for part in (0.0, 0.5, 1.0, 2.0, 3.0):
+            costs = Costs(refusal_s=part * plain.refusal_s, wake_s=part * plain.wake_s)
+            each = (costs.refusal_s + costs.wake_s) / plain.job_s
+            yield f"4x, a refusal costs {each:.3f} of a job", "chosen", Load(ramp(4, seconds)), costs
+        dear = Costs(refusal_s=plain.read_s, unread_gone_s=plain.gone_s)
+        yield "4x, refused after reading alone", "chosen", Load(ramp(4, seconds)), dear
     else:
-        for share in (0.01, 0.02, 0.03, 0.1, 0.3):
-            s = OverloadSettings(refuse_share=share)
-            yield f"4x, refuse_share {share:g}", s, Load(ramp(4, seconds)), plain
+        for share in (0.0, 0.15, 0.3, 0.5, 0.7, 0.9):
+            s = OverloadSettings(wait_share=share)
+            yield f"4x, wait_share {share:g}", s, Load(ramp(4, seconds)), plain
+        for share in (0.05, 0.1, 0.2, 0.3, 0.5):
+            s = OverloadSettings(target_share=share)
+            yield f"4x, target_share {share:g}", s, Load(ramp(4, seconds)), plain
 
 
 def main(argv: Sequence[str] | None = None) -> None:
     parser = argparse.ArgumentParser(description="Overload control in virtual time")
     parser.add_argument("--seconds", type=float, default=60.0, help="of overload")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--set", choices=("rivals", "cheap", "clients", "closed", "shares"), default="rivals")
+    parser.add_argument("--set", choices=SETS, default=SETS[0])
     parser.add_argument("--processes", type=int, default=2)
     args = parser.parse_args(argv)
     print(HEAD)
--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -14,6 +14,7 @@
 from finchladder.cli.front import fail, takes_config, takes_log_format
 from finchladder.config.options import Options, Refused, is_toml, read_options
 from finchladder.config.platform import Setup, read_setup
+from finchladder.net.machine import Machine, Selector
 from finchladder.net.node import Node, OperatorFile
 
 
@@ -42,8 +43,17 @@
     return OperatorFile(again(), again)
 
 
-async def serve(setup: Setup, options: Options, file: OperatorFile | None) -> None:
-    await Node(setup, options, partial(read_setup, os.environ), file=file).serve()
+async def serve(setup: Setup, options: Options, file: OperatorFile | None, machine: Machine) -> None:
+    await Node(setup, options, partial(read_setup, os.environ), machine, file).serve()
+
+
+def play(setup: Setup, options: Options, file: OperatorFile | None) -> None:
+    if options.overload is None:
+        asyncio.run(serve(setup, options, file, Machine()))
+        return
+    selector = Selector()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
+        runner.run(serve(setup, options, file, Machine(idle=selector.idle)))
 
 
 def run(args: argparse.Namespace) -> None:
@@ -61,6 +71,6 @@
     log_to(sys.stderr, setup.name, args.log_format)
     logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
     try:
-        asyncio.run(serve(setup, options, file))
+        play(setup, options, file)
     except OSError as e:
         fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -58,12 +58,10 @@
 
 
 class OverloadOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    target_s: Annotated[float, Meta(ge=0.005, le=1)] = 0.03
-    cpu_from: Annotated[float, Meta(ge=0.5, le=1)] = 0.85
-    refuse_share: Annotated[float, Meta(ge=0.01, le=0.5)] = 0.03
-    unread_share: Annotated[float, Meta(ge=0, le=0.9)] = 0.3
+    target_share: Annotated[float, Meta(ge=0.02, le=0.5)] = 0.2
+    busy_from: Annotated[float, Meta(ge=0.5, le=1)] = 0.85
+    wait_share: Annotated[float, Meta(ge=0, le=0.9)] = 0.7
     calm_s: Annotated[float, Meta(ge=0.1, le=1.5)] = 0.5
-    hold_s: Annotated[float, Meta(ge=0.1, le=60)] = 2.0
 
     def limits(self, retry_after_s: float) -> OverloadSettings:
         """`retry_after_s`: the longest that clients follow, by the platform's settings."""
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -1,11 +1,13 @@
-"""Clients: the listener, and all edge connections that were made to it."""
+"""Clients: the listeners, and all edge connections that were made to them."""
 
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from loguru import logger
+from tornado.ioloop import IOLoop
 from tornado.netutil import add_accept_handler
 
 from finchladder.core.bodies import BodyRoom, Reservation
@@ -13,10 +15,12 @@
 from finchladder.core.leaving import IDLE_STAYS
 from finchladder.net.edge import EdgeConnection
 from finchladder.net.front import Front
-from finchladder.net.http1 import PIECE, READ, Stream
+from finchladder.net.gate import STAMPS
 
 EDGE = 0.55  # part of all sockets: edge connections; more than open flows, as call-backs need the rest
 JUST_CAME = 0.25
+# with a gate: accepted in one turn of the loop; looked again for room after so many seconds
+ACCEPTED, REST_S = 64, 0.025
 
 
 class Clients:
@@ -27,11 +31,16 @@
         self.listening: list[socket.socket] = []
         self.stops: list[Callable[[], None]] = []
         if front.gate is not None:
-            front.gate.accept = self.accept
+            front.gate.opens, front.gate.ends = self._begin, self._end
 
     def add_socket(self, listening: socket.socket) -> None:
+        if self.front.gate is None:
+            self.stops.append(add_accept_handler(listening, self._accepted))
+            return
+        with suppress(OSError):  # then a message counts as new when it is looked at
+            listening.setsockopt(socket.SOL_SOCKET, STAMPS, 1)  # accepted connections inherit it
         self.listening.append(listening)
-        self.stops.append(add_accept_handler(listening, self._accepted))
+        self.stops.append(self._listen(listening))
 
     def stop(self) -> None:
         """Accepts no more. What was accepted goes on."""
@@ -39,20 +48,49 @@
             stop()
         self.stops.clear()
 
-    def accept(self, on: bool) -> None:
-        """Off: who connects waits in the system's queue."""
-        self.stop()
-        if on:
-            self.stops = [add_accept_handler(listening, self._accepted) for listening in self.listening]
+    def _listen(self, listening: socket.socket) -> Callable[[], None]:
+        loop = asyncio.get_running_loop()
+        loop.add_reader(listening, self._accept_some, listening)
+
+        def stop() -> None:
+            loop.remove_reader(listening)
+
+        return stop
+
+    def _go_on(self) -> None:
+        self.stops = [self._listen(listening) for listening in self.listening]
+
+    def _accept_some(self, listening: socket.socket) -> None:
+        """Where none may be closed for another, who connects waits in the system's queue for a while."""
+        assert self.front.gate is not None
+        for _ in range(ACCEPTED):
+            if self.edges.full and not self._closes_one():
+                self.stop()
+                self.front.gate.make_room()
+                IOLoop.current().call_later(REST_S, self._go_on)
+                return
+            try:
+                connection, address = listening.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            connection.setblocking(False)
+            self._accepted(connection, address)
 
     def _accepted(self, connection: socket.socket, address: Any) -> None:
         """Counts at once, as many connections come in one turn of the loop: a count that lags runs over."""
-        stream = Stream(connection, max_buffer_size=4 * PIECE, read_chunk_size=READ)
-        if self.edges.full and not self._make_room():
-            stream.close()
+        if self.edges.full and not self._closes_one():
+            logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
+            connection.close()
             return
-        edge = EdgeConnection(stream, str(address[0]), self.front, self.edges, Reservation(self.bodies))
+        edge = EdgeConnection(connection, str(address[0]), self.front, self.edges, Reservation(self.bodies))
         self.edges.begin(self.clock(), edge)
+        if self.front.gate is None:
+            self._begin(edge)
+        else:
+            self.front.gate.begin(edge)
+
+    def _begin(self, edge: EdgeConnection) -> None:
+        edge.open()
         task = asyncio.get_running_loop().create_task(self._serve(edge))
         self.tasks.add(task)  # the loop alone would let go of it
         task.add_done_callback(self.tasks.discard)
@@ -62,7 +100,7 @@
             await edge.serve()
         except Exception:
             logger.exception("an edge connection died")
-            edge.channel.close()
+            edge.close()
         finally:
             self._drop(edge)
 
@@ -72,12 +110,16 @@
         if self.front.gate is not None:
             self.front.gate.drop(edge)
 
-    def _make_room(self) -> bool:
-        edge = self.edges.make_room(self.clock(), lambda e: e.channel.quiet())
+    def _end(self, edge: EdgeConnection) -> None:
+        edge.close()
+        if not edge.opened:  # else its own task clears up
+            self._drop(edge)
+
+    def _closes_one(self) -> bool:
+        edge = self.edges.make_room(self.clock(), lambda e: e.quiet())
         if edge is None:
-            logger.error("all {} edge connections are busy: one was closed unread", len(self.edges))
             return False
-        edge.channel.close()
+        edge.close()
         self._drop(edge)
         return True
 
@@ -93,10 +135,10 @@
             for edge in list(self.edges):
                 # one just accepted is not idle while jobs are open: a result may be on its way
                 idle = over or self.edges.older(self.clock(), edge, JUST_CAME)
-                if edge.busy or (not edge.calls_back and not (idle and edge.channel.quiet())):
+                if edge.busy or (not edge.calls_back and not (idle and edge.quiet())):
                     stays = True  # also where a request has come that was not looked at yet
                 elif not edge.calls_back:
-                    edge.channel.close()
+                    self._end(edge)
             if over and not stays:
                 return
             await asyncio.sleep(0.02)
--- a/finchladder/net/edge.py
+++ b/finchladder/net/edge.py
@@ -1,8 +1,8 @@
 """An edge connection: one connection from a client, or from a real server that calls back."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable
-from functools import partial
 from typing import Protocol
 
 from finchladder.core.bodies import NoRoom, Reservation
@@ -10,6 +10,8 @@
 from finchladder.net.control import Dump, Reply
 from finchladder.net.flows import Answer, Flow
 from finchladder.net.http1 import (
+    PIECE,
+    READ,
     BadMessage,
     Channel,
     Head,
@@ -17,6 +19,7 @@
     Stream,
     StreamClosedError,
     parse_request,
+    silent,
     write_head,
     write_response,
 )
@@ -30,10 +33,9 @@
 
 
 class Gatekeeper(Protocol):
-    """Says whether what has come on a connection that waits for a message is to be read now."""
+    """Watches connections for what comes, and hands it on when it is to be read: `EdgeConnection.came`."""
 
-    def passes(self, edge: "EdgeConnection") -> bool: ...
-    def drop(self, edge: "EdgeConnection") -> None: ...
+    def wait(self, edge: "EdgeConnection") -> None: ...
 
 
 class Desk(Protocol):
@@ -48,13 +50,18 @@
 
 
 class EdgeConnection:
-    """Reads messages one after another, and writes what is answered. Its mailbox brings flows' answers."""
+    """Reads messages one after another, and writes what is answered. Its mailbox brings flows' answers.
+
+    It begins as a bare socket: one that is turned away or closed before anything is read costs little.
+    """
+
+    channel: Channel  # once it is opened
 
     def __init__(
-        self, stream: Stream, client: str, desk: Desk, table: "EdgeTable[EdgeConnection]",
+        self, connection: socket.socket, client: str, desk: Desk, table: "EdgeTable[EdgeConnection]",
         body: Reservation,
     ) -> None:  # fmt: skip
-        self.channel = Channel(stream, Parser(parse_request, limit_of))
+        self.socket, self.descriptor, self.opened = connection, connection.fileno(), False
         self.client = client  # the peer's IP address
         self.desk, self.table = desk, table
         self.intake, self.clock = desk.intake, desk.intake.clock
@@ -65,10 +72,35 @@
         self.busy = False  # between a message's first byte and its answer's last
         self.calls_back = False
         self.worth = Worth.NEW
-        self.let_in = False  # by the gate: the next message is read at once
-        self.first_within: asyncio.Timeout | None = None
+        self.since = self.clock()
+        # of the gate, where there is one
+        self.waiter: asyncio.Future[bytes] | None = None  # for the next message's first bytes
+        self.first = b""  # what came before it was opened
+        self.message = b""  # a whole job that waits to be let in, with its class and id
+        self.job_class, self.job_id = "", b""
+        self.came_at = 0.0  # that which is being read, by the socket
+        self.stirred = False  # something may be there that was not looked at
+        self.over = False  # the client has closed its side
+        self.passed = False  # the gate has let in what is being read
+
+    def open(self) -> None:
+        """To be called once, before anything is read."""
+        stream = Stream(self.socket, max_buffer_size=4 * PIECE, read_chunk_size=READ)
+        stream.watched = self.desk.keeper is not None
+        self.channel = Channel(stream, Parser(parse_request, limit_of))
+        self.opened = True
         stream.set_close_callback(self._closed)
 
+    @property
+    def closed(self) -> bool:
+        return self.channel.stream.closed() if self.opened else self.socket.fileno() < 0
+
+    def close(self) -> None:
+        if self.opened:
+            self.channel.close()
+        else:
+            self.socket.close()
+
     def used(self, worth: Worth) -> None:
         self.worth = max(self.worth, worth)
 
@@ -81,6 +113,9 @@
     async def answer_to(self, flow: Flow) -> Answer:
         """Waits for the answer of a flow that was taken."""
         self.flow = flow  # no sooner: this closing must not end another flow with its id
+        if self.over:
+            self.channel.close()
+            self._closed()
         if self.given is None:
             self.wanted = asyncio.get_running_loop().create_future()
             await self.wanted
@@ -97,12 +132,42 @@
         flow, self.flow = self.flow, None
         if flow is not None:
             self.intake.client_left(flow)
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(StreamClosedError())
+
+    # --- what the gate asks and tells
+
+    @property
+    def waits(self) -> bool:
+        """Whether it waits for a message of which nothing is there."""
+        if not self.opened:
+            return not (self.first or self.message)
+        return self.waiter is not None and not self.waiter.done() and not self.message
+
+    @property
+    def waited_s(self) -> float:
+        """For how long what is being read lay unread."""
+        return self.clock() - self.came_at if self.came_at else 0.0
+
+    def came(self, data: bytes) -> None:
+        """Is to be read now."""
+        self.message = b""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(data)
+
+    def quiet(self) -> bool:
+        """Whether it waits, and nothing has come that was not yet read."""
+        if self.desk.keeper is None:
+            return self.channel.quiet()
+        return self.waits and not self.stirred and silent(self.socket)
 
     async def serve(self) -> None:
         try:
-            async with asyncio.timeout(FIRST_WITHIN) as self.first_within:
+            if self.first:
+                self.channel.parser.feed(self.first)
+                self.first = b""
+            async with asyncio.timeout(max(0.0, self.since + FIRST_WITHIN - self.clock())):
                 message = await self._read()
-            self.first_within = None
             while await self._work(*message):
                 message = await self._read()
         except BadMessage as e:
@@ -133,22 +198,23 @@
                 head = await self.channel.head()
                 self.body.hold(self.channel.parser.most)
                 message = await self.channel.message()
+            if self.desk.keeper is not None:
+                self.channel.stream.apart()
         self.table.work(self)
         return message
 
     async def _first_bytes(self) -> None:
-        if self.desk.keeper is None or self.calls_back:
+        self.passed, self.came_at = False, 0.0
+        if self.desk.keeper is None or not self.channel.stream.apart():
             return await self.channel.fill()
-        self.channel.stream.gate = partial(self.desk.keeper.passes, self)
+        if self.channel.stream.closed():
+            raise StreamClosedError()
+        self.waiter = asyncio.get_running_loop().create_future()
         try:
-            await self.channel.fill()
+            self.desk.keeper.wait(self)
+            self.channel.parser.feed(await self.waiter)
         finally:
-            self.channel.stream.gate, self.let_in = None, False
-
-    def whole_in_time(self) -> None:
-        """Its first message is there, and left unread for a while: that is not its client's fault."""
-        if self.first_within is not None:
-            self.first_within.reschedule(None)
+            self.waiter = None
 
     async def _work(self, head: Head, body: bytes) -> bool:
         """True: the connection is kept."""
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -74,6 +74,7 @@
     deliver: Callable[[Answer], None]
     route: str | None = None  # whose limits it comes under
     repeat: bool = False  # its client marks it as asked for before
+    since: float = 0.0  # when it was taken
     answer: Answer | None = None
     schedulings: list[Scheduling] = field(default_factory=list)
     timer: Callable[[], None] | None = None
--- a/finchladder/net/front.py
+++ b/finchladder/net/front.py
@@ -74,6 +74,8 @@
         if edge.channel.parser.more:  # what follows unasked may be a request hidden in this one's body
             raise BadMessage(400, "one request at a time")
         id, facts, left_s = read_id(head), read_facts(head), read_time_left(head)
+        if edge.came_at:
+            left_s = max(0.0, left_s - edge.waited_s)
         route = self.intake.routes.find(head.method, head.target, head.headers, job_class)
         if route is not None:
             left_s = route.patience_s(left_s)
@@ -82,12 +84,11 @@
             if verdict.wait > 0:
                 edge.used(Worth.ASKED)
                 return Reply(429, b"too many requests\n", (f"Retry-After: {verdict.wait:g}",))
-            if self.gate is not None and verdict.drill is None:
-                refusal = self.gate.judge(job_class, left_s)
-                if refusal is not None:
-                    self.gate.hold(edge, refusal)
+            if self.gate is not None and not edge.passed and verdict.drill is None:
+                retry_after_s = self.gate.judge(job_class, left_s)
+                if retry_after_s is not None:
                     edge.used(Worth.ASKED)
-                    return reply_of(Answer("refused", retry_after=refusal.retry_after_s))
+                    return reply_of(Answer("refused", retry_after=retry_after_s))
             message = HttpMessage(head.method, head.target, head.headers, body)
             deadline = self.intake.deadline(left_s)
             flow = Flow(id, job_class, key, facts, message, deadline, edge.deliver)
--- a/finchladder/net/gate.py
+++ b/finchladder/net/gate.py
@@ -1,220 +1,311 @@
-"""The gate in front of the parser: while the loop can't keep up, messages wait unread until they are let in.
+"""The gate in front of the parser: while the loop can't keep up, jobs wait unread until they are let in.
 
-`core/overload.py` decides; this looks at sockets for it. A connection that waits for its next message is left
-out of the loop once something can be read, with its first bytes looked at and left where they are. Then it is
-read as usual, or turned away on the raw socket, which costs a tenth of reading, parsing and answering. What
-is no job (call-backs end what was sent) is never kept waiting.
+`core/overload.py` decides; this looks at sockets for it. All edge connections that wait for a message are
+watched by an `epoll` of the gate's own, which says once what is new (edge-triggered): no connection enters or
+leaves the loop's own for a message. What came is received, and if it is one whole and plain job, it may wait
+here. Then it goes to the parser as it is, or is turned away on the raw socket, which costs a small part of
+parsing and answering. What is anything else (call-backs end what was sent) is never kept waiting.
 """
 
 import asyncio
 import re
+import select
 import socket
-import time
+import struct
 from collections.abc import Callable, Iterable
+from statistics import median
+from typing import Protocol
 
 from loguru import logger
 from tornado.ioloop import IOLoop
 
 from finchladder.core.api import JobClass
+from finchladder.core.bodies import NoRoom
+from finchladder.core.edges import Worth
 from finchladder.core.lag import LagMeter
-from finchladder.core.overload import TICK_S, Overload, OverloadSettings, Refusal, State
-from finchladder.net.edge import EdgeConnection
-from finchladder.net.timers import Timers
-
-ROOM = 2 / 3  # part of the edge connections that may wait unread
-HELD = 1 / 3  # part of them that is kept unread for a while after a refusal; more are read at once
-LOOK = 4096  # bytes looked at; a message that is longer is read, never turned away raw
-AT_ONCE = 64  # turns of the gate in one turn of the loop
+from finchladder.core.overload import TICK_S, Overload, OverloadSettings, State
+from finchladder.net.edge import FIRST_WITHIN, EdgeConnection
+
+LOOK = 4096  # bytes received at once; a message that is longer goes to the parser, never turned away raw
+AT_ONCE = 128  # connections looked at, and turns of the control, in one turn of the loop
+ROOM_MADE = 16  # connections that are turned away at once so that others can be heard
+STARTS = 64  # that are looked at in one tick
+OLD_S = 0.005  # a message that lay there for less is as good as new
+OLD_MOST_S = 60.0  # clocks are set: an older one is not believed
 SAID_AGAIN = 10.0  # seconds between two lines of the log about the same
 
-_JOB = re.compile(rb"POST /([^/? ]*)[/? ]")
-_LEFT = re.compile(rb"\r\nx-time-left:[ \t]*([0-9]{1,6}(?:\.[0-9]{0,9})?)[ \t]*\r\n", re.IGNORECASE)
-_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,6})[ \t]*\r\n", re.IGNORECASE)
-_LENGTHS = re.compile(rb"\r\n(?:content-length|transfer-encoding|expect|connection)[ \t]*:", re.IGNORECASE)
+NEWS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET
+ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+STAMPS = 35  # SO_TIMESTAMPNS, which the socket module does not name; each received segment carries its time
+STAMP = struct.Struct("@ll")
+STAMP_SPACE = socket.CMSG_SPACE(STAMP.size)
+
+_FACT = rb"[a-z]{1,9}=[0-9]{1,5}(?:\.[0-9]{0,9})?"
+# The head of a job that the parser, and all that looks at a job after it, would take without a word. Anything
+# else is theirs to answer. `(?(2)(?!))` fails where a field comes again.
+_PLAIN = re.compile(
+    rb"POST /(?!_|v1/job-events[ ?])([^/? ]+)"
+    rb"(?:[/?](?:[\w.~:/?@!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*)? HTTP/1\.1\r\n(?:(?:"
+    rb"(?(2)(?!))(?i:x-correlation-id):[ \t]*([!-~]{1,128})[ \t]*"
+    rb"|(?(3)(?!))(?i:x-time-left):[ \t]*([0-9]{1,6}(?:\.[0-9]{0,9})?)[ \t]*"
+    rb"|(?(4)(?!))(?i:content-length):[ \t]*([0-9]{1,5})[ \t]*"
+    rb"|(?(5)(?!))(?i:x-facts):[ \t]*(" + _FACT + rb"(?:," + _FACT + rb")*)[ \t]*"
+    rb"|(?i:connection):[ \t]*(?i:keep-alive)[ \t]*"
+    rb"|(?!(?i:x-correlation-id|x-time-left|content-length|x-facts|connection|transfer-encoding|expect):)"
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~]*"
+    rb")\r\n){1,64}\r\n",
+    re.ASCII,
+)
 
 
-def job_in(seen: bytes) -> tuple[str, float | None] | None:
-    """The class, and the seconds that the client will wait where they are said; None: it begins as no job."""
-    if (m := _JOB.match(seen)) is None:
+def plain_job(data: bytes) -> tuple[bytes, bytes, float] | None:
+    """Class, id and the seconds that its client will wait; None: not one whole plain job and nothing more."""
+    if (head := _PLAIN.match(data)) is None:
+        return None
+    job_class, id, left, length = head.group(1, 2, 3, 4)
+    if id is None or left is None or len(data) != head.end() + int(length or 0):
         return None
-    left = _LEFT.search(seen)
-    return m[1].decode("latin-1"), float(left[1]) if left is not None else None
+    return (job_class, id, float(left)) if float(left) > 0 else None
 
 
-def is_one_job(seen: bytes) -> bool:
-    """Whether it is one whole message with a plain frame, and nothing after it: all else is the parser's."""
-    end = seen.find(b"\r\n\r\n")
-    if end < 0 or len(frames := _LENGTHS.findall(seen, 0, end + 2)) > 1:
-        return False
-    length = _LENGTH.search(seen, 0, end + 2)
-    if frames and length is None:
-        return False
-    return len(seen) == end + 4 + (int(length[1]) if length is not None else 0)
+def refusal_bytes(retry_after_s: float) -> bytes:
+    after = b"Retry-After: %.3g\r\n" % retry_after_s if retry_after_s > 0 else b""
+    return b"HTTP/1.1 503 Service Unavailable\r\n%bContent-Length: 8\r\n\r\nrefused\n" % after
 
 
-def refusal_bytes(refusal: Refusal) -> bytes:
-    after = b"Retry-After: %.3g\r\n" % refusal.retry_after_s if refusal.retry_after_s > 0 else b""
-    return b"HTTP/1.1 503 Service Unavailable\r\n%bContent-Length: 8\r\n\r\nrefused\n" % after
+class Times(Protocol):
+    """Of the machine, in seconds: CPU time so far, time that the loop has waited for events, Unix time."""
+
+    def cpu(self) -> float: ...
+    def idle(self) -> float: ...
+    def wall(self) -> float: ...
 
 
 class Gate:
     def __init__(
-        self, classes: Iterable[JobClass], settings: OverloadSettings, seed: int, most_edges: int,
-        timers: Timers, cores: float, cpu: Callable[[], float] = time.process_time,
+        self, classes: Iterable[JobClass], settings: OverloadSettings, seed: int, clock: Callable[[], float],
+        known: Callable[[str], bool], times: Times,
     ) -> None:  # fmt: skip
-        self.timers, self.clock, self.cpu = timers, timers.clock, cpu
-        known = tuple(classes)
-        self.names = {c.name for c in known}
-        self.control: Overload[EdgeConnection] = Overload(known, settings, seed, int(ROOM * most_edges))
-        self.meter = LagMeter(self.clock(), cpu(), TICK_S, cores)
-        self.most_held = int(HELD * most_edges)
-        self.waits: dict[EdgeConnection, str] = {}  # unread, with their class
-        self.held: dict[EdgeConnection, None] = {}  # after a refusal: not looked at for a while
+        """`known`: the ids that have come already."""
+        self.clock, self.known, self.times = clock, known, times
+        classes = tuple(classes)
+        self.names = {c.name.encode(): c.name for c in classes}
+        self.control: Overload[EdgeConnection] = Overload(classes, settings, seed)
+        self.meter = LagMeter(clock(), times.cpu(), times.idle(), TICK_S)
+        self.starts: list[float] = []  # seconds that jobs took to start since the last tick
+        self.poll = select.epoll()
+        self.edges: dict[int, EdgeConnection] = {}  # by descriptor
+        self.silent: dict[EdgeConnection, None] = {}  # nothing has come on them yet; the oldest is the first
+        # set by their owner: begins to read one, and closes one
+        self.opens: Callable[[EdgeConnection], None] = lambda edge: None
+        self.ends: Callable[[EdgeConnection], None] = lambda edge: None
         self.opened = False  # for good: the dispatcher leaves
-        self.draining = False
-        self.asked_again = False
-        self.said_at = 0.0
-        # the listening socket is left alone while there is no room: set by whoever owns it
-        self.accept: Callable[[bool], None] = lambda on: None
-        self.accepts = True
+        self.asks_again = False
+        self.late, self.polled_at = True, 0.0
+        self.said, self.said_at = False, -SAID_AGAIN
+        self.refused = 0  # since that was last said
 
     def start(self) -> None:
+        asyncio.get_running_loop().add_reader(self.poll.fileno(), self._ready)
         IOLoop.current().call_later(TICK_S, self._tick)
 
-    def judge(self, job_class: str, left_s: float) -> Refusal | None:
-        """Of each job whose head was read, before there is a flow. None: it is let in."""
+    def started(self, took_s: float) -> None:
+        """A job was told to have started so long after it was let in."""
+        if len(self.starts) < STARTS:
+            self.starts.append(took_s)
+
+    def judge(self, job_class: str, left_s: float) -> float | None:
+        """Of a job that did not wait here, before there is a flow: Retry-After in seconds; None: let in."""
         if self.opened:
             return None
         return self.control.judge(self.clock(), job_class, left_s)
 
-    def hold(self, edge: EdgeConnection, refusal: Refusal) -> None:
-        """A client that was refused and asks again at once is not read before its time has come."""
-        if self.opened or len(self.held) >= self.most_held or edge.channel.stream.closed():
-            return
-        self.held[edge] = None
-        self.timers.put((self, edge), self.clock() + refusal.hold_s, lambda: self._let_go(edge))
+    # --- connections
 
-    def passes(self, edge: EdgeConnection) -> bool:
-        """Whether what can be read of a connection that waits for a message is to be read now."""
-        if edge in self.held:
-            return False
-        if edge.let_in or self.opened or not self.control.gated or self.control.full:
-            return True
-        if edge in self.waits:
-            return False
-        try:
-            seen = edge.channel.stream.socket.recv(LOOK, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except OSError:
-            return True  # nothing is there, or the reader is to find what is wrong
-        job = job_in(seen)
-        if job is None or job[0] not in self.names:
-            return True
-        self.waits[edge] = job[0]
-        edge.whole_in_time()
-        self.control.put(self.clock(), job[0], job[1], edge)
-        # the newest is read first, so mostly it is this one, and need not be left out of the loop at all
-        self._drain(edge)
-        return edge.let_in
+    def begin(self, edge: EdgeConnection) -> None:
+        self.edges[edge.descriptor] = edge
+        self.silent[edge] = None
+        self.poll.register(edge.descriptor, NEWS)
+
+    def wait(self, edge: EdgeConnection) -> None:
+        """It waits for its next message: `edge.came` is told of it."""
+        if edge.stirred and edge.waits:
+            self._look(edge)
 
     def drop(self, edge: EdgeConnection) -> None:
-        """It is closed."""
-        if (job_class := self.waits.pop(edge, None)) is not None:
-            self.control.drop(job_class, edge)
-        if edge in self.held:
-            del self.held[edge]
-            self.timers.drop((self, edge))
+        """It is closed; its descriptor may be another's by now."""
+        if self.edges.get(edge.descriptor) is edge:
+            del self.edges[edge.descriptor]
+        self.silent.pop(edge, None)
+        self.control.drop(edge)
 
     def leave(self) -> None:
-        """What waits is read now, and answered while there is time."""
+        """What waits is let in now, and answered while there is time."""
         self.opened = True
-        self._accept(True)
-        for edge in [*self.waits, *self.held]:
-            self.drop(edge)
-            edge.channel.stream.resume()
+        for edge in list(self.control.unread.places):
+            self.control.drop(edge)
+            self._let_in(edge)
+
+    def make_room(self) -> None:
+        """All connections are taken, and nobody new can be heard: some that wait here are turned away."""
+        for _ in range(ROOM_MADE):
+            if (edge := self.control.worst()) is None:
+                return
+            self._turn_away(edge, self.clock())
+
+    # --- what the sockets say
+
+    def _ready(self) -> None:
+        began = self.clock()
+        self.late = began > self.polled_at + OLD_S  # else nothing can have lain there for long
+        for descriptor, what in self.poll.poll(0, AT_ONCE):
+            if (edge := self.edges.get(descriptor)) is None or edge.closed:
+                continue
+            edge.stirred = True
+            if edge.waits:
+                self._look(edge)
+            elif what & ENDED:
+                self.control.drop(edge)
+                edge.over = True  # what came before is still read, unless it is a job
+                if edge.flow is not None or edge.message:
+                    self.ends(edge)
+        if self.control.unread.places:
+            self._drain()
+        self.polled_at = self.clock()
+        self.control.turned_away(self.polled_at - began)
+
+    def _look(self, edge: EdgeConnection) -> None:
+        edge.stirred, age_s = False, 0.0
+        try:
+            if self.late:
+                data, stamps, _, _ = edge.socket.recvmsg(LOOK, STAMP_SPACE, socket.MSG_DONTWAIT)
+                age_s = self._age_s(stamps)
+            else:
+                data = edge.socket.recv(LOOK)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            return self.ends(edge)
+        edge.stirred = len(data) == LOOK  # there may be more
+        now = self.clock()
+        edge.came_at = now - age_s
+        if not edge.opened:
+            self.silent.pop(edge, None)
+        if edge.calls_back or self.opened or not self.control.gated or not self._keep(edge, data, now):
+            self._hand_on(edge, data)
+
+    def _hand_on(self, edge: EdgeConnection, data: bytes) -> None:
+        """To be read now."""
+        if edge.opened:
+            return edge.came(data)
+        edge.message, edge.first = b"", data
+        self.opens(edge)
+
+    def _age_s(self, stamps: list[tuple[int, int, bytes]]) -> float:
+        """Since the last of it was there, by the system."""
+        if not stamps:
+            return 0.0
+        seconds, nanoseconds = STAMP.unpack_from(stamps[0][2])
+        age = self.times.wall() - seconds - nanoseconds / 1e9
+        return age if OLD_S < age < OLD_MOST_S else 0.0
+
+    def _keep(self, edge: EdgeConnection, data: bytes, now: float) -> bool:
+        """False: it is not to wait here."""
+        if (job := plain_job(data)) is None:
+            return False
+        job_class, id, left_s = job
+        if (name := self.names.get(job_class)) is None:
+            return False
+        try:
+            edge.body.hold(len(data))
+        except NoRoom:
+            return False
+        edge.message, edge.job_class, edge.job_id = data, name, id
+        edge.table.work(edge)
+        self.control.put(now, name, left_s - (now - edge.came_at), edge)
+        return True
 
-    def _let_go(self, edge: EdgeConnection) -> None:
-        if edge in self.held:
-            del self.held[edge]
-            edge.channel.stream.resume()
+    # --- what the control says
 
     def _tick(self) -> None:
         now = self.clock()
-        sample = self.meter.sample(now, self.cpu())
+        sample = self.meter.sample(now, self.times.cpu(), self.times.idle())
         before = self.control.state
         if not sample.stopped:  # a pause of the process is no load
-            self.control.tick(now, sample.lag_s, sample.cpu_share, 0.0)
+            self.control.tick(now, sample.lag_s, sample.busy, median(self.starts) if self.starts else 0.0)
+        self.starts.clear()
         if self.control.state is not before:
-            self._say(now, sample.lag_s, sample.cpu_share)
-        self._accept(self.opened or not self.control.full)
+            self._say(now, sample.busy)
         self._drain()
+        while self.silent and (edge := next(iter(self.silent))).since + FIRST_WITHIN <= now:
+            self.ends(edge)
         IOLoop.current().call_later(TICK_S, self._tick)
 
-    def _say(self, now: float, lag_s: float, cpu_share: float) -> None:
-        if self.control.state is State.CALM and now < self.said_at + SAID_AGAIN:
-            return  # it begins and ends again and again: said once
-        if now >= self.said_at + SAID_AGAIN or self.control.state is State.CALM:
-            self.said_at = now
-            logger.bind(overload=self.control.state.value).warning(
-                "overload: {}; the loop is {:.0f} ms late at {:.0%} of its CPU, {} messages wait unread",
-                "jobs are turned away" if self.control.state is State.SHED else "over",
-                1000 * lag_s, cpu_share, self.control.unread.size,
-            )  # fmt: skip
-
-    def _accept(self, on: bool) -> None:
-        if on is not self.accepts:
-            self.accepts = on
-            self.accept(on)
-
-    def _soon(self) -> None:
-        if not self.draining:
-            self.draining = True
-            asyncio.get_running_loop().call_soon(self._drain)
-
-    def _drain(self, reading: EdgeConnection | None = None) -> None:
-        """`reading`: one that is being asked about, and is not left out of the loop yet."""
-        self.draining = False
-        away, took_s = 0, 0.0
+    def _say(self, now: float, busy: float) -> None:
+        """Its begin, and then its end as well. It may come again and again: that is not said each time."""
+        shedding = self.control.state is State.SHED
+        if shedding:
+            self.said = now >= self.said_at + SAID_AGAIN
+        if not self.said:
+            return
+        self.said_at = now
+        logger.bind(overload=self.control.state.value).warning(
+            "overload: {}; queues are {:.0f} ms old, the loop at work for {:.0%} of its time, {} jobs wait"
+            " unread, {} were turned away since this was last said",
+            "jobs are turned away" if shedding else "over",
+            1000 * self.control.delay_s, busy, self.control.unread.size, self.refused,
+        )  # fmt: skip
+        self.refused = 0
+
+    def _drain(self) -> None:
+        """What the control names, as much as one turn of the loop may hold. One timer at most asks again."""
         for _ in range(AT_ONCE):
-            turn = self.control.take(self.clock())
-            if turn.item is None:
-                if turn.wait_s > 0 and not self.asked_again:
-                    self.asked_again = True
-                    IOLoop.current().call_later(turn.wait_s, self._ask_again)
+            if (wait_s := self._turn()) is not None:
                 break
-            self.waits.pop(turn.item, None)
-            if turn.worst:
-                began = self.cpu()
-                self._turn_away(turn.item)
-                took_s += self.cpu() - began
-                away += 1
-            else:
-                turn.item.let_in = True
-                if turn.item is not reading:
-                    turn.item.channel.stream.resume()
+        if self.control.unread.places and not self.asks_again:
+            self.asks_again = True
+            IOLoop.current().call_later(wait_s or 0.0, self._again)
+
+    def _turn(self) -> float | None:
+        """Seconds after which to ask again, if nothing is to be done now."""
+        now = self.clock()
+        turn = self.control.take(now)
+        if turn.item is None:
+            return turn.wait_s
+        if turn.worst:
+            self._turn_away(turn.item, now)
         else:
-            self._soon()
-        if away:
-            self.control.turned_away(away, took_s)
+            self.control.let_in(turn.item.job_class)
+            self._let_in(turn.item)
+        return None
 
-    def _ask_again(self) -> None:
-        self.asked_again = False
+    def _again(self) -> None:
+        self.asks_again = False
+        began = self.clock()
         self._drain()
+        self.control.turned_away(self.clock() - began)
+
+    def _let_in(self, edge: EdgeConnection) -> None:
+        edge.passed = True
+        self._hand_on(edge, edge.message)
 
-    def _turn_away(self, edge: EdgeConnection) -> None:
-        stream = edge.channel.stream
+    def _turn_away(self, edge: EdgeConnection, now: float) -> None:
+        if self.known(edge.job_id.decode("ascii")):
+            return self._hand_on(edge, edge.message)  # the parser's answer to it is no refusal
+        self.refused += 1
+        edge.message = b""
+        edge.body.hold(0)
+        if edge.worth is Worth.NEW:
+            edge.worth = Worth.ASKED
+        edge.table.idle(now, edge, edge.worth)
+        answer = refusal_bytes(self.control.refuse(now))
         try:
-            seen = stream.socket.recv(LOOK, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            if not seen:
-                return stream.close()  # its client has left
-            if not is_one_job(seen):
-                edge.let_in = True
-                return stream.resume()
-            refusal = self.control.refuse(self.clock())
-            stream.socket.recv(len(seen), socket.MSG_DONTWAIT)
-            if stream.put(refusal_bytes(refusal)) is not None:
-                return stream.close()  # a client that reads nothing
+            whole = edge.socket.send(answer) == len(answer)
         except OSError:
-            return stream.close()
-        self.hold(edge, refusal)
-        if edge not in self.held:
-            stream.resume()
+            whole = False
+        if not whole:
+            return self.ends(edge)  # a client that reads nothing, or has left
+        if edge.stirred:  # not now: each of many might bring about the next one's turn
+            asyncio.get_running_loop().call_soon(self.wait, edge)
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 as this project speaks it: parsers that take bytes however they are split, and writers."""
 
-import asyncio
 import re
 import socket
 from asyncio import Future
@@ -302,13 +301,12 @@
 class Stream(IOStream):
     """Asks the socket once for what is there: IOStream's own asks again until there is nothing.
 
-    `put` writes without a future where the socket takes all at once, as it mostly does. A `gate` may say that
-    nothing is to be read now; then the loop leaves the socket alone until `resume`.
+    `put` writes without a future where the socket takes all at once, as it mostly does. `watched`: something
+    else than the loop tells when it can be read, and when the peer has left.
     """
 
     short = False  # the last read was not filled: nothing more was there
-    gate: Callable[[], bool] | None = None
-    paused = False
+    watched = False
 
     def put(self, data: bytes) -> Future[None] | None:
         """None: the last byte is written. Else what waits for that, or StreamClosedError."""
@@ -326,27 +324,32 @@
         if self.short:
             self.short = False
             return None
-        if self.gate is not None and not self.gate():
-            self._pause()
-            return None
         count = super().read_from_fd(buf)
         self.short = count is not None and 0 < count < len(buf)
         return count
 
+    def apart(self) -> bool:
+        """While nothing is read or written, the loop leaves it alone. False: something was read already."""
+        if self._state is not None and not self.closed():
+            self.io_loop.remove_handler(self.fileno())
+            self._state = None
+        return self._read_buffer_size == 0
 
-    def _pause(self) -> None:
-        if not self.paused:
-            self.paused = True
-            asyncio.get_running_loop().call_soon(self._leave_out)  # the read that asked may add it yet
+    def _maybe_add_error_listener(self) -> None:
+        """An idle stream listens for its peer's leaving, unless that is told anyway."""
+        if not self.watched:
+            super()._maybe_add_error_listener()
 
-    def _leave_out(self) -> None:
-        if self.paused and not self.closed():
-            self.io_loop.update_handler(self.fileno(), 0)
 
-    def resume(self) -> None:
-        if self.paused and not self.closed():
-            self.paused = False
-            self.io_loop.update_handler(self.fileno(), self.io_loop.READ | self.io_loop.ERROR)
+def silent(connection: socket.socket) -> bool:
+    """Whether nothing is there to be received, not even the other side's end."""
+    try:
+        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
 
 
 class Channel:
@@ -387,15 +390,7 @@
         Only of a channel on which a read waits: one that does not has bytes that came, and that its reader
         has not seen yet.
         """
-        if not self.stream.reading():
-            return False
-        try:
-            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        return self.stream.reading() and silent(self.stream.socket)
 
     def close(self) -> None:
         self.stream.close()
@@ -446,6 +441,6 @@
 
 __all__ = [
     "MAX_BODY", "PIECE", "READ", "BadMessage", "Body", "Channel", "Connect", "Head", "Headers", "Parser",
-    "Stream", "StreamClosedError", "connect", "parse_request", "parse_response", "write_head",
+    "Stream", "StreamClosedError", "connect", "parse_request", "parse_response", "silent", "write_head",
     "write_request", "write_response",
 ]  # fmt: skip
--- a/finchladder/net/intake.py
+++ b/finchladder/net/intake.py
@@ -50,6 +50,7 @@
         if self.flows.known(flow.id):
             raise Repeated
         self.flows.add(flow)
+        flow.since = self.clock()
         if self.flows.open > self.most_open:
             self.flows.finish(flow, Answer("refused", retry_after=1.0))
             return
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import resource
+import selectors
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -28,6 +29,29 @@
     return bind_sockets(address[1], address[0], backlog=max(BACKLOG, int(BACKLOG_PART * sockets)))
 
 
+class Selector(selectors.DefaultSelector):
+    """Knows for how long its loop has waited for events: all other time it was at work, or kept from it."""
+
+    idle_s = 0.0
+
+    def idle(self) -> float:
+        return self.idle_s
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is not None and timeout <= 0:
+            return super().select(timeout)
+        began = time.monotonic()
+        try:
+            return super().select(timeout)
+        finally:
+            self.idle_s += time.monotonic() - began
+
+
+def unused() -> float:
+    """For how long a loop has waited, as far as can be told without its selector: it used no CPU then."""
+    return time.monotonic() - time.process_time()
+
+
 def allow_descriptors(sockets: int) -> None:
     """The system's soft limit is raised to what the configuration says; its hard limit is the operator's."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -60,6 +84,7 @@
     wall: Callable[[], float] = time.time
     monotonic: Callable[[], float] = time.monotonic
     cpu: Callable[[], float] = time.process_time
+    idle: Callable[[], float] = unused
     listen: Callable[[tuple[str, int], int], list[socket.socket]] = listen
     allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -68,6 +68,7 @@
         self.dispatcher, self.flows, self.clock = dispatcher, flows, clock
         self.carrier: Carrier | None = None
         self.tap: Tap | None = None
+        self.starts: Callable[[float], None] | None = None  # told how many seconds a job took to its start
         self.lists = 0  # of those that wait in the mailbox
         self.beat = math.inf  # when the module's own timer is due: later than that, the loop is late
         self.subscribe: Callable[[bool], None] = lambda on: None  # where the list must be asked for
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -19,7 +19,7 @@
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import Capture
 from finchladder.features.status import JobStatus
-from finchladder.net.clients import EDGE, Clients
+from finchladder.net.clients import Clients
 from finchladder.net.control import Controls
 from finchladder.net.flows import Flows
 from finchladder.net.front import Front
@@ -90,8 +90,8 @@
         self.gate: Gate | None = None
         if options.overload is not None:
             limits = options.overload.limits(setup.settings.max_retry_after)
-            most, cores = int(EDGE * sockets), setup.limits.cores
-            self.gate = Gate(setup.settings.classes, limits, seed, most, self.timers, cores, machine.cpu)
+            self.gate = Gate(setup.settings.classes, limits, seed, clock, self.flows.known, machine)
+            self.module.starts = self.gate.started
         front = Front(self.intake, controls, lambda: self.service.up, self.servers.called_back, self.gate)
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -74,6 +74,8 @@
         ending = outcome(head)
         if ending is None:
             s.step(Step.ACCEPT)
+            if not self.server.module.dispatcher.s.tells_start:
+                self.server.begun(s)
         else:
             self.server.end(s, ending, load_report(head))
 
@@ -165,6 +167,7 @@
         if s is None:
             return
         if c.state == "started":
+            self.begun(s)
             self.module.tell(api.Started(c.id, s.number))
         elif c.state == "running":
             self.module.tell(api.Progress(c.id, s.number, c.share))
@@ -173,6 +176,11 @@
         else:
             self.log.bind(id=c.id).warning("{}: unknown job state {!r}", self.name, c.state[:40])
 
+    def begun(self, s: Scheduling) -> None:
+        """The first that is heard of a job after its send."""
+        if self.module.starts is not None and not s.number:
+            self.module.starts(self.clock() - s.flow.since)
+
     # --- the life of a scheduling -------------------------------------------------------------------------
 
     async def _carry(self, s: Scheduling) -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -19,6 +19,8 @@
 class Desk:
     """Answers everything at once; no job is ever open."""
 
+    gate = keeper = None
+
     def __init__(self) -> None:
         self.leaving, self.clock, self.flows = Leaving(), time.monotonic, SimpleNamespace(open=0)
         self.intake = self
