--- a/finchladder/core/overload.py
+++ b/finchladder/core/overload.py
@@ -32,8 +32,8 @@
 DRAIN_S, DRAIN_MOST = 0.15, 0.7  # a queue that stands is worked off in so long, with so much of the time
 TARGET_LEAST_S = 0.005
 IN_TIME = 0.5  # part of its aim that a job may wait unread and still be served within it
-SOONER = 0.5  # part of its wait by which a job may be turned away before others
-MARGIN_S = 0.05  # a client's last moments, in which an answer may come too late
+SOONER = 0.25  # part of its wait by which a job may be turned away before others
+MARGIN_S = 0.05  # a client's last moments, in which an answer may come too late; late jobs: up to twice that
 BURST_S = 0.02  # of reading at once, after a pause
 RATE_LEAST = 50.0  # messages a second that are read whatever happens: learning must go on
 STRATA = 64  # parts of the range of Retry-After; each is used once before any is used again
@@ -283,9 +283,15 @@
         `left_s`: the rest of its client's patience, by what it says and by when it came.
         """
         c = self.classes[job_class]
-        # some sooner than others: those who came together are not to be turned away, and come back, together
-        wait_s = min(self.s.wait_share * left_s * (1 - SOONER * self.random.random()), left_s - MARGIN_S)
-        self._band(job_class, left_s).arrived += 1
+        band = self._band(job_class, left_s)
+        band.arrived += 1
+        # some sooner than others: those who came together are not to be turned away, and come back, together;
+        # who comes back late has mostly been turned away before, and is not to be again and again
+        early, wait_s = self.random.random(), left_s - MARGIN_S
+        if band.fresh:
+            wait_s = min(wait_s, self.s.wait_share * (1 - SOONER * early) * left_s)
+        else:
+            wait_s -= MARGIN_S * early
         self.unread.add(now, c, item, min(now, now - c.deadline + left_s), now + wait_s)
 
     def drop(self, item: T) -> None:
