--- a/finchladder/core/overload.py
+++ b/finchladder/core/overload.py
@@ -32,6 +32,7 @@
 DRAIN_S, DRAIN_MOST = 0.15, 0.7  # a queue that stands is worked off in so long, with so much of the time
 TARGET_LEAST_S = 0.005
 IN_TIME = 0.5  # part of its aim that a job may wait unread and still be served within it
+IN_TURN = 0.2  # part of its aim that the oldest has waited at the most where jobs are read in turn
 SOONER = 0.25  # part of its wait by which a job may be turned away before others
 MARGIN_S = 0.05  # a client's last moments, in which an answer may come too late; late jobs: up to twice that
 BURST_S = 0.02  # of reading at once, after a pause
@@ -121,13 +122,20 @@
             del place[0][item]
 
     def best(self, now: float, best_first: Sequence[JobClass]) -> T | None:
-        """The newest of the best class that has one which will be in time."""
+        """Of the best class that has any which will be in time: the oldest, as long as none waits for long.
+
+        Beyond that the newest, so that most wait hardly at all, and a few for ever, in place of all too long.
+        """
         for c in best_first:
-            if queue := self.fresh[c.name]:
-                item = next(reversed(queue))
-                if now - queue[item] < IN_TIME * c.aim:
-                    self.drop(item)
-                    return item
+            queue = self.fresh[c.name]
+            while queue and now - queue[item := next(iter(queue))] >= IN_TIME * c.aim:
+                self.late[c.name][item] = queue.pop(item)
+                self.places[item] = self.late[c.name], self.places[item][1]
+            if queue:
+                if now - queue[item] >= IN_TURN * c.aim:
+                    item = next(reversed(queue))
+                self.drop(item)
+                return item
         return None
 
     def late_best(self, best_first: Sequence[JobClass]) -> T | None:
--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -63,7 +63,9 @@
     def _accept_some(self, listening: socket.socket) -> None:
         """Where none may be closed for another, who connects waits in the system's queue for a while."""
         assert self.front.gate is not None
-        for _ in range(ACCEPTED):
+        for n in range(ACCEPTED):
+            if self.edges.full and n:
+                return  # nobody is closed before it is known that another is there
             if self.edges.full and not self._closes_one():
                 self.stop()
                 self.front.gate.make_room()
--- a/finchladder/net/gate.py
+++ b/finchladder/net/gate.py
@@ -44,7 +44,7 @@
 # The head of a job that the parser, and all that looks at a job after it, would take without a word. Anything
 # else is theirs to answer. `(?(2)(?!))` fails where a field comes again.
 _PLAIN = re.compile(
-    rb"POST /(?!_|v1/job-events[ ?])([^/? ]+)"
+    rb"POST /(?!_|v1/job-events[ ?])([\w.~:@!$&'()*+,;=-]+)"
     rb"(?:[/?](?:[\w.~:/?@!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*)? HTTP/1\.1\r\n(?:(?:"
     rb"(?(2)(?!))(?i:x-correlation-id):[ \t]*([!-~]{1,128})[ \t]*"
     rb"|(?(3)(?!))(?i:x-time-left):[ \t]*([0-9]{1,6}(?:\.[0-9]{0,9})?)[ \t]*"
