--- a/finchladder/net/gate.py
+++ b/finchladder/net/gate.py
@@ -164,10 +164,10 @@
             edge.stirred = True
             if edge.waits:
                 self._look(edge)
-            elif what & ENDED:
-                self.control.drop(edge)
-                edge.over = True  # what came before is still read, unless it is a job
+            if what & ENDED and not edge.closed:
+                edge.over = edge.stirred = True  # what came before is still read, unless it is a job
                 if edge.flow is not None or edge.message:
+                    self.control.drop(edge)
                     self.ends(edge)
         if self.control.unread.places:
             self._drain()
@@ -193,7 +193,7 @@
         edge.came_at = now - age_s
         if not edge.opened:
             self.silent.pop(edge, None)
-        if edge.calls_back or self.opened or not self.control.gated or not self._keep(edge, data, now):
+        if self.opened or not self.control.gated or not self._keep(edge, data, now):
             self._hand_on(edge, data)
 
     def _hand_on(self, edge: EdgeConnection, data: bytes) -> None:
@@ -238,7 +238,6 @@
         self.starts.clear()
         if self.control.state is not before:
             self._say(now, sample.busy)
-        self._drain()
         while self.silent and (edge := next(iter(self.silent))).since + FIRST_WITHIN <= now:
             self.ends(edge)
         IOLoop.current().call_later(TICK_S, self._tick)
