--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -15,10 +15,10 @@
 from finchladder.cli.front import fail, takes_config, takes_log_format
 from finchladder.config.options import Options, Refused, is_toml, read_options
 from finchladder.config.platform import Setup, read_setup
-from finchladder.net.machine import Machine
+from finchladder.net.machine import Machine, Selector
 from finchladder.net.node import Node, OperatorFile
 
-THRESHOLDS = 700, 10, 50  # of the third generation: a full look after some 400,000 more objects, 50 MB
+THRESHOLDS = 5000, 10, 8  # of the third generation: a full look after some 400,000 more objects, 50 MB
 
 
 def arguments(parser: argparse.ArgumentParser) -> None:
@@ -46,16 +46,25 @@
     return OperatorFile(again(), again)
 
 
-async def serve(setup: Setup, options: Options, file: OperatorFile | None) -> None:
+async def serve(setup: Setup, options: Options, file: OperatorFile | None, machine: Machine) -> None:
     # jobs leave no cycles, so the collector finds next to nothing, but each full look at 10,000 real servers
     # would hold up the loop for 100 ms and more: it comes seldom, and not at what stays
     gc.set_threshold(*THRESHOLDS)
-    machine = Machine(keep=gc.freeze)
     node = Node(setup, options, partial(read_setup, os.environ), machine, file=file)
     machine.keep()
     await node.serve()
 
 
+def play(setup: Setup, options: Options, file: OperatorFile | None) -> None:
+    if options.overload is None:
+        asyncio.run(serve(setup, options, file, Machine(keep=gc.freeze)))
+        return
+    selector = Selector()
+    machine = Machine(idle=selector.idle, keep=gc.freeze)
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
+        runner.run(serve(setup, options, file, machine))
+
+
 def run(args: argparse.Namespace) -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     try:
@@ -71,6 +80,6 @@
     log_to(sys.stderr, setup.name, args.log_format)
     logging.basicConfig(handlers=[ToLoguru()], level=logging.WARNING)
     try:
-        asyncio.run(serve(setup, options, file))
+        play(setup, options, file)
     except OSError as e:
         fail(f"cannot listen at {setup.listen[0]}:{setup.listen[1]}: {e.strerror}")
