--- a/tests/core/test_guarded.py
+++ b/tests/core/test_guarded.py
@@ -62,7 +62,8 @@
     ("a turn: timer, end", {"hedge": HEDGE}, {}, 9, [("now", 0.3), "timer", (E.OK, 0), 2],
      "send 0, send 0.3, cancel 1"),
     ("gone before the copy", {"hedge": HEDGE}, {}, 9, ["gone", 1], "send 0, cancel 0"),
-    ("gone between copies", {"hedge": HEDGE}, {}, 9, [1, "gone"], "send 0, send 0.3, cancel 0, cancel 1"),
+    ("gone between copies", {"hedge": HEDGE}, {}, 9, [1, "gone", (E.CANCELLED, 0), (E.CANCELLED, 1)],
+     "send 0, send 0.3, cancel 0, cancel 1"),
     ("no share", {"hedge": Hedge(after_s=0.3, most=0.0)}, {}, 9, [2], "send 0"),
     ("no budget", {"hedge": HEDGE, "retry_budget": NONE}, {}, 9, [2], "send 0"),
     ("no second attempt", {"hedge": HEDGE, "attempts": 1}, {}, 9, [2], "send 0"),
@@ -82,6 +83,7 @@
     over = False
     for step in steps:
         if step == "gone":
+            over = True
             b.feed(api.ClientGone(name))
         elif step == "timer":
             b.feed(api.Timer(2))
@@ -223,6 +225,7 @@
     assert suspects == ([send.worker] if winner else [])
     assert all(s.worker not in suspects for _ in range(5) for s in b.ask("unsafe")[1])
     name, [send] = b.ask()
+    b.now += 0.1
     b.end(name, E.ERROR)
     sick = b.g.inner.workers[send.worker].sick
     b.now += 0.1
@@ -385,7 +388,8 @@
         name, [send] = b.ask(key=key)
         assert send.worker in held
         b.serve(name)
-    b.patch(*(entry(f"w{n}", zone="c", kind="odd") for n in range(4)))
+    zones, kinds = ("cc", ("fast", "slow")) if pool.zones else ("ab", ("odd", "odd"))
+    b.patch(*(entry(f"w{n}", zone=zones[n % 2], kind=kinds[n // 2]) for n in range(4)))
     name, sent = b.ask()
     assert not sent and b.ask(route=None)[1] and b.ask("unsafe")[1]  # the others have all the workers
     b.patch(entry("w1", zone="a", kind="slow"))
