Live weights of the list tell who is full: real servers too late for a job are passed over

Each dispatcher has some 3 jobs in flight on 60 real servers, so its own slots are nearly always 0 against 0 and the choice is blind: slow boxes queued 2 to 4 s while the full-speed ones queued 0.4 s, and once 18 to 36 entries had left, every queue was full: 1,540 of 2,004 sends in 2.5 s were turned away, and what was taken waited so long that 4 % of it was in time.

At fault: policy.py's _pick_from and _least_loaded, which go by own slots alone, and _on_list, which took no notice of a weight. The list carries a live weight for each real server every second, the size divided by 1 + requests held per core, the same for all.

Change: core/crowd.py turns it into how soon a mean job would finish. Lower own load still wins; alike ones are drawn by the square of that, since all are told the same at once. Who would finish later than elsewhere by more than a fetch, or too late for the job's aim, is passed over, so that in an overload the views wait and the confirms go through. Not live: as before. The capture can write to standard output (folder = -), which is how the fleet was counted.

--- a/finchladder/config/settings.py
+++ b/finchladder/config/settings.py
@@ -72,6 +72,7 @@
     named["classes"] = [_class(c, family, n, facts["flavors"]) for n, c in enumerate(facts["services"])]
     named["tenants"] = [{"name": t["name"], "quota": t["quotaRps"]} for t in facts.get("accounts", [])]
     named["must_ask"] = facts["registryMode"] == "ask"
+    named["weights_live"] = facts.get("weights") == "live"
     named["worth_by_work"] = facts.get("worthBy") == "work"
     named["max_retry_after"] = caps.get("maxRetryAfterS", 0.0) if caps.get("retryAfter") else 0.0
     return named
--- a/finchladder/core/api.py
+++ b/finchladder/core/api.py
@@ -93,6 +93,7 @@
     may_copy: bool = False  # two attempts of one request at the same time
     must_ask: bool = False  # the worker list comes only when subscribed or fetched
     tells_start: bool = False
+    weights_live: bool = False  # a weight in the list tells how full a worker is
     progress_every: float = 0.0  # 0: workers tell no progress
     max_retry_after: float = 0.0
     over_share_worth: float = 1.0
--- a/finchladder/core/counts.py
+++ b/finchladder/core/counts.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 FADE = 0.1  # part that a count loses with each turn; at 1 - FADE it is forgotten
+HOT_MIN = 50.0  # requests seen before a key's share of them is believed
 MOST = 16384  # keys counted at once, about 300 bytes each: beyond it a new key counts as not seen
 
 
@@ -47,6 +48,16 @@
     def share(self, key: int) -> float:
         return self.count(key) / self.total if self.total else 0.0
 
+    def homes(self, key: int, workers: int) -> tuple[int, int]:
+        """How many pairs of workers the key's traffic needs, and the one whose turn it is.
+
+        Each node sees only its own few jobs of a hot key, so all would find its one pair calm and bury it;
+        but each sees what share of the traffic the key has, and comes to the same number of homes.
+        """
+        part = self.share(key) if self.total > HOT_MIN else 0.0
+        homes = int(part * workers) or 1
+        return homes, int(self.count(key)) % homes if homes > 1 else 0
+
     def fade(self) -> None:
         self.turn += 1
         self.total *= 1 - FADE
--- /dev/null
+++ b/finchladder/core/crowd.py
@@ -0,0 +1,99 @@
+"""How full each worker is for all dispatchers together, by the live weights of the list.
+
+Where a fleet has many dispatchers, a worker's own slots in flight at one of them say next to nothing of its
+queue. A live weight does: it is the worker's size divided by 1 + requests held per core, the same for all
+dispatchers and a second or two old. Unitless `finish`: how long a mean job takes there, its wait included,
+in runs of a mean job on the largest worker. It narrows and breaks ties, and never overrules a lower load:
+
+| what is known of the two, or of the one | what follows |
+| --- | --- |
+| no weight, or not live | as without it |
+| it would finish later than elsewhere by more than a fetch | passed over |
+| it would finish later than the job's aim allows | passed over: a job of the other class may still go there |
+| loads are alike | drawn, by the square of how soon each would finish: all are told the same at once |
+
+O(1) for each entry of a list; the bar O(workers), at most once in LOOK_EVERY_S.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from itertools import islice
+from random import Random
+
+from finchladder.core.api import JobClass, State, WorkerEntry
+from finchladder.core.records import Worker
+
+ONE = 0.25  # the next job, in requests a core: no setting tells of cores, four are the usual
+FAR = 0.3  # a crossing between zones counts as so much of a mean run
+LOOK_EVERY_S = 0.25
+LOOK_AT = 256  # workers at most, evenly through the fleet
+FETCH = 2.0  # in runs of a mean job: what a job has to wait for where its key is not kept
+COMMON, STEP = 0.4, 0.1  # the percentile of running times that is taken for common, and how fast it moves
+BEST = 0.25  # the part of the fleet whose worst is taken as what can be had elsewhere
+NEVER = float("inf")
+
+
+class Crowd:
+    __slots__ = ("sizes", "top", "elsewhere", "look_at", "runs")
+
+    def __init__(self) -> None:
+        self.sizes: dict[str, float] = {}  # by kind: the largest weight that was told
+        self.top = 0.0  # of all kinds
+        self.elsewhere = NEVER  # what the better workers offer, as a `finish`
+        self.look_at = 0.0
+        self.runs: dict[str, float] = {}  # by class: a common running time on the largest, without a fetch
+
+    def ran(self, w: Worker, cls: JobClass, took_s: float) -> None:
+        """A job that fetched took longer than most: a low percentile is hardly moved by it."""
+        if w.weight:
+            took_s *= self.sizes[w.kind] / self.top
+            run = self.runs.get(cls.name, cls.aim)
+            self.runs[cls.name] = run * (1 + STEP * (COMMON if took_s > run else COMMON - 1))
+
+    def in_time(self, w: Worker, cls: JobClass, waited_s: float, mean_run_s: float) -> bool:
+        """Whether a job would be done within its aim there, and not much later than elsewhere."""
+        if w.finish > self.elsewhere + FETCH:
+            return False
+        run = self.runs.get(cls.name, cls.aim)
+        slow = self.top / self.sizes[w.kind]
+        return waited_s + (w.finish - slow) * mean_run_s + run * slow <= cls.aim + cls.stretch * run
+
+    def told(self, workers: dict[str, Worker], entries: Sequence[WorkerEntry]) -> None:
+        for e in entries:
+            if e.weight > self.sizes.get(e.kind, 0.0) and e.state is not State.GONE:
+                self.sizes[e.kind] = e.weight
+                self.top = max(self.top, e.weight)
+        for e in entries:
+            if (w := workers.get(e.worker)) is not None and e.weight > 0 and (size := self.sizes.get(e.kind)):
+                w.weight, w.finish = e.weight, max(1.0, size / e.weight - 1 + ONE) * self.top / size
+
+    def look(self, now: float, workers: dict[str, Worker], fit: Callable[[Worker], bool]) -> None:
+        """With each list: says anew what can be had elsewhere, if that is due."""
+        if now < self.look_at:
+            return
+        self.look_at = now + LOOK_EVERY_S
+        step = max(1, len(workers) // LOOK_AT)
+        found = sorted(w.finish for w in islice(workers.values(), 0, None, step) if fit(w))
+        self.elsewhere = found[int(BEST * len(found))] if found else NEVER
+
+    def draw(self, able: Sequence[Worker], zone: str, random: Random) -> Worker:
+        """One of workers whose loads are alike."""
+        if len(able) == 1:
+            return able[0]
+        chances = [1.0 / (w.finish + FAR * (w.zone != zone)) ** 2 for w in able]
+        at = random.random() * sum(chances)
+        for w, chance in zip(able, chances, strict=True):
+            at -= chance
+            if at < 0:
+                return w
+        return able[-1]
+
+
+def least(able: Iterable[Worker]) -> list[Worker]:
+    """Those of them with the lowest load."""
+    found: list[Worker] = []
+    for w in able:
+        if not found or w.load < found[0].load:
+            found = [w]
+        elif w.load == found[0].load and w not in found:
+            found.append(w)
+    return found
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -20,13 +20,13 @@
 from finchladder.core.agenda import Agenda
 from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
+from finchladder.core.crowd import Crowd, least
 from finchladder.core.fleet import Fleet, Pool
 from finchladder.core.records import Attempt, Held, Job, Line, Worker
 from finchladder.core.told import Share, Told
 
 SAMPLE = 12  # workers, pairs or waiting keys looked at in one choice: its cost stays flat as all grows
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
-HOT_MIN = 50.0  # requests seen before a key's share of them is believed
 T_START = 2.0  # threshold t before anything is known of a worker
 SICK = 0.5  # ejected when the moving share of bad endings passes this
 SUSPECT = 0.15  # above this it gets no job that may not be repeated: what fails there is lost for good
@@ -61,7 +61,7 @@
         self.held: dict[Line, Held] = {(0, n): Held() for n in self.run}
         self.ejected: dict[str, Worker] = {}
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
-        self.key_counts = KeyCounts()
+        self.key_counts, self.crowd = KeyCounts(), Crowd()
         self.tell_at = self.scan_at = 0.0
         self.strain = 0.0  # moving share of placings that found the fleet full
         self.told = Told(len(self.tenants))
@@ -257,6 +257,8 @@
             full: list[Worker] = []
             for pair in self._pairs(pool, job.key):
                 able = [w for w in pair if self._under_t(w) and self._permitted(job, w)]
+                if able and self.crowd.top:
+                    return self.crowd.draw(least(able), self.s.zone, self.random)
                 if able:
                     able.sort(key=self._is_near)
                     return able[0] if able[0].load < able[-1].load else able[-1]
@@ -267,6 +269,10 @@
 
     def _least_loaded(self, job: Job, pool: Pool) -> Worker | None:
         """From the lowest load up; where the first few may not get it, the best of a few others."""
+        if self.crowd.top:
+            seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE)]
+            able = least(w for w in seen if self._under_t(w) and self._permitted(job, w))
+            return self.crowd.draw(able, self.s.zone, self.random) if able else None
         passed: list[Worker] = []
         found: Worker | None = None
         for w in pool.by_load(SAMPLE):
@@ -287,14 +293,8 @@
         return w.zone == self.s.zone
 
     def _pairs(self, pool: Pool, key: int) -> Iterator[list[Worker]]:
-        """The key's pair, then the pair next on its rings; a hot key has as many homes as its traffic needs.
-
-        Each node sees only its own few jobs of a hot key, so all would find its one pair calm and bury it;
-        but each sees what share of the traffic the key has, and comes to the same number of homes.
-        """
-        part = self.key_counts.share(key) if self.key_counts.total > HOT_MIN else 0.0
-        homes = int(part * pool.size) or 1
-        first = int(self.key_counts.count(key)) % homes if homes > 1 else 0
+        """The key's pair, then the pair next on its rings; a hot key has as many homes as it needs."""
+        homes, first = self.key_counts.homes(key, pool.size)
         return islice(pool.walk(key, max(PAIRS, homes), first), SAMPLE)
 
     def _under_t(self, w: Worker) -> bool:
@@ -345,6 +345,8 @@
         """Whether the rules and the worker's health let this job go there at all."""
         if not w.ready or (job.attempts and not all(self._may_follow(job, a, w) for a in job.attempts)):
             return False
+        if w.weight and not self.crowd.in_time(w, job.cls, self.now - job.arrived, self._mean_run()):
+            return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
         return not self.fleet.is_cold(w, self.now) or self._cold_credit(w) >= self._cold_cost(job, w)
@@ -430,6 +432,7 @@
         elif e.ending is Ending.OK:
             ran = self.seen - (a.started if a.started is not None else a.seen)
             self.run[job.cls.name] += SMOOTH * (max(ran, self.s.tick) - self.run[job.cls.name])
+            self.crowd.ran(w, job.cls, ran)
             if not self.fleet.is_cold(w, self.now):
                 self.warm_done += self._cost(job)
             self._judge(w, 0.0)
@@ -472,15 +475,10 @@
         if not self.tenants or self.now < self.tell_at:
             return
         period = SWEEPS * self.sweep
-        for t in self.tenants.values():
-            t.own += (1.0 if not self.tell_at else 0.3) * (t.count / period - t.own)
-            t.count = 0
+        rates = self.told.count_up(self.now, self.tenants.values(), period, not self.tell_at, self.s)
         self.tell_at = self.now + period
         if self.s.may_tell:
-            self.actions.append(Tell(Told.message(t.own for t in self.tenants.values())))
-        for n, t in enumerate(self.tenants.values()):
-            told = self.told.sum(n, self.now - 8 * period)
-            t.peers = told if self.s.may_tell else t.own * (self.s.dispatchers - 1)
+            self.actions.append(Tell(rates))
 
     def _mean_run(self) -> float:
         return sum(self.run.values()) / len(self.run)
@@ -531,6 +529,9 @@
         joined = [w for w in map(self._update_worker, e.entries) if w is not None]
         self.random.shuffle(joined)  # nodes must not walk the fleet in the same order
         self.fleet.enter(joined)
+        if self.s.weights_live:
+            self.crowd.told(self.workers, e.entries)
+            self.crowd.look(self.now, self.workers, lambda w: w.ready and not self.fleet.is_cold(w, self.now))
         self.fleet.forget()
         self._ask()
 
--- a/finchladder/core/records.py
+++ b/finchladder/core/records.py
@@ -12,7 +12,7 @@
 class Worker:
     __slots__ = ("address", "zone", "kind", "cell", "born", "ready", "load", "t", "rest_until", "unstarted",
                  "sick", "ejected_until", "ejections", "cold_credit", "credit_at", "rests",
-                 "fetched", "heard", "turn", "level", "pools")  # fmt: skip
+                 "fetched", "heard", "turn", "level", "pools", "weight", "finish")  # fmt: skip
 
     def __init__(self, e: WorkerEntry, t: float) -> None:
         self.address, self.zone, self.kind, self.cell = e.worker, e.zone, e.kind, e.cell
@@ -20,6 +20,7 @@
         self.load = 0.0  # own slots in flight
         self.unstarted: dict[Attempt, float] = {}  # attempts sent and not known to have started
         self.ready = False
+        self.weight, self.finish = 0.0, 1.0  # see crowd.py; 0: not told, or it does not tell how full it is
         self.turn = 0  # its place among those with the same load
         # kept by fleet.py: the pools that it is in, and its level there
         self.level: tuple[float, bool] | None = None
--- a/finchladder/core/told.py
+++ b/finchladder/core/told.py
@@ -1,9 +1,9 @@
 """Tenants' shares: what peers told of their rates, the message and how long it counts, and who is within."""
 
 import struct
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
-from finchladder.core.api import PeerMessage
+from finchladder.core.api import PeerMessage, Settings
 
 
 class Told:
@@ -30,6 +30,17 @@
         return sum(rates[n] for at, rates in self.of.values() if at > since)
 
 
+    def count_up(
+        self, now: float, shares: "Collection[Share]", period: float, first: bool, s: Settings
+    ) -> bytes:
+        """Takes each tenant's own rate over the period that ends, and its peers'; the message to them."""
+        for n, t in enumerate(shares):
+            t.own += (1.0 if first else 0.3) * (t.count / period - t.own)
+            t.count = 0
+            t.peers = self.sum(n, now - 8 * period) if s.may_tell else t.own * (s.dispatchers - 1)
+        return self.message(t.own for t in shares)
+
+
 class Share:
     """What part of a tenant's requests is within its share, by the rate that all dispatchers see of it."""
 
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -20,6 +20,7 @@
 from finchladder.core.api import Ending, JobClass, Own, Request, WorkerPool
 from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
+from finchladder.core.crowd import Crowd
 from finchladder.core.guarded import Guarded, Run, Scope
 from finchladder.core.hedging import Allowance, Times
 from finchladder.core.limits import Limiter
@@ -36,7 +37,7 @@
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
 RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts, Asking, Told, Run, Scope, Limiter, Budget,
-                            Allowance, Times, Alarms, Spill)  # fmt: skip
+                            Allowance, Times, Alarms, Spill, Crowd)  # fmt: skip
 IN_PLACE: dict[type, tuple[str, ...]] = {  # records of which there are many, and their containers
     Worker: ("unstarted", "fetched"), Job: ("attempts",), Run: (),
 }  # fmt: skip
--- a/finchladder/net/disk.py
+++ b/finchladder/net/disk.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+STANDARD_OUTPUT = "-"  # in place of a folder: one file without end, for machines without a disk that stays
 TURN = 0.1  # seconds between two looks at what has come: many small blocks make one write
 LAST_WORDS = 1.0  # seconds at the end for what is not yet written
 
@@ -85,6 +86,9 @@
 
     def _new_file(self) -> None:
         self._end_file()
+        if str(self.folder) == STANDARD_OUTPUT:
+            self.file = FileIO(1, "w", closefd=False)
+            return
         self.folder.mkdir(parents=True, exist_ok=True)
         self.number += 1
         name = f"{self.stem}-{self.start_ms:013}-{self.number:06}.jsonl"
--- /dev/null
+++ b/tests/core/test_crowd.py
@@ -0,0 +1,85 @@
+"""What live weights change, and what they must leave as it is."""
+
+from collections import Counter
+
+import pytest
+
+from tests.helpers import Bench, entry, workers
+from tests.test_mechanism import key_with_pair, pair_of
+
+FULL = 4 / 4.5  # 3.5 requests held per core
+CALM = 4.0
+
+
+def told(b: Bench, weights: dict[str, float]) -> None:
+    b.now += 1.0
+    b.patch(*(entry(w, weight=weights.get(w, CALM)) for w in workers(8)))
+
+
+@pytest.mark.parametrize(
+    ("live", "full", "gets"),
+    [
+        (True, 0, 1),
+        (True, 1, 0),
+        (False, 0, 1),  # a tie goes to the second, whatever the weights
+        (False, 1, 1),
+    ],
+)
+def test_a_pair_s_full_worker_is_passed_over_where_weights_are_live(live: bool, full: int, gets: int) -> None:
+    b = Bench(workers(8), weights_live=live)
+    key = key_with_pair(b, 2)
+    pair = pair_of(b, key)
+    told(b, {pair[full]: FULL})
+    assert b.ask(key=key)[1][0].worker == pair[gets]
+
+
+@pytest.mark.parametrize(("loads", "gets"), [((1, 0), {1}), ((0, 1), {0}), ((0, 0), {0, 1})])
+def test_lower_own_load_wins_and_alike_ones_are_drawn(loads: tuple[int, int], gets: set[int]) -> None:
+    got = set()
+    for seed in range(12):  # dispatchers that are told the same must not all choose the same
+        b = Bench(workers(8), weights_live=True, seed=seed)
+        pair = pair_of(b, key := key_with_pair(b, 2))
+        told(b, {})
+        for w, load in zip(pair, loads, strict=True):
+            b.d.fleet.add_load(b.d.workers[w], load)
+        got.add(pair.index(b.ask(key=key)[1][0].worker))
+    assert got == gets
+
+
+def test_without_a_key_alike_ones_are_drawn_by_how_soon_each_would_finish() -> None:
+    got: Counter[str] = Counter()
+    for seed in range(300):
+        b = Bench(workers(8), weights_live=True, seed=seed)
+        told(b, {w: 4 / 2.25 for w in workers(8)[:4]})  # 1.5 runs in place of 1
+        got[b.ask()[1][0].worker] += 1
+    slower = sum(got[w] for w in workers(8)[:4])
+    assert len(got) == 8 and 60 < slower < 125  # 4 / 13 of 300 are 92
+
+
+@pytest.mark.parametrize(
+    ("held", "waited", "taken"),
+    [
+        (1.0, 0.0, True),
+        (2.5, 0.0, True),  # some 1.75 runs of a second to wait, of 2 that the aim leaves
+        (3.5, 0.0, False),
+        (2.5, 1.0, False),
+    ],
+)
+def test_a_job_that_would_be_late_at_any_worker_waits_at_the_dispatcher(
+    held: float, waited: float, taken: bool
+) -> None:
+    b = Bench(workers(8), weights_live=True)
+    b.ask("unsafe")  # one that shows a full size, so that sizes are known
+    told(b, {})
+    told(b, {w: 4 / (1 + held) for w in workers(8)})
+    job = b.d.classes["safe"]
+    assert b.d.crowd.in_time(b.d.workers["w1"], job, waited, 1.0) is taken
+
+
+def test_a_fetch_does_not_make_a_job_s_own_time_longer() -> None:
+    b = Bench(workers(1), weights_live=True)
+    told(b, {})
+    w, cls = b.d.workers["w1"], b.d.classes["safe"]
+    for n in range(400):
+        b.d.crowd.ran(w, cls, 3.0 if n % 3 == 0 else 0.5)
+    assert 0.3 < b.d.crowd.runs["safe"] < 1.0
