A job whose homes are full waits for them: overflow no more thrashes every real server's keys

Cause: _permitted, which the bar by aim had been put into, so that a full home counted as one that may never have the job (_pick_from then asks _least_loaded); a home that turned the job away likewise, as before. Change: the bar stands in _takes: a full home is waited for as long as the job can be in time, and a stranger must leave room in the aim for the fetch besides. A tie without weights moved to crowd.py, unchanged.

--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -10,6 +10,7 @@
 | no weight, or not live | as without it |
 | it would finish later than elsewhere by more than a fetch | passed over |
 | it would finish later than the job's aim allows | passed over: a job of the other class may still go there |
+| the job is not at home there, and with a fetch it would | passed over: it waits for one of its homes |
 | loads are alike | drawn, by the square of how soon each would finish: all are told the same at once |
 
 O(1) for each entry of a list; the bar O(workers), at most once in LOOK_EVERY_S.
@@ -49,13 +50,20 @@
             run = self.runs.get(cls.name, cls.aim)
             self.runs[cls.name] = run * (1 + STEP * (COMMON if took_s > run else COMMON - 1))
 
-    def in_time(self, w: Worker, cls: JobClass, waited_s: float, mean_run_s: float) -> bool:
-        """Whether a job would be done within its aim there, and not much later than elsewhere."""
+    def in_time(
+        self, w: Worker, cls: JobClass, waited_s: float, mean_run_s: float, fetch: float
+    ) -> bool:
+        """Whether a job would be done within its aim there, and not much later than elsewhere.
+
+        `fetch`: mean runs that it takes longer, as the worker does not keep what it needs.
+        """
+        if not w.weight:
+            return True
         if w.finish > self.elsewhere + FETCH:
             return False
         run = self.runs.get(cls.name, cls.aim)
         slow = self.top / self.sizes[w.kind]
-        return waited_s + (w.finish - slow) * mean_run_s + run * slow <= cls.aim + cls.stretch * run
+        return waited_s + (w.finish - slow + fetch) * mean_run_s + run * slow <= cls.aim + cls.stretch * run
 
     def told(self, workers: dict[str, Worker], entries: Sequence[WorkerEntry]) -> None:
         for e in entries:
@@ -76,9 +84,11 @@
         self.elsewhere = found[int(BEST * len(found))] if found else NEVER
 
     def draw(self, able: Sequence[Worker], zone: str, random: Random) -> Worker:
-        """One of workers whose loads are alike."""
+        """One of workers whose loads are alike. Without weights the last one, those in the own zone first."""
         if len(able) == 1:
             return able[0]
+        if not self.top:
+            return [w for w in able if w.zone == zone or all(other.zone != zone for other in able)][-1]
         chances = [1.0 / (w.finish + FAR * (w.zone != zone)) ** 2 for w in able]
         at = random.random() * sum(chances)
         for w, chance in zip(able, chances, strict=True):
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -256,12 +256,9 @@
             # then hold what the key needs; scattered over the fleet each overflow would cost a fetch
             full: list[Worker] = []
             for pair in self._pairs(pool, job.key):
-                able = [w for w in pair if self._under_t(w) and self._permitted(job, w)]
-                if able and self.crowd.top:
-                    return self.crowd.draw(least(able), self.s.zone, self.random)
+                able = [w for w in pair if self._takes(job, w)]
                 if able:
-                    able.sort(key=self._is_near)
-                    return able[0] if able[0].load < able[-1].load else able[-1]
+                    return self.crowd.draw(least(able), self.s.zone, self.random)
                 full += pair
             if any(self._permitted(job, w) for w in full):
                 return None  # worth waiting for: anywhere else it would fetch
@@ -271,7 +268,7 @@
         """From the lowest load up; where the first few may not get it, the best of a few others."""
         if self.crowd.top:
             seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE)]
-            able = least(w for w in seen if self._under_t(w) and self._permitted(job, w))
+            able = least(w for w in seen if self._takes(job, w, 0.0 if job.key is None else FETCH))
             return self.crowd.draw(able, self.s.zone, self.random) if able else None
         passed: list[Worker] = []
         found: Worker | None = None
@@ -288,6 +285,12 @@
                 found = min(able, key=lambda w: (w.load, not self._is_near(w)), default=None)
         return found
 
+    def _takes(self, job: Job, w: Worker, fetch: float = 0.0) -> bool:
+        """Whether it may get the job now, and would end it in time as far as the list's weights tell."""
+        if not (self._under_t(w) and self._permitted(job, w)):
+            return False
+        return self.crowd.in_time(w, job.cls, self.now - job.arrived, self._mean_run(), fetch)
+
     def _is_near(self, w: Worker) -> bool:
         """In this dispatcher's zone: of two alike, the one that costs no crossing."""
         return w.zone == self.s.zone
@@ -345,8 +348,6 @@
         """Whether the rules and the worker's health let this job go there at all."""
         if not w.ready or (job.attempts and not all(self._may_follow(job, a, w) for a in job.attempts)):
             return False
-        if w.weight and not self.crowd.in_time(w, job.cls, self.now - job.arrived, self._mean_run()):
-            return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
         return not self.fleet.is_cold(w, self.now) or self._cold_credit(w) >= self._cold_cost(job, w)
--- a/tests/core/test_crowd.py
+++ b/tests/core/test_crowd.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from finchladder import api
 from tests.helpers import Bench, entry, workers
 from tests.test_mechanism import key_with_pair, pair_of
 
@@ -73,7 +74,30 @@
     told(b, {})
     told(b, {w: 4 / (1 + held) for w in workers(8)})
     job = b.d.classes["safe"]
-    assert b.d.crowd.in_time(b.d.workers["w1"], job, waited, 1.0) is taken
+    assert b.d.crowd.in_time(b.d.workers["w1"], job, waited, 1.0, 0.0) is taken
+
+
+@pytest.mark.parametrize(
+    ("homes", "mean_run", "sent"),
+    [
+        ({"weight": FULL / 4}, 0.1, False),  # they will have room again, and keep what it needs
+        ({"born": 100.5, "state": api.State.DRAINING}, 0.5, True),
+        ({"born": 100.5}, 0.5, True),  # cold, and nothing may be sent there yet
+        ({"born": 100.5}, 0.6, False),  # with a fetch of two mean runs its aim of 1.1 s would be over
+    ],
+)
+def test_a_job_goes_to_a_stranger_only_if_no_home_may_have_it_and_a_fetch_leaves_it_in_time(
+    homes: dict[str, object], mean_run: float, sent: bool
+) -> None:
+    """All dispatchers' overflow would push out what the others' jobs need, until each job fetches."""
+    b = Bench(workers(8), weights_live=True)
+    told(b, {})
+    key = key_with_pair(b, 2)
+    own = [w.address for pair in b.d.fleet.pools[None].pairs(key, 2) for w in pair]
+    b.d.crowd.runs["safe"], b.d.run = 0.1, dict.fromkeys(b.d.run, mean_run)
+    b.patch(*(entry(w, **({"weight": CALM} | homes)) for w in own))
+    strangers = {a.worker for a in b.ask(key=key)[1]} - set(own)
+    assert bool(strangers) is sent and any(b.d.held[0, "safe"]) is not sent
 
 
 def test_a_fetch_does_not_make_a_job_s_own_time_longer() -> None:
