Calls of an overbooked discovery are spaced by the number of dispatchers

A probe that logged each failed call: of 22 in each 4 s none was answered but by 503 after 2.2 s in the queue there, so all went on by lists 10 s old and more, and up to 1,082 of 1,531 sends in 2.5 s met real servers that were gone (refused within 1 ms). Ruled out: connection caps, as the four with a watch met one refusal in all; CPU.

--- a/finchladder/core/recalls.py
+++ b/finchladder/core/recalls.py
@@ -1,36 +1,43 @@
-"""When discovery is called again after a call that failed or a watch that was lost.
-
-One service answers all dispatchers of a fleet, and it may be overbooked. Lost watches are mostly lost by all
-at once, and calls repeated in step keep it overbooked for good. So the waits grow with the number of callers:
-however many they are, they make some CALLS_A_SECOND together, spread evenly by a draw of each.
-
-| the call before | the next one |
-| --- | --- |
-| brought news, or a watch was lost that had | after the first wait, drawn from nothing up to it |
-| failed, or brought nothing | after twice the wait before, the last half of it drawn, up to the most |
+"""When discovery is called again, after a call that failed or a watch that was lost.
+
+One service of some capacity answers all dispatchers of a fleet; calls wait there in turn, and fail if that
+takes too long. Watches are mostly lost by all at once: calls in step, or repeated soon, keep it overbooked for
+good. So, beside the waits of a few dispatchers, each waits a
+drawn part of a time that grows with their number: all together make some CALLS_A_SECOND, evenly. Service goes
+on meanwhile by the list that each has.
+
+| the call before | the next one: waits of a few | and of the spread |
+| --- | --- | --- |
+| brought news, or a watch was lost that had | up to twice FIRST_S | any part |
+| failed, or brought nothing | twice the wait before up to MOST_S, its last half drawn | the last half of it |
 """
 
 from random import Random
 
 FIRST_S, MOST_S = 0.1, 0.8  # of a few dispatchers
-CALLS_A_SECOND = 10.0
-LONGEST_S = 4.0  # news counts as told after 6 s, whether it came or not: no longer wait lies between two tries
+FEW = 8
+CALLS_A_SECOND = 10.0  # of all others together
+LONGEST_S = 3.2  # of the spread: longer ones, up to 9 s, brought no more lists, and each later
 
 
 class Recalls:
-    """Seconds to wait; `dispatchers`: how many call the same discovery, as the settings say."""
+    """Seconds to wait; `dispatchers`: how many call the same discovery, as the settings say.
+
+    To be 1 where changes come unasked: an agent beside each answers it at no cost, and news counts as told
+    after 6 s, so a watch must not be away for long. Where the list is asked for, it may be for 10 s.
+    """
 
-    __slots__ = ("first_s", "most_s", "random", "wait_s")
+    __slots__ = ("spread_s", "random", "wait_s")
 
     def __init__(self, dispatchers: int, random: Random) -> None:
-        self.most_s = min(LONGEST_S, max(MOST_S, dispatchers / CALLS_A_SECOND))
-        self.first_s = FIRST_S * self.most_s / MOST_S
-        self.random, self.wait_s = random, self.first_s
+        self.spread_s = min(LONGEST_S, max(0, dispatchers - FEW) / CALLS_A_SECOND)
+        self.random, self.wait_s = random, FIRST_S
 
     def after(self, news: bool) -> float:
         """`news`: whether anything new came since the wait before."""
+        draw = self.random.random()
         if news:
-            self.wait_s = 2 * self.first_s
-            return self.wait_s * self.random.random()
-        self.wait_s = min(2 * self.wait_s, self.most_s)
-        return self.wait_s * (1 + self.random.random()) / 2
+            self.wait_s = FIRST_S
+            return (2 * FIRST_S + self.spread_s) * draw
+        self.wait_s = min(2 * self.wait_s, MOST_S)
+        return (self.wait_s + self.spread_s) * (1 + draw) / 2
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -97,7 +97,8 @@
         if options.membership is not None or options.etcd is not None:
             self._believe(options, seed)
         # not from the decisions' draws: those must be the same in a replay
-        self.service.recalls = Recalls(setup.settings.dispatchers, Random(f"{seed}/discovery"))
+        callers = setup.settings.dispatchers if setup.settings.must_ask else 1
+        self.service.recalls = Recalls(callers, Random(f"{seed}/discovery"))
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         self.reload: Reload | None = None
