--- a/finchladder/core/recalls.py
+++ b/finchladder/core/recalls.py
@@ -1,10 +1,9 @@
 """When discovery is called again, after a call that failed or a watch that was lost.
 
 One service of some capacity answers all dispatchers of a fleet; calls wait there in turn, and fail if that
-takes too long. Watches are mostly lost by all at once: calls in step, or repeated soon, keep it overbooked for
-good. So, beside the waits of a few dispatchers, each waits a
-drawn part of a time that grows with their number: all together make some CALLS_A_SECOND, evenly. Service goes
-on meanwhile by the list that each has.
+takes too long. Watches are mostly lost by all at once: calls in step, or repeated soon, keep it overbooked.
+So, beside the waits of a few dispatchers, each waits a drawn part of a time that grows with their number: all
+together make some CALLS_A_SECOND, evenly. Service goes on meanwhile by the list that each has.
 
 | the call before | the next one: waits of a few | and of the spread |
 | --- | --- | --- |
