--- a/benchmarks/fleet_counts.py
+++ b/benchmarks/fleet_counts.py
@@ -3,9 +3,9 @@
     python benchmarks/fleet_counts.py FOLDER [--every 2.5]
 
 FOLDER holds one file for each dispatcher, `*.log` or `*.jsonl`, with capture lines (`folder = -` in
-`[capture]`) among others; what stands before the first brace of a line is left out. Per span of time: sends by
-how they ended, refusals, lists heard, dispatchers that heard one, and the most sends to one real server over
-their mean.
+`[capture]`) among others; what stands before the first brace of a line is left out. Per span of time: sends
+by how they ended, refusals, lists heard, dispatchers that heard one, and the most sends to one real server
+over their mean.
 """
 
 import argparse
