--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -71,7 +71,10 @@
                 self.sizes[e.kind] = e.weight
                 self.top = max(self.top, e.weight)
         for e in entries:
-            if (w := workers.get(e.worker)) is not None and e.weight > 0 and (size := self.sizes.get(e.kind)):
+            if (w := workers.get(e.worker)) is None:
+                continue
+            w.weight, w.finish = 0.0, 1.0  # an unusable weight must not leave that of another kind behind
+            if e.weight > 0 and (size := self.sizes.get(e.kind)):
                 w.weight, w.finish = e.weight, max(1.0, size / e.weight - 1 + ONE) * self.top / size
 
     def look(self, now: float, workers: dict[str, Worker], fit: Callable[[Worker], bool]) -> None:
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -20,7 +20,7 @@
 from finchladder.core.agenda import Agenda
 from finchladder.core.asking import Asking
 from finchladder.core.counts import KeyCounts
-from finchladder.core.crowd import Crowd, least
+from finchladder.core.crowd import FETCH, Crowd, least
 from finchladder.core.fleet import Fleet, Pool
 from finchladder.core.records import Attempt, Held, Job, Line, Worker
 from finchladder.core.told import Share, Told
@@ -34,7 +34,6 @@
 STALL = 3.0  # of the shortest aim: a job that waits so long at a silent worker is taken elsewhere
 EJECT_SHARE = 0.5  # more sick workers than this share of the ready: the signal is wrong, not the fleet
 COLD_SHARE = 0.3  # part of the cold rule's allowance that is used; the rest is for skew and stale views
-FETCH = 2.0  # a first job of a key counts as so many mean jobs more: the worker must fetch what it needs
 RETRY_SHARE, RETRY_MOST = 0.2, 10.0  # retries of what may have run: a share of the requests, saved up so far
 SMOOTH = 0.1  # weight of a new observation in running means
 STRAINED = 0.1  # above this share of placings that find no room, work beyond a tenant's share is turned away
--- a/tests/core/test_crowd.py
+++ b/tests/core/test_crowd.py
@@ -108,3 +108,11 @@
     for n in range(400):
         b.d.crowd.ran(w, cls, 3.0 if n % 3 == 0 else 0.5)
     assert 0.3 < b.d.crowd.runs["safe"] < 1.0
+
+
+@pytest.mark.parametrize("weight", [0.0, -1.0])
+def test_a_worker_of_a_new_kind_without_a_usable_weight_still_gets_jobs(weight: float) -> None:
+    b = Bench(workers(1), weights_live=True)
+    told(b, {})
+    b.patch(entry("w0", kind="new", weight=weight))
+    assert b.ask()[1][0].worker == "w0"
