Test of an unusable weight: its fleet has one real server

The test fails with the guard taken out, and passes with it; tests/core/test_crowd.py and test_capture.py pass.

--- a/tests/core/test_crowd.py
+++ b/tests/core/test_crowd.py
@@ -113,6 +113,6 @@
 @pytest.mark.parametrize("weight", [0.0, -1.0])
 def test_a_worker_of_a_new_kind_without_a_usable_weight_still_gets_jobs(weight: float) -> None:
     b = Bench(workers(1), weights_live=True)
-    told(b, {})
+    b.patch(entry("w0", weight=CALM))
     b.patch(entry("w0", kind="new", weight=weight))
     assert b.ask()[1][0].worker == "w0"
