--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator  # noqa: I001
+from functools import partial
 from itertools import islice
 from math import inf
 from random import Random
@@ -19,6 +20,7 @@
 )  # fmt: skip
 from finchladder.core.agenda import Agenda
 from finchladder.core.asking import Asking
+from finchladder.core.cold import Cold
 from finchladder.core.counts import KeyCounts
 from finchladder.core.crowd import FETCH, Crowd, least
 from finchladder.core.fleet import Fleet, Pool
@@ -33,7 +35,6 @@
 BACK = 0.4  # the share after a trial that went well: one good ending is no proof yet
 STALL = 3.0  # of the shortest aim: a job that waits so long at a silent worker is taken elsewhere
 EJECT_SHARE = 0.5  # more sick workers than this share of the ready: the signal is wrong, not the fleet
-COLD_SHARE = 0.3  # part of the cold rule's allowance that is used; the rest is for skew and stale views
 RETRY_SHARE, RETRY_MOST = 0.2, 10.0  # retries of what may have run: a share of the requests, saved up so far
 SMOOTH = 0.1  # weight of a new observation in running means
 STRAINED = 0.1  # above this share of placings that find no room, work beyond a tenant's share is turned away
@@ -60,7 +61,7 @@
         self.held: dict[Line, Held] = {(0, n): Held() for n in self.run}
         self.ejected: dict[str, Worker] = {}
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
-        self.key_counts, self.crowd = KeyCounts(), Crowd()
+        self.key_counts, self.crowd, self.cold = KeyCounts(), Crowd(), Cold(settings)
         self.tell_at = self.scan_at = 0.0
         self.strain = 0.0  # moving share of placings that found the fleet full
         self.told = Told(len(self.tenants))
@@ -349,7 +350,10 @@
             return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
-        return not self.fleet.is_cold(w, self.now) or self._cold_credit(w) >= self._cold_cost(job, w)
+        if not self.fleet.is_cold(w, self.now):
+            return True
+        cost = partial(self._cold_cost, job, w)
+        return self.cold.allows(w, self.now, self.warm_rate, self._mean_run() * (1 + FETCH), cost)
 
     def _resend_allowed(self, job: Job) -> bool:
         """Effect class: UNSAFE never once it may have run, KEYED only within its window."""
@@ -490,21 +494,6 @@
         fetches = job.key is not None and job.key not in w.fetched
         return self._cost(job) + (FETCH * self._mean_run() if fetches else 0.0)
 
-    def _cold_credit(self, w: Worker) -> float:
-        """This node's share of what a cold worker may be sent: the rule's multiple of its capacity now.
-
-        Capacity is judged by what this dispatcher has served by a warm worker, so all nodes together stay
-        within the rule though none knows of the others. Credit starts at random: nodes told together of a
-        start must not all send at once.
-        """
-        since = max(w.credit_at, w.born)
-        part = self.s.cold_from + (1 - self.s.cold_from) * (since - w.born) / self.s.cold_for
-        rate = COLD_SHARE * self.s.fall_multiple * part * self.warm_rate
-        w.cold_credit += rate * (self.now - since)
-        most = max(self._mean_run() * (1 + FETCH), rate * self.s.fall_within)
-        w.cold_credit, w.credit_at = min(w.cold_credit, most), self.now
-        return w.cold_credit
-
     def _learn_warm_rate(self) -> None:
         span = self.now - self.warm_since
         if span < self.s.fall_within:
@@ -542,9 +531,9 @@
             if not ready:
                 return None
             w = self.workers[e.worker] = Worker(e, T_START)
-            w.cold_credit = self._first_credit()
+            w.cold_credit = self._first_credit(e)
         elif e.born > w.born:
-            w.restart(e.born, T_START, self._first_credit())
+            w.restart(e.born, T_START, self._first_credit(e))
             self.ejected.pop(w.address, None)
         elif (w.zone, w.kind, w.cell, w.ready) == (e.zone, e.kind, e.cell, ready):
             return None
@@ -553,8 +542,8 @@
             self.ejected.pop(w.address, None)
         return w if self.fleet.update(w, e) else None
 
-    def _first_credit(self) -> float:
-        return -self.random.random() * self._mean_run() * (1 + FETCH)
+    def _first_credit(self, e: WorkerEntry) -> float:
+        return self.cold.first(e.worker, e.born, self._mean_run() * (1 + FETCH), self.random)
 
     def _ask(self) -> None:
         """Where the list must be asked for: stay subscribed, so that this node is never deemed told."""
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -47,7 +47,7 @@
 encode = msgspec.json.Encoder().encode
 WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request, Own)  # values that are never changed
 FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
-           "fleet", "agenda", "split", "spill"}  # fmt: skip
+           "fleet", "agenda", "split", "spill", "cold"}  # fmt: skip
 # of zones.py, which a dispatcher has if zone spill is on; what is new begins anew, as a door's table does
 ZONED = {"spills", "counts", "look_at", "draws"}
 ROUND = {"s", "handlers", "inner", "margin_s", "freed"}  # the same of what stands round the Dispatcher
