--- /dev/null
+++ b/tests/core/test_cold.py
@@ -0,0 +1,109 @@
+"""A whole fleet's decisions at one cold real server: never more than the rule allows, and work all the same."""
+
+from random import Random
+
+import pytest
+
+from finchladder import Dispatcher, api
+from finchladder.core.cold import place
+from finchladder.core.crowd import FETCH
+from finchladder.core.policy import SWEEP
+from tests.helpers import entry, settings, workers
+
+FLEET, WARM, RUN_S, JOBS_S = 200, 20, 0.5, 80.0  # jobs a second of all; each warm one is busy with 2 of them
+RULE = {"cold_from": 0.3, "cold_for": 8.5, "fall_multiple": 3.0, "fall_within": 2.0}
+CAPACITY = JOBS_S * RUN_S / WARM  # work a second that a warm one does here
+BORN = 30.0  # seconds into the play, once all have learned what a warm one does
+
+Sends = list[tuple[float, float]]  # when, and the work it brings in seconds
+
+
+class Play:
+    """Dispatchers on one clock: jobs by a schedule drawn from a seed, an end RUN_S after each start."""
+
+    def __init__(self, nodes: int, keys: int, refuses: bool) -> None:
+        self.nodes, self.keys, self.refuses = nodes, keys, refuses
+        self.random = Random(7)
+        self.fleet = [self.made(i) for i in range(nodes)]
+        self.cold: Sends = []
+        self.ends: list[tuple[float, Dispatcher, str, int]] = []
+        self.serial = 0
+
+    def made(self, index: int, born: float = 0.0, now: float = 0.0) -> Dispatcher:
+        d = Dispatcher(settings(index=index, dispatchers=self.nodes, **RULE), self.random.getrandbits(32))
+        known = [entry(w) for w in workers(WARM)] + ([entry("cold", born=born)] if born else [])
+        d.handle(now, api.WorkerList(api.ListKind.STALE, tuple(known)))
+        return d
+
+    def feed(self, now: float, d: Dispatcher, event: api.Event) -> None:
+        for a in d.handle(now, event):
+            if isinstance(a, api.Send):
+                job = d.jobs[a.request]
+                n = len(job.attempts) - 1
+                if a.worker == "cold":
+                    self.cold.append((now, RUN_S * (1 + FETCH)))
+                    if self.refuses:
+                        self.ends.append((now + 0.01, d, a.request, -1 - n))
+                        continue
+                self.feed(now, d, api.Started(a.request, n))
+                self.ends.append((now + RUN_S, d, a.request, n))
+
+    def until(self, start: float, end: float, rates: list[float]) -> None:
+        """`rates`: what part of the jobs each dispatcher gets, in any unit."""
+        now, step = start, 0.1
+        while now < end:
+            for _ in range(int(JOBS_S * step)):
+                d = self.random.choices(self.fleet, rates)[0]
+                self.serial += 1
+                key = self.random.randrange(self.keys)
+                self.feed(now, d, api.Request(f"r{self.serial}", "safe", 10.0, key=key))
+            due, self.ends = [e for e in self.ends if e[0] <= now], [e for e in self.ends if e[0] > now]
+            for _, d, name, n in due:
+                ending = api.Ending.OK if n >= 0 else api.Ending.OVERLOADED
+                self.feed(now, d, api.Ended(name, n if n >= 0 else -1 - n, ending, n >= 0, RUN_S))
+            if round(now / step) % 5 == 0:
+                for d in self.fleet:
+                    self.feed(now, d, api.Timer(SWEEP))
+            now += step
+
+    def joins(self, now: float) -> None:
+        for d in self.fleet:
+            self.feed(now, d, api.WorkerList(api.ListKind.PATCH, (entry("cold", born=now),)))
+
+
+def worst(sends: Sends, born: float) -> float:
+    """The most in any window, as a part of what the rule leaves to it."""
+    parts = [0.0]
+    for at, _ in sends:
+        part = RULE["cold_from"] + (1 - RULE["cold_from"]) * min(1.0, (at - born) / RULE["cold_for"])
+        allowed = RULE["fall_multiple"] * part * CAPACITY * RULE["fall_within"]
+        parts.append(sum(w for t, w in sends if at <= t < at + RULE["fall_within"]) / allowed)
+    return max(parts)
+
+
+@pytest.mark.parametrize("skew", [1.0, 6.0])
+@pytest.mark.parametrize("keys", [40, 100_000])
+@pytest.mark.parametrize("refuses", [False, True])
+@pytest.mark.parametrize("restarted", [0, 140])
+def test_a_fleet_gives_a_cold_one_its_work_and_never_more(
+    skew: float, keys: int, refuses: bool, restarted: int
+) -> None:
+    play = Play(FLEET, keys, refuses)
+    rates = [skew if i < 40 else 1.0 for i in range(FLEET)]  # those of a zone stand together
+    play.until(0.0, BORN, rates)
+    play.joins(BORN)
+    play.until(BORN, BORN + 2.0, rates)
+    for i in range(restarted):
+        play.fleet[i] = play.made(i, BORN, BORN + 2.0)
+    play.until(BORN + 2.0, BORN + RULE["cold_for"], rates)
+    assert worst(play.cold, BORN) <= 1.0
+    share = 0.5 * RULE["cold_from"] * CAPACITY * RULE["cold_for"]  # half of what the coldest could do
+    assert restarted or sum(w for _, w in play.cold) >= share
+
+
+@pytest.mark.parametrize("first", [0, 37, 128])
+@pytest.mark.parametrize("run", [8, 40])
+def test_any_run_of_numbers_is_spread_evenly_over_a_job(first: int, run: int) -> None:
+    places = sorted(place(i) for i in range(first, first + run))
+    gaps = [b - a for a, b in zip([places[-1] - 1, *places], places, strict=False)]
+    assert max(gaps) <= 3 / run
