--- a/finchladder/core/cold.py
+++ b/finchladder/core/cold.py
@@ -1,18 +1,18 @@
 """What one dispatcher of many may send to a cold worker: its part of what the rule leaves to all of them.
 
 A worker that has just started falls over if all dispatchers together send it more than `fall_multiple` times
-what it can do at that moment, for `fall_within` seconds. Each judges the worker by what it has served by a warm
-one, which is its own traffic's part of that; the sum over the fleet is what all of them do there. Of the rule's
-multiple PART is used; the rest is for skew and stale views. Credit is work in seconds.
+what it can do at that moment, for `fall_within` seconds. Each judges the worker by what it has served by a
+warm one, which is its own traffic's part of that; the sum over the fleet is what all of them do there. Of the
+rule's multiple PART is used; the rest is for skew and stale views. Credit is work in seconds.
 
 | how many share the fleet | credit at a start | a job may go if the credit is |
 | --- | --- | --- |
 | up to FEW | down to a whole job with its fetch below 0, drawn | at least its cost: saved up before |
 | more | as far below 0 as this dispatcher's place says | 0 or more: its cost is then owed |
 
-Among many a part is worth far less than one job while the worker is cold, so to save one up first would mean that
-nobody ever sends it anything. With places spread evenly over the length of a job, the sends of all come to what
-all parts add up to, each at its turn, whatever the traffic of each is.
+Among many a part is worth far less than one job while the worker is cold, so to save one up first would mean
+that nobody ever sends it anything. With places spread evenly over the length of a job, the sends of all come
+to what all parts add up to, each at its turn, whatever the traffic of each is.
 """
 
 from collections.abc import Callable
@@ -20,8 +20,9 @@
 from random import Random
 
 from finchladder.core.api import Settings
-from finchladder.core.records import Worker
 from finchladder.core.recalls import FEW
+from finchladder.core.records import Worker
+from finchladder.core.wheel import Wheel
 
 PART = 0.3  # of the rule's allowance
 
@@ -55,10 +56,19 @@
     def allows(
         self, w: Worker, now: float, warm_rate: float, most: float, cost: Callable[[], float]
     ) -> bool:
-        """`warm_rate`: work that this dispatcher has a warm worker do, in seconds a second."""
+        """`warm_rate`: work that this dispatcher has a warm worker of like size do, in seconds a second."""
         since = max(w.credit_at, w.born)
-        part = self.s.cold_from + (1 - self.s.cold_from) * (since - w.born) / self.s.cold_for
+        # one of many asks seldom, and what the worker can do grows meanwhile: half of that time counts
+        age = since - w.born + ((now - since) / 2 if self.many else 0.0)
+        part = self.s.cold_from + (1 - self.s.cold_from) * age / self.s.cold_for
         rate = PART * self.s.fall_multiple * part * warm_rate
         saved = max(most, rate * self.s.fall_within) - (most if self.many else 0.0)
         w.cold_credit, w.credit_at = min(w.cold_credit + rate * (now - since), saved), now
         return w.cold_credit >= (0.0 if self.many else cost())
+
+    def some(self, cold: Wheel[Worker], most: int, random: Random) -> list[Worker]:
+        """So many of the cold ones, from a place that is drawn; none for a few dispatchers.
+
+        A turn at one of many would mostly pass unused: a dispatcher has few jobs whose home it is.
+        """
+        return cold.some(random.randrange(max(1, len(cold) - most + 1)), most) if self.many and cold else []
--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -34,11 +34,12 @@
 
 
 class Crowd:
-    __slots__ = ("sizes", "top", "elsewhere", "look_at", "runs")
+    __slots__ = ("sizes", "top", "mean", "elsewhere", "look_at", "runs")
 
     def __init__(self) -> None:
         self.sizes: dict[str, float] = {}  # by kind: the largest weight that was told
         self.top = 0.0  # of all kinds
+        self.mean = 0.0  # of the warm ones, by what sizes their kinds have; 0: not known
         self.elsewhere = NEVER  # what the better workers offer, as a `finish`
         self.look_at = 0.0
         self.runs: dict[str, float] = {}  # by class: a common running time on the largest, without a fetch
@@ -83,8 +84,15 @@
             return
         self.look_at = now + LOOK_EVERY_S
         step = max(1, len(workers) // LOOK_AT)
-        found = sorted(w.finish for w in islice(workers.values(), 0, None, step) if fit(w))
+        fits = [w for w in islice(workers.values(), 0, None, step) if fit(w)]
+        found = sorted(w.finish for w in fits)
         self.elsewhere = found[int(BEST * len(found))] if found else NEVER
+        sizes = [self.sizes[w.kind] for w in fits if w.weight]
+        self.mean = sum(sizes) / len(sizes) if sizes else self.mean
+
+    def size(self, w: Worker) -> float:
+        """Its full size over the mean of the warm ones; 1 where that is not known."""
+        return self.sizes[w.kind] / self.mean if w.weight and self.mean else 1.0
 
     def draw(self, able: Sequence[Worker], zone: str, random: Random) -> Worker:
         """One of workers whose loads are alike. Without weights the last one, those in the own zone first."""
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -260,14 +260,16 @@
                 if able:
                     return self.crowd.draw(least(able), self.s.zone, self.random)
                 full += pair
-            if any(self._permitted(job, w) for w in full):
-                return None  # worth waiting for: anywhere else it would fetch
+            if (cold := self._cold_ones(job, pool)) or any(self._permitted(job, w) for w in full):
+                # homes are worth waiting for: anywhere else it would fetch, and push out what others need
+                return self.crowd.draw(cold, self.s.zone, self.random) if cold else None
         return self._least_loaded(job, pool)
 
     def _least_loaded(self, job: Job, pool: Pool) -> Worker | None:
         """From the lowest load up; where the first few may not get it, the best of a few others."""
         if self.crowd.top:
-            seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE)]
+            turns = self._cold_ones(job, pool) if job.key is None else []
+            seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE), *turns]
             able = least(w for w in seen if self._takes(job, w, 0.0 if job.key is None else FETCH))
             return self.crowd.draw(able, self.s.zone, self.random) if able else None
         passed: list[Worker] = []
@@ -285,6 +287,12 @@
                 found = min(able, key=lambda w: (w.load, not self._is_near(w)), default=None)
         return found
 
+    def _cold_ones(self, job: Job, pool: Pool) -> list[Worker]:
+        """Those at which it is this dispatcher's turn among many: they keep nothing yet to be lost."""
+        some = self.cold.some(self.fleet.cold, SAMPLE, self.random) if self.crowd.top else []
+        turns = (w for w in some if self._cold_may_take(job, w) and pool in w.pools)
+        return least(w for w in turns if self._takes(job, w, FETCH))
+
     def _takes(self, job: Job, w: Worker, fetch: float = 0.0) -> bool:
         """Whether it may get the job now, and would end it in time as far as the list's weights tell."""
         if not (self._under_t(w) and self._permitted(job, w)):
@@ -350,10 +358,11 @@
             return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
-        if not self.fleet.is_cold(w, self.now):
-            return True
-        cost = partial(self._cold_cost, job, w)
-        return self.cold.allows(w, self.now, self.warm_rate, self._mean_run() * (1 + FETCH), cost)
+        return not self.fleet.is_cold(w, self.now) or self._cold_may_take(job, w)
+
+    def _cold_may_take(self, job: Job, w: Worker) -> bool:
+        rate, cost = self.warm_rate * self.crowd.size(w), partial(self._cold_cost, job, w)
+        return self.cold.allows(w, self.now, rate, self._mean_run() * (1 + FETCH), cost)
 
     def _resend_allowed(self, job: Job) -> bool:
         """Effect class: UNSAFE never once it may have run, KEYED only within its window."""
--- a/finchladder/core/wheel.py
+++ b/finchladder/core/wheel.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Hashable
 from heapq import heappop, heappush
+from itertools import islice
 from math import floor
 from typing import Generic, TypeVar
 
@@ -58,3 +59,7 @@
                 del self.where[key]
             found += slot.values()
         return found
+
+    def some(self, first: int, most: int) -> list[T]:
+        """Those held from the place `first`, in the order in which they came; O(first + most)."""
+        return [self.slots[number][key] for key, number in islice(self.where.items(), first, first + most)]
