A dispatcher among many has its turn at each cold real server, in place of nothing

The line at fault was _permitted's `_cold_credit(w) >= _cold_cost(job, w)`: credit began as much as a job with its fetch below 0 and had to reach that cost above 0, at 0.3 of the rule's multiple of what this dispatcher has a warm one do (about 0.01 s a second): of 200 dispatchers none gets there within `coldS`. Ruled out: the list (told within 3 s), connects (none refused there), ejection (none of them was).

Change: core/cold.py. With more than 8 dispatchers (the bound that recalls.py has) a send needs credit of 0 or more and is owed afterwards; debts at a start are spread evenly by the dispatcher's number (van der Corput, turned by a hash for each start), so that the fleet's sends add up to the sum of all shares and do not fall together. A turn is used before a job waits for full homes or looks for the least-loaded, as few jobs of one dispatcher are at home there. The share follows the size that live weights tell. Up to 8 dispatchers decide as before. The constant 0.3 is as it was.

--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator  # noqa: I001
+from functools import partial
 from itertools import islice
 from math import inf
 from random import Random
@@ -19,6 +20,7 @@
 )  # fmt: skip
 from finchladder.core.agenda import Agenda
 from finchladder.core.asking import Asking
+from finchladder.core.cold import Cold
 from finchladder.core.counts import KeyCounts
 from finchladder.core.crowd import FETCH, Crowd, least
 from finchladder.core.fleet import Fleet, Pool
@@ -33,7 +35,6 @@
 BACK = 0.4  # the share after a trial that went well: one good ending is no proof yet
 STALL = 3.0  # of the shortest aim: a job that waits so long at a silent worker is taken elsewhere
 EJECT_SHARE = 0.5  # more sick workers than this share of the ready: the signal is wrong, not the fleet
-COLD_SHARE = 0.3  # part of the cold rule's allowance that is used; the rest is for skew and stale views
 RETRY_SHARE, RETRY_MOST = 0.2, 10.0  # retries of what may have run: a share of the requests, saved up so far
 SMOOTH = 0.1  # weight of a new observation in running means
 STRAINED = 0.1  # above this share of placings that find no room, work beyond a tenant's share is turned away
@@ -60,7 +61,7 @@
         self.held: dict[Line, Held] = {(0, n): Held() for n in self.run}
         self.ejected: dict[str, Worker] = {}
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
-        self.key_counts, self.crowd = KeyCounts(), Crowd()
+        self.key_counts, self.crowd, self.cold = KeyCounts(), Crowd(), Cold(settings)
         self.tell_at = self.scan_at = 0.0
         self.strain = 0.0  # moving share of placings that found the fleet full
         self.told = Told(len(self.tenants))
@@ -259,14 +260,16 @@
                 if able:
                     return self.crowd.draw(least(able), self.s.zone, self.random)
                 full += pair
-            if any(self._permitted(job, w) for w in full):
-                return None  # worth waiting for: anywhere else it would fetch
+            if (cold := self._cold_ones(job, pool)) or any(self._permitted(job, w) for w in full):
+                # homes are worth waiting for: anywhere else it would fetch, and push out what others need
+                return self.crowd.draw(cold, self.s.zone, self.random) if cold else None
         return self._least_loaded(job, pool)
 
     def _least_loaded(self, job: Job, pool: Pool) -> Worker | None:
         """From the lowest load up; where the first few may not get it, the best of a few others."""
         if self.crowd.top:
-            seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE)]
+            turns = self._cold_ones(job, pool) if job.key is None else []
+            seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE), *turns]
             able = least(w for w in seen if self._takes(job, w, 0.0 if job.key is None else FETCH))
             return self.crowd.draw(able, self.s.zone, self.random) if able else None
         passed: list[Worker] = []
@@ -284,6 +287,12 @@
                 found = min(able, key=lambda w: (w.load, not self._is_near(w)), default=None)
         return found
 
+    def _cold_ones(self, job: Job, pool: Pool) -> list[Worker]:
+        """Those at which it is this dispatcher's turn among many: they keep nothing yet to be lost."""
+        some = self.cold.some(self.fleet.cold, SAMPLE, self.random) if self.crowd.top else []
+        turns = (w for w in some if self._cold_may_take(job, w) and pool in w.pools)
+        return least(w for w in turns if self._takes(job, w, FETCH))
+
     def _takes(self, job: Job, w: Worker, fetch: float = 0.0) -> bool:
         """Whether it may get the job now, and would end it in time as far as the list's weights tell."""
         if not (self._under_t(w) and self._permitted(job, w)):
@@ -349,7 +358,11 @@
             return False
         if w.sick > SUSPECT and not self._healthy_enough(job, w):
             return False
-        return not self.fleet.is_cold(w, self.now) or self._cold_credit(w) >= self._cold_cost(job, w)
+        return not self.fleet.is_cold(w, self.now) or self._cold_may_take(job, w)
+
+    def _cold_may_take(self, job: Job, w: Worker) -> bool:
+        rate, cost = self.warm_rate * self.crowd.size(w), partial(self._cold_cost, job, w)
+        return self.cold.allows(w, self.now, rate, self._mean_run() * (1 + FETCH), cost)
 
     def _resend_allowed(self, job: Job) -> bool:
         """Effect class: UNSAFE never once it may have run, KEYED only within its window."""
@@ -490,21 +503,6 @@
         fetches = job.key is not None and job.key not in w.fetched
         return self._cost(job) + (FETCH * self._mean_run() if fetches else 0.0)
 
-    def _cold_credit(self, w: Worker) -> float:
-        """This node's share of what a cold worker may be sent: the rule's multiple of its capacity now.
-
-        Capacity is judged by what this dispatcher has served by a warm worker, so all nodes together stay
-        within the rule though none knows of the others. Credit starts at random: nodes told together of a
-        start must not all send at once.
-        """
-        since = max(w.credit_at, w.born)
-        part = self.s.cold_from + (1 - self.s.cold_from) * (since - w.born) / self.s.cold_for
-        rate = COLD_SHARE * self.s.fall_multiple * part * self.warm_rate
-        w.cold_credit += rate * (self.now - since)
-        most = max(self._mean_run() * (1 + FETCH), rate * self.s.fall_within)
-        w.cold_credit, w.credit_at = min(w.cold_credit, most), self.now
-        return w.cold_credit
-
     def _learn_warm_rate(self) -> None:
         span = self.now - self.warm_since
         if span < self.s.fall_within:
@@ -542,9 +540,9 @@
             if not ready:
                 return None
             w = self.workers[e.worker] = Worker(e, T_START)
-            w.cold_credit = self._first_credit()
+            w.cold_credit = self._first_credit(e)
         elif e.born > w.born:
-            w.restart(e.born, T_START, self._first_credit())
+            w.restart(e.born, T_START, self._first_credit(e))
             self.ejected.pop(w.address, None)
         elif (w.zone, w.kind, w.cell, w.ready) == (e.zone, e.kind, e.cell, ready):
             return None
@@ -553,8 +551,8 @@
             self.ejected.pop(w.address, None)
         return w if self.fleet.update(w, e) else None
 
-    def _first_credit(self) -> float:
-        return -self.random.random() * self._mean_run() * (1 + FETCH)
+    def _first_credit(self, e: WorkerEntry) -> float:
+        return self.cold.first(e.worker, e.born, self._mean_run() * (1 + FETCH), self.random)
 
     def _ask(self) -> None:
         """Where the list must be asked for: stay subscribed, so that this node is never deemed told."""
