--- a/benchmarks/fleet_counts.py
+++ b/benchmarks/fleet_counts.py
@@ -1,11 +1,12 @@
 """Counts across the captures of a whole fleet: what harms only because all dispatchers do it shows here.
 
-    python benchmarks/fleet_counts.py FOLDER [--every 2.5]
+    python benchmarks/fleet_counts.py FOLDER [--every 2.5] [--cold 8.5]
 
 FOLDER holds one file for each dispatcher, `*.log` or `*.jsonl`, with capture lines (`folder = -` in
 `[capture]`) among others; what stands before the first brace of a line is left out. Per span of time: sends
 by how they ended, refusals, lists heard, dispatchers that heard one, and the most sends to one real server
-over their mean.
+over their mean. With `--cold`, also the sends to real servers that started so few seconds ago, by the starts
+that any dispatcher's list told of.
 """
 
 import argparse
@@ -28,8 +29,22 @@
             yield line
 
 
-def count(fleet: dict[str, Iterable[Line]], every_s: float) -> list[tuple[float, Counter[str], float]]:
+def starts(fleet: dict[str, list[Line]]) -> dict[str, float]:
+    """When each real server last started, in seconds, as any list had it; those of long ago are left out."""
+    born: dict[str, float] = {}
+    for lines in fleet.values():
+        for line in lines:
+            for name, *rest in line["entries"] if line.get("in") == "list" else ():
+                if rest[4] > born.get(name, 0.0):  # state, zone, kind, cell, start
+                    born[name] = rest[4]
+    return born
+
+
+def count(
+    fleet: dict[str, list[Line]], every_s: float, cold_s: float = 0.0
+) -> list[tuple[float, Counter[str], float]]:
     """Spans in order: start in seconds, counts by name, most over mean of the sends to a real server."""
+    born = starts(fleet) if cold_s else {}
     spans: defaultdict[int, Counter[str]] = defaultdict(Counter)
     servers: defaultdict[int, Counter[str]] = defaultdict(Counter)
     heard: defaultdict[int, set[str]] = defaultdict(set)
@@ -41,6 +56,8 @@
                 sent[line["id"]].append(span)
                 servers[span][line["server"]] += 1
                 spans[span]["send"] += 1
+                if 0 <= line["t"] - born.get(line["server"], -cold_s) < cold_s:
+                    spans[span]["send to a cold one"] += 1
             elif line.get("out") in ("refuse", "fail"):
                 spans[span][line["out"]] += 1
             elif line.get("in") == "list":
@@ -65,10 +82,11 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("folder", type=Path)
     parser.add_argument("--every", type=float, default=2.5, metavar="S", help="length of a span, seconds")
+    parser.add_argument("--cold", type=float, default=0.0, metavar="S", help="a start stays cold, seconds")
     args = parser.parse_args()
     files = sorted([*args.folder.glob("*.log"), *args.folder.glob("*.jsonl")])
     fleet = {f.stem: list(lines_of(f.read_text(errors="replace").splitlines())) for f in files}
-    for start, counts, most in count(fleet, args.every):
+    for start, counts, most in count(fleet, args.every, args.cold):
         told = ", ".join(f"{name} {n}" for name, n in sorted(counts.items()))
         print(f"{start:6.1f} s  most/mean {most:.1f}  {told}")
 
--- a/finchladder/core/cold.py
+++ b/finchladder/core/cold.py
@@ -53,10 +53,8 @@
         digest = blake2b(f"{worker}/{born}".encode(), digest_size=4).digest()
         return -((self.place + int.from_bytes(digest, "big") / 2**32) % 1.0) * most
 
-    def allows(
-        self, w: Worker, now: float, warm_rate: float, most: float, cost: Callable[[], float]
-    ) -> bool:
-        """`warm_rate`: work that this dispatcher has a warm worker of like size do, in seconds a second."""
+    def allows(self, w: Worker, now: float, warm_rate: float, most: float, cost: Callable[[], float]) -> bool:
+        """`warm_rate`: work that it has a warm worker do (among many: of like size), in seconds a second."""
         since = max(w.credit_at, w.born)
         # one of many asks seldom, and what the worker can do grows meanwhile: half of that time counts
         age = since - w.born + ((now - since) / 2 if self.many else 0.0)
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -361,7 +361,8 @@
         return not self.fleet.is_cold(w, self.now) or self._cold_may_take(job, w)
 
     def _cold_may_take(self, job: Job, w: Worker) -> bool:
-        rate, cost = self.warm_rate * self.crowd.size(w), partial(self._cold_cost, job, w)
+        rate = self.warm_rate * (self.crowd.size(w) if self.cold.many else 1.0)
+        cost = partial(self._cold_cost, job, w)
         return self.cold.allows(w, self.now, rate, self._mean_run() * (1 + FETCH), cost)
 
     def _resend_allowed(self, job: Job) -> bool:
--- a/tests/core/test_cold.py
+++ b/tests/core/test_cold.py
@@ -5,9 +5,10 @@
 import pytest
 
 from finchladder import Dispatcher, api
-from finchladder.core.cold import place
+from finchladder.core.cold import PART, place
 from finchladder.core.crowd import FETCH
 from finchladder.core.policy import SWEEP
+from finchladder.core.recalls import FEW
 from tests.helpers import entry, settings, workers
 
 FLEET, WARM, RUN_S, JOBS_S = 200, 20, 0.1, 300.0  # jobs a second of all; each warm one is busy with 1.5
@@ -120,3 +121,24 @@
     places = sorted(place(i) for i in range(first, first + run))
     gaps = [b - a for a, b in zip([places[-1] - 1, *places], places, strict=False)]
     assert max(gaps) <= 3 / run
+
+
+@pytest.mark.parametrize(("dispatchers", "slow_gets"), [(8, 1.0), (9, 2 / 3)])
+def test_among_many_a_cold_one_s_part_goes_by_its_size(dispatchers: int, slow_gets: float) -> None:
+    rule = settings(dispatchers=dispatchers, weights_live=True, kinds=("fast", "slow"), **RULE)
+    d = Dispatcher(rule, 1)
+    sizes = {"fast": 4.0, "slow": 2.0}
+    warm = [entry(f"{kind}{n}", kind=kind, weight=size) for kind, size in sizes.items() for n in range(4)]
+    cold = [entry(f"cold-{kind}", kind=kind, weight=size, born=100.0) for kind, size in sizes.items()]
+    d.handle(100.0, api.WorkerList(api.ListKind.WHOLE, (*warm, *cold)))
+    d.warm_rate = 0.01
+    d.handle(101.0, api.Request("r", "safe", 10.0))
+    gained = {}
+    for kind in sizes:
+        w = d.workers[f"cold-{kind}"]
+        w.cold_credit, w.credit_at = -1.0, 101.0
+        d.now = 102.0
+        assert not d._cold_may_take(d.jobs["r"], w)
+        gained[kind] = w.cold_credit + 1.0
+    mean = rule.fall_multiple * PART * 0.01 * (0.3 + 0.7 * (1.5 if dispatchers > FEW else 1.0) / 8.5)
+    assert gained["slow"] == pytest.approx(slow_gets * mean)
--- a/tests/core/test_fleet_counts.py
+++ b/tests/core/test_fleet_counts.py
@@ -28,3 +28,16 @@
     assert first[0] == 0.0 and first[2] == 4 / 3  # two of three at one of two
     assert first[1] == {"send": 3, "returned": 1, "done": 1, "list": 1, "dispatchers told": 1}
     assert (second[0], dict(second[1])) == (2.0, {"refuse": 1})
+
+
+BORN = """{"t":99.0,"in":"list","entries":[["s1","ready","z","k",0,98.0,4],["s2","ready","z","k",0,0.0,4]]}
+{"t":100.0,"out":"send","id":"a","server":"s1"}
+{"t":100.0,"out":"send","id":"b","server":"s2"}
+{"t":106.6,"out":"send","id":"c","server":"s1"}"""
+OTHER = """{"t":100.1,"out":"send","id":"d","server":"s1"}"""  # its list did not tell of the start yet
+
+
+def test_sends_to_cold_ones_are_counted_by_what_any_dispatcher_was_told() -> None:
+    fleet = {name: list(counts.lines_of(text.splitlines())) for name, text in (("n0", BORN), ("n1", OTHER))}
+    assert [c["send to a cold one"] for _, c, _ in counts.count(fleet, 100.0, 8.5)] == [0, 2]
+    assert [c["send to a cold one"] for _, c, _ in counts.count(fleet, 100.0)] == [0, 0]
