--- a/tests/core/test_cold.py
+++ b/tests/core/test_cold.py
@@ -142,3 +142,4 @@
         gained[kind] = w.cold_credit + 1.0
     mean = rule.fall_multiple * PART * 0.01 * (0.3 + 0.7 * (1.5 if dispatchers > FEW else 1.0) / 8.5)
     assert gained["slow"] == pytest.approx(slow_gets * mean)
+    assert gained["fast"] == pytest.approx((2 - slow_gets) * mean)
