--- a/finchladder/core/counts.py
+++ b/finchladder/core/counts.py
@@ -1,9 +1,26 @@
-"""How often each key was asked for of late: counts that fade, each when it is next looked at."""
+"""How often each key was asked for of late: counts that fade, each when it is next looked at.
+
+| how many share the fleet | counts fade | a key's share of the traffic | pairs of homes |
+| --- | --- | --- | --- |
+| up to FEW | each turn | its part of the count | its share of the workers |
+| more | each turn with ENOUGH new ones | the same without its latest request | SPREAD times as many |
+
+One of many sees a few requests in a turn: counts that fade by time never come to HOT_MIN there, and no key is
+ever taken for hot. A key that was seen once is one that happened to come, so its latest request is left out.
+Its homes are then more, as all dispatchers together would still bury the two that would do by the mean.
+"""
 
 from collections import OrderedDict
 
+from finchladder.core.api import Settings
+from finchladder.core.cold import place
+from finchladder.core.recalls import FEW
+
 FADE = 0.1  # part that a count loses with each turn; at 1 - FADE it is forgotten
 HOT_MIN = 50.0  # requests seen before a key's share of them is believed
+ENOUGH = 20.0  # requests, for counts of one among many to fade: they hold what the last 200 asked for
+SPREAD = 4.0  # a home of a hot key gets an eighth of what it can do from it: other keys live there, too
+GOLDEN = (5**0.5 - 1) / 2
 MOST = 16384  # keys counted at once, about 300 bytes each: beyond it a new key counts as not seen
 
 
@@ -18,14 +35,18 @@
 class KeyCounts:
     """Costs: add, count O(log count); fade O(1), where fading all at once would cost O(keys)."""
 
-    __slots__ = ("seen", "total", "turn")
+    __slots__ = ("seen", "total", "turn", "many", "fresh", "turn_at")
 
-    def __init__(self) -> None:
+    def __init__(self, settings: Settings) -> None:
+        self.many = settings.dispatchers > FEW and not settings.weights_live
+        self.fresh = 0.0  # seen since the last turn
+        self.turn_at = place(max(0, settings.index))  # among the homes of a hot key, 0 to 1: see `homes`
         self.seen: OrderedDict[int, tuple[float, int]] = OrderedDict()  # the count, and as of which turn
         self.total, self.turn = 0.0, 0
 
     def add(self, key: int) -> None:
         self.total += 1
+        self.fresh += 1
         if (held := self.seen.get(key)) is None:
             self._tidy()
             if len(self.seen) < MOST:
@@ -52,12 +73,24 @@
         """How many pairs of workers the key's traffic needs, and the one whose turn it is.
 
         Each node sees only its own few jobs of a hot key, so all would find its one pair calm and bury it;
-        but each sees what share of the traffic the key has, and comes to the same number of homes.
+        but each sees what share of the traffic the key has, and comes to much the same number of homes. They
+        are the first ones round the key's rings, so one that takes it for hotter only adds some.
         """
         part = self.share(key) if self.total > HOT_MIN else 0.0
-        homes = int(part * workers) or 1
-        return homes, int(self.count(key)) % homes if homes > 1 else 0
+        if not self.many:
+            homes = int(part * workers) or 1
+            return homes, int(self.count(key)) % homes if homes > 1 else 0
+        homes = min(int(SPREAD * (part - (part and 1 / self.total)) * workers), workers)
+        if homes < 2:
+            return 1, 0
+        # counts come to rest at the same figure at all: each goes round in steps that fill the whole evenly,
+        # from a place of its own
+        self.turn_at = (self.turn_at + GOLDEN) % 1.0
+        return homes, int(self.turn_at * homes)
 
     def fade(self) -> None:
+        if self.many and self.fresh < ENOUGH:
+            return
+        self.fresh = 0.0
         self.turn += 1
         self.total *= 1 - FADE
--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -20,8 +20,9 @@
 from itertools import islice
 from random import Random
 
-from finchladder.core.api import JobClass, State, WorkerEntry
+from finchladder.core.api import JobClass, Settings, State, WorkerEntry
 from finchladder.core.records import Worker
+from finchladder.core.sizes import Sizes
 
 ONE = 0.25  # the next job, in requests a core: no setting tells of cores, four are the usual
 FAR = 0.3  # a crossing between zones counts as so much of a mean run
@@ -34,9 +35,11 @@
 
 
 class Crowd:
-    __slots__ = ("sizes", "top", "mean", "elsewhere", "look_at", "runs")
+    __slots__ = ("sizes", "top", "mean", "elsewhere", "look_at", "runs", "live", "untold")
 
-    def __init__(self) -> None:
+    def __init__(self, settings: Settings) -> None:
+        self.live = settings.weights_live
+        self.untold = Sizes(settings)  # what ties go by where the weights are not live
         self.sizes: dict[str, float] = {}  # by kind: the largest weight that was told
         self.top = 0.0  # of all kinds
         self.mean = 0.0  # of the warm ones, by what sizes their kinds have; 0: not known
@@ -44,8 +47,14 @@
         self.look_at = 0.0
         self.runs: dict[str, float] = {}  # by class: a common running time on the largest, without a fetch
 
+    @property
+    def draws(self) -> bool:
+        """Whether ties are drawn: own slots tell too little of how full the workers are."""
+        return self.top > 0 or self.untold.draws
+
     def ran(self, w: Worker, cls: JobClass, took_s: float) -> None:
         """A job that fetched took longer than most: a low percentile is hardly moved by it."""
+        self.untold.ran(w, cls, took_s)
         if w.weight:
             took_s *= self.sizes[w.kind] / self.top
             run = self.runs.get(cls.name, cls.aim)
@@ -67,6 +76,8 @@
         return waited_s + (w.finish - slow + fetch) * mean_run_s + run * slow <= cls.aim + cls.stretch * run
 
     def told(self, workers: dict[str, Worker], entries: Sequence[WorkerEntry]) -> None:
+        if not self.live:
+            return self.untold.told(workers, entries)
         for e in entries:
             if e.weight > self.sizes.get(e.kind, 0.0) and e.state is not State.GONE:
                 self.sizes[e.kind] = e.weight
@@ -98,6 +109,8 @@
         """One of workers whose loads are alike. Without weights the last one, those in the own zone first."""
         if len(able) == 1:
             return able[0]
+        if self.untold.draws:
+            return self.untold.draw(able, random)
         if not self.top:
             return [w for w in able if w.zone == zone or all(other.zone != zone for other in able)][-1]
         chances = [1.0 / (w.finish + FAR * (w.zone != zone)) ** 2 for w in able]
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -61,7 +61,7 @@
         self.held: dict[Line, Held] = {(0, n): Held() for n in self.run}
         self.ejected: dict[str, Worker] = {}
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
-        self.key_counts, self.crowd, self.cold = KeyCounts(), Crowd(), Cold(settings)
+        self.key_counts, self.crowd, self.cold = KeyCounts(settings), Crowd(settings), Cold(settings)
         self.tell_at = self.scan_at = 0.0
         self.strain = 0.0  # moving share of placings that found the fleet full
         self.told = Told(len(self.tenants))
@@ -267,7 +267,7 @@
 
     def _least_loaded(self, job: Job, pool: Pool) -> Worker | None:
         """From the lowest load up; where the first few may not get it, the best of a few others."""
-        if self.crowd.top:
+        if self.crowd.draws:
             turns = self._cold_ones(job, pool) if job.key is None else []
             seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE), *turns]
             able = least(w for w in seen if self._takes(job, w, 0.0 if job.key is None else FETCH))
@@ -528,8 +528,8 @@
         joined = [w for w in map(self._update_worker, e.entries) if w is not None]
         self.random.shuffle(joined)  # nodes must not walk the fleet in the same order
         self.fleet.enter(joined)
+        self.crowd.told(self.workers, e.entries)
         if self.s.weights_live:
-            self.crowd.told(self.workers, e.entries)
             self.crowd.look(self.now, self.workers, lambda w: w.ready and not self.fleet.is_cold(w, self.now))
         self.fleet.forget()
         self._ask()
--- a/finchladder/core/records.py
+++ b/finchladder/core/records.py
@@ -12,7 +12,8 @@
 class Worker:
     __slots__ = ("address", "zone", "kind", "cell", "born", "ready", "load", "t", "rest_until", "unstarted",
                  "sick", "ejected_until", "ejections", "cold_credit", "credit_at", "rests",
-                 "fetched", "heard", "turn", "level", "pools", "weight", "finish")  # fmt: skip
+                 "fetched", "heard", "turn", "level", "pools", "weight", "finish",
+                 "size", "pace")  # fmt: skip
 
     def __init__(self, e: WorkerEntry, t: float) -> None:
         self.address, self.zone, self.kind, self.cell = e.worker, e.zone, e.kind, e.cell
@@ -21,6 +22,7 @@
         self.unstarted: dict[Attempt, float] = {}  # attempts sent and not known to have started
         self.ready = False
         self.weight, self.finish = 0.0, 1.0  # see crowd.py; 0: not told, or it does not tell how full it is
+        self.size = 1.0  # as the list tells it once for all; see sizes.py
         self.turn = 0  # its place among those with the same load
         # kept by fleet.py: the pools that it is in, and its level there
         self.level: tuple[float, bool] | None = None
@@ -33,6 +35,7 @@
         self.t, self.rest_until, self.rests = t, 0.0, 0
         self.sick, self.ejected_until, self.ejections = 0.0, 0.0, 0
         self.cold_credit, self.credit_at = credit, born
+        self.pace = (0.0, 0.0)  # jobs that ran there, and how long against the usual; see sizes.py
         self.fetched: dict[int | None, None] = {}  # keys sent while cold: what they need is there
 
 
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -28,6 +28,7 @@
 from finchladder.core.records import Attempt, Job, Worker
 from finchladder.core.retries import Budget
 from finchladder.core.routes import Queue, Route, Routes
+from finchladder.core.sizes import Sizes
 from finchladder.core.spill import Spill
 from finchladder.core.spill import State as SpillState
 from finchladder.core.told import Told
@@ -37,7 +38,7 @@
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
 RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts, Asking, Told, Run, Scope, Limiter, Budget,
-                            Allowance, Times, Alarms, Spill, Crowd)  # fmt: skip
+                            Allowance, Times, Alarms, Spill, Crowd, Sizes)  # fmt: skip
 IN_PLACE: dict[type, tuple[str, ...]] = {  # records of which there are many, and their containers
     Worker: ("unstarted", "fetched"), Job: ("attempts",), Run: (),
 }  # fmt: skip
--- a/finchladder/lab/floor.py
+++ b/finchladder/lab/floor.py
@@ -170,10 +170,10 @@
         if o.how != "refused"
     ]  # fmt: skip
     full = [o.arrived for o in outcomes if o.how == "refused"]
-    counted = _counted(e)
+    spans = counted(e)
     latency: dict[str, list[float]] = {}
     for o in outcomes:
-        if o.how == "done" and o.ended is not None and any(a <= o.arrived < b for a, b in counted):
+        if o.how == "done" and o.ended is not None and any(a <= o.arrived < b for a, b in spans):
             latency.setdefault(o.job.job_class, []).append(o.ended - o.arrived)
     return spread.World([s.name for s in servers], stays, full, over, length), latency
 
@@ -214,7 +214,8 @@
             kernel.at(one.at + one.for_s, lambda o=one, z=size: strike(o.fault.kind, o.targets, z, True))  # type: ignore[misc]
 
 
-def _counted(e: Experiment) -> list[tuple[float, float]]:
+def counted(e: Experiment) -> list[tuple[float, float]]:
+    """(from, to) of each phase that counts, in seconds from the first arrival."""
     found, at = [], 0.0
     for p in e.load.phase:
         if p.counted:
@@ -226,16 +227,26 @@
 def floors(e: Experiment) -> dict[str, dict[str, Any]]:
     """Figures of each policy, with keys where the experiment has such, by name. ValueError: no open loop."""
     found = {}
-    counted = _counted(e)
-    if not counted:
+    if not counted(e):
         raise ValueError("load: no phase counts")
     for keyed in [False, True] if e.keys.count else [False]:
         for name in POLICIES:
             world, latency = play(e, name, keyed)
-            f = spread.figures(world, spread.grid(world), counted[0][0], counted[-1][1])
-            f["latency"] = {
-                c: {p: float(np.percentile(values, q)) * 1000 for p, q in (("p50_ms", 50), ("p99_ms", 99))}
-                for c, values in sorted(latency.items())
-            }
-            found[f"{name}, keys" if keyed else name] = f
+            found[f"{name}, keys" if keyed else name] = row(e, world, latency)
     return found
+
+
+def row(e: Experiment, world: spread.World, latency: dict[str, list[float]]) -> dict[str, Any]:
+    """Figures of spread over the phases that count, and latencies."""
+    spans = counted(e)
+    f = spread.figures(world, spread.grid(world), spans[0][0], spans[-1][1])
+    f["latency"] = {
+        c: {p: float(np.percentile(values, q)) * 1000 for p, q in (("p50_ms", 50), ("p99_ms", 99))}
+        for c, values in sorted(latency.items())
+    }
+    return f
+
+
+def key_number(text: str) -> int | None:
+    """A key as the decisions take it: any number, the same for the same text."""
+    return _hash(text) >> 11 if text else None
--- a/finchladder/lab/spread.py
+++ b/finchladder/lab/spread.py
@@ -132,8 +132,9 @@
 
 def _steps(since: float, until: float, steps: int) -> tuple[int, int]:
     """The steps whose moment lies in [since, until)."""
-    a = min(steps, max(0, int(np.ceil(since / STEP_S - 1e-9))))
-    b = steps if until == np.inf else min(steps, max(0, int(np.ceil(until / STEP_S - 1e-9))))
+    a, b = (
+        steps if t == np.inf else min(steps, max(0, int(np.ceil(t / STEP_S - 1e-9)))) for t in (since, until)
+    )
     return a, max(a, b)
 
 
--- a/tests/core/oracle.py
+++ b/tests/core/oracle.py
@@ -113,6 +113,7 @@
 class AllCounts(KeyCounts):
     def __init__(self) -> None:
         self.all: dict[int, float] = {}
+        self.many = False
         self.total = 0.0
 
     def add(self, key: int) -> None:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -15,7 +15,7 @@
 from finchladder.config.options import Options
 from finchladder.core import api
 from finchladder.core.agenda import Agenda
-from finchladder.core.api import Effect, Ending, ListKind, State
+from finchladder.core.api import Effect, Ending, JobClass, ListKind, Settings, State
 from finchladder.core.counts import MOST, KeyCounts
 from finchladder.core.fleet import Fleet, Ring
 from finchladder.core.policy import SAMPLE, Dispatcher
@@ -297,7 +297,8 @@
 
 
 def test_key_counts_stay_bounded_and_forget_what_is_no_longer_asked_for() -> None:
-    counts, largest = KeyCounts(), 0
+    settings = Settings(classes=(JobClass("safe", Effect.SAFE, aim=1.0, deadline=5.0),))
+    counts, largest = KeyCounts(settings), 0
     for n in range(30_000):
         counts.add(n)
         if n % 1000 == 0:
