--- a/finchladder/core/counts.py
+++ b/finchladder/core/counts.py
@@ -18,8 +18,9 @@
 
 FADE = 0.1  # part that a count loses with each turn; at 1 - FADE it is forgotten
 HOT_MIN = 50.0  # requests seen before a key's share of them is believed
-ENOUGH = 20.0  # requests, for counts of one among many to fade: they hold what the last 200 asked for
-SPREAD = 4.0  # a home of a hot key gets an eighth of what it can do from it: other keys live there, too
+ENOUGH = 50.0  # requests, for counts of one among many to fade: they hold what the last 500 asked for
+UNSEEN = 25.0  # requests for no key of note that one among many counts as seen before
+SPREAD = 8.0  # a home of a hot key gets an eighth of what it can do from it: other keys live there, too
 GOLDEN = (5**0.5 - 1) / 2
 MOST = 16384  # keys counted at once, about 300 bytes each: beyond it a new key counts as not seen
 
@@ -76,11 +77,12 @@
         but each sees what share of the traffic the key has, and comes to much the same number of homes. They
         are the first ones round the key's rings, so one that takes it for hotter only adds some.
         """
-        part = self.share(key) if self.total > HOT_MIN else 0.0
         if not self.many:
+            part = self.share(key) if self.total > HOT_MIN else 0.0
             homes = int(part * workers) or 1
             return homes, int(self.count(key)) % homes if homes > 1 else 0
-        homes = min(int(SPREAD * (part - (part and 1 / self.total)) * workers), workers)
+        part = max(0.0, self.count(key) - 1) / (self.total + UNSEEN)
+        homes = min(int(SPREAD * part * workers), workers)
         if homes < 2:
             return 1, 0
         # counts come to rest at the same figure at all: each goes round in steps that fill the whole evenly,
--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -22,7 +22,7 @@
 
 from finchladder.core.api import JobClass, Settings, State, WorkerEntry
 from finchladder.core.records import Worker
-from finchladder.core.sizes import Sizes
+from finchladder.core.sizes import Portions, Sizes
 
 ONE = 0.25  # the next job, in requests a core: no setting tells of cores, four are the usual
 FAR = 0.3  # a crossing between zones counts as so much of a mean run
@@ -105,12 +105,15 @@
         """Its full size over the mean of the warm ones; 1 where that is not known."""
         return self.sizes[w.kind] / self.mean if w.weight and self.mean else 1.0
 
-    def draw(self, able: Sequence[Worker], zone: str, random: Random) -> Worker:
-        """One of workers whose loads are alike. Without weights the last one, those in the own zone first."""
+    def draw(self, able: Sequence[Worker], zone: str, random: Random, homes: Portions | None = None) -> Worker:
+        """One of workers whose loads are alike. Without weights the last one, those in the own zone first.
+
+        `homes`: they are homes of a key in that pool.
+        """
         if len(able) == 1:
             return able[0]
         if self.untold.draws:
-            return self.untold.draw(able, random)
+            return self.untold.draw(able, random, homes)
         if not self.top:
             return [w for w in able if w.zone == zone or all(other.zone != zone for other in able)][-1]
         chances = [1.0 / (w.finish + FAR * (w.zone != zone)) ** 2 for w in able]
--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -23,6 +23,7 @@
 POINTS = 32  # ring marks a worker and hash: evens out the arcs of neighbours
 ARC_BITS = 8  # a ring is cut into so many arcs (as a power of 2), each a sorted row of its own
 SHIFT = 64 - ARC_BITS
+WHOLE = 1 << 64  # a ring, all round
 KEPT_KEYS = 1024  # keys whose pairs are kept while the rings stay as they are: 0.5 MB for each needed kind
 FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
 
@@ -52,9 +53,10 @@
     stand as they came: at 10,000 workers one ring in 400 million has such a pair.)
     """
 
-    __slots__ = ("arcs", "size")
+    __slots__ = ("arcs", "size", "held")
 
     def __init__(self) -> None:
+        self.held: dict[Worker, int] = {}  # how much of the ring is each one's, in 2**-64 of it
         self.arcs: list[tuple[array[int], list[Worker]]] = [(array("Q"), []) for _ in range(1 << ARC_BITS)]
         self.size = 0
 
@@ -62,9 +64,15 @@
         for p in points:
             marks, owners = self.arcs[p >> SHIFT]
             at = bisect_left(marks, p)
+            if self.size:  # it takes a part of what was the next one's
+                part = (p - self._before(p >> SHIFT, at)) % WHOLE
+                self.held[owners[at] if at < len(owners) else next(self.after(p))] -= part
+            else:
+                part = WHOLE
+            self.held[w] = self.held.get(w, 0) + part
             marks.insert(at, p)
             owners.insert(at, w)
-        self.size += len(points)
+            self.size += 1
 
     def remove(self, w: Worker, points: "array[int]") -> None:
         for p in points:
@@ -72,8 +80,25 @@
             at = bisect_left(marks, p)
             while owners[at] is not w:  # two marks at one point
                 at += 1
+            part = (p - self._before(p >> SHIFT, at)) % WHOLE
             del marks[at], owners[at]
-        self.size -= len(points)
+            self.size -= 1
+            if self.size:
+                self.held[owners[at] if at < len(owners) else next(self.after(p))] += part
+        self.held.pop(w, None)
+
+    def _before(self, arc: int, at: int) -> int:
+        """The mark that stands before place `at` of that arc; round the ring."""
+        marks = self.arcs[arc][0]
+        while not at:
+            arc -= 1
+            marks = self.arcs[arc][0]
+            at = len(marks)
+        return marks[at - 1]
+
+    def portion(self, w: Worker) -> float:
+        """Its part of the keys over an even part; 1 where it is not on the ring."""
+        return self.held[w] / WHOLE * len(self.held) if w in self.held else 1.0
 
     def owner(self, point: int) -> Worker:
         """Of the first mark past the point; the ring must not be empty."""
@@ -112,6 +137,10 @@
         for ring, marks in zip(self.rings, points, strict=True):
             (ring.add if joins else ring.remove)(w, marks)
 
+    def portion(self, w: Worker) -> float:
+        """How much of the keys both hashes together name it for, over an even part."""
+        return (self.rings[0].portion(w) + self.rings[1].portion(w)) / 2
+
     def walk(self, key: int, count: int, first: int = 0) -> Iterator[list[Worker]]:
         """So many pairs of the key: its owners on both rings, then the next owners that are not named yet.
 
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -258,7 +258,7 @@
             for pair in self._pairs(pool, job.key):
                 able = [w for w in pair if self._takes(job, w)]
                 if able:
-                    return self.crowd.draw(least(able), self.s.zone, self.random)
+                    return self.crowd.draw(least(able), self.s.zone, self.random, pool)
                 full += pair
             if (cold := self._cold_ones(job, pool)) or any(self._permitted(job, w) for w in full):
                 # homes are worth waiting for: anywhere else it would fetch, and push out what others need
--- a/finchladder/core/sizes.py
+++ b/finchladder/core/sizes.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable, Sequence
 from math import inf
 from random import Random
+from typing import Protocol
 
 from finchladder.core.api import JobClass, Settings, State, WorkerEntry
 from finchladder.core.recalls import FEW
@@ -31,6 +32,10 @@
 FAR = 0.25  # chance of one in another zone, against one as large in the own: a crossing has its price
 
 
+class Portions(Protocol):
+    def portion(self, w: Worker) -> float: ...
+
+
 class Sizes:
     """`draws`: whether ties are drawn at all; a few dispatchers know the fleet by their own slots."""
 
@@ -72,13 +77,17 @@
         kind = self.kinds.get(w.kind)
         return w.size * (_factor(kind, KIND_K) if kind else 1.0) * _factor(w.pace, OWN_K)
 
-    def draw(self, able: Sequence[Worker], random: Random) -> Worker:
+    def draw(self, able: Sequence[Worker], random: Random, homes: "Portions | None" = None) -> Worker:
         """One of workers whose loads are alike, so that over all ties each gets work by its size.
 
         Of two the larger wins more often than its size says, as it meets its like, too; of many it need not.
+        `homes`: in a pool that has them as homes of a key; who is home to more keys wins less often.
         """
         power = 1 + 1 / (len(able) - 1)
-        chances = [self.of(w) ** power * (1.0 if w.zone == self.zone else FAR) for w in able]
+        chances = []
+        for w in able:
+            size = self.of(w) / (homes.portion(w) if homes is not None else 1.0)
+            chances.append(size**power * (1.0 if w.zone == self.zone else FAR))
         at = random.random() * sum(chances)
         for w, chance in zip(able, chances, strict=True):
             at -= chance
