--- a/finchladder/cli/lab.py
+++ b/finchladder/cli/lab.py
@@ -54,6 +54,8 @@
     floor.add_argument("--seed", type=int, help="in place of the file's")
     floor.add_argument("--set", dest="sets", action="append", default=[], metavar="KEY=VALUE",
                        help="in place of the file's, by dotted name")  # fmt: skip
+    floor.add_argument("--decisions", action="store_true",
+                       help="also the program's own decisions, one module a dispatcher")  # fmt: skip
     floor.add_argument("--into", type=Path, metavar="DIR", help="a run's folder, whose report shows them")
     for name, text in (
         ("report", "write summary.json and report.html anew from a run's ledger"),
@@ -254,7 +256,7 @@
     """The floors of each variant of a file, as a table each; with --into, those of the first go there."""
     import msgspec
 
-    from finchladder.lab import floor, spread
+    from finchladder.lab import decisions, floor, spread
     from finchladder.lab.check import Unusable, load
 
     if args.into is not None and not (args.into / "ledger").is_dir():
@@ -263,6 +265,8 @@
     for variant in load(args.file, args.sets, args.seed, 1, processes=False):
         try:
             found = floor.floors(variant.experiment)
+            if args.decisions:
+                found["the program's decisions"] = decisions.figures(variant.experiment)
         except ValueError as e:
             raise Unusable(f"{args.file}: {e}") from None
         first = found if first is None else first
--- a/tests/lab/test_many.py
+++ b/tests/lab/test_many.py
@@ -1,7 +1,7 @@
-"""Nine processes of the program and faults between them: what all of them together must keep, whatever the time.
+"""Nine processes of the program and faults between them: what all of them together must keep.
 
-Nine are more than the eight up to which a dispatcher counts as one of a few. Verdicts are counts of the judge,
-and shares of jobs that no lateness can turn.
+Nine are more than the eight up to which a dispatcher counts as one of a few. Verdicts are counts of the
+judge, and shares of jobs that no lateness can turn.
 """
 
 from collections import Counter
--- a/tests/lab/test_spread.py
+++ b/tests/lab/test_spread.py
@@ -7,7 +7,7 @@
 import numpy as np
 import pytest
 
-from finchladder.lab import faults, floor, spread
+from finchladder.lab import decisions, faults, floor, spread
 from finchladder.lab.check import findings
 from finchladder.lab.experiment import Discovery, Experiment, Fault, JobClass, Keys, Load, Phase, Pool
 from finchladder.lab.ledger import Ledger, join
@@ -106,6 +106,11 @@
     assert np.isnan(spread.grid(w).wait[1][round(5.0 / spread.STEP_S)])
 
 
+def test_a_job_that_never_began_and_never_ended_waits_whole_to_the_end() -> None:
+    wait = spread.grid(world([spread.Stay("a", 1.0, INF, INF, 4.0)])).wait[0]
+    assert wait[-1] == 2.0 and wait[0] == 0.0
+
+
 def test_windows_are_phases_and_faults_that_struck_together() -> None:
     found = list(spread.windows(ledger()))
     assert found == [("phase day", 0.0, 10.0), ("kill of 2 at 4.0 s", 4.0, 6.0)]
@@ -152,6 +157,43 @@
         floor.floors(closed)
 
 
+# --- the program's own decisions at virtual time
+
+
+def thirty(**more: Any) -> Experiment:
+    """Thirty dispatchers that see 2 jobs a second each; the first key is a seventh of the load."""
+    e = day(
+        load=Load([Phase("warm", 20.0, rate=60.0, counted=False), Phase("day", 20.0, rate=60.0)]),
+        pool=[Pool(count=12, cores=2, queue=8)], keys=Keys(count=500, zipf=1.0), dispatchers=30,
+    )  # fmt: skip
+    return msgspec.structs.replace(e, **more)
+
+
+def test_the_decisions_of_many_spread_hot_keys_and_draw_ties(monkeypatch: pytest.MonkeyPatch) -> None:
+    found, again = decisions.figures(thirty()), decisions.figures(thirty())
+    assert found == again
+    monkeypatch.setattr("finchladder.core.counts.FEW", 1000)
+    no_homes = decisions.figures(thirty())
+    monkeypatch.setattr("finchladder.core.sizes.FEW", 1000)
+    neither = decisions.figures(thirty())
+    assert found["full"] < 0.5 * no_homes["full"] and no_homes["full"] < neither["full"]
+    assert found["wait_s"]["p99"] < 0.9 * neither["wait_s"]["p99"]
+
+
+def test_the_decisions_meet_dead_slow_and_failing_servers_and_serve_nearly_all() -> None:
+    hard = thirty(
+        fault=[
+            Fault("crash", at_s=22.0, for_s=4.0, target="servers:1-3"),
+            Fault("slow", at_s=25.0, for_s=8.0, target="servers:4-5", size=0.15),
+            Fault("errors", at_s=25.0, for_s=8.0, target="servers:6-6", size=0.9),
+        ]
+    )  # fmt: skip
+    world, latency, unserved = decisions.play(hard)
+    assert len([life for life in world.lives if life.until < 40.0]) == 3
+    served = sum(len(values) for values in latency.values())
+    assert served > 1000 and unserved < 0.1 * served
+
+
 # --- targets of many, and live weights
 
 
