Links between dispatchers in the lab: UDP and TCP that are cut, stall, lose, double and shuffle

Need: what dispatchers will share must be tested with links between processes that fail, one direction alone among it.

One address stands for each dispatcher at all the others; lab/models/mesh.py decides what becomes of a datagram or of a connection's bytes, lab/drivers/peers.py carries it out, faults peer_cut, peer_stall, peer_loss, peer_late, peer_double and peer_shuffle strike links between a part and the rest, within a part, or one way.

--- a/finchladder/lab/check.py
+++ b/finchladder/lab/check.py
@@ -33,6 +33,7 @@
 DISCOVERY_FAULTS = {"discovery_down", "discovery_stale", "discovery_move", "vanish"}
 ETCD_FAULTS = {"etcd_stall", "etcd_cut", "etcd_lag", "etcd_restore"}
 LINK_FAULTS = {"cut", "reset_before", "reset_after", "black_hole", "half_open", "refuse"}
+PEER_FAULTS = {"peer_cut", "peer_stall", "peer_loss", "peer_late", "peer_double", "peer_shuffle"}
 LOAD_FAULTS = {"burst", "scan", "hot_key"}
 
 
@@ -383,6 +384,10 @@
         yield "share: how many entries are missing; must be above 0"
     if fault.kind in LINK_FAULTS and not e.network.on:
         yield f"kind: {fault.kind} needs the relays: network.on = true"
+    if fault.kind in PEER_FAULTS and not e.network.peers:
+        yield f"kind: {fault.kind} needs links between dispatchers: network.peers = true"
+    if fault.kind in ("peer_loss", "peer_double", "peer_shuffle") and _most(fault.size) > 1:
+        yield "size: a share, so it must lie between 0 and 1"
     if fault.kind in ETCD_FAULTS and not e.etcd.members:
         yield f"kind: {fault.kind} needs an etcd: etcd.members = 1 or more"
     if fault.kind == "cut" and fault.between is None:
@@ -410,13 +415,13 @@
         return
     if colon and group in ("dispatchers", "servers"):
         there = e.dispatchers if group == "dispatchers" else sum(p.count for p in e.pool)
-        kinds_of = DISPATCHER_FAULTS if group == "dispatchers" else SERVER_FAULTS
+        kinds_of = DISPATCHER_FAULTS | PEER_FAULTS if group == "dispatchers" else SERVER_FAULTS
         if fault.kind not in kinds_of:
             yield f"target: {fault.kind} strikes no {group}"
         elif (span := numbers(name)) is None or span[1] > there:
             yield f"target: {group}:{name} is no span A-B of 1 to {there}"
         return
-    if fault.kind not in DISPATCHER_FAULTS | SERVER_FAULTS | LINK_FAULTS:
+    if fault.kind not in DISPATCHER_FAULTS | SERVER_FAULTS | LINK_FAULTS | PEER_FAULTS:
         yield f'target: {fault.kind} has none but "any"'
     elif colon and group == "zone":
         if name not in e.zones:
@@ -428,7 +433,7 @@
         elif name not in kinds:
             yield f"target: there is no kind {name}; there are {', '.join(kinds)}"
     elif fault.target in dispatcher_names(e):
-        if fault.kind not in DISPATCHER_FAULTS | LINK_FAULTS:
+        if fault.kind not in DISPATCHER_FAULTS | LINK_FAULTS | PEER_FAULTS:
             yield f"target: {fault.kind} strikes no dispatcher"
     elif any(s.name == fault.target for s in place_servers(e)):
         if fault.kind not in SERVER_FAULTS | LINK_FAULTS:
@@ -447,7 +452,7 @@
     elif like[0].same_as:
         yield f"same_as: {fault.same_as} is the same as another itself; name that one"
     else:
-        for kinds in (DISPATCHER_FAULTS, SERVER_FAULTS):
+        for kinds in (DISPATCHER_FAULTS | PEER_FAULTS, SERVER_FAULTS):
             if fault.kind in kinds and like[0].kind in kinds:
                 return
         yield f"same_as: {fault.kind} can't strike what {like[0].kind} did"
--- a/finchladder/lab/control.py
+++ b/finchladder/lab/control.py
@@ -21,7 +21,7 @@
 
 
 class Plan(msgspec.Struct):
-    role: Literal["fleet", "registry", "load", "relay", "etcd"]
+    role: Literal["fleet", "registry", "load", "relay", "etcd", "peers"]
     name: str  # of the process; its ledger is OUT/ledger/NAME.log
     out: str
     experiment: Experiment
--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -141,6 +141,8 @@
             "NODE_CONFIG": str(config),
             "PYTHONPATH": path,
         }
+        if self.run.peers is not None:
+            env["LAB_PEERS"] = str(self.run.peers)
         self.starts += 1
         self.run.struck("started", self.name)
         command = self.run.command(self.write_operator_file())
--- a/finchladder/lab/drivers/__main__.py
+++ b/finchladder/lab/drivers/__main__.py
@@ -7,6 +7,7 @@
 
 ROLES = {  # module: its class
     "fleet": "Fleet", "registry": "Registry", "load": "Load", "relay": "Relay", "etcd": "Etcd",
+    "peers": "Peers",
 }  # fmt: skip
 
 
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -154,6 +154,7 @@
     """Relays between the parties; all off by default: connections are direct then."""
 
     on: bool = False
+    peers: bool = False  # links between dispatchers, UDP and TCP; LAB_PEERS tells them of their addresses
     same_zone_s: Seconds = 0.0002  # one way
     cross_zone_s: Seconds = 0.002
     client_s: Seconds | None = None  # between clients and dispatchers; None: as in one zone
@@ -228,6 +229,12 @@
     "black_hole",
     "half_open",
     "refuse",  # links; need network.on
+    "peer_cut",
+    "peer_stall",
+    "peer_loss",
+    "peer_late",
+    "peer_double",
+    "peer_shuffle",  # links between dispatchers; need network.peers
     "burst",
     "scan",
     "hot_key",  # load
@@ -246,7 +253,8 @@
     the next; cut: no bytes pass between the zones `between`; burst: rate times `size`; scan: `size` of the
     jobs ask for keys wanted once; hot_key: `size` of the jobs ask for one key. etcd_stall, etcd_cut,
     etcd_lag: `share` of its members (0: all) stand still with their connections open, reset and refuse, or
-    answer as of the begin; etcd_restore: all are cut, and come back with another cluster id.
+    answer as of the begin; etcd_restore: all are cut, and come back with another cluster id. peer_*: see
+    models/mesh.py.
     """
 
     kind: FaultKind
@@ -262,6 +270,8 @@
     size: Span = 1.0
     batch: Share = 0.25
     between: tuple[str, str] | None = None
+    # peer_*: links between those struck and all others, among them, one direction alone, or any of theirs
+    way: Literal["between", "within", "out", "in", "all"] = "between"
 
 
 class Experiment(Part):
--- a/finchladder/lab/faults.py
+++ b/finchladder/lab/faults.py
@@ -11,6 +11,7 @@
     ETCD_FAULTS,
     LINK_FAULTS,
     LOAD_FAULTS,
+    PEER_FAULTS,
     SERVER_FAULTS,
     dispatcher_names,
     numbers,
@@ -76,7 +77,10 @@
     for n, fault in enumerate(e.fault):
         if fault.same_as:
             like = labelled[fault.same_as]
-            found[n] = Strike(fault.at_s or 0.0, fault, like.targets, like.of)
+            of = like.of
+            if of in ("dispatchers", "peers"):
+                of = "peers" if fault.kind in PEER_FAULTS else "dispatchers"
+            found[n] = Strike(fault.at_s or 0.0, fault, like.targets, of)
     return [found[n] for n in sorted(found)]
 
 
@@ -94,7 +98,8 @@
         assert span is not None  # check.py has seen to it
         every = names if group == "dispatchers" else [s.name for s in servers]
         chosen = every[span[0] - 1 : span[1]]
-        return _some(fault, chosen, rng) if fault.share else chosen, group
+        chosen = _some(fault, chosen, rng) if fault.share else chosen
+        return chosen, "peers" if fault.kind in PEER_FAULTS else group
     strikes_server = fault.target not in names and (
         fault.kind not in DISPATCHER_FAULTS or group == "kind" or fault.target in {s.name for s in servers}
     )
@@ -107,13 +112,13 @@
             or (group == "kind" and e.pool[s.pool].kind == name)
         ]
         return _some(fault, fitting, rng), "servers"
-    if fault.kind in DISPATCHER_FAULTS:
+    if fault.kind in DISPATCHER_FAULTS | PEER_FAULTS:
         fitting = [
             n
             for i, n in enumerate(names)
             if fault.target in ("any", "all", n) or (group == "zone" and e.zone_of(i) == name)
         ]
-        return _some(fault, fitting, rng), "dispatchers"
+        return _some(fault, fitting, rng), "peers" if fault.kind in PEER_FAULTS else "dispatchers"
     return [], "discovery"
 
 
--- a/finchladder/lab/models/mesh.py
+++ b/finchladder/lab/models/mesh.py
@@ -60,7 +60,8 @@
     def begin(self, trouble: Trouble) -> None:
         """ValueError: it names nobody, or one who is not there."""
         if not trouble.struck or trouble.struck - self.names:
-            raise ValueError(f"{trouble.kind}: strikes {', '.join(sorted(trouble.struck - self.names)) or 'nobody'}")
+            strangers = ", ".join(sorted(trouble.struck - self.names))
+            raise ValueError(f"{trouble.kind}: strikes {strangers or 'nobody'}")
         self.troubles.append(trouble)
 
     def end(self, trouble: Trouble) -> None:
@@ -71,7 +72,7 @@
         return [t for t in self.troubles if t.lies_on(sender, receiver)]
 
     def datagram(self, sender: str, receiver: str) -> list[float]:
-        """After how many seconds each copy comes; none: it is lost. Draws only where a trouble asks for it."""
+        """After how many seconds each copy comes; none: it is lost. It draws where a trouble asks for it."""
         self.sent += 1
         copies = [LATENCY_S]
         for t in self.on(sender, receiver):
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -30,7 +30,8 @@
 SAMPLE_S = 1.0
 END_S = 3.0  # a dispatcher may take so long after the run's end
 STOP_S = 15.0  # a process of the lab may take so long to flush
-FIRST_HOST = {"fleet": 1, "load": 101, "registry": 201, "relay": 202, "etcd": 203}  # last of the address
+# last of the address
+FIRST_HOST = {"fleet": 1, "load": 101, "registry": 201, "relay": 202, "etcd": 203, "peers": 204}
 
 
 class Run:
@@ -58,6 +59,7 @@
         self.plans: dict[str, Plan] = {}
         self.zero, self.wall = clock()
         self.phase = "start"
+        self.peers: Path | None = None  # the file with the addresses that stand for dispatchers at the others
 
     # --- small things
 
@@ -183,6 +185,10 @@
                     for_clients[dispatcher] = address
                 else:
                     for_servers[name] = address
+        if e.network.peers:
+            stand = await (await self._begin(self._plan("peers", dispatchers=direct))).opened(OPEN_S)
+            self.peers = self.out / "config" / "peers.json"
+            self.peers.write_bytes(msgspec.json.encode(stand))
         placed = [ServerPlan(s.name, s.pool, s.zone, e.pool[s.pool].group) for s in place_servers(e)]
         if placed and not e.program.null:
             await self._begin_world(placed, direct, for_servers)
@@ -290,7 +296,9 @@
 
     def _order(self, strike: faults.Strike, end: bool) -> None:
         """To those who carry it out; each fleet process hears of its own real servers alone."""
-        roles = {"servers": "fleet", "discovery": "registry", "links": "relay", "etcd": "etcd"}
+        roles = {
+            "servers": "fleet", "discovery": "registry", "links": "relay", "etcd": "etcd", "peers": "peers",
+        }  # fmt: skip
         if strike.of not in roles:
             return  # the load has it in its schedule
         for player in self.players_of(roles[strike.of]):
