--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -56,7 +56,8 @@
     __slots__ = ("arcs", "size", "held")
 
     def __init__(self) -> None:
-        self.held: dict[Worker, int] = {}  # how much of the ring is each one's, in 2**-64 of it
+        # how much of the ring is each one's, in 2**-64 of it; kept from when it is first asked for
+        self.held: dict[Worker, int] | None = None
         self.arcs: list[tuple[array[int], list[Worker]]] = [(array("Q"), []) for _ in range(1 << ARC_BITS)]
         self.size = 0
 
@@ -64,12 +65,12 @@
         for p in points:
             marks, owners = self.arcs[p >> SHIFT]
             at = bisect_left(marks, p)
-            if self.size:  # it takes a part of what was the next one's
-                part = (p - self._before(p >> SHIFT, at)) % WHOLE
-                self.held[owners[at] if at < len(owners) else next(self.after(p))] -= part
-            else:
+            if self.held is not None:
                 part = WHOLE
-            self.held[w] = self.held.get(w, 0) + part
+                if self.size:  # it takes a part of what was the next one's
+                    part = (p - self._before(p >> SHIFT, at)) % WHOLE
+                    self.held[owners[at] if at < len(owners) else next(self.after(p))] -= part
+                self.held[w] = self.held.get(w, 0) + part
             marks.insert(at, p)
             owners.insert(at, w)
             self.size += 1
@@ -80,12 +81,13 @@
             at = bisect_left(marks, p)
             while owners[at] is not w:  # two marks at one point
                 at += 1
-            part = (p - self._before(p >> SHIFT, at)) % WHOLE
+            part = (p - self._before(p >> SHIFT, at)) % WHOLE if self.held is not None else 0
             del marks[at], owners[at]
             self.size -= 1
-            if self.size:
+            if self.held is not None and self.size:
                 self.held[owners[at] if at < len(owners) else next(self.after(p))] += part
-        self.held.pop(w, None)
+        if self.held is not None:
+            self.held.pop(w, None)
 
     def _before(self, arc: int, at: int) -> int:
         """The mark that stands before place `at` of that arc; round the ring."""
@@ -97,7 +99,14 @@
         return marks[at - 1]
 
     def portion(self, w: Worker) -> float:
-        """Its part of the keys over an even part; 1 where it is not on the ring."""
+        """Its part of the keys over an even part; 1 where it is not on the ring. The first call O(marks)."""
+        if self.held is None:
+            self.held = {}
+            marks = [mark for points, owners in self.arcs for mark in zip(points, owners, strict=True)]
+            last = marks[-1][0] - WHOLE if marks else 0
+            for p, owner in marks:
+                self.held[owner] = self.held.get(owner, 0) + p - last
+                last = p
         return self.held[w] / WHOLE * len(self.held) if w in self.held else 1.0
 
     def owner(self, point: int) -> Worker:
--- a/tests/core/test_sizes.py
+++ b/tests/core/test_sizes.py
@@ -174,7 +174,9 @@
 # --- what of the ring is whose
 
 
-def test_portions_are_those_of_a_ring_made_anew_whoever_comes_and_goes() -> None:
+@pytest.mark.parametrize("asked", [0, 50])
+def test_portions_are_those_of_a_ring_made_anew_whoever_comes_and_goes(asked: int) -> None:
+    """`asked`: from which step on anyone wants to know."""
     rng, ring = random.Random(3), Ring()
     there: dict[str, Worker] = {}
     for step in range(120):
@@ -184,7 +186,7 @@
         else:
             there[name] = Worker(entry(name), 2.0)
             ring.add(there[name], ring_points(name, 0))
-        if step % 10 == 0 and there:
+        if step >= asked and step % 10 == 0 and there:
             marks = sorted((p, name) for name in there for p in ring_points(name, 0))
             want: Counter[str] = Counter()
             for i, (p, name) in enumerate(marks):
