--- a/benchmarks/spread_choices.py
+++ b/benchmarks/spread_choices.py
@@ -3,8 +3,8 @@
     .venv/bin/python benchmarks/spread_choices.py [--rounds 5]
 
 Microseconds from a request with a key to its send: the median of the rounds, with the smallest and the
-largest. Nominal weights of two sizes; keys of zipf 0.9, so that some are hot. Nothing stays in flight, so that
-every comparison is a tie.
+largest. Nominal weights of two sizes; keys of zipf 0.9, so that some are hot. Nothing stays in flight, so
+that every comparison is a tie.
 """
 
 import argparse
