Homes of a hot key stay within its pairs, and the usual weight is followed

Found on reading the change once more.

(1) A key was given up to as many pairs of homes as there are real servers, where it has some three quarters as many. Whoever began past the last began with the first, and so did all: with a key of 30 % its first two real servers of 60 got 2,389 of its jobs each where the mean is 302 (200 tables of counts, 300 requests each). Now half as many pairs as real servers at the most. (2) Which weight is absurd was judged for good by the first list: a dispatcher that starts while each core holds 99 requests would have taken every later live weight for absurd. The usual weight is now followed entry by entry, O(1) each. (3) What follows from the settings was carried in a capture's state, and a replay with another configuration kept the old one. (4) Speeds were learned for any number of kinds that a list names: 64 at the most. The draw by chances is one function.

--- a/finchladder/core/counts.py
+++ b/finchladder/core/counts.py
@@ -36,16 +36,20 @@
 class KeyCounts:
     """Costs: add, count O(log count); fade O(1), where fading all at once would cost O(keys)."""
 
-    __slots__ = ("seen", "total", "turn", "many", "fresh", "turn_at")
+    __slots__ = ("seen", "total", "turn", "s", "fresh", "turn_at")
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.many = settings.dispatchers > FEW and not settings.weights_live
+        self.s = settings
         self.fresh = 0.0  # seen since the last turn
         # among the homes of a hot key, 0 to 1, see `homes`; not from the number, that all may be told alike
-        self.turn_at = Random(f"{seed}/homes").random()
+        self.turn_at = Random(f"{seed}/homes").random() if self.many else 0.0
         self.seen: OrderedDict[int, tuple[float, int]] = OrderedDict()  # the count, and as of which turn
         self.total, self.turn = 0.0, 0
 
+    @property
+    def many(self) -> bool:
+        return self.s.dispatchers > FEW and not self.s.weights_live
+
     def add(self, key: int) -> None:
         self.total += 1
         self.fresh += 1
@@ -83,7 +87,8 @@
             homes = int(part * workers) or 1
             return homes, int(self.count(key)) % homes if homes > 1 else 0
         part = max(0.0, self.count(key) - 1) / (self.total + UNSEEN)
-        homes = min(int(SPREAD * part * workers), workers)
+        # no more than there surely are: who begins past the last pair begins with the first, as all would
+        homes = min(int(SPREAD * part * workers), workers // 2)
         if homes < 2:
             return 1, 0
         # counts come to rest at the same figure at all: each goes round in steps that fill the whole evenly,
--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -22,7 +22,7 @@
 
 from finchladder.core.api import JobClass, Settings, State, WorkerEntry
 from finchladder.core.records import Worker
-from finchladder.core.sizes import Portions, Sizes, most_usable
+from finchladder.core.sizes import Portions, Sizes, Usual, one_of
 
 ONE = 0.25  # the next job, in requests a core: no setting tells of cores, four are the usual
 FAR = 0.3  # a crossing between zones counts as so much of a mean run
@@ -35,11 +35,11 @@
 
 
 class Crowd:
-    __slots__ = ("sizes", "top", "mean", "elsewhere", "look_at", "runs", "live", "untold", "bound")
+    __slots__ = ("sizes", "top", "mean", "elsewhere", "look_at", "runs", "s", "untold", "usual")
 
     def __init__(self, settings: Settings) -> None:
-        self.live = settings.weights_live
-        self.bound = 0.0  # larger weights are unusable: one would make all others look full for good
+        self.s = settings
+        self.usual = Usual()  # what is far larger is unusable: it would make all others look full for good
         self.untold = Sizes(settings)  # what ties go by where the weights are not live
         self.sizes: dict[str, float] = {}  # by kind: the largest weight that was told
         self.top = 0.0  # of all kinds
@@ -77,18 +77,19 @@
         return waited_s + (w.finish - slow + fetch) * mean_run_s + run * slow <= cls.aim + cls.stretch * run
 
     def told(self, workers: dict[str, Worker], entries: Sequence[WorkerEntry]) -> None:
-        if not self.live:
+        if not self.s.weights_live:
             return self.untold.told(workers, entries)
-        self.bound = self.bound or most_usable(entries)
+        self.usual.told(entries)
         for e in entries:
-            if self.bound >= e.weight > self.sizes.get(e.kind, 0.0) and e.state is not State.GONE:
+            larger = e.weight > self.sizes.get(e.kind, 0.0) and e.state is not State.GONE
+            if larger and self.usual.believes(e.weight):
                 self.sizes[e.kind] = e.weight
                 self.top = max(self.top, e.weight)
         for e in entries:
             if (w := workers.get(e.worker)) is None:
                 continue
             w.weight, w.finish = 0.0, 1.0  # an unusable weight must not leave that of another kind behind
-            if 0 < e.weight <= self.bound and (size := self.sizes.get(e.kind)):
+            if self.usual.believes(e.weight) and (size := self.sizes.get(e.kind)):
                 w.weight, w.finish = e.weight, max(1.0, size / e.weight - 1 + ONE) * self.top / size
 
     def look(self, now: float, workers: dict[str, Worker], fit: Callable[[Worker], bool]) -> None:
@@ -121,12 +122,7 @@
         if not self.top:
             return [w for w in able if w.zone == zone or all(other.zone != zone for other in able)][-1]
         chances = [1.0 / (w.finish + FAR * (w.zone != zone)) ** 2 for w in able]
-        at = random.random() * sum(chances)
-        for w, chance in zip(able, chances, strict=True):
-            at -= chance
-            if at < 0:
-                return w
-        return able[-1]
+        return one_of(able, chances, random)
 
 
 def least(able: Iterable[Worker]) -> list[Worker]:
--- a/finchladder/core/sizes.py
+++ b/finchladder/core/sizes.py
@@ -6,7 +6,7 @@
 
 | what is known | size |
 | --- | --- |
-| a nominal or rough weight | that, within ABSURD times the median of the first list that told any |
+| a nominal or rough weight | that, up to ABSURD times the usual one |
 | an unusable one, or none | 1 |
 | run times of its kind's jobs, and its own against its kind's | that, over how much longer they took |
 
@@ -23,7 +23,9 @@
 from finchladder.core.recalls import FEW
 from finchladder.core.records import Worker
 
-ABSURD = 16.0  # times the median: a weight beyond it is a fault of who wrote it
+ABSURD = 16.0  # times the usual one: a weight beyond it is a fault of who wrote it
+TRACK = 1.02  # how far one weight moves the usual one: 57 entries in a row that say so, threefold
+MOST_KINDS = 64  # of which speeds are learned: the list may name any
 OWN_K, KIND_K = 6.0, 10.0  # jobs that count as seen before: run times of one class differ by half and more
 OWN_FADE, KIND_FADE = 0.9, 0.99
 LEAST_FACTOR = 1 / 16
@@ -36,31 +38,58 @@
     def portion(self, w: Worker) -> float: ...
 
 
-class Sizes:
-    """`draws`: whether ties are drawn at all; a few dispatchers know the fleet by their own slots."""
+class Usual:
+    """The usual weight of the list's entries: their median at first, then followed entry by entry. O(1) each.
+
+    Not that of the first list for good: one that was told while the fleet was overloaded holds low live
+    weights, and all later ones would be taken for absurd.
+    """
+
+    __slots__ = ("weight",)
+
+    def __init__(self) -> None:
+        self.weight = 0.0  # 0: none was told yet
+
+    def told(self, entries: Iterable[WorkerEntry]) -> None:
+        weights = [e.weight for e in entries if 0 < e.weight < inf and e.state is not State.GONE]
+        if not self.weight and weights:
+            self.weight = sorted(weights)[len(weights) // 2]
+        for weight in weights:
+            if weight != self.weight:
+                self.weight *= TRACK if weight > self.weight else 1 / TRACK
 
-    __slots__ = ("draws", "zone", "bound", "kinds", "runs")
+    def believes(self, weight: float) -> bool:
+        return 0 < weight <= ABSURD * self.weight
+
+
+class Sizes:
+    __slots__ = ("s", "usual", "kinds", "runs")
 
     def __init__(self, settings: Settings) -> None:
-        self.draws = settings.dispatchers > FEW and not settings.weights_live
-        self.zone = settings.zone
-        self.bound = 0.0  # weights above it are unusable; 0: none was told yet
+        self.s, self.usual = settings, Usual()
         self.kinds: dict[str, list[float]] = {}  # jobs seen, and the sum of their ratios; both decayed
         self.runs: dict[str, tuple[float, float]] = {}  # by class: the next one's weight, the mean at size 1
 
+    @property
+    def draws(self) -> bool:
+        """Whether ties are drawn at all; a few dispatchers know the fleet by their own slots."""
+        return self.s.dispatchers > FEW and not self.s.weights_live
+
     def told(self, workers: dict[str, Worker], entries: Sequence[WorkerEntry]) -> None:
         if not self.draws:
             return
-        self.bound = self.bound or most_usable(entries)
+        self.usual.told(entries)
         for e in entries:
             if (w := workers.get(e.worker)) is not None:
-                w.size = e.weight if 0 < e.weight <= self.bound else 1.0
+                w.size = e.weight if self.usual.believes(e.weight) else 1.0
 
     def ran(self, w: Worker, cls: JobClass, took_s: float) -> None:
         """A job of that class was served there, and took so long from its start."""
         if not self.draws or took_s <= 0:
             return
-        kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
+        kind = self.kinds.get(w.kind, [0.0, 0.0])
+        if len(self.kinds) < MOST_KINDS:
+            self.kinds[w.kind] = kind
         of_kind = _factor(kind, KIND_K)
         at_one = took_s * w.size * of_kind
         step, mean = self.runs.get(cls.name, (1.0, at_one))
@@ -86,19 +115,18 @@
         chances = []
         for w in able:
             size = self.of(w) / (homes.portion(w) if homes is not None else 1.0)
-            chances.append(size**power * (1.0 if w.zone == self.zone else FAR))
-        at = random.random() * sum(chances)
-        for w, chance in zip(able, chances, strict=True):
-            at -= chance
-            if at < 0:
-                return w
-        return able[-1]
-
-
-def most_usable(entries: Iterable[WorkerEntry]) -> float:
-    """The largest weight that is believed, by the first list that tells any; 0: it tells none. O(n log n)."""
-    usable = sorted(e.weight for e in entries if 0 < e.weight < inf and e.state is not State.GONE)
-    return ABSURD * usable[len(usable) // 2] if usable else 0.0
+            chances.append(size**power * (1.0 if w.zone == self.s.zone else FAR))
+        return one_of(able, chances, random)
+
+
+def one_of(able: Sequence[Worker], chances: Sequence[float], random: Random) -> Worker:
+    """One by chance, in proportion to its own."""
+    at = random.random() * sum(chances)
+    for w, chance in zip(able, chances, strict=True):
+        at -= chance
+        if at < 0:
+            return w
+    return able[-1]
 
 
 def _factor(seen: Iterable[float], before: float) -> float:
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -28,7 +28,7 @@
 from finchladder.core.records import Attempt, Job, Worker
 from finchladder.core.retries import Budget
 from finchladder.core.routes import Queue, Route, Routes
-from finchladder.core.sizes import Sizes
+from finchladder.core.sizes import Sizes, Usual
 from finchladder.core.spill import Spill
 from finchladder.core.spill import State as SpillState
 from finchladder.core.told import Told
@@ -38,7 +38,7 @@
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
 RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts, Asking, Told, Run, Scope, Limiter, Budget,
-                            Allowance, Times, Alarms, Spill, Crowd, Sizes)  # fmt: skip
+                            Allowance, Times, Alarms, Spill, Crowd, Sizes, Usual)  # fmt: skip
 IN_PLACE: dict[type, tuple[str, ...]] = {  # records of which there are many, and their containers
     Worker: ("unstarted", "fetched"), Job: ("attempts",), Run: (),
 }  # fmt: skip
@@ -382,6 +382,8 @@
         kept = {n: v for n, v in fields[name].items() if (n if name == "run" else n[1]) in dispatcher.classes}
         fields[name] = kept | {n: v for n, v in now.items() if n not in kept}
     vars(dispatcher).update(fields)
+    for part in (dispatcher.key_counts, dispatcher.crowd, dispatcher.crowd.untold):
+        part.s = dispatcher.s  # of the configuration of now
     for n, (own, peers, count, credit) in state["tenants"].items():
         if (t := dispatcher.tenants.get(n)) is not None:
             t.own, t.peers, t.count, t.credit = own, peers, count, credit
