--- a/finchladder/lab/drivers/peers.py
+++ b/finchladder/lab/drivers/peers.py
@@ -97,8 +97,9 @@
             self.link.reset()
         else:
             self.ended = True
-            self.pump()
-        self.link.peers.links.discard(self.link)
+            self.pump()  # what waits in a stall goes on after it, though its source has left
+        if self.other is None or (self.other.transport is None and self.transport is None):
+            self.link.peers.links.discard(self.link)
 
 
 class _Link:
