--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -149,7 +149,7 @@
         self.run.struck("started", self.name)
         command = self.run.command(self.write_operator_file())
         child = await start(
-            self.name, command, log, env=env, folder=self.run.program_folder,
+            self.name, command, log, self.run.guard, env=env, folder=self.run.program_folder,
             sockets=e.program.sockets, cpus=e.program.cpus,
         )  # fmt: skip
         child.start, self.child = self.starts, child
@@ -176,6 +176,7 @@
     async def _watch(self, child: Child) -> None:
         """Its end, where nobody wanted it: the run goes on, and it comes back if the file says so."""
         await child.process.wait()
+        self.run.guard.ended(child.pid)
         if child.expected or self.run.over:
             return
         self.run.struck("died", self.name)
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import signal
 import sys
@@ -21,6 +22,7 @@
 from finchladder.lab.control import Order, Plan, ServerPlan, Word
 from finchladder.lab.dispatchers import Dispatcher, check_out, free_block
 from finchladder.lab.experiment import Experiment
+from finchladder.lab.guard import Guard
 from finchladder.lab.processes import Child, LabError, Player, clock
 from finchladder.lab.records import Lateness, Mark, Struck, Writer
 from finchladder.lab.show import Show
@@ -59,6 +61,8 @@
         self.plans: dict[str, Plan] = {}
         self.zero, self.wall = clock()
         self.phase = "start"
+        self.affinity = os.sched_getaffinity(0)
+        self.guard = Guard()
         self.starting = 0  # dispatchers that are asked whether they are healthy yet
         self.peers: Path | None = None  # the file with the addresses that stand for dispatchers at the others
 
@@ -149,7 +153,7 @@
 
     async def _begin(self, plan: Plan) -> Player:
         self.plans[plan.name] = plan
-        player = await Player.begin(plan, self.out / "logs" / f"{plan.name}.log", self.heard)
+        player = await Player.begin(plan, self.out / "logs" / f"{plan.name}.log", self.heard, self.guard)
         self.players[plan.name] = player
         self.children.append(player.child)
         return player
@@ -173,6 +177,8 @@
     async def begin(self, load: bool) -> None:
         """All parties up, the dispatchers healthy. LabError: one of them is not to be had."""
         e = self.e
+        if rest := self.affinity - set(e.program.cpus):
+            os.sched_setaffinity(0, rest)  # and for all that it starts, but for the dispatchers
         if e.program.revision:
             check_out(e.program.revision, self.tree)
         direct = {d.name: d.address for d in self.dispatchers}
@@ -402,6 +408,7 @@
     async def close(self) -> None:
         """On every way out, whatever happened: nothing of the run is left."""
         self.over = True
+        os.sched_setaffinity(0, self.affinity)
         for task in list(self.tasks):
             task.cancel()
         for child in self.children:
@@ -409,8 +416,10 @@
             child.signal(signal.SIGKILL)
         for child in self.children:
             await child.process.wait()
+            self.guard.ended(child.pid)
         for player in self.players.values():
             await player.reader
+        self.guard.close()
         if not self.failed.done():
             self.failed.cancel()
         elif not self.failed.cancelled():
@@ -450,6 +459,10 @@
     """Plays a run into `out`, an empty or new folder. LabError, Interrupted: there is no result."""
 
     async def whole() -> None:
+        # no thread for each child, which the default one has before Python 3.12
+        watcher = asyncio.PidfdChildWatcher()
+        watcher.attach_loop(asyncio.get_running_loop())
+        asyncio.get_event_loop_policy().set_child_watcher(watcher)
         run = Run(e, folder, out, show)
         try:
             await run.play()
