--- a/finchladder/cli/calls.py
+++ b/finchladder/cli/calls.py
@@ -36,7 +36,16 @@
             raise CallError(f"the dispatcher answered {response.status}: {said}")
         return response
     except (OSError, http.client.HTTPException) as e:
-        raise CallError(f"no answer from {os.environ['NODE_LISTEN']}: {e}") from None
+        raise CallError(f"no answer from {connection.host}:{connection.port}: {e}") from None
+
+
+def get(path: str, at: tuple[str, int] | None = None) -> str:
+    """What is answered to a GET, by the dispatcher at that address, or by that at NODE_LISTEN."""
+    connection = http.client.HTTPConnection(*at, timeout=WITHIN) if at is not None else connect()
+    try:
+        return ask(connection, "GET", path, None, {}).read().decode()
+    finally:
+        connection.close()
 
 
 def drill(order: Order, key: str) -> str:
--- a/finchladder/cli/front.py
+++ b/finchladder/cli/front.py
@@ -13,6 +13,7 @@
     "replay": "decide a capture anew, and print what differs",
     "drill": "rehearse slow or broken jobs at the running dispatcher",
     "config": "check the operator's file, and explain its routes",
+    "peers": "what a running dispatcher knows of the others, and of the budgets that they share",
     "etcd": "list, drain and remove real servers in an etcd that dispatchers follow",
     "sim": "run the program on a virtual clock and network, with faults from a seed",
     "lab": "play experiments against dispatchers on loopback, and judge them",
--- /dev/null
+++ b/finchladder/cli/peers.py
@@ -0,0 +1,64 @@
+"""`finchladder peers show`: what a running dispatcher knows of the others, and of what they share."""
+
+import argparse
+import sys
+from typing import Any
+
+import msgspec
+
+from finchladder.cli import calls
+from finchladder.cli.front import fail
+from finchladder.config.addresses import parse_address
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    commands = parser.add_subparsers(dest="call", required=True, metavar="COMMAND")
+    show = commands.add_parser("show", help="members, budgets and counts, as one dispatcher has them")
+    show.add_argument("--at", metavar="HOST:PORT", help="which one (default: NODE_LISTEN)")
+    show.add_argument("--format", choices=("text", "json"), default="text")
+
+
+def run(args: argparse.Namespace) -> None:
+    try:
+        shown = calls.get("/_peers", parse_address(args.at) if args.at else None)
+    except (ValueError, calls.CallError) as e:
+        fail(str(e))
+    if args.format == "json":
+        sys.stdout.write(shown)
+        return
+    try:
+        sys.stdout.write("".join(f"{line}\n" for line in lines(msgspec.json.decode(shown))))
+    except (msgspec.MsgspecError, KeyError, TypeError) as e:
+        fail(f"the answer can't be read: {e}", 1)
+
+
+def lines(shown: dict[str, Any]) -> list[str]:
+    members = shown["members"]
+    count = {s: sum(m["standing"] == s for m in members) for s in ("alive", "suspected", "gone")}
+    told = ", ".join(f"{n} {standing}" for standing, n in count.items())
+    found = [f"{shown['name']}: {len(members)} listed, {told}"]
+    for m in members:
+        if m["standing"] != "alive":
+            heard = "never heard" if m["heard_s"] is None else f"heard {m['heard_s']:g} s ago"
+            found.append(f"  {m['name']}: {m['standing']} for {m['since_s']:g} s, {heard}")
+    for b in shown["budgets"]:
+        found.append(
+            f"{b['name']}: {b['right_per_s']:.3g} of {b['limit_per_s']:g} a second are its own now"
+            f" (share {b['own_per_s']:.3g}, lent {b['lent_per_s']:.3g}, borrowed {b['borrowed_per_s']:.3g},"
+            f" needed {b['needed_per_s']:.3g}); spent {b['spent']}, refused {b['refused']},"
+            f" by all {b['spent_by_all']:g} as told by {b['known_of']}"
+        )
+    if (counts := shown["counts"]) is not None:
+        found.append(
+            f"counts: {counts['in_flight']:g} slots in flight at {counts['members']} dispatchers,"
+            f" {counts['age_s']:.2f} s old"
+        )
+    traffic = shown["datagrams"]
+    found.append(
+        f"datagrams: {traffic['sent']} sent, {traffic['received']} received, {traffic['unsent']} not sent"
+    )
+    for why, n in sorted(shown["dropped"].items()):
+        found.append(f"  dropped: {why}: {n}")
+    if not shown["socket"]:
+        found.append("  its UDP socket is not there")
+    return found
--- a/finchladder/cli/sim.py
+++ b/finchladder/cli/sim.py
@@ -30,6 +30,11 @@
     search.add_argument("--first", action="store_true", help="end with the first violation")
     search.add_argument("--coverage", action="store_true", help="print which fault met which stage")
 
+    peers = commands.add_parser("peers", help="play fleets of peers alone: rights, members, values")
+    peers.add_argument("--seeds", type=_span, required=True, metavar="A..B")
+    peers.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
+    peers.add_argument("--for", dest="for_s", type=_duration, metavar="8h", help="begin no seed later")
+
     replay = commands.add_parser("replay", help="play a trace anew, and compare line by line")
     shrink = commands.add_parser("shrink", help="make a trace small that still fails the same")
     explain = commands.add_parser("explain", help="tell a trace as a story, with the lines of code")
@@ -117,6 +122,22 @@
     return 1 if tally.kinds or tally.errors else 0
 
 
+def _peers(args: argparse.Namespace) -> int:
+    from finchladder.sim.peers import search
+
+    until = time.monotonic() + args.for_s if args.for_s else None
+    began, played, steps, broken = time.perf_counter(), 0, 0, 0
+    for seed, found in search(args.seeds, args.jobs, lambda: until is None or time.monotonic() < until):
+        played, steps = played + 1, steps + found.steps
+        if found.broken is not None:
+            broken += 1
+            b = found.broken
+            print(f"seed {seed}: {b.rule}: {b.text} ({b.at:.6f} s)", flush=True)
+    took = time.perf_counter() - began
+    print(f"{played} seeds, {steps} steps in {took:.1f} s; {broken} broke a rule")
+    return 1 if broken else 0
+
+
 def _replay(args: argparse.Namespace) -> int:
     from finchladder.sim import trace
 
@@ -178,5 +199,5 @@
 
 ACTIONS = {
     "run": _run, "search": _search, "replay": _replay, "shrink": _shrink, "explain": _explain,
-    "mutants": _mutants,
+    "mutants": _mutants, "peers": _peers,
 }  # fmt: skip
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -4,6 +4,7 @@
 are another matter: settings.py alone reads those.
 """
 
+import re
 from collections.abc import Iterable, Mapping
 from configparser import ConfigParser
 from configparser import Error as IniError
@@ -13,7 +14,7 @@
 import msgspec
 from msgspec import Meta
 
-from finchladder.config.addresses import Endpoint, parse_url
+from finchladder.config.addresses import Endpoint, parse_address, parse_url
 from finchladder.core import api
 from finchladder.core.aperture import Aperture, ApertureSettings
 from finchladder.core.overload import OverloadSettings
@@ -26,6 +27,8 @@
 ENTRY_BYTES = 768  # what a job's status takes at its most, with an id of 128 characters
 RING_TAKES = 3  # bytes for each of the ring: 1.4 measured with its objects, and as much while it is dumped
 ETCD_PORT = 2379
+MOST_PEERS = 2000
+PEER_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,31}", re.ASCII)
 PART = 4  # all features together may take 1/4 of the memory; the room for bodies gives way to them
 
 Part = TypeVar("Part", bound=msgspec.Struct)
@@ -150,6 +153,50 @@
         return [parse_url(url, ETCD_PORT) for url in self.endpoints]
 
 
+class PeersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Either `members`, each as NAME=HOST:PORT, or a `file`, a JSON object {NAME: "HOST:PORT"}."""
+
+    fleet: Annotated[str, Meta(pattern=r"\A[A-Za-z0-9][A-Za-z0-9._-]{0,31}\Z")] = "finchladder"
+    members: list[Annotated[str, Meta(max_length=100)]] = []
+    file: Named | None = None
+    counts: bool = False
+    wave_s: Annotated[float, Meta(ge=0.02, le=5)] = 0.1
+    period_s: Annotated[float, Meta(ge=0.1, le=10)] = 0.5
+
+    def __post_init__(self) -> None:
+        if bool(self.members) == (self.file is not None):
+            raise ValueError("either members or file is needed")
+        if self.members:
+            self.addresses()
+
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        """By name. ValueError says in one line what can't be used."""
+        if self.file is None:
+            return listed_peers([tuple(one.partition("=")[::2]) for one in self.members])  # type: ignore[misc]
+        try:
+            found = msgspec.json.decode(Path(self.file).read_bytes(), type=dict[str, str])
+        except OSError as e:
+            raise ValueError(f"{self.file}: {e.strerror}") from None
+        except msgspec.MsgspecError as e:
+            raise ValueError(f"{self.file}: {e}") from None
+        return listed_peers(found.items())
+
+
+def listed_peers(pairs: Iterable[tuple[str, str]]) -> dict[str, tuple[str, int]]:
+    found: dict[str, tuple[str, int]] = {}
+    for name, address in pairs:
+        if not PEER_NAME.fullmatch(name):
+            raise ValueError(f"{name[:40]!r} is no dispatcher's name: up to 32 letters, digits, dots, dashes")
+        if name in found:
+            raise ValueError(f"{name} is named twice")
+        found[name] = parse_address(address)
+    if len(set(found.values())) < len(found):
+        raise ValueError("two dispatchers have one address")
+    if len(found) > MOST_PEERS:
+        raise ValueError(f"{len(found)} dispatchers are named, and {MOST_PEERS} is the most")
+    return found
+
+
 class Options(msgspec.Struct, frozen=True):
     """None, or no entry: the feature is off."""
 
@@ -163,6 +210,7 @@
     spill: SpillOptions | None = None
     membership: MembershipOptions | None = None
     etcd: EtcdOptions | None = None
+    peers: PeersOptions | None = None
 
     def spilling(self) -> SpillSettings | None:
         return self.spill.settings() if self.spill is not None else None
@@ -180,6 +228,8 @@
         """What only the platform's configuration can tell; ValueError says in one line what can't be used."""
         if self.aperture is not None and settings is not None:
             Aperture(settings.index, settings.dispatchers, self.aperture.settings())
+        if self.peers is not None and self.capture is not None:
+            raise ValueError("[peers]: [capture] can't be on beside it: what others tell is not recorded")
         known = set(classes)
         for name in self.door_of:
             if name not in known:
@@ -284,5 +334,5 @@
 SECTIONS: dict[str, type[msgspec.Struct]] = {
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
     "capture": CaptureOptions, "overload": OverloadOptions, "aperture": ApertureOptions,
-    "spill": SpillOptions, "membership": MembershipOptions, "etcd": EtcdOptions,
+    "spill": SpillOptions, "membership": MembershipOptions, "etcd": EtcdOptions, "peers": PeersOptions,
 }  # fmt: skip
--- a/finchladder/core/api.py
+++ b/finchladder/core/api.py
@@ -235,9 +235,16 @@
     data: bytes
 
 
+class Held(NamedTuple):
+    """For peers/loads.py: slots in flight of all other dispatchers, by real server's number there."""
+
+    counts: dict[int, float]
+    age_s: float
+
+
 Event = (
     WorkerList | Request | Limit | Started | Progress | Streaming | Ended | ClientGone | Timer | Unseen
-    | Probed | PeerMessage
+    | Probed | PeerMessage | Held
 )
 
 
--- a/finchladder/core/guarded.py
+++ b/finchladder/core/guarded.py
@@ -23,7 +23,7 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from finchladder.core.alarms import Alarms
 from finchladder.core.api import (
@@ -52,6 +52,9 @@
 from finchladder.core.routes import Queue, RetryBudget, Route, Routes
 from finchladder.core.spill import SpillSettings
 
+if TYPE_CHECKING:  # where dispatchers share budgets
+    from finchladder.core.peers.bucket import Bucket
+
 GUARD = 2  # timer token; the Dispatcher's own are 0 and 1
 EARLY_S = 1e-4  # a timer may come so much before its time, as clocks are rounded
 CUT = frozenset({Ending.TIMED_OUT, Ending.CANCELLED})  # endings of attempts that would have taken longer
@@ -59,6 +62,9 @@
 Key = tuple[str, str]  # a route's name and the job's class
 
 
+Share = Callable[[str, float], "Bucket"]  # by the budget's name, and its limit a second
+
+
 class NewRoutes(NamedTuple):
     """Hold from now on; a job that has come keeps the limits that it began with."""
 
@@ -101,8 +107,12 @@
 class Guarded:
     """To be used in place of its Dispatcher, `inner`, which nobody else may call."""
 
-    def __init__(self, inner: Dispatcher, routes: Routes, seed: int) -> None:
+    share: "Share | None" = None  # a part of a budget that all dispatchers have together; None: each its own
+
+    def __init__(self, inner: Dispatcher, routes: Routes, seed: int, share: "Share | None" = None) -> None:
         self.inner, self.s = inner, inner.s
+        if share is not None:
+            self.share = share
         self.random = Random(f"{seed}/routes")  # apart: the Dispatcher's own draws stay as they are
         self.margin_s = inner.sweep + 2 * inner.s.tick  # what is not sent by then is answered
         self.scopes: dict[Key, Scope] = {}
@@ -379,7 +389,8 @@
                 if (route.name, rule) not in budgets:
                     budget = was.budget if was is not None else None
                     if budget is None or budget.window_s != rule.window_s or budget in budgets.values():
-                        budget = Budget(rule)
+                        budget = None
+                    budget = self._budget(route, rule, budget)
                     budget.tune(rule)
                     budgets[route.name, rule] = budget
                 scope.budget = budgets[route.name, rule]
@@ -398,6 +409,15 @@
                     same = times is not None and times.percentile == percentile
                     scope.times = times if same else Times(percentile)
 
+    def _budget(self, route: Route, rule: RetryBudget, kept: Budget | None) -> Budget:
+        if self.share is None:
+            return kept or Budget(rule)
+        from finchladder.core.peers.retries import SharedBudget  # what is off need not be loaded
+
+        # also where it is kept: its limit may be another now
+        bucket = self.share(f"retry.{route.name}", rule.least_per_s)
+        return kept or SharedBudget(rule, bucket)
+
     def _move(self, run: Run) -> None:
         """To its route as it is now, so that its place counts there; one whose route is gone stays."""
         scope, before = self.scopes.get((run.rules.name, run.rules.job_class)), run.scope.limiter
@@ -426,13 +446,17 @@
 
 
 def decisions(
-    settings: Settings, seed: int, routes: Routes | None, spill: SpillSettings | None = None
-) -> Dispatcher | Guarded:
-    """`routes` None: there is no file that could have them, now or later. `spill` None: zones are as one."""
+    settings: Settings, seed: int, routes: Routes | None, spill: SpillSettings | None = None,
+    share: "Share | None" = None,
+) -> Dispatcher | Guarded:  # fmt: skip
+    """`routes` None: there is no file that could have them, now or later. `spill` None: zones are as one.
+
+    `share`: where dispatchers share budgets, gives this one's part of one.
+    """
     if spill is None:
         dispatcher = Dispatcher(settings, seed)
     else:
         from finchladder.core.zones import Zoned  # what is off need not be loaded
 
         dispatcher = Zoned(settings, seed, spill)
-    return dispatcher if routes is None else Guarded(dispatcher, routes, seed)
+    return dispatcher if routes is None else Guarded(dispatcher, routes, seed, share)
--- /dev/null
+++ b/finchladder/core/peers/loads.py
@@ -0,0 +1,94 @@
+"""Told counts at the choice: ties of own loads go to who has least in flight for all dispatchers together.
+
+It breaks ties and overrules nothing: a lower own load still wins, and t and the rules still bound. What was
+told decays: with age the chances go back to those that are drawn by size, and after GONE_S nothing is left.
+
+| what is known | chance of a worker among those whose own loads are alike |
+| --- | --- |
+| counts of all, told age_s ago | (size / (1 + in flight)) to the power of SHARP x (1 - age_s / GONE_S) |
+| none, or older | as without peers (sizes.py) |
+
+In flight is what was told for the others, and what oneself has there now. Of counts of a part of the members
+the others' are taken to be alike. O(real servers that are told of) for each telling, O(1) for each look.
+"""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+from zlib import crc32
+
+from finchladder.core.api import Held
+from finchladder.core.policy import Dispatcher
+from finchladder.core.records import Worker
+from finchladder.core.sizes import Portions, Sizes, one_of
+
+SHARP = 8.0
+GONE_S = 3.0
+FAR = 1.5  # a crossing between zones counts as so many times the load
+
+
+def number(worker: str) -> int:
+    """What stands for a real server in a datagram: 24 bits, the same at all."""
+    return crc32(worker.encode()) & 0xFFFFFF
+
+
+def own_counts(workers: Iterable[Worker]) -> dict[int, float]:
+    """What oneself has in flight; two real servers of one number are counted together."""
+    counts: dict[int, float] = {}
+    for w in workers:
+        if w.load > 0:
+            n = number(w.address)
+            counts[n] = counts.get(n, 0.0) + w.load
+    return counts
+
+
+class Loads(Sizes):
+    """Takes the place of the decisions' Sizes."""
+
+    __slots__ = ("told_counts", "told_at", "now", "numbers")
+
+    def __init__(self, before: Sizes) -> None:
+        super().__init__(before.s)
+        self.told_counts: dict[int, float] = {}
+        self.told_at = -GONE_S  # as of when the counts are, by the decisions' clock
+        self.now = 0.0
+        self.numbers: dict[str, int] = {}
+
+    @property
+    def draws(self) -> bool:
+        return not self.s.weights_live  # few dispatchers too: they hear of all
+
+    def hear(self, now: float, e: Held) -> None:
+        self.told_counts, self.told_at, self.now = e.counts, now - e.age_s, now
+
+    def draw(self, able: Sequence[Worker], random: Random, homes: Portions | None = None) -> Worker:
+        fresh = 1 - (self.now - self.told_at) / GONE_S
+        if fresh <= 0 or len(able) == 1:
+            return super().draw(able, random, homes)
+        chances = []
+        for w in able:
+            load = 1.0 + w.load + self.told_counts.get(self._number(w.address), 0.0)
+            if w.zone != self.s.zone:
+                load *= FAR
+            chances.append((self.of(w) / load) ** (SHARP * fresh))
+        return one_of(able, chances, random)
+
+    def _number(self, worker: str) -> int:
+        found = self.numbers.get(worker)
+        if found is None:
+            if len(self.numbers) > 1 << 16:
+                self.numbers.clear()
+            found = self.numbers[worker] = number(worker)
+        return found
+
+
+def attach(d: Dispatcher) -> Loads:
+    """Has these decisions heed Held; without it they are as ever."""
+    loads = Loads(d.crowd.untold)
+    d.crowd.untold = loads
+    handle = d.handlers
+
+    def heard(e: Held) -> None:
+        loads.hear(d.now, e)
+
+    handle[Held] = heard
+    return loads
--- a/finchladder/features/door.py
+++ b/finchladder/features/door.py
@@ -1,6 +1,8 @@
 """Door limits: token buckets by client address. No clock, no sockets: times and addresses are handed in."""
 
 from collections import OrderedDict
+from collections.abc import Callable
+from typing import Protocol
 
 from finchladder.config.options import DoorOptions, Options
 
@@ -34,10 +36,20 @@
         return 0.0 if admitted else self.interval
 
 
+class Limits(Protocol):
+    def take(self, now: float, address: str) -> float: ...
+
+
 class Door:
     def __init__(self, options: Options) -> None:
-        self.general = Buckets(options.door) if options.door is not None else None
-        self.of_class = {name: Buckets(o) for name, o in options.door_of.items()}
+        self.general: Limits | None = Buckets(options.door) if options.door is not None else None
+        self.of_class: dict[str, Limits] = {name: Buckets(o) for name, o in options.door_of.items()}
+
+    def share(self, options: Options, make: Callable[[str, DoorOptions], Limits]) -> None:
+        """Has the limits be those of all dispatchers together, each by a name of its own."""
+        if options.door is not None:
+            self.general = make("door", options.door)
+        self.of_class = {name: make(f"door.{name}", o) for name, o in options.door_of.items()}
 
     def turn_away(self, now: float, address: str, job_class: str) -> float:
         """0.0: come in; else the seconds after which a token is back."""
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -33,7 +33,6 @@
 from finchladder.core.spill import State as SpillState
 from finchladder.core.told import Told
 from finchladder.features.arrivals import Arrivals
-from finchladder.features.door import Buckets
 from finchladder.features.drills import Order
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
@@ -394,7 +393,7 @@
         decisions.take(routes)
 
 
-def _tables(arrivals: Arrivals) -> dict[str, Buckets]:
+def _tables(arrivals: Arrivals) -> dict[str, Any]:
     if arrivals.door is None:
         return {}
     general = {"": arrivals.door.general} if arrivals.door.general is not None else {}
--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -109,15 +109,22 @@
         return path
 
     def write_operator_file(self) -> str:
-        """The experiment's own, with its etcd; empty: there is none, and the experiment's holds as it is."""
-        if not self.etcd:
+        """The experiment's own, with its etcd and peers; empty: there are none, and it holds as it is."""
+        peers = self.run.e.program.peers
+        if not self.etcd and peers is None:
             return ""
         given = self.run.e.program.config
         toml = given.lower().endswith(".toml")
         path = self.run.out / "config" / f"{self.name}.{'toml' if toml else 'ini'}"
-        endpoints = json.dumps(self.etcd) if toml else ", ".join(self.etcd)
         text = Path(given).read_text("utf-8") if given else ""
-        path.write_text(f"{text}\n[etcd]\nendpoints = {endpoints}\n", "utf-8")
+        if self.etcd:
+            endpoints = json.dumps(self.etcd) if toml else ", ".join(self.etcd)
+            text += f"\n[etcd]\nendpoints = {endpoints}\n"
+        if peers is not None:
+            file = str(self.run.peers)
+            text += f"\n[peers]\nfile = {json.dumps(file) if toml else file}\n"
+            text += "".join(f"{name} = {json.dumps(value)}\n" for name, value in peers.items())
+        path.write_text(text, "utf-8")
         return str(path)
 
     async def remember(self) -> None:
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -31,6 +31,8 @@
     sockets: Annotated[int, Meta(ge=128, le=1_000_000)] = 1024
     cpus: list[int] = []  # pinned to these processors; empty: to none
     back_after_s: Seconds = 0.0  # one that died by itself is started again after this; 0: it stays away
+    peers: dict[str, bool | float] | None = None  # [peers] in its operator's file, `file` as the lab makes it
+    peers_every_s: Seconds = 0.0  # so often each is asked what it knows of the others; 0: never
     null: bool = False  # a target that answers 200 at once, without real servers: measures the load
 
 
--- a/finchladder/lab/run.py
+++ b/finchladder/lab/run.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import signal
@@ -20,7 +21,7 @@
 from finchladder.lab import faults
 from finchladder.lab.check import REPOSITORY, place_servers
 from finchladder.lab.control import Order, Plan, ServerPlan, Word
-from finchladder.lab.dispatchers import Dispatcher, check_out, free_block
+from finchladder.lab.dispatchers import Dispatcher, ask, check_out, free_block
 from finchladder.lab.experiment import Experiment
 from finchladder.lab.guard import Guard
 from finchladder.lab.processes import Child, LabError, Player, clock
@@ -196,6 +197,9 @@
             stand = await (await self._begin(self._plan("peers", dispatchers=direct))).opened(OPEN_S)
             self.peers = self.out / "config" / "peers.json"
             self.peers.write_bytes(msgspec.json.encode(stand))
+        elif e.program.peers is not None:
+            self.peers = self.out / "config" / "peers.json"
+            self.peers.write_bytes(msgspec.json.encode(direct))
         placed = [ServerPlan(s.name, s.pool, s.zone, e.pool[s.pool].group) for s in place_servers(e)]
         if placed and not e.program.null:
             await self._begin_world(placed, direct, for_servers)
@@ -268,6 +272,27 @@
             due = max(due + SAMPLE_S, time.monotonic())
             await asyncio.sleep(due - time.monotonic())
 
+    async def _look_at_peers(self, begin: float) -> None:
+        """What each dispatcher says that it knows of the others, to `peers.jsonl`: no verdict rests on it."""
+        every, at_once = self.e.program.peers_every_s, asyncio.Semaphore(16)
+        due = begin
+
+        async def look(d: Dispatcher) -> bytes:
+            async with at_once:
+                at = time.monotonic() - begin
+                try:
+                    status, body = await ask(d.address, "/_peers", every)
+                    told = json.loads(body) if status == 200 else None
+                except (OSError, TimeoutError, ValueError):
+                    told = None  # it is down
+            return msgspec.json.encode({"at": round(at, 3), "node": d.name, "told": told}) + b"\n"
+
+        with open(self.out / "peers.jsonl", "ab", buffering=0) as file:
+            while True:
+                await self._at(due)
+                file.write(b"".join(await asyncio.gather(*map(look, self.dispatchers))))
+                due = max(due + every, time.monotonic())
+
     async def _at(self, at: float) -> None:
         await asyncio.sleep(max(0.0, at - time.monotonic()))
 
@@ -353,6 +378,8 @@
         for player in self.players.values():
             player.order(Order("go", begin))
         running = [self._phases(begin), self._sample(), self._tell_progress(begin, whole)]
+        if self.e.program.peers is not None and self.e.program.peers_every_s:
+            running.append(self._look_at_peers(begin))
         tasks = [self.spawn(work) for work in running]
         strikes = [(s.of, self.spawn(self._strike(s, begin))) for s in faults.strikes(self.e)]
         tasks += [task for _, task in strikes]
--- a/finchladder/net/control.py
+++ b/finchladder/net/control.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from hmac import compare_digest
-from typing import NamedTuple
+from typing import Any, NamedTuple, Protocol
 from urllib.parse import unquote
 
 import msgspec
@@ -15,7 +15,7 @@
 from finchladder.net.http1 import BadMessage, Head
 from finchladder.net.module import Clock
 
-STATUS, DRILL, METRICS, CAPTURE = "/_status/", "/_drill", "/_metrics", "/_capture"
+STATUS, DRILL, METRICS, CAPTURE, PEERS = "/_status/", "/_drill", "/_metrics", "/_capture", "/_peers"
 JSON = "Content-Type: application/json"
 
 
@@ -30,6 +30,12 @@
         return pieces(self.lines)
 
 
+class Shown(Protocol):
+    """What the other dispatchers are known by."""
+
+    def show(self) -> dict[str, Any]: ...
+
+
 class Reply(NamedTuple):
     status: int
     body: bytes = b""
@@ -46,6 +52,7 @@
     ) -> None:  # fmt: skip
         self.clock, self.classes = clock, classes
         self.status, self.arrivals, self.capture = status, arrivals, capture
+        self.peers: Shown | None = None
         self.dumping = False
         self.key = options.drill.key if options.drill is not None else None
 
@@ -58,6 +65,9 @@
             return self._by_get(head, self._metrics)
         if self.capture is not None and path == CAPTURE:
             return self._by_get(head, self._dump)
+        if self.peers is not None and path == PEERS:
+            shown = self.peers
+            return self._by_get(head, lambda: Reply(200, msgspec.json.encode(shown.show()) + b"\n", (JSON,)))
         if path == DRILL and head.method == "POST":
             return self._drill(head, body)
         return None
--- a/finchladder/net/machine.py
+++ b/finchladder/net/machine.py
@@ -32,6 +32,13 @@
     return bind_sockets(address[1], address[0], backlog=max(BACKLOG, int(BACKLOG_PART * sockets)))
 
 
+def datagrams(address: tuple[str, int]) -> socket.socket:
+    """For the other dispatchers. OSError: the address can't be had."""
+    from finchladder.net.peers.actor import bind  # what is off need not be loaded
+
+    return bind(address)
+
+
 class Selector(selectors.DefaultSelector):
     """Knows for how long its loop has waited for events: all other time it was at work, or kept from it."""
 
@@ -91,6 +98,7 @@
     listen: Callable[[tuple[str, int], int], list[socket.socket]] = listen
     allow_descriptors: Callable[[int], None] = allow_descriptors
     connect: Connect = connect
+    datagrams: Callable[[tuple[str, int]], socket.socket] = datagrams
     files: Callable[[CaptureOptions, str, int], Disk | None] = capture_files
     last_good: "Callable[[str], File] | None" = None  # None: a file on the machine's own disk
     keep: Callable[[], None] = lambda: None  # what has been made will stay: the collector may leave it out
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from finchladder.config.options import MembershipOptions, Options
+from finchladder.config.options import MembershipOptions, Options, PeersOptions
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
@@ -36,8 +36,11 @@
 
 if TYPE_CHECKING:
     from finchladder.config.routes import Loaded
+    from finchladder.core.peers.bucket import Bucket
+    from finchladder.core.peers.peers import Peers
     from finchladder.net.etcd.follow import EtcdActor
     from finchladder.net.membership import MembershipActor
+    from finchladder.net.peers.actor import PeersActor
 
 
 class OperatorFile(NamedTuple):
@@ -54,7 +57,7 @@
         self, setup: Setup, options: Options, reread: Callable[[], Setup], machine: Machine | None = None,
         file: OperatorFile | None = None,
     ) -> None:  # fmt: skip
-        self.setup, self.reread = setup, reread
+        self.setup, self.options, self.reread = setup, options, reread
         self.machine = machine = machine or Machine()
         self.clock = clock = Clock(machine.wall, machine.monotonic)
         sockets = setup.limits.sockets
@@ -62,10 +65,15 @@
         self.flows = Flows(status, clock, sockets)
         seed = read_seed(setup.seed)
         routes = file.loaded.routes if file is not None else None
-        decided = decisions(setup.settings, seed, routes, options.spilling())
+        joined = self._join(options.peers, seed) if options.peers is not None else None
+        share = self._share if joined is not None else None
+        decided = decisions(setup.settings, seed, routes, options.spilling(), share)
         arrivals = Arrivals(options, seed)
         self.dispatcher = decided.inner if isinstance(decided, Guarded) else decided
         self.module = ModuleActor(decided, self.flows, clock)
+        self.peers: PeersActor | None = None
+        if options.peers is not None and joined is not None:
+            self._speak(options, joined, arrivals)
         self.capture: Capture | None = None
         self.files: Disk | None = None
         if options.capture is not None:
@@ -106,6 +114,7 @@
             self.reload = Reload(file.loaded, file.read, machine.aside, self._hold)
             self.intake.routes = file.loaded.routes
         controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
+        controls.peers = self.peers
         self.gate: Gate | None = None
         if options.overload is not None:
             limits = options.overload.limits(setup.settings.max_retry_after)
@@ -116,6 +125,44 @@
         self.bodies = BodyRoom(setup.limits.memory_mb * 1024 * 1024, options.memory())
         self.clients = Clients(front, self.bodies, sockets)
 
+    def _join(self, options: PeersOptions, seed: int) -> "Peers":
+        """This one's place among the dispatchers; ValueError: it is none of those that are listed."""
+        # only a dispatcher that is to do so loads them
+        from finchladder.core.peers.loads import own_counts
+        from finchladder.core.peers.members import Timing
+        from finchladder.core.peers.peers import Peers, Rule
+
+        addresses = options.addresses()
+        if self.setup.name not in addresses:
+            raise ValueError(f"[peers]: {self.setup.name} is none of the {len(addresses)} that are listed")
+        rule = Rule(Timing(options.period_s), options.wave_s if options.counts else 0.0)
+        self.joined = Peers(
+            self.setup.name, addresses, seed, int(self.machine.wall() * 1000), self.clock(), rule,
+            lambda: own_counts(self.dispatcher.workers.values()),
+        )  # fmt: skip
+        return self.joined
+
+    def _share(self, budget: str, limit: float) -> "Bucket":
+        return self.joined.share(budget, limit, self.clock(), self.setup.settings.dispatchers)
+
+    def _speak(self, options: Options, joined: "Peers", arrivals: Arrivals) -> None:
+        from finchladder.core.peers.loads import attach
+        from finchladder.features.shared_door import SharedBuckets
+        from finchladder.net.peers.actor import PeersActor
+
+        assert options.peers is not None
+        if arrivals.door is not None:
+            least = self.setup.settings.dispatchers
+            arrivals.door.share(options, lambda name, o: SharedBuckets(joined, name, o, least))
+        heard = None
+        if options.peers.counts:
+            attach(self.dispatcher)
+            heard = self.module.tell
+        self.peers = PeersActor(
+            joined, options.peers.fleet, self.setup.listen, options.peers.addresses(), self.clock, heard,
+            self.machine.datagrams,
+        )  # fmt: skip
+
     def _believe(self, options: Options, seed: int) -> None:
         """Lists are believed by the rules of membership, and no more as they come."""
         # only a dispatcher that is to do so loads them
@@ -156,6 +203,8 @@
             self.etcd.start()
         # a SIGHUP with nobody to handle it would end the process, and with it all open flows
         loop.add_signal_handler(signal.SIGHUP, self._reread)
+        if self.peers is not None:
+            self.peers.start()
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
         if self.reload is not None:
             loaded = self.reload.loaded
@@ -163,6 +212,8 @@
         await left.wait()
         logger.info("{}: leaving", setup.name)
         await self.clients.leave()
+        if self.peers is not None:
+            self.peers.stop()
         if self.etcd is not None:
             self.etcd.stop()
         if self.members is not None:
@@ -185,6 +236,21 @@
             return
         logger.info("SIGHUP: discovery is at {}:{}", *discovery)
         self.service.follow(discovery)
+        if self.peers is not None:
+            self._relist(self.peers)
+
+    def _relist(self, peers: "PeersActor") -> None:
+        """The file of the dispatchers is read again; one that can't be used changes nothing."""
+        assert self.options.peers is not None
+        try:
+            addresses = self.options.peers.addresses()
+            if self.setup.name not in addresses:
+                raise ValueError(f"{self.setup.name} is not in it")
+        except ValueError as e:
+            logger.error("SIGHUP: [peers]: {}; the dispatchers listed before stay", e)
+            return
+        peers.follow(addresses, self.setup.settings.dispatchers)
+        logger.info("SIGHUP: [peers]: {} dispatchers are listed", len(addresses))
 
     def _hold(self, routes: Routes) -> None:
         """In one step: a job that has come under a route of before is decided by that."""
--- /dev/null
+++ b/finchladder/net/peers/actor.py
@@ -0,0 +1,196 @@
+"""The peers' actor: one UDP socket, one timer, and what core/peers says is to be sent.
+
+It never awaits, and nobody awaits it. A socket that cannot be had is tried again; what it cannot take at once
+is lost, as on any link. Before it looks at the time it reads what has come: what lies unread is no silence.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from loguru import logger
+
+from finchladder.core.api import Held
+from finchladder.core.peers.peers import Packets, Peers
+from finchladder.net.peers.datagrams import MOST, Unusable, decode, encode
+
+EACH = 64  # datagrams read in one turn of the loop
+AGAIN_S = 5.0  # until a socket is tried again
+BUFFER = 1 << 18  # bytes of the socket's buffers
+LEAST_S = 0.001  # between two looks
+
+Address = tuple[str, int]
+
+
+def bind(address: Address) -> socket.socket:
+    """OSError: it can't be had."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class PeersActor:
+    def __init__(
+        self, peers: Peers, fleet: str, own: Address, addresses: Mapping[str, Address],
+        clock: Callable[[], float], heard: Callable[[Held], None] | None,
+        bind: Callable[[Address], socket.socket] = bind,
+    ) -> None:  # fmt: skip
+        """`addresses`: where each peer is, and its datagrams come from. `heard`: gets the counts of all."""
+        self.peers, self.fleet, self.own, self.clock, self.heard, self.bind = (
+            peers,
+            fleet,
+            own,
+            clock,
+            heard,
+            bind,
+        )
+        self.addresses = dict(addresses)
+        self.socket: socket.socket | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.closed = False
+        self.dropped: dict[str, int] = {}
+        self.sent = self.received = self.sent_bytes = self.received_bytes = self.unsent = 0
+        self.tell_at = 0.0
+        self.complained = False
+
+    def start(self) -> None:
+        self._open()
+        self._turn()
+
+    def stop(self) -> None:
+        self._send(self.peers.leave(self.clock()))
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self._close()
+
+    def _open(self) -> None:
+        if self.closed or self.socket is not None:
+            return
+        loop = asyncio.get_running_loop()
+        try:
+            self.socket = self.bind(self.own)
+        except OSError as e:
+            if not self.complained:
+                logger.error(
+                    "peers: no UDP at {}:{}: {}; each goes on by its own share", *self.own, e.strerror
+                )
+            self.complained = True
+            loop.call_later(AGAIN_S, self._open)
+            return
+        if self.complained:
+            logger.info("peers: UDP at {}:{} is there now", *self.own)
+        loop.add_reader(self.socket.fileno(), self._read)
+
+    def _close(self) -> None:
+        if self.socket is not None:
+            asyncio.get_running_loop().remove_reader(self.socket.fileno())
+            self.socket.close()
+            self.socket = None
+
+    # --- in
+
+    def _read(self) -> None:
+        for _ in range(EACH):
+            if self.socket is None:
+                return
+            try:
+                data, source = self.socket.recvfrom(MOST + 1)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:  # an answer to what was sent to one that is down: Linux tells it here
+                continue
+            self.received += 1
+            self.received_bytes += len(data)
+            try:
+                self._take(data, (source[0], source[1]))
+            except Exception:
+                # a fault of this program's must not end the reading, and is told once
+                self._drop("fault")
+                if self.dropped["fault"] == 1:
+                    logger.exception("peers: died on a datagram")
+
+    def _take(self, data: bytes, source: Address) -> None:
+        try:
+            packet = decode(self.fleet, data)
+        except Unusable as e:
+            return self._drop(str(e))
+        if self.addresses.get(packet.sender) != source:
+            return self._drop("unlisted" if packet.sender not in self.addresses else "address")
+        self._send(self.peers.hear(self.clock(), packet))
+
+    def _drop(self, why: str) -> None:
+        self.dropped[why] = self.dropped.get(why, 0) + 1
+
+    # --- out
+
+    def _send(self, packets: Packets) -> None:
+        for to, packet in packets:
+            address = self.addresses.get(to)
+            if address is None or self.socket is None:
+                continue
+            data = encode(self.fleet, packet)
+            if len(data) > MOST:
+                self._drop("too long to send")
+                continue
+            try:
+                self.socket.sendto(data, address)
+            except OSError:  # a full buffer, or nobody there: lost, as it may be on the way
+                self.unsent += 1
+                continue
+            self.sent += 1
+            self.sent_bytes += len(data)
+
+    def _turn(self) -> None:
+        if self.closed:
+            return
+        self._read()
+        now = self.clock()
+        try:
+            self._send(self.peers.turn(now))
+            self._tell(now)
+        except Exception:
+            logger.exception("peers: a turn died")
+        wait = max(LEAST_S, self.peers.next_at() - self.clock())
+        self.timer = asyncio.get_running_loop().call_later(wait, self._turn)
+
+    def _tell(self, now: float) -> None:
+        """The counts of all others go to the decisions, as often as they are made anew."""
+        if self.heard is None or now < self.tell_at:
+            return
+        self.tell_at = now + self.peers.rule.wave_s
+        if (total := self.peers.total(now)) is not None:
+            others = {
+                n: count
+                for n, c in total.counts.items()
+                if (count := c - self.peers.sums.mine.get(n, 0.0)) > 0
+            }
+            self.heard(Held(others, total.age_s))
+
+    # --- besides
+
+    def follow(self, addresses: Mapping[str, Address], least: int) -> None:
+        """Another list of dispatchers."""
+        self.addresses = dict(addresses)
+        self.peers.listed(self.clock(), self.addresses, least)
+
+    def show(self) -> dict[str, Any]:
+        shown = self.peers.show(self.clock())
+        dropped = dict(self.dropped)
+        for why, n in shown["dropped"].items():
+            dropped[why] = dropped.get(why, 0) + n
+        return shown | {
+            "dropped": dropped,
+            "datagrams": {
+                "sent": self.sent, "received": self.received, "unsent": self.unsent,
+                "sent_bytes": self.sent_bytes, "received_bytes": self.received_bytes,
+            },
+            "socket": self.socket is not None,
+        }  # fmt: skip
--- /dev/null
+++ b/finchladder/net/peers/datagrams.py
@@ -0,0 +1,159 @@
+"""Packets as datagrams and back: msgpack, a version and a fleet's name in each, MOST bytes.
+
+    [1, fleet, kind, sender, boot, incarnation, number, about, rumours, rows, grants, returns, part]
+
+All is an array in the order of the fields of core/peers/words.py. Of a part the counts are one string of
+bytes, five for each real server: its number in three, eight times its count in two, the lowest byte first.
+"""
+
+import struct
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from finchladder.core.peers.words import Grant, Kind, Packet, Part, Return, Row, Rumour, Standing, Want
+
+VERSION = 1
+MOST = 1_200  # bytes: no link on the way is to cut it in pieces
+EIGHTH, MOST_COUNT = 8, 0xFFFF / 8
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Text = Annotated[str, Meta(max_length=128)]
+Number = Annotated[int, Meta(ge=0, le=(1 << 53) - 1)]
+
+
+class _Array(msgspec.Struct, array_like=True, forbid_unknown_fields=True, gc=False):
+    pass
+
+
+class _Rumour(_Array):
+    name: Name
+    incarnation: Number
+    standing: Annotated[int, Meta(ge=0, le=2)]
+
+
+class _Want(_Array):
+    budget: Text
+    rate: float
+    have: float
+    spent: float
+
+
+class _Row(_Array):
+    owner: Name
+    boot: Number
+    incarnation: Number
+    order: Number
+    age_s: float
+    asked: float
+    wants: Annotated[list[_Want], Meta(max_length=16)]
+
+
+class _Grant(_Array):
+    serial: Number
+    budget: Text
+    rate: float
+    asked: float
+    boot: Number
+
+
+class _Return(_Array):
+    serial: Number
+    boot: Number
+    asked: float
+
+
+class _Part(_Array):
+    level: Number
+    wave: Number
+    members: Number
+    age_s: float
+    counts: bytes
+
+
+class _Datagram(_Array):
+    version: int
+    fleet: str
+    kind: Annotated[int, Meta(ge=0, le=4)]
+    sender: Name
+    boot: Number
+    incarnation: Number
+    number: Number
+    about: Text
+    rumours: list[_Rumour]
+    rows: list[_Row]
+    grants: list[_Grant]
+    returns: list[_Return]
+    part: _Part | None
+
+
+_fields = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_version = msgspec.msgpack.Decoder(int)
+_decoder = msgspec.msgpack.Decoder(_Datagram)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Unusable(ValueError):
+    """A datagram that is to be dropped; the message is one of a few words, by which it is counted."""
+
+
+def encode(fleet: str, p: Packet) -> bytes:
+    part = None
+    if p.part is not None:
+        counts = b"".join(
+            struct.pack("<I", n)[:3] + struct.pack("<H", round(min(MOST_COUNT, count) * EIGHTH))
+            for n, count in p.part.counts
+        )
+        part = _Part(p.part.level, p.part.wave, p.part.members, p.part.age_s, counts)
+    return _encoder.encode(
+        (
+            VERSION, fleet, p.kind, p.sender, p.boot, p.incarnation, p.number, p.about,
+            p.rumours, p.rows, p.grants, p.returns, part,
+        )
+    )  # fmt: skip
+
+
+def decode(fleet: str, data: bytes) -> Packet:
+    """Unusable: too long, of another version or fleet, or not as it has to be. Figures are not looked at."""
+    if len(data) > MOST:
+        raise Unusable("too long")
+    try:
+        d = _decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        raise Unusable(_why(data)) from None
+    if d.version != VERSION:
+        raise Unusable("version")
+    if d.fleet != fleet:
+        raise Unusable("fleet")
+    return Packet(
+        Kind(d.kind), d.sender, d.boot, d.incarnation, d.number, d.about,
+        tuple(Rumour(r.name, r.incarnation, Standing(r.standing)) for r in d.rumours),
+        tuple(
+            Row(r.owner, r.boot, r.incarnation, r.order, r.age_s, r.asked,
+                tuple(Want(w.budget, w.rate, w.have, w.spent) for w in r.wants))
+            for r in d.rows
+        ),
+        tuple(Grant(g.serial, g.budget, g.rate, g.asked, g.boot) for g in d.grants),
+        tuple(Return(r.serial, r.boot, r.asked) for r in d.returns),
+        _part(d.part) if d.part is not None else None,
+    )  # fmt: skip
+
+
+def _part(p: _Part) -> Part:
+    if len(p.counts) % 5:
+        raise Unusable("malformed")
+    counts = tuple(
+        (n[0] | n[1] << 8 | n[2] << 16, (n[3] | n[4] << 8) / EIGHTH)
+        for n in (p.counts[at : at + 5] for at in range(0, len(p.counts), 5))
+    )
+    return Part(p.level, p.wave, p.members, p.age_s, counts)
+
+
+def _why(data: bytes) -> str:
+    """A later version's may have any other form."""
+    try:
+        version = _version.decode(_fields.decode(data)[0])
+    except (IndexError, msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return "malformed"
+    return "malformed" if version == VERSION else "version"
--- /dev/null
+++ b/finchladder/sim/peers.py
@@ -0,0 +1,322 @@
+"""Many dispatchers' peers at virtual time: links that are split, lose, delay and double, processes that die.
+
+The decisions of `core/peers` as they stand, a clock for each process that runs at a speed of its own, and an
+eye from outside that compares with what is true as it goes on:
+
+| rule | what must hold |
+| --- | --- |
+| rights | what all may use of a budget at one moment adds up to the limit at the most |
+| window | what all took of it in any WINDOW_S is within limit x (1 + e), by bucket.py |
+| never zero | whoever runs has a right above 0, whatever it hears |
+| once | what a dispatcher believes of one life's spending never falls back, and is never above the truth |
+| bounded | no table grows beyond its bound, no packet beyond its room |
+| heals | HEAL_S after the last fault all that run hold each other alive, and those that are dead for gone |
+
+Deterministic by the seed: no clock, no thread, no hash order.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from heapq import heappop, heappush
+from itertools import islice
+from random import Random
+from typing import NamedTuple
+
+from finchladder.core.peers import bucket, escrow
+from finchladder.core.peers.members import Timing
+from finchladder.core.peers.peers import Peers, Rule
+from finchladder.core.peers.words import ROOM, Packet, Standing
+
+KINDS = ("split", "split", "one_way", "loss", "late", "double", "kill", "kill", "pause", "shift")
+WINDOW_S = 1.0
+LATENCY_S = 0.002
+BUFFER = 256  # packets that wait at a process that stands still
+HEAL_S = 40.0
+RIGHTS_EVERY_S = 0.02  # they are looked at; a wrong one lasts for a lease's margin at the least
+FOR_GOOD_S = 60.0  # who is away for longer stays away
+BUDGET = "retry:all"
+
+
+class Broken(NamedTuple):
+    rule: str
+    at: float
+    text: str
+
+
+class World(NamedTuple):
+    """What is drawn. Times are seconds from the begin."""
+
+    dispatchers: int
+    limit: float  # of the one budget, a second
+    demand: float  # takes a second, of all
+    skew: float  # 0: spread evenly; 1: nearly all at one
+    for_s: float
+    faults: tuple["Fault", ...]
+
+
+class Fault(NamedTuple):
+    kind: str  # split, one_way, loss, late, double, kill, pause, shift
+    at: float
+    for_s: float
+    size: float
+    who: tuple[int, ...]  # those struck; of a split one side
+
+
+def draw(seed: int, most: int = 9) -> World:
+    r = Random(f"{seed}/peers world")
+    n = r.randint(3, most)
+    faults: list[Fault] = []
+    for _ in range(r.randint(2, 6)):
+        kind = r.choice(KINDS)
+        who = tuple(r.sample(range(n), r.randint(1, max(1, n - 1))))
+        size = {"loss": r.choice((0.1, 0.3, 0.6)), "late": r.choice((0.5, 5.0)), "double": 0.5}.get(kind, 1.0)
+        for_s = r.choice((0.3, 3.0, 12.0, 500.0)) if kind in ("kill", "pause") else r.uniform(2.0, 20.0)
+        faults.append(Fault(kind, r.uniform(5.0, 40.0), for_s, size, who))
+    limit = r.choice((0.5, 5.0, 50.0))
+    return World(n, limit, limit * r.choice((0.3, 1.0, 3.0)), r.choice((0.0, 0.5, 0.95)), 60.0, tuple(faults))
+
+
+def room(p: Packet) -> int:
+    part = p.part.room if p.part is not None else 0
+    return part + sum(r.room for some in (p.rumours, p.rows, p.grants, p.returns) for r in some)
+
+
+class Found(NamedTuple):
+    steps: int
+    broken: Broken | None
+
+
+def play_seed(seed: int) -> tuple[int, Found]:
+    play = Play(seed)
+    broken = play.run()
+    return seed, Found(play.steps, broken)
+
+
+def search(seeds: range, jobs: int, go_on: Callable[[], bool]) -> Iterator[tuple[int, Found]]:
+    """Each seed with what came of it, as they end; `go_on` is asked before more are begun."""
+    rest = iter(seeds)
+    with ProcessPoolExecutor(jobs) as pool:
+        while go_on() and (some := list(islice(rest, 4 * jobs))):
+            yield from pool.map(play_seed, some)
+
+
+class Process:
+    """One life of a dispatcher: a clock that begins anywhere, and runs up to DRIFT too fast or too slow."""
+
+    def __init__(self, play: "Play", index: int, life: int) -> None:
+        r = Random(f"{play.seed}/{index}/{life}")
+        self.play, self.index, self.life, self.name = play, index, life, f"n{index + 1}"
+        self.begun = play.now
+        self.speed = 1 + r.uniform(-1, 1) * escrow.DRIFT * 0.99
+        self.offset = r.uniform(0, 1e6)
+        # a wall clock may be an hour off: a later life then begins with a lower incarnation
+        wall = 1_700_000_000 + play.now + r.choice((0.0, 0.0, -3600.0, 3600.0))
+        self.paused = False
+        self.waits: deque[Packet] = deque(maxlen=BUFFER)
+        self.believed: dict[tuple[str, int], float] = {}
+        self.peers = Peers(
+            self.name, play.names, r.getrandbits(60), int(wall * 1000), self.clock(),
+            Rule(play.timing, play.wave_s), lambda: {7: float(index + 1)},
+        )  # fmt: skip
+        self.tokens = self.peers.share(BUDGET, play.world.limit, self.clock())
+
+    def clock(self) -> float:
+        return self.offset + (self.play.now - self.begun) * self.speed
+
+    def send(self, packets: list[tuple[str, Packet]]) -> None:
+        for to, packet in packets:
+            if room(packet) > ROOM:
+                self.play.break_("bounded", f"a packet of {self.name} takes {room(packet)} bytes")
+            self.play.carry(self, to, packet)
+
+    def hear(self, packet: Packet) -> None:
+        if self.paused:
+            self.waits.append(packet)
+        else:
+            self.send(self.peers.hear(self.clock(), packet))
+
+    def turn(self) -> None:
+        if not self.paused:
+            self.send(self.peers.turn(self.clock()))
+
+    def next_in(self) -> float:
+        return max(0.0005, (self.peers.next_at() - self.clock()) / self.speed)
+
+
+class Play:
+    def __init__(
+        self, seed: int, world: World | None = None, timing: Timing | None = None, wave_s: float = 0.0
+    ) -> None:
+        self.seed, self.world = seed, world or draw(seed)
+        self.timing, self.wave_s = timing or Timing(), wave_s
+        self.names = [f"n{i + 1}" for i in range(self.world.dispatchers)]
+        self.random = Random(f"{seed}/play")
+        self.now, self.serial, self.steps = 0.0, 0, 0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.broken: Broken | None = None
+        self.alive: dict[int, Process] = {}
+        self.lives = [0] * self.world.dispatchers
+        self.links: list[Fault] = []  # faults of links at work
+        self.shift = 0
+        self.rights_at = 0.0
+        self.taken: deque[tuple[float, int]] = deque()
+        self.most_taken = self.total_taken = self.looked = 0
+        self.sent = self.lost = 0
+        self.spent: dict[tuple[str, int], int] = {}  # in truth, by life
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self.serial += 1
+        heappush(self.queue, (when, self.serial, what))
+
+    # --- the world
+
+    def start(self, index: int) -> None:
+        self.lives[index] += 1
+        self.alive[index] = process = Process(self, index, self.lives[index])
+        self._beat(process)
+
+    def _beat(self, process: Process) -> None:
+        if self.alive.get(process.index) is process:
+            process.turn()
+            self.at(self.now + process.next_in(), lambda: self._beat(process))
+
+    def carry(self, sender: Process, to: str, packet: Packet) -> None:
+        self.sent += 1
+        index = int(to[1:]) - 1
+        copies, late = 1, LATENCY_S * (1 + self.random.random())
+        for f in self.links:
+            out, into = sender.index in f.who, index in f.who
+            cut = (f.kind == "split" and out != into) or (f.kind == "one_way" and out and not into)
+            if cut or (f.kind == "loss" and self.random.random() < f.size):
+                copies = 0
+            elif f.kind == "late" and (out or into):
+                late += self.random.random() * f.size
+            elif f.kind == "double" and self.random.random() < f.size:
+                copies += copies
+        self.lost += not copies
+        for n in range(min(copies, 4)):
+            self.at(self.now + late * (1 + 3 * n), lambda: self._arrive(index, packet))
+
+    def _arrive(self, index: int, packet: Packet) -> None:
+        if (process := self.alive.get(index)) is not None:
+            process.hear(packet)
+
+    def strike(self, f: Fault) -> None:
+        if f.kind == "kill":
+            for i in f.who:
+                self.alive.pop(i, None)
+                self.at(self.now + f.for_s, lambda i=i: self.start(i) if i not in self.alive else None)  # type: ignore[misc]
+        elif f.kind == "pause":
+            for i in f.who:
+                if (process := self.alive.get(i)) is not None:
+                    process.paused = True
+                    self.at(self.now + min(f.for_s, FOR_GOOD_S / 5), lambda p=process: self._wake(p))  # type: ignore[misc]
+        elif f.kind == "shift":
+            self.shift = f.who[0]
+        else:
+            self.links.append(f)
+            self.at(self.now + f.for_s, lambda: self.links.remove(f))
+
+    def _wake(self, process: Process) -> None:
+        process.paused = False
+        waits, process.waits = process.waits, deque(maxlen=BUFFER)
+        if self.alive.get(process.index) is process:
+            for packet in waits:
+                process.hear(packet)
+
+    def _take(self) -> None:
+        w = self.world
+        first = self.random.random() < w.skew
+        index = self.shift if first else self.random.randrange(w.dispatchers)
+        process = self.alive.get(index)
+        if process is not None and not process.paused and process.tokens.take(process.clock()):
+            self.total_taken += 1
+            self.taken.append((self.now, index))
+            life = process.name, process.peers.boot
+            self.spent[life] = self.spent.get(life, 0) + 1
+        if self.now < w.for_s:
+            self.at(self.now + self.random.expovariate(w.demand), self._take)
+
+    # --- what must hold
+
+    def _look(self) -> None:
+        w = self.world
+        if len(self.taken) == self.looked:  # nobody took any: the rights are to be looked at
+            if self.now >= self.rights_at:
+                self.rights_at = self.now + RIGHTS_EVERY_S
+                self._look_at_rights()
+            return
+        while self.taken and self.taken[0][0] <= self.now - WINDOW_S:
+            self.taken.popleft()
+        self.most_taken = max(self.most_taken, len(self.taken))
+        self.looked = len(self.taken)
+        # each may take what its right was worth in the window, and what its bucket held at its begin
+        most = (w.limit * WINDOW_S + w.dispatchers + w.limit * bucket.BURST_S) * (1 + escrow.DRIFT)
+        if len(self.taken) > most:
+            self.break_("window", f"{len(self.taken)} in {WINDOW_S:g} s, and {most:.1f} is the most")
+
+    def _look_at_rights(self) -> None:
+        w = self.world
+        rights = {i: p.peers.escrow.right(p.clock(), BUDGET) for i, p in self.alive.items()}
+        allowed = sum(p.tokens.allowed(p.clock()) for p in self.alive.values())
+        if max(allowed, sum(rights.values())) > w.limit * (1 + 1e-9):
+            both = f"{sum(rights.values()):.4f} by the escrows and {allowed:.4f} by the buckets"
+            return self.break_("rights", f"{both} of {w.limit:g} a second")
+        for i, right in rights.items():
+            if right <= 0:
+                return self.break_("never zero", f"n{i + 1} may use nothing")
+
+    def _look_closer(self) -> None:
+        for p in self.alive.values():
+            for owner, (row, _) in p.peers.rows.held.items():
+                told = sum(want.spent for want in row.wants)
+                true = self.spent.get((owner, row.boot), 0)
+                seen = p.believed.get((owner, row.boot), 0.0)
+                if not seen <= told <= true:
+                    text = f"{p.name} believes that {owner} spent {told:g}, after {seen:g}, of {true}"
+                    return self.break_("once", text)
+                p.believed[owner, row.boot] = told
+            e, most = p.peers.escrow, escrow.MOST_GRANTS
+            if max(len(e.given), len(e.taken), len(e.returned) / 4) > most:
+                return self.break_("bounded", f"{p.name} holds {len(e.given)} and {len(e.taken)} grants")
+            if len(p.peers.rows.held) > len(self.names) or len(p.peers.members.probes) > 64:
+                return self.break_("bounded", f"{p.name} holds more rows than there are names")
+
+    def _healed(self) -> None:
+        for p in self.alive.values():
+            for name, m in p.peers.members.of.items():
+                there = int(name[1:]) - 1 in self.alive
+                if m.standing is not (Standing.ALIVE if there else Standing.GONE):
+                    state = "is there" if there else "has died"
+                    return self.break_(
+                        "heals", f"{p.name} holds {name}, which {state}, for {m.standing.name}"
+                    )
+
+    def break_(self, rule: str, text: str) -> None:
+        if self.broken is None:
+            self.broken = Broken(rule, self.now, text)
+
+    def run(self, heals: bool = True) -> Broken | None:
+        for i in range(self.world.dispatchers):
+            self.at(self.random.random(), lambda i=i: self.start(i))  # type: ignore[misc]
+        for f in self.world.faults:
+            self.at(f.at, lambda f=f: self.strike(f))  # type: ignore[misc]
+        self.at(1.0, self._take)
+        over = [f.at + min(f.for_s, FOR_GOOD_S) for f in self.world.faults]
+        end = max([self.world.for_s, *over]) + (HEAL_S if heals else 0.0)
+        look_at = 0.0
+        while self.queue and self.broken is None:
+            when, _, what = heappop(self.queue)
+            if when > end:
+                break
+            self.now = max(self.now, when)
+            self.steps += 1
+            what()
+            self._look()
+            if self.now >= look_at:
+                look_at = self.now + 0.5
+                self._look_closer()
+        if self.broken is None and heals:
+            self._healed()
+        return self.broken
--- /dev/null
+++ b/tests/core/peers/test_escrow.py
@@ -0,0 +1,208 @@
+"""Rights of a budget: every order of a few steps among three dispatchers, and what single steps do."""
+
+from copy import copy
+
+import pytest
+
+from finchladder.core.peers.escrow import KEPT, LEASE_S, MARGIN_S, Budget, Escrow
+from finchladder.core.peers.words import Grant, Return, Row, Want
+
+LIMIT, DEEP = 30.0, 8
+STEP_S = LEASE_S / 2 + 0.1
+SPEEDS = (1.0, 0.9955, 1.0045)  # of their clocks
+
+
+class State:
+    """Three escrows, what they have said, and the true time. What was said may still come, or come twice."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.boots = [0, 0, 0]
+        self.offsets = [100.0, 5000.0, 0.0]
+        self.escrows = [self._made(i, -2 * LEASE_S) for i in range(3)]
+        self.rows: tuple[Row, ...] = ()
+        self.said: tuple[tuple[int, int, int, Grant | Return], ...] = ()  # from, its boot, to, what
+
+    def _made(self, i: int, begun: float) -> Escrow:
+        e = Escrow(f"n{i}", 10 * i + self.boots[i], self.offsets[i] + begun * SPEEDS[i])
+        e.budgets["b"] = Budget("b", LIMIT, 3)
+        e.budgets["b"].need = (1000.0, 0.0, 0.0)[
+            i
+        ]  # the first wants all; the second lends; the third as told
+        return e
+
+    def clock(self, i: int) -> float:
+        return self.offsets[i] + self.now * SPEEDS[i]
+
+    def after(self, step: tuple[object, ...]) -> "State | None":
+        """None: the step is not to be had here, or changes nothing."""
+        s = copy(self)
+        s.escrows, s.boots, s.offsets = list(self.escrows), list(self.boots), list(self.offsets)
+        kind, i = step[0], step[1]
+        assert isinstance(i, int)
+        if kind == "wait":
+            s.now += STEP_S
+            return s if s.now < 4 * STEP_S else None
+        now = s.clock(i)
+        if kind == "start":
+            if s.boots[i]:
+                return None
+            s.boots[i] += 1
+            s.escrows[i] = s._made(i, s.now)
+            return s
+        e = s.escrows[i] = copy(self.escrows[i])
+        e.given, e.taken, e.returned = dict(e.given), dict(e.taken), dict(e.returned)
+        e.budgets = {n: copy(b) for n, b in e.budgets.items()}
+        b = e.budgets["b"]
+        if kind == "write":
+            want = Want("b", e.wants(now, "b"), e.borrowed(now, "b"), 0.0)
+            row = Row(e.own, e.boot, 1, 1, 0.0, now, (want,))
+            if row in s.rows or not want.rate:
+                return None
+            s.rows = (*s.rows, row)[-3:]
+        elif kind == "give":
+            rows = [r for n, r in enumerate(s.rows) if r.owner != e.own and n == step[2]]
+            told = e.give(now, rows)
+            if not told:
+                return None
+            s.said = (*s.said, *((i, e.boot, int(to[1:]), g) for to, g in told))
+        elif kind == "need":
+            b.need = 1000.0 if b.need == 0.0 else 0.0
+        elif kind == "back":
+            told_back = e.give_back(now)
+            if not told_back:
+                return None
+            s.said = (*s.said, *((i, e.boot, int(to[1:]), r) for to, r in told_back))
+        else:
+            said = [w for n, w in enumerate(s.said) if n == step[2] and w[2] == i]
+            if not said:
+                return None
+            sender, boot, _, what = said[0]
+            if isinstance(what, Grant):
+                if not e.take(now, f"n{sender}", boot, what):
+                    return None
+            elif not e.returned_to(boot, what):
+                return None
+        return s
+
+    def rights(self) -> list[float]:
+        return [e.right(self.clock(i), "b") for i, e in enumerate(self.escrows)]
+
+    def key(self) -> object:
+        return (
+            self.now, tuple(self.boots), self.rows, self.said,
+            tuple(
+                (tuple(e.given.values()), tuple(e.taken.values()), tuple(e.returned),
+                 e.budgets["b"].need, e.whole_at)
+                for e in self.escrows
+            ),
+        )  # fmt: skip
+
+
+STEPS = [
+    ("wait", 0), ("write", 0), ("write", 2), ("need", 0), ("need", 2), ("back", 0), ("back", 2),
+    ("start", 0), ("start", 1), *(("give", i, n) for i in (1, 2) for n in range(3)),
+    *(("hear", i, n) for i in range(3) for n in range(4)),
+]  # fmt: skip
+
+
+def test_in_every_order_of_steps_the_rights_add_up_to_the_limit_at_the_most() -> None:
+    """Loss is a word that is never heard, a double one that is heard again, a late one after any wait."""
+    level, seen = [State()], {State().key()}
+    lent = 0
+    for _ in range(DEEP):
+        after: list[State] = []
+        for state in level:
+            for step in STEPS:
+                if (s := state.after(step)) is None or (key := s.key()) in seen:
+                    continue
+                seen.add(key)
+                rights = s.rights()
+                assert sum(rights) <= LIMIT * (1 + 1e-9), (step, rights, s.key())
+                assert min(rights) > 0
+                lent += rights[0] > LIMIT / 3 + 1
+                after.append(s)
+        level = after
+    assert len(seen) > 50_000 and lent > 1000
+
+
+def lender(need: float = 0.0) -> Escrow:
+    e = Escrow("n1", 1, 0.0)
+    e.budgets["b"] = Budget("b", LIMIT, 3)
+    e.budgets["b"].need = need
+    return e
+
+
+def row(asked: float, rate: float, have: float = 0.0, boot: int = 2, owner: str = "n2") -> Row:
+    return Row(owner, boot, 1, 1, 0.0, asked, (Want("b", rate, have, 0.0),))
+
+
+LATER = 2 * LEASE_S
+
+
+def given(e: Escrow, now: float, *rows: Row) -> list[float]:
+    return [round(g.rate, 3) for _, g in e.give(now, rows)]
+
+
+def test_what_is_lent() -> None:
+    assert given(lender(), 1.0, row(0.5, 9.0)) == []  # a start: a former life may have lent it
+    assert given(lender(), LATER, row(1.0, 1000.0)) == [9.0]  # all but what is kept
+    assert given(lender(need=8.0), LATER, row(1.0, 1000.0)) == [2.0]
+    assert given(lender(need=30.0), LATER, row(1.0, 1000.0)) == []
+    assert given(lender(), LATER, row(1.0, 4.0)) == [3.0]  # there are two that may lend, of which one may not
+    assert given(lender(), LATER, row(1.0, 300.0), row(1.0, 100.0, boot=3, owner="n3")) == [6.75, 2.25]
+    assert given(lender(), LATER, row(1.0, 10.0, have=10.0)) == []  # it has what it wants
+    e = lender()
+    assert given(e, LATER, row(1.0, 1000.0)) == [9.0] and given(e, LATER + 5, row(1.0, 1000.0)) == []
+    assert given(e, LATER + 5, row(2.0, 1000.0)) == [9.0]  # renewed for what was asked since
+    e.budgets["b"].need = 30.0
+    assert given(e, LATER + 9, row(3.0, 1000.0)) == []  # needed here: it runs out
+    assert e.right(LATER + 12.9, "b") == pytest.approx(1.0)
+    e.give(LATER + 5 + LEASE_S + MARGIN_S, [])
+    assert e.right(LATER + 5 + LEASE_S + MARGIN_S, "b") == pytest.approx(10.0)
+
+
+def borrower() -> Escrow:
+    e = Escrow("n2", 2, -LATER)
+    e.budgets["b"] = Budget("b", LIMIT, 3)
+    return e
+
+
+@pytest.mark.parametrize(
+    ("grant", "taken"),
+    [
+        (Grant(1, "b", 5.0, 0.0, 2), True),
+        (Grant(1, "b", 5.0, 0.0, 3), False),  # for a former life
+        (Grant(1, "other", 5.0, 0.0, 2), False),
+        (Grant(1, "b", 5.0, 1.5, 2), False),  # for what was not asked yet
+        (Grant(1, "b", 5.0, 1.0 - LEASE_S, 2), False),  # over
+    ],
+)
+def test_which_grants_count(grant: Grant, taken: bool) -> None:
+    e = borrower()
+    assert e.take(1.0, "n1", 1, grant) is taken
+    assert e.right(1.0, "b") == pytest.approx(15.0 if taken else 10.0)
+    assert e.right(LEASE_S + 0.001, "b") == pytest.approx(10.0)
+
+
+def test_a_grant_counts_once_and_what_is_given_back_counts_never_again() -> None:
+    e = borrower()
+    e.budgets["b"].need = 30.0
+    older, newer = Grant(1, "b", 5.0, 0.0, 2), Grant(1, "b", 6.0, 1.0, 2)
+    assert e.take(2.0, "n1", 1, newer) and not e.take(2.0, "n1", 1, newer) and not e.take(2.0, "n1", 1, older)
+    assert e.right(2.0, "b") == pytest.approx(16.0)
+    assert e.give_back(2.0) == []  # it is needed
+    e.budgets["b"].need = 3.0
+    assert e.give_back(2.0) == [("n1", Return(1, 1, 1.0))]
+    assert e.right(2.0, "b") == pytest.approx(10.0) and not e.take(2.0, "n1", 1, newer)
+    assert e.take(2.0, "n1", 7, newer)  # of another life of its owner, whose serials begin anew
+
+
+def test_a_return_ends_only_the_tellers_own_grant() -> None:
+    e = lender()
+    e.give(LATER, [row(1.0, 1000.0)])
+    others = ((3, Return(1, 1, 1.0)), (2, Return(2, 1, 1.0)), (2, Return(1, 9, 1.0)))
+    for boot, back in (*others, (2, Return(1, 1, 0.5))):  # the last: it was renewed since
+        assert not e.returned_to(boot, back)
+    assert e.right(LATER, "b") == pytest.approx(KEPT * 10.0)
+    assert e.returned_to(2, Return(1, 1, 1.0)) and e.right(LATER, "b") == pytest.approx(10.0)
--- /dev/null
+++ b/tests/test_datagrams.py
@@ -0,0 +1,245 @@
+"""Datagrams of peers: what goes out comes back, and whatever else comes is dropped and changes nothing."""
+
+import asyncio
+import math
+import socket
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchladder.cli.peers import lines
+from finchladder.config.options import PeersOptions, read_options
+from finchladder.core.peers.peers import Peers, Rule
+from finchladder.core.peers.words import (
+    MOST_INCARNATION,
+    ROOM,
+    Grant,
+    Kind,
+    Packet,
+    Part,
+    Return,
+    Row,
+    Rumour,
+    Standing,
+    Want,
+    flaw,
+)  # fmt: skip
+from finchladder.net.peers.actor import PeersActor
+from finchladder.net.peers.datagrams import MOST, VERSION, Unusable, decode, encode
+
+NAME = st.text("abcdefgh.-_0123456789", min_size=1, max_size=32)
+INT, FIGURE = st.integers(0, MOST_INCARNATION), st.floats(0, 1e9)
+WANT = st.builds(Want, st.text(max_size=40), FIGURE, FIGURE, FIGURE)
+ROW = st.builds(Row, NAME, INT, INT, INT, st.floats(0, 30), FIGURE, st.lists(WANT, max_size=3).map(tuple))
+PART = st.builds(
+    Part, st.integers(0, 40), INT, st.integers(1, 1000), st.floats(0, 3),
+    st.lists(st.tuples(st.integers(0, (1 << 24) - 1), st.integers(0, 999).map(lambda n: n / 8)), max_size=150)
+    .map(tuple),
+)  # fmt: skip
+PACKET = st.builds(
+    Packet, st.sampled_from(Kind), NAME, INT, INT, st.integers(0, 1 << 31), NAME,
+    st.lists(st.builds(Rumour, NAME, INT, st.sampled_from(Standing)), max_size=12).map(tuple),
+    st.lists(ROW, max_size=3).map(tuple),
+    st.lists(st.builds(Grant, INT, st.text(max_size=40), FIGURE, FIGURE, INT), max_size=3).map(tuple),
+    st.lists(st.builds(Return, INT, INT, FIGURE), max_size=3).map(tuple), st.none() | PART,
+)  # fmt: skip
+
+
+def room(p: Packet) -> int:
+    told: list[Rumour | Row | Grant | Return | Part] = [*p.rumours, *p.rows, *p.grants, *p.returns]
+    return sum(t.room for t in [*told, *([p.part] if p.part else [])])
+
+
+@settings(deadline=None)
+@given(PACKET)
+def test_what_fits_the_room_fits_a_datagram_and_comes_back(p: Packet) -> None:
+    data = encode("a-fleet-of-thirty-two-characters", p)
+    if (
+        room(p) <= ROOM
+        and all(c.isascii() for row in p.rows for w in row.wants for c in w.budget)
+        and all(g.budget.isascii() for g in p.grants)
+    ):
+        assert len(data) <= MOST
+    if len(data) <= MOST:
+        assert decode("a-fleet-of-thirty-two-characters", data) == p
+
+
+def made() -> Peers:
+    p = Peers("n1", ["n1", "n2", "n3"], 1, 1000, 0.0, Rule(wave_s=0.1))
+    p.share("b", 10.0, 0.0)
+    return p
+
+
+def state(p: Peers) -> str:
+    """All that a datagram could change; `dropped` aside."""
+    shown = p.show(5.0)
+    del shown["dropped"]
+    rest = p.escrow.given, p.escrow.taken, p.escrow.returned, p.rows.held, p.sums.parts, p.members.probes
+    return f"{shown} {rest} {sorted(p.members.hot)}"
+
+
+GOOD = Packet(Kind.WORD, "n2", 7, 1000)
+SOUND = encode(
+    "f", GOOD._replace(rumours=(Rumour("n3", 5, Standing.ALIVE),), rows=(Row("n3", 1, 1, 1, 0.0, 1.0, ()),))
+)
+
+
+@settings(deadline=None, max_examples=400)
+@given(st.binary(max_size=200) | st.tuples(st.integers(0, len(SOUND) - 1), st.binary(max_size=4)).map(
+    lambda cut: SOUND[: cut[0]] + cut[1] + SOUND[cut[0] + 1 :]
+))  # fmt: skip
+def test_whatever_comes_is_a_packet_or_is_unusable(data: bytes) -> None:
+    p, before = made(), state(made())
+    try:
+        packet = decode("f", data)
+    except Unusable:
+        assert state(p) == before
+        return
+    if flaw(packet) is not None or packet.sender not in ("n2", "n3"):
+        assert p.hear(1.0, packet) == [] and state(p) == before
+    else:
+        p.hear(1.0, packet)
+        p.turn(2.0)
+
+
+WANT_OF_ALL = Want("b", 1.0, 0.0, 1.0)
+
+
+def rowed(**changes: object) -> Packet:
+    return GOOD._replace(rows=(Row("n2", 7, 1000, 1, 0.0, 1.0, (WANT_OF_ALL,))._replace(**changes),))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    "packet",
+    [
+        GOOD._replace(incarnation=MOST_INCARNATION + 1),
+        GOOD._replace(rumours=(Rumour("n3", MOST_INCARNATION + 1, Standing.GONE),)),
+        rowed(age_s=math.nan), rowed(age_s=-1.0), rowed(asked=math.inf), rowed(incarnation=1 << 52),
+        rowed(wants=(Want("b", 1e300, 0.0, 0.0),)), rowed(wants=(Want("b", 1.0, 0.0, math.nan),)),
+        rowed(wants=(Want("b", 1.0, -1.0, 0.0),)), rowed(wants=(WANT_OF_ALL, WANT_OF_ALL)),
+        GOOD._replace(grants=(Grant(1, "b", math.inf, 0.0, 1),)),
+        GOOD._replace(grants=(Grant(1, "b", 1.0, math.nan, 1),)),
+        GOOD._replace(returns=(Return(1, 1, math.nan),)),
+        GOOD._replace(part=Part(1, 1, 0, 0.0, ())), GOOD._replace(part=Part(1, 1, 2, math.nan, ())),
+        GOOD._replace(part=Part(64, 1, 2, 0.0, ())), GOOD._replace(part=Part(0, 1, 1, 0.0, ((1, math.nan),))),
+    ],
+)  # fmt: skip
+def test_figures_that_cannot_be_change_nothing(packet: Packet) -> None:
+    p, before = made(), state(made())
+    assert p.hear(1.0, packet) == [] and state(p) == before and p.dropped == {"flaw": 1}
+
+
+def test_an_unlisted_one_and_another_process_of_the_own_name_change_nothing() -> None:
+    p, before = made(), state(made())
+    assert p.hear(1.0, GOOD._replace(sender="n9")) == [] and state(p) == before
+    p.hear(1.0, GOOD._replace(sender="n1", boot=p.boot))
+    assert p.conflicts == 0  # an echo of its own words
+    p.hear(1.0, GOOD._replace(sender="n1", boot=p.boot + 1))
+    assert p.conflicts == 1
+    rumours = (Rumour("n9", 5, Standing.GONE),)
+    p.hear(1.0, GOOD._replace(rumours=rumours, rows=(Row("n9", 1, 1, 1, 0.0, 1.0, ()),)))
+    assert "n9" not in p.members.of and "n9" not in p.rows.held
+
+
+ENDED = encode("f", GOOD)
+
+
+def with_part(part: object, kind: int = 0) -> bytes:
+    return msgspec.msgpack.encode([VERSION, "f", kind, "n2", 7, 1, 0, "", [], [], [], [], part])
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"", "malformed"), (ENDED[:-1], "malformed"), (ENDED + b"\0", "malformed"),
+        (b"x" * (MOST + 1), "too long"),
+        (encode("g", GOOD), "fleet"), (msgspec.msgpack.encode([VERSION + 1, "f", {}]), "version"),
+        (ENDED.replace(bytes([0x9D, VERSION]), bytes([0x9D, VERSION + 1])), "version"),
+        (encode("f", GOOD._replace(sender="n" * 65)), "malformed"),
+        (with_part([1, 1, 1, 0.0, b"abc"]), "malformed"),
+        (with_part(None, kind=9), "malformed"),
+        (b"\x91" * 1000, "malformed"),
+    ],
+)  # fmt: skip
+def test_why_a_datagram_is_dropped(data: bytes, why: str) -> None:
+    with pytest.raises(Unusable, match=why):
+        decode("f", data)
+
+
+def at(port: int) -> tuple[str, int]:
+    return "127.0.0.1", port
+
+
+def test_an_actor_drops_what_comes_from_elsewhere_and_goes_on_without_its_socket() -> None:
+    """Real sockets: one listed, one that is not, and a port that another has."""
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as own,
+    ):
+        for s in (other, stranger, own):
+            s.bind(("127.0.0.1", 0))
+        listed = {"n1": own.getsockname(), "n2": other.getsockname(), "n3": at(9)}
+        actor = PeersActor(made(), "f", own.getsockname(), listed, lambda: 1.0, None)
+
+        async def play() -> None:
+            actor.start()
+            assert actor.socket is None and actor.show()["socket"] is False  # the port is taken
+            own.close()
+            actor._open()
+            assert actor.socket is not None
+            for sender in (stranger, other):
+                sender.sendto(encode("f", GOOD._replace(kind=Kind.PING, number=4)), actor.own)
+            stranger.sendto(encode("f", GOOD._replace(sender="n9")), actor.own)
+            for _ in range(1000):
+                if actor.received == 3:
+                    break
+                await asyncio.sleep(0.001)
+            actor.stop()
+
+        asyncio.run(play())
+        shown = actor.show()
+        assert shown["dropped"] == {"address": 1, "unlisted": 1} and shown["datagrams"]["received"] == 3
+        other.settimeout(5)
+        answer = decode("f", other.recv(MOST))
+        assert (answer.kind, answer.sender, answer.number) == (Kind.ACK, "n1", 4)
+        text = "\n".join(lines(shown))
+        assert "n1: 3 listed, 2 alive, 0 suspected, 1 gone" in text and "dropped: address: 1" in text
+        assert "b: 0.333 of 10 a second" in text
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("", "either members or file"), ("members = a=127.0.0.1:1\nfile = x", "either members or file"),
+        ("members = a=127.0.0.1:1, a=127.0.0.1:2", "a is named twice"), ("members = a=127.0.0.1", "unusable"),
+        ("members = a=127.0.0.1:1, b=127.0.0.1:1", "one address"),
+        ("members = a b=127.0.0.1:1", "no dispatcher's name"), ("members = a=host:1", "unusable address"),
+        ("file = x\nfleet = a b", "fleet"), ("file = x\nwave_s = 0", "wave_s"),
+        ("file = x\nnix = 1", "nix"),
+    ],
+)  # fmt: skip
+def test_a_section_that_cannot_be_used(text: str, reason: str, tmp_path: Path) -> None:
+    (tmp_path / "o.ini").write_text(f"[peers]\n{text}\n")
+    with pytest.raises(ValueError, match=reason):
+        read_options(str(tmp_path / "o.ini"))
+
+
+def test_a_list_in_a_file_and_in_the_section_say_the_same(tmp_path: Path) -> None:
+    (tmp_path / "peers.json").write_text('{"n1": "127.0.0.1:1", "n2": "127.0.0.1:2"}')
+    listed = {"n1": ("127.0.0.1", 1), "n2": ("127.0.0.1", 2)}
+    assert PeersOptions(file=str(tmp_path / "peers.json")).addresses() == listed
+    assert PeersOptions(members=["n1=127.0.0.1:1", "n2=127.0.0.1:2"]).addresses() == listed
+    (tmp_path / "o.ini").write_text(f"[capture]\n[peers]\nfile = {tmp_path}/peers.json\n")
+    options = read_options(str(tmp_path / "o.ini"))
+    with pytest.raises(ValueError, match="capture"):
+        options.check(["view"], 64)
+    for text in ("[]", '{"n1": 3}', '{"n1": "x"}', "{"):
+        (tmp_path / "peers.json").write_text(text)
+        with pytest.raises(ValueError):
+            PeersOptions(file=str(tmp_path / "peers.json")).addresses()
+    with pytest.raises(ValueError, match="No such file"):
+        PeersOptions(file=str(tmp_path / "nix")).addresses()
