--- a/finchladder/core/peers/loads.py
+++ b/finchladder/core/peers/loads.py
@@ -27,8 +27,8 @@
 
 
 def number(worker: str) -> int:
-    """What stands for a real server in a datagram: 24 bits, the same at all."""
-    return crc32(worker.encode()) & 0xFFFFFF
+    """What stands for a real server in a datagram: 32 bits, the same at all."""
+    return crc32(worker.encode())
 
 
 def own_counts(workers: Iterable[Worker]) -> dict[int, float]:
--- a/finchladder/core/peers/sums.py
+++ b/finchladder/core/peers/sums.py
@@ -27,7 +27,7 @@
 from finchladder.core.peers.words import Part
 
 STALE_S = 1.5
-MOST_SERVERS = 190  # in one part, the busiest: it must fit into one datagram
+MOST_SERVERS = 160  # in one part, the busiest: it must fit into one datagram
 TAIL = 32  # levels from here on are tails, of A(level - TAIL)
 FEWEST = 0.5  # of the members in a sum, for it to be used
 
--- a/finchladder/core/peers/words.py
+++ b/finchladder/core/peers/words.py
@@ -107,7 +107,7 @@
 
     @property
     def room(self) -> int:
-        return 16 + 5 * len(self.counts)
+        return 20 + 6 * len(self.counts)
 
 
 class Packet(NamedTuple):
@@ -151,7 +151,7 @@
         extent = 0 <= p.part.level < 64 and p.part.wave >= 0 and 0 < p.part.members <= 1 << 20
         if not extent or not _within(p.part.age_s, MOST_AGE_S):
             return "extent of a sum"
-        if not all(0 <= n < 1 << 24 and _within(count, MOST_TOTAL) for n, count in p.part.counts):
+        if not all(0 <= n < 1 << 32 and _within(count, MOST_TOTAL) for n, count in p.part.counts):
             return "counts of a sum"
     return None
 
--- a/finchladder/net/peers/datagrams.py
+++ b/finchladder/net/peers/datagrams.py
@@ -3,7 +3,7 @@
     [1, fleet, kind, sender, boot, incarnation, number, about, rumours, rows, grants, returns, part]
 
 All is an array in the order of the fields of core/peers/words.py. Of a part the counts are one string of
-bytes, five for each real server: its number in three, eight times its count in two, the lowest byte first.
+bytes: the real servers' numbers, four each, then eight times their counts, two each; the lowest byte first.
 """
 
 import struct
@@ -16,7 +16,8 @@
 
 VERSION = 1
 MOST = 1_200  # bytes: no link on the way is to cut it in pieces
-EIGHTH, MOST_COUNT = 8, 0xFFFF / 8
+EIGHTH, MOST_COUNT = 8, 0xFFFF
+EACH = 6  # bytes of a real server in a part
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Text = Annotated[str, Meta(max_length=128)]
@@ -101,10 +102,9 @@
 def encode(fleet: str, p: Packet) -> bytes:
     part = None
     if p.part is not None:
-        counts = b"".join(
-            struct.pack("<I", n)[:3] + struct.pack("<H", round(min(MOST_COUNT, count) * EIGHTH))
-            for n, count in p.part.counts
-        )
+        held = p.part.counts
+        eighths = [min(MOST_COUNT, round(count * EIGHTH)) for _, count in held]
+        counts = struct.pack(f"<{len(held)}I{len(held)}H", *[n for n, _ in held], *eighths)
         part = _Part(p.part.level, p.part.wave, p.part.members, p.part.age_s, counts)
     return _encoder.encode(
         (
@@ -141,12 +141,11 @@
 
 
 def _part(p: _Part) -> Part:
-    if len(p.counts) % 5:
+    n, rest = divmod(len(p.counts), EACH)
+    if rest:
         raise Unusable("malformed")
-    counts = tuple(
-        (n[0] | n[1] << 8 | n[2] << 16, (n[3] | n[4] << 8) / EIGHTH)
-        for n in (p.counts[at : at + 5] for at in range(0, len(p.counts), 5))
-    )
+    found = struct.unpack(f"<{n}I{n}H", p.counts)
+    counts = tuple(zip(found[:n], [eighths / EIGHTH for eighths in found[n:]], strict=True))
     return Part(p.level, p.wave, p.members, p.age_s, counts)
 
 
--- a/tests/core/peers/test_loads.py
+++ b/tests/core/peers/test_loads.py
@@ -60,7 +60,7 @@
     bench.feed(api.Request("j", "safe", 5.0, key=1))
     [worker] = [w for w in bench.d.workers.values() if w.load]
     assert own_counts(bench.d.workers.values()) == {number(worker.address): 1.0}
-    assert 0 <= number("any") < 1 << 24
+    assert 0 <= number("any") < 1 << 32
 
 
 def test_a_shared_floor_is_one_of_all_and_first_sends_still_allow_their_share() -> None:
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -36,7 +36,7 @@
 ROW = st.builds(Row, NAME, INT, INT, INT, st.floats(0, 30), FIGURE, st.lists(WANT, max_size=3).map(tuple))
 PART = st.builds(
     Part, st.integers(0, 40), INT, st.integers(1, 1000), st.floats(0, 3),
-    st.lists(st.tuples(st.integers(0, (1 << 24) - 1), st.integers(0, 999).map(lambda n: n / 8)), max_size=150)
+    st.lists(st.tuples(st.integers(0, (1 << 32) - 1), st.integers(0, 999).map(lambda n: n / 8)), max_size=150)
     .map(tuple),
 )  # fmt: skip
 PACKET = st.builds(
