A token of one among many is held for who asks more than it has; its saved part is bounded by a second

Where more is asked for than there is it now waits for three mean gaps, and saves up to a second of its right; e is stated anew.

--- a/finchladder/core/peers/bucket.py
+++ b/finchladder/core/peers/bucket.py
@@ -4,9 +4,9 @@
 right is far less than a token a second, so a token that is whole and not used for HOLD_S is given up: else
 all that were idle would use theirs in one second. In any window of W seconds all together take at most
 
-    limit x W + sum of depths,    depth = 1 + right x BURST_S
+    limit x W + sum of depths,    depth = 1 + right x (HOLD_S if right < 1 / HOLD_S else BURST_S)
 
-so e = (dispatchers + limit x BURST_S) / (limit x W) in the worst case, that all have a whole token at once;
+so e = (dispatchers + limit x HOLD_S) / (limit x W) in the worst case, that all have a whole token at once;
 of those that are idle HOLD_S / (HOLD_S + 1 / right) have one.
 """
 
@@ -100,13 +100,19 @@
             self.right, self.until = min(self.right, self.fixed), float("inf")
         self._flow(now)
 
+    @property
+    def slow(self) -> bool:
+        """Of many that are idle few must have a whole token."""
+        return not self.holds and self.right * HOLD_S < 1
+
     def _flow(self, now: float) -> None:
-        depth = 1.0 + self.right * self.burst_s
         rate, left = self.right, now - self.at
+        depth = 1.0 + rate * (HOLD_S if self.slow else self.burst_s)
         self.at = now
         if rate <= 0:
             return
-        slow = not self.holds and rate * HOLD_S < 1  # of many that are idle few must have a whole one
+        # where more is asked for than there is, the next one will come for it soon
+        hold_s = max(HOLD_S, 3 / self.need) if self.need > rate else HOLD_S
         while left > 0:
             if self.level < 1:
                 step = min(left, (1 - self.level) / rate)
@@ -115,12 +121,10 @@
                 if self.level >= 1 - 1e-9:
                     self.level, self.whole_since = max(1.0, self.level), now - left
                 continue
-            if not slow:
-                self.level = min(depth, self.level + rate * left)
-                return
             since = now - left if self.whole_since is None else self.whole_since
-            held = since + HOLD_S - (now - left)
-            if held > left:
+            held = since + hold_s - (now - left)
+            if held > left or not self.slow:
+                self.level = min(depth, self.level + rate * left)
                 return
             left -= max(0.0, held)
             self.level, self.whole_since = 0.0, None
