--- a/finchladder/cli/calls.py
+++ b/finchladder/cli/calls.py
@@ -11,6 +11,7 @@
 
 PIECE = 64 * 1024
 KEY = "NODE_DRILL_KEY"  # not an argument: every user of the machine can read those
+JUDGE_KEY = "NODE_JUDGE_KEY"  # likewise
 WITHIN = 10.0
 
 
@@ -62,6 +63,21 @@
         connection.close()
 
 
+def judge(order: dict[str, object], key: str, at: tuple[str, int] | None = None) -> str:
+    """Says a word of a real server at that dispatcher, or at that at NODE_LISTEN."""
+    if not all(" " <= c <= "~" for c in key):
+        raise ValueError("the key holds what is not visible ASCII")
+    connection = http.client.HTTPConnection(*at, timeout=WITHIN) if at is not None else connect()
+    try:
+        fields = {"X-Judge-Key": key} if key else {}
+        return ask(connection, "POST", "/_judge", msgspec.json.encode(order), fields).read().decode()
+    except CallError as e:
+        hint = f"; {JUDGE_KEY} is not set, and no file by --config has a [judgement] key" if not key else ""
+        raise CallError(f"{e}{hint}") from None
+    finally:
+        connection.close()
+
+
 def capture_dump() -> Iterator[bytes]:
     """The ring of the running dispatcher, piece by piece; a cut one is an error."""
     connection = connect()
--- a/finchladder/cli/front.py
+++ b/finchladder/cli/front.py
@@ -14,6 +14,7 @@
     "drill": "rehearse slow or broken jobs at the running dispatcher",
     "config": "check the operator's file, and explain its routes",
     "peers": "what a running dispatcher knows of the others, and of the budgets that they share",
+    "judge": "what a running dispatcher holds of real servers; put one out, keep it in, or let it be",
     "etcd": "list, drain and remove real servers in an etcd that dispatchers follow",
     "sim": "run the program on a virtual clock and network, with faults from a seed",
     "lab": "play experiments against dispatchers on loopback, and judge them",
--- a/finchladder/config/options.py
+++ b/finchladder/config/options.py
@@ -189,6 +189,13 @@
         return listed_peers(found.items())
 
 
+class JudgementOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    most_out: Annotated[float, Meta(ge=0.05, le=0.5)] = 0.3
+    term_s: Annotated[float, Meta(ge=0.5, le=16)] = 2.0
+    # as a drill's: without one, no word of the operator's is taken
+    key: Annotated[str, Meta(pattern=r"\A[!-~]([ -~]{0,254}[!-~])?\Z")] | None = None
+
+
 def listed_peers(pairs: Iterable[tuple[str, str]]) -> dict[str, tuple[str, int]]:
     found: dict[str, tuple[str, int]] = {}
     for name, address in pairs:
@@ -218,6 +225,7 @@
     membership: MembershipOptions | None = None
     etcd: EtcdOptions | None = None
     peers: PeersOptions | None = None
+    judgement: JudgementOptions | None = None
 
     def spilling(self) -> SpillSettings | None:
         return self.spill.settings() if self.spill is not None else None
@@ -237,6 +245,8 @@
             Aperture(settings.index, settings.dispatchers, self.aperture.settings())
         if self.peers is not None and self.capture is not None:
             raise ValueError("[peers]: [capture] can't be on beside it: what others tell is not recorded")
+        if self.judgement is not None and self.capture is not None:
+            raise ValueError("[judgement]: [capture] can't be on beside it: what is judged is not recorded")
         known = set(classes)
         for name in self.door_of:
             if name not in known:
@@ -342,4 +352,5 @@
     "door": DoorOptions, "status": StatusOptions, "drill": DrillOptions,
     "capture": CaptureOptions, "overload": OverloadOptions, "aperture": ApertureOptions,
     "spill": SpillOptions, "membership": MembershipOptions, "etcd": EtcdOptions, "peers": PeersOptions,
+    "judgement": JudgementOptions,
 }  # fmt: skip
--- a/finchladder/core/api.py
+++ b/finchladder/core/api.py
@@ -6,7 +6,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from finchladder.core.judging.words import Witness
 
 
 class Effect(Enum):
@@ -242,9 +245,29 @@
     age_s: float
 
 
+class Hearsay(NamedTuple):
+    """For judging.py: the newest word of each other dispatcher that has one, of real servers.
+
+    `ended`, `bad`: endings lately, as told by all others, and bad ones of them. `alive`: how many dispatchers
+    there are, oneself among them. `unwell`: this one is in doubt about itself.
+    """
+
+    witnesses: "tuple[Witness, ...]"
+    ended: float
+    bad: float
+    alive: int
+    unwell: bool
+
+
+class Ordered(NamedTuple):
+    """For judging.py: all words of the operator's that hold, by server: out (else in), seconds left, why."""
+
+    orders: "dict[str, tuple[bool, float, str]]"
+
+
 Event = (
     WorkerList | Request | Limit | Started | Progress | Streaming | Ended | ClientGone | Timer | Unseen
-    | Probed | PeerMessage | Held
+    | Probed | PeerMessage | Held | Hearsay | Ordered
 )
 
 
--- /dev/null
+++ b/finchladder/core/judging/judging.py
@@ -0,0 +1,528 @@
+"""Takes the place of core/health.py: one judgement of a real server, by evidence, one's own and others'.
+
+| what is held of a real server, for a class of jobs | may a job of that class go there |
+| --- | --- |
+| nothing, or cleared | as the rules and its load say |
+| suspected, by one's own evidence or by all that is told | one that may not be repeated: no |
+| put out by oneself: own evidence above ALONE_FROM | no, for `period` x 2, 4, 8, 16; then one trial |
+| condemned (verdicts.py) | no |
+| on trial | of the dispatchers whose turn it is, one job each at a time, none that may not be repeated |
+
+A class is judged by its own jobs; endings of other classes there count against it unless its own go well. So
+one that fails all is left for all after few, and one that fails a class is left for that one.
+
+Bounds: of each kind and zone at most `most_out` of the ready ones is condemned here at one time, and never
+the last. More that look bad than that at one moment (BREWING, a first bad ending each) is a *mass*: taken for
+the network's or one's own fault until MASS_S later. Who is in doubt about itself (it was late, it has just
+started, over half of the real servers that it hears of look bad to it alone) tells nothing.
+
+O(1) for each ending; a look at open cases O(words told of them), at most each LOOK_S. Memory: a case for each
+real server and class at the most, words of MOST_SAYS subjects from each other dispatcher.
+"""
+
+from collections.abc import Callable, Iterable
+from math import ceil
+from typing import Any, NamedTuple
+from zlib import crc32
+
+from finchladder.core.api import Effect, Hearsay, JobClass, Ordered, Settings, Unseen
+from finchladder.core.fleet import Fleet
+from finchladder.core.health import EJECT_SHARE, LONGEST, Health, Sign
+from finchladder.core.judging.evidence import HALF, WEIGHTS, Case, Rate, Usual, weights
+from finchladder.core.judging.verdicts import SHARES, Facts, State, Verdict, condemn, step
+from finchladder.core.judging.weighing import NOTHING, SILENT_S, Sum, Word, weigh
+from finchladder.core.judging.words import (
+    MOST_COUNT,
+    MOST_S,
+    MOST_SAYS,
+    Own,
+    Said,
+    subject,
+    zone_number,
+)
+from finchladder.core.policy import Dispatcher
+from finchladder.core.records import Job, Worker
+
+LOOK_S = 0.05  # between looks at what is open
+ALONE_FROM = 6.0  # own evidence from which on it is put out by oneself: two bad endings of few
+SUSPECT_FROM = 2.0  # own evidence from which on no job goes there that may not be repeated
+BREWING = 3.0  # as verdicts.SUSPECTED_FROM: a first bad ending of one
+MASS_S = 1.5
+START_S, LATE_S = 2.0, 1.0  # after a start, and after it was late, a dispatcher is in doubt about itself
+LATE_FROM_S = 0.3
+LAST_S, LAST_FEW, LAST_MOST = (
+    5.0,
+    4,
+    16,
+)  # own latest endings at so many real servers tell whether all look bad
+CLEARED_FROM = -2.0  # a case is closed once all that is told of it adds up to this
+FRESH_S = 3.0  # others' verdicts that are older say nothing
+URGENT = 0.9  # bad endings from which on a case is told at once
+COUNT_S = 1.0  # between counts of the ready ones
+SPARED = -1.0  # a class whose own evidence is below this is not judged by others' there
+MOST_WITNESSES = 4096
+
+
+class Rules(NamedTuple):
+    most_out: float = 0.3  # share of each kind and zone
+    term_s: float = 2.0  # of a first condemnation
+
+
+class Order(NamedTuple):
+    """The operator's word of one real server, until then."""
+
+    out: bool
+    until: float
+    why: str
+
+
+class Judging(Health):
+    __slots__ = ("own", "rules", "zone", "zones", "cases", "verdicts", "words", "rate", "usual", "alive",
+                 "unwell", "look_at", "began", "late_until", "last", "mass_at", "witnesses", "orders",
+                 "subjects", "log", "alone", "untold", "ready", "ready_at")  # fmt: skip
+
+    def __init__(
+        self, settings: Settings, period: float, own: str, rules: Rules, now: float,
+        log: Callable[[str], None] = lambda text: None,
+    ) -> None:  # fmt: skip
+        """`log`: gets a line for each judgement that changes whom jobs go to."""
+        super().__init__(settings, period)
+        self.own, self.rules, self.log = own, rules, log
+        self.zone, self.zones = zone_number(settings.zone), len(settings.zones)
+        self.cases: dict[str, dict[str, Case]] = {}  # by real server and class
+        self.verdicts: dict[str, dict[str, Verdict]] = {}  # those that are not clear
+        self.alone: dict[str, dict[str, tuple[float, int]]] = {}  # put out by oneself: until when, how often
+        self.words: dict[int, list[tuple[float, Word]]] = {}  # by subject: when it came
+        self.subjects: dict[int, tuple[str, str]] = {}  # of whom something is told
+        self.witnesses: tuple[float, float] = (0.0, 0.0)  # endings that all others tell of, and bad ones
+        self.rate, self.usual = Rate(now), Usual()
+        self.alive, self.unwell = 1, False
+        self.look_at = now
+        self.began, self.late_until = now, 0.0
+        self.last: dict[str, tuple[float, bool]] = {}
+        self.mass_at: dict[tuple[str, str], float] = {}  # by kind and zone: since when a mass looks bad
+        self.orders: dict[str, Order] = {}
+        self.untold = False
+        self.ready: dict[tuple[str, str], int] = {}  # by kind and zone
+        self.ready_at = now
+
+    # --- own evidence
+
+    def ended(
+        self, now: float, w: Worker, cls: JobClass, sign: Sign, sent: float, ran: float, fleet: Fleet
+    ) -> None:
+        cold = fleet.is_cold(w, now)
+        weight = WEIGHTS.get(sign, 0.0)
+        if sign is Sign.GOOD and not cold and self.usual.slow(cls.name, w.kind, ran):
+            weight = HALF
+        elif cold and sign in (Sign.SILENT, Sign.OVERTAKEN):
+            return  # it is slow for another cause
+        bad = weight > 0
+        verdict = self.verdicts.get(w.address, {}).get(cls.name)
+        if verdict is not None and verdict.state is State.CONDEMNED:
+            return  # what was on its way when it was condemned proves nothing more
+        if verdict is not None and verdict.state is State.TRIAL and sent < verdict.since:
+            return
+        self.last.pop(w.address, None)
+        self.last[w.address] = now, bad
+        if len(self.last) > LAST_MOST:
+            del self.last[next(iter(self.last))]
+        self.rate.add(now, bad)
+        cases = self.cases.get(w.address, {})
+        case = cases.get(cls.name)
+        if case is None:
+            open_ = bad or (self.words and subject(w.address, w.born, cls.name) in self.words)
+            if not open_ and not cases:
+                return
+            case = self.cases.setdefault(w.address, {})[cls.name] = Case(now)
+        case.add(now, sign, weight)
+        self.untold = self.untold or case.bad + case.link > URGENT and bad
+        self._alone(now, w, cls.name, bad)
+        self.look(now, fleet, w)
+
+    def _score_alone(self, now: float, address: str, job_class: str) -> float:
+        """Own evidence alone, of all kinds."""
+        bad, good = weights(self._rate())
+        scores = {}
+        for name, case in self.cases.get(address, {}).items():
+            case.fade(now)
+            scores[name] = (case.bad + case.link) * bad + case.good * good
+        return _of_class(scores, job_class)
+
+    def _alone(self, now: float, w: Worker, job_class: str, bad: bool) -> None:
+        held = self.alone.get(w.address, {}).get(job_class)
+        if not bad:
+            if held is not None and now >= held[0]:  # a trial that went well
+                self.alone[w.address].pop(job_class)
+                if (case := self.cases.get(w.address, {}).get(job_class)) is not None:
+                    # one good ending is no proof yet: it stays a suspect for a while
+                    case.bad, case.link, case.good = min(case.bad, 1.0), 0.0, case.good
+        elif held is not None or self._score_alone(now, w.address, job_class) >= ALONE_FROM:
+            times = held[1] + 1 if held is not None else 1
+            until = now + self.period * 2 ** min(times, LONGEST)
+            self.alone.setdefault(w.address, {})[job_class] = until, times
+
+    def _rate(self) -> float:
+        return self.rate.of(*self.witnesses)
+
+    # --- what others say
+
+    def late(self, now: float, seconds: float) -> None:
+        if seconds >= LATE_FROM_S:
+            self.late_until = now + LATE_S
+
+    def doubtful(self, now: float) -> bool:
+        """Whether what it sees may be its own fault."""
+        if now < self.began + START_S or now < self.late_until or self.unwell:
+            return True
+        last = [bad for at, bad in self.last.values() if now - at < LAST_S]
+        return len(last) >= LAST_FEW and 2 * sum(last) > len(last)
+
+    def says(self, now: float, workers: dict[str, Worker]) -> tuple[Said, ...]:
+        """One's own word, to be told."""
+        self.untold = False
+        if self.doubtful(now):
+            return ()
+        found = []
+        names = [*self.cases, *(a for a in self.verdicts if a not in self.cases)]
+        for address in names:
+            if (w := workers.get(address)) is None:
+                continue
+            cases, held = self.cases.get(address, {}), self.verdicts.get(address, {})
+            for name in {*cases, *held}:
+                case, v = cases.get(name), held.get(name)
+                if case is not None:
+                    case.fade(now)
+                    counts = case.bad, case.link, case.good
+                    opened = now - case.opened
+                else:
+                    counts, opened = (0.0, 0.0, 0.0), 0.0
+                out = v is not None and v.state is State.CONDEMNED
+                left = max(0.0, v.until - now) if v is not None and out else 0.0
+                stage = v.stage if v is not None and v.state is State.TRIAL else 0
+                if max(counts) < 0.05 and not (left or stage):
+                    continue
+                worst, link, good = (min(MOST_COUNT, c) for c in counts)
+                number = subject(address, w.born, name)
+                found.append(Said(number, worst, link, good, min(MOST_S, opened), min(MOST_S, left), stage))
+        found.sort(key=lambda s: (-(s.left_s > 0), -(s.bad + s.link), s.subject))
+        return tuple(found[:MOST_SAYS])
+
+    def news(self) -> bool:
+        """Whether there is a bad ending to be told at once."""
+        return self.untold
+
+    def hear(self, now: float, e: Hearsay, fleet: Fleet) -> None:
+        self.alive, self.unwell = max(1, e.alive), e.unwell
+        words: dict[int, list[tuple[float, Word]]] = {}
+        for w in e.witnesses[:MOST_WITNESSES]:
+            if w.age_s < SILENT_S:
+                for s in w.says:
+                    words.setdefault(s.subject, []).append((now, Word(w.owner, w.zone, w.age_s, s)))
+        self.witnesses = e.ended, e.bad
+        if words.keys() - self.subjects.keys():
+            self._find(words, fleet.workers.values())
+        self.words = words
+        self.subjects = {n: found for n, found in self.subjects.items() if n in words}
+        self.look(now, fleet)
+
+    def _find(self, words: Iterable[int], workers: Iterable[Worker]) -> None:
+        """Whom subjects stand for. O(real servers x classes), when a new one is told of."""
+        names = [c.name for c in self.s.classes]
+        wanted = set(words)
+        for w in workers:
+            for name in names:
+                if (n := subject(w.address, w.born, name)) in wanted:
+                    self.subjects[n] = w.address, name
+
+    # --- judging
+
+    def look(self, now: float, fleet: Fleet, only: Worker | None = None) -> None:
+        """At all that is open, or at what has just changed of one."""
+        if now < self.look_at and only is None:
+            return
+        if only is None:
+            self.look_at = now + LOOK_S
+        bad, good = weights(self._rate())
+        doubtful = self.doubtful(now)
+        if now >= self.ready_at:
+            self.ready_at, self.ready = now + COUNT_S, {}
+            for w in fleet.workers.values():
+                if w.ready:
+                    self.ready[self._group(w)] = self.ready.get(self._group(w), 0) + 1
+        open_: dict[str, None] = dict.fromkeys(self.cases) | dict.fromkeys(self.verdicts)
+        open_ |= dict.fromkeys(self.alone)
+        open_ |= dict.fromkeys(address for address, _ in self.subjects.values()) | dict.fromkeys(self.orders)
+        if only is not None:
+            open_ = {only.address: None}
+        scores = {
+            a: self._scores(now, fleet.workers[a], bad, good, doubtful) for a in open_ if a in fleet.workers
+        }
+        for a in [a for a in open_ if a not in fleet.workers]:
+            self._forget(a)
+        if only is None:
+            self._masses(now, fleet, scores)
+        worst = sorted(scores, key=lambda a: (-max((s.score for s in scores[a].values()), default=0.0), a))
+        for address in worst:
+            self._judge(now, fleet.workers[address], scores[address], fleet)
+
+    def _scores(self, now: float, w: Worker, bad: float, good: float, doubtful: bool) -> dict[str, Sum]:
+        """By class, its own alone."""
+        found: dict[str, Sum] = {}
+        for name in [c.name for c in self.s.classes]:
+            case = self.cases.get(w.address, {}).get(name)
+            heard = self.words.get(subject(w.address, w.born, name), ()) if self.words else ()
+            if case is None and not heard:
+                continue
+            v = self.verdicts.get(w.address, {}).get(name)
+            words = []
+            for came, word in heard:
+                age = word.age_s + now - came
+                # what was counted before it went out proves nothing for its trial
+                if v is None or v.state is not State.TRIAL or word.said.opened_s + age <= now - v.since + 0.5:
+                    words.append(word._replace(age_s=age))
+            if case is not None and not doubtful:
+                case.fade(now)
+                said = Said(0, case.bad, case.link, case.good, 0.0, 0.0, 0)
+                words.append(Word(self.own, self.zone, 0.0, said))
+            if words:
+                found[name] = weigh(words, self.zone, self.zones, bad, good)
+        return found
+
+    def _group(self, w: Worker) -> tuple[str, str]:
+        return w.kind, w.zone
+
+    def _allowed(self, group: tuple[str, str], fleet: Fleet) -> int:
+        """How many of a kind and zone may be out at one time."""
+        ready = self.ready.get(group, 0)
+        return min(max(1, int(self.rules.most_out * ready)), ready - 1)
+
+    def _out(self, group: tuple[str, str], fleet: Fleet) -> list[str]:
+        return [
+            a for a, held in self.verdicts.items()
+            if a in fleet.workers and self._group(fleet.workers[a]) == group
+            and any(v.state in (State.CONDEMNED, State.TRIAL) for v in held.values())
+        ]  # fmt: skip
+
+    def _masses(self, now: float, fleet: Fleet, scores: dict[str, dict[str, Sum]]) -> None:
+        groups: dict[tuple[str, str], int] = {}
+        for a, of in scores.items():
+            w = fleet.workers[a]
+            if any(s.score >= BREWING for s in of.values()):
+                groups[self._group(w)] = groups.get(self._group(w), 0) + 1
+        for group in [g for g in self.mass_at if g not in groups]:
+            del self.mass_at[group]
+        for group, n in groups.items():
+            if n + len(self._out(group, fleet)) > max(2, self._allowed(group, fleet)):
+                self.mass_at.setdefault(group, now)
+            else:
+                self.mass_at.pop(group, None)
+
+    def _judge(self, now: float, w: Worker, of: dict[str, Sum], fleet: Fleet) -> None:
+        held = self.verdicts.get(w.address, {})
+        group = self._group(w)
+        needed = 2 if self.alive < 6 else 3
+        order = self._order(now, w.address)
+        plain = {name: s.score for name, s in of.items()}
+        for name in [c.name for c in self.s.classes]:
+            s, v = of.get(name, NOTHING), held.get(name)
+            if s is NOTHING and v is None and order is None and not of:
+                continue
+            v = v or Verdict(now)
+            before = v.state
+            score = _of_class(plain, name)
+            tellers = max(s.tellers, *(o.tellers for o in of.values())) if score > s.score else s.tellers
+            free = any(x.state in (State.CONDEMNED, State.TRIAL) for x in held.values())
+            room = free or len(self._out(group, fleet)) < self._allowed(group, fleet)
+            mass = now < self.mass_at.get(group, -MASS_S) + MASS_S
+            if order is not None:
+                self._obey(now, v, order, room)
+            else:
+                step(v, now, Facts(score, tellers, s.good, needed, room, mass), self.rules.term_s)
+                if v.state in (State.CLEAR, State.SUSPECTED) and room:
+                    self._believe(now, v, w, name)
+            if v.state is State.CLEAR:
+                held.pop(name, None)
+            else:
+                held[name] = v
+                self.verdicts[w.address] = held
+            if v.state is not before:
+                self._changed(now, w, name, v, before)
+        if not held:
+            self.verdicts.pop(w.address, None)
+        if all(s.score <= CLEARED_FROM for s in of.values()) and not held and w.address not in self.alone:
+            self.cases.pop(w.address, None)
+        self._mark(now, w, plain, fleet)
+
+    def _believe(self, now: float, v: Verdict, w: Worker, job_class: str) -> None:
+        """Enough others hold it out already: who has just started need not be hurt first."""
+        left = sorted(
+            word.said.left_s - (word.age_s + now - came)
+            for came, word in self.words.get(subject(w.address, w.born, job_class), ())
+            if word.age_s + now - came < FRESH_S and word.said.left_s > word.age_s + now - came
+        )
+        if left and len(left) >= max(2, min(5, ceil(0.1 * self.alive))):
+            condemn(v, now, left[len(left) // 2], f"{len(left)} others' word")
+            v.term_s = v.term_s or self.rules.term_s
+
+    def _changed(self, now: float, w: Worker, job_class: str, v: Verdict, before: State) -> None:
+        if v.state is State.CONDEMNED:
+            for case in [self.cases.get(w.address, {}).pop(job_class, None)]:
+                del case  # what comes on trial counts anew
+            self.alone.get(w.address, {}).pop(job_class, None)
+            self.log(
+                f"{w.address} is out for {job_class}, {v.until - now:.1f} s: {v.by}, score {v.score:.1f}"
+            )
+        elif before is State.TRIAL and v.state is State.CLEAR:
+            self.log(f"{w.address} is back for {job_class}")
+
+    def _mark(self, now: float, w: Worker, plain: dict[str, float], fleet: Fleet) -> None:
+        """Puts what is held where the decisions look."""
+        out = any(v.state is State.CONDEMNED for v in self.verdicts.get(w.address, {}).values())
+        alone = self.alone.get(w.address)
+        if alone is not None and not alone:
+            del self.alone[w.address]
+        until = max((until for until, _ in (alone or {}).values()), default=0.0)
+        if out:
+            until = max(until, *(v.until for v in self.verdicts[w.address].values()))
+        w.ejected_until = until
+        if until and w.ready:
+            self.ejected[w.address] = w
+        else:
+            self.ejected.pop(w.address, None)
+        suspect = w.address in self.verdicts or any(
+            self._score_alone(now, w.address, c) > SUSPECT_FROM for c in self.cases.get(w.address, ())
+        )
+        w.sick = 1.0 if until or w.address in self.verdicts else 0.3 if suspect else 0.0
+        fleet.judged(w)
+
+    # --- the decisions ask
+
+    def fit(self, now: float, job: Job, w: Worker, fleet: Fleet) -> bool:
+        """Asked of those that are marked: a mark may be older than what is held now."""
+        if now >= self.look_at:
+            self.look(now, fleet)
+        name = job.cls.name
+        unsafe = job.cls.effect is Effect.UNSAFE and self.spares_unsafe
+        v = self.verdicts.get(w.address, {}).get(name)
+        if v is not None and v.state is State.CONDEMNED:
+            return False
+        if v is not None and v.state is State.TRIAL:
+            if unsafe and v.stage < len(SHARES):
+                return False
+            return w.load == 0 and self._turn(w, v)
+        if len(self.ejected) > EJECT_SHARE * len(fleet.workers):
+            return True
+        if (held := self.alone.get(w.address, {}).get(name)) is not None:
+            return now >= held[0] and w.load == 0 and not unsafe
+        if unsafe and (v is not None or self._score_alone(now, w.address, name) > SUSPECT_FROM):
+            return len(fleet.suspects) > EJECT_SHARE * len(fleet.workers)
+        return True
+
+    def _turn(self, w: Worker, v: Verdict) -> bool:
+        share = max(SHARES[v.stage - 1], min(1.0, 2 / self.alive))
+        place = crc32(f"{self.own}/{w.address}/{w.born:.3f}/{v.term_s:g}".encode()) / (1 << 32)
+        return place < share
+
+    def drop(self, w: Worker) -> None:
+        super().drop(w)
+        self._forget(w.address)
+
+    def _forget(self, address: str) -> None:
+        for table in (self.cases, self.verdicts, self.alone, self.last):
+            table.pop(address, None)
+
+    # --- the operator
+
+    def order(self, now: float, e: Ordered, fleet: Fleet) -> None:
+        """These hold and no others; who is not named is left to the evidence."""
+        for address, order in self.orders.items():
+            if order.out and address not in e.orders:  # it is let back as after a judgement, on trial
+                for v in self.verdicts.get(address, {}).values():
+                    v.until = min(v.until, now)
+        self.orders = {a: Order(out, now + left, why) for a, (out, left, why) in e.orders.items()}
+        self.look_at = now
+        self.look(now, fleet)
+
+    def _order(self, now: float, address: str) -> Order | None:
+        order = self.orders.get(address)
+        if order is not None and now >= order.until:
+            del self.orders[address]
+            return None
+        return order
+
+    def _obey(self, now: float, v: Verdict, order: Order, room: bool) -> None:
+        if not order.out:
+            v.enter(now, State.CLEAR)
+        elif room and v.state is not State.CONDEMNED:
+            condemn(v, now, order.until - now, f"the operator: {order.why}")
+
+    def show(self, now: float, workers: dict[str, Worker]) -> list[dict[str, Any]]:
+        """Who is out or in question, why, by whose word, since when, until when; times are ages."""
+        found = []
+        for address, held in sorted(self.verdicts.items()):
+            for name, v in sorted(held.items()):
+                words = (
+                    self.words.get(subject(address, workers[address].born, name), ())
+                    if address in workers
+                    else ()
+                )
+                found.append({
+                    "server": address, "class": name, "state": v.state.name.lower(), "by": v.by,
+                    "since_s": round(now - v.since, 3), "left_s": round(max(0.0, v.until - now), 3),
+                    "stage": v.stage, "score": round(v.score, 2),
+                    "against": sorted(w.teller for _, w in words if w.said.bad + w.said.link > 0)[:8],
+                })  # fmt: skip
+        for address, alone in sorted(self.alone.items()):
+            for name, (until, times) in sorted(alone.items()):
+                found.append({
+                    "server": address, "class": name, "state": "alone", "by": "own evidence",
+                    "left_s": round(max(0.0, until - now), 3), "times": times,
+                })  # fmt: skip
+        return found
+
+
+def _of_class(scores: dict[str, float], job_class: str) -> float:
+    """A class is judged by its own, and by others' that go badly unless its own go well."""
+    own = scores.get(job_class, 0.0)
+    if own < SPARED:
+        return own
+    return own + sum(max(0.0, s) for name, s in scores.items() if name != job_class)
+
+
+def attach(
+    d: Dispatcher, own: str, rules: Rules, now: float, log: Callable[[str], None] = lambda text: None
+) -> Judging:
+    """Has these decisions judge by evidence; without it they are as ever."""
+    judging = d.health = Judging(d.s, d.health.period, own, rules, now, log)
+
+    def unseen(e: Unseen) -> None:
+        judging.late(d.now, e.seconds)
+
+    def heard(e: Hearsay) -> None:
+        judging.hear(d.now, e, d.fleet)
+
+    def ordered(e: Ordered) -> None:
+        judging.order(d.now, e, d.fleet)
+
+    d.handlers[Unseen] = unseen
+    d.handlers[Hearsay] = heard
+    d.handlers[Ordered] = ordered
+    return judging
+
+
+class Telling:
+    """What these decisions have to say to peers."""
+
+    def __init__(self, judging: Judging, d: Dispatcher) -> None:
+        self.judging, self.d = judging, d
+
+    def news(self) -> bool:
+        return self.judging.news()
+
+    def word(self, now: float) -> Own:
+        j = self.judging
+        if j.doubtful(now):
+            return Own(j.zone, 0.0, 0.0, ())
+        j.rate.fade(now)
+        return Own(j.zone, j.rate.ended, j.rate.bad, j.says(now, self.d.workers))
--- /dev/null
+++ b/finchladder/core/judging/weighing.py
@@ -0,0 +1,72 @@
+"""What all that are heard say of one subject together: each weighs at most so much.
+
+| a word | counts as |
+| --- | --- |
+| of work: failed, silent, too slow | the teller's own, between -LEAST and MOST_EACH bad endings' worth |
+| of links, teller in one's own zone | the same |
+| of links, tellers of another zone | all of that zone as one teller: they may share one link |
+| good endings | against the teller's own bad ones, at the least -LEAST |
+| older | less, by FADE_S |
+| of a teller that has not spoken for SILENT_S | nothing |
+
+One zone alone is one link, so there evidence of links condemns nobody for all: each judges by its own.
+"""
+
+from collections.abc import Iterable
+from math import exp
+from typing import NamedTuple
+
+from finchladder.core.judging.evidence import FADE_S
+from finchladder.core.judging.words import Said
+
+MOST_EACH = 1.5  # bad endings' worth that one teller counts for at the most
+LEAST = 6.0  # what one teller's good endings count for at the most, as a logarithm
+SILENT_S = 10.0
+
+
+class Word(NamedTuple):
+    """One teller's word of one subject, as of now."""
+
+    teller: str
+    zone: int
+    age_s: float
+    said: Said
+
+
+class Sum(NamedTuple):
+    score: float  # logarithm of how much likelier it is that the subject is bad
+    tellers: int  # that speak against it, by what each weighs
+    good: float  # endings
+
+    def __add__(self, other: "Sum") -> "Sum":  # type: ignore[override]
+        return Sum(self.score + other.score, self.tellers + other.tellers, self.good + other.good)
+
+
+NOTHING = Sum(0.0, 0, 0.0)
+
+
+def weigh(words: Iterable[Word], zone: int, zones: int, bad: float, good: float) -> Sum:
+    """`zone`: one's own. `zones`: how many there are. `bad`, `good`: what an ending adds."""
+    most = MOST_EACH * bad
+    score, tellers, goods = 0.0, 0, 0.0
+    links: dict[int, float] = {}
+    for w in words:
+        if w.age_s >= SILENT_S:
+            continue
+        fresh = exp(-w.age_s / FADE_S)
+        own = fresh * (w.said.bad * bad + w.said.good * good)
+        link = fresh * w.said.link * bad
+        if w.zone == zone and zones > 1:
+            own += link
+        elif link:
+            # who has only good to say of a link says nothing against another's
+            links[w.zone] = links.get(w.zone, 0.0) + link
+        own = min(most, max(-LEAST, own))
+        score += own
+        tellers += own > 0.25 * bad
+        goods += fresh * w.said.good
+    if zones > 1:
+        for link in links.values():
+            score += min(most, link)
+            tellers += 1
+    return Sum(score, tellers, goods)
--- a/finchladder/core/peers/peers.py
+++ b/finchladder/core/peers/peers.py
@@ -11,12 +11,17 @@
 | its row | when its wants change by a fifth, at most each ROW_S; else each REFRESH_S | with any of them |
 | a grant, a return | at once | who asked, who gave |
 | parts of sums | each wave_s | log2 n members (sums.py) |
+| its row, of real servers | after a bad ending, each ROW_S while one is in question | AT_ONCE members |
+| the operator's words | with any of them | |
 """
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
+from finchladder.core.api import Hearsay
+from finchladder.core.judging.orders import Orders
+from finchladder.core.judging.words import Own, Witness
 from finchladder.core.peers.bucket import Bucket
 from finchladder.core.peers.escrow import KEPT, Budget, Escrow
 from finchladder.core.peers.members import Members, Say, Timing
@@ -30,6 +35,8 @@
 MOST_BUDGETS = 128  # that come and go with who asks; those that are configured are not counted
 IDLE_S = 10.0  # after which such a one goes, if nothing of it is lent or wanted
 LAST_WORDS = 5
+AT_ONCE, PRESSING_S = 3, 0.5  # members that are told of a bad real server at a time, and for how long
+HEARSAY_S, FRESH_S = 2.0, 0.1  # what others say is handed on so often at the least; if it is of bad ones
 CHANGED = 0.2  # by so much a want must change to be told before its time
 Packets = list[tuple[str, Packet]]
 
@@ -41,6 +48,13 @@
     wave_s: float = 0.0
 
 
+class Evidence(Protocol):
+    """What this dispatcher has to say of real servers."""
+
+    def news(self) -> bool: ...  # a bad ending that was not told yet
+    def word(self, now: float) -> Own: ...
+
+
 class Family(NamedTuple):
     """Budgets of one kind that come and go, as one for each client's address."""
 
@@ -73,6 +87,10 @@
         self.written: tuple[float, dict[str, float]] = 0.0, {}
         self.conflicts = 0  # packets in one's own name from another process
         self.dropped: dict[str, int] = {}
+        self.evidence: Evidence | None = None
+        self.orders = Orders(own, self.members.repeats)
+        self.pressing_until = self.hearsay_at = now
+        self.fresh = False  # others' words of bad real servers have changed
 
     # --- budgets
 
@@ -155,7 +173,12 @@
         said = self.members.hear(now, p)
         for row in p.rows:
             if row.owner in self.members.of:
-                self.rows.merge(now, row)
+                before = self.rows.held.get(row.owner)
+                if self.rows.merge(now, row) and (row.says or (before is not None and before[0].says)):
+                    self.fresh = True
+                    self.pressing_until = now + PRESSING_S
+        for order in p.orders:
+            self.orders.merge(now, order)
         taken = [self.escrow.take(now, p.sender, p.boot, g) for g in p.grants]
         back = [self.escrow.returned_to(p.boot, r) for r in p.returns]
         if any(taken) or any(back):
@@ -191,13 +214,15 @@
     def _gossip(self, now: float) -> Packets:
         told: Packets = []
         rows: list[Row] = []
+        if self.evidence is not None and self.evidence.news():
+            self.row_at, self.pressing_until = now, now + PRESSING_S
         if self.escrow.budgets or self.families:
             rows = [r for r in self.rows.others(now, WANTS_AGE_S) if self._there(r)]
             self._asked(now, rows)
         if now >= self.row_at:
             self._shed(now)
             self.rows.forget(now, self.members.of)
-            if self.escrow.budgets:
+            if self.escrow.budgets or self.evidence is not None:
                 self._row(now)
         grants = self.escrow.give(now, rows)
         by: dict[str, list[Grant]] = {}
@@ -214,8 +239,9 @@
         for to, back in self.escrow.give_back(now):
             told.append((to, self._plain(Kind.WORD)._replace(returns=(back,))))
         self._rights(now)
-        if self.members.hot or self.rows.tell:
-            told += [self._packet(now, Say(Kind.WORD, to)) for to in self.members.some_alive(1)]
+        if self.members.hot or self.rows.tell or self.orders.tell:
+            to_all = AT_ONCE if now < self.pressing_until else 1
+            told += [self._packet(now, Say(Kind.WORD, to)) for to in self.members.some_alive(to_all)]
         return told
 
     def _there(self, row: Row) -> bool:
@@ -236,9 +262,14 @@
                    for n, rate in now_wanted.items())  # fmt: skip
         # who wants anything says it again while the leases of what it has go on
         wanting = any(now_wanted.values()) and now - at >= 2 * ROW_S
+        own = None
+        if self.evidence is not None:
+            news = news or self.evidence.news()
+            own = self.evidence.word(now)
+            wanting = wanting or (bool(own.says) and now - at >= ROW_S)
         if news or wanting or now - at >= REFRESH_S:
             self.written = now, now_wanted
-            self.rows.write(now, self.members.me.incarnation, wants)
+            self.rows.write(now, self.members.me.incarnation, wants, own)
 
     def _rights(self, now: float) -> None:
         for name in self.escrow.budgets:
@@ -250,9 +281,11 @@
     def _packet(self, now: float, s: Say) -> tuple[str, Packet]:
         rumours = self.members.rumours(s.to, ROOM // 2)
         room = ROOM - sum(r.room for r in rumours)
+        orders = self.orders.some(now, room // 2)
+        room -= sum(o.room for o in orders)
         rows = self.rows.some(now, s.to, room)
         return s.to, self._plain(s.kind)._replace(
-            number=s.number, about=s.about, rumours=tuple(rumours), rows=tuple(rows)
+            number=s.number, about=s.about, rumours=tuple(rumours), rows=tuple(rows), orders=tuple(orders)
         )
 
     def _parts(self, parts: list[tuple[str, Part]]) -> Packets:
@@ -267,6 +300,16 @@
 
     # --- what is made of it
 
+    def hearsay(self, now: float) -> Hearsay | None:
+        """What others say of real servers, if it is due to be handed on."""
+        if self.evidence is None or now < self.hearsay_at - (HEARSAY_S - FRESH_S) * self.fresh:
+            return None
+        self.fresh, self.hearsay_at = False, now + HEARSAY_S
+        rows = [r for r in self.rows.others(now, WANTS_AGE_S * 2) if self._there(r)]
+        witnesses = tuple(Witness(r.owner, r.zone, r.age_s, r.says) for r in rows if r.says)
+        ended, bad = sum(r.ended for r in rows), sum(min(r.bad, r.ended) for r in rows)
+        return Hearsay(witnesses, ended, bad, len(rows) + 1, self.members.health > 0)
+
     def total(self, now: float) -> Total | None:
         return self.sums.total(now) if self.rule.wave_s else None
 
--- a/finchladder/core/peers/words.py
+++ b/finchladder/core/peers/words.py
@@ -8,6 +8,10 @@
 from math import isfinite
 from typing import NamedTuple
 
+from finchladder.core.judging import words
+from finchladder.core.judging.orders import Order
+from finchladder.core.judging.orders import flaw as order_flaw
+
 ROOM = 1_000  # bytes of a packet for all that is told beside the head
 MOST_INCARNATION = 1 << 50  # they begin with the wall clock's milliseconds, and go up by ones
 MOST_AGE_S = 3_600.0
@@ -64,10 +68,16 @@
     )
     asked: float  # when it was written, by the owner's own clock: others only give it back
     wants: tuple[Want, ...]
+    # of real servers, where [judgement] is on
+    zone: int = 0
+    ended: float = 0.0  # jobs lately
+    bad: float = 0.0  # of those
+    says: tuple[words.Said, ...] = ()
 
     @property
     def room(self) -> int:
-        return len(self.owner) + 50 + sum(len(w.budget) + 30 for w in self.wants)
+        told = sum(len(w.budget) + 30 for w in self.wants) + sum(s.room for s in self.says)
+        return len(self.owner) + 75 + told
 
 
 class Grant(NamedTuple):
@@ -122,6 +132,7 @@
     grants: tuple[Grant, ...] = ()
     returns: tuple[Return, ...] = ()
     part: Part | None = None
+    orders: tuple[Order, ...] = ()
 
 
 def flaw(p: Packet) -> str | None:
@@ -142,6 +153,11 @@
             return "figures of a row"
         if len({w.budget for w in row.wants}) < len(row.wants):
             return "a budget twice in a row"
+        counts = _within(row.ended, MOST_TOTAL) and _within(row.bad, MOST_TOTAL) and 0 <= row.zone < 1 << 32
+        if not counts or words.flaw(row.says):
+            return "evidence of a row"
+    if order_flaw(p.orders):
+        return "figures of an order"
     if not all(isfinite(r.asked) and r.serial >= 0 for r in p.returns):
         return "figures of a return"
     for grant in p.grants:
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -24,17 +24,14 @@
 from finchladder.core.counts import KeyCounts
 from finchladder.core.crowd import FETCH, Crowd, least
 from finchladder.core.fleet import Fleet, Pool
+from finchladder.core.health import SIGNS, SUSPECT, Health, Sign
 from finchladder.core.records import Attempt, Held, Job, Line, Worker
 from finchladder.core.told import Share, Told
 
 SAMPLE = 12  # workers, pairs or waiting keys looked at in one choice: its cost stays flat as all grows
 PAIRS = 2  # a key's pair and the next pair round its rings: more would push other keys out of caches
 T_START = 2.0  # threshold t before anything is known of a worker
-SICK = 0.5  # ejected when the moving share of bad endings passes this
-SUSPECT = 0.15  # above this it gets no job that may not be repeated: what fails there is lost for good
-BACK = 0.4  # the share after a trial that went well: one good ending is no proof yet
 STALL = 3.0  # of the shortest aim: a job that waits so long at a silent worker is taken elsewhere
-EJECT_SHARE = 0.5  # more sick workers than this share of the ready: the signal is wrong, not the fleet
 RETRY_SHARE, RETRY_MOST = 0.2, 10.0  # retries of what may have run: a share of the requests, saved up so far
 SMOOTH = 0.1  # weight of a new observation in running means
 STRAINED = 0.1  # above this share of placings that find no room, work beyond a tenant's share is turned away
@@ -50,7 +47,6 @@
         self.s = settings
         self.random = Random(seed)
         self.classes = {c.name: c for c in settings.classes}
-        self.spares_unsafe = any(c.effect is not Effect.UNSAFE for c in settings.classes)
         self.sweep = min(c.aim for c in settings.classes) / SWEEPS
         self.start_grace = START_GRACE * self.sweep * SWEEPS
         self.stall = STALL * self.sweep * SWEEPS
@@ -59,7 +55,7 @@
         self.jobs: dict[str, Job] = {}
         # jobs that wait, by line and key; lines are served by priority, then by their class's worth per work
         self.held: dict[Line, Held] = {(0, n): Held() for n in self.run}
-        self.ejected: dict[str, Worker] = {}
+        self.health = Health(settings, self.sweep * SWEEPS)
         self.tenants = {t.name: Share(t.quota) for t in settings.tenants}
         self.key_counts, self.crowd, self.cold = KeyCounts(settings, seed), Crowd(settings), Cold(settings)
         self.tell_at = self.scan_at = 0.0
@@ -335,7 +331,7 @@
         a.stalled = True
         self.fleet.add_load(a.worker, -job.slots)
         a.worker.unstarted.pop(a, None)
-        self._judge(a.worker, 1.0)
+        self._judge(job, a, Sign.SILENT)
         if job.cls.effect is Effect.SAFE and self.s.may_cancel and self._resend_allowed(job):
             self.actions.append(Cancel(job.id, job.attempts.index(a)))
 
@@ -356,7 +352,7 @@
         """Whether the rules and the worker's health let this job go there at all."""
         if not w.ready or (job.attempts and not all(self._may_follow(job, a, w) for a in job.attempts)):
             return False
-        if w.sick > SUSPECT and not self._healthy_enough(job, w):
+        if w.sick > SUSPECT and not self.health.fit(self.now, job, w, self.fleet):
             return False
         return not self.fleet.is_cold(w, self.now) or self._cold_may_take(job, w)
 
@@ -449,40 +445,17 @@
             self.crowd.ran(w, job.cls, ran)
             if not self.fleet.is_cold(w, self.now):
                 self.warm_done += self._cost(job)
-            self._judge(w, 0.0)
+            self._judge(job, a, Sign.GOOD, ran)
             for other in job.attempts:
                 if other.ending is None and other.sent < a.sent:  # a copy that was sent later ended before it
-                    self._judge(other.worker, 1.0)
+                    self._judge(job, other, Sign.OVERTAKEN)
             if not self.s.tells_start:
                 self._learn_delay(w, False)
-        elif e.ending in (Ending.ERROR, Ending.BROKEN, Ending.UNREACHABLE, Ending.TIMED_OUT):
-            self._judge(w, 1.0)
-
-    def _judge(self, w: Worker, bad: float) -> None:
-        """Outlier ejection: a fast failer looks idle and would win every comparison."""
-        w.sick += 0.3 * (bad - w.sick)
-        if not bad and w.ejected_until:
-            w.ejected_until, w.sick = 0.0, min(w.sick, BACK)
-            self.ejected.pop(w.address, None)
-        elif not bad:
-            w.ejections = 0 if w.sick <= SUSPECT else w.ejections
-        elif w.sick > SICK or w.ejected_until:
-            w.ejected_until = self.now + self.sweep * SWEEPS * 2 ** min(w.ejections + 1, 4)
-            w.ejections += 1
-            if w.ready:
-                self.ejected[w.address] = w
-        self.fleet.judged(w)
-
-    def _healthy_enough(self, job: Job, w: Worker) -> bool:
-        """An ejected worker comes back through one trial job, and a job that may not be repeated is no trial.
-
-        Too many in trouble means a wrong signal, not a sick fleet.
-        """
-        if len(self.ejected) > EJECT_SHARE * len(self.workers):
-            return True
-        if job.cls.effect is Effect.UNSAFE and self.spares_unsafe:
-            return len(self.fleet.suspects) > EJECT_SHARE * len(self.workers)
-        return not w.ejected_until or (self.now >= w.ejected_until and w.load == 0)
+        elif e.ending in SIGNS:
+            self._judge(job, a, SIGNS[e.ending])
+
+    def _judge(self, job: Job, a: Attempt, sign: Sign, ran: float = 0.0) -> None:
+        self.health.ended(self.now, a.worker, job.cls, sign, a.sent, ran, self.fleet)
 
     def _count_tenants(self) -> None:
         """Rates of each tenant, told to the peers once a period; unable to tell, it takes all as alike."""
@@ -544,12 +517,12 @@
             w.cold_credit = self._first_credit(e)
         elif e.born > w.born:
             w.restart(e.born, T_START, self._first_credit(e))
-            self.ejected.pop(w.address, None)
+            self.health.drop(w)
         elif (w.zone, w.kind, w.cell, w.ready) == (e.zone, e.kind, e.cell, ready):
             return None
         w.credit_at = max(w.credit_at, self.now if e.born > 0 else 0.0)
         if not ready:
-            self.ejected.pop(w.address, None)
+            self.health.drop(w)
         return w if self.fleet.update(w, e) else None
 
     def _first_credit(self, e: WorkerEntry) -> float:
--- a/finchladder/features/snapshot.py
+++ b/finchladder/features/snapshot.py
@@ -22,6 +22,7 @@
 from finchladder.core.counts import KeyCounts
 from finchladder.core.crowd import Crowd
 from finchladder.core.guarded import Guarded, Run, Scope
+from finchladder.core.health import Health
 from finchladder.core.hedging import Allowance, Times
 from finchladder.core.limits import Limiter
 from finchladder.core.policy import Dispatcher
@@ -37,7 +38,7 @@
 
 ADDRESSES = 1000  # of the door's table; a larger one is not carried, and a replay says so
 RECORDS: tuple[type, ...] = (Worker, Attempt, Job, KeyCounts, Asking, Told, Run, Scope, Limiter, Budget,
-                            Allowance, Times, Alarms, Spill, Crowd, Sizes, Usual)  # fmt: skip
+                            Allowance, Times, Alarms, Spill, Crowd, Sizes, Usual, Health)  # fmt: skip
 IN_PLACE: dict[type, tuple[str, ...]] = {  # records of which there are many, and their containers
     Worker: ("unstarted", "fetched"), Job: ("attempts",), Run: (),
 }  # fmt: skip
@@ -46,7 +47,7 @@
 SLICE, PIECE, DEEP = 64, 512, 64  # records, items, and items that are containers, written at a time
 encode = msgspec.json.Encoder().encode
 WHOLE: tuple[type, ...] = (Route, Queue, WorkerPool, Request, Own)  # values that are never changed
-FOLLOWS = {"s", "classes", "spares_unsafe", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
+FOLLOWS = {"s", "classes", "sweep", "start_grace", "stall", "handlers", "actions", "tenants",
            "fleet", "agenda", "split", "spill", "cold"}  # fmt: skip
 # of zones.py, which a dispatcher has if zone spill is on; what is new begins anew, as a door's table does
 ZONED = {"spills", "counts", "look_at", "draws"}
--- a/finchladder/lab/check.py
+++ b/finchladder/lab/check.py
@@ -390,6 +390,10 @@
         yield "size: a share, so it must lie between 0 and 1"
     if fault.kind in ETCD_FAULTS and not e.etcd.members:
         yield f"kind: {fault.kind} needs an etcd: etcd.members = 1 or more"
+    if fault.job_class and fault.job_class not in {c.name for c in e.job_class}:
+        yield f"job_class: there is no class {fault.job_class}"
+    if fault.job_class and fault.kind != "errors":
+        yield "job_class: only errors strike one class alone"
     if fault.kind == "cut" and fault.between is None:
         yield "between: cut needs the two zones"
     for zone in fault.between or ():
--- a/finchladder/lab/decisions.py
+++ b/finchladder/lab/decisions.py
@@ -62,6 +62,8 @@
             return
         if ending is api.Ending.OK and (arrived := self.arrived.pop(request, None)) is not None:
             self.play.served(request, arrived)
+        if ending is not api.Ending.OK:
+            self.play.failed.append((self.play.kernel.now, server, ending))
         self.tell(api.Ended(request, n, ending, request not in self.arrived, 0.0))
 
 
@@ -83,6 +85,8 @@
         self.up: dict[str, float] = {}
         self.latency: dict[str, list[float]] = {}
         self.unserved = 0
+        self.sent: list[tuple[float, str, str]] = []  # when, to whom, of which class
+        self.failed: list[tuple[float, str, api.Ending]] = []
         self.counted = floor.counted(e)
         self.wakes = Wakes(self.kernel, self.touch)
         self.told_at: dict[tuple[int, str], float] = {}
@@ -137,6 +141,7 @@
 
     def submit(self, node: _Node, id: str, server: str) -> None:
         s, now = self.servers[server], self.kernel.now
+        self.sent.append((now, server, self.jobs[id].job_class))
         if not s.up:
             self.kernel.after(HOP_S, lambda: node.ended(id, server, api.Ending.UNREACHABLE))
             return
--- a/finchladder/lab/dispatchers.py
+++ b/finchladder/lab/dispatchers.py
@@ -109,9 +109,10 @@
         return path
 
     def write_operator_file(self) -> str:
-        """The experiment's own, with its etcd and peers; empty: there are none, and it holds as it is."""
+        """The experiment's own, with its etcd, peers, judgement; empty: there are none, it holds as it is."""
         peers = self.run.e.program.peers
-        if not self.etcd and peers is None:
+        judgement = self.run.e.program.judgement
+        if not self.etcd and peers is None and judgement is None:
             return ""
         given = self.run.e.program.config
         toml = given.lower().endswith(".toml")
@@ -124,6 +125,10 @@
             file = str(self.run.peers)
             text += f"\n[peers]\nfile = {json.dumps(file) if toml else file}\n"
             text += "".join(f"{name} = {json.dumps(value)}\n" for name, value in peers.items())
+        if judgement is not None:
+            text += "\n[judgement]\n"
+            for name, value in judgement.items():
+                text += f"{name} = {json.dumps(value) if toml or not isinstance(value, str) else value}\n"
         path.write_text(text, "utf-8")
         return str(path)
 
--- a/finchladder/lab/drivers/fleet.py
+++ b/finchladder/lab/drivers/fleet.py
@@ -474,7 +474,7 @@
                     server.model.set_speed(now, 1.0 if end else size)
                     server.played(now)
                 case "errors":
-                    server.model.set_error_rate(None if end else min(1.0, size))
+                    server.model.set_error_rate(None if end else min(1.0, size), fault.job_class)
                 case "swallow":
                     server.swallow = 0.0 if end else min(1.0, size)
                 case _:
--- a/finchladder/lab/experiment.py
+++ b/finchladder/lab/experiment.py
@@ -32,6 +32,7 @@
     cpus: list[int] = []  # pinned to these processors; empty: to none
     back_after_s: Seconds = 0.0  # one that died by itself is started again after this; 0: it stays away
     peers: dict[str, bool | float] | None = None  # [peers] in its operator's file, `file` as the lab makes it
+    judgement: dict[str, float | str] | None = None  # [judgement] there
     peers_every_s: Seconds = 0.0  # so often each is asked what it knows of the others; 0: never
     null: bool = False  # a target that answers 200 at once, without real servers: measures the load
 
@@ -250,7 +251,8 @@
     (0: never); restart: SIGTERM, back `for_s` after it has ended; roll: restart of `share` of the
     dispatchers, `batch` of them at a time; pause: SIGSTOP, and SIGCONT after `for_s`; crash: `share` of the
     real servers die together, back cold after `for_s`; drain: told as draining, gone when idle, back cold
-    after `for_s`; slow: speed times `size` for `for_s`; errors: jobs fail at rate `size`; swallow: requests
+    after `for_s`; slow: speed times `size` for `for_s`; errors: jobs (of
+    `job_class`, if it is given) fail at rate `size`; swallow: requests
     are taken and never answered; vanish: `share` of the entries is missing from one whole list and back in
     the next; cut: no bytes pass between the zones `between`; burst: rate times `size`; scan: `size` of the
     jobs ask for keys wanted once; hot_key: `size` of the jobs ask for one key. etcd_stall, etcd_cut,
@@ -266,6 +268,7 @@
     for_s: Span = 0.0
     # a name, "any", "all", "zone:NAME", "kind:NAME", "dispatchers:A-B" or "servers:A-B" (numbers, from 1)
     target: str = "any"
+    job_class: str = ""  # errors: of these jobs alone
     label: Annotated[str, Meta(pattern=r"\A[a-z0-9._-]{0,64}\Z")] = ""  # whom it struck can be named by it
     same_as: str = ""  # strikes just those that the fault with this label struck
     share: Span = 0.0  # of those that `target` allows; 0: one of them
--- a/finchladder/lab/floor.py
+++ b/finchladder/lab/floor.py
@@ -192,7 +192,7 @@
     kills a process that is up, `up` starts it cold.
     """
 
-    def strike(kind: str, names: list[str], size: float, ends: bool) -> None:
+    def strike(kind: str, names: list[str], size: float, job_class: str, ends: bool) -> None:
         for s in (servers[n] for n in names):
             now = kernel.now
             if kind in ("kill", "crash", "drain", "swallow"):
@@ -203,7 +203,7 @@
             elif kind == "slow":
                 s.set_speed(now, 1.0 if ends else size)
             elif kind == "errors":
-                s.set_error_rate(None if ends else min(1.0, size))
+                s.set_error_rate(None if ends else min(1.0, size), job_class)
             elif kind == "pause":
                 s.resume(now) if ends else s.pause(now)
             touch(s)
@@ -213,7 +213,7 @@
             continue
         size = one.fault.size
         assert not isinstance(size, tuple)  # drawn
-        what = one.fault.kind, one.targets, size
+        what = one.fault.kind, one.targets, size, one.fault.job_class
         kernel.at(one.at, partial(strike, *what, False))
         if one.for_s:
             kernel.at(one.at + one.for_s, partial(strike, *what, True))
--- a/finchladder/lab/models/realserver.py
+++ b/finchladder/lab/models/realserver.py
@@ -122,7 +122,7 @@
         self._noise = Random(rng.getrandbits(64))
         self.epoch, self.up = 0, False
         self.factor = 1.0  # of the speed, by a fault
-        self.error_rate = pool.error_rate
+        self.error_rate, self.error_class = pool.error_rate, ""
         self.connections = 0
         self._out: list[Action] = []
         self._count = 0
@@ -219,8 +219,9 @@
         self.factor = factor
         self._retune()
 
-    def set_error_rate(self, share: float | None) -> None:
-        """Share of jobs that end as `failed`; None: the pool's own."""
+    def set_error_rate(self, share: float | None, job_class: str = "") -> None:
+        """Share of jobs, of that class alone if one is given, that end as `failed`; None: the pool's own."""
+        self.error_class = job_class if share is not None else ""
         self.error_rate = self.pool.error_rate if share is None else share
 
     @property
@@ -622,7 +623,7 @@
 
     def _finish(self, at: float, job: _Job) -> None:
         nonce = self.rng.getrandbits(32)
-        failed = self.rng.random() < self.error_rate
+        failed = self.rng.random() < self.error_rate and self.error_class in ("", job.spec.job_class)
         result = "" if failed else f"{self.name}/{self.epoch}/{job.spec.id}/{nonce:08x}"
         if self.pool.checkpoint_s > 0:
             self.store.forget(job.spec.id)
--- /dev/null
+++ b/finchladder/net/bench.py
@@ -0,0 +1,53 @@
+"""The bench of judges: what this dispatcher holds of real servers, and the operator's word on them."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from finchladder.core.api import Ordered
+from finchladder.core.judging.judging import Judging
+from finchladder.core.judging.orders import Orders
+from finchladder.core.policy import Dispatcher
+from finchladder.net.control import JudgeOrder
+
+if TYPE_CHECKING:
+    from finchladder.core.peers.peers import Peers
+
+
+class Bench:
+    def __init__(
+        self, key: str | None, judging: Judging, d: Dispatcher, clock: Callable[[], float],
+        tell: Callable[[Ordered], None], peers: "Peers | None",
+    ) -> None:  # fmt: skip
+        """`peers`: tell the others; without them a word holds here alone."""
+        self.key, self.judging, self.d, self.clock, self.tell = key, judging, d, clock, tell
+        self.orders = peers.orders if peers is not None else Orders(judging.own, 0)
+
+    def show(self) -> list[dict[str, Any]]:
+        now = self.clock()
+        words = [
+            {
+                "server": s,
+                "state": f"operator: {o.stance}",
+                "by": o.by,
+                "why": o.why,
+                "left_s": round(until - now, 3),
+            }
+            for s, (o, until) in sorted(self.orders.standing(now).items())
+        ]
+        return self.judging.show(now, self.d.workers) + words
+
+    def say(self, order: JudgeOrder) -> dict[str, Any]:
+        """ValueError says in one line why not."""
+        if order.server not in self.d.workers:
+            raise ValueError(f"no real server {order.server} is known here")
+        now = self.clock()
+        said = self.orders.say(now, order.server, order.stance, order.for_s, order.why)
+        self.orders.changed = False
+        self.tell(self.orders.word(now))
+        return {
+            "server": said.server,
+            "stance": said.stance,
+            "for_s": said.left_s,
+            "by": said.by,
+            "why": said.why,
+        }
--- a/finchladder/net/control.py
+++ b/finchladder/net/control.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable, Iterator
 from hmac import compare_digest
-from typing import Any, NamedTuple, Protocol
+from typing import Annotated, Any, Literal, NamedTuple, Protocol
 from urllib.parse import unquote
 
 import msgspec
+from msgspec import Meta
 
 from finchladder.config.options import Options
 from finchladder.features.arrivals import Arrivals
@@ -16,6 +17,7 @@
 from finchladder.net.module import Clock
 
 STATUS, DRILL, METRICS, CAPTURE, PEERS = "/_status/", "/_drill", "/_metrics", "/_capture", "/_peers"
+JUDGE = "/_judge"
 JSON = "Content-Type: application/json"
 
 
@@ -36,6 +38,22 @@
     def show(self) -> dict[str, Any]: ...
 
 
+class Judges(Protocol):
+    """What is held of real servers, and what the operator says of them."""
+
+    key: str | None
+
+    def show(self) -> list[dict[str, Any]]: ...
+    def say(self, order: "JudgeOrder") -> dict[str, Any]: ...
+
+
+class JudgeOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    server: Annotated[str, Meta(min_length=1, max_length=64)]
+    stance: Literal["out", "in", "let"]
+    for_s: Annotated[float, Meta(gt=0, le=86_400)] = 600.0
+    why: Annotated[str, Meta(max_length=80)] = ""
+
+
 class Reply(NamedTuple):
     status: int
     body: bytes = b""
@@ -53,6 +71,7 @@
         self.clock, self.classes = clock, classes
         self.status, self.arrivals, self.capture = status, arrivals, capture
         self.peers: Shown | None = None
+        self.bench: Judges | None = None
         self.dumping = False
         self.key = options.drill.key if options.drill is not None else None
 
@@ -68,6 +87,11 @@
         if self.peers is not None and path == PEERS:
             shown = self.peers
             return self._by_get(head, lambda: Reply(200, msgspec.json.encode(shown.show()) + b"\n", (JSON,)))
+        if self.bench is not None and path == JUDGE:
+            bench = self.bench
+            if head.method == "GET":
+                return Reply(200, msgspec.json.encode(bench.show()) + b"\n", (JSON,))
+            return self._judge(bench, head, body)
         if path == DRILL and head.method == "POST":
             return self._drill(head, body)
         return None
@@ -107,6 +131,20 @@
     def _dumped(self) -> None:
         self.dumping = False
 
+    def _judge(self, bench: Judges, head: Head, body: bytes) -> Reply:
+        if head.method != "POST":
+            raise BadMessage(405, "this is asked for by GET, and said by POST", allow="GET, POST")
+        given = (head.headers.get("x-judge-key") or "").encode()
+        if bench.key is None or not compare_digest(given, bench.key.encode()):
+            return Reply(403, b"no word without the key\n")
+        try:
+            said = bench.say(msgspec.json.decode(body, type=JudgeOrder))
+            return Reply(200, msgspec.json.encode(said) + b"\n", (JSON,))
+        except msgspec.MsgspecError as e:
+            raise BadMessage(400, f"judge: {e}") from None
+        except ValueError as e:
+            return Reply(409, f"{e}\n".encode())
+
     def _drill(self, head: Head, body: bytes) -> Reply:
         given = (head.headers.get("x-drill-key") or "").encode()
         # in constant time: how long the answer takes must not tell how much of the key was right
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from finchladder.config.options import MembershipOptions, Options, PeersOptions
+from finchladder.config.options import JudgementOptions, MembershipOptions, Options, PeersOptions
 from finchladder.config.platform import Setup
 from finchladder.config.settings import read_seed
 from finchladder.core.bodies import BodyRoom
@@ -36,6 +36,7 @@
 
 if TYPE_CHECKING:
     from finchladder.config.routes import Loaded
+    from finchladder.core.judging.judging import Judging
     from finchladder.core.peers.bucket import Bucket
     from finchladder.core.peers.peers import Peers
     from finchladder.net.etcd.follow import EtcdActor
@@ -71,6 +72,9 @@
         arrivals = Arrivals(options, seed)
         self.dispatcher = decided.inner if isinstance(decided, Guarded) else decided
         self.module = ModuleActor(decided, self.flows, clock)
+        self.judging: Judging | None = None
+        if options.judgement is not None:
+            self._judge(options.judgement, joined)
         self.peers: PeersActor | None = None
         if options.peers is not None and joined is not None:
             self._speak(options, joined, arrivals)
@@ -115,6 +119,12 @@
             self.intake.routes = file.loaded.routes
         controls = Controls(clock, classes, options, self.flows.status, arrivals, self.capture)
         controls.peers = self.peers
+        if options.judgement is not None and self.judging is not None:
+            from finchladder.net.bench import Bench
+
+            controls.bench = Bench(
+                options.judgement.key, self.judging, self.dispatcher, clock, self.module.tell, joined
+            )  # fmt: skip
         self.gate: Gate | None = None
         if options.overload is not None:
             limits = options.overload.limits(setup.settings.max_retry_after)
@@ -140,6 +150,15 @@
         )  # fmt: skip
         return self.joined
 
+    def _judge(self, options: JudgementOptions, joined: "Peers | None") -> None:
+        """Real servers are judged by evidence, others' too where dispatchers speak with each other."""
+        from finchladder.core.judging.judging import Rules, Telling, attach
+
+        rules = Rules(options.most_out, options.term_s)
+        self.judging = attach(self.dispatcher, self.setup.name, rules, self.clock(), logger.info)
+        if joined is not None:
+            joined.evidence = Telling(self.judging, self.dispatcher)
+
     def _share(self, budget: str, limit: float) -> "Bucket":
         return self.joined.share(budget, limit, self.clock(), self.setup.settings.dispatchers)
 
@@ -155,6 +174,7 @@
         heard = None
         if options.peers.counts:
             attach(self.dispatcher)
+        if options.peers.counts or options.judgement is not None:
             heard = self.module.tell
         self.peers = PeersActor(
             joined, options.peers.fleet, self.setup.listen, options.peers.addresses(), self.clock, heard,
--- a/finchladder/net/peers/actor.py
+++ b/finchladder/net/peers/actor.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from finchladder.core.api import Held
+from finchladder.core.api import Hearsay, Held, Ordered
 from finchladder.core.peers.peers import Packets, Peers
 from finchladder.net.peers.datagrams import MOST, Unusable, decode, encode
 
@@ -39,10 +39,12 @@
 class PeersActor:
     def __init__(
         self, peers: Peers, fleet: str, own: Address, addresses: Mapping[str, Address],
-        clock: Callable[[], float], heard: Callable[[Held], None] | None,
+        clock: Callable[[], float], heard: Callable[[Held | Hearsay | Ordered], None] | None,
         bind: Callable[[Address], socket.socket] = bind,
     ) -> None:  # fmt: skip
-        """`addresses`: where each peer is, and its datagrams come from. `heard`: gets the counts of all."""
+        """`addresses`: where each peer is, and its datagrams come from. `heard`: gets the counts of all,
+        and what others say of real servers.
+        """
         self.peers, self.fleet, self.own, self.clock, self.heard, self.bind = (
             peers,
             fleet,
@@ -163,7 +165,14 @@
 
     def _tell(self, now: float) -> None:
         """The counts of all others go to the decisions, as often as they are made anew."""
-        if self.heard is None or now < self.tell_at:
+        if self.heard is None:
+            return
+        if (hearsay := self.peers.hearsay(now)) is not None:
+            self.heard(hearsay)
+        if self.peers.orders.changed:
+            self.peers.orders.changed = False
+            self.heard(self.peers.orders.word(now))
+        if now < self.tell_at or not self.peers.rule.wave_s:
             return
         self.tell_at = now + self.peers.rule.wave_s
         if (total := self.peers.total(now)) is not None:
--- a/finchladder/net/peers/datagrams.py
+++ b/finchladder/net/peers/datagrams.py
@@ -1,9 +1,10 @@
 """Packets as datagrams and back: msgpack, a version and a fleet's name in each, MOST bytes.
 
-    [1, fleet, kind, sender, boot, incarnation, number, about, rumours, rows, grants, returns, part]
+    [2, fleet, kind, sender, boot, incarnation, number, about, rumours, rows, grants, returns, part, orders]
 
 All is an array in the order of the fields of core/peers/words.py. Of a part the counts are one string of
 bytes: the real servers' numbers, four each, then eight times their counts, two each; the lowest byte first.
+Of a row the words of real servers are counted in tenths, of endings and of seconds.
 """
 
 import struct
@@ -12,15 +13,19 @@
 import msgspec
 from msgspec import Meta
 
+from finchladder.core.judging.orders import MOST_NAME, MOST_WHY, Order
+from finchladder.core.judging.words import MOST_SAYS, Said
 from finchladder.core.peers.words import Grant, Kind, Packet, Part, Return, Row, Rumour, Standing, Want
 
-VERSION = 1
+VERSION = 2
 MOST = 1_200  # bytes: no link on the way is to cut it in pieces
 EIGHTH, MOST_COUNT = 8, 0xFFFF
 EACH = 6  # bytes of a real server in a part
+TENTH = 10
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Text = Annotated[str, Meta(max_length=128)]
+Tenths = Annotated[int, Meta(ge=0, le=0xFFFFFF)]
 Number = Annotated[int, Meta(ge=0, le=(1 << 53) - 1)]
 
 
@@ -41,6 +46,25 @@
     spent: float
 
 
+class _Said(_Array):
+    subject: Number
+    bad: Tenths
+    link: Tenths
+    good: Tenths
+    opened: Tenths
+    left: Tenths
+    stage: Annotated[int, Meta(ge=0, lt=16)]
+
+
+class _Order(_Array):
+    server: Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
+    stance: Annotated[str, Meta(max_length=8)]
+    left_s: float
+    stamp: Number
+    by: Name
+    why: Annotated[str, Meta(max_length=MOST_WHY)]
+
+
 class _Row(_Array):
     owner: Name
     boot: Number
@@ -49,6 +73,10 @@
     age_s: float
     asked: float
     wants: Annotated[list[_Want], Meta(max_length=16)]
+    zone: Number
+    ended: Tenths
+    bad: Tenths
+    says: Annotated[list[_Said], Meta(max_length=MOST_SAYS)]
 
 
 class _Grant(_Array):
@@ -87,6 +115,7 @@
     grants: list[_Grant]
     returns: list[_Return]
     part: _Part | None
+    orders: Annotated[list[_Order], Meta(max_length=8)]
 
 
 _fields = msgspec.msgpack.Decoder(list[msgspec.Raw])
@@ -109,7 +138,7 @@
     return _encoder.encode(
         (
             VERSION, fleet, p.kind, p.sender, p.boot, p.incarnation, p.number, p.about,
-            p.rumours, p.rows, p.grants, p.returns, part,
+            p.rumours, [_row(r) for r in p.rows], p.grants, p.returns, part, p.orders,
         )
     )  # fmt: skip
 
@@ -131,15 +160,32 @@
         tuple(Rumour(r.name, r.incarnation, Standing(r.standing)) for r in d.rumours),
         tuple(
             Row(r.owner, r.boot, r.incarnation, r.order, r.age_s, r.asked,
-                tuple(Want(w.budget, w.rate, w.have, w.spent) for w in r.wants))
+                tuple(Want(w.budget, w.rate, w.have, w.spent) for w in r.wants),
+                r.zone, r.ended / TENTH, r.bad / TENTH,
+                tuple(Said(s.subject, s.bad / TENTH, s.link / TENTH, s.good / TENTH, s.opened / TENTH,
+                           s.left / TENTH, s.stage) for s in r.says))
             for r in d.rows
         ),
         tuple(Grant(g.serial, g.budget, g.rate, g.asked, g.boot) for g in d.grants),
         tuple(Return(r.serial, r.boot, r.asked) for r in d.returns),
         _part(d.part) if d.part is not None else None,
+        tuple(Order(o.server, o.stance, o.left_s, o.stamp, o.by, o.why) for o in d.orders),
     )  # fmt: skip
 
 
+def _tenths(count: float) -> int:
+    return min(0xFFFFFF, round(count * TENTH))
+
+
+def _row(r: Row) -> tuple[object, ...]:
+    says = [
+        (s.subject, _tenths(s.bad), _tenths(s.link), _tenths(s.good), _tenths(s.opened_s), _tenths(s.left_s),
+         s.stage)
+        for s in r.says
+    ]  # fmt: skip
+    return (*r[:7], r.zone, _tenths(r.ended), _tenths(r.bad), says)
+
+
 def _part(p: _Part) -> Part:
     n, rest = divmod(len(p.counts), EACH)
     if rest:
--- a/tests/core/oracle.py
+++ b/tests/core/oracle.py
@@ -12,7 +12,8 @@
 from finchladder.core.api import Settings
 from finchladder.core.counts import KeyCounts
 from finchladder.core.fleet import Fleet, Needed, Pool
-from finchladder.core.policy import SAMPLE, SMOOTH, SUSPECT, Dispatcher
+from finchladder.core.health import SUSPECT
+from finchladder.core.policy import SAMPLE, SMOOTH, Dispatcher
 from finchladder.core.records import Job, Worker
 
 POINTS = 32
--- a/tests/core/peers/test_values.py
+++ b/tests/core/peers/test_values.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from finchladder.core.peers.bucket import BURST_S, HOLD_S, Bucket
@@ -77,6 +77,7 @@
     assert not any(r.owner == "n2" for t in told for r in t) and held.some(0.0, "n3", 20) == []
 
 
+@settings(deadline=None)
 @given(
     st.floats(0.05, 50), st.lists(st.tuples(st.floats(0.0, 3.0), st.floats(0.05, 50)), max_size=30),
     st.booleans(),
--- a/tests/core/test_routes_model.py
+++ b/tests/core/test_routes_model.py
@@ -52,7 +52,7 @@
         for w in self.g.inner.workers.values():
             w.restart(w.born, 100.0, 0.0)
             self.g.inner.fleet.judged(w)
-        self.g.inner.ejected.clear()
+        self.g.inner.health.ejected.clear()
         self.g.inner.retry_tokens = 10.0
         self.sent: list[Sent] = []
         self.ended: dict[int, Ending] = {}
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -141,7 +141,7 @@
     play.play(4000)
     state = snapshot.take(play.d, play.arrivals)
     text = msgspec.json.encode(state)
-    assert play.d.jobs and play.d.ejected and play.d.key_counts and state["door"] and state["drills"]
+    assert play.d.jobs and play.d.health.ejected and play.d.key_counts and state["door"] and state["drills"]
     other, arrivals = Dispatcher(play.d.s, 5), Arrivals(FEATURES, 5)
     assert snapshot.restore(msgspec.json.decode(text), other, arrivals) == []
     assert msgspec.json.encode(snapshot.take(other, arrivals)) == text
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -12,6 +12,8 @@
 
 from finchladder.cli.peers import lines
 from finchladder.config.options import PeersOptions, read_options
+from finchladder.core.judging.orders import STANCES, Order
+from finchladder.core.judging.words import MOST_SAYS, Said
 from finchladder.core.peers.peers import Peers, Rule
 from finchladder.core.peers.words import (
     MOST_INCARNATION,
@@ -33,7 +35,15 @@
 NAME = st.text("abcdefgh.-_0123456789", min_size=1, max_size=32)
 INT, FIGURE = st.integers(0, MOST_INCARNATION), st.floats(0, 1e9)
 WANT = st.builds(Want, st.text(max_size=40), FIGURE, FIGURE, FIGURE)
-ROW = st.builds(Row, NAME, INT, INT, INT, st.floats(0, 30), FIGURE, st.lists(WANT, max_size=3).map(tuple))
+TENTHS, NUMBER = st.integers(0, 6_000).map(lambda n: n / 10), st.integers(0, (1 << 32) - 1)
+SAID = st.builds(Said, NUMBER, TENTHS, TENTHS, TENTHS, TENTHS, TENTHS, st.integers(0, 15))
+ROW = st.builds(
+    Row, NAME, INT, INT, INT, st.floats(0, 30), FIGURE, st.lists(WANT, max_size=3).map(tuple), NUMBER, TENTHS,
+    TENTHS, st.lists(SAID, max_size=MOST_SAYS).map(tuple),
+)  # fmt: skip
+ORDER = st.builds(
+    Order, NAME, st.sampled_from(STANCES), st.floats(0, 86_400), INT, NAME, st.text(max_size=80)
+)  # fmt: skip
 PART = st.builds(
     Part, st.integers(0, 40), INT, st.integers(1, 1000), st.floats(0, 3),
     st.lists(st.tuples(st.integers(0, (1 << 32) - 1), st.integers(0, 999).map(lambda n: n / 8)), max_size=150)
@@ -45,11 +55,14 @@
     st.lists(ROW, max_size=3).map(tuple),
     st.lists(st.builds(Grant, INT, st.text(max_size=40), FIGURE, FIGURE, INT), max_size=3).map(tuple),
     st.lists(st.builds(Return, INT, INT, FIGURE), max_size=3).map(tuple), st.none() | PART,
+    st.lists(ORDER, max_size=3).map(tuple),
 )  # fmt: skip
 
 
 def room(p: Packet) -> int:
-    told: list[Rumour | Row | Grant | Return | Part] = [*p.rumours, *p.rows, *p.grants, *p.returns]
+    told: list[Rumour | Row | Grant | Return | Part | Order] = [
+        *p.rumours, *p.rows, *p.grants, *p.returns, *p.orders,
+    ]  # fmt: skip
     return sum(t.room for t in [*told, *([p.part] if p.part else [])])
 
 
@@ -148,7 +161,7 @@
 
 
 def with_part(part: object, kind: int = 0) -> bytes:
-    return msgspec.msgpack.encode([VERSION, "f", kind, "n2", 7, 1, 0, "", [], [], [], [], part])
+    return msgspec.msgpack.encode([VERSION, "f", kind, "n2", 7, 1, 0, "", [], [], [], [], part, []])
 
 
 @pytest.mark.parametrize(
@@ -157,7 +170,7 @@
         (b"", "malformed"), (ENDED[:-1], "malformed"), (ENDED + b"\0", "malformed"),
         (b"x" * (MOST + 1), "too long"),
         (encode("g", GOOD), "fleet"), (msgspec.msgpack.encode([VERSION + 1, "f", {}]), "version"),
-        (ENDED.replace(bytes([0x9D, VERSION]), bytes([0x9D, VERSION + 1])), "version"),
+        (ENDED.replace(bytes([0x9E, VERSION]), bytes([0x9E, VERSION + 1])), "version"),
         (encode("f", GOOD._replace(sender="n" * 65)), "malformed"),
         (with_part([1, 1, 1, 0.0, b"abc"]), "malformed"),
         (with_part(None, kind=9), "malformed"),
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -196,7 +196,7 @@
     b.end(name, api.Ending.ERROR)
     assert all(s.worker != suspect for _ in range(4) for s in b.ask("unsafe")[1])
     w = b.d.workers[suspect]
-    w.sick, w.ejected_until, b.d.ejected[suspect] = 0.9, b.now, w  # ejected, and due for its trial
+    w.sick, w.ejected_until, b.d.health.ejected[suspect] = 0.9, b.now, w  # ejected, and due for its trial
     assert all(s.worker != suspect for s in b.ask("unsafe")[1])
     name, sent = b.ask("safe")
     assert sent[0].worker == suspect
