Judgement's world at virtual time, and a rate that the worst ones are left out of

The fleet's own rate of bad endings held those of the bad ones themselves: where 2 of 14 failed, evidence against each added up too slowly.

--- a/finchladder/core/judging/evidence.py
+++ b/finchladder/core/judging/evidence.py
@@ -20,8 +20,8 @@
 
 LEAST_RATE, MOST_RATE = 0.01, 0.6  # of bad endings, as the fleet's own
 BAD_RATE = 0.5  # of a bad real server, at the least
-FADE_S, EACH = 10.0, 0.98
-RATE_S = 6.0  # after which an ending counts by 1/e in the fleet's own rate
+FADE_S, EACH = 8.0, 0.98
+RATE_S = 8.0  # after which an ending counts by 1/e in the fleet's own rate
 PRIOR = 20.0  # endings at LEAST_RATE that count as seen
 SLOW = 5.0  # times the usual running time of its class and kind: from there on a job was too slow
 HALF = 0.5
@@ -81,8 +81,9 @@
         self.ended, self.bad, self.at = self.ended * by, self.bad * by, now
 
     def of(self, ended: float = 0.0, bad: float = 0.0) -> float:
-        """With what others saw."""
-        return (LEAST_RATE * PRIOR + self.bad + bad) / (PRIOR + self.ended + ended)
+        """With what others saw, and without what is to be left out (below 0)."""
+        ended = max(0.0, self.ended + ended)
+        return (LEAST_RATE * PRIOR + min(ended, max(0.0, self.bad + bad))) / (PRIOR + ended)
 
 
 class Usual:
--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -21,14 +21,14 @@
 """
 
 from collections.abc import Callable, Iterable
-from math import ceil
+from math import ceil, exp
 from typing import Any, NamedTuple
 from zlib import crc32
 
 from finchladder.core.api import Effect, Hearsay, JobClass, Ordered, Settings, Unseen
 from finchladder.core.fleet import Fleet
 from finchladder.core.health import EJECT_SHARE, LONGEST, Health, Sign
-from finchladder.core.judging.evidence import HALF, WEIGHTS, Case, Rate, Usual, weights
+from finchladder.core.judging.evidence import FADE_S, HALF, WEIGHTS, Case, Rate, Usual, weights
 from finchladder.core.judging.verdicts import SHARES, Facts, State, Verdict, condemn, step
 from finchladder.core.judging.weighing import NOTHING, SILENT_S, Sum, Word, weigh
 from finchladder.core.judging.words import (
@@ -79,7 +79,7 @@
 class Judging(Health):
     __slots__ = ("own", "rules", "zone", "zones", "cases", "verdicts", "words", "rate", "usual", "alive",
                  "unwell", "look_at", "began", "late_until", "last", "mass_at", "witnesses", "orders",
-                 "subjects", "log", "alone", "untold", "ready", "ready_at")  # fmt: skip
+                 "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed")  # fmt: skip
 
     def __init__(
         self, settings: Settings, period: float, own: str, rules: Rules, now: float,
@@ -95,6 +95,7 @@
         self.words: dict[int, list[tuple[float, Word]]] = {}  # by subject: when it came
         self.subjects: dict[int, tuple[str, str]] = {}  # of whom something is told
         self.witnesses: tuple[float, float] = (0.0, 0.0)  # endings that all others tell of, and bad ones
+        self.trimmed: tuple[float, float] = (0.0, 0.0)  # endings that are left out of that, and bad ones
         self.rate, self.usual = Rate(now), Usual()
         self.alive, self.unwell = 1, False
         self.look_at = now
@@ -163,7 +164,28 @@
             self.alone.setdefault(w.address, {})[job_class] = until, times
 
     def _rate(self) -> float:
-        return self.rate.of(*self.witnesses)
+        (ended, bad), (without, of_those) = self.witnesses, self.trimmed
+        return self.rate.of(ended - without, bad - of_those)
+
+    def _trim(self, now: float, fleet: Fleet) -> None:
+        """What the worst ones did is no part of the fleet's own rate: as many as may be out, whoever it is."""
+        seen: list[tuple[float, float]] = []
+        names = {*self.cases, *(address for address, _ in self.subjects.values())}
+        for address in names:
+            if (w := fleet.workers.get(address)) is None:
+                continue
+            bad = good = 0.0
+            for name in [c.name for c in self.s.classes]:
+                if (case := self.cases.get(address, {}).get(name)) is not None:
+                    case.fade(now)
+                    bad, good = bad + case.bad + case.link, good + case.good
+                for came, word in self.words.get(subject(address, w.born, name), ()):
+                    fresh = exp(-(word.age_s + now - came) / FADE_S)
+                    bad += fresh * (word.said.bad + word.said.link)
+                    good += fresh * word.said.good
+            seen.append((bad, good))
+        worst = sorted(seen, reverse=True)[: max(1, int(self.rules.most_out * len(fleet.workers)))]
+        self.trimmed = sum(b + g for b, g in worst), sum(b for b, _ in worst)
 
     # --- what others say
 
@@ -243,6 +265,8 @@
             return
         if only is None:
             self.look_at = now + LOOK_S
+        if only is None:
+            self._trim(now, fleet)
         bad, good = weights(self._rate())
         doubtful = self.doubtful(now)
         if now >= self.ready_at:
--- /dev/null
+++ b/finchladder/sim/judged.py
@@ -0,0 +1,261 @@
+"""Many dispatchers that judge real servers together, at virtual time: bad ones, liars, splits, deaths.
+
+The world of sim/peers.py, with the program's decisions in each process, real servers whose truth is known, and
+an eye from outside:
+
+| rule | what must hold |
+| --- | --- |
+| bound | of each zone no dispatcher holds more out than its share, and never the last |
+| good | no real server that was good for SETTLED_S is held out by over half of the honest ones |
+| left | a real server that fails (nearly) all gets SENDS_MOST sends of all in LEFT_S at the most, from LEFT_S on |
+| once | a job that may not be repeated is sent once, unless it certainly never ran |
+| ends | ENDS_S after the last fault nobody holds anybody out or puts it out alone |
+
+A liar tells with each word that all real servers fail. Deterministic by the seed.
+"""
+
+from collections import deque
+from random import Random
+from typing import NamedTuple
+
+from finchladder.core import api
+from finchladder.core.judging.judging import Judging, Rules, Telling, attach
+from finchladder.core.judging.verdicts import State
+from finchladder.core.judging.words import MOST_SAYS, Own, Said, subject
+from finchladder.core.peers.words import ROOM, Packet
+from finchladder.core.policy import Dispatcher
+from finchladder.sim import peers
+
+ENDS_S = 60.0
+SETTLED_S = 3.0
+LEFT_S, EACH_SENDS, MORE_SENDS = 6.0, 4, 12
+RUN_S = 0.05
+ASKED_S = 4.0
+GOOD_RATE = 0.003  # of a good one's jobs fail
+UNSAFE_PART = 0.4
+CLASSES = (
+    api.JobClass("view", api.Effect.SAFE, aim=0.3, deadline=5.0),
+    api.JobClass("confirm", api.Effect.UNSAFE, aim=0.6, deadline=5.0, worth=10.0),
+)
+
+
+class Bad(NamedTuple):
+    server: int
+    at: float
+    for_s: float
+    kind: str  # all, third, class, refuse
+
+
+class Scene(NamedTuple):
+    world: peers.World
+    servers: int
+    zones: int
+    rate: float  # jobs a second, of all
+    bads: tuple[Bad, ...]
+    liar: int  # -1: none
+
+
+def draw(seed: int, most: int = 9) -> Scene:
+    r = Random(f"{seed}/judged")
+    world = peers.draw(seed, most)._replace(for_s=45.0)
+    faults = tuple(f._replace(at=min(f.at, 30.0), for_s=min(f.for_s, 12.0)) for f in world.faults if f.kind != "shift")
+    servers, zones = r.randint(4, 14), r.randint(1, 3)
+    bads = [
+        Bad(r.randrange(servers), r.uniform(5.0, 30.0), r.uniform(2.0, 15.0), r.choice(KINDS))
+        for _ in range(r.randint(0, 3))
+    ]  # fmt: skip
+    liar = r.randrange(world.dispatchers) if world.dispatchers >= 4 and r.random() < 0.3 else -1
+    return Scene(world._replace(faults=faults), servers, zones, r.choice((20.0, 60.0)), tuple(bads), liar)
+
+
+KINDS = ("all", "all", "third", "class", "refuse")
+
+
+class _Liar:
+    """Says that all fail, with all the weight that a word can have."""
+
+    def __init__(self, d: Dispatcher, zone: int) -> None:
+        self.d, self.zone = d, zone
+
+    def news(self) -> bool:
+        return True
+
+    def word(self, now: float) -> Own:
+        names = sorted(self.d.workers)
+        says = [Said(subject(a, 0.0, c.name), 500.0, 500.0, 0.0, 1.0, 500.0, 0) for a in names for c in CLASSES]
+        return Own(self.zone, 500.0, 0.0, tuple(says[:MOST_SAYS]))
+
+
+class Process(peers.Process):
+    """One life of a dispatcher, with its decisions."""
+
+    def __init__(self, play: "Play", index: int, life: int) -> None:
+        super().__init__(play, index, life)
+        scene = self.scene = play.scene
+        zones = tuple(f"z{n}" for n in range(scene.zones))
+        settings = api.Settings(
+            CLASSES, zones=zones, zone=zones[index % scene.zones], index=index,
+            dispatchers=scene.world.dispatchers, tells_start=True, may_cancel=True,
+        )  # fmt: skip
+        self.d = Dispatcher(settings, Random(f"{play.seed}/{index}/{life}/d").getrandbits(60))
+        self.judging: Judging = attach(self.d, self.name, Rules(), self.clock())
+        lies = scene.liar == index
+        self.peers.evidence = _Liar(self.d, self.judging.zone) if lies else Telling(self.judging, self.d)
+        self.paused_at = 0.0
+        entries = tuple(
+            api.WorkerEntry(f"w{n}", api.State.READY, zones[n % scene.zones]) for n in range(scene.servers)
+        )
+        self.tell(api.WorkerList(api.ListKind.WHOLE, entries))
+
+    def turn(self) -> None:
+        super().turn()
+        if not self.paused and (hearsay := self.peers.hearsay(self.clock())) is not None:
+            self.tell(hearsay)
+
+    def tell(self, event: api.Event) -> None:
+        play: Play = self.play  # type: ignore[assignment]
+        for a in self.d.handle(self.clock(), event):
+            if isinstance(a, api.SetTimer):
+                play.at(play.now + max(a.after, 0.01), lambda t=a.token: self.later(api.Timer(t)))  # type: ignore[misc]
+            elif isinstance(a, api.Send):
+                play.sent_job(self, a)
+
+    def later(self, event: api.Event) -> None:
+        """What comes while it stands still waits."""
+        play: Play = self.play  # type: ignore[assignment]
+        if play.alive.get(self.index) is not self:
+            return
+        if self.paused:
+            play.at(play.now + 0.1, lambda: self.later(event))
+        else:
+            self.tell(event)
+
+
+class Play(peers.Play):
+    heal_s = ENDS_S
+
+    def __init__(self, seed: int, scene: Scene | None = None) -> None:
+        self.scene = scene or draw(seed)
+        super().__init__(seed, self.scene.world)
+        self.job_random = Random(f"{seed}/jobs")
+        self.jobs = 0
+        self.sends: dict[str, list[bool]] = {}  # of jobs that may not be repeated: whether each may have run
+        self.at_bad: dict[int, deque[float]] = {}
+        self.failed = 0
+        self.faulty = [0.0] * self.scene.servers  # since when each is good; inf while it is bad
+        self.most_out = 0
+
+    def start(self, index: int) -> None:
+        self.lives[index] += 1
+        self.alive[index] = process = Process(self, index, self.lives[index])
+        self._beat(process)
+
+    def _wake(self, process: peers.Process) -> None:
+        super()._wake(process)
+        if isinstance(process, Process) and self.alive.get(process.index) is process:
+            process.tell(api.Unseen(1.0))
+
+    def bad(self, server: int) -> Bad | None:
+        return next((b for b in self.scene.bads if b.server == server and b.at <= self.now < b.at + b.for_s), None)
+
+    # --- jobs
+
+    def _take(self) -> None:
+        r = self.job_random
+        index = r.randrange(self.world.dispatchers)
+        process = self.alive.get(index)
+        if isinstance(process, Process) and not process.paused:
+            self.jobs += 1
+            name = "confirm" if r.random() < UNSAFE_PART else "view"
+            key = r.getrandbits(30) if r.random() < 0.7 else None
+            process.tell(api.Request(f"j{self.jobs}", name, ASKED_S, key=key))
+        if self.now < self.world.for_s + ENDS_S - 1.0:  # work goes on, so that what was out can come back
+            self.at(self.now + r.expovariate(self.scene.rate), self._take)
+
+    def sent_job(self, process: Process, a: api.Send) -> None:
+        r, n = self.job_random, int(a.worker[1:])
+        job = process.d.jobs[a.request]
+        attempt = len(job.attempts) - 1
+        bad, unsafe = self.bad(n), job.cls.effect is api.Effect.UNSAFE
+        if bad is not None and bad.kind in ("all", "refuse"):
+            self._met(n)
+        ending, took = api.Ending.OK, RUN_S * r.uniform(0.5, 1.5)
+        rate = 0.0
+        if bad is not None:
+            rate = {"all": 0.95, "third": 0.34, "class": 0.95 * unsafe, "refuse": 0.0}[bad.kind]
+            if bad.kind == "refuse":
+                ending, took = api.Ending.UNREACHABLE, 0.005
+        if ending is api.Ending.OK and r.random() < max(rate, GOOD_RATE):
+            ending = api.Ending.ERROR
+        self.failed += ending is not api.Ending.OK
+        if unsafe:
+            runs = self.sends.setdefault(a.request, [])
+            if any(runs):
+                self.break_("once", f"{a.request} is sent again, and may have run")
+            runs.append(ending not in api.NEVER_RAN)
+        if ending in (api.Ending.OK, api.Ending.ERROR):
+            self.at(self.now + 0.002, lambda: process.later(api.Started(a.request, attempt)))
+        self.at(self.now + took, lambda: process.later(api.Ended(a.request, attempt, ending, ending is api.Ending.OK, 0.0)))
+
+    # --- what must hold
+
+    def _met(self, server: int) -> None:
+        """Each dispatcher may meet a bad one itself, where it hears nothing; later no more than trials."""
+        times = self.at_bad.setdefault(server, deque())
+        times.append(self.now)
+        while times[0] < self.now - LEFT_S:
+            times.popleft()
+        bad = self.bad(server)
+        most = EACH_SENDS * self.world.dispatchers + MORE_SENDS
+        if bad is not None and self.now > bad.at + 2 * LEFT_S and len(times) > most:
+            self.break_("left", f"w{server} fails since {self.now - bad.at:.1f} s and got {len(times)} in {LEFT_S:g} s")
+
+    def _look(self) -> None:
+        """Budgets are not looked at here."""
+
+    def _look_closer(self) -> None:
+        honest = [p for i, p in self.alive.items() if isinstance(p, Process) and i != self.scene.liar]
+        out: dict[str, int] = {}
+        for p in honest:
+            groups: dict[str, int] = {}
+            for address, held in p.judging.verdicts.items():
+                if any(v.state in (State.CONDEMNED, State.TRIAL) for v in held.values()):
+                    zone = p.d.workers[address].zone
+                    groups[zone] = groups.get(zone, 0) + 1
+                    out[address] = out.get(address, 0) + 1
+            for zone, n in groups.items():
+                ready = sum(w.zone == zone for w in p.d.workers.values())
+                if n > min(max(1, int(0.3 * ready)), ready - 1):
+                    return self.break_("bound", f"{p.name} holds {n} of {ready} out in {zone}")
+            self.most_out = max(self.most_out, sum(groups.values()))
+        for n in range(self.scene.servers):
+            if self.bad(n) is not None:
+                self.faulty[n] = self.now
+            # it may be out for a longest term after it was mended, and its trial
+            since_good = self.now - self.faulty[n] if self.faulty[n] or self.now < 1.0 else float("inf")
+            good = since_good > 45.0 and not any(f.kind == "pause" for f in self.world.faults)
+            if good and self.now > SETTLED_S and 2 * out.get(f"w{n}", 0) > len(honest):
+                return self.break_("good", f"w{n} is good, and out at {out[f'w{n}']} of {len(honest)}")
+
+    def _healed(self) -> None:
+        if self.scene.liar >= 0:
+            return
+        for p in self.alive.values():
+            assert isinstance(p, Process)
+            p.judging.look(p.clock(), p.d.fleet)
+            held = {a: h for a, h in p.judging.verdicts.items() if any(v.state is State.CONDEMNED for v in h.values())}
+            if held:
+                return self.break_("ends", f"{p.name} still holds {sorted(held)} out")
+
+
+def room(p: Packet) -> int:
+    return peers.room(p) + sum(o.room for o in p.orders)
+
+
+def play_seed(seed: int) -> tuple[int, peers.Found]:
+    play = Play(seed)
+    broken = play.run()
+    return seed, peers.Found(play.steps, broken)
+
+
+__all__ = ["ROOM", "Bad", "Play", "Scene", "draw", "play_seed"]
--- a/finchladder/sim/peers.py
+++ b/finchladder/sim/peers.py
@@ -145,6 +145,8 @@
 
 
 class Play:
+    heal_s = HEAL_S
+
     def __init__(
         self, seed: int, world: World | None = None, timing: Timing | None = None, wave_s: float = 0.0
     ) -> None:
@@ -304,7 +306,7 @@
             self.at(f.at, lambda f=f: self.strike(f))  # type: ignore[misc]
         self.at(1.0, self._take)
         over = [f.at + min(f.for_s, FOR_GOOD_S) for f in self.world.faults]
-        end = max([self.world.for_s, *over]) + (HEAL_S if heals else 0.0)
+        end = max([self.world.for_s, *over]) + (self.heal_s if heals else 0.0)
         look_at = 0.0
         while self.queue and self.broken is None:
             when, _, what = heappop(self.queue)
