--- a/finchladder/cli/peers.py
+++ b/finchladder/cli/peers.py
@@ -53,6 +53,11 @@
             f"counts: {counts['in_flight']:g} slots in flight at {counts['members']} dispatchers,"
             f" {counts['age_s']:.2f} s old"
         )
+    for held in shown.get("judged", ()):
+        of = f" for {held['class']}" if "class" in held else ""
+        found.append(
+            f"{held['server']}{of}: {held['state']}, {held['left_s']:g} s left, by {held['by'] or 'evidence'}"
+        )
     traffic = shown["datagrams"]
     found.append(
         f"datagrams: {traffic['sent']} sent, {traffic['received']} received, {traffic['unsent']} not sent"
--- a/finchladder/core/judging/evidence.py
+++ b/finchladder/core/judging/evidence.py
@@ -6,8 +6,8 @@
 
 | fleet's own rate of bad endings | a bad one fails | a bad ending adds | a good one | break-even |
 | --- | --- | --- | --- | --- |
-| 0.01 and less | 0.5 | 3.9 | -0.68 | 0.15 |
-| 0.1 | 0.5 | 1.6 | -0.59 | 0.27 |
+| 0.01 and less | 0.51 | 3.9 | -0.69 | 0.15 |
+| 0.1 | 0.55 | 1.7 | -0.69 | 0.29 |
 | 0.3 | 0.65 | 0.8 | -0.69 | 0.47 |
 | 0.6 and more | 0.8 | 0.3 | -0.69 | 0.71 |
 
@@ -19,7 +19,6 @@
 from finchladder.core.health import Sign
 
 LEAST_RATE, MOST_RATE = 0.01, 0.6  # of bad endings, as the fleet's own
-BAD_RATE = 0.5  # of a bad real server, at the least
 FADE_S, EACH = 8.0, 0.98
 RATE_S = 8.0  # after which an ending counts by 1/e in the fleet's own rate
 PRIOR = 20.0  # endings at LEAST_RATE that count as seen
@@ -34,7 +33,7 @@
 def weights(rate: float) -> tuple[float, float]:
     """What a bad and a good ending add, by the fleet's own rate of bad ones."""
     p = min(MOST_RATE, max(LEAST_RATE, rate))
-    q = max(BAD_RATE, (1 + p) / 2)
+    q = (1 + p) / 2
     return log(q / p), log((1 - q) / (1 - p))
 
 
--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -168,7 +168,7 @@
         return self.rate.of(ended - without, bad - of_those)
 
     def _trim(self, now: float, fleet: Fleet) -> None:
-        """What the worst ones did is no part of the fleet's own rate: as many as may be out, whoever it is."""
+        """What the worst did, as many as may be out, is no part of the fleet's own rate."""
         seen: list[tuple[float, float]] = []
         names = {*self.cases, *(address for address, _ in self.subjects.values())}
         for address in names:
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -125,6 +125,8 @@
             controls.bench = Bench(
                 options.judgement.key, self.judging, self.dispatcher, clock, self.module.tell, joined
             )  # fmt: skip
+            if self.peers is not None:
+                self.peers.judged = controls.bench.show
         self.gate: Gate | None = None
         if options.overload is not None:
             limits = options.overload.limits(setup.settings.max_retry_after)
--- a/finchladder/net/peers/actor.py
+++ b/finchladder/net/peers/actor.py
@@ -61,6 +61,7 @@
         self.sent = self.received = self.sent_bytes = self.received_bytes = self.unsent = 0
         self.tell_at = 0.0
         self.complained = False
+        self.judged: Callable[[], list[dict[str, Any]]] | None = None  # what is held of real servers
 
     def start(self) -> None:
         self._open()
@@ -202,4 +203,4 @@
                 "sent_bytes": self.sent_bytes, "received_bytes": self.received_bytes,
             },
             "socket": self.socket is not None,
-        }  # fmt: skip
+        } | ({"judged": self.judged()} if self.judged is not None else {})  # fmt: skip
--- a/finchladder/sim/judged.py
+++ b/finchladder/sim/judged.py
@@ -1,13 +1,13 @@
 """Many dispatchers that judge real servers together, at virtual time: bad ones, liars, splits, deaths.
 
-The world of sim/peers.py, with the program's decisions in each process, real servers whose truth is known, and
-an eye from outside:
+The world of sim/peers.py, with the program's decisions in each process, real servers whose truth is known,
+and an eye from outside:
 
 | rule | what must hold |
 | --- | --- |
 | bound | of each zone no dispatcher holds more out than its share, and never the last |
 | good | no real server that was good for SETTLED_S is held out by over half of the honest ones |
-| left | a real server that fails (nearly) all gets SENDS_MOST sends of all in LEFT_S at the most, from LEFT_S on |
+| left | one that fails nearly all gets in LEFT_S no more than EACH_SENDS of each and MORE_SENDS |
 | once | a job that may not be repeated is sent once, unless it certainly never ran |
 | ends | ENDS_S after the last fault nobody holds anybody out or puts it out alone |
 
@@ -58,7 +58,9 @@
 def draw(seed: int, most: int = 9) -> Scene:
     r = Random(f"{seed}/judged")
     world = peers.draw(seed, most)._replace(for_s=45.0)
-    faults = tuple(f._replace(at=min(f.at, 30.0), for_s=min(f.for_s, 12.0)) for f in world.faults if f.kind != "shift")
+    faults = tuple(
+        f._replace(at=min(f.at, 30.0), for_s=min(f.for_s, 12.0)) for f in world.faults if f.kind != "shift"
+    )
     servers, zones = r.randint(4, 14), r.randint(1, 3)
     bads = [
         Bad(r.randrange(servers), r.uniform(5.0, 30.0), r.uniform(2.0, 15.0), r.choice(KINDS))
@@ -82,7 +84,9 @@
 
     def word(self, now: float) -> Own:
         names = sorted(self.d.workers)
-        says = [Said(subject(a, 0.0, c.name), 500.0, 500.0, 0.0, 1.0, 500.0, 0) for a in names for c in CLASSES]
+        says = [
+            Said(subject(a, 0.0, c.name), 500.0, 500.0, 0.0, 1.0, 500.0, 0) for a in names for c in CLASSES
+        ]
         return Own(self.zone, 500.0, 0.0, tuple(says[:MOST_SAYS]))
 
 
@@ -156,7 +160,9 @@
             process.tell(api.Unseen(1.0))
 
     def bad(self, server: int) -> Bad | None:
-        return next((b for b in self.scene.bads if b.server == server and b.at <= self.now < b.at + b.for_s), None)
+        return next(
+            (b for b in self.scene.bads if b.server == server and b.at <= self.now < b.at + b.for_s), None
+        )
 
     # --- jobs
 
@@ -195,7 +201,10 @@
             runs.append(ending not in api.NEVER_RAN)
         if ending in (api.Ending.OK, api.Ending.ERROR):
             self.at(self.now + 0.002, lambda: process.later(api.Started(a.request, attempt)))
-        self.at(self.now + took, lambda: process.later(api.Ended(a.request, attempt, ending, ending is api.Ending.OK, 0.0)))
+        self.at(
+            self.now + took,
+            lambda: process.later(api.Ended(a.request, attempt, ending, ending is api.Ending.OK, 0.0)),
+        )
 
     # --- what must hold
 
@@ -208,7 +217,10 @@
         bad = self.bad(server)
         most = EACH_SENDS * self.world.dispatchers + MORE_SENDS
         if bad is not None and self.now > bad.at + 2 * LEFT_S and len(times) > most:
-            self.break_("left", f"w{server} fails since {self.now - bad.at:.1f} s and got {len(times)} in {LEFT_S:g} s")
+            self.break_(
+                "left",
+                f"w{server} fails since {self.now - bad.at:.1f} s and got {len(times)} in {LEFT_S:g} s",
+            )
 
     def _look(self) -> None:
         """Budgets are not looked at here."""
@@ -243,7 +255,11 @@
         for p in self.alive.values():
             assert isinstance(p, Process)
             p.judging.look(p.clock(), p.d.fleet)
-            held = {a: h for a, h in p.judging.verdicts.items() if any(v.state is State.CONDEMNED for v in h.values())}
+            held = {
+                a: h
+                for a, h in p.judging.verdicts.items()
+                if any(v.state is State.CONDEMNED for v in h.values())
+            }
             if held:
                 return self.break_("ends", f"{p.name} still holds {sorted(held)} out")
 
--- /dev/null
+++ b/tests/core/judging/test_judging.py
@@ -0,0 +1,282 @@
+"""Decisions that judge by evidence: what they leave, for whom, and how it comes back."""
+
+import pytest
+
+from finchladder import api
+from finchladder.core.judging.judging import Judging, Rules, Telling, attach
+from finchladder.core.judging.verdicts import State
+from finchladder.core.judging.words import Said, Witness, subject, zone_number
+from tests.helpers import Bench, entry, workers
+
+START = 100.0
+
+
+def bench(
+    names: list[str], zones: tuple[str, ...] = ("", "b"), **changes: object
+) -> tuple[Bench, Judging, list[str]]:
+    logged: list[str] = []
+    b = Bench(names, zones=zones, **changes)
+    judging = attach(b.d, "n1", Rules(), b.now, logged.append)
+    b.run_until(b.now + 3.0)  # it has not just started
+    return b, judging, logged
+
+
+def told(
+    server: str, job_class: str, bad: float, good: float = 0.0, left: float = 0.0, link: float = 0.0
+) -> Said:
+    return Said(subject(server, 0.0, job_class), bad, link, good, 0.1, left, 0)
+
+
+def hear(
+    b: Bench, says: dict[str, tuple[Said, ...]], alive: int = 40, zone: str = "", unwell: bool = False
+) -> None:
+    witnesses = tuple(Witness(name, zone_number(zone), 0.0, said) for name, said in says.items())
+    b.feed(api.Hearsay(witnesses, 500.0, 1.0, alive, unwell))
+
+
+def state(j: Judging, server: str, job_class: str = "safe") -> State:
+    v = j.verdicts.get(server, {}).get(job_class)
+    return v.state if v is not None else State.CLEAR
+
+
+def sent_to(b: Bench, job_class: str, n: int = 60) -> set[str]:
+    found = set()
+    for key in range(n):
+        name, sent = b.ask(job_class, key=key)
+        found |= {s.worker for s in sent}
+        b.serve(name)
+    return found
+
+
+def test_three_tellers_are_enough_and_fewer_are_not() -> None:
+    b, j, logged = bench(workers(10))
+    hear(b, {n: (told("w3", "safe", 1),) for n in ("n2", "n3")})
+    assert state(j, "w3") is State.SUSPECTED and "w3" not in sent_to(b, "unsafe")
+    b.run_until(b.now + 0.2)
+    hear(b, {n: (told("w3", "safe", 1),) for n in ("n2", "n3", "n4")})
+    assert state(j, "w3") is State.CONDEMNED and "w3" not in sent_to(b, "safe") | sent_to(b, "unsafe")
+    assert logged and logged[0].startswith("w3 is out for safe, 2.0 s: 3 tellers")
+
+
+@pytest.mark.parametrize(
+    ("says", "alive", "out"),
+    [
+        ({f"n{n}": (told("w3", "safe", 9),) for n in (2, 3)}, 40, False),  # as loud as they may be
+        ({f"n{n}": (told("w3", "safe", 9),) for n in (2, 3)}, 5, True),  # of five, two are enough
+        ({f"n{n}": (told("w3", "safe", 1, 3),) for n in (2, 3, 4)}, 40, False),  # and went well as often
+        (
+            {f"n{n}": (told("w3", "safe", 0, link=2),) for n in range(2, 30)},
+            40,
+            True,
+        ),  # links of the own zone
+    ],
+)
+def test_who_is_condemned(says: dict[str, tuple[Said, ...]], alive: int, out: bool) -> None:
+    b, j, _ = bench(workers(10))
+    hear(b, says, alive)
+    assert (state(j, "w3") is State.CONDEMNED) is out
+
+
+def test_a_zone_that_is_cut_off_condemns_nobody_elsewhere() -> None:
+    b, j, _ = bench(workers(10))
+    hear(
+        b,
+        {f"n{n}": tuple(told(f"w{k}", "safe", 0, link=5) for k in range(10)) for n in range(2, 60)},
+        100,
+        "b",
+    )
+    assert not any(state(j, w) is State.CONDEMNED for w in workers(10))
+
+
+def test_one_that_lies_again_and_again_condemns_nobody() -> None:
+    b, j, _ = bench(workers(10))
+    for n in range(20):
+        b.run_until(b.now + 0.2)
+        hear(
+            b,
+            {"n2": tuple(told(f"w{k}", c, 500 + n, left=500) for k in range(6) for c in ("safe", "unsafe"))},
+        )
+    assert not any(v.state is State.CONDEMNED for h in j.verdicts.values() for v in h.values())
+
+
+def test_a_class_that_fails_is_left_and_the_other_is_not_where_it_goes_well() -> None:
+    b, j, _ = bench(workers(10))
+    says = (told("w3", "unsafe", 2), told("w3", "safe", 0, 4))
+    hear(b, {f"n{n}": says for n in (2, 3, 4)})
+    assert (state(j, "w3", "unsafe"), state(j, "w3", "safe")) == (State.CONDEMNED, State.CLEAR)
+    assert "w3" in sent_to(b, "safe") and "w3" not in sent_to(b, "unsafe")
+
+
+def test_where_nothing_is_known_of_a_class_the_other_ones_speak_for_it() -> None:
+    b, j, _ = bench(workers(10))
+    hear(b, {f"n{n}": (told("w3", "unsafe", 1),) for n in (2, 3, 4)})
+    assert {state(j, "w3", c) for c in ("safe", "unsafe", "keyed")} == {State.CONDEMNED}
+
+
+def test_at_most_a_share_is_out_worst_first_and_a_mass_waits_for_its_second_sign() -> None:
+    b, j, _ = bench(workers(10))
+    says = {f"n{n}": tuple(told(f"w{k}", "safe", 1 + 0.01 * k) for k in range(8)) for n in range(2, 8)}
+    hear(b, says)
+    assert not any(v.state is State.CONDEMNED for h in j.verdicts.values() for v in h.values())  # a mass
+    b.run_until(b.now + 1.6)
+    hear(b, says)
+    out = {a for a, h in j.verdicts.items() if any(v.state is State.CONDEMNED for v in h.values())}
+    assert out == {"w5", "w6", "w7"}  # three of ten
+
+
+@pytest.mark.parametrize(("size", "most"), [(1, 0), (2, 1), (3, 1), (4, 1), (10, 3)])
+def test_the_last_ready_ones_are_never_left(size: int, most: int) -> None:
+    b, j, _ = bench(workers(size))
+    for k in range(size):  # one after another, so that it is no mass
+        b.run_until(b.now + 0.3)
+        hear(b, {f"n{n}": tuple(told(f"w{i}", "safe", 3) for i in range(k + 1)) for n in range(2, 8)})
+    b.run_until(b.now + 1.7)
+    hear(b, {f"n{n}": tuple(told(f"w{i}", "safe", 3) for i in range(size)) for n in range(2, 8)})
+    held = [h for h in j.verdicts.values() if {v.state for v in h.values()} & {State.CONDEMNED, State.TRIAL}]
+    assert len(held) == most
+
+
+def test_one_that_has_started_takes_others_word_where_enough_hold_it_out_and_for_no_longer() -> None:
+    b, j, _ = bench(workers(10))
+    hear(b, {f"n{n}": (told("w3", "safe", 0, left=4.0),) for n in (2, 3, 4)})
+    assert state(j, "w3") is State.CLEAR  # 4 of 40 are needed, three say so
+    b.run_until(b.now + 0.2)
+    hear(b, {f"n{n}": (told("w3", "safe", 0, left=float(n)),) for n in (2, 3, 4, 5)})
+    assert state(j, "w3") is State.CONDEMNED and j.verdicts["w3"]["safe"].until == pytest.approx(b.now + 4.0)
+    hear(b, {})
+    b.run_until(b.now + 4.5)
+    hear(b, {})
+    assert state(j, "w3") is State.TRIAL
+    for _ in range(5):
+        b.run_until(b.now + 1.1)
+        hear(b, {})
+    assert state(j, "w3") is State.CLEAR and "w3" in sent_to(b, "safe")
+
+
+def test_on_trial_only_some_may_send_one_job_each_and_none_that_may_not_be_repeated() -> None:
+    allowed = 0
+    for own in range(200):
+        b = Bench(workers(3), zones=("", "b"))
+        j = attach(b.d, f"n{own}", Rules(), b.now)
+        b.run_until(b.now + 3.0)
+        hear(b, {f"n{n}": (told("w1", "safe", 2),) for n in range(300, 306)}, 200)
+        assert state(j, "w1") is State.CONDEMNED
+        b.run_until(b.now + 2.1)
+        hear(b, {}, 200)
+        assert state(j, "w1") is State.TRIAL
+        got = [s.worker for key in range(20) for s in b.ask("safe", key=key)[1]]
+        assert got.count("w1") <= 1
+        allowed += got.count("w1")
+        assert "w1" not in [s.worker for key in range(20) for s in b.ask("unsafe", key=key)[1]]
+    assert 1 <= allowed <= 12  # 2 % of 200
+
+
+def test_what_was_on_its_way_when_it_went_out_is_no_evidence_on_trial() -> None:
+    b, j, _ = bench(workers(3))
+    name, sent = b.ask("unsafe", key=1)
+    server = sent[0].worker
+    hear(b, {f"n{n}": (told(server, "unsafe", 2),) for n in range(2, 8)})
+    assert state(j, server, "unsafe") is State.CONDEMNED
+    b.run_until(b.now + 2.2)
+    hear(b, {})
+    b.end(name, api.Ending.ERROR)
+    assert server not in j.cases and len(b.sends(name)) == 1  # and it is not sent again
+
+
+def fail(b: Bench, server: str, n: int, job_class: str = "unsafe") -> int:
+    """So many jobs of it end badly there; how many found their way."""
+    met = 0
+    for key in range(4000):
+        if met == n:
+            break
+        name, sent = b.ask(job_class, key=key)
+        if sent and sent[0].worker == server:
+            met += 1
+            b.end(name, api.Ending.ERROR)
+            continue
+        b.serve(name)
+    return met
+
+
+def test_alone_two_bad_endings_put_it_out_and_one_good_one_is_no_proof() -> None:
+    b, j, _ = bench(workers(8), max_attempts=1)
+    assert (
+        fail(b, "w3", 1, "safe") == 1
+        and "w3" not in sent_to(b, "unsafe")
+        and "w3" in sent_to(b, "safe", 3000)
+    )
+    assert fail(b, "w3", 3, "safe") in (1, 2, 3)
+    assert j.alone["w3"]["safe"][0] > b.now and "w3" not in sent_to(b, "safe")
+    b.run_until(b.now + 2.1)
+    for key in range(3000):  # its trial, and back
+        name, sent = b.ask("safe", key=key)
+        b.serve(name)
+        if sent and sent[0].worker == "w3":
+            break
+    assert sent[0].worker == "w3" and "safe" not in j.alone.get("w3", {})
+    assert "w3" not in sent_to(b, "unsafe")
+
+
+def test_full_or_cold_is_not_bad() -> None:
+    b, j, _ = bench([], cold_for=50.0)
+    b.feed(api.WorkerList(api.ListKind.WHOLE, (entry("w1"), entry("w2", born=b.now))))
+    for _ in range(20):
+        name, _ = b.ask("safe")
+        b.end(name, api.Ending.OVERLOADED)
+    assert not j.cases and not j.verdicts
+
+
+@pytest.mark.parametrize("why", ["just started", "late", "unwell", "all look bad to it"])
+def test_who_is_in_doubt_about_itself_says_nothing(why: str) -> None:
+    b = Bench(workers(12), max_attempts=1)
+    j = attach(b.d, "n1", Rules(), b.now)
+    if why != "just started":
+        b.run_until(b.now + 3.0)
+    telling = Telling(j, b.d)
+    if why == "all look bad to it":
+        for key in range(24):
+            b.end(b.ask("safe", key=key)[0], api.Ending.ERROR)
+    else:
+        fail(b, "w3", 1, "safe")
+    if why == "late":
+        b.feed(api.Unseen(0.5))
+    if why == "unwell":
+        hear(b, {}, unwell=True)
+    assert telling.word(b.now) == (j.zone, 0.0, 0.0, ())
+    b.run_until(b.now + 8.0)
+    hear(b, {})
+    for key in range(60):
+        b.serve(b.ask("safe", key=key)[0])
+    assert telling.word(b.now).ended > 0
+
+
+def test_a_bad_ending_is_news_once_and_a_server_that_starts_anew_is_another() -> None:
+    b, j, _ = bench(workers(6), max_attempts=1)
+    telling = Telling(j, b.d)
+    assert not telling.news() and fail(b, "w3", 1, "safe") and telling.news()
+    word = telling.word(b.now)
+    assert not telling.news() and [(s.subject, s.bad) for s in word.says][0] == (
+        subject("w3", 0.0, "safe"),
+        1.0,
+    )
+    b.patch(entry("w3", born=b.now))
+    assert telling.word(b.now).says == () and not j.cases
+    hear(b, {f"n{n}": (told("w3", "safe", 5),) for n in range(2, 9)})  # of its former life
+    assert state(j, "w3") is State.CLEAR
+
+
+@pytest.mark.parametrize(("out", "left"), [(True, {"w3"}), (False, set())])
+def test_the_operators_word_holds_within_the_bound(out: bool, left: set[str]) -> None:
+    b, j, logged = bench(workers(6))
+    b.feed(api.Ordered({"w3": (out, 60.0, "disk")}))
+    hear(b, {f"n{n}": (told("w3", "safe", 5),) for n in range(2, 9)})
+    assert set(workers(6)) - sent_to(b, "safe", 300) == left
+    b.feed(api.Ordered({f"w{n}": (True, 60.0, "") for n in range(6)}))
+    b.run_until(b.now + 0.2)
+    assert len(sent_to(b, "safe", 300)) == 5  # one of six may be out, whatever is said
+    b.feed(api.Ordered({}))
+    for _ in range(8):
+        b.run_until(b.now + 1.1)
+        hear(b, {})
+    assert sent_to(b, "safe", 300) == set(workers(6))
+    assert not out or "the operator: disk" in logged[0]
--- /dev/null
+++ b/tests/core/judging/test_world.py
@@ -0,0 +1,93 @@
+"""Dispatchers that judge together at virtual time: no rule is broken by any seed, each guard is missed."""
+
+import sys
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+from finchladder.core.judging import evidence, judging, verdicts, weighing
+from finchladder.sim import judged
+from finchladder.sim.judged import Bad, Play, Scene
+from finchladder.sim.peers import World
+
+PARTS, EACH = 8, 5
+
+
+@pytest.mark.parametrize("part", range(PARTS))
+def test_no_rule_is_broken_by_any_seed(part: int) -> None:
+    for seed in range(1 + EACH * part, 1 + EACH * (part + 1)):
+        play = Play(seed)
+        assert play.run() is None, f"seed {seed}: {play.broken} in {play.scene}"
+
+
+def test_a_seed_is_played_the_same_again() -> None:
+    plays = [Play(5), Play(5)]
+    for play in plays:
+        play.run()
+    assert len({(p.steps, p.sent, p.jobs, p.failed, p.most_out) for p in plays}) == 1
+
+
+def scene(bads: tuple[Bad, ...] = (), liar: int = -1, dispatchers: int = 9, rate: float = 60.0) -> Scene:
+    return Scene(World(dispatchers, 1.0, 1.0, 0.0, 40.0, ()), 12, 1, rate, bads, liar)
+
+
+def failed(s: Scene) -> int:
+    play = Play(3, s)
+    assert play.run(heals=False) is None, play.broken
+    return play.failed
+
+
+def test_nine_that_talk_meet_a_bad_one_less_often_than_nine_that_do_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    s = scene((Bad(2, 8.0, 15.0, "all"),))
+    together = failed(s)
+    monkeypatch.setattr(judged.Process, "turn", lambda self: None)
+    assert 0 < together <= 30 and failed(s) >= together + 10
+
+
+MUTANTS: dict[str, tuple[ModuleType, str, str, str, Scene]] = {
+    "nothing bounds how many are out": (
+        judging, "return min(max(1, int(self.rules.most_out * ready)), ready - 1)", "return ready", "bound",
+        scene(tuple(Bad(n, 8.0 + n, 15.0, "all") for n in range(8))),
+    ),
+    "one teller is enough, however loud": (
+        weighing, "own = min(most, max(-LEAST, own))", "tellers += own > most", "good", scene(liar=4),
+    ),
+    "a verdict has no end": (
+        verdicts, "if now >= v.until:", "if False:", "ends", scene((Bad(2, 8.0, 15.0, "all"),)),
+    ),
+    "a trial has no end": (
+        verdicts, "elif f.score <= 0 and (now", "elif False and (now", "bound",
+        scene(tuple(Bad(n, 8.0 + 3 * n, 2.5, "all") for n in range(8))),
+    ),
+    "nobody is ever condemned, and own evidence counts for nothing": (
+        evidence, "return log(q / p), log((1 - q) / (1 - p))", "return 0.0, 0.0", "left",
+        scene((Bad(2, 8.0, 30.0, "all"),), rate=150.0),
+    ),
+}  # fmt: skip
+
+
+def mutated(module: ModuleType, old: str, new: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Has all of core/judging and its world use that module with other text."""
+    text = Path(str(module.__file__)).read_text()
+    assert text.count(old) == 1, old
+    other = ModuleType(module.__name__)
+    monkeypatch.setitem(sys.modules, module.__name__, other)
+    exec(compile(text.replace(old, new), str(module.__file__), "exec"), other.__dict__)
+    for user in (evidence, weighing, verdicts, judging, judged):
+        if user is module:
+            continue
+        for name, value in vars(user).items():
+            if getattr(value, "__module__", None) == module.__name__ and hasattr(other, name):
+                monkeypatch.setattr(user, name, getattr(other, name))
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_guard_that_is_taken_out_is_missed(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    module, old, new, rule, played = MUTANTS[name]
+    assert Play(3, played).run() is None
+    mutated(module, old, new, monkeypatch)
+    broken = Play(3, played).run()
+    assert broken is not None and broken.rule == rule, broken
