Evidence of bad real servers goes first among rows, and is kept while one is out

Words waited behind rows that had nothing to say: at virtual time 60 dispatchers left a real server 1.2 s after its first bad ending, as those that put it out took their evidence back.

--- a/finchladder/core/api.py
+++ b/finchladder/core/api.py
@@ -246,7 +246,7 @@
 
 
 class Hearsay(NamedTuple):
-    """For judging.py: the newest word of each other dispatcher that has one, of real servers.
+    """For judging.py: the words of other dispatchers, of real servers, that have changed since the last one.
 
     `ended`, `bad`: endings lately, as told by all others, and bad ones of them. `alive`: how many dispatchers
     there are, oneself among them. `unwell`: this one is in doubt about itself.
--- a/finchladder/core/judging/evidence.py
+++ b/finchladder/core/judging/evidence.py
@@ -24,7 +24,8 @@
 PRIOR = 20.0  # endings at LEAST_RATE that count as seen
 SLOW = 5.0  # times the usual running time of its class and kind: from there on a job was too slow
 HALF = 0.5
-WEIGHTS = {Sign.FAILED: 1.0, Sign.SILENT: 1.0, Sign.LINK: 1.0, Sign.OVERTAKEN: HALF}
+# silence may be a queue: who sends it little hears nothing of its other jobs
+WEIGHTS = {Sign.FAILED: 1.0, Sign.SILENT: HALF, Sign.LINK: 1.0, Sign.OVERTAKEN: HALF}
 STEP = 0.05  # how far one running time moves the usual one
 MOST_USUAL = 256  # the list may name any kind
 CLIP = 3.0  # a running time counts as so many usual ones at the most
--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -35,6 +35,7 @@
     MOST_COUNT,
     MOST_S,
     MOST_SAYS,
+    URGENT,
     Own,
     Said,
     subject,
@@ -43,7 +44,7 @@
 from finchladder.core.policy import Dispatcher
 from finchladder.core.records import Job, Worker
 
-LOOK_S = 0.05  # between looks at what is open
+LOOK_S = 0.1  # between looks at what is open
 ALONE_FROM = 6.0  # own evidence from which on it is put out by oneself: two bad endings of few
 SUSPECT_FROM = 2.0  # own evidence from which on no job goes there that may not be repeated
 BREWING = 3.0  # as verdicts.SUSPECTED_FROM: a first bad ending of one
@@ -57,10 +58,9 @@
 )  # own latest endings at so many real servers tell whether all look bad
 CLEARED_FROM = -2.0  # a case is closed once all that is told of it adds up to this
 FRESH_S = 3.0  # others' verdicts that are older say nothing
-URGENT = 0.9  # bad endings from which on a case is told at once
 COUNT_S = 1.0  # between counts of the ready ones
 SPARED = -1.0  # a class whose own evidence is below this is not judged by others' there
-MOST_WITNESSES = 4096
+MOST_TELLERS, PURGE_S = 2048, 1.0  # as many as can be listed; those that are silent are dropped
 
 
 class Rules(NamedTuple):
@@ -79,7 +79,8 @@
 class Judging(Health):
     __slots__ = ("own", "rules", "zone", "zones", "cases", "verdicts", "words", "rate", "usual", "alive",
                  "unwell", "look_at", "began", "late_until", "last", "mass_at", "witnesses", "orders",
-                 "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed")  # fmt: skip
+                 "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed", "tellers",
+                 "purge_at")  # fmt: skip
 
     def __init__(
         self, settings: Settings, period: float, own: str, rules: Rules, now: float,
@@ -92,7 +93,9 @@
         self.cases: dict[str, dict[str, Case]] = {}  # by real server and class
         self.verdicts: dict[str, dict[str, Verdict]] = {}  # those that are not clear
         self.alone: dict[str, dict[str, tuple[float, int]]] = {}  # put out by oneself: until when, how often
-        self.words: dict[int, list[tuple[float, Word]]] = {}  # by subject: when it came
+        self.words: dict[int, dict[str, tuple[float, Word]]] = {}  # by subject and teller: when it came
+        self.tellers: dict[str, tuple[float, tuple[int, ...]]] = {}  # as of when, and of whom
+        self.purge_at = now
         self.subjects: dict[int, tuple[str, str]] = {}  # of whom something is told
         self.witnesses: tuple[float, float] = (0.0, 0.0)  # endings that all others tell of, and bad ones
         self.trimmed: tuple[float, float] = (0.0, 0.0)  # endings that are left out of that, and bad ones
@@ -179,7 +182,7 @@
                 if (case := self.cases.get(address, {}).get(name)) is not None:
                     case.fade(now)
                     bad, good = bad + case.bad + case.link, good + case.good
-                for came, word in self.words.get(subject(address, w.born, name), ()):
+                for came, word in self.words.get(subject(address, w.born, name), {}).values():
                     fresh = exp(-(word.age_s + now - came) / FADE_S)
                     bad += fresh * (word.said.bad + word.said.link)
                     good += fresh * word.said.good
@@ -236,18 +239,36 @@
 
     def hear(self, now: float, e: Hearsay, fleet: Fleet) -> None:
         self.alive, self.unwell = max(1, e.alive), e.unwell
-        words: dict[int, list[tuple[float, Word]]] = {}
-        for w in e.witnesses[:MOST_WITNESSES]:
-            if w.age_s < SILENT_S:
-                for s in w.says:
-                    words.setdefault(s.subject, []).append((now, Word(w.owner, w.zone, w.age_s, s)))
         self.witnesses = e.ended, e.bad
-        if words.keys() - self.subjects.keys():
-            self._find(words, fleet.workers.values())
-        self.words = words
-        self.subjects = {n: found for n, found in self.subjects.items() if n in words}
+        new = []
+        for w in e.witnesses:
+            self._unsay(w.owner)
+            if len(self.tellers) >= MOST_TELLERS or not w.says or w.age_s >= SILENT_S:
+                continue
+            self.tellers[w.owner] = now - w.age_s, tuple(s.subject for s in w.says)
+            for s in w.says:
+                words = self.words.get(s.subject)
+                if words is None:
+                    words = self.words[s.subject] = {}
+                    new.append(s.subject)
+                words[w.owner] = now, Word(w.owner, w.zone, w.age_s, s)
+        if now >= self.purge_at:
+            self.purge_at = now + PURGE_S
+            for owner in [o for o, (at, _) in self.tellers.items() if now - at >= SILENT_S]:
+                self._unsay(owner)
+        if new:
+            self._find(new, fleet.workers.values())
         self.look(now, fleet)
 
+    def _unsay(self, owner: str) -> None:
+        for number in self.tellers.pop(owner, (0.0, ()))[1]:
+            words = self.words.get(number)
+            if words is not None:
+                words.pop(owner, None)
+                if not words:
+                    del self.words[number]
+                    self.subjects.pop(number, None)
+
     def _find(self, words: Iterable[int], workers: Iterable[Worker]) -> None:
         """Whom subjects stand for. O(real servers x classes), when a new one is told of."""
         names = [c.name for c in self.s.classes]
@@ -295,7 +316,7 @@
         found: dict[str, Sum] = {}
         for name in [c.name for c in self.s.classes]:
             case = self.cases.get(w.address, {}).get(name)
-            heard = self.words.get(subject(w.address, w.born, name), ()) if self.words else ()
+            heard = self.words.get(subject(w.address, w.born, name), {}).values() if self.words else ()
             if case is None and not heard:
                 continue
             v = self.verdicts.get(w.address, {}).get(name)
@@ -382,7 +403,7 @@
         """Enough others hold it out already: who has just started need not be hurt first."""
         left = sorted(
             word.said.left_s - (word.age_s + now - came)
-            for came, word in self.words.get(subject(w.address, w.born, job_class), ())
+            for came, word in self.words.get(subject(w.address, w.born, job_class), {}).values()
             if word.age_s + now - came < FRESH_S and word.said.left_s > word.age_s + now - came
         )
         if left and len(left) >= max(2, min(5, ceil(0.1 * self.alive))):
@@ -390,9 +411,9 @@
             v.term_s = v.term_s or self.rules.term_s
 
     def _changed(self, now: float, w: Worker, job_class: str, v: Verdict, before: State) -> None:
-        if v.state is State.CONDEMNED:
-            for case in [self.cases.get(w.address, {}).pop(job_class, None)]:
-                del case  # what comes on trial counts anew
+        if v.state is State.TRIAL:
+            self.cases.get(w.address, {}).pop(job_class, None)  # what comes from now on counts anew
+        elif v.state is State.CONDEMNED:
             self.alone.get(w.address, {}).pop(job_class, None)
             self.log(
                 f"{w.address} is out for {job_class}, {v.until - now:.1f} s: {v.by}, score {v.score:.1f}"
@@ -486,11 +507,8 @@
         found = []
         for address, held in sorted(self.verdicts.items()):
             for name, v in sorted(held.items()):
-                words = (
-                    self.words.get(subject(address, workers[address].born, name), ())
-                    if address in workers
-                    else ()
-                )
+                born = workers[address].born if address in workers else 0.0
+                words = self.words.get(subject(address, born, name), {}).values()
                 found.append({
                     "server": address, "class": name, "state": v.state.name.lower(), "by": v.by,
                     "since_s": round(now - v.since, 3), "left_s": round(max(0.0, v.until - now), 3),
--- a/finchladder/core/judging/verdicts.py
+++ b/finchladder/core/judging/verdicts.py
@@ -21,7 +21,7 @@
 from typing import NamedTuple
 
 SUSPECTED_FROM = 3.0
-CONDEMNED_FROM = 11.0
+CONDEMNED_FROM = 10.0  # three bad endings of three, at the fleet's least rate, within a second or two
 RELAPSED_FROM = 5.0
 STAGE_S, TRIAL_S = 1.0, 30.0
 LONGEST_S = 16.0
--- a/finchladder/core/judging/weighing.py
+++ b/finchladder/core/judging/weighing.py
@@ -2,7 +2,7 @@
 
 | a word | counts as |
 | --- | --- |
-| of work: failed, silent, too slow | the teller's own, between -LEAST and MOST_EACH bad endings' worth |
+| of work: failed 1, silent, slow, overtaken 1/2 | the teller's own, -LEAST to MOST_EACH bad endings |
 | of links, teller in one's own zone | the same |
 | of links, tellers of another zone | all of that zone as one teller: they may share one link |
 | good endings | against the teller's own bad ones, at the least -LEAST |
--- a/finchladder/core/judging/words.py
+++ b/finchladder/core/judging/words.py
@@ -5,6 +5,7 @@
 from zlib import crc32
 
 MOST_SAYS = 12  # of one dispatcher at one time: those with the most against them
+URGENT = 0.9  # bad endings from which on a word is told at once
 MOST_COUNT = 6_000.0
 MOST_S = 600.0
 
--- a/finchladder/core/peers/peers.py
+++ b/finchladder/core/peers/peers.py
@@ -21,7 +21,7 @@
 
 from finchladder.core.api import Hearsay
 from finchladder.core.judging.orders import Orders
-from finchladder.core.judging.words import Own, Witness
+from finchladder.core.judging.words import URGENT, Own, Said, Witness
 from finchladder.core.peers.bucket import Bucket
 from finchladder.core.peers.escrow import KEPT, Budget, Escrow
 from finchladder.core.peers.members import Members, Say, Timing
@@ -89,8 +89,9 @@
         self.dropped: dict[str, int] = {}
         self.evidence: Evidence | None = None
         self.orders = Orders(own, self.members.repeats)
-        self.pressing_until = self.hearsay_at = now
-        self.fresh = False  # others' words of bad real servers have changed
+        self.pressing_until = self.hearsay_at = self.rated_at = now
+        self.rated = 0.0, 0.0, 1  # endings that others tell of, bad ones of them, and how many tell
+        self.changed: dict[str, None] = {}  # whose words of real servers have, since they were handed on
 
     # --- budgets
 
@@ -174,9 +175,8 @@
         for row in p.rows:
             if row.owner in self.members.of:
                 before = self.rows.held.get(row.owner)
-                if self.rows.merge(now, row) and (row.says or (before is not None and before[0].says)):
-                    self.fresh = True
-                    self.pressing_until = now + PRESSING_S
+                if self.rows.merge(now, row) and self.evidence is not None:
+                    self._heard_of_servers(now, row, before[0].says if before is not None else ())
         for order in p.orders:
             self.orders.merge(now, order)
         taken = [self.escrow.take(now, p.sender, p.boot, g) for g in p.grants]
@@ -190,6 +190,15 @@
             told.append((p.sender, self._plain(Kind.WORD)._replace(rumours=(told_of,))))
         return told
 
+    def _heard_of_servers(self, now: float, row: Row, before: tuple[Said, ...]) -> None:
+        if not (row.says or before):
+            return
+        self.changed[row.owner] = None
+        known = {s.subject for s in before if s.bad + s.link >= URGENT}
+        if any(s.bad + s.link >= URGENT and s.subject not in known for s in row.says):
+            self.pressing_until = now + PRESSING_S
+            self.rows.first[row.owner] = None
+
     def _drop(self, why: str) -> Packets:
         self.dropped[why] = self.dropped.get(why, 0) + 1
         return []
@@ -216,6 +225,7 @@
         rows: list[Row] = []
         if self.evidence is not None and self.evidence.news():
             self.row_at, self.pressing_until = now, now + PRESSING_S
+            self.rows.first[self.own] = None
         if self.escrow.budgets or self.families:
             rows = [r for r in self.rows.others(now, WANTS_AGE_S) if self._there(r)]
             self._asked(now, rows)
@@ -266,7 +276,10 @@
         if self.evidence is not None:
             news = news or self.evidence.news()
             own = self.evidence.word(now)
-            wanting = wanting or (bool(own.says) and now - at >= ROW_S)
+            said = self.rows.held.get(self.own)
+            # also that nothing is in question any more
+            open_ = own.says or (said is not None and said[0].says)
+            wanting = wanting or (bool(open_) and now - at >= ROW_S)
         if news or wanting or now - at >= REFRESH_S:
             self.written = now, now_wanted
             self.rows.write(now, self.members.me.incarnation, wants, own)
@@ -302,13 +315,18 @@
 
     def hearsay(self, now: float) -> Hearsay | None:
         """What others say of real servers, if it is due to be handed on."""
-        if self.evidence is None or now < self.hearsay_at - (HEARSAY_S - FRESH_S) * self.fresh:
+        if self.evidence is None or now < self.hearsay_at - (HEARSAY_S - FRESH_S) * bool(self.changed):
             return None
-        self.fresh, self.hearsay_at = False, now + HEARSAY_S
-        rows = [r for r in self.rows.others(now, WANTS_AGE_S * 2) if self._there(r)]
-        witnesses = tuple(Witness(r.owner, r.zone, r.age_s, r.says) for r in rows if r.says)
-        ended, bad = sum(r.ended for r in rows), sum(min(r.bad, r.ended) for r in rows)
-        return Hearsay(witnesses, ended, bad, len(rows) + 1, self.members.health > 0)
+        if now >= self.rated_at:
+            self.rated_at = now + HEARSAY_S / 2
+            rows = [r for r in self.rows.others(now, 2 * WANTS_AGE_S) if self._there(r)]
+            self.rated = sum(r.ended for r in rows), sum(min(r.bad, r.ended) for r in rows), len(rows) + 1
+        told = []
+        for owner in self.changed:
+            if (found := self.rows.held.get(owner)) is not None:
+                told.append(Witness(owner, found[0].zone, self.rows.age_s(now, owner), found[0].says))
+        self.changed, self.hearsay_at = {}, now + HEARSAY_S
+        return Hearsay(tuple(told), *self.rated, self.members.health > 0)
 
     def total(self, now: float) -> Total | None:
         return self.sums.total(now) if self.rule.wave_s else None
--- a/finchladder/core/peers/rows.py
+++ b/finchladder/core/peers/rows.py
@@ -32,6 +32,7 @@
         self.own, self.boot, self.repeats = own, boot, repeats
         self.held: dict[str, tuple[Row, float]] = {}  # and when it came here
         self.tell: dict[str, int] = {}  # owners of rows that are news: how often still
+        self.first: dict[str, None] = {}  # of those, whose news can't wait
         self.order = 0
         self.turn: list[str] = []  # of the other rows, which fill what room is left
         self.merged = self.stale = 0
@@ -98,7 +99,8 @@
     def some(self, now: float, to: str, room: int, names: int = MOST_ROWS) -> list[Row]:
         """For one packet: news first, those told least often before others, then the rest in turn."""
         told: list[Row] = []
-        for owner in list(self.tell):
+        self.first = {o: None for o in self.first if o in self.tell}
+        for owner in [*self.first, *(o for o in self.tell if o not in self.first)]:
             if len(told) >= names:
                 return told
             row, _ = self.held[owner]
