Judgement: a teller weighs once over links and classes, a mass is measured against its own median

The worlds at virtual time found that one that lies put good ones out: its word of links and of work, and of several classes, counted beside each other, and two others' word was enough for who had just started.

--- a/finchladder/core/judging/evidence.py
+++ b/finchladder/core/judging/evidence.py
@@ -20,7 +20,7 @@
 
 LEAST_RATE, MOST_RATE = 0.01, 0.6  # of bad endings, as the fleet's own
 FADE_S, EACH = 8.0, 0.98
-RATE_S = 8.0  # after which an ending counts by 1/e in the fleet's own rate
+RATE_S = 5.0  # after which an ending counts by 1/e in the fleet's own rate
 PRIOR = 20.0  # endings at LEAST_RATE that count as seen
 SLOW = 5.0  # times the usual running time of its class and kind: from there on a job was too slow
 HALF = 0.5
--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -13,8 +13,9 @@
 
 Bounds: of each kind and zone at most `most_out` of the ready ones is condemned here at one time, and never
 the last. More that look bad than that at one moment (BREWING, a first bad ending each) is a *mass*: taken for
-the network's or one's own fault until MASS_S later. Who is in doubt about itself (it was late, it has just
-started, over half of the real servers that it hears of look bad to it alone) tells nothing.
+the network's or one's own fault until MASS_S later, and evidence counts beyond the median of the kind and
+zone: where most are alike, who is put out must be far worse. Who is in doubt about itself (it was late, it has
+just started, over half of the real servers that it hears of look bad to it alone) tells nothing.
 
 O(1) for each ending; a look at open cases O(words told of them), at most each LOOK_S. Memory: a case for each
 real server and class at the most, words of MOST_SAYS subjects from each other dispatcher.
@@ -29,8 +30,8 @@
 from finchladder.core.fleet import Fleet
 from finchladder.core.health import EJECT_SHARE, LONGEST, Health, Sign
 from finchladder.core.judging.evidence import FADE_S, HALF, WEIGHTS, Case, Rate, Usual, weights
-from finchladder.core.judging.verdicts import SHARES, Facts, State, Verdict, condemn, step
-from finchladder.core.judging.weighing import NOTHING, SILENT_S, Sum, Word, weigh
+from finchladder.core.judging.verdicts import LONGEST_S, SHARES, Facts, State, Verdict, condemn, step
+from finchladder.core.judging.weighing import NOTHING, SILENT_S, Sum, Word, merged, weigh
 from finchladder.core.judging.words import (
     MOST_COUNT,
     MOST_S,
@@ -48,7 +49,7 @@
 ALONE_FROM = 6.0  # own evidence from which on it is put out by oneself: two bad endings of few
 SUSPECT_FROM = 2.0  # own evidence from which on no job goes there that may not be repeated
 BREWING = 3.0  # as verdicts.SUSPECTED_FROM: a first bad ending of one
-MASS_S = 1.5
+MASS_S = 2.5
 START_S, LATE_S = 2.0, 1.0  # after a start, and after it was late, a dispatcher is in doubt about itself
 LATE_FROM_S = 0.3
 LAST_S, LAST_FEW, LAST_MOST = (
@@ -79,7 +80,8 @@
 class Judging(Health):
     __slots__ = ("own", "rules", "zone", "zones", "cases", "verdicts", "words", "rate", "usual", "alive",
                  "unwell", "look_at", "began", "late_until", "last", "mass_at", "witnesses", "orders",
-                 "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed", "tellers",
+                 "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed",
+                 "tellers", "usual_score",
                  "purge_at")  # fmt: skip
 
     def __init__(
@@ -98,6 +100,9 @@
         self.purge_at = now
         self.subjects: dict[int, tuple[str, str]] = {}  # of whom something is told
         self.witnesses: tuple[float, float] = (0.0, 0.0)  # endings that all others tell of, and bad ones
+        self.usual_score: dict[
+            tuple[str, str], float
+        ] = {}  # the median of a kind and zone, where it is above 0
         self.trimmed: tuple[float, float] = (0.0, 0.0)  # endings that are left out of that, and bad ones
         self.rate, self.usual = Rate(now), Usual()
         self.alive, self.unwell = 1, False
@@ -172,6 +177,9 @@
 
     def _trim(self, now: float, fleet: Fleet) -> None:
         """What the worst did, as many as may be out, is no part of the fleet's own rate."""
+        if self.mass_at:  # more look bad than may be out: then what they do is the fleet's own
+            self.trimmed = 0.0, 0.0
+            return
         seen: list[tuple[float, float]] = []
         names = {*self.cases, *(address for address, _ in self.subjects.values())}
         for address in names:
@@ -312,8 +320,8 @@
             self._judge(now, fleet.workers[address], scores[address], fleet)
 
     def _scores(self, now: float, w: Worker, bad: float, good: float, doubtful: bool) -> dict[str, Sum]:
-        """By class, its own alone."""
-        found: dict[str, Sum] = {}
+        """By class: its own words, and those of classes that go badly there unless its own go well."""
+        spoken: dict[str, list[Word]] = {}
         for name in [c.name for c in self.s.classes]:
             case = self.cases.get(w.address, {}).get(name)
             heard = self.words.get(subject(w.address, w.born, name), {}).values() if self.words else ()
@@ -331,7 +339,21 @@
                 said = Said(0, case.bad, case.link, case.good, 0.0, 0.0, 0)
                 words.append(Word(self.own, self.zone, 0.0, said))
             if words:
-                found[name] = weigh(words, self.zone, self.zones, bad, good)
+                spoken[name] = words
+        if not spoken:
+            return {}
+        sums = {name: weigh(words, self.zone, self.zones, bad, good) for name, words in spoken.items()}
+        badly = [name for name, s in sums.items() if s.score > 0]
+        found: dict[str, Sum] = {}
+        for name in [c.name for c in self.s.classes]:
+            own = sums.get(name, NOTHING)
+            others = [w for other in badly if other != name for w in spoken[other]]
+            if own.score >= SPARED and others:
+                # a teller weighs no more by naming many classes
+                whole = merged([*spoken.get(name, ()), *others])
+                found[name] = weigh(whole, self.zone, self.zones, bad, good)._replace(good=own.good)
+            elif name in sums:
+                found[name] = own
         return found
 
     def _group(self, w: Worker) -> tuple[str, str]:
@@ -351,10 +373,18 @@
 
     def _masses(self, now: float, fleet: Fleet, scores: dict[str, dict[str, Sum]]) -> None:
         groups: dict[tuple[str, str], int] = {}
+        worst: dict[tuple[str, str], list[float]] = {}
         for a, of in scores.items():
-            w = fleet.workers[a]
-            if any(s.score >= BREWING for s in of.values()):
-                groups[self._group(w)] = groups.get(self._group(w), 0) + 1
+            group = self._group(fleet.workers[a])
+            most = max((s.score for s in of.values()), default=0.0)
+            worst.setdefault(group, []).append(max(0.0, most))
+            if most >= BREWING:
+                groups[group] = groups.get(group, 0) + 1
+        # who is not in question counts as 0
+        self.usual_score = {
+            group: sorted(of)[len(of) - 1 - self.ready.get(group, 0) // 2]
+            for group, of in worst.items() if len(of) > self.ready.get(group, 0) // 2
+        }  # fmt: skip
         for group in [g for g in self.mass_at if g not in groups]:
             del self.mass_at[group]
         for group, n in groups.items():
@@ -375,17 +405,20 @@
                 continue
             v = v or Verdict(now)
             before = v.state
-            score = _of_class(plain, name)
-            tellers = max(s.tellers, *(o.tellers for o in of.values())) if score > s.score else s.tellers
             free = any(x.state in (State.CONDEMNED, State.TRIAL) for x in held.values())
             room = free or len(self._out(group, fleet)) < self._allowed(group, fleet)
             mass = now < self.mass_at.get(group, -MASS_S) + MASS_S
             if order is not None:
                 self._obey(now, v, order, room)
             else:
-                step(v, now, Facts(score, tellers, s.good, needed, room, mass), self.rules.term_s)
+                step(
+                    v,
+                    now,
+                    Facts(s.score - self.usual_score.get(group, 0.0), s.tellers, s.good, needed, room, mass),
+                    self.rules.term_s,
+                )
                 if v.state in (State.CLEAR, State.SUSPECTED) and room:
-                    self._believe(now, v, w, name)
+                    self._believe(now, v, w, name, needed)
             if v.state is State.CLEAR:
                 held.pop(name, None)
             else:
@@ -399,15 +432,16 @@
             self.cases.pop(w.address, None)
         self._mark(now, w, plain, fleet)
 
-    def _believe(self, now: float, v: Verdict, w: Worker, job_class: str) -> None:
+    def _believe(self, now: float, v: Verdict, w: Worker, job_class: str, needed: int) -> None:
         """Enough others hold it out already: who has just started need not be hurt first."""
         left = sorted(
             word.said.left_s - (word.age_s + now - came)
             for came, word in self.words.get(subject(w.address, w.born, job_class), {}).values()
             if word.age_s + now - came < FRESH_S and word.said.left_s > word.age_s + now - came
         )
-        if left and len(left) >= max(2, min(5, ceil(0.1 * self.alive))):
-            condemn(v, now, left[len(left) // 2], f"{len(left)} others' word")
+        if len(left) >= max(needed, min(5, ceil(0.1 * self.alive))):
+            for_s = min(LONGEST_S, left[(len(left) - 1) // 2])
+            condemn(v, now, for_s, f"{len(left)} others' word")
             v.term_s = v.term_s or self.rules.term_s
 
     def _changed(self, now: float, w: Worker, job_class: str, v: Verdict, before: State) -> None:
--- a/finchladder/core/judging/weighing.py
+++ b/finchladder/core/judging/weighing.py
@@ -22,6 +22,7 @@
 MOST_EACH = 1.5  # bad endings' worth that one teller counts for at the most
 LEAST = 6.0  # what one teller's good endings count for at the most, as a logarithm
 SILENT_S = 10.0
+COUNTS = 0.25  # bad endings' worth from which on one speaks against it
 
 
 class Word(NamedTuple):
@@ -38,13 +39,23 @@
     tellers: int  # that speak against it, by what each weighs
     good: float  # endings
 
-    def __add__(self, other: "Sum") -> "Sum":  # type: ignore[override]
-        return Sum(self.score + other.score, self.tellers + other.tellers, self.good + other.good)
-
 
 NOTHING = Sum(0.0, 0, 0.0)
 
 
+def merged(words: Iterable[Word]) -> list[Word]:
+    """One word of each teller, of all classes: the newest one's age."""
+    found: dict[str, Word] = {}
+    for w in words:
+        had = found.get(w.teller)
+        if had is not None:
+            a, b = had.said, w.said
+            said = a._replace(bad=a.bad + b.bad, link=a.link + b.link, good=a.good + b.good)
+            w = had._replace(age_s=min(had.age_s, w.age_s), said=said)
+        found[w.teller] = w
+    return list(found.values())
+
+
 def weigh(words: Iterable[Word], zone: int, zones: int, bad: float, good: float) -> Sum:
     """`zone`: one's own. `zones`: how many there are. `bad`, `good`: what an ending adds."""
     most = MOST_EACH * bad
@@ -58,15 +69,15 @@
         link = fresh * w.said.link * bad
         if w.zone == zone and zones > 1:
             own += link
-        elif link:
-            # who has only good to say of a link says nothing against another's
-            links[w.zone] = links.get(w.zone, 0.0) + link
         own = min(most, max(-LEAST, own))
+        if link and w.zone != zone:
+            # the zone's word is no louder for what this one has said already
+            links[w.zone] = links.get(w.zone, 0.0) + min(link, most - max(0.0, own))
         score += own
-        tellers += own > 0.25 * bad
+        tellers += own > COUNTS * bad
         goods += fresh * w.said.good
     if zones > 1:
         for link in links.values():
             score += min(most, link)
-            tellers += 1
+            tellers += link > COUNTS * bad
     return Sum(score, tellers, goods)
