Judgement leaves nothing behind: own evidence ends by itself, strange subjects are looked for once a second

What was put out by oneself for jobs that may not be repeated had no trial and stayed out for good; cases that had faded stayed in the table; a word of a real server that the list did not know yet was lost, and looking for strange ones cost O(fleet) a word.

--- a/finchladder/cli/sim.py
+++ b/finchladder/cli/sim.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+from functools import partial
 from pathlib import Path
 
 from finchladder.cli.front import fail
@@ -30,10 +31,15 @@
     search.add_argument("--first", action="store_true", help="end with the first violation")
     search.add_argument("--coverage", action="store_true", help="print which fault met which stage")
 
-    peers = commands.add_parser("peers", help="play fleets of peers alone: rights, members, values")
-    peers.add_argument("--seeds", type=_span, required=True, metavar="A..B")
-    peers.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
-    peers.add_argument("--for", dest="for_s", type=_duration, metavar="8h", help="begin no seed later")
+    fleets = {
+        "peers": "play fleets of peers alone: rights, members, values",
+        "judged": "play dispatchers that judge real servers together: liars, splits, deaths",
+    }
+    for name, text in fleets.items():
+        fleet = commands.add_parser(name, help=text)
+        fleet.add_argument("--seeds", type=_span, required=True, metavar="A..B")
+        fleet.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
+        fleet.add_argument("--for", dest="for_s", type=_duration, metavar="8h", help="begin no seed later")
 
     replay = commands.add_parser("replay", help="play a trace anew, and compare line by line")
     shrink = commands.add_parser("shrink", help="make a trace small that still fails the same")
@@ -122,9 +128,10 @@
     return 1 if tally.kinds or tally.errors else 0
 
 
-def _peers(args: argparse.Namespace) -> int:
-    from finchladder.sim.peers import search
+def _fleet(args: argparse.Namespace) -> int:
+    from finchladder.sim import judged, peers
 
+    search = partial(peers.search, play=judged.play_seed if args.action == "judged" else peers.play_seed)
     until = time.monotonic() + args.for_s if args.for_s else None
     began, played, steps, broken = time.perf_counter(), 0, 0, 0
     for seed, found in search(args.seeds, args.jobs, lambda: until is None or time.monotonic() < until):
@@ -199,5 +206,5 @@
 
 ACTIONS = {
     "run": _run, "search": _search, "replay": _replay, "shrink": _shrink, "explain": _explain,
-    "mutants": _mutants, "peers": _peers,
+    "mutants": _mutants, "peers": _fleet, "judged": _fleet,
 }  # fmt: skip
--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -14,8 +14,8 @@
 Bounds: of each kind and zone at most `most_out` of the ready ones is condemned here at one time, and never
 the last. More that look bad than that at one moment (BREWING, a first bad ending each) is a *mass*: taken for
 the network's or one's own fault until MASS_S later, and evidence counts beyond the median of the kind and
-zone: where most are alike, who is put out must be far worse. Who is in doubt about itself (it was late, it has
-just started, over half of the real servers that it hears of look bad to it alone) tells nothing.
+zone: where most are alike, who goes must be far worse. Who is in doubt about itself (it was late, has just
+started, or over half of the real servers that it hears of look bad to it alone) tells nothing.
 
 O(1) for each ending; a look at open cases O(words told of them), at most each LOOK_S. Memory: a case for each
 real server and class at the most, words of MOST_SAYS subjects from each other dispatcher.
@@ -57,10 +57,13 @@
     4,
     16,
 )  # own latest endings at so many real servers tell whether all look bad
+FADED = 0.05  # endings, in a case that says nothing any more
 CLEARED_FROM = -2.0  # a case is closed once all that is told of it adds up to this
 FRESH_S = 3.0  # others' verdicts that are older say nothing
 COUNT_S = 1.0  # between counts of the ready ones
 SPARED = -1.0  # a class whose own evidence is below this is not judged by others' there
+FIND_S = 1.0
+FORGET_S = 15.0  # own evidence alone that is not renewed so long after its time is over
 MOST_TELLERS, PURGE_S = 2048, 1.0  # as many as can be listed; those that are silent are dropped
 
 
@@ -81,7 +84,7 @@
     __slots__ = ("own", "rules", "zone", "zones", "cases", "verdicts", "words", "rate", "usual", "alive",
                  "unwell", "look_at", "began", "late_until", "last", "mass_at", "witnesses", "orders",
                  "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed",
-                 "tellers", "usual_score",
+                 "tellers", "usual_score", "index", "index_at", "strange",
                  "purge_at")  # fmt: skip
 
     def __init__(
@@ -98,6 +101,9 @@
         self.words: dict[int, dict[str, tuple[float, Word]]] = {}  # by subject and teller: when it came
         self.tellers: dict[str, tuple[float, tuple[int, ...]]] = {}  # as of when, and of whom
         self.purge_at = now
+        self.index: dict[int, tuple[str, str]] = {}  # of all real servers, as they were then
+        self.index_at = now
+        self.strange: set[int] = set()  # subjects that are none of these
         self.subjects: dict[int, tuple[str, str]] = {}  # of whom something is told
         self.witnesses: tuple[float, float] = (0.0, 0.0)  # endings that all others tell of, and bad ones
         self.usual_score: dict[
@@ -260,12 +266,14 @@
                     words = self.words[s.subject] = {}
                     new.append(s.subject)
                 words[w.owner] = now, Word(w.owner, w.zone, w.age_s, s)
+        if self.strange:
+            self._find(now, (), fleet.workers.values())
         if now >= self.purge_at:
             self.purge_at = now + PURGE_S
             for owner in [o for o, (at, _) in self.tellers.items() if now - at >= SILENT_S]:
                 self._unsay(owner)
         if new:
-            self._find(new, fleet.workers.values())
+            self._find(now, new, fleet.workers.values())
         self.look(now, fleet)
 
     def _unsay(self, owner: str) -> None:
@@ -277,14 +285,19 @@
                     del self.words[number]
                     self.subjects.pop(number, None)
 
-    def _find(self, words: Iterable[int], workers: Iterable[Worker]) -> None:
-        """Whom subjects stand for. O(real servers x classes), when a new one is told of."""
-        names = [c.name for c in self.s.classes]
-        wanted = set(words)
-        for w in workers:
-            for name in names:
-                if (n := subject(w.address, w.born, name)) in wanted:
-                    self.subjects[n] = w.address, name
+    def _find(self, now: float, numbers: Iterable[int], workers: Iterable[Worker]) -> None:
+        """Whom subjects stand for. O(1) each, but for strange ones: O(real servers x classes) each FIND_S."""
+        self.strange.update(n for n in numbers if n not in self.index)
+        if self.strange and now >= self.index_at:
+            self.index_at = now + FIND_S
+            names = [c.name for c in self.s.classes]
+            self.index = {subject(w.address, w.born, n): (w.address, n) for w in workers for n in names}
+            numbers = [*numbers, *self.strange]
+            # a list that comes later may know them
+            self.strange = {n for n in self.strange if n not in self.index and n in self.words}
+        for n in numbers:
+            if n in self.words and (found := self.index.get(n)) is not None:
+                self.subjects[n] = found
 
     # --- judging
 
@@ -394,6 +407,8 @@
                 self.mass_at.pop(group, None)
 
     def _judge(self, now: float, w: Worker, of: dict[str, Sum], fleet: Fleet) -> None:
+        if not w.ready:
+            return
         held = self.verdicts.get(w.address, {})
         group = self._group(w)
         needed = 2 if self.alive < 6 else 3
@@ -428,8 +443,14 @@
                 self._changed(now, w, name, v, before)
         if not held:
             self.verdicts.pop(w.address, None)
-        if all(s.score <= CLEARED_FROM for s in of.values()) and not held and w.address not in self.alone:
-            self.cases.pop(w.address, None)
+        for name, (until, _) in list(self.alone.get(w.address, {}).items()):
+            if now >= until + FORGET_S:
+                del self.alone[w.address][name]
+        if not held and not self.alone.get(w.address):
+            cases = self.cases.get(w.address, {})
+            faded = all(c.bad + c.link + c.good < FADED for c in cases.values())
+            if faded or all(s.score <= CLEARED_FROM for s in of.values()):
+                self.cases.pop(w.address, None)
         self._mark(now, w, plain, fleet)
 
     def _believe(self, now: float, v: Verdict, w: Worker, job_class: str, needed: int) -> None:
@@ -493,7 +514,9 @@
         if len(self.ejected) > EJECT_SHARE * len(fleet.workers):
             return True
         if (held := self.alone.get(w.address, {}).get(name)) is not None:
-            return now >= held[0] and w.load == 0 and not unsafe
+            if unsafe:  # no trial; what speaks against it fades
+                return now >= held[0] and self._score_alone(now, w.address, name) <= SUSPECT_FROM
+            return now >= held[0] and w.load == 0
         if unsafe and (v is not None or self._score_alone(now, w.address, name) > SUSPECT_FROM):
             return len(fleet.suspects) > EJECT_SHARE * len(fleet.workers)
         return True
