--- a/finchladder/core/judging/evidence.py
+++ b/finchladder/core/judging/evidence.py
@@ -81,9 +81,8 @@
         self.ended, self.bad, self.at = self.ended * by, self.bad * by, now
 
     def of(self, ended: float = 0.0, bad: float = 0.0) -> float:
-        """With what others saw, and without what is to be left out (below 0)."""
-        ended = max(0.0, self.ended + ended)
-        return (LEAST_RATE * PRIOR + min(ended, max(0.0, self.bad + bad))) / (PRIOR + ended)
+        """With what others saw."""
+        return (LEAST_RATE * PRIOR + self.bad + bad) / (PRIOR + self.ended + ended)
 
 
 class Usual:
--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -22,14 +22,14 @@
 """
 
 from collections.abc import Callable, Iterable
-from math import ceil, exp
+from math import ceil
 from typing import Any, NamedTuple
 from zlib import crc32
 
 from finchladder.core.api import Effect, Hearsay, JobClass, Ordered, Settings, Unseen
 from finchladder.core.fleet import Fleet
 from finchladder.core.health import EJECT_SHARE, LONGEST, Health, Sign
-from finchladder.core.judging.evidence import FADE_S, HALF, WEIGHTS, Case, Rate, Usual, weights
+from finchladder.core.judging.evidence import HALF, WEIGHTS, Case, Rate, Usual, weights
 from finchladder.core.judging.verdicts import LONGEST_S, SHARES, Facts, State, Verdict, condemn, step
 from finchladder.core.judging.weighing import NOTHING, SILENT_S, Sum, Word, merged, weigh
 from finchladder.core.judging.words import (
@@ -83,8 +83,8 @@
 class Judging(Health):
     __slots__ = ("own", "rules", "zone", "zones", "cases", "verdicts", "words", "rate", "usual", "alive",
                  "unwell", "look_at", "began", "late_until", "last", "mass_at", "witnesses", "orders",
-                 "subjects", "log", "alone", "untold", "ready", "ready_at", "trimmed",
-                 "tellers", "usual_score", "index", "index_at", "strange",
+                 "subjects", "log", "alone", "untold", "ready", "ready_at", "tellers", "usual_score",
+                 "index", "index_at", "strange",
                  "purge_at")  # fmt: skip
 
     def __init__(
@@ -109,7 +109,6 @@
         self.usual_score: dict[
             tuple[str, str], float
         ] = {}  # the median of a kind and zone, where it is above 0
-        self.trimmed: tuple[float, float] = (0.0, 0.0)  # endings that are left out of that, and bad ones
         self.rate, self.usual = Rate(now), Usual()
         self.alive, self.unwell = 1, False
         self.look_at = now
@@ -142,7 +141,9 @@
         self.last[w.address] = now, bad
         if len(self.last) > LAST_MOST:
             del self.last[next(iter(self.last))]
-        self.rate.add(now, bad)
+        if self.mass_at or w.address not in self.verdicts:
+            # what one does that is in question already is no part of the fleet's own rate, unless most are
+            self.rate.add(now, bad)
         cases = self.cases.get(w.address, {})
         case = cases.get(cls.name)
         if case is None:
@@ -178,31 +179,7 @@
             self.alone.setdefault(w.address, {})[job_class] = until, times
 
     def _rate(self) -> float:
-        (ended, bad), (without, of_those) = self.witnesses, self.trimmed
-        return self.rate.of(ended - without, bad - of_those)
-
-    def _trim(self, now: float, fleet: Fleet) -> None:
-        """What the worst did, as many as may be out, is no part of the fleet's own rate."""
-        if self.mass_at:  # more look bad than may be out: then what they do is the fleet's own
-            self.trimmed = 0.0, 0.0
-            return
-        seen: list[tuple[float, float]] = []
-        names = {*self.cases, *(address for address, _ in self.subjects.values())}
-        for address in names:
-            if (w := fleet.workers.get(address)) is None:
-                continue
-            bad = good = 0.0
-            for name in [c.name for c in self.s.classes]:
-                if (case := self.cases.get(address, {}).get(name)) is not None:
-                    case.fade(now)
-                    bad, good = bad + case.bad + case.link, good + case.good
-                for came, word in self.words.get(subject(address, w.born, name), {}).values():
-                    fresh = exp(-(word.age_s + now - came) / FADE_S)
-                    bad += fresh * (word.said.bad + word.said.link)
-                    good += fresh * word.said.good
-            seen.append((bad, good))
-        worst = sorted(seen, reverse=True)[: max(1, int(self.rules.most_out * len(fleet.workers)))]
-        self.trimmed = sum(b + g for b, g in worst), sum(b for b, _ in worst)
+        return self.rate.of(*self.witnesses)
 
     # --- what others say
 
@@ -307,8 +284,6 @@
             return
         if only is None:
             self.look_at = now + LOOK_S
-        if only is None:
-            self._trim(now, fleet)
         bad, good = weights(self._rate())
         doubtful = self.doubtful(now)
         if now >= self.ready_at:
@@ -449,7 +424,7 @@
         if not held and not self.alone.get(w.address):
             cases = self.cases.get(w.address, {})
             faded = all(c.bad + c.link + c.good < FADED for c in cases.values())
-            if faded or all(s.score <= CLEARED_FROM for s in of.values()):
+            if faded or (of and all(s.score <= CLEARED_FROM for s in of.values())):
                 self.cases.pop(w.address, None)
         self._mark(now, w, plain, fleet)
 
--- a/finchladder/core/peers/peers.py
+++ b/finchladder/core/peers/peers.py
@@ -36,6 +36,7 @@
 IDLE_S = 10.0  # after which such a one goes, if nothing of it is lent or wanted
 LAST_WORDS = 5
 AT_ONCE, PRESSING_S = 3, 0.5  # members that are told of a bad real server at a time, and for how long
+UNWELL = 3  # of members.py: some lost datagrams prove nothing of real servers
 HEARSAY_S, FRESH_S = 2.0, 0.1  # what others say is handed on so often at the least; if it is of bad ones
 CHANGED = 0.2  # by so much a want must change to be told before its time
 Packets = list[tuple[str, Packet]]
@@ -326,7 +327,7 @@
             if (found := self.rows.held.get(owner)) is not None:
                 told.append(Witness(owner, found[0].zone, self.rows.age_s(now, owner), found[0].says))
         self.changed, self.hearsay_at = {}, now + HEARSAY_S
-        return Hearsay(tuple(told), *self.rated, self.members.health > 0)
+        return Hearsay(tuple(told), *self.rated, self.members.health >= UNWELL)
 
     def total(self, now: float) -> Total | None:
         return self.sums.total(now) if self.rule.wave_s else None
