--- a/benchmarks/peers_virtual.py
+++ b/benchmarks/peers_virtual.py
@@ -3,6 +3,8 @@
     .venv-lab/bin/python benchmarks/peers_virtual.py age --every 0.1 --age 0.01   # ties by counts
     .venv-lab/bin/python benchmarks/peers_virtual.py use --dispatchers 100   # of 100 a second
     .venv-dev/bin/python benchmarks/peers_virtual.py cold   # all told one number, ten of them
+    .venv-lab/bin/python benchmarks/peers_virtual.py knows --dispatchers 50 [--loss 0.3]   # one dies at 30 s
+    .venv-lab/bin/python benchmarks/peers_virtual.py calm --dispatchers 9 --for 3600 [--loss 0.3]
 
 `age` tells each dispatcher what all others hold, each `--every` seconds and `--age` seconds late; 0: nothing.
 """
@@ -81,15 +83,87 @@
         print(f"{name}: {len(play.cold)} sends, {most:.1f} s of work within 2 s")
 
 
+def knows(args: argparse.Namespace) -> None:
+    """How long after a death each of the others holds it for gone, and what is told a second."""
+    import numpy as np
+
+    from finchladder.core.peers.words import Standing
+    from finchladder.net.peers.datagrams import encode
+    from finchladder.sim.peers import Fault, Play, World
+
+    at, n = 30.0, args.dispatchers
+    faults = [Fault("kill", at, 500.0, 1.0, (n - 1,))]
+    if args.loss:
+        faults.append(Fault("loss", 5.0, 500.0, args.loss, tuple(range(n))))
+    play = Play(args.seed, World(n, 100.0, 1.0, 0.0, at + 30.0, tuple(faults)))
+    took: dict[int, float] = {}
+    told = [0, 0]
+    carry = play.carry
+
+    def count(sender, to, packet):  # type: ignore[no-untyped-def]
+        told[0] += 1
+        if told[0] % 50 == 0:
+            told[1] += len(encode("finchladder", packet))
+        carry(sender, to, packet)
+
+    def look() -> None:
+        for i, p in play.alive.items():
+            if i not in took and p.peers.members.of[f"n{n}"].standing is Standing.GONE:
+                took[i] = play.now - at
+        play.at(play.now + 0.05, look)
+
+    play.carry = count  # type: ignore[method-assign]
+    play.at(at + 0.05, look)
+    play.run(heals=False)
+    p50, p99 = np.percentile(list(took.values()), [50, 99])
+    each = told[0] / n / (at + 30.0)
+    size = told[1] / max(1, told[0] // 50)
+    print(
+        f"{n} dispatchers, loss {args.loss:g}: {len(took)} of {n - 1} hold it for gone after"
+        f" p50 {p50:.1f} s, p99 {p99:.1f} s; {each:.1f} packets and {each * size:.0f} bytes a second each"
+    )
+
+
+def calm(args: argparse.Namespace) -> None:
+    """False suspicions while nobody dies."""
+    from finchladder.core.peers.words import Standing
+    from finchladder.sim.peers import Fault, Play, World
+
+    n = args.dispatchers
+    faults = (Fault("loss", 5.0, 1e6, args.loss, tuple(range(n))),) if args.loss else ()
+    play = Play(args.seed, World(n, 100.0, 1.0, 0.0, args.for_s, ()))
+    play.links = list(faults)
+    wrong = {Standing.SUSPECTED: 0, Standing.GONE: 0}
+    looks = 0
+
+    def look() -> None:
+        nonlocal looks
+        for p in play.alive.values():
+            for m in p.peers.members.of.values():
+                looks += 1
+                if m.incarnation and m.standing in wrong:
+                    wrong[m.standing] += 1
+        play.at(play.now + 1.0, look)
+
+    play.at(20.0, look)
+    play.run(heals=False)
+    print(
+        f"{n} dispatchers, {args.for_s:g} s, loss {args.loss:g}: of {looks} judgements, one a second,"
+        f" {wrong[Standing.SUSPECTED]} suspect and {wrong[Standing.GONE]} hold for gone one that is there"
+    )
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("what", choices=("age", "use", "cold"))
+    parser.add_argument("what", choices=("age", "use", "cold", "knows", "calm"))
     parser.add_argument("--dispatchers", type=int, default=200)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--loss", type=float, default=0.0)
+    parser.add_argument("--for", dest="for_s", type=float, default=3600.0)
     parser.add_argument("--every", type=float, default=0.0)
     parser.add_argument("--age", type=float, default=0.0)
     args = parser.parse_args()
-    {"age": age, "use": use, "cold": cold}[args.what](args)
+    {"age": age, "use": use, "cold": cold, "knows": knows, "calm": calm}[args.what](args)
 
 
 if __name__ == "__main__":
