--- a/benchmarks/judged.py
+++ b/benchmarks/judged.py
@@ -48,10 +48,13 @@
     play = decisions.Play(e)
     out: dict[str, set[str]] = {}
     marks: list[tuple[float, int]] = []
+    nearly: dict[str, list[float]] = {}  # by real server: when 95 % of the dispatchers held it out
 
     def log(who: str, what: str) -> None:
         server = what.split()[0]
         (out.setdefault(server, set()).add if "is out" in what else out.get(server, set()).discard)(who)
+        if len(out.get(server, ())) >= 0.95 * len(play.nodes):
+            nearly.setdefault(server, []).append(play.kernel.now)
         held = sum(len(w) >= len(play.nodes) / 2 for w in out.values())
         if not marks or marks[-1][1] != held:
             marks.append((play.kernel.now, held))
@@ -64,9 +67,13 @@
                  (Ending.ERROR, Ending.TIMED_OUT, Ending.CANCELLED, Ending.BROKEN)]  # fmt: skip
     # arrivals that stand for endings alone are not counted as sends
     found = judged.figures(arrivals[: len(play.sent)], list(bads(e)), list(play.servers), 4.0, length)
-    ends = judged.figures(arrivals, list(bads(e)), list(play.servers), 4.0, length)
-    for a, b in zip(found["bad"], ends["bad"], strict=True):
+    with_ends = judged.figures(arrivals, list(bads(e)), list(play.servers), 4.0, length)
+    for a, b in zip(found["bad"], with_ends["bad"], strict=True):
         a["failed"], a["left_s"] = b["failed"], b["left_s"]
+    for row, b in zip(found["bad"], bads(e), strict=True):
+        ends = [at for at, s, _ in play.failed if s == b.server and b.since <= at < b.until]
+        held = [round(at - ends[0], 2) for at in nearly.get(b.server, ()) if ends and at >= ends[0]]
+        row["all_s"] = min(held, default=None)
     found["unserved"] = play.unserved
     found["most_out"] = max((n for _, n in marks), default=0)
     found["packets"] = round(talk.packets / length / len(play.nodes), 1) if talk is not None else 0
@@ -102,8 +109,12 @@
         f" packets {found.get('packets', '-')}"
     )
     for b in found["bad"]:
-        print(f"  {b['server']} {b['kind']:7} met {b['met']:4} failed {b['failed']:4}"
-              f" left after {b['left_s']} s, back after {b['back_s']} s", flush=True)  # fmt: skip
+        print(
+            f"  {b['server']} {b['kind']:7} met {b['met']:4} failed {b['failed']:4}"
+            f" left after {b['left_s']} s,"
+            f" held out by 95 % after {b.get('all_s', '-')} s, back after {b['back_s']} s",
+            flush=True,
+        )
 
 
 def main() -> None:
