--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -594,6 +594,11 @@
     def news(self) -> bool:
         return self.judging.news()
 
+    def settled(self, subject: int) -> bool:
+        address, job_class = self.judging.subjects.get(subject, ("", ""))
+        verdict = self.judging.verdicts.get(address, {}).get(job_class)
+        return verdict is not None and verdict.state is State.CONDEMNED
+
     def word(self, now: float) -> Own:
         j = self.judging
         if j.doubtful(now):
--- a/finchladder/core/peers/peers.py
+++ b/finchladder/core/peers/peers.py
@@ -54,6 +54,7 @@
 
     def news(self) -> bool: ...  # a bad ending that was not told yet
     def word(self, now: float) -> Own: ...
+    def settled(self, subject: int) -> bool: ...  # held out here already: more words change nothing soon
 
 
 class Family(NamedTuple):
@@ -195,8 +196,10 @@
         if not (row.says or before):
             return
         self.changed[row.owner] = None
+        assert self.evidence is not None
         known = {s.subject for s in before if s.bad + s.link >= URGENT}
-        if any(s.bad + s.link >= URGENT and s.subject not in known for s in row.says):
+        new = [s.subject for s in row.says if s.bad + s.link >= URGENT and s.subject not in known]
+        if not all(map(self.evidence.settled, new)):
             self.pressing_until = now + PRESSING_S
             self.rows.first[row.owner] = None
 
--- a/finchladder/sim/judged.py
+++ b/finchladder/sim/judged.py
@@ -82,6 +82,9 @@
     def news(self) -> bool:
         return True
 
+    def settled(self, subject: int) -> bool:
+        return False
+
     def word(self, now: float) -> Own:
         names = sorted(self.d.workers)
         says = [
--- a/tests/core/judging/test_judging.py
+++ b/tests/core/judging/test_judging.py
@@ -320,3 +320,17 @@
         hear(b, {})
     assert not j.cases and not j.alone and not b.d.workers["w3"].sick and not j.ejected
     assert "w3" in sent_to(b, "unsafe", 300)
+
+
+def test_of_one_that_is_out_already_more_words_are_not_pressed() -> None:
+    b, j, _ = bench(workers(10))
+    telling = Telling(j, b.d)
+    hear(b, {n: (told("w3", "safe", 1),) for n in ("n2", "n3")})
+    number = subject("w3", 0.0, "safe")
+    assert not telling.settled(number) and not telling.settled(12345)
+    b.run_until(b.now + 0.2)
+    hear(b, {n: (told("w3", "safe", 1),) for n in ("n2", "n3", "n4")})
+    assert telling.settled(number)
+    b.run_until(b.now + 2.2)
+    hear(b, {})
+    assert state(j, "w3") is State.TRIAL and not telling.settled(number)  # a relapse is news again
