--- a/finchladder/core/judging/judging.py
+++ b/finchladder/core/judging/judging.py
@@ -106,9 +106,8 @@
         self.strange: set[int] = set()  # subjects that are none of these
         self.subjects: dict[int, tuple[str, str]] = {}  # of whom something is told
         self.witnesses: tuple[float, float] = (0.0, 0.0)  # endings that all others tell of, and bad ones
-        self.usual_score: dict[
-            tuple[str, str], float
-        ] = {}  # the median of a kind and zone, where it is above 0
+        # the median of a kind and zone, where it is above 0
+        self.usual_score: dict[tuple[str, str], float] = {}
         self.rate, self.usual = Rate(now), Usual()
         self.alive, self.unwell = 1, False
         self.look_at = now
@@ -347,7 +346,7 @@
     def _group(self, w: Worker) -> tuple[str, str]:
         return w.kind, w.zone
 
-    def _allowed(self, group: tuple[str, str], fleet: Fleet) -> int:
+    def _allowed(self, group: tuple[str, str]) -> int:
         """How many of a kind and zone may be out at one time."""
         ready = self.ready.get(group, 0)
         return min(max(1, int(self.rules.most_out * ready)), ready - 1)
@@ -376,7 +375,7 @@
         for group in [g for g in self.mass_at if g not in groups]:
             del self.mass_at[group]
         for group, n in groups.items():
-            if n + len(self._out(group, fleet)) > max(2, self._allowed(group, fleet)):
+            if n + len(self._out(group, fleet)) > max(2, self._allowed(group)):
                 self.mass_at.setdefault(group, now)
             else:
                 self.mass_at.pop(group, None)
@@ -396,7 +395,7 @@
             v = v or Verdict(now)
             before = v.state
             free = any(x.state in (State.CONDEMNED, State.TRIAL) for x in held.values())
-            room = free or len(self._out(group, fleet)) < self._allowed(group, fleet)
+            room = free or len(self._out(group, fleet)) < self._allowed(group)
             mass = now < self.mass_at.get(group, -MASS_S) + MASS_S
             if order is not None:
                 self._obey(now, v, order, room)
@@ -477,6 +476,9 @@
         """Asked of those that are marked: a mark may be older than what is held now."""
         if now >= self.look_at:
             self.look(now, fleet)
+        order = self._order(now, w.address)
+        if order is not None and not order.out:
+            return True  # own evidence counts as little as others'
         name = job.cls.name
         unsafe = job.cls.effect is Effect.UNSAFE and self.spares_unsafe
         v = self.verdicts.get(w.address, {}).get(name)
--- a/tests/core/judging/test_judging.py
+++ b/tests/core/judging/test_judging.py
@@ -334,3 +334,10 @@
     b.run_until(b.now + 2.2)
     hear(b, {})
     assert state(j, "w3") is State.TRIAL and not telling.settled(number)  # a relapse is news again
+
+
+def test_who_is_kept_in_by_the_operator_is_not_left_by_own_evidence_either() -> None:
+    b, j, _ = bench(workers(6), max_attempts=1)
+    b.feed(api.Ordered({"w3": (False, 60.0, "")}))
+    fail(b, "w3", 4, "safe")
+    assert "w3" in sent_to(b, "safe", 300)
