A watch that is lost, hangs or tells an older list is followed within the time it counts as told

Need: a change counts as told 6 s after discovery had it, whatever call failed meanwhile, whether lists are pushed or asked for; what the agent has counts from the first moment of a new process; lists may come indented.

A watch that fell silent (3 s), a wait of up to 4 s where the list is asked for (LONGEST_S of recalls.py) and a call that hung (3 s) came to 10 s. Any version was applied, so an older list brought a draining real server back. A line had to be a whole object: an indented list ended the watch again and again. A new process served by its old list before discovery had said a word (`serve` listened first).

Change: core/watching.py holds the protocol's two figures and all that follows from them, with the states in a table; the waits of recalls.py are bounded by it. An older list is passed over, unless older ones alone come for 5 s. A new process listens after discovery's first word, or after 0.3 s.

--- a/finchladder/config/entries.py
+++ b/finchladder/config/entries.py
@@ -75,6 +75,7 @@
 
 class _Index(msgspec.Struct):
     index: int
+    snapshot: bool = False
 
 
 _decoder = msgspec.json.Decoder(ServiceList)
@@ -117,6 +118,15 @@
     return _index.decode(line).index
 
 
+def version_and_whole(line: bytes) -> tuple[int, bool]:
+    """Of a line of the list, whatever else is in it; ValueError says what is wrong with these."""
+    try:
+        found = _index.decode(line)
+    except msgspec.MsgspecError as e:
+        raise ValueError(str(e)) from None
+    return found.index, found.snapshot
+
+
 def write_list(version: int, entries: Iterable[tuple[api.WorkerEntry, tuple[str, int]]]) -> bytes:
     """A whole list in discovery's form, which `read_list` reads."""
     words = {state: word for word, state in STATES.items()}
--- a/finchladder/core/recalls.py
+++ b/finchladder/core/recalls.py
@@ -3,7 +3,8 @@
 One service of some capacity answers all dispatchers of a fleet; calls wait there in turn, and fail if that
 takes too long. Watches are mostly lost by all at once: calls in step, or repeated soon, keep it overbooked.
 So, beside the waits of a few dispatchers, each waits a drawn part of a time that grows with their number: all
-together make some CALLS_A_SECOND, evenly. Service goes on meanwhile by the list that each has.
+together make some CALLS_A_SECOND, evenly, as far as two bounds let them: a change counts as told some time
+after it could be had (watching.py), however many call. Service goes on meanwhile by the list that each has.
 
 | the call before | the next one: waits of a few | and of the spread |
 | --- | --- | --- |
@@ -16,27 +17,27 @@
 FIRST_S, MOST_S = 0.1, 0.8  # of a few dispatchers
 FEW = 8
 CALLS_A_SECOND = 10.0  # of all others together
-LONGEST_S = 3.2  # of the spread: longer ones, up to 9 s, brought no more lists, and each later
 
 
 class Recalls:
     """Seconds to wait; `dispatchers`: how many call the same discovery, as the settings say.
 
-    To be 1 where changes come unasked: an agent beside each answers it at no cost, and news counts as told
-    after 6 s, so a watch must not be away for long. Where the list is asked for, it may be for 10 s.
+    To be 1 where changes come unasked: an agent beside each answers it at no cost. No wait is over `away_s`
+    after a watch that was open, or over `retry_s` after a call that failed.
     """
 
-    __slots__ = ("spread_s", "random", "wait_s")
+    __slots__ = ("spread_s", "random", "wait_s", "away_s", "retry_s")
 
-    def __init__(self, dispatchers: int, random: Random) -> None:
-        self.spread_s = min(LONGEST_S, max(0, dispatchers - FEW) / CALLS_A_SECOND)
-        self.random, self.wait_s = random, FIRST_S
+    def __init__(self, dispatchers: int, random: Random, away_s: float, retry_s: float) -> None:
+        self.spread_s = max(0, dispatchers - FEW) / CALLS_A_SECOND
+        self.random, self.wait_s, self.away_s, self.retry_s = random, FIRST_S, away_s, retry_s
 
-    def after(self, news: bool) -> float:
-        """`news`: whether anything new came since the wait before."""
+    def after(self, opened: bool, news: bool) -> float:
+        """`opened`: the watch before was open; `news`: something new came since the wait before."""
         draw = self.random.random()
+        most_s = self.away_s if opened else self.retry_s
         if news:
             self.wait_s = FIRST_S
-            return (2 * FIRST_S + self.spread_s) * draw
+            return min(most_s, 2 * FIRST_S + self.spread_s) * draw
         self.wait_s = min(2 * self.wait_s, MOST_S)
-        return (self.wait_s + self.spread_s) * (1 + draw) / 2
+        return min(most_s, self.wait_s + self.spread_s) * (1 + draw) / 2
--- /dev/null
+++ b/finchladder/core/watching.py
@@ -0,0 +1,75 @@
+"""Discovery's watch: when it counts as silent, how soon it is opened again, and which version is believed.
+
+All waits follow from two figures of the protocol, which stand here alone: an open watch says something each
+TELLS_EVERY_S, and whatever call failed, was refused or given up, a change counts as told TOLD_WITHIN_S after
+discovery had it and could be reached. So a watch that falls silent must be noticed, and another one opened
+and answered, within that time:
+
+    SILENT_S + away_s + opens_within_s + SPARE_S <= TOLD_WITHIN_S
+
+A call may also have begun just before discovery could be reached again, and hang for nothing:
+
+    opens_within_s + retry_s + opens_within_s + SPARE_S <= TOLD_WITHIN_S
+
+| the watch | what comes | then |
+| --- | --- | --- |
+| opening | its answer's head within `opens_within_s` | open |
+| opening | nothing within it, a refusal, a reset, another status | over |
+| open | a line, an empty one too | open |
+| open | nothing for SILENT_S, or bytes that end no line for LINE_S | over |
+| over, was open | - | opening, at most `away_s` later (recalls.py draws when) |
+| over, was opening | - | opening, at most `retry_s` later |
+| any | SIGHUP names another address | opening there, at once |
+
+| a list | taken |
+| --- | --- |
+| the first since the start | yes: the one known from before may be of any age |
+| not older than the last taken | yes |
+| older, changes alone | no: it would undo what is newer |
+| older, whole | no, unless nothing else was taken for RENUMBERED_S: then discovery counts anew |
+
+While older lists alone come, a watch that is as old as that is opened anew, and asks for the whole list.
+"""
+
+TELLS_EVERY_S = 2.0
+TOLD_WITHIN_S = 6.0
+SILENT_S = TELLS_EVERY_S + 0.6  # a line may be late; one watch too many costs a call
+LINE_S = 2 * TELLS_EVERY_S  # for one that comes in pieces
+SPARE_S = 0.3  # for the loop, and for applying what comes
+BESIDE_S = 1.0  # an agent on the own machine answers at once
+SHARED_S = 2.1  # where all share one discovery, calls wait there in turn
+RENUMBERED_S = 5.0
+FIRST_WORD_S = 0.3  # a new process waits so long to be told whether the list that it knows still holds
+NOTHING_NEW_S = 0.05  # after the head of a watch's answer: what has changed would have come with it
+
+
+class Watching:
+    """Times are seconds of the caller's clock, whichever it is."""
+
+    __slots__ = ("opens_within_s", "away_s", "retry_s", "version", "taken_at", "doubted")
+
+    def __init__(self, shared: bool) -> None:
+        """`shared`: one discovery answers all dispatchers; else an agent is beside each."""
+        self.opens_within_s = SHARED_S if shared else BESIDE_S
+        self.away_s = TOLD_WITHIN_S - SILENT_S - self.opens_within_s - SPARE_S
+        self.retry_s = TOLD_WITHIN_S - 2 * self.opens_within_s - SPARE_S
+        self.version: int | None = None  # of the last list taken; None: none since the start
+        self.taken_at = 0.0
+        self.doubted = False  # older ones have come since
+
+    def silent_at(self, last_byte: float, last_line: float) -> float:
+        """When an open watch is over, unless more comes."""
+        return min(last_byte + SILENT_S, last_line + LINE_S)
+
+    def takes(self, now: float, version: int, whole: bool) -> bool:
+        """Whether a list of that version is to be applied."""
+        older = self.version is not None and version < self.version
+        if older and not (whole and self.renumbered(now)):
+            self.doubted = True
+            return False
+        self.version, self.taken_at, self.doubted = version, now, False
+        return True
+
+    def renumbered(self, now: float) -> bool:
+        """Whether older lists alone have come for so long that they must be believed."""
+        return self.doubted and now > self.taken_at + RENUMBERED_S
--- a/finchladder/net/membership.py
+++ b/finchladder/net/membership.py
@@ -19,14 +19,15 @@
     Source,
     What,
 )  # fmt: skip
+from finchladder.core.watching import LINE_S
 from finchladder.net.actor import Actor
 from finchladder.net.http1 import Connect
-from finchladder.net.service import LONG, READ_AT_ONCE, SILENCE, ServiceActor
+from finchladder.net.service import LONG, READ_AT_ONCE, ServiceActor
 from finchladder.store.lastgood import LastGood, LastGoodFile
 
 DISCOVERY, LAST_GOOD = "discovery", "last good list"
 ROOM = 64
-QUIET = SILENCE + 1.0  # seconds: a watch that fell silent is begun again before its source counts as lost
+QUIET = LINE_S  # seconds: a watch that fell silent is begun again before its source counts as lost
 READ_WITHIN = 2.0  # seconds for the file at a start: a disk that hangs must not keep a dispatcher away
 WRITE_AFTER, WRITE_EVERY = 5.0, 60.0  # seconds from a change, and without one: then its time is renewed
 LINE_EVERY = 1.0  # seconds between two lines of the log about the same kind of fact
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -16,6 +16,7 @@
 from finchladder.core.leaving import Leaving
 from finchladder.core.recalls import Recalls
 from finchladder.core.routes import Routes
+from finchladder.core.watching import Watching
 from finchladder.features import snapshot
 from finchladder.features.arrivals import Arrivals
 from finchladder.features.capture import Capture
@@ -109,8 +110,11 @@
         if options.membership is not None or options.etcd is not None:
             self._believe(options, seed)
         # not from the decisions' draws: those must be the same in a replay
-        callers = setup.settings.dispatchers if setup.settings.must_ask else 1
-        self.service.recalls = Recalls(callers, Random(f"{seed}/discovery"))
+        shared = setup.settings.must_ask
+        self.service.rules = rules = Watching(shared)
+        callers = setup.settings.dispatchers if shared else 1
+        drawn = Random(f"{seed}/discovery")
+        self.service.recalls = Recalls(callers, drawn, rules.away_s, rules.retry_s)
         classes = {c.name for c in setup.settings.classes}
         self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
         self.reload: Reload | None = None
@@ -212,8 +216,6 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, left.set)
         self.machine.allow_descriptors(setup.limits.sockets)
-        for listening in self.machine.listen(setup.listen, setup.limits.sockets):
-            self.clients.add_socket(listening)
         self.servers.start()
         if self.gate is not None:
             self.gate.start()
@@ -225,6 +227,10 @@
         loop.add_signal_handler(signal.SIGHUP, self._reread)
         if self.peers is not None:
             self.peers.start()
+        # whoever connects before is refused at once, and has lost nothing
+        await self.service.first_word()
+        for listening in self.machine.listen(setup.listen, setup.limits.sockets):
+            self.clients.add_socket(listening)
         logger.info("{}: serving at {}:{}", setup.name, *setup.listen)
         if self.reload is not None:
             loaded = self.reload.loaded
--- a/finchladder/net/service.py
+++ b/finchladder/net/service.py
@@ -1,14 +1,17 @@
 """Discovery: the reader that watches the list of service entries."""
 
 import asyncio
+import re
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from itertools import islice
 from random import Random
 from typing import TYPE_CHECKING
 
-from finchladder.config.entries import Change, EntryTable, News, read_list
+from finchladder.config.entries import Change, EntryTable, News, read_list, version_and_whole
 from finchladder.core import api
 from finchladder.core.recalls import Recalls
+from finchladder.core.watching import FIRST_WORD_S, NOTHING_NEW_S, Watching
 from finchladder.net import http1
 from finchladder.net.actor import Actor
 from finchladder.net.http1 import BadMessage, Channel, Connect, StreamClosedError
@@ -17,7 +20,6 @@
     from finchladder.core.members import Members
 
 PATH = "/catalog/members"
-SILENCE = 3.0  # an empty line comes every 2 s: without one the watch is dead, though its connection stands
 MAX_LINE = 8 * 1024 * 1024
 ROOM = 64
 LONG = 48 * 1024  # bytes: some 350 entries; a shorter line is read and applied at once
@@ -28,21 +30,42 @@
 Apply = Callable[[api.WorkerList, dict[str, tuple[str, int]]], None]
 
 
+_TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # JSON's strings: a brace in one is none
+
+
 class Lines:
-    """Lines out of pieces that end anywhere."""
+    """JSON objects out of pieces that end anywhere. Each mostly stands on one line, and may be indented.
+
+    An empty line between them is handed on as it is; what no object begins with, too, as a line.
+    """
 
     def __init__(self) -> None:
         self.rest = bytearray()
+        self.parts: list[bytes] = []  # lines of an object that is not over
+        self.depth = self.held = 0
 
     def feed(self, piece: bytes) -> list[bytes]:
         self.rest += piece
-        if len(self.rest) > MAX_LINE:
+        if len(self.rest) + self.held > MAX_LINE:
             raise ValueError("line too long")
         if b"\n" not in piece:
             return []
         *lines, rest = self.rest.split(b"\n")
         self.rest = bytearray(rest)
-        return [bytes(line).strip() for line in lines]
+        return [whole for line in lines if (whole := self._whole(bytes(line).strip())) is not None]
+
+    def _whole(self, line: bytes) -> bytes | None:
+        if not self.depth and line.count(b"{") == line.count(b"}"):
+            return line  # as nearly all are
+        bare = _TEXT.sub(b"", line)
+        self.depth += bare.count(b"{") - bare.count(b"}")
+        self.parts.append(line)
+        self.held += len(line)
+        if self.depth > 0:
+            return None
+        whole, self.parts = b"\n".join(self.parts), []
+        self.depth = self.held = 0
+        return whole
 
 
 def _taken(
@@ -71,8 +94,10 @@
         super().__init__("service list", ROOM)
         self.address, self.apply, self.retire, self.connect = address, apply, retire, connect
         self.index = 0
-        self.recalls = Recalls(1, Random(0))
+        self.rules = Watching(shared=False)
+        self.recalls = Recalls(1, Random(0), self.rules.away_s, self.rules.retry_s)
         self.up = self.established = False
+        self.spoken = asyncio.Event()  # discovery has said whether the list known from before still holds
         self.table, self.subset = EntryTable(), subset
         # entries that the subset is still to be told, and their addresses
         self.told: dict[str, api.WorkerEntry] = {}
@@ -105,7 +130,12 @@
     async def take(self, line: bytes, known: bool = False) -> None:
         """A line of the watch, or the list as it was last known. ValueError: it can't be used."""
         if len(line) <= LONG:
-            return self.post(read_list(line, api.ListKind.STALE if known else None))
+            news = read_list(line, api.ListKind.STALE if known else None)
+            if known or self._takes(news.version, news.workers.kind is api.ListKind.WHOLE):
+                self.post(news)
+            return
+        if not known and not self._takes(*version_and_whole(line)):
+            return
         reading = self.table.read(line, READ_AT_ONCE, known)
         while True:
             try:
@@ -114,6 +144,12 @@
                 return self._changed(over.value, known)
             await asyncio.sleep(0)
 
+    def _takes(self, version: int, whole: bool) -> bool:
+        if self.rules.takes(asyncio.get_running_loop().time(), version, whole):
+            return True
+        self.log.warning("service list: version {} came after {}, and is passed over", version, self.index)
+        return False
+
     def _changed(self, change: Change, known: bool) -> None:
         for e in change.entries:
             self._drop(e.worker)
@@ -170,6 +206,12 @@
         """`known`: the list as it was last known, which was found usable."""
         self.watching = self.spawn(self._watch_on(known))
 
+    async def first_word(self) -> None:
+        """Until discovery has said what it holds, for a while: a list from before may name what is gone."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_WORD_S):
+                await self.spoken.wait()
+
     def follow(self, address: tuple[str, int]) -> None:
         """Watches at another address from the version last applied; the list stays in use meanwhile."""
         if address != self.address:
@@ -196,35 +238,46 @@
             if not down or self.established:
                 self.log.warning("service list: watch over ({}), the last list stays in use", why)
             down = True
-            await asyncio.sleep(self.recalls.after(news=self.index != before))
+            await asyncio.sleep(self.recalls.after(self.established, self.index != before))
 
     async def _watch(self) -> None:
         channel: Channel | None = None
+        said: asyncio.TimerHandle | None = None
+        loop = asyncio.get_running_loop()
+        index = 0 if self.rules.renumbered(loop.time()) else self.index
         try:
-            async with asyncio.timeout(SILENCE):
+            async with asyncio.timeout(self.rules.opens_within_s):
                 channel = await self.connect(self.address)
                 channel.parser.limit = lambda head: MAX_LINE
                 await channel.write(
                     http1.write_request(
-                        "GET", f"{PATH}?stream=1&index={self.index}", [("Host", self._host())]
+                        "GET", f"{PATH}?stream=1&index={index}", [("Host", self._host())]
                     )
                 )
                 head = await channel.head()
             if head.status != 200:
                 raise BadMessage(502, f"discovery answered {head.status}")
             self.established = True
-            lines = Lines()
+            said = loop.call_later(NOTHING_NEW_S, self.spoken.set)
+            lines, last = Lines(), loop.time()
+            asked_whole = not index
             while True:
                 for line in lines.feed(channel.parser.take_piece()):
                     if line:
                         await self.take(line)
                     else:
                         self.heard()
+                    last = loop.time()
+                    self.spoken.set()
+                    if self.rules.renumbered(last) and not asked_whole:
+                        raise ValueError("older lists alone have come for long; the whole one is asked for")
                 if channel.parser.body is None or channel.parser.body.done:
                     return
-                async with asyncio.timeout(SILENCE):
+                async with asyncio.timeout_at(self.rules.silent_at(loop.time(), last)):
                     await channel.fill()
         finally:
+            if said is not None:
+                said.cancel()
             if channel is not None:
                 channel.close()
 
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,382 @@
+"""Discovery's watch on real sockets: every way in which it falls silent, and lists that come out of order."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from finchladder.core import api
+from finchladder.core.watching import (
+    LINE_S,
+    RENUMBERED_S,
+    SILENT_S,
+    TOLD_WITHIN_S,
+    Watching,
+)  # fmt: skip
+from finchladder.net.http1 import connect
+from finchladder.net.service import Lines, ServiceActor
+from tests.peers import (
+    HEALTH,
+    ROOT,
+    SETTINGS,
+    Discovery,
+    Message,
+    RealServer,
+    exchange,
+    free_port,
+    list_line,
+    node,
+    request,
+    run,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def entry(name: str, status: str = "ready", **more: object) -> dict[str, object]:
+    return {"name": name, "address": "127.0.0.1:9", "status": status} | more
+
+
+class Scripted(Discovery):
+    """Each watch is answered by the next of these; `fell` is when the first had said its last."""
+
+    def __init__(self, *acts: Callable[["Scripted", asyncio.StreamWriter], Awaitable[None]]) -> None:
+        super().__init__()
+        self.acts = list(acts)
+        self.fell = 0.0
+
+    async def handle(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        self.asked.append(message.start.split()[1])
+        self.watches.append(writer)
+        act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
+        await act(self, writer)
+
+
+def said(*lines: bytes) -> Callable[[Scripted, asyncio.StreamWriter], Awaitable[None]]:
+    async def act(d: Scripted, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD)
+        for line in lines:
+            d.push(line)
+        d.fell = time.monotonic()
+
+    return act
+
+
+async def nothing(d: Scripted, writer: asyncio.StreamWriter) -> None:
+    d.fell = time.monotonic()
+
+
+async def drips(d: Scripted, writer: asyncio.StreamWriter) -> None:
+    """Bytes come all the time, and end no line."""
+    writer.write(HEAD)
+    d.fell = time.monotonic()
+    for _ in range(200):
+        writer.write(b"1\r\n{\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.1)
+
+
+async def reset(d: Scripted, writer: asyncio.StreamWriter) -> None:
+    d.fell = time.monotonic()
+    writer.transport.abort()
+
+
+async def refuses(d: Scripted, writer: asyncio.StreamWriter) -> None:
+    d.fell = time.monotonic()
+    writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
+
+class Followed:
+    """A ServiceActor that watches a scripted discovery; `states` is what was applied last of each."""
+
+    def __init__(self, shared: bool = False) -> None:
+        self.states: dict[str, api.State] = {}
+        self.news = asyncio.Event()
+        self.actor = ServiceActor(("127.0.0.1", 0), self.apply, lambda names: None, connect)
+        self.actor.rules = Watching(shared)
+
+    def apply(self, workers: api.WorkerList, addresses: dict[str, tuple[str, int]]) -> None:
+        if workers.kind is not api.ListKind.PATCH:
+            self.states = {}
+        self.states |= {e.worker: e.state for e in workers.entries}
+        self.news.set()
+
+    async def until(self, **states: api.State) -> None:
+        while self.states != states:
+            self.news.clear()
+            await self.news.wait()
+
+    async def follow(self, d: Discovery) -> None:
+        await d.open()
+        self.actor.address = ("127.0.0.1", d.port)
+        self.actor.start(list_line(1, [entry("w1"), entry("w2")], True))
+        await self.until(w1=api.State.READY, w2=api.State.READY)
+
+
+DRAIN = list_line(3, [entry("w1", "draining")])
+GOOD = said(DRAIN)
+
+
+@pytest.mark.parametrize("shared", [False, True])
+@pytest.mark.parametrize(
+    "acts",
+    [
+        (said(), GOOD),  # silent from its first moment
+        (said(b""), GOOD),
+        (said(list_line(2, [entry("w2")])), GOOD),  # silent after it had spoken
+        (nothing, GOOD),  # accepts, and says nothing
+        (drips, GOOD),
+        (reset, GOOD),
+        (refuses, GOOD),
+        (said(), said(list_line(3, [entry("w1", "draining"), entry("w2")], True))),  # all of it, anew
+    ],
+)
+def test_whatever_a_watch_does_a_change_is_had_in_the_time_in_which_it_counts_as_told(
+    acts: tuple[Callable[[Scripted, asyncio.StreamWriter], Awaitable[None]], ...], shared: bool
+) -> None:
+    async def play() -> None:
+        d, f = Scripted(*acts), Followed(shared)
+        await f.follow(d)
+        while not d.fell:
+            await asyncio.sleep(0)
+        fell = d.fell
+        await f.until(w1=api.State.DRAINING, w2=api.State.READY)
+        assert time.monotonic() - fell < TOLD_WITHIN_S
+        f.actor.stop()
+
+    run(play())
+
+
+def test_a_watch_that_is_reset_after_it_spoke_and_one_that_hangs_then_are_within_it_too() -> None:
+    async def play() -> None:
+        d, f = Scripted(said(list_line(2, [entry("w2")])), nothing, GOOD), Followed()
+        await f.follow(d)
+        while not d.fell:
+            await asyncio.sleep(0)
+        fell = d.fell
+        await f.until(w1=api.State.DRAINING, w2=api.State.READY)
+        assert time.monotonic() - fell < TOLD_WITHIN_S and len(d.asked) == 3
+        f.actor.stop()
+
+    run(play())
+
+
+def test_an_older_version_after_a_newer_undoes_nothing() -> None:
+    """On the same watch, changes or all; and as the first of the next one."""
+    old = list_line(2, [entry("w1"), entry("w2")], True)
+
+    async def play() -> None:
+        d = Scripted(said(DRAIN, old, list_line(2, [entry("w1")]), list_line(4, [entry("w2", "gone")])))
+        f = Followed()
+        await f.follow(d)
+        await f.until(w1=api.State.DRAINING, w2=api.State.GONE)
+        d.acts = [said(old, list_line(5, [entry("w3")]))]
+        d.watches[-1].transport.abort()
+        await f.until(w1=api.State.DRAINING, w2=api.State.GONE, w3=api.State.READY)
+        assert d.asked[-1].endswith("index=4") and f.actor.index == 5
+        f.actor.stop()
+
+    run(play())
+
+
+@pytest.mark.parametrize("indent", [None, 1, 4])
+@pytest.mark.parametrize("size", [1, 11, 4096])
+def test_a_list_in_pieces_and_indented_is_read_and_empty_lines_are_heard(
+    indent: int | None, size: int
+) -> None:
+    text = json.dumps(json.loads(list_line(7, [entry('w"{1'), entry("w2}", zone="}{")], True)), indent=indent)
+    data, lines = f"\n{text}\n\n{text}\n".encode(), Lines()
+    found = [line for at in range(0, len(data), size) for line in lines.feed(data[at : at + size])]
+    assert [json.loads(line) if line else None for line in found] == [None, json.loads(text)] * 2
+
+
+def test_an_indented_list_is_applied() -> None:
+    async def play() -> None:
+        text = json.dumps(json.loads(DRAIN), indent=2).encode()
+        d, f = Scripted(said(text)), Followed()
+        await f.follow(d)
+        await f.until(w1=api.State.DRAINING, w2=api.State.READY)
+        assert len(d.asked) == 1
+        f.actor.stop()
+
+    run(play())
+
+
+T = 100.0
+Came = tuple[float, int, bool, bool]  # when, version, whole, whether it is taken
+
+
+@pytest.mark.parametrize(
+    "came",
+    [
+        [(T, 1, True, True)],  # whatever was known before
+        [(T, 5, True, True), (T, 5, False, True), (T, 6, False, True)],
+        [(T, 5, True, True), (T, 4, False, False), (T, 4, True, False), (T, 5, True, True)],
+        [(T, 5, True, True), (T + 99, 4, True, False)],  # the first doubt, however late it comes
+        # older ones alone, for long: discovery counts anew
+        [(T, 5, True, True), (T + 1, 2, True, False), (T + RENUMBERED_S + 0.1, 2, True, True)],
+        [(T, 5, True, True), (T + 1, 2, True, False), (T + RENUMBERED_S + 0.1, 2, False, False)],
+        [(T, 5, True, True), (T + 1, 2, True, False), (T + 2, 6, True, True), (T + 6, 2, True, False)],
+    ],
+)
+def test_which_versions_are_taken(came: list[Came]) -> None:
+    rules = Watching(False)
+    assert [rules.takes(at, version, whole) for at, version, whole, _ in came] == [c[3] for c in came]
+
+
+@pytest.mark.parametrize(
+    ("last_byte", "last_line", "silent"),
+    [(T, T, T + SILENT_S), (T + 1, T, T + 1 + SILENT_S), (T + 3, T, T + LINE_S)],
+)
+def test_when_an_open_watch_is_over(last_byte: float, last_line: float, silent: float) -> None:
+    assert Watching(False).silent_at(last_byte, last_line) == silent
+
+
+def test_a_discovery_that_counts_anew_is_believed_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("finchladder.core.watching.RENUMBERED_S", 0.3)
+
+    async def play() -> None:
+        d, f = Scripted(said(list_line(9, [entry("w1"), entry("w2")], True))), Followed()
+        await f.follow(d)
+        while f.actor.index != 9:
+            await asyncio.sleep(0)
+        d.acts = [said(list_line(2, [entry("w1", "draining"), entry("w2")], True))]
+        for asked in (2, 3):  # doubted; and then, after the pause, asked for as a whole
+            d.watches[-1].transport.abort()
+            while len(d.asked) < asked:
+                await asyncio.sleep(0.02)
+            while not f.actor.rules.doubted and f.actor.index == 9:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.4)  # the pause itself is what is meant here
+        await f.until(w1=api.State.DRAINING, w2=api.State.READY)
+        assert d.asked[-1].endswith("index=0")
+        f.actor.stop()
+
+    run(play())
+
+
+# --- a new process
+
+
+@pytest.mark.parametrize("status", ["draining", "gone"])
+def test_a_new_process_sends_nothing_by_its_old_list_that_discovery_has_taken_back(
+    tmp_path: Path, status: str
+) -> None:
+    """Discovery answers once a client has tried to connect: it must not be let in before."""
+    tried = asyncio.Event()
+
+    async def answers(d: Scripted, writer: asyncio.StreamWriter) -> None:
+        await tried.wait()
+        await said(list_line(5, [servers[0].entry(status), servers[1].entry()], True))(d, writer)
+
+    servers = [RealServer("w1"), RealServer("w2")]
+
+    async def play() -> None:
+        d, port = Scripted(answers), free_port()
+        for listener in (d, *servers):
+            await listener.open()
+        for s in servers:
+            s.node = port
+        known = json.loads(list_line(1, [servers[0].entry()], True))
+        process = await start(tmp_path, port, d, known)
+        try:
+            while not d.asked:
+                await asyncio.sleep(0)
+            got = None
+            while got is None:
+                try:
+                    got = await exchange(port, request(f"a{time.monotonic()}"))
+                except OSError:
+                    tried.set()
+                tried.set()
+            assert got.status == 200 and not servers[0].got
+        finally:
+            process.kill()
+            await process.wait()
+
+    run(play())
+
+
+async def start(
+    tmp_path: Path, port: int, d: Discovery, known: object
+) -> asyncio.subprocess.Process:
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({"seed": "5", "known": known, "settings": SETTINGS}))
+    env = os.environ | {
+        "NODE_NAME": "n1",
+        "NODE_LISTEN": f"127.0.0.1:{port}",
+        "NODE_DISCOVERY": f"127.0.0.1:{d.port}",
+        "NODE_CONFIG": str(config),
+    }
+    command = [sys.executable, "-m", "finchladder"]
+    with (tmp_path / "log").open("wb") as log:
+        return await asyncio.create_subprocess_exec(*command, env=env, cwd=ROOT, stderr=log)
+
+
+def test_a_silent_discovery_keeps_no_new_process_away(tmp_path: Path) -> None:
+    async def play() -> None:
+        d, port, server = Scripted(nothing), free_port(), RealServer("w1")
+        for listener in (d, server):
+            await listener.open()
+        server.node = port
+        process = await start(tmp_path, port, d, json.loads(list_line(1, [server.entry()], True)))
+        try:
+            while not d.asked:
+                await asyncio.sleep(0)
+            asked, up = time.monotonic(), None
+            while up is None:
+                try:
+                    up = await exchange(port, HEALTH)
+                except OSError:
+                    await asyncio.sleep(0.01)
+            assert up.status == 200 and time.monotonic() - asked < 2.0
+            assert (await exchange(port, request("a1"))).body == b"w1 ran a1"
+        finally:
+            process.kill()
+            await process.wait()
+
+    run(play())
+
+
+def test_sigterm_before_it_is_ready_ends_a_process_well(tmp_path: Path) -> None:
+    async def play() -> None:
+        d, port = Scripted(nothing), free_port()
+        await d.open()
+        process = await start(tmp_path, port, d, json.loads(list_line(1, [entry("w1")], True)))
+        while not d.asked:
+            await asyncio.sleep(0)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    run(play())
+
+
+def test_a_drain_told_by_the_new_discovery_after_sighup_holds_at_once(tmp_path: Path) -> None:
+    """Also where the old one has fallen silent, and the file is written while it has."""
+
+    async def play() -> None:
+        servers = [RealServer("w1"), RealServer("w2")]
+        async with node(tmp_path, *servers) as n:
+            new = Discovery()
+            await new.open()
+            new.first = list_line(7, [servers[0].entry("draining")])
+            file = json.loads(n.config.read_text())
+            n.config.write_text(json.dumps(file | {"discovery": f"127.0.0.1:{new.port}"}))
+            n.process.send_signal(signal.SIGHUP)
+            while not new.asked:
+                await asyncio.sleep(0)
+            new.push(b"}")  # the next watch tells that it was read
+            while len(new.asked) < 2:
+                await asyncio.sleep(0)
+            assert new.asked[-1].endswith("index=7")
+            for i in range(6):
+                assert (await n.ask(f"a{i}", f"/s/k{i}")).body == b"w2 ran a%d" % i
+            assert not servers[0].got
+
+    run(play())
