A client that has gone gets no attempt, and a process has left before SIGKILL may come

(1) `Front._job` never asked whether the client was still there: a request and its end, both unread while the process was held up, led to an attempt. (2) IOStream stops to listen once something unasked was read (`_handle_events`: only while the read buffer is empty), so a client that had sent half a request behind its first and then left was never seen to leave. (3) IDLE_STAYS of 1.8 s and GONE_BY of 3.5 s were fixed: with deadlines of 1 s idle connections outlived SIGKILL. (4) A close after `Connection: close` over unread bytes is a reset. (5) Between the last look and the end of the process connections were still accepted by the system, and then reset.

The simulator's network learns to half-close.

--- a/finchladder/net/clients.py
+++ b/finchladder/net/clients.py
@@ -12,7 +12,6 @@
 
 from finchladder.core.bodies import BodyRoom, Reservation
 from finchladder.core.edges import EdgeTable
-from finchladder.core.leaving import IDLE_STAYS
 from finchladder.net.edge import EdgeConnection
 from finchladder.net.front import Front
 from finchladder.net.gate import STAMPS
@@ -34,12 +33,12 @@
             front.gate.opens, front.gate.ends = self._begin, self._end
 
     def add_socket(self, listening: socket.socket) -> None:
+        self.listening.append(listening)
         if self.front.gate is None:
             self.stops.append(add_accept_handler(listening, self._accepted))
             return
         with suppress(OSError):  # then a message counts as new when it is looked at
             listening.setsockopt(socket.SOL_SOCKET, STAMPS, 1)  # accepted connections inherit it
-        self.listening.append(listening)
         self.stops.append(self._listen(listening))
 
     def stop(self) -> None:
@@ -131,7 +130,7 @@
         intake.leave()
         if self.front.gate is not None:
             self.front.gate.leave()
-        await asyncio.sleep(IDLE_STAYS)
+        await asyncio.sleep(intake.leaving.stays_s)
         while True:
             over, stays = not intake.flows.open, False
             for edge in list(self.edges):
@@ -141,6 +140,20 @@
                     stays = True  # also where a request has come that was not looked at yet
                 elif not edge.calls_back:
                     self._end(edge)
-            if over and not stays:
+            if over and not stays and not self._last_ones():
                 return
             await asyncio.sleep(0.02)
+
+    def _last_ones(self) -> bool:
+        """Listens no more. True: some had connected, and nobody had looked; they are still to be heard."""
+        before = len(self.edges)
+        self.stop()
+        for listening in self.listening:
+            with suppress(OSError):  # until there is none; then whoever comes is refused, and goes elsewhere
+                while True:
+                    connection, address = listening.accept()
+                    connection.setblocking(False)
+                    self._accepted(connection, address)
+            listening.close()
+        self.listening.clear()
+        return len(self.edges) > before
--- a/finchladder/net/edge.py
+++ b/finchladder/net/edge.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable
+from contextlib import suppress
 from typing import Protocol
 
 from finchladder.core.bodies import NoRoom, Reservation
@@ -10,6 +11,8 @@
 from finchladder.net.control import Dump, Reply
 from finchladder.net.flows import Answer, Flow
 from finchladder.net.http1 import (
+    MAX_BODY,
+    MAX_HEAD,
     PIECE,
     READ,
     BadMessage,
@@ -18,6 +21,7 @@
     Parser,
     Stream,
     StreamClosedError,
+    departed,
     parse_request,
     silent,
     write_head,
@@ -29,7 +33,8 @@
 FIRST_WITHIN = 2.0  # from a connection's start to its first message's last byte; 3 s are owed
 MESSAGE_WITHIN = 2.0  # from a message's first byte to its last
 ANSWER_WITHIN = 10.0  # a client must read
-LINGER = 0.5  # for reading what a client still sends of a request that was turned away
+AHEAD = MAX_HEAD + MAX_BODY  # of a next message, while one is worked on: behind it the client may leave
+LINGER = 0.5  # for what a client still sends on a connection that is closed to it
 
 
 class Gatekeeper(Protocol):
@@ -87,6 +92,7 @@
         """To be called once, before anything is read."""
         stream = Stream(self.socket, max_buffer_size=4 * PIECE, read_chunk_size=READ)
         stream.watched = self.desk.keeper is not None
+        stream.attends = 0 if stream.watched else AHEAD
         self.channel = Channel(stream, Parser(parse_request, limit_of))
         self.opened = True
         stream.set_close_callback(self._closed)
@@ -95,6 +101,10 @@
     def closed(self) -> bool:
         return self.channel.stream.closed() if self.opened else self.socket.fileno() < 0
 
+    def departed(self) -> bool:
+        """Whether its client has closed it, though nobody was told yet: asked before a job is taken."""
+        return self.over or self.channel.stream.closed() or departed(self.channel.stream.socket)
+
     def close(self) -> None:
         if self.opened:
             self.channel.close()
@@ -170,6 +180,7 @@
                 message = await self._read()
             while await self._work(*message):
                 message = await self._read()
+            await self._linger()
         except BadMessage as e:
             await self._turn_away(e)
         except NoRoom:
@@ -246,20 +257,25 @@
         return not head.keeps or (self.intake.leaving.closing(self.clock()) and not self.calls_back)
 
     async def _turn_away(self, e: BadMessage) -> None:
-        """Bytes that were never read would turn the closing into a reset that overtakes the answer.
-
-        The connection is closed: whoever sends again as soon as it is turned away has to connect again.
-        """
+        """The connection is closed: whoever sends again as soon as it is turned away has to connect again."""
         self.worth = Worth.NEW
         self.body.hold(0)
         self.table.wait(self, self.worth)
         fields = {405: (f"Allow: {e.allow}",), 503: ("Retry-After: 1",)}.get(e.status, ())
-        try:
+        with suppress(StreamClosedError, OSError):
             await self.channel.write(write_response(e.status, f"{e}\n".encode(), fields, close=True))
-            if self.channel.stream.reading():  # given up when its time was over: no other read may begin
-                return
+            if not self.channel.stream.reading():  # given up when its time was over: no other may begin
+                await self._linger()
+
+    async def _linger(self) -> None:
+        """The last answer is written: shuts this side, and reads on for a while what is never looked at.
+
+        A close over unread bytes would be a reset, which overtakes that answer.
+        """
+        stream = self.channel.stream
+        self.table.wait(self, Worth.NEW)
+        with suppress(StreamClosedError, OSError, TimeoutError):
+            stream.socket.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(LINGER):
                 for _ in range(64):
-                    await self.channel.stream.read_bytes(65536, partial=True)
-        except (StreamClosedError, OSError, TimeoutError):
-            pass
+                    await stream.read_bytes(65536, partial=True)
--- a/finchladder/net/front.py
+++ b/finchladder/net/front.py
@@ -7,7 +7,7 @@
 from finchladder.net.edge import EdgeConnection
 from finchladder.net.flows import Answer, Flow
 from finchladder.net.gate import Gate
-from finchladder.net.http1 import BadMessage, Head
+from finchladder.net.http1 import BadMessage, Head, StreamClosedError
 from finchladder.net.intake import Intake, Repeated
 from finchladder.net.messages import (
     CALL_BACK,
@@ -90,6 +90,8 @@
                     edge.used(Worth.ASKED)
                     return reply_of(Answer("refused", retry_after=retry_after_s))
             message = HttpMessage(head.method, head.target, head.headers, body)
+            if edge.departed():  # what it asked for is not wanted any more, and nothing is sent for it
+                raise StreamClosedError()
             deadline = self.intake.deadline(left_s)
             flow = Flow(id, job_class, key, facts, message, deadline, edge.deliver)
             if route is not None:
--- a/finchladder/net/http1.py
+++ b/finchladder/net/http1.py
@@ -5,8 +5,9 @@
 from asyncio import Future
 from collections.abc import Awaitable, Callable
 from functools import lru_cache
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 MAX_HEAD = 8 * 1024
@@ -307,6 +308,16 @@
 
     short = False  # the last read was not filled: nothing more was there
     watched = False
+    attends = 0  # bytes that may be read ahead, unasked, to see the peer's end behind them; 0: none
+
+    def _handle_events(self, fd: Any, events: int) -> None:
+        """IOStream stops to listen once something unasked was read, and would not see the end behind it."""
+        super()._handle_events(fd, events)
+        if self.attends and self._state is not None and not self.closed():
+            if self._read_buffer_size > self.attends:
+                self.close()  # whoever sends so much unasked can't be heard to leave
+            elif not self._state & IOLoop.READ:
+                self._add_io_state(IOLoop.READ)
 
     def put(self, data: bytes) -> Future[None] | None:
         """None: the last byte is written. Else what waits for that, or StreamClosedError."""
@@ -352,6 +363,16 @@
     return False
 
 
+def departed(connection: socket.socket) -> bool:
+    """Whether the peer has ended or reset it, as far as nothing unread lies before that."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class Channel:
     """One connection: a stream and the parser of what comes on it."""
 
@@ -441,6 +462,6 @@
 
 __all__ = [
     "MAX_BODY", "PIECE", "READ", "BadMessage", "Body", "Channel", "Connect", "Head", "Headers", "Parser",
-    "Stream", "StreamClosedError", "connect", "parse_request", "parse_response", "silent", "write_head",
-    "write_request", "write_response",
+    "Stream", "StreamClosedError", "connect", "departed", "parse_request", "parse_response", "silent",
+    "write_head", "write_request", "write_response",
 ]  # fmt: skip
--- a/finchladder/net/node.py
+++ b/finchladder/net/node.py
@@ -116,7 +116,8 @@
         drawn = Random(f"{seed}/discovery")
         self.service.recalls = Recalls(callers, drawn, rules.away_s, rules.retry_s)
         classes = {c.name for c in setup.settings.classes}
-        self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, Leaving(), sockets)
+        leaving = Leaving(max(c.deadline for c in setup.settings.classes))
+        self.intake = Intake(classes, self.flows, self.module, self.timers, arrivals, leaving, sockets)
         self.reload: Reload | None = None
         if file is not None:
             self.reload = Reload(file.loaded, file.read, machine.aside, self._hold)
--- a/finchladder/sim/network.py
+++ b/finchladder/sim/network.py
@@ -98,7 +98,7 @@
 
     __slots__ = (
         "net", "host", "address", "peer", "pipe", "handler", "inbox", "ended", "error", "closed", "up",
-        "number", "taken", "sent", "writes", "struck",
+        "number", "taken", "sent", "writes", "struck", "shut",
     )  # fmt: skip
 
     def __init__(self, net: "Network", host: str, address: tuple[str, int], number: int) -> None:
@@ -109,7 +109,7 @@
         self.inbox = bytearray()
         self.ended = False  # the other side's end has come
         self.error = 0  # errno
-        self.closed = False
+        self.closed = self.shut = False  # wholly, or for its own writes
         self.up = False
         self.taken = self.sent = 0  # bytes read, and bytes given to the network, since the beginning
         self.writes: deque[tuple[int, float]] | None = None  # where each write began and when, if it is kept
@@ -155,6 +155,8 @@
             raise OSError(self.error if not self.ended else errno.EPIPE, "broken")
         if self.closed:
             raise OSError(errno.EBADF, "closed")
+        if self.shut:
+            raise OSError(errno.EPIPE, "shut")
         taken = min(len(data), self.space) if self.up else 0
         if not taken:
             raise BlockingIOError(errno.EAGAIN, "no room")
@@ -174,6 +176,14 @@
 
     # --- ends
 
+    def shutdown(self) -> None:
+        """Of its own writes: what was written arrives, and then its end. It may still read."""
+        if self.closed or self.error or not self.up:
+            raise OSError(errno.ENOTCONN, "not connected")
+        if not self.shut:
+            self.shut = True
+            self.net.end(self)
+
     def close(self) -> None:
         """In good order: what was written still arrives. With bytes unread it is a reset."""
         if self.closed:
@@ -372,10 +382,14 @@
 
     # --- ends
 
+    def end(self, end: End) -> None:
+        self._forward(end, Segment(b""))
+
     def shut(self, end: End) -> None:
         if not end.up:
             return
-        self._forward(end, Segment(b""))
+        if not end.shut:
+            self.end(end)
         self._leave(end)
 
     def _leave(self, end: End) -> None:
--- a/finchladder/sim/sockets.py
+++ b/finchladder/sim/sockets.py
@@ -81,6 +81,11 @@
         self.end = self.net.connect(self.host, self.ip, (address[0], address[1]), self)
         raise BlockingIOError(errno.EINPROGRESS, "in progress")
 
+    def shutdown(self, how: int) -> None:
+        if how != socket.SHUT_WR or self.end is None:
+            raise OSError(errno.EINVAL, "only the own writes of a connection")
+        self.end.shutdown()
+
     def accept(self) -> tuple["VirtualSocket", tuple[str, int]]:
         if not self.waiting:
             raise BlockingIOError(errno.EAGAIN, "nobody there")
