--- a/finchladder/cli/front.py
+++ b/finchladder/cli/front.py
@@ -57,7 +57,7 @@
     lines = "\n".join(f"  {name:12}{text}" for name, text in COMMANDS.items())
     top = argparse.ArgumentParser(
         "finchladder",
-        description="A dispatcher for roster jobs.",
+        description="A dispatcher for jobs.",
         epilog=f"commands:\n{lines}",
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -131,7 +131,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     monkeypatch.setenv("NODE_CONFIG", str(ROOT / "example" / "config.json"))
-    deployed = str(ROOT / "deploy" / "montevideo-central.ini")
+    deployed = str(ROOT / "deploy" / "operator.ini")
     front.main(["config", "convert", deployed])
     text = capsys.readouterr().out
     assert tomllib.loads(text) == {"capture": {"ring_bytes": 786432}} and "# The settings of" in text
