--- a/finchladder/core/stages.py
+++ b/finchladder/core/stages.py
@@ -1,4 +1,4 @@
-"""The stages of a scheduling, and what can follow what.
+"""The stages of an attempt, and what can follow what.
 
 - Before it is written, a job certainly did not run there. From then on it may have: when unsure, it was
   written.
@@ -66,4 +66,4 @@
     try:
         return TABLE[stage, step]
     except KeyError:
-        raise ValueError(f"a scheduling that is {stage.value} can't {step.value}") from None
+        raise ValueError(f"an attempt that is {stage.value} can't {step.value}") from None
--- a/finchladder/features/status.py
+++ b/finchladder/features/status.py
@@ -17,7 +17,7 @@
     Ending.TIMED_OUT: "timed_out",
     Ending.CANCELLED: "timed_out",  # given up, as nobody waits for it any more
 }
-# where no scheduling says more: by the kind of the final answer. `left`: the client did not wait for one
+# where no attempt says more: by the kind of the final answer. `left`: the client did not wait for one
 NEVER_SENT = {"refused": "returned", "left": "timed_out", "failed": "failed", "served": "done"}
 
 
@@ -35,9 +35,9 @@
 
     def __init__(self, job_class: str) -> None:
         self.job_class, self.state = job_class, "waiting"
-        self.server: str | None = None  # of the last scheduling
+        self.server: str | None = None  # of the last attempt
         self.share = 0.0
-        self.ending: Ending | None = None  # of the last scheduling
+        self.ending: Ending | None = None  # of the last attempt
         self.ended_at = 0.0
 
 
@@ -61,7 +61,7 @@
             e.state, e.server, e.share, e.ending = "waiting", server, 0.0, None
 
     def told(self, now: float, id: str, server: str, state: str, share: float) -> None:
-        """What a real server says of a job. News of an earlier scheduling of it counts for nothing."""
+        """What a real server says of a job. News of an earlier attempt of it counts for nothing."""
         e = self.open.get(id)
         if e is not None and e.server == server and e.ending is None and state in NEWS:
             if state == "running":
@@ -76,7 +76,7 @@
             self.over.move_to_end(id)
 
     def ended(self, id: str, server: str, ending: Ending) -> None:
-        """The end of a scheduling, which the job may outlive: it waits again then."""
+        """The end of an attempt, which the job may outlive: it waits again then."""
         e = self.open.get(id)
         if e is None or e.ending is Ending.OK or (e.server != server and ending is not Ending.OK):
             return
@@ -84,7 +84,7 @@
         e.state, e.share = ("done", 1.0) if ending is Ending.OK else ("waiting", e.share)
 
     def finished(self, now: float, id: str, kind: str) -> None:
-        """The final answer was given or can't be any more, and no scheduling is out."""
+        """The final answer was given or can't be any more, and no attempt is out."""
         if (e := self.open.pop(id, None)) is None:
             return
         e.state = ENDS[e.ending] if e.ending in ENDS else NEVER_SENT[kind]
--- a/finchladder/net/flows.py
+++ b/finchladder/net/flows.py
@@ -1,4 +1,4 @@
-"""Flows and their schedulings: records that the actors share. They know no client protocol."""
+"""Flows and their attempts: records that the actors share. They know no client protocol."""
 
 import time
 from collections.abc import Callable
@@ -35,7 +35,7 @@
     def close(self) -> None: ...
 
 
-class Scheduling:
+class Attempt:
     """One attempt of a flow at one real server. It ends exactly once, in servers.py."""
 
     __slots__ = (
@@ -68,7 +68,7 @@
 
 @dataclass(slots=True, eq=False)
 class Flow:
-    """One request of a client, from its last byte to its final answer and its last scheduling's end."""
+    """One request of a client, from its last byte to its final answer and its last attempt's end."""
 
     id: str
     job_class: str
@@ -81,7 +81,7 @@
     repeat: bool = False  # its client marks it as asked for before
     since: float = 0.0  # when it was taken
     answer: Answer | None = None
-    schedulings: list[Scheduling] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     timer: Callable[[], None] | None = None
 
     def request(self, now: float) -> api.Request:
@@ -94,7 +94,7 @@
 
 
 class Flows:
-    """All flows that are open or have a scheduling out, by the id of their request."""
+    """All flows that are open or have an attempt out, by the id of their request."""
 
     def __init__(
         self, status: JobStatus | None = None, clock: Callable[[], float] = time.monotonic, sockets: int = 0
@@ -129,13 +129,13 @@
     def forget_if_over(self, flow: Flow) -> None:
         if flow.answer is None:
             return
-        for s in flow.schedulings:
+        for s in flow.attempts:
             if not s.ended:
                 return
         if self.by_id.pop(flow.id, None) is not None:
             self.ended[flow.id] = None
             # they lead back to it: without them it goes at once, and needs no collector
-            flow.schedulings, flow.timer = [], None
+            flow.attempts, flow.timer = [], None
             if self.status is not None:
                 self.status.finished(self.clock(), flow.id, flow.answer.kind)
             if len(self.ended) > self.remembered:
--- a/finchladder/net/module.py
+++ b/finchladder/net/module.py
@@ -11,7 +11,7 @@
 from finchladder.core.guarded import Decisions, NewRoutes
 from finchladder.core.policy import SWEEP
 from finchladder.net.actor import Actor
-from finchladder.net.flows import Answer, Flow, Flows, Scheduling
+from finchladder.net.flows import Answer, Attempt, Flow, Flows
 
 ROOM = 16384
 
@@ -32,8 +32,8 @@
 class Carrier(Protocol):
     """Where sends and cancels go."""
 
-    def schedule(self, scheduling: Scheduling) -> None: ...
-    def withdraw(self, scheduling: Scheduling) -> None: ...
+    def send(self, attempt: Attempt) -> None: ...
+    def withdraw(self, attempt: Attempt) -> None: ...
 
 
 class Tap(Protocol):
@@ -46,14 +46,14 @@
 
 
 class Ending:
-    """A scheduling's end on its way to the module; whether the flow is finished shows when it is handled."""
+    """An attempt's end on its way to the module; whether the flow is finished shows when it is handled."""
 
-    __slots__ = ("scheduling", "ending", "took", "report")
+    __slots__ = ("attempt", "ending", "took", "report")
 
     def __init__(
-        self, s: Scheduling, ending: api.Ending, took: float, report: dict[str, float] | None
+        self, s: Attempt, ending: api.Ending, took: float, report: dict[str, float] | None
     ) -> None:
-        self.scheduling, self.ending, self.took, self.report = s, ending, took, report
+        self.attempt, self.ending, self.took, self.report = s, ending, took, report
 
 
 Item = api.Event | NewRoutes | Flow | Ending
@@ -89,7 +89,7 @@
                 return
             event: api.Event | NewRoutes = item.request(now)
         elif isinstance(item, Ending):
-            s = item.scheduling
+            s = item.attempt
             finished = s.flow.answer is not None
             event = api.Ended(s.flow.id, s.number, item.ending, finished, item.took, item.report)
         else:
@@ -145,14 +145,14 @@
         if isinstance(action, api.Send):
             until = min(flow.deadline, now + action.timeout) if action.timeout > 0 else flow.deadline
             begins_by = now + action.within if action.within > 0 else math.inf
-            scheduling = Scheduling(flow, len(flow.schedulings), action.worker, now, until, begins_by)
-            flow.schedulings.append(scheduling)
+            attempt = Attempt(flow, len(flow.attempts), action.worker, now, until, begins_by)
+            flow.attempts.append(attempt)
             if self.flows.status is not None:
                 self.flows.status.sent(flow.id, action.worker)
-            self.carrier.schedule(scheduling)
+            self.carrier.send(attempt)
         elif isinstance(action, api.Cancel):
-            if action.attempt < len(flow.schedulings):
-                self.carrier.withdraw(flow.schedulings[action.attempt])
+            if action.attempt < len(flow.attempts):
+                self.carrier.withdraw(flow.attempts[action.attempt])
         elif isinstance(action, api.Refuse):
             self.flows.finish(flow, Answer("refused", retry_after=action.retry_after))
         else:
@@ -162,7 +162,7 @@
         """An error inside the decisions must not leave the flow that it concerns without an answer."""
         flow = item if isinstance(item, Flow) else None
         if isinstance(item, Ending):
-            flow = item.scheduling.flow
+            flow = item.attempt.flow
         elif isinstance(item, api.Started | api.Progress):
             flow = self.flows.by_id.get(item.request)
         if flow is not None:
--- a/finchladder/net/servers.py
+++ b/finchladder/net/servers.py
@@ -1,4 +1,4 @@
-"""Real servers: an actor for each, with its connections, its schedulings and their ends."""
+"""Real servers: an actor for each, with its connections, its attempts and their ends."""
 
 import asyncio
 from contextlib import AsyncExitStack
@@ -14,7 +14,7 @@
 from finchladder.core.trust import Trust
 from finchladder.net import http1
 from finchladder.net.actor import Actor
-from finchladder.net.flows import Answer, Flows, Scheduling
+from finchladder.net.flows import Answer, Attempt, Flows
 from finchladder.net.http1 import Connect, Head, StreamClosedError
 from finchladder.net.lines import KeptLines, Line
 from finchladder.net.messages import CallBack
@@ -35,7 +35,7 @@
 
 
 class Withdrawal(NamedTuple):
-    scheduling: Scheduling
+    attempt: Attempt
 
 
 def load_report(head: Head) -> dict[str, float] | None:
@@ -65,13 +65,13 @@
 class Order:
     """A job on its way to a real server, from the line's point of view."""
 
-    __slots__ = ("server", "scheduling", "line")
+    __slots__ = ("server", "attempt", "line")
 
-    def __init__(self, server: "RealServer", scheduling: Scheduling, line: Line) -> None:
-        self.server, self.scheduling, self.line = server, scheduling, line
+    def __init__(self, server: "RealServer", attempt: Attempt, line: Line) -> None:
+        self.server, self.attempt, self.line = server, attempt, line
 
     def answered(self, head: Head) -> None:
-        s = self.scheduling
+        s = self.attempt
         s.connection = None
         ending = outcome(head)
         if ending is None:
@@ -82,7 +82,7 @@
             self.server.end(s, ending, load_report(head))
 
     def broke(self, written: bool) -> None:
-        s = self.scheduling
+        s = self.attempt
         s.connection = None
         if not written:
             s.step(Step.BREAK)
@@ -101,7 +101,7 @@
         pass
 
 
-class RealServer(Actor[Scheduling | Withdrawal | CallBack]):
+class RealServer(Actor[Attempt | Withdrawal | CallBack]):
     def __init__(
         self, name: str, address: tuple[str, int], flows: Flows, module: ModuleActor, timers: Timers,
         connect_timeout: float, trust: Trust, all_in_use: Places, kept: KeptLines, connect: Connect,
@@ -113,7 +113,7 @@
         self.flows, self.module, self.clock, self.timers = flows, module, module.clock, timers
         self.connect_timeout, self.trust, self.kept = connect_timeout, trust, kept
         self.ready = True
-        self.live: dict[str, Scheduling] = {}
+        self.live: dict[str, Attempt] = {}
         self.idle: list[Line] = []  # the one used last is the last
         self.busy = 0
         self.in_use, self.all_in_use = Places(each), all_in_use
@@ -129,29 +129,29 @@
 
     # --- what the mailbox brings --------------------------------------------------------------------------
 
-    def receive(self, item: Scheduling | Withdrawal | CallBack) -> None:
-        if isinstance(item, Scheduling):
+    def receive(self, item: Attempt | Withdrawal | CallBack) -> None:
+        if isinstance(item, Attempt):
             self._begin(item)
         elif isinstance(item, Withdrawal):
-            self.end(item.scheduling, E.CANCELLED)
+            self.end(item.attempt, E.CANCELLED)
         else:
             self._called_back(item)
 
-    def failed(self, item: Scheduling | Withdrawal | CallBack) -> None:
+    def failed(self, item: Attempt | Withdrawal | CallBack) -> None:
         if isinstance(item, CallBack):
             s = self.live.get(item.id)
         else:
-            s = item.scheduling if isinstance(item, Withdrawal) else item
+            s = item.attempt if isinstance(item, Withdrawal) else item
         if s is not None:
             self.broke(s)
 
-    def _begin(self, s: Scheduling) -> None:
+    def _begin(self, s: Attempt) -> None:
         if (
             not self.ready
             or s.flow.id in self.live
-            or any(other is not s and other.worker == s.worker for other in s.flow.schedulings)
+            or any(other is not s and other.worker == s.worker for other in s.flow.attempts)
         ):
-            # a late call-back about the first scheduling here could not be told from one about the second
+            # a late call-back about the first attempt here could not be told from one about the second
             return self.end(s, E.VOID)
         self.live[s.flow.id] = s
         self.timers.put(s, s.until, partial(self.end, s, E.TIMED_OUT))
@@ -179,14 +179,14 @@
         else:
             self.log.bind(id=c.id).warning("{}: unknown job state {!r}", self.name, c.state[:40])
 
-    def begun(self, s: Scheduling) -> None:
+    def begun(self, s: Attempt) -> None:
         """The first that is heard of a job after its send."""
         if self.module.starts is not None and not s.number:
             self.module.starts(self.clock() - s.flow.since)
 
-    # --- the life of a scheduling -------------------------------------------------------------------------
+    # --- the life of an attempt -------------------------------------------------------------------------
 
-    async def _carry(self, s: Scheduling) -> None:
+    async def _carry(self, s: Attempt) -> None:
         try:
             line = await self._line()
         except (StreamClosedError, OSError, TimeoutError):
@@ -195,12 +195,12 @@
             self._write(s, line)
         except Exception:
             self.log.bind(**{"id": s.flow.id, "class": s.flow.job_class}).exception(
-                "{}: a scheduling died", self.name
+                "{}: an attempt died", self.name
             )
             line.close()
             self.broke(s)
 
-    def _write(self, s: Scheduling, line: Line) -> None:
+    def _write(self, s: Attempt, line: Line) -> None:
         if s.ended:
             return self._free(line)
         # looked at again right before the write: waiting for a connection took time
@@ -212,7 +212,7 @@
         s.step(Step.WRITE)
         line.begin(Order(self, s, line), request)
 
-    def broke(self, s: Scheduling) -> None:
+    def broke(self, s: Attempt) -> None:
         if not s.ended:
             self.end(s, MEANINGS[s.stage].broken)
 
@@ -221,9 +221,9 @@
         return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
     def end(
-        self, s: Scheduling, ending: E, report: dict[str, float] | None = None, result: bytes = b""
+        self, s: Attempt, ending: E, report: dict[str, float] | None = None, result: bytes = b""
     ) -> None:
-        """Every scheduling ends here, and only its first end counts."""
+        """Every attempt ends here, and only its first end counts."""
         if s.ended:
             return
         give_up = MEANINGS[s.stage].give_up
@@ -252,12 +252,12 @@
 
     def _told(self, ended: Ending) -> None:
         self.module.tell(ended)
-        self.flows.forget_if_over(ended.scheduling.flow)
+        self.flows.forget_if_over(ended.attempt.flow)
 
     async def _give_up_first(self, ended: Ending) -> None:
         """Where no two attempts may be out together: the module hears of the end, and may send the job
         elsewhere, once its DELETE is written. A real server that can't be reached may still run it."""
-        flow = ended.scheduling.flow
+        flow = ended.attempt.flow
         while not await self._give_up(flow.id) and flow.answer is None and self.clock() < flow.deadline:
             await asyncio.sleep(GIVE_UP_EVERY)
         self._told(ended)
@@ -398,19 +398,19 @@
         )  # fmt: skip
         return actor
 
-    def schedule(self, scheduling: Scheduling) -> None:
-        actor = self.actors.get(scheduling.worker)
+    def send(self, attempt: Attempt) -> None:
+        actor = self.actors.get(attempt.worker)
         if actor is not None:
-            actor.post(scheduling)
+            actor.post(attempt)
         else:
-            scheduling.step(Step.END)
+            attempt.step(Step.END)
             if self.flows.status is not None:
-                self.flows.status.ended(scheduling.flow.id, scheduling.worker, E.VOID)
-            self.module.tell(Ending(scheduling, E.VOID, 0.0, None))
+                self.flows.status.ended(attempt.flow.id, attempt.worker, E.VOID)
+            self.module.tell(Ending(attempt, E.VOID, 0.0, None))
 
-    def withdraw(self, scheduling: Scheduling) -> None:
-        if (actor := self.actors.get(scheduling.worker)) is not None:
-            actor.post(Withdrawal(scheduling))
+    def withdraw(self, attempt: Attempt) -> None:
+        if (actor := self.actors.get(attempt.worker)) is not None:
+            actor.post(Withdrawal(attempt))
 
     def called_back(self, c: CallBack) -> None:
         if (actor := self.actors.get(c.sender)) is not None:
--- a/finchladder/sim/coverage.py
+++ b/finchladder/sim/coverage.py
@@ -1,4 +1,4 @@
-"""Which kinds of fault met which stages of a scheduling: where a search has been, and where it has not."""
+"""Which kinds of fault met which stages of an attempt: where a search has been, and where it has not."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -9,7 +9,7 @@
 from finchladder.sim.plan import KINDS
 
 if TYPE_CHECKING:
-    from finchladder.net.flows import Scheduling
+    from finchladder.net.flows import Attempt
     from finchladder.sim.run import Run
 
 NOTHING, HELD, STARTED, LEAVING = "no flow", "held", "started", "leaving"
@@ -17,9 +17,9 @@
 
 
 class Coverage:
-    """Counted as a fault strikes: the stage of each scheduling concerned, at the dispatchers concerned.
+    """Counted as a fault strikes: the stage of each attempt concerned, at the dispatchers concerned.
 
-    `held`: a flow without a scheduling that is out. `started`: accepted, and its start was told. `leaving`:
+    `held`: a flow without an attempt that is out. `started`: accepted, and its start was told. `leaving`:
     the dispatcher had its SIGTERM.
     """
 
@@ -40,7 +40,7 @@
             for flow in p.node.flows.by_id.values():
                 if target.startswith("j") and flow.id != target:
                     continue
-                out = [s for s in flow.schedulings if not s.ended and (not servers or s.worker in servers)]
+                out = [s for s in flow.attempts if not s.ended and (not servers or s.worker in servers)]
                 for s in out:
                     found[self.stage(s, p.node.dispatcher.jobs)] += 1
                 found[HELD] += not out and not servers and flow.answer is None
@@ -49,7 +49,7 @@
         for column, count in found.items():
             self.counts[kind, column] += count
 
-    def stage(self, s: "Scheduling", jobs: dict[str, Job]) -> str:
+    def stage(self, s: "Attempt", jobs: dict[str, Job]) -> str:
         job = jobs.get(s.flow.id)
         attempts = job.attempts[s.number :] if job is not None else []
         if s.stage is Stage.ACCEPTED and attempts and attempts[0].started is not None:
--- a/finchladder/sim/inner.py
+++ b/finchladder/sim/inner.py
@@ -126,7 +126,7 @@
         if open_ != node.flows.open:
             self.found("tables", f"{node.flows.open} flows count as open, {open_} are")
         for flow in node.flows.by_id.values():
-            if flow.answer is not None and all(s.ended for s in flow.schedulings):
+            if flow.answer is not None and all(s.ended for s in flow.attempts):
                 self.found("tables", f"{flow.id} is over and still in the table")
         for actor in node.servers.actors.values():
             for id, s in actor.live.items():
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -23,7 +23,7 @@
 from finchladder.core.stages import Stage
 from finchladder.net import clients, edge, gate, http1, messages, servers
 from finchladder.net.control import Controls
-from finchladder.net.flows import Answer, Flow, Flows, Scheduling
+from finchladder.net.flows import Answer, Attempt, Flow, Flows
 from finchladder.net.front import Front
 from finchladder.net.gate import Gate, plain_job
 from finchladder.net.http1 import Parser
@@ -561,7 +561,7 @@
         for number, id in enumerate(("r1", "r1", "r2")):
             flow = flow_of(flows, [])
             flow.id, flow.since = id, module.clock() - 5
-            group.schedule(Scheduling(flow, number % 2, "w1", module.clock(), module.clock() + 9))
+            group.send(Attempt(flow, number % 2, "w1", module.clock(), module.clock() + 9))
             while group.actors["w1"].live[id].stage is not Stage.ACCEPTED:
                 await asyncio.sleep(0.005)
             if tells_start:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -17,7 +17,7 @@
 from finchladder.features.arrivals import Arrivals
 from finchladder.net import clients, http1, messages, servers, service
 from finchladder.net.control import Controls
-from finchladder.net.flows import Answer, Flow, Flows, Scheduling
+from finchladder.net.flows import Answer, Attempt, Flow, Flows
 from finchladder.net.front import Front
 from finchladder.net.http1 import BadMessage, Head, Headers, Parser
 from finchladder.net.intake import Intake, Repeated
@@ -228,7 +228,7 @@
     return clients.Clients(Front(taking, controls, lambda: True, lambda c: None), bodies, 128)
 
 
-class Watched(Scheduling):
+class Watched(Attempt):
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.steps: list[Step] = []
@@ -294,14 +294,14 @@
 
         group = servers.RealServers(flows, module, Timers(Clock()), 5, 30.0, 128, connect_late)
         group.update(api.WorkerList(api.ListKind.WHOLE, (entry("w1"),)), address)
-        scheduling = Watched(flow_of(flows, []), 0, "w1", 0.0, 1e12)
-        group.schedule(scheduling)
+        attempt = Watched(flow_of(flows, []), 0, "w1", 0.0, 1e12)
+        group.send(attempt)
         if not connecting:
             drain()
-        while not scheduling.ended:
+        while not attempt.ended:
             await asyncio.sleep(0.01)
         [end] = [t for t in told if isinstance(t, Ending)]
-        assert end.ending is api.Ending.VOID and scheduling.steps == [Step.END]  # and was never written
+        assert end.ending is api.Ending.VOID and attempt.steps == [Step.END]  # and was never written
         listener.close()
 
     asyncio.run(asyncio.wait_for(play(), 20))
@@ -315,10 +315,10 @@
         group = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128, http1.connect)
         server = group._add("w1", ("127.0.0.1", 9))
         flow = flow_of(flows, answers)
-        scheduling = Scheduling(flow, 0, "w1", 0.0, 1e12)
-        flow.schedulings.append(scheduling)
-        server.live[flow.id] = scheduling
-        scheduling.step(Step.WRITE)
+        attempt = Attempt(flow, 0, "w1", 0.0, 1e12)
+        flow.attempts.append(attempt)
+        server.live[flow.id] = attempt
+        attempt.step(Step.WRITE)
         for state in ("done", "lost", "done"):
             server.receive(messages.CallBack("r1", "w1", state, result="x"))
         assert not flows.finish(flow, Answer("failed"))
@@ -399,7 +399,7 @@
 
 
 def test_a_scheduling_that_dies_is_loud_and_ends(monkeypatch: pytest.MonkeyPatch) -> None:
-    def broken(self: servers.RealServer, s: Scheduling) -> None:
+    def broken(self: servers.RealServer, s: Attempt) -> None:
         raise RuntimeError("broken")
 
     async def play() -> None:
@@ -409,12 +409,12 @@
         module.tell = told.append  # type: ignore[assignment]
         group = servers.RealServers(flows, module, Timers(Clock()), 1, 1, 128, http1.connect)
         server = group._add("w1", ("127.0.0.1", 9))
-        server.post(Scheduling(flow_of(flows, []), 0, "w1", 0.0, 1e12))
+        server.post(Attempt(flow_of(flows, []), 0, "w1", 0.0, 1e12))
         while not told:
             await asyncio.sleep(0.01)
         logger.remove(sink)
         assert isinstance(told[0], Ending) and told[0].ending is api.Ending.UNREACHABLE
-        assert any("died on Scheduling" in line for line in log)
+        assert any("died on Attempt" in line for line in log)
 
     monkeypatch.setattr(servers.RealServer, "_begin", broken)
     asyncio.run(play())
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -1,4 +1,4 @@
-"""The stages of a scheduling: every pair, and what each stage means to a job that breaks or is given up."""
+"""The stages of an attempt: every pair, and what each stage means to a job that breaks or is given up."""
 
 import pytest
 
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -31,7 +31,7 @@
     ([*RUNS, ("ended", "a", "w1", E.BROKEN), ("finished", 2.0, "a", "refused")], ("lost", "w1", 0.4)),
     ([*SENT, ("ended", "a", "w1", E.OVERLOADED), ("finished", 2.0, "a", "refused")], ("returned", "w1", 0.0)),
     ([*RUNS, ("ended", "a", "w1", E.TIMED_OUT), ("finished", 2.0, "a", "failed")], ("timed_out", "w1", 0.4)),
-    # the client's leaving is no end while a scheduling is out: what it comes to is shown
+    # the client's leaving is no end while an attempt is out: what it comes to is shown
     ([*RUNS, ("ended", "a", "w1", E.OK), ("finished", 2.0, "a", "left")], ("done", "w1", 1.0)),
     ([*RUNS, ("ended", "a", "w1", E.CANCELLED), ("finished", 2.0, "a", "left")], ("timed_out", "w1", 0.4)),
     ([*FIRST, ("finished", 2.0, "a", "left")], ("timed_out", None, 0.0)),
