A name in KNOWN-RED.txt that no test file defines is refused in plain words on many processes too

Seen by hand: with pytest -n 2 the refusal came from a worker, as an internal error with status 3. Whether the test is defined is looked up in its file before anything is collected, by the process that starts the others; exact cases are still held against what was collected.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,11 +18,20 @@
         raise pytest.UsageError(str(e)) from None
 
 
+def refuse(absent: list[str]) -> None:
+    if absent:
+        raise pytest.UsageError(f"KNOWN-RED.txt names tests that are not there: {', '.join(absent)}")
+
+
+def pytest_configure() -> None:
+    refuse(known_red.undefined(listed(), TESTS.parent))
+
+
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     reds = listed()
     whole = not config.args or any(Path(arg).resolve() in (TESTS, TESTS.parent) for arg in config.args)
-    if whole and (absent := known_red.missing(reds, [item.nodeid for item in items])):
-        raise pytest.UsageError(f"KNOWN-RED.txt names tests that are not there: {', '.join(absent)}")
+    if whole:
+        refuse(known_red.missing(reds, [item.nodeid for item in items]))
     for item in items:
         if (why := known_red.reason(reds, item.nodeid)) is not None:
             item.add_marker(pytest.mark.xfail(reason=why, strict=False))
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,7 +4,9 @@
 fails where the file holds more than three, a line can't be read, or a test that it names is not there.
 """
 
+import ast
 from collections.abc import Collection
+from pathlib import Path
 from typing import NamedTuple
 
 MOST = 3
@@ -31,6 +33,19 @@
     return reds
 
 
+def undefined(reds: Collection[Red], root: Path) -> list[str]:
+    """Those whose file under `root` defines no such test; this needs no collection, so it is clear at once."""
+    absent = []
+    for red in reds:
+        file, _, name = red.test.partition("[")[0].partition("::")
+        path = root / file
+        tree = ast.parse(path.read_text()) if path.is_file() else ast.Module([], [])
+        defined = {node.name for node in ast.walk(tree) if isinstance(node, ast.FunctionDef)}
+        if name.rpartition("::")[2] not in defined:
+            absent.append(red.test)
+    return absent
+
+
 def missing(reds: Collection[Red], collected: Collection[str]) -> list[str]:
     """Those named that are not there; a name without brackets stands for all cases of a test."""
     names = {name.partition("[")[0] for name in collected} | set(collected)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -40,6 +40,7 @@
     assert known_red.reason(reds, "tests/test_a.py::test_green") is None
 
 
+@pytest.mark.parametrize("processes", [(), ("-n", "2")])
 @pytest.mark.parametrize(
     ("reds", "status", "said"),
     [
@@ -49,7 +50,9 @@
         ("\n".join([RED] * 4), 4, "3 at the most"),
     ],
 )
-def test_a_run_passes_over_just_those(tmp_path: Path, reds: str, status: int, said: str) -> None:
+def test_a_run_passes_over_just_those(
+    tmp_path: Path, reds: str, status: int, said: str, processes: tuple[str, ...]
+) -> None:
     (tmp_path / "tests").mkdir()
     for name in ("__init__.py", "conftest.py", "known_red.py"):
         shutil.copy(ROOT / "tests" / name, tmp_path / "tests")
@@ -57,6 +60,7 @@
         "def test_red():\n    assert False\n\n\ndef test_green():\n    pass\n"
     )
     (tmp_path / "KNOWN-RED.txt").write_text(reds)
-    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--rootdir", str(tmp_path)]
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *processes]
+    command += ["--rootdir", str(tmp_path)]
     done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, check=False)
     assert done.returncode == status and said in done.stdout + done.stderr
