--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -34,7 +34,7 @@
 
 
 def undefined(reds: Collection[Red], root: Path) -> list[str]:
-    """Those whose file under `root` defines no such test; this needs no collection, so it is clear at once."""
+    """Those whose file under `root` defines no such test; nothing needs to be collected for that."""
     absent = []
     for red in reds:
         file, _, name = red.test.partition("[")[0].partition("::")
