--- a/tests/peers.py
+++ b/tests/peers.py
@@ -20,6 +20,7 @@
     "caps": FACTS["caps"] | {"connIdleS": 30.0, "connectTimeoutS": 0.3, "peers": False},  # type: ignore[operator]
     "familyInfo": {"classKind": [-1, -1], "tellsStart": True, "progressS": 1.0},
 }
+ACCEPT = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 HEALTH = b"GET /_health HTTP/1.1\r\n\r\n"
 Behaviour = Callable[["RealServer", "Message", asyncio.StreamWriter], Awaitable[None]]
 
@@ -67,11 +68,15 @@
 
 
 async def serve(server: "RealServer", message: Message, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+    writer.write(ACCEPT)
     await server.call_back(message.id, state="started")
     await server.call_back(message.id, state="done", result=f"{server.name} ran {message.id}")
 
 
+async def accept_only(server: "RealServer", message: Message, writer: asyncio.StreamWriter) -> None:
+    writer.write(ACCEPT)
+
+
 class Listener:
     port = 0
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,11 +22,13 @@
 from finchladder.net.control import Reply
 from finchladder.net.front import Front
 from tests.peers import (
+    ACCEPT,
     HEALTH,
     SETTINGS,
     Message,
     Node,
     RealServer,
+    accept_only,
     exchange,
     list_line,
     node,
@@ -35,15 +37,10 @@
     run,
 )  # fmt: skip
 
-ACCEPT = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 SERVICES: list[dict[str, Any]] = SETTINGS["services"]
 CAPS: dict[str, Any] = SETTINGS["caps"]
 
 
-async def accept_only(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
-    writer.write(ACCEPT)
-
-
 async def started(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
     writer.write(ACCEPT)
     await server.call_back(message.id, state="started")
@@ -604,6 +601,33 @@
     asyncio.run(asyncio.wait_for(play(), 20))
 
 
+def test_an_answer_half_written_as_a_dispatcher_leaves_is_written_to_its_end() -> None:
+    """Its client has read the first bytes of what no buffer holds, and reads on once that has begun."""
+    size = 16 * 1024 * 1024
+
+    class Large(Desk):
+        async def answer(self, edge: Any, head: Any, body: bytes) -> Reply:
+            return Reply(200, b"x" * size)
+
+    async def play() -> None:
+        listening, desk = listener(), Large()
+        parts = clients.Clients(cast(Front, desk), BodyRoom(1 << 20, 0), 128)
+        parts.add_socket(listening)
+        reader, writer = await asyncio.open_connection(*listening.getsockname(), limit=4096)
+        writer.write(HEALTH)
+        assert await reader.readexactly(12) == b"HTTP/1.1 200"
+        left = asyncio.create_task(parts.leave())
+        await until(lambda: desk.leaving.begun)
+        await asyncio.sleep(0)
+        assert not left.done()
+        await reader.readuntil(b"\r\n\r\n")
+        assert len(await reader.readexactly(size)) == size
+        writer.close()
+        await left
+
+    asyncio.run(asyncio.wait_for(play(), 20))
+
+
 def test_who_connects_in_the_last_moment_is_answered_and_who_comes_later_refused() -> None:
     raw: list[socket.socket] = []
 
@@ -679,8 +703,9 @@
             before = len(n.discovery.asked)
             await n.discovery.open(n.discovery.port)
             await until(lambda: len(n.discovery.asked) > before)
-            await until(lambda: n.discovery.watches[-1])
-            assert (await n.ask("b1", "/s/k")).status == 200
+            n.discovery.push(b"}")  # the next watch names the list that is in use
+            await until(lambda: n.discovery.asked[-1].endswith("index=9"))
+            assert (await n.ask("b1", "/s/k")).body == b"w3 ran b1"
             for connection in idle:
                 connection.close()
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -13,12 +13,14 @@
 
 from finchladder.config.platform import read_setup
 from tests.peers import (
+    ACCEPT,
     HEALTH,
     ROOT,
     SETTINGS,
     Discovery,
     Message,
     RealServer,
+    accept_only,
     exchange,
     list_line,
     node,
@@ -28,12 +30,6 @@
     serve,
 )  # fmt: skip
 
-ACCEPT = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
-
-
-async def accept_only(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
-    writer.write(ACCEPT)
-
 
 async def start_only(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
     writer.write(ACCEPT)
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -9,8 +9,7 @@
 from finchladder.config.options import StatusOptions
 from finchladder.core.api import Ending as E
 from finchladder.features.status import JobStatus, Shown
-from tests.peers import Message, RealServer, exchange, node, request, run
-from tests.test_sockets import ACCEPT
+from tests.peers import ACCEPT, Message, RealServer, exchange, node, request, run
 
 FIRST = [("taken", 0.0, "a", "u")]
 SENT = [*FIRST, ("sent", "a", "w1")]
--- a/tests/test_unlike_settings.py
+++ b/tests/test_unlike_settings.py
@@ -15,9 +15,7 @@
 
 import pytest
 
-from tests.peers import ROOT, SETTINGS, Message, RealServer, node, request, run
-
-ACCEPT = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+from tests.peers import ACCEPT, ROOT, SETTINGS, Message, RealServer, accept_only, node, request, run
 
 
 def service(
@@ -86,10 +84,6 @@
     writer.write(b"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
 
 
-async def mute(server: RealServer, message: Message, writer: asyncio.StreamWriter) -> None:
-    writer.write(ACCEPT)
-
-
 class Placed(RealServer):
     """One with a place of its own."""
 
@@ -164,7 +158,7 @@
 @BOTH
 def test_a_job_of_which_nothing_is_heard_is_answered_in_its_time(tmp_path: Path, d: Deployment) -> None:
     async def play() -> None:
-        servers = pair(d, mute)
+        servers = pair(d, accept_only)
         async with node(tmp_path, *servers, settings=d.settings) as n:
             began = time.monotonic()
             answer = await n.ask("a1", f"/{d.unsafe}/k1", left="1.0")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -105,6 +105,7 @@
         if workers.kind is not api.ListKind.PATCH:
             self.states = {}
         self.states |= {e.worker: e.state for e in workers.entries}
+        self.born = max((e.born for e in workers.entries), default=0.0)
         self.news.set()
 
     async def until(self, **states: api.State) -> None:
@@ -153,6 +154,17 @@
     run(play())
 
 
+def test_a_whole_list_after_silence_tells_of_a_restart_and_of_one_that_is_missing() -> None:
+    async def play() -> None:
+        d, f = Scripted(said(), said(list_line(3, [entry("w1", since_ms=5000)], True))), Followed()
+        await f.follow(d)
+        await f.until(w1=api.State.READY)  # and w2 is no more
+        assert f.born == 5.0
+        f.actor.stop()
+
+    run(play())
+
+
 def test_a_watch_that_is_reset_after_it_spoke_and_one_that_hangs_then_are_within_it_too() -> None:
     async def play() -> None:
         d, f = Scripted(said(list_line(2, [entry("w2")])), nothing, GOOD), Followed()
