--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 		.venv/bin/pip -q install --no-deps --config-settings editable_mode=compat -e . && \
 		cp requirements.txt .venv/installed; }
 
-.venv-dev/installed: requirements.txt requirements-dev.txt requirements-lab.txt
+.venv-dev/installed: requirements.txt requirements-dev.txt requirements-lab.txt requirements-system.txt
 	test -x .venv-dev/bin/python || python3 -m venv .venv-dev
-	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt -r requirements-lab.txt
+	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt -r requirements-lab.txt \
+		-r requirements-system.txt
 	touch $@
 
 test: .venv-dev/installed
--- /dev/null
+++ b/finchladder/cluster/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Reading, checking and routing by the operator's configuration."""
--- /dev/null
+++ b/finchladder/cluster/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which model is to be where: demand, plan, ledger of loads."""
--- /dev/null
+++ b/finchladder/cluster/process/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, wiring, readiness, shutdown and logs of a process."""
--- /dev/null
+++ b/finchladder/cluster/process/chain_service.py
@@ -0,0 +1,218 @@
+"""A core process's part in the chain: stores what comes down; as head takes writes and confirms the view."""
+
+import asyncio
+
+from attrs import define, field
+
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.tasks import Signal
+from finchladder.cluster.process.voting import Voting
+from finchladder.cluster.replication import chain
+from finchladder.cluster.replication.chain import Keep, NeedState, Refuse, Replica
+from finchladder.cluster.replication.lease import GrantedLease
+from finchladder.cluster.transport.peers import all_of, steady
+from finchladder.cluster.types.errors import ClusterError, PeerRefused
+from finchladder.cluster.types.members import Member, View
+from finchladder.cluster.types.messages import (
+    Ping,
+    Pong,
+    ReadState,
+    Replicate,
+    Replicated,
+    StateReply,
+)  # fmt: skip
+from finchladder.cluster.types.operations import ControlState, Operation
+
+LINK_TIMEOUT_S = 1.2  # for all members behind one
+CONFIRM_S = 0.3
+READ_TIMEOUT_S = 0.4
+
+
+@define
+class ChainService:
+    """`acknowledged` is the newest state that all members of a chain are known to hold; only it is shown
+    outside.
+    """
+
+    voting: Voting
+    lease: GrantedLease
+    acknowledged: ControlState = field(factory=ControlState)
+    changed: Signal = field(factory=Signal)
+    write_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    confirmed_view: int = 0  # as head: the view that its chain has confirmed
+    confirmed_at: float = -1e9  # when a confirmation began that went through, here or above
+
+    @property
+    def view(self) -> View:
+        """The newest decided view."""
+        return self.voting.view
+
+    @property
+    def is_head(self) -> bool:
+        """Whether this process takes writes."""
+        head = self.view.head
+        return head is not None and head.disk_id == self.voting.me.disk_id
+
+    # --- as member ----------------------------------------------------------------------------------------
+
+    async def on_replicate(self, request: Replicate) -> Replicated:
+        """A message from the predecessor."""
+        voting = self.voting
+        began = steady()
+        async with voting.lock:
+            view = voting.view
+            if view.position(voting.me.disk_id) is None:
+                return Replicated(False, view, problem=f"{voting.me.name} is not in the chain")
+            outcome = chain.receive(voting.replica, view.number, request)
+            if isinstance(outcome, Refuse):
+                return Replicated(False, view, problem=f"{voting.me.name}: {outcome.problem}")
+            if isinstance(outcome, NeedState):
+                return Replicated(False, view, needs_state=True)
+            if not isinstance(outcome, Keep):
+                await self._store(outcome.replica)
+            replica = voting.replica
+        operation = None if request.state is not None else request.operation
+        problem = await self._pass_on(view, replica, operation)
+        if problem:
+            return Replicated(False, voting.view, problem=problem)
+        self._acknowledge(replica, view, began)
+        return Replicated(True, view)
+
+    async def _store(self, replica: Replica) -> None:
+        await self.voting.store.save(replica=replica)
+        self.voting.replica = replica
+
+    async def _pass_on(self, view: View, replica: Replica, operation: Operation | None) -> str:
+        """Has all members behind this one store the same; empty if they did, else the problem."""
+        successor = view.successor(self.voting.me.disk_id)
+        if successor is None:
+            return ""
+        sequence = replica.state.sequence
+        reply = await self._send(successor, Replicate(view.number, sequence, operation))
+        if reply.needs_state:
+            reply = await self._send(successor, Replicate(view.number, sequence, None, replica.state))
+        await self.voting.learn(reply.view)
+        return "" if reply.stored else reply.problem or "not stored"
+
+    async def _send(self, successor: Member, request: Replicate) -> Replicated:
+        try:
+            reply = await self.voting.peers.call(successor.peer_address, request, LINK_TIMEOUT_S)
+        except ClusterError as error:
+            return Replicated(False, self.view, problem=str(error))
+        if not isinstance(reply, Replicated):
+            return Replicated(False, self.view, problem=f"unexpected {type(reply).__name__}")
+        return reply
+
+    def _acknowledge(self, replica: Replica, view: View, began: float) -> None:
+        """All members from here to the tail hold it, and those before sent it on after storing it."""
+        self.confirmed_at = max(self.confirmed_at, began)
+        if replica.state_view != view.number or replica.state.sequence < self.acknowledged.sequence:
+            return
+        if replica.state != self.acknowledged:
+            self.acknowledged = replica.state
+            self.changed.fire()
+
+    # --- as head ------------------------------------------------------------------------------------------
+
+    async def confirm(self) -> bool:
+        """Has the whole chain confirm what the head holds; True if all did."""
+        async with self.write_lock:
+            return await self._confirm()
+
+    async def _confirm(self) -> bool:
+        voting, began = self.voting, steady()
+        async with voting.lock:
+            view = voting.view
+            if not self.is_head:
+                return False
+            if voting.replica.state_view != view.number:
+                await self._store(chain.adopt(voting.replica, view.number))
+            replica = voting.replica
+        problem = await self._pass_on(view, replica, None)
+        if problem:
+            event("chain.unconfirmed", view=view.number, problem=problem)
+            return False
+        self._acknowledge(replica, view, began)
+        if self.confirmed_view != view.number:
+            self.confirmed_view = view.number
+            self.lease.confirm(steady())
+            event("chain.confirmed", view=view.number, sequence=replica.state.sequence)
+        return self.view.number == view.number
+
+    async def ready_to_write(self) -> ControlState | None:
+        """With the write lock held: the state that the next write builds on; None if it can't be known."""
+        held = self.voting.replica
+        settled = self.confirmed_view == self.view.number and held.state == self.acknowledged
+        if not settled and not await self._confirm():
+            return None
+        return self.voting.replica.state
+
+    async def write(self, operation: Operation) -> bool:
+        """With the write lock held: True once the whole chain stored it; False: it may or may not last."""
+        voting, began = self.voting, steady()
+        async with voting.lock:
+            view = voting.view
+            if not self.is_head or self.confirmed_view != view.number:
+                return False
+            await self._store(chain.execute(voting.replica, operation))
+            replica = voting.replica
+        problem = await self._pass_on(view, replica, operation)
+        if problem:
+            event("chain.write_unclear", view=view.number, sequence=replica.state.sequence, problem=problem)
+            return False
+        self._acknowledge(replica, view, began)
+        return True
+
+    async def drive(self) -> None:
+        """As head: confirms the chain again and again, at once when the view has changed."""
+        while True:
+            if self.is_head and self.voting.healthy():
+                try:
+                    await self.confirm()
+                except ClusterError as error:
+                    event("chain.failed", problem=str(error))
+            await self.voting.changed.wait(CONFIRM_S)
+
+    # --- as tail ------------------------------------------------------------------------------------------
+
+    async def on_read(self, _: ReadState) -> StateReply:
+        """The newest acknowledged state, if no later view can have begun before this was asked."""
+        voting = self.voting
+        view, replica = voting.view, voting.replica
+        tail = view.tail
+        if tail is None or tail.disk_id != voting.me.disk_id or replica.state_view != view.number:
+            return StateReply(None, f"{voting.me.name} is not the tail")
+        if not await self._view_is_newest(view):
+            return StateReply(None, f"view {view.number} is not confirmed by a majority")
+        return StateReply(replica.state)
+
+    async def _view_is_newest(self, view: View) -> bool:
+        """Asks a majority of the voters; one that has accepted a later view speaks against it."""
+        voting = self.voting
+        ping = Ping(voting.me, view, False)
+        others = [v.peer_address for v in view.voters if v.disk_id != voting.me.disk_id]
+        replies = await all_of([voting.peers.call(a, ping, READ_TIMEOUT_S) for a in others])
+        pongs = [r for r in replies if isinstance(r, Pong)]
+        if view.has_voter(voting.me.disk_id):
+            pongs.append(voting.pong())
+        known = {v.disk_id for v in view.voters}
+        agreeing = {
+            p.sender.disk_id
+            for p in pongs
+            if p.sender.disk_id in known and p.view.number == view.number and not p.accepted
+        }
+        return len(agreeing) >= view.quorum
+
+    async def read(self) -> ControlState:
+        """The newest acknowledged state, from the tail; ClusterError where it can't be had."""
+        tail = self.view.tail
+        if tail is None:
+            raise PeerRefused("ReadState", "", "there is no chain")
+        if tail.disk_id == self.voting.me.disk_id:
+            reply = await self.on_read(ReadState())
+        else:
+            answer = await self.voting.peers.call(tail.peer_address, ReadState(), 2 * READ_TIMEOUT_S)
+            reply = answer if isinstance(answer, StateReply) else StateReply(None, "unexpected reply")
+        if reply.state is None:
+            raise PeerRefused("ReadState", tail.name, reply.problem)
+        return reply.state
--- /dev/null
+++ b/finchladder/cluster/process/edge_node.py
@@ -0,0 +1,154 @@
+"""A dispatcher on the data plane: pulls what control knows, routes clients' requests, tells what it is asked
+for.
+"""
+
+import asyncio
+from random import Random
+
+from aiohttp import web
+from attrs import define, field
+
+from finchladder.cluster.configuration import routing
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.pulling import Puller
+from finchladder.cluster.process.router import Router
+from finchladder.cluster.process.settings import Settings
+from finchladder.cluster.process.tasks import Tasks
+from finchladder.cluster.routing.budget import RetryBudget
+from finchladder.cluster.routing.demand import DemandCounter
+from finchladder.cluster.routing.pools import Pools, effective_holdings, refreshed
+from finchladder.cluster.sessions.table import Tables
+from finchladder.cluster.transport.http_client import make_session
+from finchladder.cluster.transport.http_server import Listener
+from finchladder.cluster.transport.peers import PeerClient, steady
+from finchladder.cluster.types.errors import ClusterError
+from finchladder.cluster.types.messages import Delta, DemandReply, DemandReport
+
+READY_PATH = "/api/readyz"
+REPORT_S = 0.25
+REPORT_TIMEOUT_S = 0.6
+URGENT_S = 0.02
+WORKER_KEEPALIVE_S = 4.0
+START_WITHOUT_CONFIRMATION_S = 4.0
+UNREADY_S = 2.5  # after this no new connections come
+EXIT_MARGIN_S = 0.8
+
+
+@define
+class EdgeNode:
+    """Wiring of a dispatcher."""
+
+    settings: Settings
+    random: Random = field(factory=Random)
+    tasks: Tasks = field(factory=Tasks)
+    peers: PeerClient = field(init=False)
+    puller: Puller = field(init=False)
+    router: Router = field(init=False)
+    demand: DemandCounter = field(factory=DemandCounter)
+    started_at: float = field(factory=steady)
+    fresh: bool = False
+    stopping: bool = False
+
+    def _wire(self) -> None:
+        settings, bounds = self.settings, self.settings.bounds
+        self.peers = PeerClient()
+        self.router = Router(
+            make_session(keepalive_s=WORKER_KEEPALIVE_S),
+            settings.zone,
+            lambda: RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
+            lambda: self.puller.edges,
+            self.demand,
+        )
+        self.puller = Puller(
+            name=settings.node_name,
+            tables=Tables(f"{settings.node_name}/{self.random.getrandbits(48):x}"),
+            peers=self.peers,
+            tasks=self.tasks,
+            random=self.random,
+            is_edge=True,
+            own_address=settings.peer_address,
+            seeds=tuple(settings.peer_of(seed) for seed in settings.seeds),
+            version=lambda: self.router.snapshot.version,
+            take=self._take,
+        )
+
+    # --- what control tells -------------------------------------------------------------------------------
+
+    def _take(self, delta: Delta, changed: list[str]) -> None:
+        if delta.document and delta.version > self.router.snapshot.version:
+            self.router.snapshot = routing.build(delta.document)
+            event("configuration.in_force", version=delta.version)
+        if changed:
+            self._rebuild()
+        self.fresh = self.fresh or (delta.confirmed and delta.version > 0)
+
+    def _rebuild(self) -> None:
+        tables, router = self.puller.tables, self.router
+        workers = [w.record for w in tables.workers.values()]
+        backends = refreshed(router.pools.backends, workers)
+        holdings = {}
+        for instance in backends:
+            placement = tables.placements.get(instance)
+            record = tables.workers[instance].record
+            holdings[instance] = effective_holdings(record, None if placement is None else placement.record)
+        router.pools = Pools(backends, holdings)
+        router.changed.fire()
+
+    def ready(self) -> bool:
+        """Whether clients should be sent here."""
+        if self.stopping or not self.router.snapshot.version or not self.router.pools.backends:
+            return False
+        return self.fresh or steady() - self.started_at > START_WITHOUT_CONFIRMATION_S
+
+    async def _on_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        ok = request.path == READY_PATH and self.ready()
+        return web.Response(status=200 if ok else 503)
+
+    # --- what it is asked for -----------------------------------------------------------------------------
+
+    async def _report(self) -> None:
+        told_at, interval = steady(), REPORT_S
+        while True:
+            await asyncio.sleep(URGENT_S)
+            now = steady()
+            if not self.puller.placer or (now - told_at < interval and not self.demand.urgent):
+                continue
+            report = DemandReport(self.settings.node_name, now - told_at, self.demand.take())
+            told_at = now
+            try:
+                reply = await self.peers.call(self.puller.placer, report, REPORT_TIMEOUT_S)
+            except ClusterError:
+                continue
+            if isinstance(reply, DemandReply):
+                interval = reply.interval_ms / 1000
+
+    # --- life ---------------------------------------------------------------------------------------------
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop` is set, then ends what is open and returns."""
+        self._wire()
+        frontend = Listener(self.router.handle, self.settings.frontend, cancels=True)
+        readiness = Listener(self._on_readiness, self.settings.readiness)
+        await readiness.start()
+        await frontend.start()
+        self.tasks.repeat(self.puller.run, "sources")
+        self.tasks.repeat(self._report, "demand")
+        event("node.started", role="edge", address=self.settings.frontend)
+        await stop.wait()
+        await self._wind_up()
+        await frontend.stop()
+        await self.tasks.stop()
+        await self.router.session.close()
+        await self.peers.close()
+        await readiness.stop()
+
+    async def _wind_up(self) -> None:
+        """Not ready first; then, when no new connections come, waits for what is open."""
+        self.stopping = self.router.draining = True
+        began = steady()
+        until = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        while steady() < until:
+            await asyncio.sleep(0.05)
+            if steady() - began >= UNREADY_S and not self.router.open_requests:
+                break
+        event("node.stopping", open_requests=self.router.open_requests)
--- /dev/null
+++ b/finchladder/cluster/process/log.py
@@ -0,0 +1,55 @@
+"""Logs of a process by eliot: one JSON object a line on standard error, at a bounded rate."""
+
+import json
+import sys
+import time
+from typing import Any
+
+import eliot
+from eliot import log_message
+
+BURST = 200  # lines that may come at once
+LINES_PER_S = 20.0
+
+
+class RateLimit:
+    """A token bucket over all lines of a process."""
+
+    def __init__(self) -> None:
+        self._tokens, self._at = float(BURST), time.monotonic()
+        self._dropped = 0
+
+    def admits(self) -> tuple[bool, int]:
+        """Whether a line may go out, and how many were left out before it."""
+        now = time.monotonic()
+        self._tokens = min(float(BURST), self._tokens + (now - self._at) * LINES_PER_S)
+        self._at = now
+        if self._tokens < 1:
+            self._dropped += 1
+            return False, 0
+        self._tokens -= 1
+        dropped, self._dropped = self._dropped, 0
+        return True, dropped
+
+
+_limit = RateLimit()
+
+
+def start(node: str) -> None:
+    """Begins logging for that node."""
+
+    def write(message: dict[str, Any]) -> None:
+        message["node"] = node
+        print(json.dumps(message, default=str), file=sys.stderr, flush=True)
+
+    eliot.add_destinations(write)
+
+
+def event(kind: str, **fields: Any) -> None:
+    """Logs one event; docs/SYSTEM.md lists the kinds."""
+    admitted, dropped = _limit.admits()
+    if not admitted:
+        return
+    if dropped:
+        fields["dropped_before"] = dropped
+    log_message(message_type=kind, **fields)
--- /dev/null
+++ b/finchladder/cluster/process/main.py
@@ -0,0 +1,53 @@
+"""The command line of the system's processes."""
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+import click
+
+from finchladder.cluster.process import log
+from finchladder.cluster.process.settings import Settings, load
+from finchladder.cluster.types.errors import SettingsInvalid
+
+UNUSABLE_SETTINGS = 2
+
+
+async def _until_stopped(run: Callable[[asyncio.Event], Awaitable[None]]) -> None:
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing in the file may change within one life
+    await run(stop)
+
+
+def _serve(settings: Settings) -> None:
+    """Runs what the settings ask for: control, or clients' traffic."""
+    log.start(settings.node_name)
+    gc.freeze()
+    if settings.control:
+        from finchladder.cluster.process.core_node import CoreNode
+
+        asyncio.run(_until_stopped(CoreNode(settings).run))
+        return
+    from finchladder.cluster.process.edge_node import EdgeNode
+
+    asyncio.run(_until_stopped(EdgeNode(settings).run))
+
+
+@click.group()
+def main() -> None:
+    """Router and placer for many models."""
+
+
+@main.command()
+def node() -> None:
+    """Run one process of the system, as FINCHLADDER_NODE_FILE says."""
+    try:
+        settings = load()
+    except SettingsInvalid as error:
+        click.echo(f"finchladder: {error}", err=True)
+        sys.exit(UNUSABLE_SETTINGS)
+    _serve(settings)
--- /dev/null
+++ b/finchladder/cluster/process/role.py
@@ -0,0 +1,136 @@
+"""The placer's role: claimed when it is vacant, renewed at the head, given up in time."""
+
+import asyncio
+
+from attrs import define, field
+
+from finchladder.cluster.process.chain_service import ChainService
+from finchladder.cluster.process.log import event
+from finchladder.cluster.replication.lease import RENEW_SHARE, HeldLease
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.errors import ClusterError
+from finchladder.cluster.types.members import Member
+from finchladder.cluster.types.messages import ClaimRole, Granted, RenewPlacer, Request, Resign
+from finchladder.cluster.types.operations import ClaimPlacer
+
+RENEW_TIMEOUT_S = 1.0
+LOOK_S = 0.2
+REFUSED = Granted(False, 0)
+
+
+@define
+class RoleService:
+    """Both sides of the role: this process as head grants it, as candidate claims it."""
+
+    chain: ChainService
+    lease: HeldLease
+    last_order_at: float = field(factory=steady)
+
+    @property
+    def me(self) -> Member:
+        """This process."""
+        return self.chain.voting.me
+
+    def holds(self) -> bool:
+        """Whether this process may give orders now."""
+        return self.lease.holds(steady())
+
+    # --- as head ------------------------------------------------------------------------------------------
+
+    async def on_renew(self, request: RenewPlacer) -> Granted:
+        """Keeps the lease, if the chain confirms after this was asked that no later view has begun."""
+        if not await self.chain.confirm():
+            return REFUSED
+        state = self.chain.acknowledged
+        if state.placer != request.holder or state.fence_token != request.token:
+            return Granted(False, state.fence_token)
+        self.chain.lease.renew(steady())
+        return Granted(True, state.fence_token)
+
+    async def on_claim(self, request: ClaimRole) -> Granted:
+        """Grants a vacant role with the next token; the holder may take its own role anew at any time."""
+        async with self.chain.write_lock:
+            state = await self.chain.ready_to_write()
+            if state is None:
+                return REFUSED
+            wait_s = self.chain.lease.wait_s(steady())
+            is_holder = state.placer == request.holder
+            if (
+                wait_s is None
+                or request.token != state.fence_token
+                or (wait_s > 0 and not is_holder and state.placer)
+            ):
+                return Granted(False, state.fence_token, int((wait_s or 0) * 1000))
+            if not await self.chain.write(ClaimPlacer(request.holder, state.fence_token)):
+                return REFUSED
+            self.chain.lease.renew(steady())
+            return Granted(True, state.fence_token + 1)
+
+    async def on_resign(self, request: Resign) -> Granted:
+        """The holder ends; others need wait only until its last order is old enough."""
+        state = self.chain.acknowledged
+        if state.placer == request.holder and state.fence_token == request.token:
+            self.chain.lease.resign(steady(), request.idle_ms / 1000)
+        return Granted(True, state.fence_token)
+
+    # --- as candidate and holder --------------------------------------------------------------------------
+
+    async def _ask_head(self, request: Request) -> Granted:
+        head = self.chain.view.head
+        if head is None:
+            return REFUSED
+        if head.disk_id == self.me.disk_id:
+            return await self._here(request)
+        reply = await self.chain.voting.peers.call(head.peer_address, request, RENEW_TIMEOUT_S)
+        return reply if isinstance(reply, Granted) else REFUSED
+
+    async def _here(self, request: Request) -> Granted:
+        if isinstance(request, RenewPlacer):
+            return await self.on_renew(request)
+        if isinstance(request, ClaimRole):
+            return await self.on_claim(request)
+        if isinstance(request, Resign):
+            return await self.on_resign(request)
+        return REFUSED
+
+    async def run(self) -> None:
+        """Keeps the role, or tries to get it when it is vacant."""
+        while True:
+            try:
+                await self._step()
+            except ClusterError as error:
+                event("placer.unheard", problem=str(error))
+            await asyncio.sleep(self.lease.lease_s / RENEW_SHARE if self.holds() else LOOK_S)
+
+    async def _step(self) -> None:
+        asked_at = steady()
+        if self.lease.token and self.chain.acknowledged.placer == self.me.name and self.holds():
+            granted = await self._ask_head(RenewPlacer(self.me.name, self.lease.token))
+            if granted.granted:
+                self.lease.extend(asked_at, granted.token)
+            elif granted.token:
+                self.lease.drop()
+            return
+        if not self._is_candidate():
+            return
+        granted = await self._ask_head(ClaimRole(self.me.name, self.chain.acknowledged.fence_token))
+        if granted.granted:
+            self.lease.extend(asked_at, granted.token)
+            event("placer.elected", token=granted.token)
+        elif granted.wait_ms:
+            await asyncio.sleep(min(granted.wait_ms / 1000, 1.0))
+
+    def _is_candidate(self) -> bool:
+        """The last members of the chain claim first, so that head and placer are mostly two machines."""
+        return self.chain.view.position(self.me.disk_id) is not None
+
+    async def resign(self) -> None:
+        """Gives the role up before this process ends."""
+        if not self.holds():
+            return
+        self.lease.drop()
+        idle_ms = int((steady() - self.last_order_at) * 1000)
+        try:
+            await self._ask_head(Resign(self.me.name, self.lease.token, idle_ms))
+        except ClusterError as error:
+            event("placer.unheard", problem=str(error))
--- /dev/null
+++ b/finchladder/cluster/process/router.py
@@ -0,0 +1,318 @@
+"""The life of a request on the data plane: find a worker, send, pass the answer on, answer once."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+from attrs import define, field
+
+from finchladder.cluster.configuration.routing import EMPTY, Kind, Route, Snapshot
+from finchladder.cluster.process.attempt import (
+    MISDIRECTED,
+    Answered,
+    Broken,
+    NotExecuted,
+    NotSent,
+    Sending,
+    TimedOut,
+    send,
+)  # fmt: skip
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.tasks import Signal
+from finchladder.cluster.routing.budget import RetryBudget
+from finchladder.cluster.routing.demand import DemandCounter
+from finchladder.cluster.routing.events import EventCutter
+from finchladder.cluster.routing.pools import Backend, Pools
+from finchladder.cluster.routing.requests import HOP_BY_HOP, LAST_EVENT_ID, Need, need, onward_headers
+from finchladder.cluster.transport.peers import steady
+
+THRESHOLD = 2.0  # own requests in flight at one worker, above which the least loaded is looked for
+HOLD_SHARE = 0.6  # of a request's time it may wait for a worker
+LOOK_AGAIN_S = 0.03
+REST_FULL_S = 0.1
+REST_UNREACHABLE_S = 0.5
+LONGEST_REST_S = 4.0
+ABSENT_S = 0.4
+RETRY_AFTER_FULL_S = 0.3
+RETRY_AFTER_ABSENT_S = 1.0
+MOST_CONNECT_FAILURES = 4
+CHUNK_HEADERS = HOP_BY_HOP | {"content-length"}
+
+
+class ClientGone(Exception):
+    """The client's connection is lost; there is nobody to answer."""
+
+
+@define
+class Router:
+    """Routes requests by the newest snapshot and pools, which are swapped whole."""
+
+    session: aiohttp.ClientSession
+    zone: str
+    budget: Callable[[], RetryBudget]
+    dispatchers: Callable[[], int]
+    demand: DemandCounter
+    snapshot: Snapshot = EMPTY
+    pools: Pools = field(factory=lambda: Pools({}, {}))
+    changed: Signal = field(factory=Signal)
+    draining: bool = False
+    open_requests: int = 0
+    budgets: dict[str, RetryBudget] = field(factory=dict)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """One request of a client."""
+        self.open_requests += 1
+        try:
+            response = await self._answer(request)
+        except (ClientGone, ConnectionError):
+            _abort(request)
+            return web.Response(status=502)
+        finally:
+            self.open_requests -= 1
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        host = request.headers.get("Host", "").partition(":")[0]
+        route = self.snapshot.match(host, request.raw_path.partition("?")[0])
+        if route is None:
+            if not self.snapshot.version:
+                return self._refuse(RETRY_AFTER_ABSENT_S)
+            await request.content.read()
+            return self._plain(404, "no route")
+        wanted = need(request.headers, route, steady())
+        body = await self._body(request)
+        if body is None:
+            return self._plain(413, "the body is too large")
+        return await self._serve(request, route, wanted, body)
+
+    async def _body(self, request: web.BaseRequest) -> bytes | None:
+        parts, size, most = [], 0, self.snapshot.body_bytes
+        try:
+            async for part in request.content.iter_any():
+                size += len(part)
+                if size > most:
+                    return None
+                parts.append(part)
+        except (web.RequestPayloadError, aiohttp.ClientError) as error:
+            raise ClientGone from error
+        return b"".join(parts)
+
+    # --- finding a worker and sending ---------------------------------------------------------------------
+
+    async def _serve(
+        self, request: web.BaseRequest, route: Route, wanted: Need, body: bytes
+    ) -> web.StreamResponse:
+        service = self.snapshot.services.get(wanted.key.service)
+        priority = route.priority if service is not None and service.engine is not None else None
+        sending = Sending(request, body, wanted.request_id, priority, wanted.until)
+        budget = self._budget(wanted.key.service)
+        budget.arrived(steady())
+        self.demand.asked(wanted)
+        sent: frozenset[str] = frozenset()
+        connect_failures = 0
+        while True:
+            backend = await self._find(wanted, sent)
+            if backend is None:
+                return self._refuse(self._retry_after(wanted))
+            if sent and not budget.spend(steady(), self.dispatchers()):
+                return self._refuse(RETRY_AFTER_FULL_S)
+            with Running(self.demand, wanted, backend):
+                outcome = await send(self.session, sending, backend)
+                if isinstance(outcome, Answered):
+                    backend.failures = 0
+                    return await self._pass_on(route, wanted, sending, backend, outcome.response)
+            self._note(backend, wanted, outcome)
+            if isinstance(outcome, NotSent):
+                connect_failures += 1
+                if connect_failures >= MOST_CONNECT_FAILURES or steady() >= wanted.until:
+                    return self._refuse(RETRY_AFTER_FULL_S)
+                continue
+            sent |= {backend.instance}
+            if isinstance(outcome, NotExecuted):
+                if len(sent) >= route.most_workers:
+                    return self._refuse(max(outcome.retry_after_s, RETRY_AFTER_FULL_S))
+                continue
+            if isinstance(outcome, Broken) and route.may_repeat and len(sent) < route.most_workers:
+                continue
+            return self._plain(504 if isinstance(outcome, TimedOut) else 502, "the worker gave no answer")
+
+    async def _find(self, wanted: Need, sent: frozenset[str]) -> Backend | None:
+        """A worker for the request; waits while there is none and it can still be in time."""
+        hold_until = wanted.arrived + HOLD_SHARE * (wanted.until - wanted.arrived)
+        waiting = False
+        try:
+            while True:
+                now = steady()
+                pool = self.pools.pool(wanted.key)
+                backend = pool.choose(now, self.zone, THRESHOLD, sent)
+                if backend is not None:
+                    return backend
+                if now >= hold_until or (sent and not pool.backends):
+                    return None
+                if not waiting and not pool.backends:
+                    waiting = True
+                    self.demand.waits(wanted.key, 1)
+                wait_s = hold_until - now if not pool.backends else LOOK_AGAIN_S
+                await self.changed.wait(min(wait_s, hold_until - now))
+        finally:
+            if waiting:
+                self.demand.waits(wanted.key, -1)
+
+    def _note(
+        self, backend: Backend, wanted: Need, outcome: NotSent | NotExecuted | Broken | TimedOut
+    ) -> None:
+        """What an attempt that brought no answer says of the worker."""
+        now = steady()
+        if isinstance(outcome, NotExecuted):
+            if outcome.status == MISDIRECTED or wanted.key.model:
+                backend.absent[wanted.key.name] = now + (
+                    ABSENT_S if outcome.status == MISDIRECTED else REST_FULL_S
+                )
+            else:
+                backend.rests_until = now + max(REST_FULL_S, min(outcome.retry_after_s, 1.0))
+            return
+        backend.failures += 1
+        rest = min(LONGEST_REST_S, REST_UNREACHABLE_S * 2 ** (backend.failures - 1))
+        backend.rests_until = now + rest
+        event("attempt.failed", instance=backend.instance, address=backend.address, outcome=repr(outcome))
+
+    def _budget(self, service: str) -> RetryBudget:
+        found = self.budgets.get(service)
+        if found is None:
+            found = self.budgets[service] = self.budget()
+        return found
+
+    def _retry_after(self, wanted: Need) -> float:
+        return RETRY_AFTER_FULL_S if self.pools.pool(wanted.key).backends else RETRY_AFTER_ABSENT_S
+
+    # --- answers ------------------------------------------------------------------------------------------
+
+    async def _pass_on(
+        self, route: Route, wanted: Need, sending: Sending, backend: Backend, response: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        try:
+            if route.kind is Kind.STREAMING and response.status == 200:
+                return await self._stream(route, wanted, sending, backend, response)
+            return await self._whole(wanted, response)
+        finally:
+            response.close()
+
+    async def _whole(self, wanted: Need, response: aiohttp.ClientResponse) -> web.StreamResponse:
+        """Reads the whole answer first, so that one that breaks off never looks complete."""
+        try:
+            async with asyncio.timeout(max(0.0, wanted.until - steady())):
+                body = await response.read()
+        except TimeoutError:
+            return self._plain(504, "the answer did not end in time")
+        except (aiohttp.ClientError, OSError):
+            return self._plain(502, "the answer broke off")
+        headers = onward_headers(response.headers)
+        answer = web.Response(status=response.status, reason=response.reason, headers=headers, body=body)
+        return self._finished(answer)
+
+    async def _stream(
+        self, route: Route, wanted: Need, sending: Sending, backend: Backend, response: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        """Passes events on as they come; a resumable stream that breaks off is taken up at another worker."""
+        request = sending.request
+        answer = web.StreamResponse(
+            status=response.status, reason=response.reason, headers=onward_headers(response.headers)
+        )
+        length = response.headers.get("Content-Length")
+        if length is not None and not route.resumable:
+            answer.content_length = int(length)
+        else:
+            answer.enable_chunked_encoding()
+        self._finished(answer)
+        await answer.prepare(request)
+        cutter = EventCutter() if route.resumable else None
+        cutter_id = request.headers.get(LAST_EVENT_ID, "")
+        sent = frozenset({backend.instance})
+        while not await self._copy(response, answer, wanted, cutter):
+            again = None
+            if cutter is not None and len(sent) < route.most_workers:
+                cutter.drop_rest()
+                again = await self._take_up(wanted, sending, sent, cutter.last_id or cutter_id)
+            if again is None:
+                _abort(request)
+                return answer
+            response.close()
+            backend, response = again
+            sent |= {backend.instance}
+        response.close()
+        await answer.write_eof()
+        return answer
+
+    async def _copy(
+        self,
+        response: aiohttp.ClientResponse,
+        answer: web.StreamResponse,
+        wanted: Need,
+        cutter: EventCutter | None,
+    ) -> bool:
+        """Copies until the end; False if the worker broke off or its time is over."""
+        try:
+            async with asyncio.timeout(max(0.0, wanted.until - steady())):
+                async for part in response.content.iter_any():
+                    data = part if cutter is None else cutter.feed(part)
+                    if data:
+                        await self._write(answer, data)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+        return cutter is None or not cutter.unfinished
+
+    async def _write(self, answer: web.StreamResponse, data: bytes) -> None:
+        try:
+            await answer.write(data)
+        except (ConnectionError, aiohttp.ClientError) as error:
+            raise ClientGone from error
+
+    async def _take_up(
+        self, wanted: Need, sending: Sending, sent: frozenset[str], last_event_id: str
+    ) -> tuple[Backend, aiohttp.ClientResponse] | None:
+        """Another worker that goes on with the stream after that event."""
+        backend = await self._find(wanted, sent)
+        if backend is None or not self._budget(wanted.key.service).spend(steady(), self.dispatchers()):
+            return None
+        outcome = await send(self.session, sending, backend, last_event_id)
+        if not isinstance(outcome, Answered) or outcome.response.status != 200:
+            if isinstance(outcome, Answered):
+                outcome.response.close()
+            return None
+        return backend, outcome.response
+
+    def _refuse(self, retry_after_s: float) -> web.StreamResponse:
+        """Not run: the client may come again."""
+        response = web.Response(status=503, text="no worker can take it now\n")
+        response.headers["Retry-After"] = f"{retry_after_s:.2f}"
+        return self._finished(response)
+
+    def _plain(self, status: int, text: str) -> web.StreamResponse:
+        return self._finished(web.Response(status=status, text=text + "\n"))
+
+    def _finished(self, response: web.StreamResponse) -> web.StreamResponse:
+        if self.draining:
+            response.force_close()
+        return response
+
+
+class Running:
+    """Counts a request at a worker while an attempt runs."""
+
+    def __init__(self, demand: DemandCounter, wanted: Need, backend: Backend) -> None:
+        self._demand, self._wanted, self._backend = demand, wanted, backend
+
+    def __enter__(self) -> None:
+        self._backend.load += 1
+        self._demand.runs(self._wanted.key, 1)
+
+    def __exit__(self, *_: object) -> None:
+        self._backend.load -= 1
+        self._demand.runs(self._wanted.key, -1)
+
+
+def _abort(request: web.BaseRequest) -> None:
+    """Closes the connection so that nobody takes what was sent for a whole answer."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/finchladder/cluster/process/sessions_service.py
@@ -0,0 +1,200 @@
+"""Sessions of workers with control processes: heartbeats, draining, expiry; the tables that others pull."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from attrs import define, field
+
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.tasks import Signal
+from finchladder.cluster.sessions.table import Tables
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.beats import Beat, holdings
+from finchladder.cluster.types.members import View
+from finchladder.cluster.types.messages import Delta, Pull
+from finchladder.cluster.types.operations import ControlState
+from finchladder.cluster.types.workers import Phase, WorkerRecord
+
+MISSED_BEATS = 2.5  # silence after which a worker counts as lost
+BEAT_SLACK_S = 0.4
+READER_S = 2.5  # a reader that has not pulled for so long is not waited for
+HAND_ON_S = 0.5  # how long a draining worker's acknowledgement waits for the readers
+FORGET_S = 60.0  # how long a tombstone stays
+ORPHAN_S = 4.0  # how long an owner may be silent before others judge its workers
+LONGEST_WAIT_S = 2.0
+
+
+@define
+class Reader:
+    """A process that pulls from this one."""
+
+    vector: dict[str, int]
+    seen_at: float
+    is_edge: bool
+
+
+@define
+class Heartbeat:
+    """The last call of a worker whose session this process owns."""
+
+    sequence: int
+    at: float
+
+
+@define
+class SessionsService:
+    """`state` and `view` tell what else a pull brings; `confirmed` whether the chain answered lately."""
+
+    name: str
+    tables: Tables
+    heartbeat_s: float
+    state: Callable[[], ControlState]
+    view: Callable[[], View]
+    placer: Callable[[], str]
+    confirmed: Callable[[], bool]
+    changed: Signal = field(factory=Signal)
+    readers: dict[str, Reader] = field(factory=dict)
+    beats: dict[str, Heartbeat] = field(factory=dict)
+    origins: dict[str, float] = field(factory=dict)  # when each other origin was last heard
+    ended_at: dict[str, float] = field(factory=dict)
+    started_at: float = field(factory=steady)
+
+    # --- workers ------------------------------------------------------------------------------------------
+
+    async def on_beat(self, instance: str, beat: Beat) -> bool:
+        """True if the call may be acknowledged."""
+        now = steady()
+        known = self.tables.workers.get(instance)
+        heard = self.beats.get(instance)
+        last = max(known.record.sequence if known else -1, heard.sequence if heard else -1)
+        if beat.sequence < last or (known is not None and known.record.phase is Phase.GONE):
+            return True
+        self.beats[instance] = Heartbeat(beat.sequence, now)
+        record = self._record(instance, beat)
+        if known is not None and _same(known.record, record):
+            return True
+        self.tables.put_worker(record)
+        self.changed.fire()
+        if known is None or known.record.phase is not record.phase:
+            event("worker.session", instance=instance, phase=record.phase.value, address=record.address)
+        if record.phase is Phase.DRAINING and (known is None or known.record.phase is not Phase.DRAINING):
+            return await self._handed_on()
+        return True
+
+    def _record(self, instance: str, beat: Beat) -> WorkerRecord:
+        return WorkerRecord(
+            instance=instance,
+            service=beat.service,
+            address=beat.address,
+            zone=beat.zone,
+            slots=beat.slots,
+            phase=Phase.DRAINING if beat.state == "draining" else Phase.READY,
+            sequence=beat.sequence,
+            owner=self.tables.origin,
+            holdings=holdings(beat.models),
+            remaining_ms=None if beat.remaining_ms is None else int(beat.remaining_ms),
+        )
+
+    async def on_leave(self, instance: str) -> bool:
+        """A worker has left for good. True if the call may be acknowledged."""
+        known = self.tables.workers.get(instance)
+        if known is None or known.record.phase is Phase.GONE:
+            return True
+        gone = msgspec.structs.replace(known.record, phase=Phase.GONE, owner=self.tables.origin)
+        self.tables.put_worker(gone)
+        self.changed.fire()
+        event("worker.session", instance=instance, phase=Phase.GONE.value, address=gone.address)
+        return await self._handed_on()
+
+    async def _handed_on(self) -> bool:
+        """Waits until the live readers have what was just stamped; True if at least one has it."""
+        counter, until = self.tables.counter, steady() + HAND_ON_S
+        while True:
+            now = steady()
+            live = [r for r in self.readers.values() if now - r.seen_at < READER_S]
+            reached = [r for r in live if r.vector.get(self.tables.origin, 0) >= counter]
+            if live and len(reached) == len(live):
+                return True
+            if now >= until:
+                return bool(reached)
+            await asyncio.sleep(0.02)
+
+    def expire(self) -> None:
+        """Judges silent workers, and forgets what ended long ago."""
+        now = steady()
+        patience = MISSED_BEATS * self.heartbeat_s + BEAT_SLACK_S
+        for instance, worker in list(self.tables.workers.items()):
+            record = worker.record
+            if record.phase in (Phase.LOST, Phase.GONE):
+                self._forget_later(instance, now)
+            elif record.owner == self.tables.origin:
+                heard = self.beats.get(instance)
+                if heard is not None and now - heard.at > patience:
+                    self._lose(record, heard.sequence)
+            elif now - self.origins.setdefault(record.owner, now) > ORPHAN_S + patience:
+                self._lose(record, record.sequence)
+
+    def _lose(self, record: WorkerRecord, sequence: int) -> None:
+        lost = msgspec.structs.replace(record, phase=Phase.LOST, sequence=sequence, owner=self.tables.origin)
+        if self.tables.put_worker(lost):
+            event("worker.lost", instance=record.instance, address=record.address)
+            self.changed.fire()
+
+    def _forget_later(self, instance: str, now: float) -> None:
+        if now - self.ended_at.setdefault(instance, now) > FORGET_S:
+            self.tables.forget(instance)
+            self.beats.pop(instance, None)
+            del self.ended_at[instance]
+
+    # --- readers ------------------------------------------------------------------------------------------
+
+    async def on_pull(self, pull: Pull) -> Delta:
+        """Answers at once if the reader misses anything, else when something changes or its wait is over."""
+        self._note(pull)
+        until = steady() + min(pull.wait_ms / 1000, LONGEST_WAIT_S)
+        while not self._has_news(pull):
+            left = until - steady()
+            if left <= 0 or not await self.changed.wait(left):
+                break
+        self._note(pull)
+        return self._delta(pull)
+
+    def _note(self, pull: Pull) -> None:
+        self.readers[pull.sender] = Reader(pull.vector, steady(), pull.is_edge)
+
+    def _has_news(self, pull: Pull) -> bool:
+        newer = self.state().version > pull.version or self.view().number > pull.view
+        return newer or not pull.vector or self.tables.is_ahead(pull.vector)
+
+    def _delta(self, pull: Pull) -> Delta:
+        state = self.state()
+        workers, placements = self.tables.missing(pull.vector)
+        return Delta(
+            origin=self.tables.origin,
+            vector=dict(self.tables.vector),
+            view=self.view(),
+            workers=workers,
+            placements=placements,
+            version=state.version,
+            document=state.document if state.version > pull.version else b"",
+            complete=self.is_complete(),
+            whole=not pull.vector,
+            placer=self.placer(),
+            edges=self.edges(),
+            confirmed=self.confirmed(),
+        )
+
+    def is_complete(self) -> bool:
+        """Whether every live worker must have called since this process began."""
+        return steady() - self.started_at > (MISSED_BEATS + 1) * self.heartbeat_s + 1.0
+
+    def edges(self) -> int:
+        """Dispatchers that have pulled lately."""
+        now = steady()
+        return sum(r.is_edge and now - r.seen_at < READER_S for r in self.readers.values())
+
+
+def _same(known: WorkerRecord, new: WorkerRecord) -> bool:
+    """Whether a heartbeat tells nothing that the others need."""
+    return msgspec.structs.replace(known, sequence=new.sequence) == new
--- /dev/null
+++ b/finchladder/cluster/process/settings.py
@@ -0,0 +1,143 @@
+"""The settings file of a process: read, checked, with what follows from it."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import frozen
+from jsonschema import Draft202012Validator
+
+from finchladder.cluster.configuration.schema import first_problem
+from finchladder.cluster.types.errors import SettingsInvalid
+
+FILE_VARIABLE = "FINCHLADDER_NODE_FILE"
+ADDRESS = {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"}
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "required": ["node_name", "ip", "zone", "port_range", "listen"],
+    "properties": {
+        "node_name": {"type": "string", "minLength": 1},
+        "ip": {"type": "string"},
+        "zone": {"type": "string"},
+        "region": {"type": "string"},
+        "port_range": {"type": "array", "items": {"type": "integer"}, "minItems": 2, "maxItems": 2},
+        "seeds": {"type": "array", "items": ADDRESS},
+        "bootstrap": {"type": "boolean"},
+        "serves": {"type": "array", "items": {"type": "string"}},
+        "heartbeat_ms": {"type": "number", "exclusiveMinimum": 0},
+        "data_dir": {"type": "string"},
+        "listen": {"type": "object"},
+        "limits": {"type": "object"},
+        "bounds": {"type": "object"},
+        "fault_tolerance": {"type": "object", "properties": {"nodes": {"type": "integer", "minimum": 0}}},
+    },
+}
+validator = Draft202012Validator(SCHEMA)
+
+
+@frozen
+class Bounds:
+    """Figures of the rules in force; seconds where the name says so."""
+
+    drain_s: float
+    grace_s: float
+    config_apply_s: float
+    ack_s: float
+    lease_s: float
+    thaw_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    ceiling_window_s: float
+    fencing: bool
+
+
+@frozen
+class Settings:
+    """Settings of one process."""
+
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    first_port: int
+    seeds: tuple[str, ...]  # control addresses
+    bootstrap: bool
+    serves: frozenset[str]
+    heartbeat_s: float
+    data_dir: str
+    disk_bytes: int
+    losses: int  # of machines with a disk, to be borne at once
+    frontend: str
+    readiness: str
+    control: str
+    bounds: Bounds
+
+    @property
+    def peer_address(self) -> str:
+        """Where this process listens for others."""
+        return f"{self.ip}:{self.first_port}"
+
+    def peer_of(self, control_address: str) -> str:
+        """The internal address of the process with that control address; ports are alike on all machines."""
+        return f"{control_address.rpartition(':')[0]}:{self.first_port}"
+
+
+def _bounds(value: Mapping[str, Any]) -> Bounds:
+    def seconds(name: str, default_ms: float) -> float:
+        return float(value.get(name, default_ms)) / 1000
+
+    return Bounds(
+        drain_s=seconds("drain_ms", 2000),
+        grace_s=float(value.get("grace_s", 8)),
+        config_apply_s=seconds("config_apply_ms", 2000),
+        ack_s=seconds("ack_ms", 4000),
+        lease_s=seconds("lease_ms", 3000),
+        thaw_s=seconds("thaw_ms", 300),
+        retry_ratio=float(value.get("retry_budget_ratio", 0.2)),
+        retry_window_s=float(value.get("retry_window_s", 10)),
+        retry_slack=float(value.get("retry_budget_slack", 0)),
+        ceiling_window_s=float(value.get("ceiling_window_s", 5)),
+        fencing=bool(value.get("fencing", False)),
+    )
+
+
+def parse(text: str, place: str) -> Settings:
+    """Settings from the text of a file; SettingsInvalid names the first finding. `place`: for the message."""
+    try:
+        value = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsInvalid("read settings", place, str(error)) from None
+    problem = first_problem(validator, value)
+    if problem:
+        raise SettingsInvalid("check settings", place, problem)
+    listen = value["listen"]
+    return Settings(
+        node_name=value["node_name"],
+        ip=value["ip"],
+        zone=value["zone"],
+        region=value.get("region", ""),
+        first_port=value["port_range"][0],
+        seeds=tuple(value.get("seeds", ())),
+        bootstrap=value.get("bootstrap", False),
+        serves=frozenset(value.get("serves", ())),
+        heartbeat_s=float(value.get("heartbeat_ms", 1000)) / 1000,
+        data_dir=value.get("data_dir", ""),
+        disk_bytes=int(value.get("limits", {}).get("disk_mb", 0)) << 20,
+        losses=value.get("fault_tolerance", {}).get("nodes", 0),
+        frontend=listen.get("frontend", ""),
+        readiness=listen.get("readiness", ""),
+        control=listen.get("control_plane", ""),
+        bounds=_bounds(value.get("bounds", {})),
+    )
+
+
+def load() -> Settings:
+    """Settings from the file that the environment names."""
+    path = os.environ.get(FILE_VARIABLE, "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return parse(file.read(), path)
+    except OSError as error:
+        raise SettingsInvalid("open settings", path or FILE_VARIABLE, str(error)) from None
--- /dev/null
+++ b/finchladder/cluster/process/tasks.py
@@ -0,0 +1,74 @@
+"""Background tasks of a process: kept alive, named, ended together."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from finchladder.cluster.process.log import event
+
+RESTART_S = 0.1
+
+
+class Tasks:
+    """Owns tasks; a loop that fails is logged and run again."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
+        """Runs something once; its error is logged."""
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def repeat(self, work: Callable[[], Awaitable[None]], name: str) -> asyncio.Task[Any]:
+        """Runs a loop for ever; after an error it is entered anew."""
+
+        async def guarded() -> None:
+            while True:
+                try:
+                    await work()
+                except Exception as error:
+                    event("task.failed", task=name, error=repr(error))
+                await asyncio.sleep(RESTART_S)
+
+        return self.spawn(guarded(), name)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            event("task.failed", task=task.get_name(), error=repr(task.exception()))
+
+    async def stop(self) -> None:
+        """Cancels all tasks and waits for their ends."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Signal:
+    """Wakes all that wait for the next change."""
+
+    def __init__(self) -> None:
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def fire(self) -> None:
+        """Wakes whoever waits now."""
+        waiting, self._waiting = self._waiting, set()
+        for future in waiting:
+            if not future.done():
+                future.set_result(None)
+
+    async def wait(self, timeout_s: float) -> bool:
+        """True when it was fired within that time."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.add(future)
+        try:
+            await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return False
+        finally:
+            self._waiting.discard(future)
+        return True
--- /dev/null
+++ b/finchladder/cluster/process/voting.py
@@ -0,0 +1,262 @@
+"""A core process's part in agreeing on views: its durable votes, its proposals, and who answers."""
+
+import asyncio
+from random import Random
+
+from attrs import define, field
+
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.tasks import Signal
+from finchladder.cluster.replication import agreement
+from finchladder.cluster.replication.agreement import Acceptor
+from finchladder.cluster.replication.chain import Replica
+from finchladder.cluster.replication.membership import Limits, Status, first_view, next_view
+from finchladder.cluster.storage.lmdb_store import Store
+from finchladder.cluster.transport.peers import PeerClient, all_of, steady
+from finchladder.cluster.types.errors import ClusterError
+from finchladder.cluster.types.members import Ballot, Member, View
+from finchladder.cluster.types.messages import (
+    Accept,
+    Accepted,
+    Learn,
+    Ping,
+    Pong,
+    Prepare,
+    Promise,
+    Reply,
+)  # fmt: skip
+
+PING_S = 0.15
+PING_TIMEOUT_S = 0.4
+SUSPECT_S = 0.75  # without an answer
+STALL_S = 0.6  # a disk that answers no write counts as failed
+VOTE_TIMEOUT_S = 0.6
+BACKOFF_S = 0.25
+FOUND_S = 1.0  # how long the first view waits for all seeds
+RANK_STEP_S = 0.12  # so much later each next voter proposes
+
+
+@define
+class Heard:
+    """What a member last said of itself."""
+
+    pong: Pong
+    at: float
+
+
+@define
+class Voting:
+    """State of the agreement in one process. `lock` orders all changes of durable state."""
+
+    me: Member
+    store: Store
+    peers: PeerClient
+    limits: Limits
+    seeds: tuple[str, ...]  # peer addresses
+    founder: bool
+    acceptor: Acceptor
+    replica: Replica
+    random: Random
+    lock: asyncio.Lock = field(factory=asyncio.Lock)
+    changed: Signal = field(factory=Signal)
+    heard: dict[str, Heard] = field(factory=dict)
+    wants_in: dict[str, tuple[Member, float]] = field(factory=dict)
+    started_at: float = field(factory=steady)
+    highest_round: int = 0
+    needed_since: float | None = None
+
+    @property
+    def view(self) -> View:
+        """The newest decided view that this process knows."""
+        return self.acceptor.view
+
+    def may_vote(self) -> bool:
+        """Whether this process is an acceptor of the next view."""
+        if self.view.number == 0:
+            return self.founder
+        return self.view.has_voter(self.me.disk_id)
+
+    def healthy(self) -> bool:
+        """Whether the own disk takes writes."""
+        return not self.store.failed and self.store.stalled_s() < STALL_S
+
+    def pong(self) -> Pong:
+        """What this process says of itself."""
+        return Pong(
+            self.me, self.view, self.replica.state_view, self.replica.state.sequence, self.healthy(),
+            self.acceptor.accepted is not None,
+        )  # fmt: skip
+
+    # --- as acceptor --------------------------------------------------------------------------------------
+
+    async def on_ping(self, request: Ping) -> Pong:
+        """Another member looks whether this one is there."""
+        if request.wants_in:
+            self.wants_in[request.sender.disk_id] = request.sender, steady()
+        await self.learn(request.view)
+        return self.pong()
+
+    async def on_prepare(self, request: Prepare) -> Promise:
+        """First phase."""
+        async with self.lock:
+            acceptor, reply = agreement.prepare(self.acceptor, self.may_vote(), request)
+            if acceptor != self.acceptor:
+                await self.store.save(acceptor=acceptor)
+                self.acceptor = acceptor
+            return reply
+
+    async def on_accept(self, request: Accept) -> Accepted:
+        """Second phase."""
+        async with self.lock:
+            acceptor, reply = agreement.accept(self.acceptor, self.may_vote(), request)
+            if acceptor != self.acceptor:
+                await self.store.save(acceptor=acceptor)
+                self.acceptor = acceptor
+            return reply
+
+    async def on_learn(self, request: Learn) -> Learn:
+        """A decided view is told."""
+        await self.learn(request.view)
+        return Learn(self.view)
+
+    async def learn(self, view: View) -> None:
+        """Takes over a newer decided view."""
+        if view.number <= self.view.number:
+            return
+        async with self.lock:
+            acceptor = agreement.learn(self.acceptor, view)
+            if acceptor == self.acceptor:
+                return
+            await self.store.save(acceptor=acceptor)
+            self.acceptor = acceptor
+        self.needed_since = None
+        event("view.adopted", number=view.number, chain=[m.name for m in view.chain],
+              voters=[m.name for m in view.voters], survivors=view.survivors)  # fmt: skip
+        self.changed.fire()
+
+    # --- failure detection --------------------------------------------------------------------------------
+
+    def contacts(self) -> set[str]:
+        """Addresses that are asked whether they are there."""
+        addresses = {member.peer_address for member in self.view.members()}
+        addresses.update(self.seeds)
+        now = steady()
+        addresses.update(m.peer_address for m, at in self.wants_in.values() if now - at < SUSPECT_S)
+        addresses.discard(self.me.peer_address)
+        return addresses
+
+    async def ping_all(self) -> None:
+        """One round of failure detection."""
+        wants_in = self.view.position(self.me.disk_id) is None and self.healthy()
+        ping = Ping(self.me, self.view, wants_in)
+        await asyncio.gather(*(self._ping(address, ping) for address in self.contacts()))
+
+    async def _ping(self, address: str, ping: Ping) -> None:
+        try:
+            reply = await self.peers.call(address, ping, PING_TIMEOUT_S)
+        except ClusterError:
+            return
+        if isinstance(reply, Pong):
+            self.heard[reply.sender.disk_id] = Heard(reply, steady())
+            await self.learn(reply.view)
+
+    def alive(self) -> dict[str, Status]:
+        """Members that answered lately, this one among them."""
+        now = steady()
+        fresh = {
+            disk_id: Status(heard.pong.sender, heard.pong.state_view, heard.pong.healthy)
+            for disk_id, heard in self.heard.items()
+            if now - heard.at < SUSPECT_S
+        }
+        fresh[self.me.disk_id] = Status(self.me, self.replica.state_view, self.healthy())
+        return fresh
+
+    def joining(self) -> list[Member]:
+        """Members that asked to be let in lately."""
+        now = steady()
+        return [member for member, at in self.wants_in.values() if now - at < SUSPECT_S]
+
+    # --- as proposer --------------------------------------------------------------------------------------
+
+    def wanted_view(self) -> View | None:
+        """The view that should be proposed now."""
+        if not self.may_vote() or not self.healthy():
+            return None
+        if self.view.number == 0:
+            return self._founding_view()
+        return next_view(self.view, self.alive(), self.joining(), self.limits)
+
+    def _founding_view(self) -> View | None:
+        seeds = {self.me.peer_address, *self.seeds}
+        found = [s.member for s in self.alive().values() if s.healthy and s.member.peer_address in seeds]
+        waited = steady() - self.started_at
+        if len(found) < len(seeds) and waited < FOUND_S:
+            return None
+        if len(found) <= len(seeds) // 2:
+            return None
+        return first_view(found, self.limits)
+
+    def is_my_turn(self) -> bool:
+        """Voters propose one after the other, in an order that all share."""
+        now = steady()
+        if self.needed_since is None:
+            self.needed_since = now
+        alive = self.alive()
+        order = sorted(v.disk_id for v in self.view.voters if v.disk_id in alive) or [self.me.disk_id]
+        rank = order.index(self.me.disk_id) if self.me.disk_id in order else len(order)
+        return now - self.needed_since >= rank * RANK_STEP_S
+
+    async def consider(self) -> None:
+        """Proposes a view if one is wanted and it is this process's turn."""
+        wanted = self.wanted_view()
+        if wanted is None:
+            self.needed_since = None
+            return
+        if not self.is_my_turn():
+            return
+        if not await self.propose(wanted):
+            await asyncio.sleep(self.random.uniform(0.2, 1.0) * BACKOFF_S)
+
+    def _voter_addresses(self) -> list[str]:
+        if self.view.number == 0:
+            return sorted({self.me.peer_address, *self.seeds})
+        return [voter.peer_address for voter in self.view.voters]
+
+    async def propose(self, wanted: View) -> bool:
+        """Tries to have the view decided; True if one was."""
+        base, addresses = self.view, self._voter_addresses()
+        quorum = len(addresses) // 2 + 1
+        self.highest_round = max(self.highest_round, self.acceptor.promised.round) + 1
+        ballot = Ballot(self.highest_round, self.me.disk_id)
+        promises = [
+            r for r in await self._ask(addresses, Prepare(base.number + 1, ballot)) if isinstance(r, Promise)
+        ]
+        await self._look_at(promises)
+        granted = [p for p in promises if p.granted]
+        if len(granted) < quorum or self.view.number != base.number:
+            return False
+        view = agreement.bound_value(granted) or wanted
+        accepted = [r for r in await self._ask(addresses, Accept(ballot, view)) if isinstance(r, Accepted)]
+        await self._look_at(accepted)
+        if sum(a.granted for a in accepted) < quorum:
+            return False
+        await self.learn(view)
+        others = {m.peer_address for m in (*view.members(), *base.members())} - {self.me.peer_address}
+        await all_of([self.peers.call(address, Learn(view), VOTE_TIMEOUT_S) for address in others])
+        return True
+
+    async def _ask(self, addresses: list[str], request: Prepare | Accept) -> list[Reply | ClusterError]:
+        calls = []
+        for address in addresses:
+            if address != self.me.peer_address:
+                calls.append(self.peers.call(address, request, VOTE_TIMEOUT_S))
+            elif isinstance(request, Prepare):
+                calls.append(self.on_prepare(request))
+            else:
+                calls.append(self.on_accept(request))
+        return await all_of(calls)
+
+    async def _look_at(self, replies: list[Promise] | list[Accepted]) -> None:
+        for reply in replies:
+            self.highest_round = max(self.highest_round, reply.promised.round)
+            await self.learn(reply.view)
--- /dev/null
+++ b/finchladder/cluster/process/worker_client.py
@@ -0,0 +1,56 @@
+"""Calls of the placer to workers: orders and reports."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from finchladder.cluster.transport.http_client import make_session
+from finchladder.cluster.types.beats import OrderBody, Report, report_decoder
+from finchladder.cluster.types.errors import PeerUnreachable
+
+TIMEOUT_S = 0.8
+KEEPALIVE_S = 2.0
+
+
+class WorkerClient:
+    """One for the placer."""
+
+    def __init__(self) -> None:
+        self._session = make_session(keepalive_s=KEEPALIVE_S)
+
+    async def order(self, address: str, instance: str, body: OrderBody) -> int:
+        """The status of the answer; PeerUnreachable without one: the order may have been taken."""
+        headers = {"Content-Type": "application/json", "X-Finchladder-Expected-Instance": instance}
+        data = msgspec.json.encode(body)
+        status, _ = await self._call("POST", f"http://{address}/api/order", "order", address, data, headers)
+        return status
+
+    async def report(self, address: str, instance: str) -> Report:
+        """What the worker holds; PeerUnreachable where it does not say."""
+        headers = {"X-Finchladder-Expected-Instance": instance}
+        status, body = await self._call(
+            "GET", f"http://{address}/api/report", "report", address, None, headers
+        )
+        if status != 200:
+            raise PeerUnreachable("report", address, f"status {status}")
+        try:
+            return report_decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise PeerUnreachable("report", address, f"unreadable: {error}") from None
+
+    async def _call(
+        self, method: str, url: str, step: str, address: str, data: bytes | None, headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        try:
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                self._session.request(method, url, data=data, headers=headers) as response,
+            ):
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerUnreachable(step, address, repr(error)) from None
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
--- /dev/null
+++ b/finchladder/cluster/replication/agreement.py
@@ -0,0 +1,61 @@
+"""Agreement on the next view: single-decree Paxos, one instance for each view, no I/O and no clock.
+
+The acceptors of instance n + 1 are the voters of view n. A voter answers only for the instance that follows
+the newest decided view that it knows, so whoever proposes learns of newer views first.
+
+    acceptor                 on Prepare(b)              on Accept(b, v)            on Learn(v), v newer
+    promised p, nothing yet  b > p: promise, p = b      b >= p: accept v, p = b    view = v, the rest none
+    promised p, accepted v   b > p: promise, tell of v  b >= p: accept, p = b      the same
+    not a voter              refuse                     refuse                     the same
+
+What a voter promises and accepts is durable before it answers; `Acceptor` is what has to be kept.
+Source: L. Lamport, "Paxos Made Simple" (2001); views as in "Vertical Paxos" (Lamport, Malkhi, Zhou 2009).
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from finchladder.cluster.types.members import GENESIS, NO_BALLOT, Ballot, View
+from finchladder.cluster.types.messages import Accept, Accepted, Prepare, Promise
+
+
+class Acceptor(msgspec.Struct, frozen=True, array_like=True):
+    """Durable state of one voter."""
+
+    view: View = GENESIS
+    promised: Ballot = NO_BALLOT
+    accepted_ballot: Ballot = NO_BALLOT
+    accepted: View | None = None
+
+
+def prepare(acceptor: Acceptor, may_vote: bool, request: Prepare) -> tuple[Acceptor, Promise]:
+    """First phase; the returned acceptor must be durable before the reply goes out."""
+    follows = request.instance == acceptor.view.number + 1
+    granted = may_vote and follows and request.ballot > acceptor.promised
+    if granted:
+        acceptor = msgspec.structs.replace(acceptor, promised=request.ballot)
+    reply = Promise(granted, acceptor.promised, acceptor.view, acceptor.accepted_ballot, acceptor.accepted)
+    return acceptor, reply
+
+
+def accept(acceptor: Acceptor, may_vote: bool, request: Accept) -> tuple[Acceptor, Accepted]:
+    """Second phase; the returned acceptor must be durable before the reply goes out."""
+    follows = request.view.number == acceptor.view.number + 1
+    granted = may_vote and follows and request.ballot >= acceptor.promised
+    if granted:
+        acceptor = Acceptor(acceptor.view, request.ballot, request.ballot, request.view)
+    return acceptor, Accepted(granted, acceptor.promised, acceptor.view)
+
+
+def learn(acceptor: Acceptor, view: View) -> Acceptor:
+    """Takes over a decided view if it is newer; what was promised for older instances is over."""
+    return Acceptor(view) if view.number > acceptor.view.number else acceptor
+
+
+def bound_value(promises: Iterable[Promise]) -> View | None:
+    """The view that a proposer must propose: the one accepted under the highest ballot, if there is any."""
+    accepted = [promise for promise in promises if promise.accepted is not None]
+    if not accepted:
+        return None
+    return max(accepted, key=lambda promise: promise.accepted_ballot).accepted
--- /dev/null
+++ b/finchladder/cluster/replication/membership.py
@@ -0,0 +1,113 @@
+"""Which view should follow: from the present one, who is healthy, and who asks to be let in.
+
+A member may stay in the chain as a survivor if it was a survivor of the present view, or if it is known to
+have stored the state within the present view. Survivors keep their order, so each still holds at least what
+the members after it hold, and stand before those that join.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+
+from attrs import frozen
+
+from finchladder.cluster.types.members import Member, View
+
+
+@frozen
+class Status:
+    """What is known of a member that answers."""
+
+    member: Member
+    state_view: int  # the view in which it last stored the state
+    healthy: bool  # its disk answers
+
+
+@frozen
+class Limits:
+    """What the deployment must bear. `losses`: disks that may be lost at once."""
+
+    losses: int
+
+    @property
+    def shortest_chain(self) -> int:
+        """Fewer members could lose what was acknowledged."""
+        return self.losses + 1
+
+    @property
+    def most_voters(self) -> int:
+        """So many that a majority is left after `losses`."""
+        return 2 * self.losses + 1
+
+
+def survivors(view: View, alive: Mapping[str, Status]) -> list[Member]:
+    """Members of the chain that hold all that was acknowledged and that answer, in their order."""
+    kept = []
+    for place, member in enumerate(view.chain):
+        status = alive.get(member.disk_id)
+        if status is None or not status.healthy:
+            continue
+        if place < view.survivors or status.state_view == view.number:
+            kept.append(member)
+    return kept
+
+
+def next_voters(
+    view: View, alive: Mapping[str, Status], joining: Sequence[Member], limits: Limits
+) -> list[Member]:
+    """The voters of the next view. Newcomers replace former incarnations, then the silent, then fill up."""
+    voters = list(view.voters)
+    known = {voter.disk_id for voter in voters}
+    for newcomer in joining:
+        if newcomer.disk_id in known:
+            continue
+        former = [v for v in voters if v.name == newcomer.name or v.peer_address == newcomer.peer_address]
+        silent = [v for v in voters if v.disk_id not in alive]
+        if former:
+            voters[voters.index(former[0])] = newcomer
+        elif len(voters) < limits.most_voters:
+            voters.append(newcomer)
+        elif silent:
+            voters[voters.index(silent[0])] = newcomer
+    return voters
+
+
+def next_view(
+    view: View, alive: Mapping[str, Status], joining: Collection[Member], limits: Limits
+) -> View | None:
+    """The view to propose; None if the present one is good, or no safe one can be made.
+
+    `alive`: by disk id, the members that answer. `joining`: members that ask to be let in.
+    """
+    kept = survivors(view, alive)
+    if not kept:
+        return None
+    holders = {member.disk_id for member in kept}
+    healthy = [s.member for s in alive.values() if s.healthy]
+    wanted = sorted(
+        (m for m in {*healthy, *joining} if m.disk_id not in holders),
+        key=lambda m: (m.name, m.disk_id),
+    )
+    wanted = [m for m in wanted if m.disk_id in alive and alive[m.disk_id].healthy]
+    wanted = _newest_incarnations(wanted, kept)
+    chain = (*kept, *wanted)
+    voters = tuple(next_voters(view, alive, wanted, limits))
+    if len(chain) < limits.shortest_chain:
+        return None
+    if chain == view.chain and voters == view.voters:
+        return None
+    if sum(v.disk_id in alive for v in voters) <= len(voters) // 2:
+        return None
+    return View(view.number + 1, voters, chain, len(kept))
+
+
+def _newest_incarnations(wanted: Sequence[Member], kept: Sequence[Member]) -> list[Member]:
+    """Leaves out whoever shares a name with a member that stays."""
+    names = {member.name for member in kept}
+    return [member for member in wanted if member.name not in names]
+
+
+def first_view(members: Sequence[Member], limits: Limits) -> View | None:
+    """The first view of a new system, from those that were told to found it."""
+    if len(members) < limits.shortest_chain:
+        return None
+    chain = tuple(sorted(members, key=lambda m: (m.name, m.disk_id)))
+    return View(1, chain[: limits.most_voters], chain, len(chain))
--- /dev/null
+++ b/finchladder/cluster/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the workers that are registered, replicated between control processes."""
--- /dev/null
+++ b/finchladder/cluster/sessions/table.py
@@ -0,0 +1,114 @@
+"""The replicated tables of workers and placements, merged by rank and told by version vector; no I/O, no
+clock.
+
+Each control process stamps the changes that it makes itself with its origin and a rising counter. A reader
+sends the highest counter that it has of each origin and gets all records with later stamps. What is gone
+stays as a tombstone until it is forgotten by age.
+"""
+
+from collections.abc import Iterator, Mapping
+
+from finchladder.cluster.types.workers import (
+    Phase,
+    PlacementRecord,
+    Stamp,
+    StampedPlacement,
+    StampedWorker,
+    WorkerRecord,
+)  # fmt: skip
+
+
+class Tables:
+    """All workers and placements that one process knows."""
+
+    def __init__(self, origin: str) -> None:
+        self.origin = origin
+        self.counter = 0
+        self.workers: dict[str, StampedWorker] = {}
+        self.placements: dict[str, StampedPlacement] = {}
+        self.vector: dict[str, int] = {}
+
+    def _stamp(self) -> Stamp:
+        self.counter += 1
+        self.vector[self.origin] = self.counter
+        return Stamp(self.origin, self.counter)
+
+    def put_worker(self, record: WorkerRecord) -> bool:
+        """Takes a record that this process made; False if a newer one is known."""
+        known = self.workers.get(record.instance)
+        if known is not None and record.rank() < known.record.rank():
+            return False
+        self.workers[record.instance] = StampedWorker(self._stamp(), record)
+        return True
+
+    def put_placement(self, record: PlacementRecord) -> bool:
+        """Takes a placement that this process made; False if a newer one is known."""
+        known = self.placements.get(record.instance)
+        if known is not None and (record.token, record.serial) <= (known.record.token, known.record.serial):
+            return False
+        self.placements[record.instance] = StampedPlacement(self._stamp(), record)
+        return True
+
+    def merge(
+        self, workers: tuple[StampedWorker, ...], placements: tuple[StampedPlacement, ...]
+    ) -> list[str]:
+        """Takes records of others; returns the instances for which something changed."""
+        changed: list[str] = []
+        for worker in workers:
+            known = self.workers.get(worker.record.instance)
+            if known is None or _newer(worker, known):
+                self.workers[worker.record.instance] = worker
+                changed.append(worker.record.instance)
+        for placement in placements:
+            held = self.placements.get(placement.record.instance)
+            if held is None or _placed_later(placement.record, held.record):
+                self.placements[placement.record.instance] = placement
+                changed.append(placement.record.instance)
+        return changed
+
+    def advance(self, vector: Mapping[str, int]) -> None:
+        """Everything up to that vector has been merged."""
+        for origin, counter in vector.items():
+            self.vector[origin] = max(counter, self.vector.get(origin, 0))
+
+    def missing(
+        self, vector: Mapping[str, int]
+    ) -> tuple[tuple[StampedWorker, ...], tuple[StampedPlacement, ...]]:
+        """The records that a reader with that vector does not have. O(records)."""
+        workers = tuple(w for w in self.workers.values() if w.stamp.counter > vector.get(w.stamp.origin, 0))
+        placements = tuple(
+            p for p in self.placements.values() if p.stamp.counter > vector.get(p.stamp.origin, 0)
+        )
+        return workers, placements
+
+    def is_ahead(self, vector: Mapping[str, int]) -> bool:
+        """Whether a reader with that vector misses anything. O(origins)."""
+        return any(counter > vector.get(origin, 0) for origin, counter in self.vector.items())
+
+    def forget(self, instance: str) -> None:
+        """Drops a worker and its placement."""
+        self.workers.pop(instance, None)
+        self.placements.pop(instance, None)
+
+    def keep_only(self, instances: set[str]) -> list[str]:
+        """Drops all workers but these; returns those dropped."""
+        dropped = [instance for instance in self.workers if instance not in instances]
+        for instance in dropped:
+            self.forget(instance)
+        return dropped
+
+    def live(self) -> Iterator[WorkerRecord]:
+        """Workers that are ready or draining."""
+        for worker in self.workers.values():
+            if worker.record.phase in (Phase.READY, Phase.DRAINING):
+                yield worker.record
+
+
+def _newer(one: StampedWorker, known: StampedWorker) -> bool:
+    if one.record.rank() != known.record.rank():
+        return one.record.rank() > known.record.rank()
+    return one.stamp.origin == known.stamp.origin and one.stamp.counter > known.stamp.counter
+
+
+def _placed_later(one: PlacementRecord, known: PlacementRecord) -> bool:
+    return (one.token, one.serial) > (known.token, known.serial)
--- /dev/null
+++ b/finchladder/cluster/storage/lmdb_store.py
@@ -0,0 +1,165 @@
+"""Durable state of a core process in LMDB, written by one thread of its own.
+
+Each value is a format number, a checksum and MessagePack. A write has returned only after the file was synced
+twice: by the commit, and by a forced sync that also covers the page that names the last transaction, whose
+own write asks for durability with O_DSYNC only. What can't be read is moved aside, and the disk then counts
+as empty.
+"""
+
+import asyncio
+import os
+import shutil
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from hashlib import blake2b
+from typing import Any, TypeVar
+
+import lmdb
+import msgspec
+
+from finchladder.cluster.replication.agreement import Acceptor
+from finchladder.cluster.replication.chain import Replica
+from finchladder.cluster.types.errors import StorageFailed
+
+FORMAT = 1
+CHECKSUM_BYTES = 8
+MAP_SHARE = 0.4  # of the disk: pages of old transactions come on top of the data
+LEAST_MAP_BYTES = 8 << 20
+
+T = TypeVar("T")
+
+
+class Identity(msgspec.Struct, frozen=True, array_like=True):
+    """Of this disk. `founder`: it was empty when the whole system started for the first time."""
+
+    disk_id: str
+    founder: bool
+
+
+class Damaged(Exception):
+    """A value does not match its checksum or format."""
+
+
+def seal(value: object) -> bytes:
+    """Bytes of a value with format number and checksum."""
+    payload = msgspec.msgpack.encode(value)
+    return bytes([FORMAT]) + blake2b(payload, digest_size=CHECKSUM_BYTES).digest() + payload
+
+
+def unseal(data: bytes, kind: type[T]) -> T:
+    """The value of those bytes; Damaged where they are not what `seal` made."""
+    payload = data[1 + CHECKSUM_BYTES :]
+    checksum = blake2b(payload, digest_size=CHECKSUM_BYTES).digest()
+    if data[:1] != bytes([FORMAT]) or data[1 : 1 + CHECKSUM_BYTES] != checksum:
+        raise Damaged("checksum or format differs")
+    try:
+        return msgspec.msgpack.decode(payload, type=kind)
+    except msgspec.DecodeError as error:
+        raise Damaged(str(error)) from None
+
+
+class Store:
+    """The disk of one core process. `clock`: seconds of the steady clock."""
+
+    def __init__(self, folder: str, disk_bytes: int, clock: Callable[[], float] = time.monotonic) -> None:
+        self._folder = os.path.join(folder, "state")
+        self._map_bytes = max(LEAST_MAP_BYTES, int(disk_bytes * MAP_SHARE))
+        self._clock = clock
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
+        self._pending: dict[int, float] = {}
+        self._serial = 0
+        self._failed = False
+        self.was_empty = not os.path.exists(self._folder)
+        self.moved_aside = ""
+        self._environment = self._open()
+
+    def _open(self) -> Any:
+        os.makedirs(self._folder, exist_ok=True)
+        _sync_folder(os.path.dirname(self._folder))
+        try:
+            return self._checked()
+        except (lmdb.Error, Damaged) as error:
+            self.moved_aside = f"{self._folder}.damaged-{int(time.time())}: {error}"
+            shutil.move(self._folder, f"{self._folder}.damaged-{int(time.time())}")
+            os.makedirs(self._folder)
+            return self._environment_at()
+
+    def _environment_at(self) -> Any:
+        return lmdb.open(self._folder, map_size=self._map_bytes, lock=False, max_readers=4)
+
+    def _checked(self) -> Any:
+        environment = self._environment_at()
+        with environment.begin() as transaction:
+            for key, kind in ((b"identity", Identity), (b"acceptor", Acceptor), (b"replica", Replica)):
+                data = transaction.get(key)
+                if data is not None:
+                    unseal(bytes(data), kind)
+        return environment
+
+    def _get(self, key: bytes, kind: type[T]) -> T | None:
+        with self._environment.begin() as transaction:
+            data = transaction.get(key)
+        return None if data is None else unseal(bytes(data), kind)
+
+    def load(self, new: Callable[[], Identity]) -> tuple[Identity, Acceptor, Replica]:
+        """What was stored; a disk without an identity gets the one that `new` makes."""
+        identity = self._get(b"identity", Identity)
+        if identity is None:
+            identity = new()
+            self._write({b"identity": seal(identity)})
+        return (
+            identity,
+            self._get(b"acceptor", Acceptor) or Acceptor(),
+            self._get(b"replica", Replica) or Replica(),
+        )
+
+    def _write(self, values: dict[bytes, bytes]) -> None:
+        with self._environment.begin(write=True) as transaction:
+            for key, value in values.items():
+                transaction.put(key, value)
+        self._environment.sync(True)
+
+    async def save(self, *, acceptor: Acceptor | None = None, replica: Replica | None = None) -> None:
+        """Returns once the values are durable; StorageFailed if the disk refuses them."""
+        values: dict[bytes, bytes] = {}
+        if acceptor is not None:
+            values[b"acceptor"] = seal(acceptor)
+        if replica is not None:
+            values[b"replica"] = seal(replica)
+        await self._run(values)
+
+    async def probe(self) -> None:
+        """Writes something small, to learn whether a disk that failed has come back."""
+        await self._run({b"probe": b"\x00"})
+
+    async def _run(self, values: dict[bytes, bytes]) -> None:
+        self._serial += 1
+        serial = self._serial
+        self._pending[serial] = self._clock()
+        try:
+            await asyncio.get_running_loop().run_in_executor(self._executor, self._write, values)
+            self._failed = False
+        except (lmdb.Error, OSError) as error:
+            self._failed = True
+            raise StorageFailed("store", "disk", str(error)) from error
+        finally:
+            del self._pending[serial]
+
+    @property
+    def failed(self) -> bool:
+        """Whether the last write was refused."""
+        return self._failed
+
+    def stalled_s(self) -> float:
+        """How long the oldest unfinished write has waited."""
+        return self._clock() - min(self._pending.values()) if self._pending else 0.0
+
+
+def _sync_folder(path: str) -> None:
+    """Makes new names in a folder durable."""
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/finchladder/cluster/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP on both sides; it decides nothing."""
--- /dev/null
+++ b/finchladder/cluster/transport/http_client.py
@@ -0,0 +1,41 @@
+"""Outgoing connections by aiohttp: nothing repeated, decoded or added behind the caller's back."""
+
+import socket
+from typing import Any
+
+import aiohttp
+
+USER_TIMEOUT_MS = 3000  # unacknowledged bytes: a peer behind a cut says nothing
+PLAIN_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+def make_socket(info: Any) -> socket.socket:
+    """A socket that notices a silent peer."""
+    family, kind, protocol = info[0], info[1], info[2]
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return made
+
+
+def make_session(*, keepalive_s: float, limit_per_host: int = 0) -> aiohttp.ClientSession:
+    """A session whose requests go out as they are, once."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=limit_per_host,
+        keepalive_timeout=keepalive_s,
+        use_dns_cache=False,
+        socket_factory=make_socket,
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=PLAIN_HEADERS,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None),
+        raise_for_status=False,
+    )
+    # aiohttp sends idempotent methods a second time on a connection that was dropped while it rested
+    session._retry_connection = False
+    return session
--- /dev/null
+++ b/finchladder/cluster/transport/http_server.py
@@ -0,0 +1,52 @@
+"""Listening sockets by aiohttp's low-level server: one handler for all paths, nothing added to what it
+answers.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+BACKLOG = 1024
+
+
+class Listener:
+    """One listening address."""
+
+    def __init__(
+        self, handler: Handler, address: str, *, keepalive_s: float = 75.0, cancels: bool = False
+    ) -> None:
+        """`cancels`: a client that leaves cancels its handler."""
+        self._server = web.Server(
+            handler,
+            handler_cancellation=cancels,
+            access_log=None,
+            keepalive_timeout=keepalive_s,
+            auto_decompress=False,
+            lingering_time=0,
+        )
+        self._address = address
+        self._runner = web.ServerRunner(self._server, handle_signals=False, shutdown_timeout=0.1)
+        self._site: web.TCPSite | None = None
+
+    async def start(self) -> None:
+        """Begins to listen; OSError if the address is taken."""
+        await self._runner.setup()
+        host, port = split_address(self._address)
+        self._site = web.TCPSite(self._runner, host, port, backlog=BACKLOG, reuse_address=True)
+        await self._site.start()
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._server.connections)
+
+    async def stop(self) -> None:
+        """Stops listening and closes what is open."""
+        await self._runner.cleanup()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/finchladder/cluster/transport/peers.py
@@ -0,0 +1,95 @@
+"""The internal protocol over HTTP: one POST for each request, MessagePack both ways."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from finchladder.cluster.transport.http_client import make_session
+from finchladder.cluster.types.errors import ClusterError, PeerRefused, PeerUnreachable
+from finchladder.cluster.types.messages import (
+    Failure,
+    Reply,
+    Request,
+    encoder,
+    reply_decoder,
+    request_decoder,
+)  # fmt: skip
+
+PATH = "/peer"
+KEEPALIVE_S = 30.0
+CONNECT_S = 0.5
+
+Answer = Callable[[Request], Awaitable[Reply]]
+
+
+class PeerClient:
+    """Calls other processes."""
+
+    def __init__(self) -> None:
+        self._session = make_session(keepalive_s=KEEPALIVE_S)
+
+    async def call(self, address: str, request: Request, timeout_s: float) -> Reply:
+        """Sends one request; PeerUnreachable without an answer in time, PeerRefused if the peer could not do
+        it.
+        """
+        step = type(request).__name__
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=min(CONNECT_S, timeout_s))
+        try:
+            async with self._session.post(
+                f"http://{address}{PATH}", data=encoder.encode(request), timeout=timeout
+            ) as response:
+                body = await response.read()
+                if response.status != 200:
+                    raise PeerRefused(step, address, f"status {response.status}")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerUnreachable(step, address, repr(error)) from None
+        try:
+            reply = reply_decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise PeerRefused(step, address, f"unreadable reply: {error}") from None
+        if isinstance(reply, Failure):
+            raise PeerRefused(reply.step, address, reply.problem)
+        return reply
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+
+def peer_handler(answer: Answer) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    """The HTTP handler of the internal protocol."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            message = request_decoder.decode(await request.content.read())
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=f"unreadable: {error}\n")
+        try:
+            reply: Reply = await answer(message)
+        except ClusterError as error:
+            reply = Failure(error.step, str(error))
+        return web.Response(body=encoder.encode(reply))
+
+    return handle
+
+
+async def quiet(awaitable: Awaitable[Reply]) -> Reply | ClusterError:
+    """The reply, or the error in its place: for calls that go to many."""
+    try:
+        return await awaitable
+    except ClusterError as error:
+        return error
+
+
+def steady() -> float:
+    """Seconds of the steady clock."""
+    return time.monotonic()
+
+
+async def all_of(calls: Sequence[Awaitable[Reply]]) -> list[Reply | ClusterError]:
+    """Makes all calls at once."""
+    return list(await asyncio.gather(*(quiet(call) for call in calls)))
--- /dev/null
+++ b/finchladder/cluster/types/__init__.py
@@ -0,0 +1,1 @@
+"""Records and messages of the system."""
--- /dev/null
+++ b/finchladder/cluster/types/beats.py
@@ -0,0 +1,58 @@
+"""What workers send and answer, as JSON; unknown fields are skipped."""
+
+import msgspec
+
+from finchladder.cluster.types.workers import Holding
+
+
+class ModelReport(msgspec.Struct):
+    """A model in a worker's memory, as the worker tells it."""
+
+    name: str
+    version: int = 0
+    adapters: list[str] = msgspec.field(default_factory=list)
+
+
+class Beat(msgspec.Struct):
+    """A worker's heartbeat."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    sequence: int = 0
+    models: list[ModelReport] = msgspec.field(default_factory=list)
+    remaining_ms: float | None = None
+
+
+class Report(msgspec.Struct):
+    """A worker's report of itself; some hundred ms old. `sequence` counts the orders it has taken."""
+
+    sequence: int = 0
+    busy: bool = False
+    models: list[ModelReport] = msgspec.field(default_factory=list)
+    queued: int = 0
+    active: int = 0
+    kv_cache_used: int = 0
+    kv_cache_total: int = 0
+
+
+class OrderBody(msgspec.Struct, omit_defaults=True):
+    """An order to a worker."""
+
+    operation: str
+    model: str
+    holder: str
+    fence_token: int
+    adapter: str | None = None
+    if_revision: int | None = None
+
+
+def holdings(models: list[ModelReport]) -> tuple[Holding, ...]:
+    """Sorted, so that equal holdings compare equal."""
+    return tuple(sorted((Holding(m.name, tuple(sorted(m.adapters))) for m in models), key=lambda h: h.model))
+
+
+beat_decoder = msgspec.json.Decoder(Beat)
+report_decoder = msgspec.json.Decoder(Report)
--- /dev/null
+++ b/finchladder/cluster/types/messages.py
@@ -0,0 +1,227 @@
+"""The internal protocol: requests and replies between processes, as tagged MessagePack arrays."""
+
+import msgspec
+
+from finchladder.cluster.types.members import NO_BALLOT, Ballot, Member, View
+from finchladder.cluster.types.operations import ControlState, Operation
+from finchladder.cluster.types.workers import StampedPlacement, StampedWorker
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all messages."""
+
+
+# --- requests ---------------------------------------------------------------------------------------------
+
+
+class Ping(Message, frozen=True, tag=1):
+    """Failure detection between core members; also asks to be admitted where the sender is in no view."""
+
+    sender: Member
+    view: View
+    wants_in: bool
+
+
+class Prepare(Message, frozen=True, tag=2):
+    """First phase of agreeing on view `instance`."""
+
+    instance: int
+    ballot: Ballot
+
+
+class Accept(Message, frozen=True, tag=3):
+    """Second phase of agreeing on a view."""
+
+    ballot: Ballot
+    view: View
+
+
+class Learn(Message, frozen=True, tag=4):
+    """A view that was decided."""
+
+    view: View
+
+
+class Replicate(Message, frozen=True, tag=5):
+    """From a member to its successor: an operation, the whole state, or neither to confirm what is stored."""
+
+    view: int
+    sequence: int  # after the operation
+    operation: Operation | None = None
+    state: ControlState | None = None
+
+
+class Submit(Message, frozen=True, tag=6):
+    """A change of the configuration, forwarded to the head. `patch`: PATCH, not PUT."""
+
+    base: int
+    patch: bool
+    body: bytes
+    deadline_ms: int
+
+
+class ReadState(Message, frozen=True, tag=7):
+    """Asks the tail for the newest acknowledged state."""
+
+
+class Pull(Message, frozen=True, tag=8):
+    """Asks for what is missing, by version vector; answered at once or when something changes."""
+
+    sender: str
+    vector: dict[str, int]
+    version: int  # of the configuration that the sender has
+    view: int
+    wait_ms: int
+    is_edge: bool
+
+
+class Demand(Message, frozen=True):
+    """What one dispatcher was asked for of one model or adapter since its last report."""
+
+    service: str
+    model: str
+    adapter: str
+    asked: int
+    waiting: int  # requests held because nobody holds it
+    running: int
+    tokens: int  # prompt and output tokens asked for
+
+
+class DemandReport(Message, frozen=True, tag=9):
+    """From a dispatcher to the placer."""
+
+    sender: str
+    seconds: float  # since the report before
+    demands: tuple[Demand, ...]
+
+
+class RenewPlacer(Message, frozen=True, tag=10):
+    """Asks the head to keep the placer's lease."""
+
+    holder: str
+    token: int
+
+
+class ClaimRole(Message, frozen=True, tag=11):
+    """Asks the head for the vacant placer's role."""
+
+    holder: str
+    token: int  # the last one that the sender knows
+
+
+class Resign(Message, frozen=True, tag=12):
+    """The placer gives its role up; `idle_ms` ago it sent its last order."""
+
+    holder: str
+    token: int
+    idle_ms: int
+
+
+Request = (
+    Ping | Prepare | Accept | Learn | Replicate | Submit | ReadState | Pull | DemandReport | RenewPlacer
+    | ClaimRole | Resign
+)  # fmt: skip
+
+# --- replies ----------------------------------------------------------------------------------------------
+
+
+class Pong(Message, frozen=True, tag=51):
+    """State of a core member."""
+
+    sender: Member
+    view: View
+    state_view: int
+    sequence: int
+    healthy: bool  # its disk answers
+    accepted: bool  # it has accepted a proposal for the next view
+
+
+class Promise(Message, frozen=True, tag=52):
+    """Answer to Prepare. `view`: the newest decided one that the voter knows."""
+
+    granted: bool
+    promised: Ballot
+    view: View
+    accepted_ballot: Ballot = NO_BALLOT
+    accepted: View | None = None
+
+
+class Accepted(Message, frozen=True, tag=53):
+    """Answer to Accept."""
+
+    granted: bool
+    promised: Ballot
+    view: View
+
+
+class Replicated(Message, frozen=True, tag=54):
+    """Answer to Replicate: whether it is stored from here to the tail; else what is wrong, and where."""
+
+    stored: bool
+    view: View
+    needs_state: bool = False
+    problem: str = ""
+
+
+class Submitted(Message, frozen=True, tag=55):
+    """Outcome of a change. `status` is that of HTTP: 200, 400, 412 or 503."""
+
+    status: int
+    version: int
+    problem: str = ""
+
+
+class StateReply(Message, frozen=True, tag=56):
+    """The newest acknowledged state, or why it can't be told."""
+
+    state: ControlState | None
+    problem: str = ""
+
+
+class Delta(Message, frozen=True, tag=57):
+    """What the puller was missing."""
+
+    origin: str
+    vector: dict[str, int]
+    view: View
+    workers: tuple[StampedWorker, ...]
+    placements: tuple[StampedPlacement, ...]
+    version: int
+    document: bytes  # empty: no newer configuration
+    complete: bool  # the sender has been up for long enough to know all workers
+    whole: bool  # the tables are sent whole, not as changes
+    placer: str  # peer address of the placer; empty: unknown
+    edges: int  # dispatchers in session with the sender
+    confirmed: bool  # the sender's chain answered lately
+
+
+class Granted(Message, frozen=True, tag=58):
+    """Answer to RenewPlacer, ClaimRole and Resign."""
+
+    granted: bool
+    token: int
+    wait_ms: int = 0
+
+
+class DemandReply(Message, frozen=True, tag=59):
+    """Answer to DemandReport."""
+
+    interval_ms: int
+    is_placer: bool
+
+
+class Failure(Message, frozen=True, tag=60):
+    """A request that could not be answered."""
+
+    step: str
+    problem: str
+
+
+Reply = (
+    Pong | Promise | Accepted | Replicated | Submitted | StateReply | Delta | Granted | DemandReply | Learn
+    | Failure
+)  # fmt: skip
+
+encoder = msgspec.msgpack.Encoder()
+request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(Request)
+reply_decoder: msgspec.msgpack.Decoder[Reply] = msgspec.msgpack.Decoder(Reply)
--- /dev/null
+++ b/finchladder/cluster/types/workers.py
@@ -0,0 +1,70 @@
+"""Records of the replicated tables: workers, and what the placer says of them."""
+
+from enum import Enum
+
+import msgspec
+
+
+class Phase(str, Enum):
+    """State of a worker's session."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    LOST = "lost"  # its heartbeats stopped; a new one brings it back
+    GONE = "gone"  # it has left for good
+
+
+class Holding(msgspec.Struct, frozen=True, array_like=True):
+    """A model in a worker's memory, with the adapters that lie beside it."""
+
+    model: str
+    adapters: tuple[str, ...] = ()
+
+
+class Stamp(msgspec.Struct, frozen=True, array_like=True):
+    """Which change of which control process a record is; the entries of a version vector."""
+
+    origin: str
+    counter: int
+
+
+class WorkerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One worker incarnation as its session's owner knows it."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    phase: Phase
+    sequence: int  # of the worker's calls; higher is newer
+    owner: str  # origin that hears its heartbeats
+    holdings: tuple[Holding, ...] = ()
+    remaining_ms: int | None = None  # time left to a worker that is taken away at short notice
+
+    def rank(self) -> tuple[bool, int, bool]:
+        """Orders two records of one worker: what is final, then the newer call, then its silence."""
+        return self.phase is Phase.GONE, self.sequence, self.phase is Phase.LOST
+
+
+class PlacementRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What the placer lets be used at a worker. A higher (token, serial) replaces a lower one."""
+
+    instance: str
+    token: int
+    serial: int
+    holdings: tuple[Holding, ...]
+
+
+class StampedWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A worker's record with its stamp."""
+
+    stamp: Stamp
+    record: WorkerRecord
+
+
+class StampedPlacement(msgspec.Struct, frozen=True, array_like=True):
+    """A placement record with its stamp."""
+
+    stamp: Stamp
+    record: PlacementRecord
--- a/finchladder/core/crowd.py
+++ b/finchladder/core/crowd.py
@@ -16,7 +16,7 @@
 O(1) for each entry of a list; the bar O(workers), at most once in LOOK_EVERY_S.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from itertools import islice
 from random import Random
 
@@ -123,14 +123,3 @@
             return [w for w in able if w.zone == zone or all(other.zone != zone for other in able)][-1]
         chances = [1.0 / (w.finish + FAR * (w.zone != zone)) ** 2 for w in able]
         return one_of(able, chances, random)
-
-
-def least(able: Iterable[Worker]) -> list[Worker]:
-    """Those of them with the lowest load."""
-    found: list[Worker] = []
-    for w in able:
-        if not found or w.load < found[0].load:
-            found = [w]
-        elif w.load == found[0].load and w not in found:
-            found.append(w)
-    return found
--- a/finchladder/core/fleet.py
+++ b/finchladder/core/fleet.py
@@ -7,23 +7,20 @@
 zone each pool takes twice as much.
 """
 
-from array import array
-from bisect import bisect_left, bisect_right, insort
+from bisect import bisect_left, insort
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Sequence
-from hashlib import blake2b
 from itertools import islice
 from random import Random
-from sys import byteorder
 
 from finchladder.core.api import State, WorkerEntry, WorkerPool
 from finchladder.core.records import Worker
+from finchladder.core.rings import Points
+from finchladder.core.rings import Ring as Ring
+from finchladder.core.rings import key_hashes as key_hashes
+from finchladder.core.rings import ring_points as ring_points
 from finchladder.core.wheel import Wheel
 
-POINTS = 32  # ring marks a worker and hash: evens out the arcs of neighbours
-ARC_BITS = 8  # a ring is cut into so many arcs (as a power of 2), each a sorted row of its own
-SHIFT = 64 - ARC_BITS
-WHOLE = 1 << 64  # a ring, all round
 KEPT_KEYS = 1024  # keys whose pairs are kept while the rings stay as they are: 0.5 MB for each needed kind
 FAR_OFF = 64  # pairs of a key that are walked past one by one; a home farther round is found by marks
 
@@ -31,116 +28,18 @@
 Needed = str | WorkerPool | None  # whom a job may go to: one kind, one pool, or anyone
 
 
-def key_hashes(key: int) -> tuple[int, int]:
-    digest = blake2b(b"%d" % key, digest_size=16).digest()
-    return int.from_bytes(digest[:8], "big"), int.from_bytes(digest[8:], "big")
-
-
-def ring_points(address: str, ring: int) -> "array[int]":
-    """Each point is 64 bits of a hash, the first byte highest."""
-    points = array("Q")
-    for n in range(POINTS // 8):
-        points.frombytes(blake2b(f"{address}/{ring}/{n}".encode()).digest())
-    if byteorder == "little":
-        points.byteswap()
-    return points
-
-
-class Ring:
-    """One consistent-hash ring: in place of '% |W|', where a join or leave would move nearly every key.
-
-    The same workers make the same ring, in whatever order they came. (But for two marks at one point, which
-    stand as they came: at 10,000 workers one ring in 400 million has such a pair.)
-    """
-
-    __slots__ = ("arcs", "size", "held")
-
-    def __init__(self) -> None:
-        # how much of the ring is each one's, in 2**-64 of it; kept from when it is first asked for
-        self.held: dict[Worker, int] | None = None
-        self.arcs: list[tuple[array[int], list[Worker]]] = [(array("Q"), []) for _ in range(1 << ARC_BITS)]
-        self.size = 0
-
-    def add(self, w: Worker, points: "array[int]") -> None:
-        for p in points:
-            marks, owners = self.arcs[p >> SHIFT]
-            at = bisect_left(marks, p)
-            if self.held is not None:
-                part = WHOLE
-                if self.size:  # it takes a part of what was the next one's
-                    part = (p - self._before(p >> SHIFT, at)) % WHOLE
-                    self.held[owners[at] if at < len(owners) else next(self.after(p))] -= part
-                self.held[w] = self.held.get(w, 0) + part
-            marks.insert(at, p)
-            owners.insert(at, w)
-            self.size += 1
-
-    def remove(self, w: Worker, points: "array[int]") -> None:
-        for p in points:
-            marks, owners = self.arcs[p >> SHIFT]
-            at = bisect_left(marks, p)
-            while owners[at] is not w:  # two marks at one point
-                at += 1
-            part = (p - self._before(p >> SHIFT, at)) % WHOLE if self.held is not None else 0
-            del marks[at], owners[at]
-            self.size -= 1
-            if self.held is not None and self.size:
-                self.held[owners[at] if at < len(owners) else next(self.after(p))] += part
-        if self.held is not None:
-            self.held.pop(w, None)
-
-    def _before(self, arc: int, at: int) -> int:
-        """The mark that stands before place `at` of that arc; round the ring."""
-        marks = self.arcs[arc][0]
-        while not at:
-            arc -= 1
-            marks = self.arcs[arc][0]
-            at = len(marks)
-        return marks[at - 1]
-
-    def portion(self, w: Worker) -> float:
-        """Its part of the keys over an even part; 1 where it is not on the ring. The first call O(marks)."""
-        if self.held is None:
-            self.held = {}
-            marks = [mark for points, owners in self.arcs for mark in zip(points, owners, strict=True)]
-            last = marks[-1][0] - WHOLE if marks else 0
-            for p, owner in marks:
-                self.held[owner] = self.held.get(owner, 0) + p - last
-                last = p
-        return self.held[w] / WHOLE * len(self.held) if w in self.held else 1.0
-
-    def owner(self, point: int) -> Worker:
-        """Of the first mark past the point; the ring must not be empty."""
-        marks, owners = self.arcs[point >> SHIFT]
-        at = bisect_right(marks, point)
-        return owners[at] if at < len(owners) else next(self.after(point))
-
-    def after(self, point: int, skip: int = 0) -> Iterator[Worker]:
-        """The owners of the marks past the point, but for the first `skip`; round and round."""
-        arc = point >> SHIFT
-        marks, owners = self.arcs[arc]
-        at = bisect_right(marks, point) + skip
-        while self.size:
-            while at < len(owners):
-                yield owners[at]
-                at += 1
-            at -= len(owners)
-            arc = (arc + 1) % len(self.arcs)
-            owners = self.arcs[arc][1]
-
-
 class Pool:
     """The ready workers that some jobs may go to: those of one needed kind, or of a route's pool."""
 
     def __init__(self, zones: Iterable[str] = ()) -> None:
         self.parts = {zone: Pool() for zone in zones}  # those of a zone alone
-        self.rings = (Ring(), Ring())
+        self.rings: tuple[Ring[Worker], Ring[Worker]] = (Ring(), Ring())
         self.size = self.version = 0
         self.known: dict[int, tuple[int, list[list[Worker]]]] = {}  # pairs by key, as of which version
         self.levels: dict[Level, OrderedDict[Worker, None]] = {}  # none of them empty
         self.order: list[Level] = []  # the same, sorted
 
-    def change(self, w: Worker, joins: bool, points: tuple["array[int]", "array[int]"]) -> None:
+    def change(self, w: Worker, joins: bool, points: "tuple[Points, Points]") -> None:
         self.version += 1
         self.size += 1 if joins else -1
         for ring, marks in zip(self.rings, points, strict=True):
--- a/finchladder/core/policy.py
+++ b/finchladder/core/policy.py
@@ -22,7 +22,8 @@
 from finchladder.core.asking import Asking
 from finchladder.core.cold import Cold
 from finchladder.core.counts import KeyCounts
-from finchladder.core.crowd import FETCH, Crowd, least
+from finchladder.core.choice import least, overflow
+from finchladder.core.crowd import FETCH, Crowd
 from finchladder.core.fleet import Fleet, Pool
 from finchladder.core.health import SIGNS, SUSPECT, Health, Sign
 from finchladder.core.records import Attempt, Held, Job, Line, Worker
@@ -252,9 +253,8 @@
             # then hold what the key needs; scattered over the fleet each overflow would cost a fetch
             full: list[Worker] = []
             for pair in self._pairs(pool, job.key):
-                able = [w for w in pair if self._takes(job, w)]
-                if able:
-                    return self.crowd.draw(least(able), self.s.zone, self.random, pool)
+                if able := least(w for w in pair if self._takes(job, w)):
+                    return self.crowd.draw(able, self.s.zone, self.random, pool)
                 full += pair
             if (cold := self._cold_ones(job, pool)) or any(self._permitted(job, w) for w in full):
                 # homes are worth waiting for: anywhere else it would fetch, and push out what others need
@@ -268,13 +268,7 @@
             seen = [*pool.by_load(SAMPLE), *pool.anyone(self.random, SAMPLE), *turns]
             able = least(w for w in seen if self._takes(job, w, 0.0 if job.key is None else FETCH))
             return self.crowd.draw(able, self.s.zone, self.random) if able else None
-        passed: list[Worker] = []
-        found: Worker | None = None
-        for w in pool.by_load(SAMPLE):
-            if self._under_t(w) and self._permitted(job, w):
-                found = w
-                break
-            passed.append(w)
+        found, passed = overflow(pool.by_load(SAMPLE), lambda w: self._under_t(w) and self._permitted(job, w))
         if pool.size > SAMPLE:
             self.fleet.defer(passed)
             if found is None:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -242,7 +242,8 @@
 
 
 def test_two_marks_at_one_point_are_told_apart(monkeypatch: pytest.MonkeyPatch) -> None:
-    ring, (a, b) = Ring(), (Worker(entry(n), 1.0) for n in "ab")
+    ring: Ring[Worker] = Ring()
+    a, b = (Worker(entry(n), 1.0) for n in "ab")
     for w in (a, b):
         ring.add(w, array("Q", [7, 1 << 63]))
     ring.remove(a, array("Q", [7, 1 << 63]))
--- a/tests/core/test_sizes.py
+++ b/tests/core/test_sizes.py
@@ -210,7 +210,8 @@
 @pytest.mark.parametrize("asked", [0, 50])
 def test_portions_are_those_of_a_ring_made_anew_whoever_comes_and_goes(asked: int) -> None:
     """`asked`: from which step on anyone wants to know."""
-    rng, ring = random.Random(3), Ring()
+    rng = random.Random(3)
+    ring: Ring[Worker] = Ring()
     there: dict[str, Worker] = {}
     for step in range(120):
         name = f"w{rng.randrange(12)}"
