--- a/finchladder/cluster/placement/demand.py
+++ b/finchladder/cluster/placement/demand.py
@@ -29,13 +29,16 @@
     rate: float = 0.0
     tokens: float = 0.0  # a second
     at: float = 0.0
+    running: float = 0.0  # smoothed
     asked_at: float = -1e9
 
-    def decay(self, now: float) -> None:
-        """Brings the rates to that moment."""
+    def decay(self, now: float, running: int | None = None) -> None:
+        """Brings the figures to that moment; `running`: how many run now."""
         factor = exp(-(now - self.at) / TIME_CONSTANT_S)
         self.rate *= factor
         self.tokens *= factor
+        if running is not None:
+            self.running += (1 - factor) * (running - self.running)
         self.at = now
 
 
@@ -63,7 +66,7 @@
             item = Item(demand.service, demand.model, demand.adapter)
             if demand.asked:
                 figure = self.figures.setdefault(item, Figure(at=now))
-                figure.decay(now)
+                figure.decay(now, self._running_now(item))
                 figure.rate += demand.asked / TIME_CONSTANT_S
                 figure.tokens += demand.tokens / TIME_CONSTANT_S
                 figure.asked_at = now
@@ -78,7 +81,7 @@
         for sender in [s for s, told in self.told.items() if now - told.at > REPORT_FORGOTTEN_S]:
             del self.told[sender]
         for item, figure in list(self.figures.items()):
-            figure.decay(now)
+            figure.decay(now, self._running_now(item))
             if figure.rate < LEAST_RATE and now - figure.asked_at > 10 * TIME_CONSTANT_S:
                 del self.figures[item]
 
@@ -91,8 +94,12 @@
         """Requests that wait for it anywhere."""
         return sum(told.waiting.get(item, 0) for told in self.told.values())
 
-    def running(self, item: Item) -> int:
-        """Requests of it that run anywhere."""
+    def running(self, item: Item) -> float:
+        """Requests of it that run anywhere, smoothed."""
+        figure = self.figures.get(item)
+        return 0.0 if figure is None else figure.running
+
+    def _running_now(self, item: Item) -> int:
         return sum(told.running.get(item, 0) for told in self.told.values())
 
     def items(self) -> set[Item]:
--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -1,8 +1,10 @@
-"""Which order a worker should get next; no I/O and no clock.
+"""Which model or adapter a worker should load next, and what has to give way; no I/O and no clock.
 
-A copy of a model is worth its rate, less for each further copy, and more while requests wait for it. A copy
-is loaded where it is worth more than what has to give way, by a margin that keeps models from being exchanged
-to and fro.
+The first copy of a model is worth its rate, and more while requests wait for it. A further copy is worth a
+little for balance, and more once the running requests of a copy pass a share of its slots. A copy is loaded
+where it is worth more than what gives way, by a margin that keeps models from being exchanged to and fro; a
+worker that has the model on its own disk is preferred by the time that this saves. Where loads from the store
+are slow, workers with nothing to do load models that nobody has on disk yet, in place of idle ones.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -13,10 +15,17 @@
 from finchladder.cluster.configuration.routing import Engine
 from finchladder.cluster.placement.demand import DemandBook, Item
 
-COPY_WORTH = (1.0, 0.22, 0.12, 0.07, 0.05)  # of the first copy, the second, ...; the last for further ones
+BALANCE_WORTH = 0.15  # of a further copy, for each request a second
+OVERLOAD_WORTH = 0.3  # of a further copy of a model whose copies are all busy, for each request a second
+BUSY_SHARE = 0.15  # of a worker's slots: so many running requests make a copy busy
 WAITING_WORTH = 0.5  # of each request that waits for a model that nobody holds
+RUNNING_WORTH = 0.2  # of each request that runs at a copy: evicting it would wait for them
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
 LEAST_WORTH = 0.02  # a copy that is worth less is not loaded
+EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
+WORTH_A_SECOND = 0.1  # by which a load that takes a second longer is worth less
+BUSYNESS_WORTH = 0.05
+PREFETCH_LEAST_S = 2.0  # loads that are quicker need not be prepared
 
 
 @define
@@ -39,38 +48,30 @@
 
 @dataclass(frozen=True)
 class Load:
-    """Load a model, or an adapter of one that is there."""
+    """Load a model, or an adapter of one that is there, after evicting `victims`: (model, adapter or "")."""
 
     instance: str
     model: str
     adapter: str = ""
-
-
-@dataclass(frozen=True)
-class Evict:
-    """Take a model, or an adapter, out of a worker's memory; `to_load` is what it makes room for."""
-
-    instance: str
-    model: str
-    adapter: str = ""
-
-
-Action = Load | Evict
+    victims: tuple[tuple[str, str], ...] = ()
 
 
 @frozen
 class Plan:
-    """Inputs of one round of planning for one service."""
+    """Inputs of one round of planning for one service. `warm_share`: a load from the own disk over one from
+    the store, in time.
+    """
 
     service: str
     engine: Engine
     workers: Sequence[WorkerState]
     demand: DemandBook
-    loads_allowed: int  # from the store
+    loads_allowed: int  # that may begin from the store now
+    warm_share: float
 
 
 def used_mb(engine: Engine, models: Mapping[str, Iterable[str]]) -> float:
-    """Memory that models and their adapters take."""
+    """Memory that models and their adapters take; infinite if one of them is unknown."""
     total = 0.0
     for name, adapters in models.items():
         model = engine.models.get(name)
@@ -80,142 +81,191 @@
     return total
 
 
-def model_rate(demand: DemandBook, service: str, engine: Engine) -> dict[str, float]:
-    """Requests a second by model, those for its adapters included."""
-    rates: dict[str, float] = {}
-    for item in demand.items():
-        if item.service == service and item.model in engine.models:
-            rates[item.model] = rates.get(item.model, 0.0) + demand.rate(item)
-    return rates
+@define
+class ModelDemand:
+    """What is asked of a model, its adapters included."""
+
+    rate: float = 0.0
+    waiting: int = 0
+    running: float = 0.0
 
 
-def model_waiting(demand: DemandBook, service: str) -> dict[str, int]:
-    """Waiting requests by model, those for its adapters included."""
-    waiting: dict[str, int] = {}
+def by_model(demand: DemandBook, service: str, engine: Engine) -> dict[str, ModelDemand]:
+    """Demand of each model of the service that is asked for."""
+    found: dict[str, ModelDemand] = {}
     for item in demand.items():
-        if item.service == service:
-            waiting[item.model] = waiting.get(item.model, 0) + demand.waiting(item)
-    return waiting
+        if item.service == service and item.model in engine.models:
+            of_model = found.setdefault(item.model, ModelDemand())
+            of_model.rate += demand.rate(item)
+            of_model.waiting += demand.waiting(item)
+            of_model.running += demand.running(item)
+    return found
 
 
 class Round:
     """One round: at most one action for each worker that is free."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, loading: Mapping[str, int]) -> None:
+        """`loading`: copies by model that are on their way."""
         self.plan, self.engine = plan, plan.engine
-        self.rates = model_rate(plan.demand, plan.service, plan.engine)
-        self.waiting = model_waiting(plan.demand, plan.service)
+        self.demand = by_model(plan.demand, plan.service, plan.engine)
+        total = sum(d.rate for d in self.demand.values())
+        self.even_rate = EVEN_SHARE * total / max(1, len(plan.engine.models))
         self.workers = [w for w in plan.workers if not w.leaving]
         self.free = {w.instance: w for w in self.workers if not w.busy}
         self.loads_left = plan.loads_allowed
-        self.copies: dict[str, int] = {}
+        self.order = {name: place for place, name in enumerate(plan.engine.models)}
+        self.copies: dict[str, int] = dict(loading)
         for worker in self.workers:
             for model in worker.models:
                 self.copies[model] = self.copies.get(model, 0) + 1
 
     def copy_worth(self, model: str, copies: int) -> float:
         """What the copy with that number, 1 for the first, is worth."""
-        share = COPY_WORTH[min(copies, len(COPY_WORTH)) - 1]
-        worth = self.rates.get(model, 0.0) * share
-        if copies == 1:
-            worth += WAITING_WORTH * self.waiting.get(model, 0)
-        return worth
-
-    def actions(self, loading: Mapping[str, int]) -> list[Action]:
-        """What to order now. `loading`: copies by model that are on their way."""
-        for model, count in loading.items():
-            self.copies[model] = self.copies.get(model, 0) + count
+        demand = self.demand.get(model, ModelDemand())
+        if copies <= 1:
+            return (
+                demand.rate + self.even_rate + WAITING_WORTH * demand.waiting + RUNNING_WORTH * demand.running
+            )
+        busy = demand.running / (copies - 1) / max(1.0, BUSY_SHARE * self.engine.slots)
+        return demand.rate * (BALANCE_WORTH + OVERLOAD_WORTH * min(1.0, max(0.0, busy - 1.0)))
+
+    def actions(self) -> list[Load]:
+        """What to order now."""
         found = self._adapter_actions()
         for model in self._candidates():
-            if not self.free:
-                break
             action = self._place(model)
             if action is not None:
                 found.append(action)
-                self.free.pop(action.instance, None)
+        if not found and not any(d.waiting for d in self.demand.values()):
+            found += self._prefetches()
         return found
 
+    def _take(self, action: Load) -> Load:
+        """Counts an action as done."""
+        worker = self.free.pop(action.instance)
+        if not action.adapter:
+            self.copies[action.model] = self.copies.get(action.model, 0) + 1
+            for model, _ in action.victims:
+                self.copies[model] -= 1
+            if action.model not in worker.on_disk:
+                self.loads_left -= 1
+        return action
+
     def _candidates(self) -> list[str]:
-        """Models by what their next copy is worth."""
-        models = set(self.rates) | {m for m, count in self.waiting.items() if count}
-        known = [m for m in models if m in self.engine.models]
-        return sorted(known, key=lambda m: (-self.copy_worth(m, self.copies.get(m, 0) + 1), m))
-
-    def _place(self, model: str) -> Action | None:
-        copies = self.copies.get(model, 0)
-        worth = self.copy_worth(model, copies + 1)
+        """Models that are waited for and nowhere, then all by what their next copy is worth."""
+
+        def urgency(model: str) -> tuple[bool, float, str]:
+            copies = self.copies.get(model, 0)
+            is_missed = copies == 0 and self.demand[model].waiting > 0
+            return not is_missed, -self.copy_worth(model, copies + 1), model
+
+        return sorted(self.demand, key=urgency)
+
+    def _place(self, model: str) -> Load | None:
+        worth = self.copy_worth(model, self.copies.get(model, 0) + 1)
         if worth < LEAST_WORTH:
             return None
-        best: tuple[float, str, WorkerState, str | None] | None = None
+        choices: list[tuple[float, str, tuple[str, ...]]] = []
         for worker in self.free.values():
-            if model in worker.models:
+            if model in worker.models or (model not in worker.on_disk and self.loads_left <= 0):
                 continue
-            if model not in worker.on_disk and self.loads_left <= 0:
+            room = self._room(worker, model)
+            if room is None or worth < MARGIN * room[0]:
                 continue
-            cost, victim = self._room(worker, model)
-            if cost is None or worth < MARGIN * cost:
-                continue
-            rank = cost + self._busyness(worker) * 0.1 - (0.3 * worth if model in worker.on_disk else 0.0)
-            if best is None or (rank, worker.instance) < best[:2]:
-                best = rank, worker.instance, worker, victim
-        if best is None:
+            rank = (
+                room[0]
+                + WORTH_A_SECOND * self._load_s(worker, model)
+                + BUSYNESS_WORTH * self._busyness(worker)
+            )
+            choices.append((rank, worker.instance, room[1]))
+        if not choices:
             return None
-        _, _, worker, victim = best
-        self.copies[model] = copies + 1
-        if victim is not None:
-            self.copies[victim] -= 1
-            return Evict(worker.instance, victim)
-        if model not in worker.on_disk:
-            self.loads_left -= 1
-        return Load(worker.instance, model)
-
-    def _room(self, worker: WorkerState, model: str) -> tuple[float | None, str | None]:
-        """What has to be given up for the model, and the first model to go; None: it can't be had."""
+        _, instance, victims = min(choices)
+        return self._take(Load(instance, model, "", tuple((victim, "") for victim in victims)))
+
+    def _load_s(self, worker: WorkerState, model: str) -> float:
+        share = self.plan.warm_share if model in worker.on_disk else 1.0
+        return share * self.engine.models[model].load_s
+
+    def _room(self, worker: WorkerState, model: str) -> tuple[float, tuple[str, ...]] | None:
+        """What is given up for the model, and the models that go; None: it can't be had."""
         need = self.engine.models[model].weights_mb
         room = self.engine.weights_mb - used_mb(self.engine, worker.models)
-        if room >= need:
-            return 0.0, None
-        cost, first = 0.0, None
-        for held in sorted(worker.models, key=lambda m: (self.copy_worth(m, self.copies.get(m, 1)), m)):
+        cost, victims = 0.0, []
+        for held in sorted(worker.models, key=self._standing):
+            if room >= need:
+                break
             cost += self.copy_worth(held, self.copies.get(held, 1))
-            first = first or held
+            victims.append(held)
             room += used_mb(self.engine, {held: worker.models[held]})
-            if room >= need:
-                return cost, first
-        return None, None
+        return (cost, tuple(victims)) if room >= need else None
+
+    def _standing(self, model: str) -> tuple[float, int]:
+        """Who goes first: the least worth, among equals the last of the configuration's list."""
+        return self.copy_worth(model, self.copies.get(model, 1)), -self.order.get(model, 0)
 
     def _busyness(self, worker: WorkerState) -> float:
         """Requests a second that fall to a worker, if copies share evenly."""
-        return sum(self.rates.get(m, 0.0) / max(1, self.copies.get(m, 1)) for m in worker.models)
+        return sum(
+            self.demand[m].rate / max(1, self.copies.get(m, 1)) for m in worker.models if m in self.demand
+        )
+
+    # --- preparing ----------------------------------------------------------------------------------------
+
+    def _prefetches(self) -> list[Load]:
+        """Models that nobody has on disk, in place of idle ones that will be there again quickly."""
+        known = {model for worker in self.workers for model in worker.on_disk | set(worker.models)}
+        missing = [
+            model
+            for model in self.engine.models.values()
+            if model.name not in known and self.copies.get(model.name, 0) == 0
+        ]
+        found: list[Load] = []
+        for model in missing:
+            if model.load_s < PREFETCH_LEAST_S or self.loads_left <= 0:
+                continue
+            action = self._prefetch(model.name)
+            if action is not None:
+                found.append(action)
+        return found
+
+    def _prefetch(self, model: str) -> Load | None:
+        for worker in sorted(self.free.values(), key=lambda w: (len(w.on_disk), w.instance)):
+            room = self._room(worker, model)
+            if room is not None and all(self._is_idle(victim) for victim in room[1]):
+                return self._take(Load(worker.instance, model, "", tuple((v, "") for v in room[1])))
+        return None
+
+    def _is_idle(self, model: str) -> bool:
+        demand = self.demand.get(model)
+        return demand is None or (demand.rate < LEAST_WORTH and not demand.waiting and not demand.running)
 
     # --- adapters -----------------------------------------------------------------------------------------
 
-    def _adapter_actions(self) -> list[Action]:
+    def _adapter_actions(self) -> list[Load]:
         demand, service = self.plan.demand, self.plan.service
         wanted = [i for i in demand.items() if i.service == service and i.adapter and demand.waiting(i)]
-        found: list[Action] = []
+        found: list[Load] = []
         for item in sorted(wanted, key=lambda i: (-demand.waiting(i), i.model, i.adapter)):
             action = self._place_adapter(item)
             if action is not None:
-                found.append(action)
-                self.free.pop(action.instance, None)
+                found.append(self._take(action))
         return found
 
-    def _place_adapter(self, item: Item) -> Action | None:
+    def _place_adapter(self, item: Item) -> Load | None:
         if any(item.adapter in w.models.get(item.model, ()) for w in self.workers):
             return None
         holders = [w for w in self.free.values() if item.model in w.models]
-        if not holders:
-            return None
-        worker = min(holders, key=lambda w: (w.adapters(), self._busyness(w), w.instance))
         model = self.engine.models.get(item.model)
-        if model is None:
+        if not holders or model is None:
             return None
+        worker = min(holders, key=lambda w: (w.adapters(), self._busyness(w), w.instance))
         room = self.engine.weights_mb - used_mb(self.engine, worker.models)
         if worker.adapters() < self.engine.lora_slots and room >= model.adapter_size_mb:
             return Load(worker.instance, item.model, item.adapter)
         victim = self._idlest_adapter(worker)
-        return None if victim is None else Evict(worker.instance, *victim)
+        return None if victim is None else Load(worker.instance, item.model, item.adapter, (victim,))
 
     def _idlest_adapter(self, worker: WorkerState) -> tuple[str, str] | None:
         held = [(model, adapter) for model, adapters in worker.models.items() for adapter in adapters]
--- a/finchladder/cluster/process/attempt.py
+++ b/finchladder/cluster/process/attempt.py
@@ -19,6 +19,7 @@
     SIGNATURE,
     onward_headers,
 )  # fmt: skip
+from finchladder.cluster.transport.http_client import HeedingConnector
 from finchladder.cluster.transport.peers import steady
 
 CONNECT_S = 0.6
@@ -115,11 +116,13 @@
         return TimedOut()
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Broken(repr(error))
-    return _judge(response, sending)
+    return _judge(session, response, sending)
 
 
-def _judge(response: aiohttp.ClientResponse, sending: Sending) -> Outcome:
-    headers = response.headers
+def _judge(session: aiohttp.ClientSession, response: aiohttp.ClientResponse, sending: Sending) -> Outcome:
+    headers, connector = response.headers, session.connector
+    if isinstance(connector, HeedingConnector) and "Keep-Alive" in headers:
+        connector.heed(headers["Keep-Alive"])
     if headers.get(REQUEST_ID, sending.request_id) != sending.request_id:
         response.close()
         return Broken("the answer belongs to another request")
--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -40,6 +40,7 @@
     changed: Signal = field(factory=Signal)
     write_lock: asyncio.Lock = field(factory=asyncio.Lock)
     confirmed_view: int = 0  # as head: the view that its chain has confirmed
+    last_problem: str = ""
     confirmed_at: float = -1e9  # when a confirmation began that went through, here or above
 
     @property
@@ -130,7 +131,9 @@
             replica = voting.replica
         problem = await self._pass_on(view, replica, None)
         if problem:
-            event("chain.unconfirmed", view=view.number, problem=problem)
+            if problem != self.last_problem:
+                event("chain.unconfirmed", view=view.number, problem=problem)
+            self.last_problem = problem
             return False
         self._acknowledge(replica, view, began)
         if self.confirmed_view != view.number:
@@ -189,17 +192,17 @@
     async def _view_is_newest(self, view: View) -> bool:
         """Asks a majority of the voters; one that has accepted a later view speaks against it."""
         voting = self.voting
-        ping = Ping(voting.me, view, False)
+        ping = Ping(voting.me, view.number, False)
         others = [v.peer_address for v in view.voters if v.disk_id != voting.me.disk_id]
         replies = await all_of([voting.peers.call(a, ping, READ_TIMEOUT_S) for a in others])
         pongs = [r for r in replies if isinstance(r, Pong)]
         if view.has_voter(voting.me.disk_id):
-            pongs.append(voting.pong())
+            pongs.append(voting.pong(view.number))
         known = {v.disk_id for v in view.voters}
         agreeing = {
             p.sender.disk_id
             for p in pongs
-            if p.sender.disk_id in known and p.view.number == view.number and not p.accepted
+            if p.sender.disk_id in known and p.view == view.number and not p.accepted
         }
         return len(agreeing) >= view.quorum
 
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -106,7 +106,7 @@
 
     def _wire_sessions(self, seeds: tuple[str, ...]) -> None:
         settings = self.settings
-        tables = Tables(f"{settings.node_name}/{self.random.getrandbits(48):x}")
+        tables = Tables(f"{settings.node_name}/{self.random.getrandbits(32):x}")
         self.sessions = SessionsService(
             settings.node_name, tables, settings.heartbeat_s, lambda: self.chain.acknowledged,
             lambda: self.voting.view, self._placer_address,
@@ -120,6 +120,7 @@
             random=self.random,
             is_edge=False,
             own_address=settings.peer_address,
+            zone=settings.zone,
             seeds=seeds,
             version=lambda: 1 << 60,
             take=self._take,
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -13,10 +13,10 @@
 from finchladder.cluster.process.pulling import Puller
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.settings import Settings
-from finchladder.cluster.process.tasks import Tasks
+from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import Pools, effective_holdings, refreshed
+from finchladder.cluster.routing.pools import PoolKey, Pools, effective_holdings, refreshed
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
@@ -25,10 +25,10 @@
 from finchladder.cluster.types.messages import Delta, DemandReply, DemandReport
 
 READY_PATH = "/api/readyz"
-REPORT_S = 0.25
+REPORT_S = 0.4
 REPORT_TIMEOUT_S = 0.6
-URGENT_S = 0.02
-WORKER_KEEPALIVE_S = 4.0
+TOGETHER_S = 0.01  # what is waited for within this time is told at once
+WORKER_KEEPALIVE_S = 20.0  # less where the workers say so
 START_WITHOUT_CONFIRMATION_S = 4.0
 UNREADY_S = 2.5  # after this no new connections come
 EXIT_MARGIN_S = 0.8
@@ -45,11 +45,14 @@
     puller: Puller = field(init=False)
     router: Router = field(init=False)
     demand: DemandCounter = field(factory=DemandCounter)
+    waited_for: Signal = field(factory=Signal)
     started_at: float = field(factory=steady)
+    coming: dict[str, tuple[PoolKey, float]] = field(factory=dict)  # by instance
     fresh: bool = False
     stopping: bool = False
 
     def _wire(self) -> None:
+        self.demand.on_wait = self.waited_for.fire
         settings, bounds = self.settings, self.settings.bounds
         self.peers = PeerClient()
         self.router = Router(
@@ -61,12 +64,13 @@
         )
         self.puller = Puller(
             name=settings.node_name,
-            tables=Tables(f"{settings.node_name}/{self.random.getrandbits(48):x}"),
+            tables=Tables(f"{settings.node_name}/{self.random.getrandbits(32):x}"),
             peers=self.peers,
             tasks=self.tasks,
             random=self.random,
             is_edge=True,
             own_address=settings.peer_address,
+            zone=settings.zone,
             seeds=tuple(settings.peer_of(seed) for seed in settings.seeds),
             version=lambda: self.router.snapshot.version,
             take=self._take,
@@ -79,9 +83,22 @@
             self.router.snapshot = routing.build(delta.document)
             event("configuration.in_force", version=delta.version)
         if changed:
+            self._note_coming(changed)
             self._rebuild()
         self.fresh = self.fresh or (delta.confirmed and delta.version > 0)
 
+    def _note_coming(self, changed: list[str]) -> None:
+        """When what is being loaded will be there, by the own clock from the moment it was told."""
+        now, tables = steady(), self.puller.tables
+        for instance in changed:
+            placement, worker = tables.placements.get(instance), tables.workers.get(instance)
+            if placement is None or worker is None or placement.record.coming is None:
+                self.coming.pop(instance, None)
+                continue
+            coming = placement.record.coming
+            key = PoolKey(worker.record.service, coming.model, coming.adapter)
+            self.coming[instance] = key, now + coming.left_ms / 1000
+
     def _rebuild(self) -> None:
         tables, router = self.puller.tables, self.router
         workers = [w.record for w in tables.workers.values()]
@@ -91,7 +108,7 @@
             placement = tables.placements.get(instance)
             record = tables.workers[instance].record
             holdings[instance] = effective_holdings(record, None if placement is None else placement.record)
-        router.pools = Pools(backends, holdings)
+        router.pools = Pools(backends, holdings, tuple(self.coming.values()))
         router.changed.fire()
 
     def ready(self) -> bool:
@@ -109,9 +126,10 @@
     async def _report(self) -> None:
         told_at, interval = steady(), REPORT_S
         while True:
-            await asyncio.sleep(URGENT_S)
+            await self.waited_for.wait(interval)
+            await asyncio.sleep(TOGETHER_S)
             now = steady()
-            if not self.puller.placer or (now - told_at < interval and not self.demand.urgent):
+            if not self.puller.placer:
                 continue
             report = DemandReport(self.settings.node_name, now - told_at, self.demand.take())
             told_at = now
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -3,29 +3,36 @@
 """
 
 import asyncio
+from math import ceil
 
 from attrs import define, field
 
 from finchladder.cluster.configuration.routing import EMPTY, Engine, Snapshot, build
 from finchladder.cluster.placement.demand import DemandBook
+from finchladder.cluster.placement.durations import EVICT_S, Durations
 from finchladder.cluster.placement.ledger import LoadLedger
-from finchladder.cluster.placement.planner import Action, Evict, Load, Plan, Round, WorkerState, used_mb
+from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, used_mb
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.sessions_service import SessionsService
-from finchladder.cluster.process.tasks import Tasks
+from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.process.worker_client import WorkerClient
 from finchladder.cluster.transport.peers import steady
-from finchladder.cluster.types.beats import OrderBody, Report, holdings
+from finchladder.cluster.types.beats import OrderBody, Report
 from finchladder.cluster.types.errors import PeerUnreachable
 from finchladder.cluster.types.messages import DemandReply, DemandReport
-from finchladder.cluster.types.workers import Holding, Phase, PlacementRecord, WorkerRecord
+from finchladder.cluster.types.workers import Coming, Holding, Phase, PlacementRecord, WorkerRecord
 
 TICK_S = 0.1
-HIDE_S = 0.15  # from telling the dispatchers that a model goes until the order goes out
-POLL_S = 0.15
-ADAPTER_POLL_S = 0.12
-REPORT_INTERVAL_MS = 250
+HIDE_S = 0.05  # from telling the dispatchers that a model goes until the order goes out
+POLL_S = 0.1
+POLL_SHARE = 0.1  # of what an order should take, between two looks at whether it is done
+TAKEN = 202
+BUSY = 409
+STALE_FENCE = 412
+QUICK_S = 0.1  # most evictions end within it
+LONGEST_EVICT_S = 10.0
+REPORT_INTERVAL_MS = 400
 REPORTS_A_SECOND = 100  # that the placer is ready to read
 SETTLE_S = 0.5  # a worker that could not be asked is asked again after this
 
@@ -36,11 +43,14 @@
 
     state: WorkerState
     report: Report | None = None
+    revision: int = 0  # orders that the worker has taken
     serial: int = 0
     hidden: set[tuple[str, str]] = field(factory=set)
     task: asyncio.Task[None] | None = None
     retry_at: float = 0.0
-    action: Action | None = None
+    action: Load | None = None
+    coming: Coming | None = None
+    told: tuple[tuple[Holding, ...], Coming | None] | None = None
 
 
 @define
@@ -55,7 +65,9 @@
     demand: DemandBook = field(factory=DemandBook)
     managed: dict[str, Managed] = field(factory=dict)
     ledgers: dict[str, LoadLedger] = field(factory=dict)
+    durations: dict[str, Durations] = field(factory=dict)
     on_disk: dict[str, set[str]] = field(factory=dict)  # by worker address
+    waited_for: Signal = field(factory=Signal)
     snapshot: Snapshot = EMPTY
     term: int = 0
     term_began: float = 0.0
@@ -63,6 +75,8 @@
     def on_demand(self, report: DemandReport) -> DemandReply:
         """A dispatcher's report."""
         self.demand.take(steady(), report)
+        if any(d.waiting for d in report.demands):
+            self.waited_for.fire()
         edges = max(1, self.sessions.edges())
         interval = max(REPORT_INTERVAL_MS, 1000 * edges // REPORTS_A_SECOND)
         return DemandReply(interval, self.role.holds())
@@ -75,7 +89,7 @@
                 self._tick()
             elif self.managed:
                 self._end_term()
-            await asyncio.sleep(TICK_S)
+            await self.waited_for.wait(TICK_S)
 
     def _begin_term(self) -> None:
         token = self.role.lease.token
@@ -135,16 +149,26 @@
         for managed in workers:
             managed.state.busy = managed.task is not None or now < managed.retry_at
             managed.state.on_disk = frozenset(self.on_disk.get(managed.state.address, ()))
-            if isinstance(managed.action, Load) and not managed.action.adapter:
+            if managed.action is not None and not managed.action.adapter:
                 loading[managed.action.model] = loading.get(managed.action.model, 0) + 1
-        left = ledger.left(now)
-        plan = Plan(service, engine, [m.state for m in workers], self.demand, left)
-        for action in Round(plan).actions(loading):
+        left = min(ledger.left(now), self._loads_at_once(engine) - self._loading_cold(workers))
+        durations = self.durations.setdefault(service, Durations())
+        plan = Plan(service, engine, [m.state for m in workers], self.demand, left, durations.warm_share)
+        for action in Round(plan, loading).actions():
             managed = self.managed[action.instance]
             managed.action = action
             work = self._carry_out(managed, action, engine, ledger)
             managed.task = self.tasks.spawn(work, f"order {action}")
 
+    def _loads_at_once(self, engine: Engine) -> int:
+        """As many as the store's rate keeps under way: with more at once each would only take longer."""
+        longest_s = max((model.load_s for model in engine.models.values()), default=0.0)
+        return max(1, ceil(engine.load_rate_s * longest_s))
+
+    def _loading_cold(self, workers: list[Managed]) -> int:
+        loads = [(m, m.action) for m in workers if m.action is not None and not m.action.adapter]
+        return sum(not self._is_warm(managed, action.model) for managed, action in loads)
+
     def _ledger(self, service: str, engine: Engine) -> LoadLedger:
         ledger = self.ledgers.get(service)
         if ledger is None:
@@ -155,18 +179,21 @@
 
     # --- orders -------------------------------------------------------------------------------------------
 
-    async def _carry_out(self, managed: Managed, action: Action, engine: Engine, ledger: LoadLedger) -> None:
+    async def _carry_out(self, managed: Managed, action: Load, engine: Engine, ledger: LoadLedger) -> None:
         try:
             if managed.report is None:
                 await self._learn(managed)
-            if self._still_fits(managed, action, engine):
-                await self._give(managed, action, ledger)
+            if await self._make_room(managed, action) and self._still_fits(managed, action, engine):
+                await self._load(managed, action, engine, ledger)
         except PeerUnreachable as error:
             managed.retry_at = steady() + SETTLE_S
             managed.report = None
             event("placer.worker_unheard", problem=str(error))
         finally:
-            managed.task, managed.action = None, None
+            managed.task, managed.action, managed.coming = None, None, None
+            managed.hidden.clear()
+            if managed.report is not None and managed.state.instance in self.managed:
+                self._publish(managed)
 
     async def _learn(self, managed: Managed) -> None:
         """Asks the worker what it holds, and waits while an order is under way there."""
@@ -179,92 +206,139 @@
         self._know(managed, report)
 
     def _know(self, managed: Managed, report: Report) -> None:
-        managed.report = report
+        managed.report, managed.revision = report, report.sequence
         managed.state.models = {m.name: set(m.adapters) for m in report.models}
         self.on_disk.setdefault(managed.state.address, set()).update(managed.state.models)
-        self._publish(managed)
 
     def _publish(self, managed: Managed) -> None:
-        """Tells the dispatchers what may be used at the worker."""
-        managed.serial += 1
+        """Tells the dispatchers what may be used at the worker, and what is coming; only changes are told."""
         usable = []
-        for holding in holdings(managed.report.models if managed.report else []):
-            if (holding.model, "") in managed.hidden:
-                continue
-            adapters = tuple(a for a in holding.adapters if (holding.model, a) not in managed.hidden)
-            usable.append(Holding(holding.model, adapters))
-        record = PlacementRecord(managed.state.instance, self.term, managed.serial, tuple(usable))
+        for model, held in sorted(managed.state.models.items()):
+            if (model, "") not in managed.hidden:
+                adapters = tuple(a for a in sorted(held) if (model, a) not in managed.hidden)
+                usable.append(Holding(model, adapters))
+        told = tuple(usable), managed.coming
+        if told == managed.told:
+            return
+        managed.told = told
+        managed.serial += 1
+        record = PlacementRecord(managed.state.instance, self.term, managed.serial, *told)
         self.sessions.tables.put_placement(record)
         self.sessions.changed.fire()
 
-    def _still_fits(self, managed: Managed, action: Action, engine: Engine) -> bool:
-        """Checks an order against what the worker says it holds: too much would end it."""
-        state = managed.state
-        adapters = state.models.get(action.model)
-        held = adapters is not None and (not action.adapter or action.adapter in adapters)
-        if isinstance(action, Evict):
-            return held
-        if held or (action.adapter and action.model not in state.models):
+    def _is_warm(self, managed: Managed, model: str) -> bool:
+        return model in self.on_disk.get(managed.state.address, ())
+
+    def _expected_s(self, managed: Managed, action: Load, engine: Engine) -> float:
+        model = engine.models[action.model]
+        durations = self.durations.setdefault(managed.state.service, Durations())
+        return durations.expected_s(model.load_s, bool(action.adapter), self._is_warm(managed, action.model))
+
+    async def _make_room(self, managed: Managed, action: Load) -> bool:
+        """Evicts what has to give way; the dispatchers are told first, so that nothing more is sent to it."""
+        if not action.victims:
+            return True
+        service = self.snapshot.services.get(managed.state.service)
+        if service is None or service.engine is None or action.model not in service.engine.models:
             return False
-        model = engine.models.get(action.model)
+        managed.hidden.update(action.victims)
+        expected_s = (
+            self._expected_s(managed, action, service.engine) + EVICT_S * len(action.victims) + HIDE_S
+        )
+        managed.coming = Coming(action.model, action.adapter, int(1000 * expected_s))
+        self._publish(managed)
+        await asyncio.sleep(HIDE_S)
+        for model, adapter in action.victims:
+            if not await self._give(managed, "evict", model, adapter):
+                return False
+            _remove(managed.state, model, adapter)
+        return True
+
+    def _still_fits(self, managed: Managed, action: Load, engine: Engine) -> bool:
+        """Checks a load against what the worker says it holds: too much would end it."""
+        state = managed.state
+        model, adapters = engine.models.get(action.model), state.models.get(action.model)
         if model is None:
             return False
-        need = model.adapter_size_mb if action.adapter else model.weights_mb
-        if action.adapter and state.adapters() >= engine.lora_slots:
-            return False
-        return used_mb(engine, state.models) + need <= engine.weights_mb
+        if action.adapter:
+            fits = state.adapters() < engine.lora_slots
+            needed = adapters is not None and action.adapter not in adapters and fits
+        else:
+            needed = adapters is None
+        need_mb = model.adapter_size_mb if action.adapter else model.weights_mb
+        return needed and used_mb(engine, state.models) + need_mb <= engine.weights_mb
 
-    async def _give(self, managed: Managed, action: Action, ledger: LoadLedger) -> None:
-        state = managed.state
-        if isinstance(action, Evict):
-            managed.hidden.add((action.model, action.adapter))
-            self._publish(managed)
-            await asyncio.sleep(HIDE_S)
-        elif not action.adapter and action.model not in self.on_disk.get(state.address, ()):
+    async def _load(self, managed: Managed, action: Load, engine: Engine, ledger: LoadLedger) -> None:
+        warm = self._is_warm(managed, action.model)
+        if not action.adapter and not warm:
             if not ledger.allows(steady()):
                 return
             ledger.note(steady())
-        assert managed.report is not None
-        if not self.role.holds():
+        expected_s = self._expected_s(managed, action, engine)
+        managed.coming = Coming(action.model, action.adapter, int(1000 * expected_s))
+        self._publish(managed)
+        if not await self._give(managed, "load", action.model, action.adapter):
             return
-        revision = managed.report.sequence
-        body = OrderBody(
-            operation="evict" if isinstance(action, Evict) else "load",
-            model=action.model,
-            adapter=action.adapter or None,
-            holder=self.role.me.name,
-            fence_token=self.term,
-            if_revision=revision,
-        )
-        self.role.last_order_at = steady()
-        status = await self.client.order(state.address, state.instance, body)
-        event("placer.order", operation=body.operation, model=action.model, adapter=action.adapter,
-              worker=state.address, status=status)  # fmt: skip
-        if status == 202:
-            await self._await_done(managed, action, revision + 1)
-        elif status == 412:
-            self.role.lease.drop()
-        else:
-            managed.report = None
-            managed.retry_at = steady() + SETTLE_S
-        managed.hidden.discard((action.model, action.adapter))
-        if managed.report is not None:
-            self._publish(managed)
+        began = steady()
+        await self._await_done(managed, expected_s)
+        took_s = steady() - began
+        load_s = engine.models[action.model].load_s
+        self.durations[managed.state.service].learn(load_s, bool(action.adapter), warm, took_s)
+        event("placer.loaded", model=action.model, adapter=action.adapter, warm=warm, took_s=round(took_s, 2))
 
-    async def _await_done(self, managed: Managed, action: Action, revision: int) -> None:
-        """Asks until the worker has taken the order and ended it."""
-        service = self.snapshot.services.get(managed.state.service)
-        model = service.engine.models.get(action.model) if service and service.engine else None
-        first_s = POLL_S
-        if action.adapter:
-            first_s = ADAPTER_POLL_S
-        await asyncio.sleep(first_s)
+    async def _give(self, managed: Managed, operation: str, model: str, adapter: str) -> bool:
+        """Gives one order; False if it was not taken.
+
+        The worker takes it only if it has taken all orders before it and no other, and has ended them: so
+        what it holds then is what this placer counts with.
+        """
         began = steady()
+        while managed.report is not None and self.role.holds() and self.role.lease.token == self.term:
+            body = OrderBody(
+                operation=operation,
+                model=model,
+                adapter=adapter or None,
+                holder=self.role.me.name,
+                fence_token=self.term,
+                if_revision=managed.revision,
+            )
+            self.role.last_order_at = steady()
+            status = await self.client.order(managed.state.address, managed.state.instance, body)
+            event("placer.order", body=body, worker=managed.state.address, status=status)
+            if status == TAKEN:
+                managed.revision += 1
+                return True
+            if status == STALE_FENCE:
+                self.role.lease.drop()
+            if status != BUSY or not await self._still_busy(managed, began):
+                break
+        managed.report = None
+        managed.retry_at = steady() + SETTLE_S
+        return False
+
+    async def _still_busy(self, managed: Managed, began: float) -> bool:
+        """After a refusal: whether the order before is still being carried out."""
+        if steady() - began < QUICK_S:
+            await asyncio.sleep(QUICK_S / 2)
+            return True
+        await asyncio.sleep(POLL_S)
+        report = await self.client.report(managed.state.address, managed.state.instance)
+        return report.sequence <= managed.revision and steady() - began < LONGEST_EVICT_S
+
+    async def _await_done(self, managed: Managed, expected_s: float) -> None:
+        """Asks first when the order should be done, then again and again."""
+        await asyncio.sleep(expected_s)
         while True:
             report = await self.client.report(managed.state.address, managed.state.instance)
-            if report.sequence >= revision and not report.busy:
+            if report.sequence >= managed.revision and not report.busy:
                 break
-            waited = steady() - began
-            longest = model.load_s if model is not None and isinstance(action, Load) else 0.0
-            await asyncio.sleep(POLL_S if waited < 1.0 or waited > longest - 0.3 else 0.4)
+            await asyncio.sleep(POLL_S + POLL_SHARE * expected_s)
         self._know(managed, report)
+
+
+def _remove(state: WorkerState, model: str, adapter: str) -> None:
+    """Takes a model or an adapter out of what a worker is known to hold."""
+    if adapter:
+        state.models.get(model, set()).discard(adapter)
+    else:
+        state.models.pop(model, None)
--- a/finchladder/cluster/process/pulling.py
+++ b/finchladder/cluster/process/pulling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from hashlib import blake2b
 from random import Random
 
 from attrs import define, field
@@ -10,7 +11,7 @@
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.transport.peers import PeerClient, steady
 from finchladder.cluster.types.errors import ClusterError
-from finchladder.cluster.types.members import GENESIS, View
+from finchladder.cluster.types.members import GENESIS, Member, View
 from finchladder.cluster.types.messages import Delta, Pull
 
 WAIT_MS = 1000
@@ -18,6 +19,8 @@
 RETRY_S = 0.2
 MOST_SOURCES = 5  # control processes that one reader polls
 FRESH_S = 3.0
+SILENT_S = 2.0  # after which another source is waited at
+LOOK_S = 0.5  # how often an edge looks at sources that it does not wait at
 
 
 @define
@@ -46,20 +49,24 @@
     random: Random
     is_edge: bool
     own_address: str
+    zone: str
     seeds: tuple[str, ...]
     version: Callable[[], int]
     take: Callable[[Delta, list[str]], None]
     view: View = GENESIS
     sources: dict[str, Source] = field(factory=dict)
+    primary: str = ""
     placer: str = ""
     edges: int = 0
 
     def follow(self) -> None:
         """Polls those that the view names, and the seeds while there is none."""
-        addresses = [m.peer_address for m in self.view.members()]
+        members = self.view.members()
+        addresses = [m.peer_address for m in members]
         unheard = not any(steady() - s.heard_at < FRESH_S for s in self.sources.values())
         if unheard:
             addresses += [a for a in self.seeds if a not in addresses]
+        self.primary = self._choose_primary(members)
         wanted = set(addresses[:MOST_SOURCES]) - {self.own_address}
         for address in wanted - set(self.sources):
             task = self.tasks.repeat(lambda a=address: self._poll(a), f"pull {address}")  # type: ignore[misc]
@@ -67,6 +74,20 @@
         for address in set(self.sources) - wanted:
             self.sources.pop(address).task.cancel()
 
+    def _choose_primary(self, members: tuple[Member, ...]) -> str:
+        """The one whose changes are waited for: live, in the own zone if there is one, drawn by name."""
+        now = steady()
+        live = [m for m in members if m.peer_address in self.sources]
+        live = [m for m in live if now - self.sources[m.peer_address].heard_at < SILENT_S]
+        near = [m for m in live if m.zone == self.zone] or live
+        if not near:
+            return ""
+        return max(near, key=lambda m: blake2b(f"{self.name} {m.disk_id}".encode()).digest()).peer_address
+
+    def _waits_at(self, address: str) -> bool:
+        """Core processes wait for all others, edges for one; while it is silent, for all."""
+        return not self.is_edge or address == self.primary or not self.primary
+
     async def run(self) -> None:
         """Keeps the set of sources up to date."""
         while True:
@@ -76,8 +97,10 @@
     async def _poll(self, address: str) -> None:
         while True:
             source = self.sources[address]
+            waits = self._waits_at(address)
+            wait_ms = WAIT_MS if waits else 0
             pull = Pull(
-                self.name, dict(self.tables.vector), self.version(), self.view.number, WAIT_MS, self.is_edge
+                self.name, dict(self.tables.vector), self.version(), self.view.number, wait_ms, self.is_edge
             )
             try:
                 reply = await self.peers.call(address, pull, TIMEOUT_S)
@@ -86,6 +109,8 @@
                 continue
             if isinstance(reply, Delta):
                 await self._receive(source, reply)
+            if not waits:
+                await asyncio.sleep(LOOK_S * self.random.uniform(0.9, 1.1))
 
     async def _receive(self, source: Source, delta: Delta) -> None:
         newly_complete = delta.complete and (source.origin != delta.origin or not source.complete)
@@ -98,7 +123,7 @@
     def _merge(self, delta: Delta) -> None:
         changed = self.tables.merge(delta.workers, delta.placements)
         self.tables.advance(delta.vector)
-        if delta.view.number > self.view.number:
+        if delta.view is not None and delta.view.number > self.view.number:
             self.view = delta.view
         self.placer = delta.placer or self.placer
         self.edges = delta.edges or self.edges
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -28,7 +28,9 @@
 from finchladder.cluster.transport.peers import steady
 
 THRESHOLD = 2.0  # own requests in flight at one worker, above which the least loaded is looked for
-HOLD_SHARE = 0.6  # of a request's time it may wait for a worker
+HOLD_SHARE = 0.8  # of the time that a client waits: what needs longer is refused
+UNKNOWN_SHARE = 0.4  # of that time a request waits for something of which nobody says when it comes
+LATE_S = 1.5  # by which what is being loaded may come later than was told
 LOOK_AGAIN_S = 0.03
 REST_FULL_S = 0.1
 REST_UNREACHABLE_S = 0.5
@@ -139,7 +141,6 @@
 
     async def _find(self, wanted: Need, sent: frozenset[str]) -> Backend | None:
         """A worker for the request; waits while there is none and it can still be in time."""
-        hold_until = wanted.arrived + HOLD_SHARE * (wanted.until - wanted.arrived)
         waiting = False
         try:
             while True:
@@ -148,6 +149,7 @@
                 backend = pool.choose(now, self.zone, THRESHOLD, sent)
                 if backend is not None:
                     return backend
+                hold_until = self._hold_until(wanted, bool(pool.backends))
                 if now >= hold_until or (sent and not pool.backends):
                     return None
                 if not waiting and not pool.backends:
@@ -159,6 +161,14 @@
             if waiting:
                 self.demand.waits(wanted.key, -1)
 
+    def _hold_until(self, wanted: Need, has_holders: bool) -> float:
+        """How long a request may wait: longer only if what it needs is known to come in time."""
+        limit = wanted.arrived + HOLD_SHARE * min(wanted.patience_s, wanted.until - wanted.arrived)
+        ready_at = self.pools.ready_at(wanted.key)
+        if not has_holders and ready_at is not None and ready_at <= limit:
+            return min(limit, max(ready_at, steady()) + LATE_S)
+        return wanted.arrived + UNKNOWN_SHARE * (limit - wanted.arrived)
+
     def _note(
         self, backend: Backend, wanted: Need, outcome: NotSent | NotExecuted | Broken | TimedOut
     ) -> None:
@@ -184,7 +194,10 @@
         return found
 
     def _retry_after(self, wanted: Need) -> float:
-        return RETRY_AFTER_FULL_S if self.pools.pool(wanted.key).backends else RETRY_AFTER_ABSENT_S
+        if self.pools.pool(wanted.key).backends:
+            return RETRY_AFTER_FULL_S
+        ready_at = self.pools.ready_at(wanted.key)
+        return RETRY_AFTER_ABSENT_S if ready_at is None else max(RETRY_AFTER_FULL_S, ready_at - steady())
 
     # --- answers ------------------------------------------------------------------------------------------
 
--- a/finchladder/cluster/process/sessions_service.py
+++ b/finchladder/cluster/process/sessions_service.py
@@ -32,6 +32,7 @@
     vector: dict[str, int]
     seen_at: float
     is_edge: bool
+    waits: bool  # it learns of changes here at once; others look from time to time
 
 
 @define
@@ -77,7 +78,13 @@
         self.tables.put_worker(record)
         self.changed.fire()
         if known is None or known.record.phase is not record.phase:
-            event("worker.session", instance=instance, phase=record.phase.value, address=record.address)
+            event(
+                "worker.session",
+                instance=instance,
+                phase=record.phase.value,
+                address=record.address,
+                models=[h.model for h in record.holdings],
+            )
         if record.phase is Phase.DRAINING and (known is None or known.record.phase is not Phase.DRAINING):
             return await self._handed_on()
         return True
@@ -112,7 +119,7 @@
         counter, until = self.tables.counter, steady() + HAND_ON_S
         while True:
             now = steady()
-            live = [r for r in self.readers.values() if now - r.seen_at < READER_S]
+            live = [r for r in self.readers.values() if r.waits and now - r.seen_at < READER_S]
             reached = [r for r in live if r.vector.get(self.tables.origin, 0) >= counter]
             if live and len(reached) == len(live):
                 return True
@@ -161,19 +168,19 @@
         return self._delta(pull)
 
     def _note(self, pull: Pull) -> None:
-        self.readers[pull.sender] = Reader(pull.vector, steady(), pull.is_edge)
+        self.readers[pull.sender] = Reader(pull.vector, steady(), pull.is_edge, pull.wait_ms > 0)
 
     def _has_news(self, pull: Pull) -> bool:
         newer = self.state().version > pull.version or self.view().number > pull.view
         return newer or not pull.vector or self.tables.is_ahead(pull.vector)
 
     def _delta(self, pull: Pull) -> Delta:
-        state = self.state()
+        state, view = self.state(), self.view()
         workers, placements = self.tables.missing(pull.vector)
         return Delta(
             origin=self.tables.origin,
             vector=dict(self.tables.vector),
-            view=self.view(),
+            view=view if view.number > pull.view else None,
             workers=workers,
             placements=placements,
             version=state.version,
--- a/finchladder/cluster/process/voting.py
+++ b/finchladder/cluster/process/voting.py
@@ -26,7 +26,7 @@
     Reply,
 )  # fmt: skip
 
-PING_S = 0.15
+PING_S = 0.2
 PING_TIMEOUT_S = 0.4
 SUSPECT_S = 0.75  # without an answer
 STALL_S = 0.6  # a disk that answers no write counts as failed
@@ -80,12 +80,18 @@
         """Whether the own disk takes writes."""
         return not self.store.failed and self.store.stalled_s() < STALL_S
 
-    def pong(self) -> Pong:
-        """What this process says of itself."""
+    def pong(self, known_view: int) -> Pong:
+        """What this process says of itself to one that knows that view."""
+        view = self.view
         return Pong(
-            self.me, self.view, self.replica.state_view, self.replica.state.sequence, self.healthy(),
-            self.acceptor.accepted is not None,
-        )  # fmt: skip
+            sender=self.me,
+            view=view.number,
+            newer=view if view.number > known_view else None,
+            state_view=self.replica.state_view,
+            sequence=self.replica.state.sequence,
+            healthy=self.healthy(),
+            accepted=self.acceptor.accepted is not None,
+        )
 
     # --- as acceptor --------------------------------------------------------------------------------------
 
@@ -93,8 +99,7 @@
         """Another member looks whether this one is there."""
         if request.wants_in:
             self.wants_in[request.sender.disk_id] = request.sender, steady()
-        await self.learn(request.view)
-        return self.pong()
+        return self.pong(request.view)
 
     async def on_prepare(self, request: Prepare) -> Promise:
         """First phase."""
@@ -148,7 +153,7 @@
     async def ping_all(self) -> None:
         """One round of failure detection."""
         wants_in = self.view.position(self.me.disk_id) is None and self.healthy()
-        ping = Ping(self.me, self.view, wants_in)
+        ping = Ping(self.me, self.view.number, wants_in)
         await asyncio.gather(*(self._ping(address, ping) for address in self.contacts()))
 
     async def _ping(self, address: str, ping: Ping) -> None:
@@ -156,9 +161,11 @@
             reply = await self.peers.call(address, ping, PING_TIMEOUT_S)
         except ClusterError:
             return
-        if isinstance(reply, Pong):
-            self.heard[reply.sender.disk_id] = Heard(reply, steady())
-            await self.learn(reply.view)
+        if not isinstance(reply, Pong):
+            return
+        self.heard[reply.sender.disk_id] = Heard(reply, steady())
+        if reply.newer is not None:
+            await self.learn(reply.newer)
 
     def alive(self) -> dict[str, Status]:
         """Members that answered lately, this one among them."""
--- a/finchladder/cluster/replication/membership.py
+++ b/finchladder/cluster/replication/membership.py
@@ -51,22 +51,24 @@
 
 
 def next_voters(
-    view: View, alive: Mapping[str, Status], joining: Sequence[Member], limits: Limits
+    view: View, alive: Mapping[str, Status], chain: Sequence[Member], limits: Limits
 ) -> list[Member]:
-    """The voters of the next view. Newcomers replace former incarnations, then the silent, then fill up."""
+    """The voters of the next view: members of its chain replace former incarnations, then the silent, then
+    fill up.
+    """
     voters = list(view.voters)
     known = {voter.disk_id for voter in voters}
-    for newcomer in joining:
-        if newcomer.disk_id in known:
+    for member in chain:
+        if member.disk_id in known:
             continue
-        former = [v for v in voters if v.name == newcomer.name or v.peer_address == newcomer.peer_address]
+        former = [v for v in voters if v.name == member.name or v.peer_address == member.peer_address]
         silent = [v for v in voters if v.disk_id not in alive]
         if former:
-            voters[voters.index(former[0])] = newcomer
+            voters[voters.index(former[0])] = member
         elif len(voters) < limits.most_voters:
-            voters.append(newcomer)
+            voters.append(member)
         elif silent:
-            voters[voters.index(silent[0])] = newcomer
+            voters[voters.index(silent[0])] = member
     return voters
 
 
@@ -89,7 +91,7 @@
     wanted = [m for m in wanted if m.disk_id in alive and alive[m.disk_id].healthy]
     wanted = _newest_incarnations(wanted, kept)
     chain = (*kept, *wanted)
-    voters = tuple(next_voters(view, alive, wanted, limits))
+    voters = tuple(next_voters(view, alive, chain, limits))
     if len(chain) < limits.shortest_chain:
         return None
     if chain == view.chain and voters == view.voters:
--- a/finchladder/cluster/routing/demand.py
+++ b/finchladder/cluster/routing/demand.py
@@ -1,5 +1,7 @@
 """What this dispatcher was asked for, by model and adapter, since it last told the placer."""
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from finchladder.cluster.routing.pools import PoolKey
@@ -19,10 +21,10 @@
 
 @define
 class DemandCounter:
-    """`urgent` is set when something is waited for that nobody holds."""
+    """`on_wait` is called when something begins to be waited for that nobody holds."""
 
     counts: dict[PoolKey, Count] = field(factory=dict)
-    urgent: bool = False
+    on_wait: Callable[[], None] = lambda: None
 
     def _of(self, key: PoolKey) -> Count:
         return self.counts.setdefault(key, Count())
@@ -38,7 +40,8 @@
         """A request begins (1) or ceases (-1) to wait for a holder."""
         if key.model:
             self._of(key).waiting += step
-            self.urgent = self.urgent or step > 0
+            if step > 0:
+                self.on_wait()
 
     def runs(self, key: PoolKey, step: int) -> None:
         """A request begins (1) or ceases (-1) to run at a worker."""
@@ -47,7 +50,6 @@
 
     def take(self) -> tuple[Demand, ...]:
         """What is to be told; counts begin anew. O(keys in use)."""
-        self.urgent = False
         told = []
         for key, count in list(self.counts.items()):
             figures = count.asked, count.waiting, count.running, count.tokens
--- a/finchladder/cluster/routing/pools.py
+++ b/finchladder/cluster/routing/pools.py
@@ -5,7 +5,7 @@
 over.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from attrs import define, field
 
@@ -90,8 +90,17 @@
 class Pools:
     """All pools of one moment, made whole from the tables; built for a key when it is first asked for."""
 
-    def __init__(self, backends: Mapping[str, Backend], holdings: Mapping[str, tuple[Holding, ...]]) -> None:
+    def __init__(
+        self,
+        backends: Mapping[str, Backend],
+        holdings: Mapping[str, tuple[Holding, ...]],
+        coming: Sequence[tuple[PoolKey, float]] = (),
+    ) -> None:
+        """`coming`: what is being loaded, and when it will be there in seconds of the steady clock."""
         self.backends = backends
+        self._coming: dict[PoolKey, float] = {}
+        for key, ready_at in coming:
+            self._coming[key] = min(ready_at, self._coming.get(key, ready_at))
         self._by_service: dict[str, list[Backend]] = {}
         self._holders: dict[PoolKey, list[Backend]] = {}
         self._pools: dict[PoolKey, Pool] = {}
@@ -105,6 +114,13 @@
             key = PoolKey(backend.service, holding.model, adapter)
             self._holders.setdefault(key, []).append(backend)
 
+    def ready_at(self, key: PoolKey) -> float | None:
+        """When somebody will hold what the key needs; None if nobody loads it."""
+        found = self._coming.get(key)
+        if found is None and key.adapter:
+            found = self._coming.get(PoolKey(key.service, key.model, ""))
+        return found
+
     def pool(self, key: PoolKey) -> Pool:
         """Those that hold what the key needs; without a model all of the service."""
         found = self._pools.get(key)
--- a/finchladder/cluster/routing/requests.py
+++ b/finchladder/cluster/routing/requests.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from finchladder.cluster.configuration.routing import Route
+from finchladder.cluster.configuration.routing import Kind, Route
 from finchladder.cluster.routing.pools import PoolKey
 
 REQUEST_ID = "X-Finchladder-Request-Id"
@@ -17,6 +17,7 @@
 SIGNATURE = "X-Finchladder-Response-Signature"
 LAST_EVENT_ID = "Last-Event-Id"
 PRIORITY = "Priority"
+LEAST_SILENCE_S, SILENT_AIMS, SILENT_GAPS = 2.0, 4.0, 8.0
 HOP_BY_HOP = frozenset({
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
     "transfer-encoding", "upgrade", "proxy-connection", "content-length", "host", "expect",
@@ -34,7 +35,8 @@
     arrived: float
     until: float
     tokens: int
-    client_s: float  # how long the client waits
+    aim_s: float
+    patience_s: float  # after which a client gives up a stream that is silent
 
 
 def _number(text: str | None) -> float | None:
@@ -59,7 +61,15 @@
     model, _, adapter = headers.get(MODEL, "").partition("/")
     key = PoolKey(route.target(_point(request_id)), model, adapter)
     until = now + min(client_s, route.timeout_s)
-    return Need(request_id, key, now, until, _tokens(headers.get(TOKENS)), client_s)
+    tokens = _tokens(headers.get(TOKENS))
+    return Need(request_id, key, now, until, tokens, route.aim_s, _patience_s(route, client_s))
+
+
+def _patience_s(route: Route, client_s: float) -> float:
+    """Clients give a stream up after a silence; source: the project's protocol page."""
+    if route.kind is not Kind.STREAMING:
+        return client_s
+    return min(client_s, max(LEAST_SILENCE_S, SILENT_AIMS * route.aim_s, SILENT_GAPS * route.gap_aim_s))
 
 
 def _point(request_id: str) -> float:
--- a/finchladder/cluster/transport/http_client.py
+++ b/finchladder/cluster/transport/http_client.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 USER_TIMEOUT_MS = 3000  # unacknowledged bytes: a peer behind a cut says nothing
+KEPT_SHARE = 0.85  # of the time that a peer keeps an idle connection
 PLAIN_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -19,9 +20,23 @@
     return made
 
 
+class HeedingConnector(aiohttp.TCPConnector):
+    """Keeps idle connections only as long as the peers say that they keep them."""
+
+    def heed(self, announced: str) -> None:
+        """`announced`: value of a `Keep-Alive` header, whose timeout is in whole seconds."""
+        for part in announced.split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                # aiohttp has no public way to change it once the connector is made
+                kept_s = KEPT_SHARE * float(value)
+                if self._keepalive_timeout is None or kept_s < self._keepalive_timeout:
+                    self._keepalive_timeout = kept_s
+
+
 def make_session(*, keepalive_s: float, limit_per_host: int = 0) -> aiohttp.ClientSession:
     """A session whose requests go out as they are, once."""
-    connector = aiohttp.TCPConnector(
+    connector = HeedingConnector(
         limit=0,
         limit_per_host=limit_per_host,
         keepalive_timeout=keepalive_s,
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -18,7 +18,7 @@
     """Failure detection between core members; also asks to be admitted where the sender is in no view."""
 
     sender: Member
-    view: View
+    view: int  # the newest decided one that the sender knows
     wants_in: bool
 
 
@@ -129,7 +129,8 @@
     """State of a core member."""
 
     sender: Member
-    view: View
+    view: int
+    newer: View | None  # where the asker knows an older one
     state_view: int
     sequence: int
     healthy: bool  # its disk answers
@@ -183,7 +184,7 @@
 
     origin: str
     vector: dict[str, int]
-    view: View
+    view: View | None  # where the puller knows an older one
     workers: tuple[StampedWorker, ...]
     placements: tuple[StampedPlacement, ...]
     version: int
--- a/finchladder/cluster/types/workers.py
+++ b/finchladder/cluster/types/workers.py
@@ -47,6 +47,14 @@
         return self.phase is Phase.GONE, self.sequence, self.phase is Phase.LOST
 
 
+class Coming(msgspec.Struct, frozen=True, array_like=True):
+    """A model or adapter that is being loaded, and how long that will still take."""
+
+    model: str
+    adapter: str
+    left_ms: int
+
+
 class PlacementRecord(msgspec.Struct, frozen=True, array_like=True):
     """What the placer lets be used at a worker. A higher (token, serial) replaces a lower one."""
 
@@ -54,6 +62,7 @@
     token: int
     serial: int
     holdings: tuple[Holding, ...]
+    coming: Coming | None = None
 
 
 class StampedWorker(msgspec.Struct, frozen=True, array_like=True):
