A leaving edge closes idle connections; control state played at virtual time

Change: idle connections are closed outright, holds end before the process does, open attempts get their last answer. ControlPlane takes its disk and peers, and lab/cluster plays it on a virtual clock with faults and an oracle; three mutants are found.

--- a/finchladder/cluster/process/attempt.py
+++ b/finchladder/cluster/process/attempt.py
@@ -1,6 +1,5 @@
 """One attempt of a request at one worker: what was sent, and what can be said of it afterwards."""
 
-import asyncio
 from dataclasses import dataclass
 
 import aiohttp
@@ -94,26 +93,23 @@
 async def send(
     session: aiohttp.ClientSession, sending: Sending, backend: Backend, last_event_id: str = ""
 ) -> Outcome:
-    """Sends the request and waits for the head of the answer."""
+    """Sends the request and waits for the head of the answer; the caller bounds the time."""
     left = sending.until - steady()
     if left <= 0:
         return NotSent("its time is over")
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=min(CONNECT_S, left))
     url = URL(f"http://{backend.address}{sending.request.raw_path}", encoded=True)
     try:
-        async with asyncio.timeout(left):
-            response = await session.request(
-                sending.request.method,
-                url,
-                data=sending.body or None,
-                headers=sending.headers(backend, last_event_id),
-                allow_redirects=False,
-                timeout=timeout,
-            )
+        response = await session.request(
+            sending.request.method,
+            url,
+            data=sending.body or None,
+            headers=sending.headers(backend, last_event_id),
+            allow_redirects=False,
+            timeout=timeout,
+        )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         return NotSent(repr(error))
-    except TimeoutError:
-        return TimedOut()
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Broken(repr(error))
     return _judge(session, response, sending)
--- /dev/null
+++ b/finchladder/cluster/process/control_plane.py
@@ -0,0 +1,145 @@
+"""The part of a core process that agrees, stores and decides: views, chain, changes, the placer's role.
+
+Its disk and its peers are handed in: the same code runs on machines and in `finchladder.lab.cluster`.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from attrs import define
+
+from finchladder.cluster.process.chain_service import ChainService
+from finchladder.cluster.process.changes import Changes
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.role import RoleService
+from finchladder.cluster.process.voting import PING_S, Voting
+from finchladder.cluster.replication.agreement import Acceptor
+from finchladder.cluster.replication.chain import Replica
+from finchladder.cluster.replication.lease import GrantedLease, HeldLease
+from finchladder.cluster.replication.membership import Limits
+from finchladder.cluster.storage.interface import DurableStore
+from finchladder.cluster.transport.interface import Peers
+from finchladder.cluster.types.errors import StorageFailed
+from finchladder.cluster.types.members import Member
+from finchladder.cluster.types.messages import (
+    Accept,
+    ClaimRole,
+    Failure,
+    Learn,
+    Ping,
+    Prepare,
+    ReadState,
+    RenewPlacer,
+    Replicate,
+    Reply,
+    Request,
+    Resign,
+    Submit,
+)
+
+LEASE_SHARE = 2 / 3  # of the bound within which two holders must not both act
+PROBE_S = 1.0
+
+
+@define
+class Recovered:
+    """What the own disk held at the start."""
+
+    founder: bool
+    acceptor: Acceptor
+    replica: Replica
+
+
+@define
+class ControlPlane:
+    """One core process's control state."""
+
+    voting: Voting
+    chain: ChainService
+    changes: Changes
+    role: RoleService
+
+    @classmethod
+    def build(
+        cls,
+        me: Member,
+        store: DurableStore,
+        peers: Peers,
+        recovered: Recovered,
+        *,
+        losses: int,
+        seeds: tuple[str, ...],
+        turn_s: float,
+        random: Random,
+    ) -> "ControlPlane":
+        """`seeds`: peer addresses; `turn_s`: no two holders of the role may both act within so long."""
+        voting = Voting(
+            me,
+            store,
+            peers,
+            Limits(losses),
+            seeds,
+            recovered.founder,
+            recovered.acceptor,
+            recovered.replica,
+            random,
+        )
+        lease_s = turn_s * LEASE_SHARE
+        chain = ChainService(voting, GrantedLease(lease_s, turn_s))
+        return cls(voting, chain, Changes(chain), RoleService(chain, HeldLease(lease_s)))
+
+    async def answer(self, request: Request) -> Reply:
+        """The part of the internal protocol that concerns the control state."""
+        match request:
+            case Ping():
+                return await self.voting.on_ping(request)
+            case Prepare():
+                return await self.voting.on_prepare(request)
+            case Accept():
+                return await self.voting.on_accept(request)
+            case Learn():
+                return await self.voting.on_learn(request)
+            case Replicate():
+                return await self.chain.on_replicate(request)
+            case Submit():
+                return await self.changes.on_submit(request)
+            case ReadState():
+                return await self.chain.on_read(request)
+            case RenewPlacer():
+                return await self.role.on_renew(request)
+            case ClaimRole():
+                return await self.role.on_claim(request)
+            case Resign():
+                return await self.role.on_resign(request)
+        return Failure(type(request).__name__, "not understood")
+
+    def loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """What has to run all the time, by name."""
+        return {
+            "ping": self._ping_loop,
+            "views": self._view_loop,
+            "chain": self.chain.drive,
+            "disk": self._disk_loop,
+            "role": self.role.run,
+        }
+
+    async def _ping_loop(self) -> None:
+        while True:
+            await self.voting.ping_all()
+            await asyncio.sleep(PING_S)
+
+    async def _view_loop(self) -> None:
+        while True:
+            await self.voting.consider()
+            await asyncio.sleep(PING_S / 2)
+
+    async def _disk_loop(self) -> None:
+        """Tries a disk that failed again."""
+        while True:
+            if self.voting.store.failed:
+                try:
+                    await self.voting.store.probe()
+                except StorageFailed as error:
+                    event("storage.failed", problem=str(error))
+            await asyncio.sleep(PROBE_S)
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -8,49 +8,31 @@
 
 from attrs import define, field
 
-from finchladder.cluster.process.chain_service import ChainService
-from finchladder.cluster.process.changes import Changes
 from finchladder.cluster.process.control_api import ControlApi
+from finchladder.cluster.process.control_plane import ControlPlane, Recovered
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.placer import Placer
 from finchladder.cluster.process.pulling import Puller
-from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.sessions_service import SessionsService
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
-from finchladder.cluster.process.voting import PING_S, Voting
 from finchladder.cluster.process.worker_client import WorkerClient
-from finchladder.cluster.replication.lease import GrantedLease, HeldLease
-from finchladder.cluster.replication.membership import Limits
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.storage.lmdb_store import Identity, Store
 from finchladder.cluster.transport.http_server import Listener
 from finchladder.cluster.transport.peers import PeerClient, peer_handler, steady
-from finchladder.cluster.types.errors import ClusterError, StorageFailed
+from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.members import Member
 from finchladder.cluster.types.messages import (
-    Accept,
-    ClaimRole,
     Delta,
     DemandReport,
-    Failure,
-    Learn,
-    Ping,
-    Prepare,
     Pull,
-    ReadState,
-    RenewPlacer,
-    Replicate,
     Reply,
     Request,
-    Resign,
-    Submit,
 )  # fmt: skip
 
-LEASE_SHARE = 2 / 3  # of the bound within which two holders must not both act
 FRESH_S = 2.0
 EXPIRE_S = 0.25
-PROBE_S = 1.0
 WIND_UP_S = 0.3
 
 
@@ -62,11 +44,8 @@
     random: Random = field(factory=Random)
     tasks: Tasks = field(factory=Tasks)
     peers: PeerClient = field(init=False)
-    voting: Voting = field(init=False)
-    chain: ChainService = field(init=False)
-    changes: Changes = field(init=False)
+    control: ControlPlane = field(init=False)
     sessions: SessionsService = field(init=False)
-    role: RoleService = field(init=False)
     placer: Placer = field(init=False)
     puller: Puller = field(init=False)
     workers: WorkerClient = field(init=False)
@@ -84,33 +63,28 @@
             settings.node_name, identity.disk_id, settings.zone, settings.peer_address, settings.control
         )
         seeds = tuple(settings.peer_of(seed) for seed in settings.seeds)
-        self.voting = Voting(
+        self.control = ControlPlane.build(
             me,
             store,
             self.peers,
-            Limits(settings.losses),
-            seeds,
-            identity.founder,
-            acceptor,
-            replica,
-            self.random,
+            Recovered(identity.founder, acceptor, replica),
+            losses=settings.losses,
+            seeds=seeds,
+            turn_s=settings.bounds.lease_s,
+            random=self.random,
         )
-        lease_s = settings.bounds.lease_s * LEASE_SHARE
-        self.chain = ChainService(self.voting, GrantedLease(lease_s, settings.bounds.lease_s))
-        self.changes = Changes(self.chain)
-        self.role = RoleService(self.chain, HeldLease(lease_s))
         self._wire_sessions(seeds)
         self.placer = Placer(
-            self.role, self.sessions, self.workers, self.tasks, settings.bounds.ceiling_window_s
+            self.control.role, self.sessions, self.workers, self.tasks, settings.bounds.ceiling_window_s
         )
 
     def _wire_sessions(self, seeds: tuple[str, ...]) -> None:
         settings = self.settings
         tables = Tables(f"{settings.node_name}/{self.random.getrandbits(32):x}")
         self.sessions = SessionsService(
-            settings.node_name, tables, settings.heartbeat_s, lambda: self.chain.acknowledged,
-            lambda: self.voting.view, self._placer_address,
-            lambda: steady() - self.chain.confirmed_at < FRESH_S,
+            settings.node_name, tables, settings.heartbeat_s, lambda: self.control.chain.acknowledged,
+            lambda: self.control.voting.view, self._placer_address,
+            lambda: steady() - self.control.chain.confirmed_at < FRESH_S,
         )  # fmt: skip
         self.puller = Puller(
             name=settings.node_name,
@@ -128,88 +102,48 @@
 
     def _placer_address(self) -> str:
         """Where the placer listens; empty while there is none."""
-        name = self.chain.acknowledged.placer
-        found = [m.peer_address for m in self.voting.view.members() if m.name == name]
+        name = self.control.chain.acknowledged.placer
+        found = [m.peer_address for m in self.control.voting.view.members() if m.name == name]
         return found[0] if found else ""
 
     def _take(self, delta: Delta, changed: list[str]) -> None:
         self.sessions.origins[delta.origin] = steady()
-        self.puller.view = self.voting.view
+        self.puller.view = self.control.voting.view
         if changed:
             self.sessions.changed.fire()
 
     async def answer(self, request: Request) -> Reply:
         """The internal protocol."""
         match request:
-            case Ping():
-                return await self.voting.on_ping(request)
-            case Prepare():
-                return await self.voting.on_prepare(request)
-            case Accept():
-                return await self.voting.on_accept(request)
-            case Learn():
-                return await self.voting.on_learn(request)
-            case Replicate():
-                return await self.chain.on_replicate(request)
-            case Submit():
-                return await self.changes.on_submit(request)
-            case ReadState():
-                return await self.chain.on_read(request)
             case Pull():
                 return await self.sessions.on_pull(request)
             case DemandReport():
                 return self.placer.on_demand(request)
-            case RenewPlacer():
-                return await self.role.on_renew(request)
-            case ClaimRole():
-                return await self.role.on_claim(request)
-            case Resign():
-                return await self.role.on_resign(request)
-        return Failure(type(request).__name__, "not understood")
+        return await self.control.answer(request)
 
     # --- loops --------------------------------------------------------------------------------------------
 
-    async def _ping_loop(self) -> None:
-        while True:
-            await self.voting.ping_all()
-            await asyncio.sleep(PING_S)
-
-    async def _view_loop(self) -> None:
-        while True:
-            await self.voting.consider()
-            await asyncio.sleep(PING_S / 2)
-
     async def _expire_loop(self) -> None:
         while True:
             self.sessions.expire()
             await asyncio.sleep(EXPIRE_S)
 
-    async def _disk_loop(self) -> None:
-        """Tries a disk that failed again."""
-        while True:
-            if self.voting.store.failed:
-                try:
-                    await self.voting.store.probe()
-                except StorageFailed as error:
-                    event("storage.failed", problem=str(error))
-            await asyncio.sleep(PROBE_S)
-
     async def _announce_loop(self) -> None:
         """Readers learn at once of what the chain has acknowledged and of new views."""
         while True:
-            await self.chain.changed.wait(1.0)
+            await self.control.chain.changed.wait(1.0)
             self.sessions.changed.fire()
 
     async def _announce_views(self) -> None:
         while True:
-            await self.voting.changed.wait(1.0)
-            self.puller.view = self.voting.view
+            await self.control.voting.changed.wait(1.0)
+            self.puller.view = self.control.voting.view
             self.sessions.changed.fire()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set."""
         self._wire()
-        control = ControlApi(self.changes, self.chain, self.sessions, self.settings.control)
+        control = ControlApi(self.control.changes, self.control.chain, self.sessions, self.settings.control)
         listeners = [
             Listener(peer_handler(self.answer), self.settings.peer_address),
             Listener(control.handle, self.settings.control),
@@ -217,27 +151,23 @@
         for listener in listeners:
             await listener.start()
         loops = {
-            "ping": self._ping_loop,
-            "views": self._view_loop,
-            "chain": self.chain.drive,
+            **self.control.loops(),
             "expiry": self._expire_loop,
-            "disk": self._disk_loop,
             "announce": self._announce_loop,
             "announce views": self._announce_views,
             "sources": self.puller.run,
-            "role": self.role.run,
             "placer": self.placer.run,
         }
         for name, loop in loops.items():
             self.tasks.repeat(loop, name)
-        event("node.started", role="core", address=self.settings.control, disk=self.voting.me.disk_id)
+        event("node.started", role="core", address=self.settings.control, disk=self.control.voting.me.disk_id)
         await stop.wait()
         await self._wind_up(listeners)
 
     async def _wind_up(self, listeners: list[Listener]) -> None:
         event("node.stopping")
         with suppress(ClusterError):
-            await self.role.resign()
+            await self.control.role.resign()
         await asyncio.sleep(WIND_UP_S)
         await self.tasks.stop()
         for listener in listeners:
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -31,7 +31,8 @@
 WORKER_KEEPALIVE_S = 20.0  # less where the workers say so
 START_WITHOUT_CONFIRMATION_S = 4.0
 UNREADY_S = 2.5  # after this no new connections come
-EXIT_MARGIN_S = 0.8
+EXIT_MARGIN_S = 0.6
+LAST_ANSWERS_S = 0.3  # for the answers to what can't be ended in time
 
 
 @define
@@ -153,20 +154,26 @@
         self.tasks.repeat(self._report, "demand")
         event("node.started", role="edge", address=self.settings.frontend)
         await stop.wait()
-        await self._wind_up()
+        await self._wind_up(frontend)
         await frontend.stop()
         await self.tasks.stop()
         await self.router.session.close()
         await self.peers.close()
         await readiness.stop()
 
-    async def _wind_up(self) -> None:
-        """Not ready first; then, when no new connections come, waits for what is open."""
-        self.stopping = self.router.draining = True
+    async def _wind_up(self, frontend: Listener) -> None:
+        """Not ready first; when no new connections come, closes idle ones and waits for what is open."""
         began = steady()
         until = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        while steady() < until:
+        self.stopping = True
+        self.router.drain(until - LAST_ANSWERS_S)
+        while steady() < until - LAST_ANSWERS_S:
             await asyncio.sleep(0.05)
-            if steady() - began >= UNREADY_S and not self.router.open_requests:
+            if steady() - began < UNREADY_S:
+                continue
+            frontend.close_idle()
+            if not self.router.open_requests:
                 break
         event("node.stopping", open_requests=self.router.open_requests)
+        self.router.end_attempts()
+        await asyncio.sleep(LAST_ANSWERS_S)
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -1,7 +1,9 @@
 """The life of a request on the data plane: find a worker, send, pass the answer on, answer once."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from math import inf
 
 import aiohttp
 from aiohttp import web
@@ -14,6 +16,7 @@
     Broken,
     NotExecuted,
     NotSent,
+    Outcome,
     Sending,
     TimedOut,
     send,
@@ -30,6 +33,7 @@
 THRESHOLD = 2.0  # own requests in flight at one worker, above which the least loaded is looked for
 HOLD_SHARE = 0.8  # of the time that a client waits: what needs longer is refused
 UNKNOWN_SHARE = 0.4  # of that time a request waits for something of which nobody says when it comes
+LAST_SEND_S = 0.05
 LATE_S = 1.5  # by which what is being loaded may come later than was told
 LOOK_AGAIN_S = 0.03
 REST_FULL_S = 0.1
@@ -59,9 +63,21 @@
     pools: Pools = field(factory=lambda: Pools({}, {}))
     changed: Signal = field(factory=Signal)
     draining: bool = False
+    holds_end: float = inf  # while it drains: what has found no worker by then is refused
+    attempts: set[asyncio.Timeout] = field(factory=set)
     open_requests: int = 0
     budgets: dict[str, RetryBudget] = field(factory=dict)
 
+    def drain(self, holds_end: float) -> None:
+        """Connections end with their next answer; nothing waits for a worker after `holds_end`."""
+        self.draining, self.holds_end = True, holds_end
+
+    def end_attempts(self) -> None:
+        """The process ends: what still runs gets its last answer now."""
+        now = asyncio.get_running_loop().time()
+        for attempt in self.attempts:
+            attempt.reschedule(now)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """One request of a client."""
         self.open_requests += 1
@@ -120,7 +136,7 @@
             if sent and not budget.spend(steady(), self.dispatchers()):
                 return self._refuse(RETRY_AFTER_FULL_S)
             with Running(self.demand, wanted, backend):
-                outcome = await send(self.session, sending, backend)
+                outcome = await self._send(sending, backend)
                 if isinstance(outcome, Answered):
                     backend.failures = 0
                     return await self._pass_on(route, wanted, sending, backend, outcome.response)
@@ -139,6 +155,25 @@
                 continue
             return self._plain(504 if isinstance(outcome, TimedOut) else 502, "the worker gave no answer")
 
+    @asynccontextmanager
+    async def _limit(self, until: float) -> AsyncIterator[None]:
+        """TimeoutError at `until`, or when the process ends."""
+        async with asyncio.timeout(max(0.0, until - steady())) as timeout:
+            self.attempts.add(timeout)
+            try:
+                yield
+            finally:
+                self.attempts.discard(timeout)
+
+    async def _send(self, sending: Sending, backend: Backend, last_event_id: str = "") -> Outcome:
+        if steady() >= min(sending.until, self.holds_end + LAST_SEND_S):
+            return NotSent("its time is over")
+        try:
+            async with self._limit(sending.until):
+                return await send(self.session, sending, backend, last_event_id)
+        except TimeoutError:
+            return TimedOut()
+
     async def _find(self, wanted: Need, sent: frozenset[str]) -> Backend | None:
         """A worker for the request; waits while there is none and it can still be in time."""
         waiting = False
@@ -149,7 +184,7 @@
                 backend = pool.choose(now, self.zone, THRESHOLD, sent)
                 if backend is not None:
                     return backend
-                hold_until = self._hold_until(wanted, bool(pool.backends))
+                hold_until = min(self.holds_end, self._hold_until(wanted, bool(pool.backends)))
                 if now >= hold_until or (sent and not pool.backends):
                     return None
                 if not waiting and not pool.backends:
@@ -214,7 +249,7 @@
     async def _whole(self, wanted: Need, response: aiohttp.ClientResponse) -> web.StreamResponse:
         """Reads the whole answer first, so that one that breaks off never looks complete."""
         try:
-            async with asyncio.timeout(max(0.0, wanted.until - steady())):
+            async with self._limit(wanted.until):
                 body = await response.read()
         except TimeoutError:
             return self._plain(504, "the answer did not end in time")
@@ -266,7 +301,7 @@
     ) -> bool:
         """Copies until the end; False if the worker broke off or its time is over."""
         try:
-            async with asyncio.timeout(max(0.0, wanted.until - steady())):
+            async with self._limit(wanted.until):
                 async for part in response.content.iter_any():
                     data = part if cutter is None else cutter.feed(part)
                     if data:
@@ -288,7 +323,7 @@
         backend = await self._find(wanted, sent)
         if backend is None or not self._budget(wanted.key.service).spend(steady(), self.dispatchers()):
             return None
-        outcome = await send(self.session, sending, backend, last_event_id)
+        outcome = await self._send(sending, backend, last_event_id)
         if not isinstance(outcome, Answered) or outcome.response.status != 200:
             if isinstance(outcome, Answered):
                 outcome.response.close()
--- a/finchladder/cluster/process/voting.py
+++ b/finchladder/cluster/process/voting.py
@@ -11,8 +11,9 @@
 from finchladder.cluster.replication.agreement import Acceptor
 from finchladder.cluster.replication.chain import Replica
 from finchladder.cluster.replication.membership import Limits, Status, first_view, next_view
-from finchladder.cluster.storage.lmdb_store import Store
-from finchladder.cluster.transport.peers import PeerClient, all_of, steady
+from finchladder.cluster.storage.interface import DurableStore
+from finchladder.cluster.transport.interface import Peers
+from finchladder.cluster.transport.peers import all_of, steady
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.members import Ballot, Member, View
 from finchladder.cluster.types.messages import (
@@ -49,8 +50,8 @@
     """State of the agreement in one process. `lock` orders all changes of durable state."""
 
     me: Member
-    store: Store
-    peers: PeerClient
+    store: DurableStore
+    peers: Peers
     limits: Limits
     seeds: tuple[str, ...]  # peer addresses
     founder: bool
--- a/finchladder/cluster/transport/http_server.py
+++ b/finchladder/cluster/transport/http_server.py
@@ -41,6 +41,14 @@
         """Open connections."""
         return len(self._server.connections)
 
+    def close_idle(self) -> None:
+        """Closes connections on which no request is open; the others close after their answer."""
+        for connection in self._server.connections:
+            # aiohttp's own close() of an idle connection ends its reader and leaves the socket open
+            waiter = connection._waiter
+            if waiter is not None and not waiter.done():
+                connection.force_close()
+
     async def stop(self) -> None:
         """Stops listening and closes what is open."""
         await self._runner.cleanup()
--- a/finchladder/cluster/transport/peers.py
+++ b/finchladder/cluster/transport/peers.py
@@ -86,8 +86,11 @@
 
 
 def steady() -> float:
-    """Seconds of the steady clock."""
-    return time.monotonic()
+    """Seconds of the steady clock: that of the running loop, which is the system's own outside of tests."""
+    try:
+        return asyncio.get_running_loop().time()
+    except RuntimeError:
+        return time.monotonic()
 
 
 async def all_of(calls: Sequence[Awaitable[Reply]]) -> list[Reply | ClusterError]:
--- /dev/null
+++ b/finchladder/lab/cluster/oracle.py
@@ -0,0 +1,94 @@
+"""What must hold, from what operators and readers saw and who acted as placer; it knows no implementation."""
+
+from attrs import define, field
+
+TAKEN, INVALID, CONFLICT = 200, 400, 412
+
+
+class Violation(AssertionError):
+    """A rule was broken."""
+
+
+@define
+class Change:
+    """One order of an operator. `number` is in its body."""
+
+    number: int
+    base: int
+    version: int
+    body: bytes
+    taken_at: float | None = None
+    refused: bool = False
+
+
+@define
+class Read:
+    """One read that was answered."""
+
+    began: float
+    ended: float
+    version: int
+    number: int
+
+
+@define
+class Oracle:
+    """Collects what was seen, and raises Violation at once."""
+
+    changes: dict[int, Change] = field(factory=dict)
+    taken_on: dict[int, int] = field(factory=dict)  # base: number of the change that was taken on it
+    reads: list[Read] = field(factory=list)
+    shown: dict[int, int] = field(factory=dict)  # version: number of its change
+    lives: dict[str, int] = field(factory=dict)  # newest version shown in one life of a process
+    holder: str = ""
+    token: int = 0
+    held_at: float = -1e9
+
+    def answered(self, change: Change, status: int, now: float) -> None:
+        """An operator got a clear answer."""
+        if status == TAKEN:
+            if change.refused:
+                raise Violation(f"change {change.number} was refused and is taken")
+            other = self.taken_on.setdefault(change.base, change.number)
+            if other != change.number:
+                raise Violation(f"changes {other} and {change.number} are both taken on {change.base}")
+            change.taken_at = now if change.taken_at is None else change.taken_at
+        elif status in (INVALID, CONFLICT):
+            if change.taken_at is not None or change.number in self.shown.values():
+                raise Violation(f"change {change.number} was taken and is refused on being sent again")
+            change.refused = True
+
+    def show(self, life: str, version: int, number: int) -> None:
+        """A process lets readers have that version."""
+        if version < self.lives.get(life, 0):
+            raise Violation(f"{life} went back from {self.lives[life]} to {version}")
+        self.lives[life] = version
+        if not version:
+            return
+        if self.shown.setdefault(version, number) != number:
+            raise Violation(f"version {version} is shown with two contents")
+        if self.changes[number].refused:
+            raise Violation(f"change {number} was refused and is in force")
+
+    def read(self, began: float, now: float, version: int, number: int) -> None:
+        """An operator read the configuration."""
+        for change in self.changes.values():
+            if change.taken_at is not None and change.taken_at < began and change.version > version:
+                raise Violation(f"version {change.version} was acknowledged, a later read gave {version}")
+        for earlier in self.reads:
+            if earlier.ended < began and earlier.version > version:
+                raise Violation(f"a read gave {version} after one gave {earlier.version}")
+        if version and self.changes[number].refused:
+            raise Violation(f"change {number} was refused and was read")
+        self.reads.append(Read(began, now, version, number))
+
+    def acts(self, holder: str, token: int, now: float, turn_s: float) -> None:
+        """A process believes that it may give orders."""
+        if holder != self.holder:
+            if self.holder and now - self.held_at < turn_s:
+                raise Violation(f"{holder} acts {now - self.held_at:.3f} s after {self.holder}")
+            if token <= self.token:
+                raise Violation(f"{holder} has token {token}, {self.holder} had {self.token}")
+        elif token < self.token:
+            raise Violation(f"{holder} went back from token {self.token} to {token}")
+        self.holder, self.token, self.held_at = holder, token, now
--- /dev/null
+++ b/tests/cluster/test_control_world.py
@@ -0,0 +1,104 @@
+"""The control state at virtual time, with faults from seeds; the oracle knows what was seen from outside."""
+
+import msgspec
+import pytest
+
+from finchladder.cluster.configuration import document
+from finchladder.cluster.replication import chain, membership
+from finchladder.cluster.replication.chain import Keep, Outcome, Replica
+from finchladder.cluster.types.members import Member, View
+from finchladder.cluster.types.messages import Replicate
+from finchladder.lab.cluster.oracle import Change, Oracle, Violation
+from finchladder.lab.cluster.virtual import run
+from finchladder.lab.cluster.world import World
+
+FAULTS = 5
+MUTANT_SEEDS = range(40)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_three_machines_keep_the_rules_under_faults(seed: int) -> None:
+    run(World(seed, count=3, losses=1).play(FAULTS))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_five_machines_keep_the_rules_under_faults(seed: int) -> None:
+    run(World(1000 + seed, count=5, losses=2).play(FAULTS))
+
+
+def test_a_seed_gives_the_same_run_again() -> None:
+    first, second = World(7), World(7)
+    run(first.play(2))
+    run(second.play(2))
+    assert first.trace == second.trace
+
+
+def _finds_a_violation() -> bool:
+    for seed in MUTANT_SEEDS:
+        try:
+            run(World(seed).play(FAULTS))
+        except Violation:
+            return True
+    return False
+
+
+def test_members_that_acknowledge_what_they_did_not_store_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    def careless(replica: Replica, view: int, request: Replicate) -> Outcome:
+        outcome = chain_receive(replica, view, request)
+        return Keep() if request.operation is not None else outcome
+
+    chain_receive = chain.receive
+    monkeypatch.setattr(chain, "receive", careless)
+    assert _finds_a_violation()
+
+
+def test_joiners_that_count_as_survivors_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    def anybody(view: View, alive: dict[str, membership.Status]) -> list[Member]:
+        return [status.member for status in alive.values() if status.healthy]
+
+    monkeypatch.setattr(membership, "survivors", anybody)
+    assert _finds_a_violation()
+
+
+def test_orders_that_are_not_recognised_when_sent_again_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    numbers = iter(range(1 << 30))
+    monkeypatch.setattr(document, "digest", lambda base, patch, body: msgspec.json.encode(next(numbers)))
+    assert _finds_a_violation()
+
+
+# --- the oracle itself
+
+
+def _oracle_with(*changes: Change) -> Oracle:
+    return Oracle(changes={change.number: change for change in changes})
+
+
+def test_the_oracle_refuses_two_winners_on_one_base() -> None:
+    one, two = Change(1, 0, 1, b""), Change(2, 0, 2, b"")
+    oracle = _oracle_with(one, two)
+    oracle.answered(one, 200, 1.0)
+    with pytest.raises(Violation, match="both taken"):
+        oracle.answered(two, 200, 2.0)
+
+
+def test_the_oracle_refuses_a_read_older_than_what_was_acknowledged() -> None:
+    change = Change(1, 0, 5, b"")
+    oracle = _oracle_with(change)
+    oracle.answered(change, 200, 1.0)
+    with pytest.raises(Violation, match="later read"):
+        oracle.read(2.0, 2.1, 0, 0)
+
+
+def test_the_oracle_refuses_two_holders_within_a_turn() -> None:
+    oracle = Oracle()
+    oracle.acts("a", 1, 10.0, 3.0)
+    with pytest.raises(Violation, match="after a"):
+        oracle.acts("b", 2, 12.9, 3.0)
+
+
+def test_the_oracle_refuses_a_step_back_within_a_life() -> None:
+    one, two = Change(1, 0, 1, b""), Change(2, 1, 2, b"")
+    oracle = _oracle_with(one, two)
+    oracle.show("core-1/1", 2, 2)
+    with pytest.raises(Violation, match="went back"):
+        oracle.show("core-1/1", 1, 1)
