Views change without waiting for the silent; a new placer uses what the rule leaves

Change: pings run apart, a quorum ends a vote, the lease is 0.45 of the turn, a new placer counts the old window with the rule's overage, warm disks are known to every core and weigh by demand.

--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -23,7 +23,7 @@
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
 LEAST_WORTH = 0.02  # a copy that is worth less is not loaded
 EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
-WORTH_A_SECOND = 0.1  # by which a load that takes a second longer is worth less
+HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
 PREFETCH_LEAST_S = 2.0  # loads that are quicker need not be prepared
 
@@ -173,11 +173,8 @@
             room = self._room(worker, model)
             if room is None or worth < MARGIN * room[0]:
                 continue
-            rank = (
-                room[0]
-                + WORTH_A_SECOND * self._load_s(worker, model)
-                + BUSYNESS_WORTH * self._busyness(worker)
-            )
+            delay = worth * self._load_s(worker, model) / HORIZON_S
+            rank = room[0] + delay + BUSYNESS_WORTH * self._busyness(worker)
             choices.append((rank, worker.instance, room[1]))
         if not choices:
             return None
--- a/finchladder/cluster/process/control_plane.py
+++ b/finchladder/cluster/process/control_plane.py
@@ -38,7 +38,7 @@
     Submit,
 )
 
-LEASE_SHARE = 2 / 3  # of the bound within which two holders must not both act
+LEASE_SHARE = 0.45  # of the bound within which two holders must not both act
 PROBE_S = 1.0
 
 
@@ -117,18 +117,13 @@
     def loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """What has to run all the time, by name."""
         return {
-            "ping": self._ping_loop,
+            "ping": self.voting.ping_all,
             "views": self._view_loop,
             "chain": self.chain.drive,
             "disk": self._disk_loop,
             "role": self.role.run,
         }
 
-    async def _ping_loop(self) -> None:
-        while True:
-            await self.voting.ping_all()
-            await asyncio.sleep(PING_S)
-
     async def _view_loop(self) -> None:
         while True:
             await self.voting.consider()
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -74,8 +74,15 @@
             random=self.random,
         )
         self._wire_sessions(seeds)
+        bounds = settings.bounds
         self.placer = Placer(
-            self.control.role, self.sessions, self.workers, self.tasks, settings.bounds.ceiling_window_s
+            self.control.role,
+            self.sessions,
+            self.workers,
+            self.tasks,
+            bounds.ceiling_window_s,
+            bounds.ceiling_overage,
+            bounds.lease_s,
         )
 
     def _wire_sessions(self, seeds: tuple[str, ...]) -> None:
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -62,6 +62,8 @@
     client: WorkerClient
     tasks: Tasks
     window_s: float
+    overage: float
+    turn_s: float  # the last holder's orders are at least so old when the role is granted to another one
     demand: DemandBook = field(factory=DemandBook)
     managed: dict[str, Managed] = field(factory=dict)
     ledgers: dict[str, LoadLedger] = field(factory=dict)
@@ -70,6 +72,7 @@
     waited_for: Signal = field(factory=Signal)
     snapshot: Snapshot = EMPTY
     term: int = 0
+    was_own: bool = False  # the holder before was a former life of this process
     term_began: float = 0.0
 
     def on_demand(self, report: DemandReport) -> DemandReply:
@@ -89,14 +92,23 @@
                 self._tick()
             elif self.managed:
                 self._end_term()
+            else:
+                self._note_held()
             await self.waited_for.wait(TICK_S)
 
+    def _note_held(self) -> None:
+        """What workers have held is on their disks; known to whoever may become placer."""
+        for record in self.sessions.tables.live():
+            held = self.on_disk.setdefault(record.address, set())
+            held.update(holding.model for holding in record.holdings)
+
     def _begin_term(self) -> None:
         token = self.role.lease.token
         if token == self.term:
             return
         self._end_term()
         self.term, self.term_began = token, steady()
+        self.was_own = self.role.was_own
         self.ledgers = {}
 
     def _end_term(self) -> None:
@@ -172,9 +184,9 @@
     def _ledger(self, service: str, engine: Engine) -> LoadLedger:
         ledger = self.ledgers.get(service)
         if ledger is None:
-            ledger = self.ledgers[service] = LoadLedger(engine.load_rate_s, self.window_s)
+            ledger = self.ledgers[service] = LoadLedger(engine.load_rate_s, self.window_s, self.overage)
             if self.term > 1:
-                ledger.assume_full(self.term_began)
+                ledger.assume_full(self.term_began - (0.0 if self.was_own else self.turn_s))
         return ledger
 
     # --- orders -------------------------------------------------------------------------------------------
--- a/finchladder/cluster/process/role.py
+++ b/finchladder/cluster/process/role.py
@@ -25,6 +25,7 @@
     chain: ChainService
     lease: HeldLease
     last_order_at: float = field(factory=steady)
+    was_own: bool = False  # the role was held by a former life of this process when it was granted
 
     @property
     def me(self) -> Member:
@@ -113,12 +114,14 @@
             return
         if not self._is_candidate():
             return
+        was_own = self.chain.acknowledged.placer == self.me.name
         granted = await self._ask_head(ClaimRole(self.me.name, self.chain.acknowledged.fence_token))
         if granted.granted:
+            self.was_own = was_own
             self.lease.extend(asked_at, granted.token)
             event("placer.elected", token=granted.token)
         elif granted.wait_ms:
-            await asyncio.sleep(min(granted.wait_ms / 1000, 1.0))
+            await asyncio.sleep(granted.wait_ms / 1000)
 
     def _is_candidate(self) -> bool:
         """The last members of the chain claim first, so that head and placer are mostly two machines."""
--- a/finchladder/cluster/process/settings.py
+++ b/finchladder/cluster/process/settings.py
@@ -50,6 +50,7 @@
     retry_window_s: float
     retry_slack: float
     ceiling_window_s: float
+    ceiling_overage: float
     fencing: bool
 
 
@@ -99,6 +100,7 @@
         retry_window_s=float(value.get("retry_window_s", 10)),
         retry_slack=float(value.get("retry_budget_slack", 0)),
         ceiling_window_s=float(value.get("ceiling_window_s", 5)),
+        ceiling_overage=float(value.get("ceiling_overage", 1.0)),
         fencing=bool(value.get("fencing", False)),
     )
 
--- a/finchladder/cluster/process/voting.py
+++ b/finchladder/cluster/process/voting.py
@@ -152,10 +152,19 @@
         return addresses
 
     async def ping_all(self) -> None:
-        """One round of failure detection."""
-        wants_in = self.view.position(self.me.disk_id) is None and self.healthy()
-        ping = Ping(self.me, self.view.number, wants_in)
-        await asyncio.gather(*(self._ping(address, ping) for address in self.contacts()))
+        """Asks all contacts again and again; one that does not answer holds none of the others up."""
+        running: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                wants_in = self.view.position(self.me.disk_id) is None and self.healthy()
+                ping = Ping(self.me, self.view.number, wants_in)
+                for address in self.contacts():
+                    if address not in running or running[address].done():
+                        running[address] = asyncio.create_task(self._ping(address, ping))
+                await asyncio.sleep(PING_S)
+        finally:
+            for task in running.values():
+                task.cancel()
 
     async def _ping(self, address: str, ping: Ping) -> None:
         try:
@@ -236,15 +245,15 @@
         quorum = len(addresses) // 2 + 1
         self.highest_round = max(self.highest_round, self.acceptor.promised.round) + 1
         ballot = Ballot(self.highest_round, self.me.disk_id)
-        promises = [
-            r for r in await self._ask(addresses, Prepare(base.number + 1, ballot)) if isinstance(r, Promise)
-        ]
+        replies = await self._ask(addresses, Prepare(base.number + 1, ballot), quorum)
+        promises = [reply for reply in replies if isinstance(reply, Promise)]
         await self._look_at(promises)
         granted = [p for p in promises if p.granted]
         if len(granted) < quorum or self.view.number != base.number:
             return False
         view = agreement.bound_value(granted) or wanted
-        accepted = [r for r in await self._ask(addresses, Accept(ballot, view)) if isinstance(r, Accepted)]
+        replies = await self._ask(addresses, Accept(ballot, view), quorum)
+        accepted = [reply for reply in replies if isinstance(reply, Accepted)]
         await self._look_at(accepted)
         if sum(a.granted for a in accepted) < quorum:
             return False
@@ -253,16 +262,31 @@
         await all_of([self.peers.call(address, Learn(view), VOTE_TIMEOUT_S) for address in others])
         return True
 
-    async def _ask(self, addresses: list[str], request: Prepare | Accept) -> list[Reply | ClusterError]:
-        calls = []
-        for address in addresses:
+    async def _ask(self, addresses: list[str], request: Prepare | Accept, quorum: int) -> list[Reply]:
+        """The replies of all voters, or of those who answered by the time when a quorum has granted it."""
+        pending = {asyncio.ensure_future(self._ask_one(address, request)) for address in addresses}
+        replies: list[Reply] = []
+        granted = 0
+        try:
+            while pending and granted < quorum:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                answered = [reply for reply in (task.result() for task in done) if reply is not None]
+                replies += answered
+                granted += sum(isinstance(r, Promise | Accepted) and r.granted for r in answered)
+        finally:
+            for task in pending:
+                task.cancel()
+        return replies
+
+    async def _ask_one(self, address: str, request: Prepare | Accept) -> Reply | None:
+        try:
             if address != self.me.peer_address:
-                calls.append(self.peers.call(address, request, VOTE_TIMEOUT_S))
-            elif isinstance(request, Prepare):
-                calls.append(self.on_prepare(request))
-            else:
-                calls.append(self.on_accept(request))
-        return await all_of(calls)
+                return await self.peers.call(address, request, VOTE_TIMEOUT_S)
+            if isinstance(request, Prepare):
+                return await self.on_prepare(request)
+            return await self.on_accept(request)
+        except ClusterError:
+            return None
 
     async def _look_at(self, replies: list[Promise] | list[Accepted]) -> None:
         for reply in replies:
