Tests of the system's parts; state is moved aside only when it can't be read

Cause: any LMDB error at the start moved the state aside, also one that a full disk or a second opener gives; a second copy of a rarely asked model was loaded where there was room. Change: only damage moves it aside; further copies must be worth more.

--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -21,7 +21,8 @@
 WAITING_WORTH = 0.5  # of each request that waits for a model that nobody holds
 RUNNING_WORTH = 0.2  # of each request that runs at a copy: evicting it would wait for them
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
-LEAST_WORTH = 0.02  # a copy that is worth less is not loaded
+LEAST_WORTH = 0.02  # a first copy that is worth less is not loaded
+LEAST_COPY_WORTH = 0.1  # the same for a further one
 EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
@@ -163,8 +164,9 @@
         return sorted(self.demand, key=urgency)
 
     def _place(self, model: str) -> Load | None:
-        worth = self.copy_worth(model, self.copies.get(model, 0) + 1)
-        if worth < LEAST_WORTH:
+        copies = self.copies.get(model, 0)
+        worth = self.copy_worth(model, copies + 1)
+        if worth < (LEAST_COPY_WORTH if copies else LEAST_WORTH):
             return None
         choices: list[tuple[float, str, tuple[str, ...]]] = []
         for worker in self.free.values():
--- a/finchladder/cluster/storage/lmdb_store.py
+++ b/finchladder/cluster/storage/lmdb_store.py
@@ -30,6 +30,14 @@
 T = TypeVar("T")
 
 
+class Damaged(Exception):
+    """A value does not match its checksum or format."""
+
+
+# a disk that is full or refuses to be read is no reason to give up what is on it
+UNREADABLE = (Damaged, lmdb.InvalidError, lmdb.CorruptedError, lmdb.VersionMismatchError)
+
+
 class Identity(msgspec.Struct, frozen=True, array_like=True):
     """Of this disk. `founder`: it was empty when the whole system started for the first time."""
 
@@ -37,10 +45,6 @@
     founder: bool
 
 
-class Damaged(Exception):
-    """A value does not match its checksum or format."""
-
-
 def seal(value: object) -> bytes:
     """Bytes of a value with format number and checksum."""
     payload = msgspec.msgpack.encode(value)
@@ -79,7 +83,7 @@
         _sync_folder(os.path.dirname(self._folder))
         try:
             return self._checked()
-        except (lmdb.Error, Damaged) as error:
+        except UNREADABLE as error:
             self.moved_aside = f"{self._folder}.damaged-{int(time.time())}: {error}"
             shutil.move(self._folder, f"{self._folder}.damaged-{int(time.time())}")
             os.makedirs(self._folder)
@@ -146,6 +150,11 @@
         finally:
             del self._pending[serial]
 
+    def close(self) -> None:
+        """Ends the thread and closes the file."""
+        self._executor.shutdown()
+        self._environment.close()
+
     @property
     def failed(self) -> bool:
         """Whether the last write was refused."""
--- a/finchladder/cluster/transport/http_server.py
+++ b/finchladder/cluster/transport/http_server.py
@@ -36,6 +36,12 @@
         self._site = web.TCPSite(self._runner, host, port, backlog=BACKLOG, reuse_address=True)
         await self._site.start()
 
+    @property
+    def bound(self) -> str:
+        """The address that it listens on, where the port was left to the system."""
+        host, port = self._runner.addresses[0][:2]
+        return f"{host}:{port}"
+
     @property
     def connections(self) -> int:
         """Open connections."""
--- /dev/null
+++ b/tests/cluster/test_configuration.py
@@ -0,0 +1,105 @@
+"""The operator's changes: read, patched, checked; what is kept of them."""
+
+import json
+from typing import Any
+
+import pytest
+
+from finchladder.cluster.configuration.document import Candidate, Invalid, digest, prepare
+
+ROUTE = {
+    "name": "r1",
+    "host": "a",
+    "path_prefix": "/x/",
+    "service": "s1",
+    "timeout_ms": 100,
+    "extra": {"k": 0.1},
+}
+SERVICE = {"name": "s1", "engine": {"models": [{"name": "m", "weights_mb": 65099.99999999999}]}}
+WHOLE = {
+    "version": 5,
+    "routes": [ROUTE],
+    "services": [SERVICE],
+    "limits": {"max_body_bytes": 10},
+    "more": [1],
+}
+
+
+def put(value: object, version: int = 0, current: bytes = b"") -> Candidate | Invalid:
+    return prepare(current, version, False, json.dumps(value).encode())
+
+
+def patch(value: object) -> Candidate | Invalid:
+    return prepare(json.dumps(WHOLE).encode(), 5, True, json.dumps(value).encode())
+
+
+def document(outcome: Candidate | Invalid) -> Any:
+    assert isinstance(outcome, Candidate), outcome
+    return json.loads(outcome.document)
+
+
+def test_a_whole_configuration_is_kept_as_it_was_sent() -> None:
+    assert document(put(WHOLE)) == WHOLE
+
+
+def changed(**items: Any) -> dict[str, Any]:
+    return {**WHOLE, **items}
+
+
+def with_route(**fields: Any) -> dict[str, Any]:
+    return changed(routes=[{**ROUTE, **fields}])
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        [],
+        {"version": 5},
+        changed(version=0),
+        changed(version="5"),
+        with_route(service="unknown"),
+        with_route(timeout_ms=0),
+        with_route(path_prefix="x"),
+        with_route(traffic_split=[{"service": "s1", "weight": 0}]),
+        with_route(traffic_split=[{"service": "s1", "weight": 1}, {"service": "s2", "weight": 1}]),
+        changed(routes=[ROUTE, {**ROUTE, "name": "r2"}]),
+        changed(routes=[ROUTE, {**ROUTE, "path_prefix": "/y/"}]),
+        changed(routes=[{"name": "r1"}]),
+    ],
+)
+def test_an_invalid_configuration_is_refused(value: object) -> None:
+    outcome = put(value)
+    assert isinstance(outcome, Invalid) and outcome.problem
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b'{"version":5,"routes":[', b"\xff", b'{"version": NaN}', b"[" * 100_000]
+)
+def test_what_cannot_be_read_whole_is_refused(body: bytes) -> None:
+    assert isinstance(prepare(b"", 0, False, body), Invalid)
+
+
+def test_a_version_that_is_not_above_the_current_one_is_refused() -> None:
+    for version in (5, 6):
+        assert isinstance(put(WHOLE, version), Invalid)
+
+
+def test_a_patch_replaces_adds_and_removes_by_name() -> None:
+    second = {**ROUTE, "name": "r2", "path_prefix": "/y/"}
+    added = document(patch({"version": 7, "upsert": {"routes": [{**ROUTE, "timeout_ms": 9}, second]}}))
+    assert [(r["name"], r["timeout_ms"]) for r in added["routes"]] == [("r1", 9), ("r2", 100)]
+    assert added["more"] == [1] and added["version"] == 7
+    removed = document(patch({"version": 8, "remove": {"routes": ["r1", "absent"]}}))
+    assert removed["routes"] == []
+
+
+def test_a_patch_that_leaves_a_route_without_its_service_is_refused() -> None:
+    assert isinstance(patch({"version": 7, "remove": {"services": ["s1"]}}), Invalid)
+
+
+def test_a_digest_names_the_order_and_not_only_its_text() -> None:
+    orders = {
+        digest(base, is_patch, body) for base in (1, 2) for is_patch in (True, False) for body in (b"a", b"b")
+    }
+    assert len(orders) == 8
+    assert digest(1, True, b"a") == digest(1, True, b"a")
--- /dev/null
+++ b/tests/cluster/test_placement.py
@@ -0,0 +1,147 @@
+"""Demand, the ledger of loads, and the planner."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchladder.cluster.configuration.routing import Engine, Model
+from finchladder.cluster.placement.demand import DemandBook, Item
+from finchladder.cluster.placement.durations import Durations
+from finchladder.cluster.placement.ledger import RULE_SLACK, LoadLedger
+from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, used_mb
+from finchladder.cluster.types.messages import Demand, DemandReport
+
+MODELS = {f"m{n}": Model(f"m{n}", 70.0, 5.0, 4, 1.0) for n in range(8)}
+ENGINE = Engine(
+    slots=64, kv_cache_tokens=1000, weights_mb=220.0, lora_slots=2, load_rate_s=2.0, models=MODELS
+)
+
+
+def worker(name: str, *models: str, busy: bool = False, disk: tuple[str, ...] = ()) -> WorkerState:
+    held: dict[str, set[str]] = {model: set() for model in models}
+    return WorkerState(name, "llm", name, "z", busy, False, held, frozenset((*models, *disk)))
+
+
+def asked(book: DemandBook, model: str, times: int, *, adapter: str = "", waiting: int = 0) -> None:
+    """One dispatcher for each item: a report replaces the one before."""
+    demand = Demand("llm", model, adapter, times, waiting, 0, 0)
+    book.take(0.0, DemandReport(f"edge {model} {adapter}", 1.0, (demand,)))
+
+
+def plan(
+    book: DemandBook, *workers: WorkerState, loads: int = 9, loading: dict[str, int] | None = None
+) -> list[Load]:
+    return Round(Plan("llm", ENGINE, workers, book, loads, 0.2), loading or {}).actions()
+
+
+def test_a_model_that_is_waited_for_is_loaded_in_place_of_an_idle_one() -> None:
+    book = DemandBook()
+    asked(book, "m5", 1, waiting=1)
+    asked(book, "m0", 9)
+    (action,) = plan(book, worker("a", "m0", "m1", "m2"))
+    assert (action.model, action.victims) == ("m5", (("m2", ""),))
+
+
+def test_what_is_waited_for_and_nowhere_comes_before_another_copy_of_the_busy() -> None:
+    book = DemandBook()
+    asked(book, "m0", 100)
+    asked(book, "m5", 1, waiting=1)
+    (action,) = plan(book, worker("a", "m1", "m2", "m3"), worker("b", "m0", busy=True))
+    assert action.model == "m5"
+
+
+def test_what_is_on_its_way_is_not_ordered_again() -> None:
+    book = DemandBook()
+    asked(book, "m5", 1, waiting=1)
+    assert plan(book, worker("a", "m1"), worker("b", busy=True), loading={"m5": 1}) == []
+
+
+def test_a_worker_that_has_the_model_on_its_disk_is_preferred() -> None:
+    book = DemandBook()
+    asked(book, "m5", 1, waiting=1)
+    (action,) = plan(book, worker("a"), worker("b", disk=("m5",)))
+    assert action.instance == "b"
+
+
+def test_without_loads_left_only_disks_of_workers_are_loaded_from() -> None:
+    book = DemandBook()
+    asked(book, "m5", 1, waiting=1)
+    asked(book, "m6", 1, waiting=1)
+    actions = plan(book, worker("a"), worker("b", disk=("m6",)), loads=0)
+    assert [(a.instance, a.model) for a in actions] == [("b", "m6")]
+
+
+def test_an_adapter_goes_to_a_holder_of_its_model_and_the_idlest_gives_way() -> None:
+    book = DemandBook()
+    asked(book, "m0", 5, adapter="a1")
+    asked(book, "m0", 1, adapter="a3", waiting=1)
+    holder = worker("a", "m0", "m1")
+    holder.models["m0"] = {"a1", "a2"}
+    (action,) = plan(book, holder, worker("b", "m2", busy=True))
+    assert action == Load("a", "m0", "a3", (("m0", "a2"),))
+
+
+def test_workers_with_nothing_to_do_prepare_models_that_nobody_has_on_disk() -> None:
+    actions = plan(DemandBook(), worker("a", "m0", "m1", "m2"))
+    assert [(a.model, a.victims) for a in actions] == [("m3", (("m2", ""),))]
+
+
+@given(
+    held=st.lists(st.lists(st.sampled_from(sorted(MODELS)), max_size=3, unique=True), min_size=1, max_size=5),
+    rates=st.dictionaries(st.sampled_from(sorted(MODELS)), st.tuples(st.integers(0, 50), st.integers(0, 3))),
+    loads=st.integers(0, 5),
+)
+def test_no_plan_goes_over_a_workers_memory_or_the_loads_left(
+    held: list[list[str]], rates: dict[str, tuple[int, int]], loads: int
+) -> None:
+    book = DemandBook()
+    for model, (times, waiting) in rates.items():
+        asked(book, model, times, waiting=waiting)
+    workers = [worker(f"w{n}", *models) for n, models in enumerate(held)]
+    actions = plan(book, *workers, loads=loads)
+    by_name = {w.instance: w for w in workers}
+    assert len({a.instance for a in actions}) == len(actions)
+    assert sum(a.model not in by_name[a.instance].on_disk for a in actions) <= loads
+    for action in actions:
+        models = {m: set(a) for m, a in by_name[action.instance].models.items()}
+        for victim, _ in action.victims:
+            del models[victim]
+        assert action.model not in models
+        assert used_mb(ENGINE, {**models, action.model: set()}) <= ENGINE.weights_mb
+
+
+def test_demand_decays_and_silent_dispatchers_are_forgotten() -> None:
+    book = DemandBook()
+    asked(book, "m0", 8, waiting=2)
+    item = Item("llm", "m0")
+    before = book.rate(item)
+    book.settle(4.0)
+    assert 0 < book.rate(item) < before / 2
+    assert book.waiting(item) == 0
+    book.settle(400.0)
+    assert book.items() == set()
+
+
+@given(st.lists(st.floats(0.0, 3.0), max_size=80), st.booleans())
+def test_no_window_holds_more_loads_than_the_rule_allows(gaps: list[float], took_over: bool) -> None:
+    ledger = LoadLedger(rate_s=2.1, window_s=5.0, overage=1.1)
+    begun: list[float] = []
+    if took_over:
+        begun = [-0.5] * ledger.most  # the holder before began all that it might
+        ledger.assume_full(-0.5)
+    now = 0.0
+    for gap in gaps:
+        now += gap
+        while ledger.allows(now):
+            ledger.note(now)
+            begun.append(now)
+    for start in begun:
+        assert sum(start <= at < start + 5.0 for at in begun) <= 2.1 * 5.0 * 1.1 + RULE_SLACK
+
+
+def test_durations_follow_what_was_seen() -> None:
+    durations = Durations()
+    for _ in range(30):
+        durations.learn(5.0, adapter=False, warm=True, took_s=1.0)
+        durations.learn(5.0, adapter=False, warm=False, took_s=6.0)
+    assert abs(durations.expected_s(5.0, adapter=False, warm=True) - 1.0) < 0.05
+    assert abs(durations.expected_s(5.0, adapter=False, warm=False) - 6.0) < 0.1
--- /dev/null
+++ b/tests/cluster/test_routing.py
@@ -0,0 +1,179 @@
+"""The data plane's pure parts: budgets, events, pools, the routing snapshot, headers."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchladder.cluster.configuration.routing import build
+from finchladder.cluster.routing.budget import RetryBudget
+from finchladder.cluster.routing.events import EventCutter
+from finchladder.cluster.routing.pools import Backend, Pool, PoolKey, Pools, effective_holdings, refreshed
+from finchladder.cluster.routing.requests import need, onward_headers
+from finchladder.cluster.types.workers import Holding, Phase, PlacementRecord, WorkerRecord
+
+
+def backend(name: str, load: float = 0.0) -> Backend:
+    return Backend(name, "llm", f"{name}:1", "z", 64, load)
+
+
+# --- the choice
+
+
+def test_of_the_two_candidates_the_one_with_strictly_lower_load_wins_and_a_tie_goes_to_the_second() -> None:
+    pool = Pool("m1", [backend(f"w{n}") for n in range(6)])
+    first, second = pool.pair
+    assert pool.choose(0.0, "z", 4, frozenset()) is second
+    second.load = 1
+    assert pool.choose(0.0, "z", 4, frozenset()) is first
+
+
+def test_load_past_the_threshold_overflows_to_the_least_loaded() -> None:
+    pool = Pool("m0", [backend(f"w{n}", 3) for n in range(6)])
+    other = next(b for b in pool.backends if b not in pool.pair)
+    other.load = 2
+    for candidate in pool.pair:
+        candidate.load = 4
+    assert pool.choose(0.0, "z", 4, frozenset()) is other
+
+
+def test_who_rests_or_lacks_the_key_or_had_the_request_is_passed_over() -> None:
+    one, two, three = (backend(name) for name in "abc")
+    one.rests_until, two.absent = 5.0, {"m0": 5.0}
+    pool = Pool("m0", [one, two, three])
+    assert pool.choose(1.0, "z", 4, frozenset()) is three
+    assert pool.choose(1.0, "z", 4, frozenset({"c"})) is None
+    assert pool.choose(6.0, "z", 4, frozenset({"c"})) in (one, two)
+
+
+def record(name: str, phase: Phase = Phase.READY, *holdings: Holding) -> WorkerRecord:
+    return WorkerRecord(name, "llm", f"{name}:1", "z", 64, phase, 1, "core", holdings)
+
+
+def test_draining_lost_and_gone_workers_get_nothing_and_loads_outlive_a_swap() -> None:
+    old = {"a": backend("a", 3)}
+    phases = {"a": Phase.READY, "b": Phase.DRAINING, "c": Phase.LOST, "d": Phase.GONE}
+    backends = refreshed(old, [record(name, phase) for name, phase in phases.items()])
+    assert backends == {"a": old["a"]}
+
+
+def test_the_placers_word_goes_before_the_workers_own() -> None:
+    worker = record("a", Phase.READY, Holding("m0"), Holding("m1"))
+    assert effective_holdings(worker, None) == worker.holdings
+    told = PlacementRecord("a", 1, 1, (Holding("m1"),))
+    assert effective_holdings(worker, told) == (Holding("m1"),)
+
+
+def test_a_pool_has_who_holds_the_model_and_the_adapter() -> None:
+    backends = {name: backend(name) for name in "abc"}
+    pools = Pools(
+        backends, {"a": (Holding("m0", ("a1",)),), "b": (Holding("m0"),)}, ((PoolKey("llm", "m9", ""), 7.0),)
+    )
+    assert pools.pool(PoolKey("llm", "m0", "")).backends == (backends["a"], backends["b"])
+    assert pools.pool(PoolKey("llm", "m0", "a1")).backends == (backends["a"],)
+    assert pools.pool(PoolKey("llm", "", "")).backends == tuple(backends.values())
+    assert pools.ready_at(PoolKey("llm", "m9", "a2")) == 7.0
+
+
+# --- budgets
+
+
+@given(st.lists(st.tuples(st.floats(0, 2), st.booleans()), max_size=120), st.integers(1, 9))
+def test_no_window_holds_more_repeats_than_the_share(
+    steps: list[tuple[float, bool]], dispatchers: int
+) -> None:
+    budget = RetryBudget(ratio=0.2, slack=52, window_s=10)
+    now, requests, repeats = 0.0, [], []
+    for gap, is_request in steps:
+        now += gap
+        if is_request:
+            budget.arrived(now)
+            requests.append(now)
+        elif budget.spend(now, dispatchers):
+            repeats.append(now)
+    for start in repeats:
+        spent = sum(start <= at < start + 10 for at in repeats)
+        asked = max(sum(s <= at < s + 10 for at in requests) for s in (start, start - 10, start - 5))
+        assert spent <= 0.2 * asked + 52 / dispatchers
+
+
+def test_a_dispatcher_that_knows_of_no_others_spends_little() -> None:
+    budget = RetryBudget(ratio=0.2, slack=52, window_s=10)
+    assert not budget.spend(0.0, 0)
+    assert budget.spend(0.0, 2)
+
+
+# --- events
+
+
+@given(st.lists(st.integers(1, 40), min_size=1, max_size=12), st.data())
+def test_events_come_out_whole_however_the_bytes_come(sizes: list[int], data: st.DataObject) -> None:
+    events = [b"id: %d\ndata: %s\n\n" % (n, b"x" * size) for n, size in enumerate(sizes, 1)]
+    stream = b"".join(events)
+    stop = data.draw(st.integers(0, len(stream)))
+    cutter, out, at = EventCutter(), b"", 0
+    while at < stop:
+        step = data.draw(st.integers(1, 30))
+        out += cutter.feed(stream[at : min(at + step, stop)])
+        at += step
+    whole = [event for n, event in enumerate(events) if sum(map(len, events[: n + 1])) <= stop]
+    assert out == b"".join(whole)
+    assert cutter.last_id == (str(len(whole)) if whole else "")
+    assert cutter.unfinished == (len(out) < stop)
+
+
+# --- routes and headers
+
+DOCUMENT = {
+    "version": 3,
+    "routes": [
+        {"name": "r1", "host": "A.example", "path_prefix": "/x/", "service": "api", "kind": "idempotent"},
+        {"name": "r2", "host": "a.example", "path_prefix": "/x/y/", "service": "llm", "kind": "streaming",
+         "timeout_ms": 5000, "target_latency_ms": 800, "gap_aim_ms": 400, "retries": 1, "resumable": False},
+        {"name": "r3", "host": "b.example", "path_prefix": "/", "kind": "new-kind",
+         "traffic_split": [{"service": "api", "weight": 3}, {"service": "llm", "weight": 1},
+                           {"service": "x", "weight": 0}]},
+    ],
+    "services": [{"name": "api"}, {"name": "llm"}, {"name": "x"}],
+    "limits": {"idle_timeout_ms": 9000},
+}  # fmt: skip
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    snapshot = build(json.dumps(DOCUMENT).encode())
+    found = [snapshot.match("a.EXAMPLE", path) for path in ("/x/1", "/x/y/1", "/x", "/z/")]
+    assert [route.name if route else None for route in found] == ["r1", "r2", None, None]
+    assert snapshot.idle_s == 9.0
+
+
+def test_a_split_goes_by_weights_and_a_weight_of_nothing_gets_nothing() -> None:
+    route = build(json.dumps(DOCUMENT).encode()).match("b.example", "/q")
+    assert route is not None
+    assert [route.target(point) for point in (0.0, 0.74, 0.76, 0.9999999)] == ["api", "api", "llm", "llm"]
+
+
+def test_a_kind_that_is_not_known_may_run_once() -> None:
+    route = build(json.dumps(DOCUMENT).encode()).match("b.example", "/q")
+    assert route is not None and not route.may_repeat
+
+
+@pytest.mark.parametrize(
+    ("headers", "model", "adapter", "tokens"),
+    [
+        ({"X-Finchladder-Model": "m0/a3", "X-Finchladder-Token-Count": "10,5"}, "m0", "a3", 15),
+        ({"X-Finchladder-Model": "m0", "X-Finchladder-Token-Count": "x"}, "m0", "", 0),
+        ({}, "", "", 0),
+    ],
+)
+def test_what_a_request_names(headers: dict[str, str], model: str, adapter: str, tokens: int) -> None:
+    route = build(json.dumps(DOCUMENT).encode()).match("a.example", "/x/y/1")
+    assert route is not None
+    wanted = need({**headers, "X-Finchladder-Deadline-Ms": "9000"}, route, 100.0)
+    assert (wanted.key.model, wanted.key.adapter, wanted.tokens) == (model, adapter, tokens)
+    assert (wanted.until, wanted.patience_s) == (105.0, 3.2)
+
+
+def test_headers_of_one_connection_go_no_further() -> None:
+    headers = {"Connection": "close, X-Own", "X-Own": "1", "X-Kept": "2", "Content-Length": "3", "TE": "x"}
+    assert onward_headers(headers) == [("X-Kept", "2")]
--- /dev/null
+++ b/tests/cluster/test_sessions.py
@@ -0,0 +1,194 @@
+"""The replicated tables, and sessions of workers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from finchladder.cluster.process.sessions_service import SessionsService
+from finchladder.cluster.sessions.table import Tables
+from finchladder.cluster.types.beats import Beat
+from finchladder.cluster.types.members import GENESIS
+from finchladder.cluster.types.messages import Delta, Pull
+from finchladder.cluster.types.operations import ControlState
+from finchladder.cluster.types.workers import Phase, PlacementRecord, WorkerRecord
+from finchladder.lab.cluster.virtual import run
+
+NODES = ("n1", "n2", "n3", "reader")
+
+
+class Replication(RuleBasedStateMachine):
+    """Writers stamp records, everybody pulls from anybody; after enough pulls all know the same."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.tables = {name: Tables(name) for name in NODES}
+        self.newest: dict[str, tuple[bool, int, bool]] = {}
+        self.ranks: dict[tuple[str, str], tuple[bool, int, bool]] = {}
+
+    @rule(
+        node=st.sampled_from(NODES[:3]),
+        worker=st.sampled_from("abc"),
+        sequence=st.integers(0, 20),
+        phase=st.sampled_from(Phase),
+    )
+    def write(self, node: str, worker: str, sequence: int, phase: Phase) -> None:
+        record = WorkerRecord(worker, "s", "a:1", "z", 1, phase, sequence, node)
+        if self.tables[node].put_worker(record):
+            self.newest[worker] = max(self.newest.get(worker, record.rank()), record.rank())
+
+    @rule(node=st.sampled_from(NODES[:3]), token=st.integers(1, 3), serial=st.integers(1, 9))
+    def place(self, node: str, token: int, serial: int) -> None:
+        self.tables[node].put_placement(PlacementRecord("a", token, serial, ()))
+
+    @rule(reader=st.sampled_from(NODES), source=st.sampled_from(NODES))
+    def pull(self, reader: str, source: str) -> None:
+        own, other = self.tables[reader], self.tables[source]
+        own.merge(*other.missing(own.vector))
+        own.advance(other.vector)
+        assert not other.is_ahead(own.vector)
+
+    @invariant()
+    def no_record_goes_back(self) -> None:
+        for name, tables in getattr(self, "tables", {}).items():
+            for worker, stamped in tables.workers.items():
+                rank = stamped.record.rank()
+                assert rank >= self.ranks.get((name, worker), rank)
+                self.ranks[name, worker] = rank
+
+    def teardown(self) -> None:
+        for _ in range(2):
+            for reader in getattr(self, "tables", {}):
+                for source in self.tables:
+                    self.pull(reader, source)
+        for tables in getattr(self, "tables", {}).values():
+            assert {w: s.record.rank() for w, s in tables.workers.items()} == self.newest
+
+
+TestReplication = Replication.TestCase
+TestReplication.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+
+
+# --- sessions at virtual time
+
+
+def service(name: str = "core-1") -> SessionsService:
+    return SessionsService(
+        name, Tables(f"{name}/1"), 1.2, ControlState, lambda: GENESIS, lambda: "", lambda: True
+    )  # fmt: skip
+
+
+def beat(sequence: int, state: str = "ready") -> Beat:
+    return Beat(service="llm", address="10.0.0.9:80", sequence=sequence, state=state)
+
+
+def pull(vector: dict[str, int], wait_ms: int = 0) -> Pull:
+    return Pull("edge-1", vector, 0, 0, wait_ms, True)
+
+
+def phase_of(sessions: SessionsService, instance: str = "i-1") -> Phase:
+    return sessions.tables.workers[instance].record.phase
+
+
+def played(work: Callable[[], Awaitable[Any]]) -> Any:
+    async def main() -> Any:
+        return await work()
+
+    return run(main())
+
+
+def test_a_heartbeat_that_tells_nothing_new_is_not_passed_on() -> None:
+    async def work() -> tuple[int, int]:
+        sessions = service()
+        await sessions.on_beat("i-1", beat(1))
+        first = sessions.tables.counter
+        await sessions.on_beat("i-1", beat(2))
+        return first, sessions.tables.counter
+
+    assert played(work) == (1, 1)
+
+
+def test_a_late_heartbeat_does_not_undo_a_drain() -> None:
+    async def work() -> Phase:
+        sessions = service()
+        await sessions.on_beat("i-1", beat(5, "draining"))
+        assert await sessions.on_beat("i-1", beat(4))
+        return phase_of(sessions)
+
+    assert played(work) is Phase.DRAINING
+
+
+def test_a_drain_is_acknowledged_once_a_reader_has_it_and_not_without() -> None:
+    async def work() -> tuple[bool, bool]:
+        alone = service()
+        unheard = await alone.on_beat("i-1", beat(1, "draining"))
+        sessions = service()
+        await sessions.on_beat("i-1", beat(1))
+
+        async def reader() -> None:
+            vector: dict[str, int] = {}
+            while True:
+                delta: Delta = await sessions.on_pull(pull(vector, 1000))
+                vector = dict(delta.vector)
+
+        task = asyncio.create_task(reader())
+        await asyncio.sleep(0.01)
+        heard = await sessions.on_beat("i-1", beat(2, "draining"))
+        task.cancel()
+        return unheard, heard
+
+    assert played(work) == (False, True)
+
+
+def test_a_silent_worker_is_lost_and_comes_back_with_its_next_call() -> None:
+    async def work() -> list[Phase]:
+        sessions = service()
+        await sessions.on_beat("i-1", beat(1))
+        seen = []
+        await asyncio.sleep(3.0)
+        sessions.expire()
+        seen.append(phase_of(sessions))
+        await asyncio.sleep(1.0)
+        sessions.expire()
+        seen.append(phase_of(sessions))
+        await sessions.on_beat("i-1", beat(2))
+        seen.append(phase_of(sessions))
+        return seen
+
+    assert played(work) == [Phase.READY, Phase.LOST, Phase.READY]
+
+
+def test_what_is_gone_stays_gone() -> None:
+    async def work() -> Phase:
+        sessions = service()
+        await sessions.on_beat("i-1", beat(1))
+        await sessions.on_leave("i-1")
+        await sessions.on_beat("i-1", beat(2))
+        return phase_of(sessions)
+
+    assert played(work) is Phase.GONE
+
+
+def test_a_worker_of_an_owner_that_is_silent_is_judged_by_the_others_only_after_a_while() -> None:
+    async def work() -> list[Phase]:
+        owner, other = service("core-1"), service("core-2")
+        await owner.on_beat("i-1", beat(1))
+        other.tables.merge(*owner.tables.missing({}))
+        other.expire()
+        await asyncio.sleep(6.0)
+        other.expire()
+        seen = [phase_of(other)]
+        await asyncio.sleep(2.0)
+        other.expire()
+        return [*seen, phase_of(other)]
+
+    assert played(work) == [Phase.READY, Phase.LOST]
+
+
+def test_records_survive_the_wire() -> None:
+    record = WorkerRecord("i", "s", "a:1", "z", 1, Phase.LOST, 3, "o")
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(record), type=WorkerRecord) == record
