A head refuses only what its chain confirms; a restarted placer has its role at once

Change: refusals wait for the chain's confirmation; nobody joins before the chain is settled; a member not heard yet is not silent; pings overlap; the holder's own claim waits for nobody and an expired lease is renewed if nobody else was given the role.

--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -118,9 +118,10 @@
     async def confirm(self) -> bool:
         """Has the whole chain confirm what the head holds; True if all did."""
         async with self.write_lock:
-            return await self._confirm()
+            return await self.confirm_locked()
 
-    async def _confirm(self) -> bool:
+    async def confirm_locked(self) -> bool:
+        """The same with the write lock held."""
         voting, began = self.voting, steady()
         async with voting.lock:
             view = voting.view
@@ -146,7 +147,7 @@
         """With the write lock held: the state that the next write builds on; None if it can't be known."""
         held = self.voting.replica
         settled = self.confirmed_view == self.view.number and held.state == self.acknowledged
-        if not settled and not await self._confirm():
+        if not settled and not await self.confirm_locked():
             return None
         return self.voting.replica.state
 
--- a/finchladder/cluster/process/changes.py
+++ b/finchladder/cluster/process/changes.py
@@ -74,16 +74,23 @@
         if any(revision.digest == digest for revision in state.taken):
             return Submitted(TAKEN, state.version)
         if base != state.version:
-            return Submitted(CONFLICT, state.version, f"version {state.version} is in place")
+            problem = f"version {state.version} is in place"
+            return await self._refused(Submitted(CONFLICT, state.version, problem))
         candidate = await self._checked(state, patch, body)
         if isinstance(candidate, document.Invalid):
-            return Submitted(INVALID, state.version, candidate.problem)
+            return await self._refused(Submitted(INVALID, state.version, candidate.problem))
         operation = SetConfiguration(base, candidate.version, digest, candidate.document)
         if not await self.chain.write(operation):
             return unclear("the chain did not store it in time")
         event("configuration.taken", version=candidate.version, base=base, bytes=len(candidate.document))
         return Submitted(TAKEN, candidate.version)
 
+    async def _refused(self, outcome: Submitted) -> Submitted:
+        """A refusal counts only if no later view had begun: a head that was replaced knows an old state."""
+        if await self.chain.confirm_locked():
+            return outcome
+        return unclear("the chain does not confirm this head")
+
     async def _checked(
         self, state: ControlState, patch: bool, body: bytes
     ) -> document.Candidate | document.Invalid:
--- a/finchladder/cluster/process/control_plane.py
+++ b/finchladder/cluster/process/control_plane.py
@@ -38,7 +38,7 @@
     Submit,
 )
 
-LEASE_SHARE = 0.45  # of the bound within which two holders must not both act
+LEASE_SHARE = 0.35  # of the bound within which two holders must not both act
 PROBE_S = 1.0
 
 
--- a/finchladder/cluster/process/role.py
+++ b/finchladder/cluster/process/role.py
@@ -25,6 +25,7 @@
     chain: ChainService
     lease: HeldLease
     last_order_at: float = field(factory=steady)
+    known_token: int = 0  # the newest that this process has heard of
     was_own: bool = False  # the role was held by a former life of this process when it was granted
 
     @property
@@ -54,19 +55,20 @@
             state = await self.chain.ready_to_write()
             if state is None:
                 return REFUSED
-            wait_s = self.chain.lease.wait_s(steady())
             is_holder = state.placer == request.holder
-            if (
-                wait_s is None
-                or request.token != state.fence_token
-                or (wait_s > 0 and not is_holder and state.placer)
-            ):
+            wait_s = self._wait_s(is_holder or not state.placer)
+            if wait_s is None or wait_s > 0 or request.token != state.fence_token:
                 return Granted(False, state.fence_token, int((wait_s or 0) * 1000))
             if not await self.chain.write(ClaimPlacer(request.holder, state.fence_token)):
                 return REFUSED
             self.chain.lease.renew(steady())
             return Granted(True, state.fence_token + 1)
 
+    def _wait_s(self, is_free: bool) -> float | None:
+        """How long a claim has to wait; None: unknown. `is_free`: nobody else has the role."""
+        wait_s = self.chain.lease.wait_s(steady())
+        return 0.0 if is_free and wait_s is not None else wait_s
+
     async def on_resign(self, request: Resign) -> Granted:
         """The holder ends; others need wait only until its last order is old enough."""
         state = self.chain.acknowledged
@@ -104,18 +106,24 @@
             await asyncio.sleep(self.lease.lease_s / RENEW_SHARE if self.holds() else LOOK_S)
 
     async def _step(self) -> None:
-        asked_at = steady()
-        if self.lease.token and self.chain.acknowledged.placer == self.me.name and self.holds():
-            granted = await self._ask_head(RenewPlacer(self.me.name, self.lease.token))
-            if granted.granted:
-                self.lease.extend(asked_at, granted.token)
-            elif granted.token:
-                self.lease.drop()
-            return
-        if not self._is_candidate():
-            return
-        was_own = self.chain.acknowledged.placer == self.me.name
-        granted = await self._ask_head(ClaimRole(self.me.name, self.chain.acknowledged.fence_token))
+        asked_at, state = steady(), self.chain.acknowledged
+        self.known_token = max(self.known_token, state.fence_token)
+        if self.lease.token and state.placer == self.me.name and state.fence_token == self.lease.token:
+            await self._renew(asked_at)
+        elif self._is_candidate():
+            await self._claim(asked_at, was_own=state.placer == self.me.name)
+
+    async def _renew(self, asked_at: float) -> None:
+        """Also a lease that has run out goes on, as long as nobody else was given the role."""
+        granted = await self._ask_head(RenewPlacer(self.me.name, self.lease.token))
+        if granted.granted:
+            self.lease.extend(asked_at, granted.token)
+        elif granted.token:
+            self.lease.drop()
+
+    async def _claim(self, asked_at: float, was_own: bool) -> None:
+        granted = await self._ask_head(ClaimRole(self.me.name, self.known_token))
+        self.known_token = max(self.known_token, granted.token)
         if granted.granted:
             self.was_own = was_own
             self.lease.extend(asked_at, granted.token)
--- a/finchladder/cluster/process/tasks.py
+++ b/finchladder/cluster/process/tasks.py
@@ -66,7 +66,9 @@
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.add(future)
         try:
-            await asyncio.wait_for(future, timeout_s)
+            # not wait_for: in 3.11 it loses a cancellation that comes together with the result
+            async with asyncio.timeout(timeout_s):
+                await future
         except TimeoutError:
             return False
         finally:
--- a/finchladder/cluster/process/voting.py
+++ b/finchladder/cluster/process/voting.py
@@ -33,6 +33,7 @@
 STALL_S = 0.6  # a disk that answers no write counts as failed
 VOTE_TIMEOUT_S = 0.6
 BACKOFF_S = 0.25
+NOT_KNOWN = -1  # state view of a member that was not heard yet
 FOUND_S = 1.0  # how long the first view waits for all seeds
 RANK_STEP_S = 0.12  # so much later each next voter proposes
 
@@ -63,6 +64,7 @@
     heard: dict[str, Heard] = field(factory=dict)
     wants_in: dict[str, tuple[Member, float]] = field(factory=dict)
     started_at: float = field(factory=steady)
+    adopted_at: float = -1e9  # when the present view was learned
     highest_round: int = 0
     needed_since: float | None = None
 
@@ -135,7 +137,7 @@
                 return
             await self.store.save(acceptor=acceptor)
             self.acceptor = acceptor
-        self.needed_since = None
+        self.needed_since, self.adopted_at = None, steady()
         event("view.adopted", number=view.number, chain=[m.name for m in view.chain],
               voters=[m.name for m in view.voters], survivors=view.survivors)  # fmt: skip
         self.changed.fire()
@@ -152,30 +154,31 @@
         return addresses
 
     async def ping_all(self) -> None:
-        """Asks all contacts again and again; one that does not answer holds none of the others up."""
-        running: dict[str, asyncio.Task[None]] = {}
+        """Asks all contacts again and again; a ping that is not answered holds up no other."""
+        running: set[asyncio.Task[None]] = set()
         try:
             while True:
                 wants_in = self.view.position(self.me.disk_id) is None and self.healthy()
                 ping = Ping(self.me, self.view.number, wants_in)
-                for address in self.contacts():
-                    if address not in running or running[address].done():
-                        running[address] = asyncio.create_task(self._ping(address, ping))
+                for address in sorted(self.contacts()):
+                    task = asyncio.create_task(self._ping(address, ping))
+                    running.add(task)
+                    task.add_done_callback(running.discard)
                 await asyncio.sleep(PING_S)
         finally:
-            for task in running.values():
+            for task in running:
                 task.cancel()
 
     async def _ping(self, address: str, ping: Ping) -> None:
         try:
             reply = await self.peers.call(address, ping, PING_TIMEOUT_S)
+            if not isinstance(reply, Pong):
+                return
+            self.heard[reply.sender.disk_id] = Heard(reply, steady())
+            if reply.newer is not None:
+                await self.learn(reply.newer)
         except ClusterError:
-            return
-        if not isinstance(reply, Pong):
-            return
-        self.heard[reply.sender.disk_id] = Heard(reply, steady())
-        if reply.newer is not None:
-            await self.learn(reply.newer)
+            return  # not heard, or the own disk refuses: both show in `alive`
 
     def alive(self) -> dict[str, Status]:
         """Members that answered lately, this one among them."""
@@ -185,6 +188,9 @@
             for disk_id, heard in self.heard.items()
             if now - heard.at < SUSPECT_S
         }
+        if now - self.adopted_at < SUSPECT_S:
+            for member in self.view.chain:  # not heard yet is not silent
+                fresh.setdefault(member.disk_id, Status(member, NOT_KNOWN, True))
         fresh[self.me.disk_id] = Status(self.me, self.replica.state_view, self.healthy())
         return fresh
 
@@ -259,24 +265,23 @@
             return False
         await self.learn(view)
         others = {m.peer_address for m in (*view.members(), *base.members())} - {self.me.peer_address}
-        await all_of([self.peers.call(address, Learn(view), VOTE_TIMEOUT_S) for address in others])
+        await all_of([self.peers.call(address, Learn(view), VOTE_TIMEOUT_S) for address in sorted(others)])
         return True
 
     async def _ask(self, addresses: list[str], request: Prepare | Accept, quorum: int) -> list[Reply]:
         """The replies of all voters, or of those who answered by the time when a quorum has granted it."""
-        pending = {asyncio.ensure_future(self._ask_one(address, request)) for address in addresses}
-        replies: list[Reply] = []
-        granted = 0
+        tasks = [asyncio.create_task(self._ask_one(address, request)) for address in addresses]
         try:
-            while pending and granted < quorum:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                answered = [reply for reply in (task.result() for task in done) if reply is not None]
-                replies += answered
-                granted += sum(isinstance(r, Promise | Accepted) and r.granted for r in answered)
+            while True:
+                replies = [reply for task in tasks if task.done() and (reply := task.result()) is not None]
+                granted = sum(isinstance(r, Promise | Accepted) and r.granted for r in replies)
+                pending = [task for task in tasks if not task.done()]
+                if not pending or granted >= quorum:
+                    return replies
+                await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in pending:
+            for task in tasks:
                 task.cancel()
-        return replies
 
     async def _ask_one(self, address: str, request: Prepare | Accept) -> Reply | None:
         try:
--- a/finchladder/cluster/replication/lease.py
+++ b/finchladder/cluster/replication/lease.py
@@ -12,7 +12,7 @@
 
 from attrs import define
 
-RENEW_SHARE = 4  # renewals within one lease
+RENEW_SHARE = 3  # renewals within one lease
 CLOCK_MARGIN_S = 0.2
 
 
--- a/finchladder/cluster/replication/membership.py
+++ b/finchladder/cluster/replication/membership.py
@@ -90,6 +90,9 @@
     )
     wanted = [m for m in wanted if m.disk_id in alive and alive[m.disk_id].healthy]
     wanted = _newest_incarnations(wanted, kept)
+    settled = all(alive[m.disk_id].state_view == view.number for m in kept)
+    if not settled and len(kept) >= limits.shortest_chain:
+        wanted = []
     chain = (*kept, *wanted)
     voters = tuple(next_voters(view, alive, chain, limits))
     if len(chain) < limits.shortest_chain:
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -32,7 +32,7 @@
     platter: Platter
     plane: ControlPlane | None = None
     disk: SimulatedDisk | None = None
-    tasks: set[asyncio.Task[Any]] = field(factory=set)
+    tasks: dict[asyncio.Task[Any], None] = field(factory=dict)  # in the order in which they began
     lives: int = 0
     gone: bool = False
 
@@ -104,8 +104,8 @@
 
     def _spawn(self, machine: Machine, work: Awaitable[Any]) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(work)
-        machine.tasks.add(task)
-        task.add_done_callback(machine.tasks.discard)
+        machine.tasks[task] = None
+        task.add_done_callback(lambda ended: machine.tasks.pop(ended, None))
         return task
 
     async def _forever(self, machine: Machine, name: str, loop: Callable[[], Awaitable[None]]) -> None:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -50,6 +50,14 @@
     assert chain_of(next_view(view, alive(A, C, stored=4), [], ONE)) == (C, A)
 
 
+def test_nobody_joins_before_those_that_are_there_have_stored_the_state() -> None:
+    view = View(4, (A, B, C), (A, B), 2)
+    assert next_view(view, alive(A, B, C, stored=3), [C], ONE) is None
+    assert chain_of(next_view(view, alive(A, B, C, stored=4), [C], ONE)) == (A, B, C)
+    short = View(4, (A, B, C), (A, B), 1)
+    assert chain_of(next_view(short, alive(A, C, stored=3), [C], ONE)) == (A, C)
+
+
 def test_the_machine_that_came_first_takes_the_vote_of_the_one_that_left_later() -> None:
     """A planned replacement: the new one is in the chain while the old one still votes."""
     view = View(5, (A, B, C), (A, B, C, D), 4)
--- /dev/null
+++ b/tests/cluster/test_role.py
@@ -0,0 +1,92 @@
+"""The placer's role: who gets it when, at virtual time on three machines."""
+
+import asyncio
+
+import pytest
+
+from finchladder.cluster.replication.lease import CLOCK_MARGIN_S, GrantedLease, HeldLease
+from finchladder.lab.cluster.virtual import run
+from finchladder.lab.cluster.world import TURN_S, Machine, World
+
+
+async def started(world: World) -> Machine:
+    """Starts three machines and returns the one that becomes placer."""
+    for _ in range(3):
+        world.start(world.add(True))
+    return await holder(world, 6.0)
+
+
+async def holder(world: World, within_s: float, besides: str = "") -> Machine:
+    """Waits for a machine that holds the role."""
+    async with asyncio.timeout(within_s):
+        while True:
+            for machine in world.running():
+                assert machine.plane is not None
+                if machine.plane.role.holds() and machine.name != besides:
+                    return machine
+            await asyncio.sleep(0.02)
+
+
+def test_a_placer_that_restarts_has_its_role_again_at_once_with_a_new_token() -> None:
+    async def work() -> None:
+        world = World(1)
+        machine = await started(world)
+        assert machine.plane is not None
+        token = machine.plane.role.lease.token
+        await asyncio.sleep(3.0)
+        world.kill(machine, power=False)
+        await asyncio.sleep(1.0)
+        world.start(machine)
+        again = await holder(world, 2.0)
+        assert again is machine and again.plane is not None
+        assert again.plane.role.lease.token > token and again.plane.role.was_own
+        assert world.violation is None
+
+    run(work())
+
+
+def test_another_machine_places_once_a_turn_and_a_lease_have_passed() -> None:
+    async def work() -> None:
+        world, loop = World(2), asyncio.get_running_loop()
+        machine = await started(world)
+        await asyncio.sleep(3.0)
+        world.kill(machine, power=True)
+        died = loop.time()
+        other = await holder(world, 8.0, machine.name)
+        assert other.plane is not None and not other.plane.role.was_own
+        assert TURN_S <= loop.time() - died <= TURN_S + 3.0
+        assert world.violation is None
+
+    run(work())
+
+
+def test_a_placer_keeps_its_token_over_a_change_of_view() -> None:
+    async def work() -> None:
+        world = World(3)
+        machine = await started(world)
+        assert machine.plane is not None
+        token = machine.plane.role.lease.token
+        await asyncio.sleep(3.0)
+        other = next(m for m in world.running() if m is not machine)
+        world.kill(other, power=True)
+        await asyncio.sleep(4.0)
+        assert machine.plane.role.holds() and machine.plane.role.lease.token == token
+
+    run(work())
+
+
+def test_a_holder_counts_from_when_it_asked_and_the_head_from_when_it_answered() -> None:
+    held, granted = HeldLease(1.0), GrantedLease(1.0, 3.0)
+    assert granted.wait_s(0.0) is None
+    granted.confirm(10.0)
+    held.extend(9.5, 1)
+    assert held.holds(10.4) and not held.holds(10.5)
+    assert granted.wait_s(10.0) == pytest.approx(4.0 + CLOCK_MARGIN_S)
+    assert granted.wait_s(14.0 + CLOCK_MARGIN_S) == 0.0
+
+
+def test_who_resigns_is_followed_as_soon_as_its_last_order_is_old_enough() -> None:
+    granted = GrantedLease(1.0, 3.0)
+    granted.confirm(10.0)
+    granted.resign(11.0, idle_s=2.0)
+    assert granted.wait_s(11.0) == pytest.approx(1.0)
