--- a/finchladder/cluster/replication/membership.py
+++ b/finchladder/cluster/replication/membership.py
@@ -82,18 +82,12 @@
     kept = survivors(view, alive)
     if not kept:
         return None
-    holders = {member.disk_id for member in kept}
-    healthy = [s.member for s in alive.values() if s.healthy]
-    wanted = sorted(
-        (m for m in {*healthy, *joining} if m.disk_id not in holders),
-        key=lambda m: (m.name, m.disk_id),
-    )
-    wanted = [m for m in wanted if m.disk_id in alive and alive[m.disk_id].healthy]
-    wanted = _newest_incarnations(wanted, kept)
-    settled = all(alive[m.disk_id].state_view == view.number for m in kept)
-    if not settled and len(kept) >= limits.shortest_chain:
-        wanted = []
-    chain = (*kept, *wanted)
+    present = [m for m in view.chain if m not in kept and _is_healthy(m, alive)]
+    newcomers = _newcomers([*kept, *present], alive, joining)
+    settled = all(alive[m.disk_id].state_view == view.number for m in (*kept, *present))
+    if not settled and len(kept) + len(present) >= limits.shortest_chain:
+        newcomers = []
+    chain = (*kept, *present, *newcomers)
     voters = tuple(next_voters(view, alive, chain, limits))
     if len(chain) < limits.shortest_chain:
         return None
@@ -104,10 +98,19 @@
     return View(view.number + 1, voters, chain, len(kept))
 
 
-def _newest_incarnations(wanted: Sequence[Member], kept: Sequence[Member]) -> list[Member]:
-    """Leaves out whoever shares a name with a member that stays."""
-    names = {member.name for member in kept}
-    return [member for member in wanted if member.name not in names]
+def _is_healthy(member: Member, alive: Mapping[str, Status]) -> bool:
+    status = alive.get(member.disk_id)
+    return status is not None and status.healthy
+
+
+def _newcomers(
+    staying: Sequence[Member], alive: Mapping[str, Status], joining: Collection[Member]
+) -> list[Member]:
+    """Who may join behind those that stay; nobody that shares a name with one of them."""
+    names = {member.name for member in staying}
+    answering = {status.member for status in alive.values()}
+    wanted = {m for m in {*answering, *joining} if m.name not in names and _is_healthy(m, alive)}
+    return sorted(wanted, key=lambda m: (m.name, m.disk_id))
 
 
 def first_view(members: Sequence[Member], limits: Limits) -> View | None:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -58,6 +58,12 @@
     assert chain_of(next_view(short, alive(A, C, stored=3), [C], ONE)) == (A, C)
 
 
+def test_a_joiner_that_answers_stays_while_it_is_not_known_to_have_stored_the_state() -> None:
+    view = View(4, (A, B, C), (B, C, A), 2)
+    statuses = {**alive(B, C, stored=4), **alive(A, stored=3)}
+    assert next_view(view, statuses, [], ONE) is None
+
+
 def test_the_machine_that_came_first_takes_the_vote_of_the_one_that_left_later() -> None:
     """A planned replacement: the new one is in the chain while the old one still votes."""
     view = View(5, (A, B, C), (A, B, C, D), 4)
