--- a/finchladder/lab/cluster/network.py
+++ b/finchladder/lab/cluster/network.py
@@ -56,7 +56,8 @@
         try:
             reply = await asyncio.shield(task)
         except asyncio.CancelledError:
-            if task.cancelled():
+            caller = asyncio.current_task()
+            if task.cancelled() and not (caller and caller.cancelling()):
                 raise PeerUnreachable(type(request).__name__, target, "connection reset") from None
             raise
         if not await self._travel(target, source):
