Dispatchers look at other cores in turn, and news travel together to many

Cause: at 63 dispatchers and 5 cores a dispatcher spent 4 % of a core, mostly on 2 (C - 1) looks a second and on one answer for each change of the tables (330 loads in 50 s, three records each). Change: the looks go to the other cores in turn (2 a second in all), at once while the primary fails or is not confirmed; a confirmed core is preferred. Answers with news to one dispatcher are 1 ms for each dispatcher apart, unless a drain, loss, end, view or configuration is among them. Tables.missing reads a log of stamps.

--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -254,12 +254,12 @@
         if service is None or service.engine is None or action.model not in service.engine.models:
             return False
         managed.hidden.update(action.victims)
-        expected_s = (
-            self._expected_s(managed, action, service.engine) + EVICT_S * len(action.victims) + HIDE_S
-        )
+        hide_s = HIDE_S + self.sessions.spacing_s()
+        evictions_s = EVICT_S * len(action.victims)
+        expected_s = self._expected_s(managed, action, service.engine) + evictions_s + hide_s
         managed.coming = Coming(action.model, action.adapter, int(1000 * expected_s))
         self._publish(managed)
-        await asyncio.sleep(HIDE_S)
+        await asyncio.sleep(hide_s)
         for model, adapter in action.victims:
             if not await self._give(managed, "evict", model, adapter):
                 return False
--- a/finchladder/cluster/process/pulling.py
+++ b/finchladder/cluster/process/pulling.py
@@ -1,4 +1,9 @@
-"""The reader's side of distribution: one long poll at each control process, for what is missing."""
+"""The reader's side of distribution: long polls at control processes, for what is missing.
+
+A core process waits for changes at all others. A dispatcher waits at one, its primary, and looks at the
+others in turn, so that what it costs does not grow with their number; it looks at each of them often while
+its primary fails or says that the chain has not confirmed it.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -7,9 +12,10 @@
 
 from attrs import define, field
 
-from finchladder.cluster.process.tasks import Tasks
+from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.sessions.table import Tables
-from finchladder.cluster.transport.peers import PeerClient, steady
+from finchladder.cluster.transport.interface import Peers
+from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.members import GENESIS, Member, View
 from finchladder.cluster.types.messages import Delta, Pull
@@ -20,7 +26,7 @@
 MOST_SOURCES = 5  # control processes that one reader polls
 FRESH_S = 3.0
 SILENT_S = 2.0  # after which another source is waited at
-LOOK_S = 0.5  # how often an edge looks at sources that it does not wait at
+LOOK_S = 0.5  # between two looks of a dispatcher at sources that it does not wait at
 
 
 @define
@@ -33,6 +39,11 @@
     heard_at: float = -1e9
     complete: bool = False
     confirmed: bool = False
+    failed: bool = False  # the last call was not answered
+
+    def is_trusted(self) -> bool:
+        """Whether it answers, and the chain has confirmed it lately."""
+        return self.confirmed and not self.failed
 
 
 @define
@@ -44,7 +55,7 @@
 
     name: str
     tables: Tables
-    peers: PeerClient
+    peers: Peers
     tasks: Tasks
     random: Random
     is_edge: bool
@@ -58,6 +69,7 @@
     primary: str = ""
     placer: str = ""
     edges: int = 0
+    look_now: Signal = field(factory=Signal)  # the primary is another, or has ceased to be trusted
 
     def follow(self) -> None:
         """Polls those that the view names, and the seeds while there is none."""
@@ -66,7 +78,10 @@
         unheard = not any(steady() - s.heard_at < FRESH_S for s in self.sources.values())
         if unheard:
             addresses += [a for a in self.seeds if a not in addresses]
-        self.primary = self._choose_primary(members)
+        primary = self._choose_primary(members)
+        if primary != self.primary:
+            self.primary = primary
+            self.look_now.fire()
         wanted = set(addresses[:MOST_SOURCES]) - {self.own_address}
         for address in wanted - set(self.sources):
             task = self.tasks.repeat(lambda a=address: self._poll(a), f"pull {address}")  # type: ignore[misc]
@@ -75,15 +90,25 @@
             self.sources.pop(address).task.cancel()
 
     def _choose_primary(self, members: tuple[Member, ...]) -> str:
-        """The one whose changes are waited for: live, in the own zone if there is one, drawn by name."""
-        now = steady()
-        live = [m for m in members if m.peer_address in self.sources]
-        live = [m for m in live if now - self.sources[m.peer_address].heard_at < SILENT_S]
-        near = [m for m in live if m.zone == self.zone] or live
+        """The one whose changes are waited for: live, trusted, in the own zone if possible, drawn by name."""
+        live = [m for m in members if m.peer_address in self.sources and self._is_live(m.peer_address)]
+        trusted = [m for m in live if self.sources[m.peer_address].is_trusted()] or live
+        near = [m for m in trusted if m.zone == self.zone] or trusted
         if not near:
             return ""
         return max(near, key=lambda m: blake2b(f"{self.name} {m.disk_id}".encode()).digest()).peer_address
 
+    def _is_live(self, address: str) -> bool:
+        """Whether it was heard since the last call that was due, with SILENT_S for that call itself."""
+        since_due = 0.0 if self._waits_at(address) else self.look_interval_s()
+        return steady() - self.sources[address].heard_at < SILENT_S + since_due
+
+    def look_interval_s(self) -> float:
+        """Seconds between two looks at the same source."""
+        primary = self.sources.get(self.primary)
+        others = max(1, len(self.sources) - 1)
+        return LOOK_S * others if primary is not None and primary.is_trusted() else LOOK_S
+
     def _waits_at(self, address: str) -> bool:
         """Core processes wait for all others, edges for one; while it is silent, for all."""
         return not self.is_edge or address == self.primary or not self.primary
@@ -105,17 +130,30 @@
             try:
                 reply = await self.peers.call(address, pull, TIMEOUT_S)
             except ClusterError:
+                self._note_failure(source)
                 await asyncio.sleep(RETRY_S * self.random.uniform(0.5, 1.5))
                 continue
+            source.failed = False
             if isinstance(reply, Delta):
                 await self._receive(source, reply)
             if not waits:
-                await asyncio.sleep(LOOK_S * self.random.uniform(0.9, 1.1))
+                await self.look_now.wait(self.look_interval_s() * self.random.uniform(0.9, 1.1))
+
+    def _note_failure(self, source: Source) -> None:
+        was_trusted, source.failed = source.is_trusted(), True
+        self._note_doubt(source, was_trusted)
+
+    def _note_doubt(self, source: Source, was_trusted: bool) -> None:
+        """Others are looked at at once when the primary ceases to be trusted."""
+        if source.address == self.primary and was_trusted and not source.is_trusted():
+            self.look_now.fire()
 
     async def _receive(self, source: Source, delta: Delta) -> None:
         newly_complete = delta.complete and (source.origin != delta.origin or not source.complete)
+        was_trusted = source.is_trusted()
         source.origin, source.heard_at = delta.origin, steady()
         source.complete, source.confirmed = delta.complete, delta.confirmed
+        self._note_doubt(source, was_trusted)
         self._merge(delta)
         if newly_complete and self.is_edge:
             await self._compare_whole(source)
@@ -142,8 +180,3 @@
             dropped = self.tables.keep_only({w.record.instance for w in reply.workers})
             if dropped:
                 self.take(reply, dropped)
-
-    def fresh_sources(self) -> list[Source]:
-        """Control processes that answered lately."""
-        now = steady()
-        return [s for s in self.sources.values() if now - s.heard_at < FRESH_S]
--- a/finchladder/cluster/process/sessions_service.py
+++ b/finchladder/cluster/process/sessions_service.py
@@ -23,6 +23,10 @@
 FORGET_S = 60.0  # how long a tombstone stays
 ORPHAN_S = 4.0  # how long an owner may be silent before others judge its workers
 LONGEST_WAIT_S = 2.0
+SPACING_PER_EDGE_S = (
+    0.001  # what a dispatcher waits between two answers with news, for each dispatcher there is
+)
+LONGEST_SPACING_S = 0.25
 
 
 @define
@@ -33,6 +37,7 @@
     seen_at: float
     is_edge: bool
     waits: bool  # it learns of changes here at once; others look from time to time
+    told_at: float = -1e9  # when it was last answered with news that it waited for
 
 
 @define
@@ -164,11 +169,37 @@
             left = until - steady()
             if left <= 0 or not await self.changed.wait(left):
                 break
-        self._note(pull)
+        await self._space_out(pull)
+        reader = self._note(pull)
+        if self._has_news(pull):
+            reader.told_at = steady()
         return self._delta(pull)
 
-    def _note(self, pull: Pull) -> None:
-        self.readers[pull.sender] = Reader(pull.vector, steady(), pull.is_edge, pull.wait_ms > 0)
+    def _note(self, pull: Pull) -> Reader:
+        known = self.readers.get(pull.sender)
+        told_at = -1e9 if known is None else known.told_at
+        reader = Reader(pull.vector, steady(), pull.is_edge, pull.wait_ms > 0, told_at)
+        self.readers[pull.sender] = reader
+        return reader
+
+    def spacing_s(self) -> float:
+        """Seconds between two answers with news to one dispatcher: what comes meanwhile travels together."""
+        return min(LONGEST_SPACING_S, SPACING_PER_EDGE_S * self.edges())
+
+    async def _space_out(self, pull: Pull) -> None:
+        """Holds news back for a moment after the last, unless it takes a worker out of use."""
+        if not pull.is_edge or not pull.wait_ms:
+            return
+        until = self.readers[pull.sender].told_at + self.spacing_s()
+        while steady() < until and self._has_news(pull) and not self._is_urgent(pull):
+            await self.changed.wait(until - steady())
+
+    def _is_urgent(self, pull: Pull) -> bool:
+        """Whether a newer configuration or view, a drain, a loss or an end of a worker is among the news."""
+        if self.state().version > pull.version or self.view().number > pull.view:
+            return True
+        workers, _ = self.tables.missing(pull.vector)
+        return any(w.record.phase is not Phase.READY for w in workers)
 
     def _has_news(self, pull: Pull) -> bool:
         newer = self.state().version > pull.version or self.view().number > pull.view
--- a/finchladder/cluster/sessions/table.py
+++ b/finchladder/cluster/sessions/table.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator, Mapping
 
+from finchladder.cluster.sessions.stamp_log import StampLog
 from finchladder.cluster.types.workers import (
     Phase,
     PlacementRecord,
@@ -27,6 +28,24 @@
         self.workers: dict[str, StampedWorker] = {}
         self.placements: dict[str, StampedPlacement] = {}
         self.vector: dict[str, int] = {}
+        self._worker_log = StampLog(self._worker_stamp)
+        self._placement_log = StampLog(self._placement_stamp)
+
+    def _worker_stamp(self, instance: str) -> Stamp | None:
+        worker = self.workers.get(instance)
+        return None if worker is None else worker.stamp
+
+    def _placement_stamp(self, instance: str) -> Stamp | None:
+        placement = self.placements.get(instance)
+        return None if placement is None else placement.stamp
+
+    def _keep_worker(self, worker: StampedWorker) -> None:
+        self.workers[worker.record.instance] = worker
+        self._worker_log.add(worker.record.instance, worker.stamp)
+
+    def _keep_placement(self, placement: StampedPlacement) -> None:
+        self.placements[placement.record.instance] = placement
+        self._placement_log.add(placement.record.instance, placement.stamp)
 
     def _stamp(self) -> Stamp:
         self.counter += 1
@@ -38,7 +57,7 @@
         known = self.workers.get(record.instance)
         if known is not None and record.rank() < known.record.rank():
             return False
-        self.workers[record.instance] = StampedWorker(self._stamp(), record)
+        self._keep_worker(StampedWorker(self._stamp(), record))
         return True
 
     def put_placement(self, record: PlacementRecord) -> bool:
@@ -46,7 +65,7 @@
         known = self.placements.get(record.instance)
         if known is not None and (record.token, record.serial) <= (known.record.token, known.record.serial):
             return False
-        self.placements[record.instance] = StampedPlacement(self._stamp(), record)
+        self._keep_placement(StampedPlacement(self._stamp(), record))
         return True
 
     def merge(
@@ -57,12 +76,12 @@
         for worker in workers:
             known = self.workers.get(worker.record.instance)
             if known is None or _newer(worker, known):
-                self.workers[worker.record.instance] = worker
+                self._keep_worker(worker)
                 changed.append(worker.record.instance)
         for placement in placements:
             held = self.placements.get(placement.record.instance)
             if held is None or _placed_later(placement.record, held.record):
-                self.placements[placement.record.instance] = placement
+                self._keep_placement(placement)
                 changed.append(placement.record.instance)
         return changed
 
@@ -74,11 +93,9 @@
     def missing(
         self, vector: Mapping[str, int]
     ) -> tuple[tuple[StampedWorker, ...], tuple[StampedPlacement, ...]]:
-        """The records that a reader with that vector does not have. O(records)."""
-        workers = tuple(w for w in self.workers.values() if w.stamp.counter > vector.get(w.stamp.origin, 0))
-        placements = tuple(
-            p for p in self.placements.values() if p.stamp.counter > vector.get(p.stamp.origin, 0)
-        )
+        """The records that a reader with that vector does not have. O(what it lacks)."""
+        workers = tuple(self.workers[i] for i in _later(self._worker_log, vector))
+        placements = tuple(self.placements[i] for i in _later(self._placement_log, vector))
         return workers, placements
 
     def is_ahead(self, vector: Mapping[str, int]) -> bool:
@@ -104,6 +121,12 @@
                 yield worker.record
 
 
+def _later(log: StampLog, vector: Mapping[str, int]) -> Iterator[str]:
+    """The keys of all records with stamps above that vector."""
+    for origin in log.origins():
+        yield from log.later(origin, vector.get(origin, 0))
+
+
 def _newer(one: StampedWorker, known: StampedWorker) -> bool:
     if one.record.rank() != known.record.rank():
         return one.record.rank() > known.record.rank()
--- a/tests/cluster/test_sessions.py
+++ b/tests/cluster/test_sessions.py
@@ -1,7 +1,7 @@
 """The replicated tables, and sessions of workers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -10,17 +10,29 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from finchladder.cluster.process.sessions_service import SessionsService
+from finchladder.cluster.sessions.stamp_log import SPARE
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.types.beats import Beat
 from finchladder.cluster.types.members import GENESIS
 from finchladder.cluster.types.messages import Delta, Pull
 from finchladder.cluster.types.operations import ControlState
-from finchladder.cluster.types.workers import Phase, PlacementRecord, WorkerRecord
+from finchladder.cluster.types.workers import (
+    Phase,
+    PlacementRecord,
+    StampedPlacement,
+    StampedWorker,
+    WorkerRecord,
+)  # fmt: skip
 from finchladder.lab.cluster.virtual import run
 
 NODES = ("n1", "n2", "n3", "reader")
 
 
+def _unknown(records: Mapping[str, StampedWorker | StampedPlacement], vector: Mapping[str, int]) -> set[str]:
+    """What a look at all records finds above a vector: the oracle for the log of stamps."""
+    return {key for key, r in records.items() if r.stamp.counter > vector.get(r.stamp.origin, 0)}
+
+
 class Replication(RuleBasedStateMachine):
     """Writers stamp records, everybody pulls from anybody; after enough pulls all know the same."""
 
@@ -48,7 +60,10 @@
     @rule(reader=st.sampled_from(NODES), source=st.sampled_from(NODES))
     def pull(self, reader: str, source: str) -> None:
         own, other = self.tables[reader], self.tables[source]
-        own.merge(*other.missing(own.vector))
+        workers, placements = other.missing(own.vector)
+        assert {w.record.instance for w in workers} == _unknown(other.workers, own.vector)
+        assert {p.record.instance for p in placements} == _unknown(other.placements, own.vector)
+        own.merge(workers, placements)
         own.advance(other.vector)
         assert not other.is_ahead(own.vector)
 
@@ -192,3 +207,62 @@
 def test_records_survive_the_wire() -> None:
     record = WorkerRecord("i", "s", "a:1", "z", 1, Phase.LOST, 3, "o")
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(record), type=WorkerRecord) == record
+
+
+def test_the_log_of_stamps_does_not_grow_with_writes_to_the_same_records() -> None:
+    tables = Tables("n")
+    for sequence in range(2000):
+        tables.put_worker(WorkerRecord("i", "s", "a:1", "z", 1, Phase.READY, sequence, "n"))
+    assert sum(len(entries) for entries in tables._worker_log._entries.values()) <= 2 * SPARE
+    assert [w.record.sequence for w in tables.missing({"n": 1990})[0]] == [1999]
+
+
+# --- how often dispatchers are told
+
+
+async def told_times(
+    sessions: SessionsService, dispatchers: int, write: Callable[[int], Awaitable[Any]]
+) -> int:
+    """How many answers with news one dispatcher gets while something changes 100 times in 2 s."""
+    for number in range(dispatchers - 1):
+        await sessions.on_pull(msgspec.structs.replace(pull({}), sender=f"other-{number}"))
+    answers = 0
+
+    async def reader() -> None:
+        nonlocal answers
+        vector: dict[str, int] = {}
+        while True:
+            delta: Delta = await sessions.on_pull(pull(vector, 1000))
+            answers += bool(delta.workers)
+            vector = dict(delta.vector)
+
+    task = asyncio.create_task(reader())
+    for number in range(100):
+        await write(number)
+        await asyncio.sleep(0.02)
+    task.cancel()
+    return answers
+
+
+def test_changes_travel_together_to_many_dispatchers_and_at_once_to_few() -> None:
+    async def times(dispatchers: int) -> int:
+        sessions = service()
+        return await told_times(sessions, dispatchers, lambda n: sessions.on_beat(f"i-{n}", beat(1)))
+
+    few, many = played(lambda: times(6)), played(lambda: times(200))
+    assert few == 100
+    assert 2.0 / 0.2 <= many <= 2.0 / 0.2 + 2
+
+
+def test_a_drain_is_told_at_once_to_many_dispatchers() -> None:
+    async def ends(sessions: SessionsService, number: int) -> None:
+        sessions.tables.put_worker(
+            WorkerRecord(f"i-{number}", "s", "a:1", "z", 1, Phase.DRAINING, 1, "core-1/1")
+        )
+        sessions.changed.fire()
+
+    async def work() -> int:
+        sessions = service()
+        return await told_times(sessions, 200, lambda n: ends(sessions, n))
+
+    assert played(work) == 100
