Loads of the whole fleet; fewer loads at once; a dispatcher that ends answers the last

Changes: dispatchers tell their requests in flight by worker and are told those of the others; of many dispatchers each compares a few workers drawn anew; further copies are worth what they take off the others; at most a third of the workers load from the store; a returned worker's disk counts as empty until a load shows it; pools are changed in steps; the listening socket closes before the last requests are waited for. Tests in test_routing, test_placement, test_edge_node.

--- a/finchladder/cluster/placement/demand.py
+++ b/finchladder/cluster/placement/demand.py
@@ -2,7 +2,10 @@
 passed in.
 """
 
+from collections import Counter
+from collections.abc import Hashable
 from math import exp
+from typing import TypeVar
 
 from attrs import define, field
 
@@ -12,6 +15,8 @@
 REPORT_FORGOTTEN_S = 3.0
 LEAST_RATE = 0.003  # below this a model counts as idle
 
+Key = TypeVar("Key", bound=Hashable)
+
 
 @define(frozen=True)
 class Item:
@@ -47,21 +52,22 @@
     """The last report of one dispatcher."""
 
     at: float
-    waiting: dict[Item, int]
-    running: dict[Item, int]
+    waiting: Counter[Item] = field(factory=Counter)
+    running: Counter[Item] = field(factory=Counter)
+    loads: Counter[str] = field(factory=Counter)  # requests in flight by worker instance
 
 
 @define
 class DemandBook:
-    """O(items in the report) for each report."""
+    """O(items in the report) for each report: sums over the dispatchers are kept, not made anew."""
 
     figures: dict[Item, Figure] = field(factory=dict)
     told: dict[str, Told] = field(factory=dict)
+    total: Told = field(factory=lambda: Told(0.0))
 
     def take(self, now: float, report: DemandReport) -> None:
         """A dispatcher's report."""
-        waiting: dict[Item, int] = {}
-        running: dict[Item, int] = {}
+        told = Told(now, loads=Counter(report.loads))
         for demand in report.demands:
             item = Item(demand.service, demand.model, demand.adapter)
             if demand.asked:
@@ -71,15 +77,27 @@
                 figure.tokens += demand.tokens / TIME_CONSTANT_S
                 figure.asked_at = now
             if demand.waiting:
-                waiting[item] = demand.waiting
+                told.waiting[item] = demand.waiting
             if demand.running:
-                running[item] = demand.running
-        self.told[report.sender] = Told(now, waiting, running)
+                told.running[item] = demand.running
+        self._withdraw(report.sender)
+        self.told[report.sender] = told
+        self.total.waiting.update(told.waiting)
+        self.total.running.update(told.running)
+        self.total.loads.update(told.loads)
+
+    def _withdraw(self, sender: str) -> None:
+        """Takes a dispatcher's last report out of the sums."""
+        told = self.told.pop(sender, None)
+        if told is not None:
+            _subtract(self.total.waiting, told.waiting)
+            _subtract(self.total.running, told.running)
+            _subtract(self.total.loads, told.loads)
 
     def settle(self, now: float) -> None:
         """Decays all figures and forgets idle items and silent dispatchers."""
         for sender in [s for s, told in self.told.items() if now - told.at > REPORT_FORGOTTEN_S]:
-            del self.told[sender]
+            self._withdraw(sender)
         for item, figure in list(self.figures.items()):
             figure.decay(now, self._running_now(item))
             if figure.rate < LEAST_RATE and now - figure.asked_at > 10 * TIME_CONSTANT_S:
@@ -92,7 +110,7 @@
 
     def waiting(self, item: Item) -> int:
         """Requests that wait for it anywhere."""
-        return sum(told.waiting.get(item, 0) for told in self.told.values())
+        return self.total.waiting[item]
 
     def running(self, item: Item) -> float:
         """Requests of it that run anywhere, smoothed."""
@@ -100,11 +118,23 @@
         return 0.0 if figure is None else figure.running
 
     def _running_now(self, item: Item) -> int:
-        return sum(told.running.get(item, 0) for told in self.told.values())
+        return self.total.running[item]
+
+    def loads_of_others(self, sender: str) -> dict[str, int]:
+        """Requests in flight by worker instance that all but one dispatcher have told of."""
+        others = Counter(self.total.loads)
+        if sender in self.told:
+            _subtract(others, self.told[sender].loads)
+        return dict(others)
 
     def items(self) -> set[Item]:
         """All that is asked for or waited for."""
-        found = set(self.figures)
-        for told in self.told.values():
-            found.update(told.waiting)
-        return found
+        return set(self.figures) | set(self.total.waiting)
+
+
+def _subtract(sums: Counter[Key], part: Counter[Key]) -> None:
+    """Takes a part out of sums; entries that become 0 go."""
+    for key, count in part.items():
+        sums[key] -= count
+        if not sums[key]:
+            del sums[key]
--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -1,14 +1,17 @@
 """Which model or adapter a worker should load next, and what has to give way; no I/O and no clock.
 
 The first copy of a model is worth its rate, and more while requests wait for it. A further copy is worth a
-little for balance, and more once the running requests of a copy pass a share of its slots. A copy is loaded
+little for balance, and more once the running requests of a copy pass a share of its slots, but no more than
+it takes off the other copies, which falls with the square of their number. A copy is loaded
 where it is worth more than what gives way, by a margin that keeps models from being exchanged to and fro; a
 worker that has the model on its own disk is preferred by the time that this saves. Where loads from the store
 are slow, workers with nothing to do load models that nobody has on disk yet, in place of idle ones.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from math import ceil
 
 from attrs import define, field, frozen
 
@@ -17,6 +20,7 @@
 
 BALANCE_WORTH = 0.15  # of a further copy, for each request a second
 OVERLOAD_WORTH = 0.3  # of a further copy of a model whose copies are all busy, for each request a second
+RELIEF_WORTH = 5.0  # of the load that a further copy takes off each other one, for each request a second
 BUSY_SHARE = 0.15  # of a worker's slots: so many running requests make a copy busy
 WAITING_WORTH = 0.5  # of each request that waits for a model that nobody holds
 RUNNING_WORTH = 0.2  # of each request that runs at a copy: evicting it would wait for them
@@ -26,6 +30,7 @@
 EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
+MOST_LOADING_SHARE = 0.34  # of the workers may load from the store at once: they take no other order then
 PREFETCH_LEAST_S = 2.0  # loads that are quicker need not be prepared
 
 
@@ -82,6 +87,14 @@
     return total
 
 
+def store_loads_at_once(engine: Engine, workers: int) -> int:
+    """As many loads from the store as its rate keeps under way, as more would only make each take longer; and
+    no more than leaves most workers free for quicker orders, such as adapters of busy models.
+    """
+    longest_s = max((model.load_s for model in engine.models.values()), default=0.0)
+    return max(1, min(ceil(engine.load_rate_s * longest_s), int(MOST_LOADING_SHARE * workers)))
+
+
 @define
 class ModelDemand:
     """What is asked of a model, its adapters included."""
@@ -103,6 +116,14 @@
     return found
 
 
+@frozen
+class Room:
+    """The models that a worker has to give up for another one, and what they are worth together."""
+
+    cost: float
+    victims: tuple[str, ...]
+
+
 class Round:
     """One round: at most one action for each worker that is free."""
 
@@ -115,11 +136,10 @@
         self.workers = [w for w in plan.workers if not w.leaving]
         self.free = {w.instance: w for w in self.workers if not w.busy}
         self.loads_left = plan.loads_allowed
+        self._rooms: dict[tuple[str, float], Room | None] = {}
         self.order = {name: place for place, name in enumerate(plan.engine.models)}
-        self.copies: dict[str, int] = dict(loading)
-        for worker in self.workers:
-            for model in worker.models:
-                self.copies[model] = self.copies.get(model, 0) + 1
+        self.present = Counter(model for worker in self.workers for model in worker.models)
+        self.copies = self.present + Counter(loading)
 
     def copy_worth(self, model: str, copies: int) -> float:
         """What the copy with that number, 1 for the first, is worth."""
@@ -128,8 +148,11 @@
             return (
                 demand.rate + self.even_rate + WAITING_WORTH * demand.waiting + RUNNING_WORTH * demand.running
             )
-        busy = demand.running / (copies - 1) / max(1.0, BUSY_SHARE * self.engine.slots)
-        return demand.rate * (BALANCE_WORTH + OVERLOAD_WORTH * min(1.0, max(0.0, busy - 1.0)))
+        needed = demand.running / max(1.0, BUSY_SHARE * self.engine.slots)
+        busy = needed / (copies - 1)
+        balance = BALANCE_WORTH + OVERLOAD_WORTH * min(1.0, max(0.0, busy - 1.0))
+        relief = RELIEF_WORTH * needed / (copies * (copies - 1))
+        return demand.rate * min(balance, relief)
 
     def actions(self) -> list[Load]:
         """What to order now."""
@@ -146,9 +169,10 @@
         """Counts an action as done."""
         worker = self.free.pop(action.instance)
         if not action.adapter:
-            self.copies[action.model] = self.copies.get(action.model, 0) + 1
+            self.copies[action.model] += 1
             for model, _ in action.victims:
                 self.copies[model] -= 1
+                self.present[model] -= 1
             if action.model not in worker.on_disk:
                 self.loads_left -= 1
         return action
@@ -173,11 +197,11 @@
             if model in worker.models or (model not in worker.on_disk and self.loads_left <= 0):
                 continue
             room = self._room(worker, model)
-            if room is None or worth < MARGIN * room[0]:
+            if room is None or worth < MARGIN * room.cost:
                 continue
             delay = worth * self._load_s(worker, model) / HORIZON_S
-            rank = room[0] + delay + BUSYNESS_WORTH * self._busyness(worker)
-            choices.append((rank, worker.instance, room[1]))
+            rank = room.cost + delay + BUSYNESS_WORTH * self._busyness(worker)
+            choices.append((rank, worker.instance, room.victims))
         if not choices:
             return None
         _, instance, victims = min(choices)
@@ -187,22 +211,32 @@
         share = self.plan.warm_share if model in worker.on_disk else 1.0
         return share * self.engine.models[model].load_s
 
-    def _room(self, worker: WorkerState, model: str) -> tuple[float, tuple[str, ...]] | None:
-        """What is given up for the model, and the models that go; None: it can't be had."""
+    def _room(self, worker: WorkerState, model: str) -> Room | None:
+        """What is given up for the model, and the models that go; None: it can't be had. What is still being
+        loaded elsewhere does not stand in for a copy that goes.
+
+        Kept for the round by the room that is needed: what copies are worth changes little within it.
+        """
         need = self.engine.models[model].weights_mb
+        key = worker.instance, need
+        if key not in self._rooms:
+            self._rooms[key] = self._make_room(worker, need)
+        return self._rooms[key]
+
+    def _make_room(self, worker: WorkerState, need: float) -> Room | None:
         room = self.engine.weights_mb - used_mb(self.engine, worker.models)
         cost, victims = 0.0, []
         for held in sorted(worker.models, key=self._standing):
             if room >= need:
                 break
-            cost += self.copy_worth(held, self.copies.get(held, 1))
+            cost += self.copy_worth(held, self.present[held])
             victims.append(held)
             room += used_mb(self.engine, {held: worker.models[held]})
-        return (cost, tuple(victims)) if room >= need else None
+        return Room(cost, tuple(victims)) if room >= need else None
 
     def _standing(self, model: str) -> tuple[float, int]:
         """Who goes first: the least worth, among equals the last of the configuration's list."""
-        return self.copy_worth(model, self.copies.get(model, 1)), -self.order.get(model, 0)
+        return self.copy_worth(model, self.present[model]), -self.order.get(model, 0)
 
     def _busyness(self, worker: WorkerState) -> float:
         """Requests a second that fall to a worker, if copies share evenly."""
@@ -225,15 +259,16 @@
             if model.load_s < PREFETCH_LEAST_S or self.loads_left <= 0:
                 continue
             action = self._prefetch(model.name)
-            if action is not None:
-                found.append(action)
+            if action is None:  # nor is there room for the next one
+                break
+            found.append(action)
         return found
 
     def _prefetch(self, model: str) -> Load | None:
         for worker in sorted(self.free.values(), key=lambda w: (len(w.on_disk), w.instance)):
             room = self._room(worker, model)
-            if room is not None and all(self._is_idle(victim) for victim in room[1]):
-                return self._take(Load(worker.instance, model, "", tuple((v, "") for v in room[1])))
+            if room is not None and all(self._is_idle(victim) for victim in room.victims):
+                return self._take(Load(worker.instance, model, "", tuple((v, "") for v in room.victims)))
         return None
 
     def _is_idle(self, model: str) -> bool:
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -16,7 +16,7 @@
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import PoolKey, Pools, effective_holdings, refreshed
+from finchladder.cluster.routing.pools import PoolKey, holder_of
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
@@ -30,6 +30,7 @@
 TOGETHER_S = 0.01  # what is waited for within this time is told at once
 WORKER_KEEPALIVE_S = 20.0  # less where the workers say so
 START_WITHOUT_CONFIRMATION_S = 4.0
+WIND_UP_STEP_S = 0.05
 UNREADY_S = 2.5  # after this no new connections come
 EXIT_MARGIN_S = 0.6
 LAST_ANSWERS_S = 0.3  # for the answers to what can't be ended in time
@@ -85,7 +86,7 @@
             event("configuration.in_force", version=delta.version)
         if changed:
             self._note_coming(changed)
-            self._rebuild()
+            self._update_pools(changed)
         self.fresh = self.fresh or (delta.confirmed and delta.version > 0)
 
     def _note_coming(self, changed: list[str]) -> None:
@@ -100,21 +101,22 @@
             key = PoolKey(worker.record.service, coming.model, coming.adapter)
             self.coming[instance] = key, now + coming.left_ms / 1000
 
-    def _rebuild(self) -> None:
+    def _update_pools(self, changed: list[str]) -> None:
         tables, router = self.puller.tables, self.router
-        workers = [w.record for w in tables.workers.values()]
-        backends = refreshed(router.pools.backends, workers)
-        holdings = {}
-        for instance in backends:
-            placement = tables.placements.get(instance)
-            record = tables.workers[instance].record
-            holdings[instance] = effective_holdings(record, None if placement is None else placement.record)
-        router.pools = Pools(backends, holdings, tuple(self.coming.values()))
+        news = {}
+        for instance in changed:
+            worker, placement = tables.workers.get(instance), tables.placements.get(instance)
+            news[instance] = holder_of(
+                None if worker is None else worker.record,
+                None if placement is None else placement.record,
+                router.pools.holders.get(instance),
+            )
+        router.pools = router.pools.changed(news, self.coming.values())
         router.changed.fire()
 
     def ready(self) -> bool:
         """Whether clients should be sent here."""
-        if self.stopping or not self.router.snapshot.version or not self.router.pools.backends:
+        if self.stopping or not self.router.snapshot.version or not self.router.pools.holders:
             return False
         return self.fresh or steady() - self.started_at > START_WITHOUT_CONFIRMATION_S
 
@@ -132,7 +134,8 @@
             now = steady()
             if not self.puller.placer:
                 continue
-            report = DemandReport(self.settings.node_name, now - told_at, self.demand.take())
+            loads = self.router.pools.own_loads()
+            report = DemandReport(self.settings.node_name, now - told_at, self.demand.take(), loads)
             told_at = now
             try:
                 reply = await self.peers.call(self.puller.placer, report, REPORT_TIMEOUT_S)
@@ -140,6 +143,7 @@
                 continue
             if isinstance(reply, DemandReply):
                 interval = reply.interval_ms / 1000
+                self.router.pools.hear_loads(reply.loads)
 
     # --- life ---------------------------------------------------------------------------------------------
 
@@ -162,18 +166,26 @@
         await readiness.stop()
 
     async def _wind_up(self, frontend: Listener) -> None:
-        """Not ready first; when no new connections come, closes idle ones and waits for what is open."""
+        """Not ready first; when no new connections come, closes idle ones and waits for what is open. What
+        still comes until it takes no more connections is answered too.
+        """
         began = steady()
         until = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        last = until - LAST_ANSWERS_S
         self.stopping = True
-        self.router.drain(until - LAST_ANSWERS_S)
-        while steady() < until - LAST_ANSWERS_S:
-            await asyncio.sleep(0.05)
+        self.router.drain(last)
+        while steady() < last:
+            await asyncio.sleep(WIND_UP_STEP_S)
             if steady() - began < UNREADY_S:
                 continue
             frontend.close_idle()
             if not self.router.open_requests:
                 break
+        await frontend.stop_accepting()
+        while frontend.connections and steady() < last:
+            await asyncio.sleep(WIND_UP_STEP_S)  # what has just been sent is read first
+            frontend.close_idle()
         event("node.stopping", open_requests=self.router.open_requests)
         self.router.end_attempts()
-        await asyncio.sleep(LAST_ANSWERS_S)
+        if frontend.connections:
+            await asyncio.sleep(LAST_ANSWERS_S)
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -3,15 +3,15 @@
 """
 
 import asyncio
-from math import ceil
 
 from attrs import define, field
 
 from finchladder.cluster.configuration.routing import EMPTY, Engine, Snapshot, build
 from finchladder.cluster.placement.demand import DemandBook
+from finchladder.cluster.placement.disks import KnownDisks
 from finchladder.cluster.placement.durations import EVICT_S, Durations
 from finchladder.cluster.placement.ledger import LoadLedger
-from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, used_mb
+from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, store_loads_at_once, used_mb
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.sessions_service import SessionsService
@@ -34,6 +34,9 @@
 LONGEST_EVICT_S = 10.0
 REPORT_INTERVAL_MS = 400
 REPORTS_A_SECOND = 100  # that the placer is ready to read
+MOST_LOADING_SHARE = (
+    0.34  # of the workers may load from the store at once: meanwhile they take no other order
+)
 SETTLE_S = 0.5  # a worker that could not be asked is asked again after this
 
 
@@ -68,7 +71,7 @@
     managed: dict[str, Managed] = field(factory=dict)
     ledgers: dict[str, LoadLedger] = field(factory=dict)
     durations: dict[str, Durations] = field(factory=dict)
-    on_disk: dict[str, set[str]] = field(factory=dict)  # by worker address
+    disks: KnownDisks = field(factory=KnownDisks)
     waited_for: Signal = field(factory=Signal)
     snapshot: Snapshot = EMPTY
     term: int = 0
@@ -82,7 +85,7 @@
             self.waited_for.fire()
         edges = max(1, self.sessions.edges())
         interval = max(REPORT_INTERVAL_MS, 1000 * edges // REPORTS_A_SECOND)
-        return DemandReply(interval, self.role.holds())
+        return DemandReply(interval, self.role.holds(), self.demand.loads_of_others(report.sender))
 
     async def run(self) -> None:
         """Plans again and again while it holds the role."""
@@ -99,8 +102,7 @@
     def _note_held(self) -> None:
         """What workers have held is on their disks; known to whoever may become placer."""
         for record in self.sessions.tables.live():
-            held = self.on_disk.setdefault(record.address, set())
-            held.update(holding.model for holding in record.holdings)
+            self.disks.note(record.instance, record.address, (h.model for h in record.holdings))
 
     def _begin_term(self) -> None:
         token = self.role.lease.token
@@ -148,7 +150,7 @@
 
     def _managed(self, record: WorkerRecord) -> Managed:
         models = {h.model: set(h.adapters) for h in record.holdings}
-        self.on_disk.setdefault(record.address, set()).update(models)
+        self.disks.note(record.instance, record.address, models)
         state = WorkerState(
             record.instance, record.service, record.address, record.zone, False, False, models
         )
@@ -160,10 +162,11 @@
         loading: dict[str, int] = {}
         for managed in workers:
             managed.state.busy = managed.task is not None or now < managed.retry_at
-            managed.state.on_disk = frozenset(self.on_disk.get(managed.state.address, ()))
+            managed.state.on_disk = self.disks.of(managed.state.instance)
             if managed.action is not None and not managed.action.adapter:
                 loading[managed.action.model] = loading.get(managed.action.model, 0) + 1
-        left = min(ledger.left(now), self._loads_at_once(engine) - self._loading_cold(workers))
+        at_once = store_loads_at_once(engine, len(workers))
+        left = min(ledger.left(now), at_once - self._loading_cold(workers))
         durations = self.durations.setdefault(service, Durations())
         plan = Plan(service, engine, [m.state for m in workers], self.demand, left, durations.warm_share)
         for action in Round(plan, loading).actions():
@@ -172,11 +175,6 @@
             work = self._carry_out(managed, action, engine, ledger)
             managed.task = self.tasks.spawn(work, f"order {action}")
 
-    def _loads_at_once(self, engine: Engine) -> int:
-        """As many as the store's rate keeps under way: with more at once each would only take longer."""
-        longest_s = max((model.load_s for model in engine.models.values()), default=0.0)
-        return max(1, ceil(engine.load_rate_s * longest_s))
-
     def _loading_cold(self, workers: list[Managed]) -> int:
         loads = [(m, m.action) for m in workers if m.action is not None and not m.action.adapter]
         return sum(not self._is_warm(managed, action.model) for managed, action in loads)
@@ -220,7 +218,7 @@
     def _know(self, managed: Managed, report: Report) -> None:
         managed.report, managed.revision = report, report.sequence
         managed.state.models = {m.name: set(m.adapters) for m in report.models}
-        self.on_disk.setdefault(managed.state.address, set()).update(managed.state.models)
+        self.disks.note(managed.state.instance, managed.state.address, managed.state.models)
 
     def _publish(self, managed: Managed) -> None:
         """Tells the dispatchers what may be used at the worker, and what is coming; only changes are told."""
@@ -239,12 +237,14 @@
         self.sessions.changed.fire()
 
     def _is_warm(self, managed: Managed, model: str) -> bool:
-        return model in self.on_disk.get(managed.state.address, ())
+        return self.disks.has(managed.state.instance, model)
 
     def _expected_s(self, managed: Managed, action: Load, engine: Engine) -> float:
         model = engine.models[action.model]
         durations = self.durations.setdefault(managed.state.service, Durations())
-        return durations.expected_s(model.load_s, bool(action.adapter), self._is_warm(managed, action.model))
+        instance = managed.state.instance
+        warm = self.disks.has(instance, action.model) or self.disks.may_have(instance, action.model)
+        return durations.expected_s(model.load_s, bool(action.adapter), warm)
 
     async def _make_room(self, managed: Managed, action: Load) -> bool:
         """Evicts what has to give way; the dispatchers are told first, so that nothing more is sent to it."""
@@ -293,9 +293,16 @@
             return
         began = steady()
         await self._await_done(managed, expected_s)
-        took_s = steady() - began
-        load_s = engine.models[action.model].load_s
-        self.durations[managed.state.service].learn(load_s, bool(action.adapter), warm, took_s)
+        self._learn_duration(managed, action, engine, warm, steady() - began)
+
+    def _learn_duration(
+        self, managed: Managed, action: Load, engine: Engine, warm: bool, took_s: float
+    ) -> None:
+        load_s, durations = engine.models[action.model].load_s, self.durations[managed.state.service]
+        if not action.adapter and self.disks.may_have(managed.state.instance, action.model):
+            store_s = durations.expected_s(load_s, adapter=False, warm=False)
+            warm = self.disks.learn(managed.state.instance, took_s, store_s)
+        durations.learn(load_s, bool(action.adapter), warm, took_s)
         event("placer.loaded", model=action.model, adapter=action.adapter, warm=warm, took_s=round(took_s, 2))
 
     async def _give(self, managed: Managed, operation: str, model: str, adapter: str) -> bool:
--- a/finchladder/cluster/routing/pools.py
+++ b/finchladder/cluster/routing/pools.py
@@ -1,23 +1,33 @@
 """Pools of workers by what they hold, as the data plane sees them, and the choice of one of them.
 
-The choice is the one of `finchladder.core`: of the key's two candidates the one with lower own load, under
-the threshold; else the least loaded of the pool. Whoever rests (it was full, or can't be reached) is passed
-over.
+The choice is the one of `finchladder.core`: of the key's two candidates the one with lower load, under the
+threshold; else the least loaded of the pool. Whoever rests (it was full, or can't be reached) is passed over.
+Loads are the own requests in flight and those that the other dispatchers last told of. As these are some
+hundred ms old, many dispatchers that all took the least loaded worker would take the same one: so the more
+there are, the fewer workers each compares, drawn anew for each request (the power of two choices; source:
+Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing"), and the smaller the part of a busy
+model's requests that goes to its two candidates.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
+from math import ceil
+from random import Random
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from finchladder.cluster.types.workers import Holding, Phase, PlacementRecord, WorkerRecord
 from finchladder.core.choice import overflow, winner
 from finchladder.core.rings import Ring, key_hashes, ring_points
 
+FULL_VIEW = 8  # so many dispatchers may all compare all workers of a pool
+LEAST_COMPARED = 2
+ZONE_LOAD = 1.0  # requests by which a worker of another zone counts as more loaded
+
 
 @define(eq=False)
 class Backend:
-    """One worker incarnation at this dispatcher; only its load and rest change. `load`: own requests in
-    flight.
+    """One worker incarnation at this dispatcher; only its loads and rests change. `load`: requests in flight,
+    of all dispatchers as far as known; `own`: those of this one.
     """
 
     instance: str
@@ -26,19 +36,56 @@
     zone: str
     slots: int
     load: float = 0.0
+    own: int = 0
     rests_until: float = 0.0
     failures: int = 0
     absent: dict[str, float] = field(factory=dict)  # until when a model or adapter is known not to be there
 
-    def takes(self, now: float, key: str, threshold: float) -> bool:
-        """Whether a request of that key may go there now."""
-        return self.load < threshold and self.usable(now, key)
+    def begin(self) -> None:
+        """A request is sent to it."""
+        self.own += 1
+        self.load += 1
+
+    def end(self) -> None:
+        """A request has ended there."""
+        self.own -= 1
+        self.load -= 1
+
+    def hear(self, others: int) -> None:
+        """The other dispatchers have so many requests in flight there."""
+        self.load = self.own + others
 
     def usable(self, now: float, key: str) -> bool:
         """Whether it may get requests of that key at all."""
         return now >= self.rests_until and now >= self.absent.get(key, 0.0)
 
 
+@frozen
+class Chooser:
+    """How this dispatcher chooses. `keyed_share`: of a worker's slots, up to which a key's two candidates are
+    preferred; `dispatchers`: how many choose at once.
+    """
+
+    zone: str
+    keyed_share: float
+    random: Random = field(factory=Random, eq=False)
+    dispatchers: int = 1
+
+    def prefers_pair(self, pair: Sequence[Backend], pool: Sequence[Backend]) -> bool:
+        """Whether a request goes to its key's two candidates if these take it."""
+        if self.dispatchers <= FULL_VIEW:
+            return True
+        limit = self.keyed_share * sum(backend.slots for backend in pair)
+        total = sum(backend.load for backend in pool)
+        return self.random.random() * total < limit
+
+    def compared(self, able: Sequence[Backend]) -> list[Backend]:
+        """Those of which the least loaded is taken, in the order of their loads."""
+        count = max(LEAST_COMPARED, ceil(len(able) * FULL_VIEW / max(1, self.dispatchers)))
+        drawn = list(able) if count >= len(able) else self.random.sample(able, count)
+        return sorted(drawn, key=lambda b: b.load + (ZONE_LOAD if b.zone != self.zone else 0.0))
+
+
 @define(frozen=True)
 class PoolKey:
     """What a request needs. `model` is empty for services without models."""
@@ -73,60 +120,95 @@
                 owners.append(owner)
         return tuple(owners)
 
-    def choose(self, now: float, zone: str, threshold: float, avoid: frozenset[str]) -> Backend | None:
+    def choose(self, now: float, chooser: Chooser, avoid: frozenset[str]) -> Backend | None:
         """The worker for the next request; `avoid`: instances that it was already sent to."""
 
+        def able(backend: Backend) -> bool:
+            return backend.usable(now, self.name) and backend.instance not in avoid
+
         def takes(backend: Backend) -> bool:
-            return backend.takes(now, self.name, threshold) and backend.instance not in avoid
+            return backend.load < chooser.keyed_share * backend.slots and able(backend)
 
-        chosen = winner(self.pair, takes)
-        if chosen is not None:
-            return chosen
-        by_load = sorted(self.backends, key=lambda b: (b.load, b.zone != zone))
-        found, _ = overflow(by_load, lambda b: b.usable(now, self.name) and b.instance not in avoid)
-        return found
+        chosen = None
+        if chooser.prefers_pair(self.pair, self.backends):
+            chosen = winner(self.pair, takes)
+        if chosen is None:
+            chosen, _ = overflow(chooser.compared([b for b in self.backends if able(b)]), able)
+        return chosen
 
 
+@define(frozen=True)
+class Holder:
+    """A worker that may be sent to, and what may be used there."""
+
+    backend: Backend
+    holdings: tuple[Holding, ...] = ()
+
+    def keys(self) -> Iterable[PoolKey]:
+        """Of the pools that it is in."""
+        service = self.backend.service
+        yield PoolKey(service, "", "")
+        for holding in self.holdings:
+            for adapter in ("", *holding.adapters):
+                yield PoolKey(service, holding.model, adapter)
+
+
+@frozen
 class Pools:
-    """All pools of one moment, made whole from the tables; built for a key when it is first asked for."""
-
-    def __init__(
-        self,
-        backends: Mapping[str, Backend],
-        holdings: Mapping[str, tuple[Holding, ...]],
-        coming: Sequence[tuple[PoolKey, float]] = (),
-    ) -> None:
-        """`coming`: what is being loaded, and when it will be there in seconds of the steady clock."""
-        self.backends = backends
-        self._coming: dict[PoolKey, float] = {}
+    """All pools of one moment. A change makes another one, which shares what has not changed; a pool is built
+    when it is first asked for. `coming`: what is being loaded, and when it will be there in seconds of the
+    steady clock.
+    """
+
+    holders: Mapping[str, Holder] = field(factory=dict)  # by instance
+    coming: Mapping[PoolKey, float] = field(factory=dict)
+    _members: dict[PoolKey, dict[str, Backend]] = field(factory=dict)
+    _pools: dict[PoolKey, Pool] = field(factory=dict)
+
+    def changed(
+        self, news: Mapping[str, Holder | None], coming: Iterable[tuple[PoolKey, float]] = ()
+    ) -> "Pools":
+        """With the workers that have come, changed or gone (None). O(what changed and the number of keys)."""
+        holders, members, pools = dict(self.holders), dict(self._members), dict(self._pools)
+        for instance, holder in news.items():
+            before = holders.pop(instance, None)
+            if holder is not None:
+                holders[instance] = holder
+            old = set(before.keys()) if before is not None else set()
+            new = set(holder.keys()) if holder is not None else set()
+            for key in old | new if _backend_of(before) is not _backend_of(holder) else old ^ new:
+                others = {i: b for i, b in members.get(key, {}).items() if i != instance}
+                members[key] = (
+                    others if holder is None or key not in new else others | {instance: holder.backend}
+                )
+                pools.pop(key, None)
+        earliest: dict[PoolKey, float] = {}
         for key, ready_at in coming:
-            self._coming[key] = min(ready_at, self._coming.get(key, ready_at))
-        self._by_service: dict[str, list[Backend]] = {}
-        self._holders: dict[PoolKey, list[Backend]] = {}
-        self._pools: dict[PoolKey, Pool] = {}
-        for instance, backend in backends.items():
-            self._by_service.setdefault(backend.service, []).append(backend)
-            for holding in holdings.get(instance, ()):
-                self._hold(backend, holding)
-
-    def _hold(self, backend: Backend, holding: Holding) -> None:
-        for adapter in ("", *holding.adapters):
-            key = PoolKey(backend.service, holding.model, adapter)
-            self._holders.setdefault(key, []).append(backend)
+            earliest[key] = min(ready_at, earliest.get(key, ready_at))
+        return Pools(holders, earliest, members, pools)
+
+    def hear_loads(self, others: Mapping[str, int]) -> None:
+        """What the other dispatchers have in flight at each worker; 0 where nothing is said."""
+        for instance, holder in self.holders.items():
+            holder.backend.hear(others.get(instance, 0))
+
+    def own_loads(self) -> dict[str, int]:
+        """Own requests in flight by instance, where there are any."""
+        backends = (holder.backend for holder in self.holders.values())
+        return {b.instance: b.own for b in backends if b.own}
 
     def ready_at(self, key: PoolKey) -> float | None:
         """When somebody will hold what the key needs; None if nobody loads it."""
-        found = self._coming.get(key)
+        found = self.coming.get(key)
         if found is None and key.adapter:
-            found = self._coming.get(PoolKey(key.service, key.model, ""))
+            found = self.coming.get(PoolKey(key.service, key.model, ""))
         return found
 
     def pool(self, key: PoolKey) -> Pool:
         """Those that hold what the key needs; without a model all of the service."""
         found = self._pools.get(key)
         if found is None:
-            members = self._holders.get(key, []) if key.model else self._by_service.get(key.service, [])
-            found = self._pools[key] = Pool(key.name, members)
+            found = self._pools[key] = Pool(key.name, self._members.get(key, {}).values())
         return found
 
 
@@ -135,14 +217,18 @@
     return worker.holdings if placement is None else placement.holdings
 
 
-def refreshed(old: Mapping[str, Backend], workers: Iterable[WorkerRecord]) -> dict[str, Backend]:
-    """Backends of the workers that are ready; those known before keep their loads."""
-    backends: dict[str, Backend] = {}
-    for worker in workers:
-        if worker.phase is not Phase.READY:
-            continue
-        known = old.get(worker.instance)
-        backends[worker.instance] = known or Backend(
-            worker.instance, worker.service, worker.address, worker.zone, worker.slots
-        )
-    return backends
+def holder_of(
+    worker: WorkerRecord | None, placement: PlacementRecord | None, known: Holder | None
+) -> Holder | None:
+    """What the tables say of a worker; None unless it is ready. Known ones keep their loads."""
+    if worker is None or worker.phase is not Phase.READY:
+        return None
+    if known is not None:
+        backend = known.backend
+    else:
+        backend = Backend(worker.instance, worker.service, worker.address, worker.zone, worker.slots)
+    return Holder(backend, effective_holdings(worker, placement))
+
+
+def _backend_of(holder: Holder | None) -> Backend | None:
+    return None if holder is None else holder.backend
--- a/finchladder/cluster/transport/http_server.py
+++ b/finchladder/cluster/transport/http_server.py
@@ -47,6 +47,12 @@
         """Open connections."""
         return len(self._server.connections)
 
+    async def stop_accepting(self) -> None:
+        """Takes no new connections; those that are open go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
     def close_idle(self) -> None:
         """Closes connections on which no request is open; the others close after their answer."""
         for connection in self._server.connections:
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -93,6 +93,7 @@
     sender: str
     seconds: float  # since the report before
     demands: tuple[Demand, ...]
+    loads: dict[str, int] = {}  # requests in flight by worker instance
 
 
 class RenewPlacer(Message, frozen=True, tag=10):
@@ -209,6 +210,7 @@
 
     interval_ms: int
     is_placer: bool
+    loads: dict[str, int] = {}  # requests of all other dispatchers in flight, by worker instance
 
 
 class Failure(Message, frozen=True, tag=60):
--- /dev/null
+++ b/tests/cluster/test_edge_node.py
@@ -0,0 +1,65 @@
+"""The end of a dispatcher's life, on real sockets."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+from aiohttp import web
+
+from finchladder.cluster.process import edge_node
+from finchladder.cluster.process.edge_node import EdgeNode
+from finchladder.cluster.process.router import Router
+from finchladder.cluster.process.settings import Settings
+from finchladder.cluster.routing.budget import RetryBudget
+from finchladder.cluster.routing.demand import DemandCounter
+from finchladder.cluster.transport.http_client import make_session
+from finchladder.cluster.transport.http_server import Listener
+
+ANSWER_S = 1.0  # longer than what is left for last answers
+
+
+class CalledLate(Listener):
+    """A client connects and sends just when the dispatcher has found that nothing is open."""
+
+    late: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def stop_accepting(self) -> None:
+        reader, writer = await asyncio.open_connection(*self.bound.split(":"))
+        writer.write(b"GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n")
+        while not self.connections:
+            await asyncio.sleep(0)
+        self.late = reader, writer
+        await super().stop_accepting()
+
+
+def test_a_request_that_comes_as_the_dispatcher_ends_is_answered_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(edge_node, "UNREADY_S", 0.1)
+
+    async def work() -> None:
+        settings = SimpleNamespace(bounds=SimpleNamespace(grace_s=5.0))
+        node = EdgeNode(cast(Settings, settings))
+        session = make_session(keepalive_s=5)
+        node.router = Router(session, "z", lambda: RetryBudget(0.2, 50, 10), lambda: 1, DemandCounter())
+
+        async def slow(request: web.BaseRequest) -> web.StreamResponse:
+            await asyncio.sleep(ANSWER_S)
+            return web.Response(body=b"whole")
+
+        frontend = CalledLate(slow, "127.0.0.1:0")
+        await frontend.start()
+        await node._wind_up(frontend)
+        await frontend.stop()
+        assert frontend.late is not None
+        reader, writer = frontend.late
+        assert (await reader.read()).endswith(b"whole")
+        writer.close()
+        await session.close()
+
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await work()
+
+    asyncio.run(bounded())
--- a/tests/cluster/test_placement.py
+++ b/tests/cluster/test_placement.py
@@ -1,13 +1,16 @@
 """Demand, the ledger of loads, and the planner."""
 
+from collections import Counter
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from finchladder.cluster.configuration.routing import Engine, Model
 from finchladder.cluster.placement.demand import DemandBook, Item
+from finchladder.cluster.placement.disks import KnownDisks
 from finchladder.cluster.placement.durations import Durations
 from finchladder.cluster.placement.ledger import RULE_SLACK, LoadLedger
-from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, used_mb
+from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, store_loads_at_once, used_mb
 from finchladder.cluster.types.messages import Demand, DemandReport
 
 MODELS = {f"m{n}": Model(f"m{n}", 70.0, 5.0, 4, 1.0) for n in range(8)}
@@ -145,3 +148,100 @@
         durations.learn(5.0, adapter=False, warm=False, took_s=6.0)
     assert abs(durations.expected_s(5.0, adapter=False, warm=True) - 1.0) < 0.05
     assert abs(durations.expected_s(5.0, adapter=False, warm=False) - 6.0) < 0.1
+
+
+# --- large fleets
+
+
+def test_the_sums_of_reports_follow_each_dispatchers_last_word() -> None:
+    book, item = DemandBook(), Item("llm", "m0")
+
+    def tell(at: float, sender: str, waiting: int, running: int, **loads: int) -> None:
+        told = Demand("llm", "m0", "", 1, waiting, running, 10)
+        book.take(at, DemandReport(sender, 0.4, (told,), loads))
+
+    tell(0.0, "one", 2, 3, a=1, b=2)
+    tell(0.0, "two", 1, 0, b=5)
+    assert (book.waiting(item), book.loads_of_others("one")) == (3, {"b": 5})
+    tell(1.0, "one", 0, 0, a=4)
+    assert (book.waiting(item), book.loads_of_others("two"), book.loads_of_others("")) == (
+        1,
+        {"a": 4},
+        {"a": 4, "b": 5},
+    )
+    book.settle(3.5)
+    assert (book.waiting(item), book.loads_of_others("")) == (0, {"a": 4}), "the silent one counts no more"
+
+
+def test_further_copies_of_the_busiest_model_do_not_crowd_out_the_first_copies_of_others() -> None:
+    """40 workers, one model with half of all requests, 60 others that share the rest."""
+    book = DemandBook()
+    names = ["m0", *(f"r{n}" for n in range(60))]
+    models = {name: Model(name, 70.0, 4.0, 0, 1.0) for name in names}
+    engine = Engine(64, 120_000, 220.0, 8, 40.0, models)
+    for now in (0.0, 4.0, 8.0):
+        told = [Demand("llm", "m0", "", 240, 0, 60, 0)]
+        told += [Demand("llm", name, "", 4, 0, 1, 0) for name in names[1:]]
+        book.take(now, DemandReport("e", 4.0, tuple(told)))
+    workers = [WorkerState(f"w{n}", "llm", f"w{n}:1", "z", False, False) for n in range(40)]
+    for _ in range(400):
+        actions = Round(Plan("llm", engine, workers, book, 99, 0.25), {}).actions()
+        for action in actions:
+            state = next(w for w in workers if w.instance == action.instance)
+            for victim, _ in action.victims:
+                del state.models[victim]
+            state.models[action.model] = set()
+        if not actions:
+            break
+    copies = Counter(model for w in workers for model in w.models)
+    assert all(copies[name] >= 1 for name in names)
+    assert 10 <= copies["m0"] <= 40
+
+
+# --- what workers keep on their disks
+
+
+def returned(took_s: float) -> KnownDisks:
+    """A worker comes back as a new instance, and a load of a model that it had before takes so long."""
+    disks = KnownDisks()
+    disks.note("i-1", "a:1", ["m0", "m1"])
+    disks.note("i-2", "a:1", [])
+    assert disks.of("i-2") == frozenset(), "counted as loads from the store until it is known"
+    assert disks.may_have("i-2", "m0") and not disks.may_have("i-2", "m2")
+    disks.note("i-2", "a:1", ["m0"])
+    kept = disks.learn("i-2", took_s, store_s=5.0)
+    assert kept == disks.has("i-2", "m1")
+    assert not disks.may_have("i-2", "m1")
+    return disks
+
+
+def test_a_worker_that_returns_has_its_old_models_on_disk_if_the_first_load_is_quick() -> None:
+    assert returned(took_s=0.8).of("i-2") == {"m0", "m1"}
+    assert returned(took_s=5.5).of("i-2") == {"m0"}
+
+
+def test_a_worker_at_another_address_has_nothing_of_others() -> None:
+    disks = KnownDisks()
+    disks.note("i-1", "a:1", ["m0"])
+    disks.note("i-2", "b:1", [])
+    assert not disks.may_have("i-2", "m0") and not disks.has("i-2", "m0")
+    assert disks.has("i-1", "m0") and not disks.has("i-9", "m0")
+
+
+def test_a_copy_that_is_still_on_its_way_does_not_stand_in_for_one_that_goes() -> None:
+    """m0 is busy: its only copy stays though another is being loaded."""
+    book = DemandBook()
+    asked(book, "m0", 20)
+    asked(book, "m5", 1, waiting=1)
+    (action,) = plan(book, worker("a", "m0", "m1", "m2"), worker("b", busy=True), loading={"m0": 1})
+    assert (action.model, ("m0", "") in action.victims) == ("m5", False)
+    full = worker("a", "m0", "m6", "m7")
+    asked(book, "m6", 8)
+    asked(book, "m7", 8)
+    assert all(
+        ("m0", "") not in a.victims for a in plan(book, full, worker("b", busy=True), loading={"m0": 1})
+    )
+
+
+def test_loads_from_the_store_leave_most_workers_free() -> None:
+    assert [store_loads_at_once(ENGINE, workers) for workers in (1, 2, 6, 12, 300)] == [1, 1, 2, 4, 10]
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -15,7 +15,7 @@
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import Backend, Pools
+from finchladder.cluster.routing.pools import Backend, Holder, Pools
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 
@@ -89,13 +89,13 @@
     session = make_session(keepalive_s=5)
     router = Router(session, "z", lambda: RetryBudget(0.2, 50, 10), lambda: 1, DemandCounter())
     router.snapshot = build(json.dumps(DOCUMENT).encode())
-    backends = {
-        f"i-{n}": Backend(f"i-{n}", "s", listener.bound, "z", 4, float(n))
+    holders = {
+        f"i-{n}": Holder(Backend(f"i-{n}", "s", listener.bound, "z", 4, float(n)))
         for n, listener in enumerate(listeners)
     }
     if absent:
         await listeners[0].stop()
-    router.pools = Pools(backends, {})
+    router.pools = Pools().changed(holders)
     front = Listener(router.handle, "127.0.0.1:0", cancels=True)
     await front.start()
     unsent = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
--- a/tests/cluster/test_routing.py
+++ b/tests/cluster/test_routing.py
@@ -1,6 +1,7 @@
 """The data plane's pure parts: budgets, events, pools, the routing snapshot, headers."""
 
 import json
+from random import Random
 
 import pytest
 from hypothesis import given
@@ -9,7 +10,16 @@
 from finchladder.cluster.configuration.routing import build
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.events import EventCutter
-from finchladder.cluster.routing.pools import Backend, Pool, PoolKey, Pools, effective_holdings, refreshed
+from finchladder.cluster.routing.pools import (
+    Backend,
+    Chooser,
+    Holder,
+    Pool,
+    PoolKey,
+    Pools,
+    effective_holdings,
+    holder_of,
+)  # fmt: skip
 from finchladder.cluster.routing.requests import need, onward_headers
 from finchladder.cluster.types.workers import Holding, Phase, PlacementRecord, WorkerRecord
 
@@ -18,15 +28,17 @@
     return Backend(name, "llm", f"{name}:1", "z", 64, load)
 
 
+CHOOSER = Chooser("z", 4 / 64)  # the two candidates are preferred below a load of 4
+
 # --- the choice
 
 
 def test_of_the_two_candidates_the_one_with_strictly_lower_load_wins_and_a_tie_goes_to_the_second() -> None:
     pool = Pool("m1", [backend(f"w{n}") for n in range(6)])
     first, second = pool.pair
-    assert pool.choose(0.0, "z", 4, frozenset()) is second
+    assert pool.choose(0.0, CHOOSER, frozenset()) is second
     second.load = 1
-    assert pool.choose(0.0, "z", 4, frozenset()) is first
+    assert pool.choose(0.0, CHOOSER, frozenset()) is first
 
 
 def test_load_past_the_threshold_overflows_to_the_least_loaded() -> None:
@@ -35,16 +47,16 @@
     other.load = 2
     for candidate in pool.pair:
         candidate.load = 4
-    assert pool.choose(0.0, "z", 4, frozenset()) is other
+    assert pool.choose(0.0, CHOOSER, frozenset()) is other
 
 
 def test_who_rests_or_lacks_the_key_or_had_the_request_is_passed_over() -> None:
     one, two, three = (backend(name) for name in "abc")
     one.rests_until, two.absent = 5.0, {"m0": 5.0}
     pool = Pool("m0", [one, two, three])
-    assert pool.choose(1.0, "z", 4, frozenset()) is three
-    assert pool.choose(1.0, "z", 4, frozenset({"c"})) is None
-    assert pool.choose(6.0, "z", 4, frozenset({"c"})) in (one, two)
+    assert pool.choose(1.0, CHOOSER, frozenset()) is three
+    assert pool.choose(1.0, CHOOSER, frozenset({"c"})) is None
+    assert pool.choose(6.0, CHOOSER, frozenset({"c"})) in (one, two)
 
 
 def record(name: str, phase: Phase = Phase.READY, *holdings: Holding) -> WorkerRecord:
@@ -52,10 +64,12 @@
 
 
 def test_draining_lost_and_gone_workers_get_nothing_and_loads_outlive_a_swap() -> None:
-    old = {"a": backend("a", 3)}
+    old = {"a": Holder(backend("a", 3))}
     phases = {"a": Phase.READY, "b": Phase.DRAINING, "c": Phase.LOST, "d": Phase.GONE}
-    backends = refreshed(old, [record(name, phase) for name, phase in phases.items()])
-    assert backends == {"a": old["a"]}
+    holders = {n: holder_of(record(n, phase), None, old.get(n)) for n, phase in phases.items()}
+    assert holders["a"] is not None and holders["a"].backend is old["a"].backend
+    assert [holders[name] for name in "bcd"] == [None] * 3
+    assert holder_of(None, None, old["a"]) is None
 
 
 def test_the_placers_word_goes_before_the_workers_own() -> None:
@@ -66,16 +80,107 @@
 
 
 def test_a_pool_has_who_holds_the_model_and_the_adapter() -> None:
-    backends = {name: backend(name) for name in "abc"}
-    pools = Pools(
-        backends, {"a": (Holding("m0", ("a1",)),), "b": (Holding("m0"),)}, ((PoolKey("llm", "m9", ""), 7.0),)
+    a, b, c = (backend(name) for name in "abc")
+    pools = Pools().changed(
+        {"a": Holder(a, (Holding("m0", ("a1",)),)), "b": Holder(b, (Holding("m0"),)), "c": Holder(c)},
+        [(PoolKey("llm", "m9", ""), 8.0), (PoolKey("llm", "m9", ""), 7.0)],
     )
-    assert pools.pool(PoolKey("llm", "m0", "")).backends == (backends["a"], backends["b"])
-    assert pools.pool(PoolKey("llm", "m0", "a1")).backends == (backends["a"],)
-    assert pools.pool(PoolKey("llm", "", "")).backends == tuple(backends.values())
+    assert pools.pool(PoolKey("llm", "m0", "")).backends == (a, b)
+    assert pools.pool(PoolKey("llm", "m0", "a1")).backends == (a,)
+    assert pools.pool(PoolKey("llm", "", "")).backends == (a, b, c)
     assert pools.ready_at(PoolKey("llm", "m9", "a2")) == 7.0
 
 
+Steps = list[tuple[str, bool, list[tuple[str, bool]]]]
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("abc"),
+            st.booleans(),
+            st.lists(
+                st.tuples(st.sampled_from(("m0", "m1")), st.booleans()), max_size=2, unique_by=lambda h: h[0]
+            ),
+        ),
+        max_size=12,
+    )
+)
+def test_pools_that_were_changed_step_by_step_equal_those_made_at_once(steps: Steps) -> None:
+    """The oracle is a look at all holders; pools of earlier moments stay as they were."""
+    pools, holders, earlier = Pools(), dict[str, Holder](), []
+    for name, is_there, held in steps:
+        holder = Holder(backend(name), tuple(Holding(m, ("a1",) if adapter else ()) for m, adapter in held))
+        holders.pop(name, None)
+        if is_there:
+            holders[name] = holder
+        pools = pools.changed({name: holder if is_there else None})
+        for key in (PoolKey("llm", m, a) for m, a in (("", ""), ("m0", ""), ("m0", "a1"), ("m1", ""))):
+            wanted = {h.backend for h in holders.values() if key in set(h.keys())}
+            assert set(pools.pool(key).backends) == wanted
+            earlier.append((pools, key, wanted))
+    for before, key, wanted in earlier:
+        assert set(before.pool(key).backends) == wanted
+
+
+def test_a_change_of_others_leaves_a_pool_as_it_is() -> None:
+    key = PoolKey("llm", "m0", "")
+    pools = Pools().changed({"a": Holder(backend("a"), (Holding("m0"),)), "b": Holder(backend("b"))})
+    pool = pools.pool(key)
+    assert pools.changed({"b": Holder(pools.holders["b"].backend, (Holding("m1"),))}).pool(key) is pool
+
+
+# --- many dispatchers
+
+
+def test_loads_that_others_told_count_with_the_own_ones() -> None:
+    one, two = backend("a"), backend("b")
+    pools = Pools().changed({"a": Holder(one), "b": Holder(two)})
+    one.begin()
+    pools.hear_loads({"b": 5})
+    assert (one.load, two.load, pools.own_loads()) == (1, 5, {"a": 1})
+    two.begin()
+    one.end()
+    assert (one.load, two.load, pools.own_loads()) == (0, 6, {"b": 1})
+    pools.hear_loads({})
+    assert (one.load, two.load) == (0, 1)
+
+
+def spread(dispatchers: int, workers: int, requests: int) -> list[int]:
+    """Requests by worker when all choose by the same old loads and their own requests."""
+    counts = dict.fromkeys(range(workers), 0)
+    for number in range(dispatchers):
+        chooser = Chooser("z", 0.2, Random(number), dispatchers)
+        pool = Pool("m0", [backend(f"w{n}", 5.0 + n % 3) for n in range(workers)])
+        for _ in range(requests):
+            chosen = pool.choose(0.0, chooser, frozenset())
+            assert chosen is not None
+            chosen.begin()
+            counts[int(chosen.instance[1:])] += 1
+    return sorted(counts.values())
+
+
+def test_many_dispatchers_with_the_same_old_figures_do_not_all_take_the_same_worker() -> None:
+    counts = spread(dispatchers=90, workers=30, requests=2)
+    assert counts[-1] <= 5 * 90 * 2 / 30, "the busiest against an even share"
+    assert counts[len(counts) // 2] >= 1
+
+
+def test_few_dispatchers_compare_all_workers() -> None:
+    pool = Pool("", [backend(f"w{n}", 9.0) for n in range(30)])
+    pool.backends[17].load = 1.0
+    for dispatchers in (1, 8):
+        assert pool.choose(0.0, Chooser("z", 0.2, Random(1), dispatchers), frozenset()) is pool.backends[17]
+
+
+def test_a_worker_of_the_own_zone_is_taken_unless_it_is_busier_by_more_than_a_request() -> None:
+    near, far = backend("a", 2.0), Backend("b", "llm", "b:1", "far", 64, 1.5)
+    pool = Pool("", [near, far])
+    assert pool.choose(0.0, CHOOSER, frozenset()) is near
+    far.load = 0.5
+    assert pool.choose(0.0, CHOOSER, frozenset()) is far
+
+
 # --- budgets
 
 
