Quick loads are not limited to a third of the workers

Change: the limit holds where loads take 2 s and more. Test: test_loads_from_the_store_leave_most_workers_free.

--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -30,8 +30,8 @@
 EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
-MOST_LOADING_SHARE = 0.34  # of the workers may load from the store at once: they take no other order then
-PREFETCH_LEAST_S = 2.0  # loads that are quicker need not be prepared
+LONG_LOAD_S = 2.0  # loads that are quicker need not be prepared, and may go on at all workers at once
+MOST_LOADING_SHARE = 0.34  # of the workers may carry out long loads: they take no other order then
 
 
 @define
@@ -89,10 +89,13 @@
 
 def store_loads_at_once(engine: Engine, workers: int) -> int:
     """As many loads from the store as its rate keeps under way, as more would only make each take longer; and
-    no more than leaves most workers free for quicker orders, such as adapters of busy models.
+    where they are long no more than leaves most workers free for quicker orders, such as adapters.
     """
     longest_s = max((model.load_s for model in engine.models.values()), default=0.0)
-    return max(1, min(ceil(engine.load_rate_s * longest_s), int(MOST_LOADING_SHARE * workers)))
+    kept_under_way = max(1, ceil(engine.load_rate_s * longest_s))
+    if longest_s < LONG_LOAD_S:
+        return kept_under_way
+    return max(1, min(kept_under_way, int(MOST_LOADING_SHARE * workers)))
 
 
 @define
@@ -256,7 +259,7 @@
         ]
         found: list[Load] = []
         for model in missing:
-            if model.load_s < PREFETCH_LEAST_S or self.loads_left <= 0:
+            if model.load_s < LONG_LOAD_S or self.loads_left <= 0:
                 continue
             action = self._prefetch(model.name)
             if action is None:  # nor is there room for the next one
