A dispatcher of many keeps to a few workers; free workers by the root of the fleet

Cause: random pairs gave 7,225 new connections for 10,073 requests and most traffic between zones; a third of the workers was too low a limit for 70 (75 requests for rare models refused). Change: each dispatcher compares the workers that rank first by a hash of both names, those of its zone before others; 1.6 times the root of the workers carry out no long load; a load is ordered after its eviction's time; 150 reports of demand a second.

--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from math import ceil
+from math import ceil, sqrt
 
 from attrs import define, field, frozen
 
@@ -31,7 +31,7 @@
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
 LONG_LOAD_S = 2.0  # loads that are quicker need not be prepared, and may go on at all workers at once
-MOST_LOADING_SHARE = 0.34  # of the workers may carry out long loads: they take no other order then
+KEPT_FREE = 1.6  # times the root of the workers: so many carry out no long load, and take other orders
 
 
 @define
@@ -89,13 +89,15 @@
 
 def store_loads_at_once(engine: Engine, workers: int) -> int:
     """As many loads from the store as its rate keeps under way, as more would only make each take longer; and
-    where they are long no more than leaves most workers free for quicker orders, such as adapters.
+    where they are long no more than leaves workers free for quicker orders, such as adapters. What has to be
+    free for the peaks grows with the root of the fleet (source: Halfin and Whitt, "Heavy-Traffic Limits for
+    Queues with Many Exponential Servers").
     """
     longest_s = max((model.load_s for model in engine.models.values()), default=0.0)
     kept_under_way = max(1, ceil(engine.load_rate_s * longest_s))
     if longest_s < LONG_LOAD_S:
         return kept_under_way
-    return max(1, min(kept_under_way, int(MOST_LOADING_SHARE * workers)))
+    return max(1, min(kept_under_way, workers - ceil(KEPT_FREE * sqrt(workers))))
 
 
 @define
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -16,7 +16,7 @@
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import PoolKey, holder_of
+from finchladder.cluster.routing.pools import Chooser, PoolKey, holder_of
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
@@ -25,6 +25,7 @@
 from finchladder.cluster.types.messages import Delta, DemandReply, DemandReport
 
 READY_PATH = "/api/readyz"
+KEYED_SHARE = 0.2  # of a worker's slots in use, above which the least loaded is looked for
 REPORT_S = 0.4
 REPORT_TIMEOUT_S = 0.6
 TOGETHER_S = 0.01  # what is waited for within this time is told at once
@@ -59,7 +60,7 @@
         self.peers = PeerClient()
         self.router = Router(
             make_session(keepalive_s=WORKER_KEEPALIVE_S),
-            settings.zone,
+            Chooser(settings.node_name, settings.zone, KEYED_SHARE, self.random),
             lambda: RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
             lambda: self.puller.edges,
             self.demand,
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -33,7 +33,7 @@
 QUICK_S = 0.1  # most evictions end within it
 LONGEST_EVICT_S = 10.0
 REPORT_INTERVAL_MS = 400
-REPORTS_A_SECOND = 100  # that the placer is ready to read
+REPORTS_A_SECOND = 150  # that the placer is ready to read
 MOST_LOADING_SHARE = (
     0.34  # of the workers may load from the store at once: meanwhile they take no other order
 )
@@ -264,6 +264,7 @@
             if not await self._give(managed, "evict", model, adapter):
                 return False
             _remove(managed.state, model, adapter)
+            await asyncio.sleep(EVICT_S)
         return True
 
     def _still_fits(self, managed: Managed, action: Load, engine: Engine) -> bool:
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from math import inf
-from random import Random
 
 import aiohttp
 from aiohttp import web
@@ -27,11 +26,10 @@
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.events import EventCutter
-from finchladder.cluster.routing.pools import Backend, Chooser, Pools
+from finchladder.cluster.routing.pools import Backend, Chooser, Pool, Pools
 from finchladder.cluster.routing.requests import HOP_BY_HOP, LAST_EVENT_ID, Need, need, onward_headers
 from finchladder.cluster.transport.peers import steady
 
-KEYED_SHARE = 0.2  # of a worker's slots in use, above which the least loaded is looked for
 HOLD_SHARE = 0.8  # of the time that a client waits: what needs longer is refused
 UNKNOWN_SHARE = 0.4  # of that time a request waits for something of which nobody says when it comes
 LAST_SEND_S = 0.05
@@ -56,13 +54,12 @@
     """Routes requests by the newest snapshot and pools, which are swapped whole."""
 
     session: aiohttp.ClientSession
-    zone: str
+    chooser: Chooser
     budget: Callable[[], RetryBudget]
     dispatchers: Callable[[], int]
     demand: DemandCounter
     snapshot: Snapshot = EMPTY
     pools: Pools = field(factory=Pools)
-    random: Random = field(factory=Random)
     changed: Signal = field(factory=Signal)
     draining: bool = False
     holds_end: float = inf  # while it drains: what has found no worker by then is refused
@@ -183,7 +180,7 @@
             while True:
                 now = steady()
                 pool = self.pools.pool(wanted.key)
-                backend = pool.choose(now, self._chooser(), sent)
+                backend = self._choose(pool, sent)
                 if backend is not None:
                     return backend
                 hold_until = min(self.holds_end, self._hold_until(wanted, bool(pool.backends)))
@@ -198,8 +195,9 @@
             if waiting:
                 self.demand.waits(wanted.key, -1)
 
-    def _chooser(self) -> Chooser:
-        return Chooser(self.zone, KEYED_SHARE, self.random, self.dispatchers())
+    def _choose(self, pool: Pool, sent: frozenset[str]) -> Backend | None:
+        self.chooser.dispatchers = self.dispatchers()
+        return pool.choose(steady(), self.chooser, sent)
 
     def _hold_until(self, wanted: Need, has_holders: bool) -> float:
         """How long a request may wait: longer only if what it needs is known to come in time."""
--- a/finchladder/cluster/routing/pools.py
+++ b/finchladder/cluster/routing/pools.py
@@ -4,12 +4,14 @@
 threshold; else the least loaded of the pool. Whoever rests (it was full, or can't be reached) is passed over.
 Loads are the own requests in flight and those that the other dispatchers last told of. As these are some
 hundred ms old, many dispatchers that all took the least loaded worker would take the same one: so the more
-there are, the fewer workers each compares, drawn anew for each request (the power of two choices; source:
-Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing"), and the smaller the part of a busy
-model's requests that goes to its two candidates.
+there are, the fewer workers each compares (deterministic subsetting; source: Beyer and others, "Site
+Reliability Engineering", chapter 20), and the smaller the part of a busy model's requests for its two
+candidates. A dispatcher's subset is ranked by a hash of both names, those of its own zone first, so that it
+stays the same from request to request and over all models, and connections are used again.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
+from hashlib import blake2b
 from math import ceil
 from random import Random
 
@@ -19,8 +21,10 @@
 from finchladder.core.choice import overflow, winner
 from finchladder.core.rings import Ring, key_hashes, ring_points
 
-FULL_VIEW = 8  # so many dispatchers may all compare all workers of a pool
-LEAST_COMPARED = 2
+FULL_VIEW = 16  # so many dispatchers may all compare all workers of a pool
+LEAST_COMPARED = 3
+FAR_COMPARED = 1  # at least so many of them are of another zone
+MOST_RANKS = 4096  # kept, of workers that there were
 ZONE_LOAD = 1.0  # requests by which a worker of another zone counts as more loaded
 
 
@@ -60,16 +64,18 @@
         return now >= self.rests_until and now >= self.absent.get(key, 0.0)
 
 
-@frozen
+@define
 class Chooser:
-    """How this dispatcher chooses. `keyed_share`: of a worker's slots, up to which a key's two candidates are
-    preferred; `dispatchers`: how many choose at once.
+    """How this dispatcher, `name`, chooses. `keyed_share`: of a worker's slots, up to which a key's two
+    candidates are preferred; `dispatchers`: how many choose at once.
     """
 
+    name: str
     zone: str
     keyed_share: float
     random: Random = field(factory=Random, eq=False)
     dispatchers: int = 1
+    _ranks: dict[str, bytes] = field(factory=dict)  # by worker instance
 
     def prefers_pair(self, pair: Sequence[Backend], pool: Sequence[Backend]) -> bool:
         """Whether a request goes to its key's two candidates if these take it."""
@@ -81,9 +87,25 @@
 
     def compared(self, able: Sequence[Backend]) -> list[Backend]:
         """Those of which the least loaded is taken, in the order of their loads."""
+        return sorted(self._subset(able), key=lambda b: b.load + (ZONE_LOAD if b.zone != self.zone else 0.0))
+
+    def _subset(self, able: Sequence[Backend]) -> Sequence[Backend]:
         count = max(LEAST_COMPARED, ceil(len(able) * FULL_VIEW / max(1, self.dispatchers)))
-        drawn = list(able) if count >= len(able) else self.random.sample(able, count)
-        return sorted(drawn, key=lambda b: b.load + (ZONE_LOAD if b.zone != self.zone else 0.0))
+        if count >= len(able):
+            return able
+        ranked = sorted(able, key=self._rank)
+        near = [b for b in ranked if b.zone == self.zone][: count - FAR_COMPARED]
+        far = [b for b in ranked if b.zone != self.zone]
+        return near + far[: count - len(near)]
+
+    def _rank(self, backend: Backend) -> bytes:
+        rank = self._ranks.get(backend.instance)
+        if rank is None:
+            if len(self._ranks) >= MOST_RANKS:
+                self._ranks.clear()
+            rank = blake2b(f"{self.name} {backend.instance}".encode(), digest_size=8).digest()
+            self._ranks[backend.instance] = rank
+        return rank
 
 
 @define(frozen=True)
--- a/tests/cluster/test_edge_node.py
+++ b/tests/cluster/test_edge_node.py
@@ -13,6 +13,7 @@
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
+from finchladder.cluster.routing.pools import Chooser
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 
@@ -42,7 +43,9 @@
         settings = SimpleNamespace(bounds=SimpleNamespace(grace_s=5.0))
         node = EdgeNode(cast(Settings, settings))
         session = make_session(keepalive_s=5)
-        node.router = Router(session, "z", lambda: RetryBudget(0.2, 50, 10), lambda: 1, DemandCounter())
+        node.router = Router(
+            session, Chooser("edge", "z", 0.2), lambda: RetryBudget(0.2, 50, 10), lambda: 1, DemandCounter()
+        )
 
         async def slow(request: web.BaseRequest) -> web.StreamResponse:
             await asyncio.sleep(ANSWER_S)
--- a/tests/cluster/test_placement.py
+++ b/tests/cluster/test_placement.py
@@ -244,7 +244,9 @@
     )
 
 
-def test_loads_from_the_store_leave_most_workers_free() -> None:
-    assert [store_loads_at_once(ENGINE, workers) for workers in (1, 2, 6, 12, 300)] == [1, 1, 2, 4, 10]
+def test_loads_from_the_store_leave_workers_free() -> None:
+    assert [store_loads_at_once(ENGINE, workers) for workers in (1, 2, 6, 12, 300)] == [1, 1, 2, 6, 10]
+    many = evolve(ENGINE, load_rate_s=40.0)
+    assert [store_loads_at_once(many, workers) for workers in (6, 70, 890)] == [2, 56, 200]
     quick = evolve(ENGINE, models={"m0": Model("m0", 70.0, 0.8, 0, 1.0)}, load_rate_s=5.0)
     assert store_loads_at_once(quick, 6) == 4, "quick ones leave a worker free soon enough"
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -15,7 +15,7 @@
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import Backend, Holder, Pools
+from finchladder.cluster.routing.pools import Backend, Chooser, Holder, Pools
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 
@@ -87,7 +87,9 @@
     for listener in listeners:
         await listener.start()
     session = make_session(keepalive_s=5)
-    router = Router(session, "z", lambda: RetryBudget(0.2, 50, 10), lambda: 1, DemandCounter())
+    router = Router(
+        session, Chooser("edge", "z", 0.5), lambda: RetryBudget(0.2, 50, 10), lambda: 1, DemandCounter()
+    )
     router.snapshot = build(json.dumps(DOCUMENT).encode())
     holders = {
         f"i-{n}": Holder(Backend(f"i-{n}", "s", listener.bound, "z", 4, float(n)))
--- a/tests/cluster/test_routing.py
+++ b/tests/cluster/test_routing.py
@@ -1,6 +1,7 @@
 """The data plane's pure parts: budgets, events, pools, the routing snapshot, headers."""
 
 import json
+from collections import Counter
 from random import Random
 
 import pytest
@@ -28,7 +29,7 @@
     return Backend(name, "llm", f"{name}:1", "z", 64, load)
 
 
-CHOOSER = Chooser("z", 4 / 64)  # the two candidates are preferred below a load of 4
+CHOOSER = Chooser("edge", "z", 4 / 64)  # the two candidates are preferred below a load of 4
 
 # --- the choice
 
@@ -150,7 +151,7 @@
     """Requests by worker when all choose by the same old loads and their own requests."""
     counts = dict.fromkeys(range(workers), 0)
     for number in range(dispatchers):
-        chooser = Chooser("z", 0.2, Random(number), dispatchers)
+        chooser = Chooser(f"edge-{number}", "z", 0.2, Random(number), dispatchers)
         pool = Pool("m0", [backend(f"w{n}", 5.0 + n % 3) for n in range(workers)])
         for _ in range(requests):
             chosen = pool.choose(0.0, chooser, frozenset())
@@ -166,11 +167,28 @@
     assert counts[len(counts) // 2] >= 1
 
 
+def test_one_of_many_dispatchers_keeps_to_few_workers_most_of_them_near() -> None:
+    workers = [Backend(f"w{n}", "llm", f"w{n}:1", f"z{n % 5}", 64) for n in range(70)]
+    chooser = Chooser("edge-1", "z3", 0.2, Random(1), 90)
+    models = [Pool("", workers[first:]) for first in (0, 1, 2)]
+    taken: Counter[str] = Counter()
+    for number in range(300):
+        chosen = models[number % 3].choose(0.0, chooser, frozenset())
+        assert chosen is not None
+        chosen.hear(number % 7)
+        taken[chosen.instance] += 1
+    assert len(taken) <= 15, "13 of 70, and hardly others in pools that hardly differ"
+    assert sum(n for name, n in taken.items() if int(name[1:]) % 5 == 3) > 200
+
+
 def test_few_dispatchers_compare_all_workers() -> None:
     pool = Pool("", [backend(f"w{n}", 9.0) for n in range(30)])
     pool.backends[17].load = 1.0
-    for dispatchers in (1, 8):
-        assert pool.choose(0.0, Chooser("z", 0.2, Random(1), dispatchers), frozenset()) is pool.backends[17]
+    for dispatchers in (1, 16):
+        assert (
+            pool.choose(0.0, Chooser("edge", "z", 0.2, Random(1), dispatchers), frozenset())
+            is pool.backends[17]
+        )
 
 
 def test_a_worker_of_the_own_zone_is_taken_unless_it_is_busier_by_more_than_a_request() -> None:
