The own zone decides between workers that are as busy as each other

Cause: a request's weight for the zone kept cross-zone workers idle on small sites. Change: half a request, so that it decides between equals only.

--- a/finchladder/cluster/routing/pools.py
+++ b/finchladder/cluster/routing/pools.py
@@ -25,7 +25,7 @@
 LEAST_COMPARED = 3
 FAR_COMPARED = 1  # at least so many of them are of another zone
 MOST_RANKS = 4096  # kept, of workers that there were
-ZONE_LOAD = 1.0  # requests by which a worker of another zone counts as more loaded
+ZONE_LOAD = 0.5  # requests by which a worker of another zone counts as more loaded: decides between equals
 
 
 @define(eq=False)
