A worker of a silent core machine is asked before it is called lost

Change: a core that the chain has not confirmed judges its own workers only; others are asked by GET /healthz for the instance and kept while they answer. Tests: test_sessions.py, test_worker_client.py.

--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -91,7 +91,7 @@
         self.sessions = SessionsService(
             settings.node_name, tables, settings.heartbeat_s, lambda: self.control.chain.acknowledged,
             lambda: self.control.voting.view, self._placer_address,
-            lambda: steady() - self.control.chain.confirmed_at < FRESH_S,
+            lambda: steady() - self.control.chain.confirmed_at < FRESH_S, self.workers.is_there,
         )  # fmt: skip
         self.puller = Puller(
             name=settings.node_name,
@@ -133,6 +133,7 @@
     async def _expire_loop(self) -> None:
         while True:
             self.sessions.expire()
+            await self.sessions.judge_orphans()
             await asyncio.sleep(EXPIRE_S)
 
     async def _announce_loop(self) -> None:
--- a/finchladder/cluster/process/sessions_service.py
+++ b/finchladder/cluster/process/sessions_service.py
@@ -1,7 +1,7 @@
 """Sessions of workers with control processes: heartbeats, draining, expiry; the tables that others pull."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from attrs import define, field
@@ -50,7 +50,9 @@
 
 @define
 class SessionsService:
-    """`state` and `view` tell what else a pull brings; `confirmed` whether the chain answered lately."""
+    """`state` and `view` tell what else a pull brings; `confirmed` whether the chain answered lately;
+    `is_there(address, instance)` asks a worker itself.
+    """
 
     name: str
     tables: Tables
@@ -59,11 +61,13 @@
     view: Callable[[], View]
     placer: Callable[[], str]
     confirmed: Callable[[], bool]
+    is_there: Callable[[str, str], Awaitable[bool]]
     changed: Signal = field(factory=Signal)
     readers: dict[str, Reader] = field(factory=dict)
     beats: dict[str, Heartbeat] = field(factory=dict)
     origins: dict[str, float] = field(factory=dict)  # when each other origin was last heard
     ended_at: dict[str, float] = field(factory=dict)
+    answered_at: dict[str, float] = field(factory=dict)  # when workers of silent owners last answered
     started_at: float = field(factory=steady)
 
     # --- workers ------------------------------------------------------------------------------------------
@@ -132,21 +136,45 @@
                 return bool(reached)
             await asyncio.sleep(0.02)
 
+    @property
+    def patience_s(self) -> float:
+        """Silence after which a worker is lost."""
+        return MISSED_BEATS * self.heartbeat_s + BEAT_SLACK_S
+
     def expire(self) -> None:
-        """Judges silent workers, and forgets what ended long ago."""
+        """Judges own workers that are silent, and forgets what ended long ago."""
         now = steady()
-        patience = MISSED_BEATS * self.heartbeat_s + BEAT_SLACK_S
         for instance, worker in list(self.tables.workers.items()):
             record = worker.record
             if record.phase in (Phase.LOST, Phase.GONE):
                 self._forget_later(instance, now)
             elif record.owner == self.tables.origin:
                 heard = self.beats.get(instance)
-                if heard is not None and now - heard.at > patience:
+                if heard is not None and now - heard.at > self.patience_s:
                     self._lose(record, heard.sequence)
-            elif now - self.origins.setdefault(record.owner, now) > ORPHAN_S + patience:
+
+    async def judge_orphans(self) -> None:
+        """Workers whose owner is silent are lost only if they do not answer themselves: the owner may be cut
+        off from this process and not from them. Who is cut off from the chain judges nobody.
+        """
+        if not self.confirmed():
+            return
+        now = steady()
+        orphans = [w.record for w in self.tables.workers.values() if self._is_orphan(w.record, now)]
+        answers = await asyncio.gather(*(self.is_there(r.address, r.instance) for r in orphans))
+        for record, answered in zip(orphans, answers, strict=True):
+            if answered:
+                self.answered_at[record.instance] = now
+            elif self._is_orphan(record, now) and self.tables.workers[record.instance].record == record:
                 self._lose(record, record.sequence)
 
+    def _is_orphan(self, record: WorkerRecord, now: float) -> bool:
+        if record.owner == self.tables.origin or record.phase in (Phase.LOST, Phase.GONE):
+            return False
+        heard_at = self.origins.setdefault(record.owner, now)
+        answered_at = self.answered_at.get(record.instance, heard_at)
+        return now - max(heard_at, answered_at) > ORPHAN_S + self.patience_s
+
     def _lose(self, record: WorkerRecord, sequence: int) -> None:
         lost = msgspec.structs.replace(record, phase=Phase.LOST, sequence=sequence, owner=self.tables.origin)
         if self.tables.put_worker(lost):
@@ -157,6 +185,7 @@
         if now - self.ended_at.setdefault(instance, now) > FORGET_S:
             self.tables.forget(instance)
             self.beats.pop(instance, None)
+            self.answered_at.pop(instance, None)
             del self.ended_at[instance]
 
     # --- readers ------------------------------------------------------------------------------------------
--- a/finchladder/cluster/process/worker_client.py
+++ b/finchladder/cluster/process/worker_client.py
@@ -1,4 +1,4 @@
-"""Calls of the placer to workers: orders and reports."""
+"""Calls of core processes to workers: orders, reports, whether they are there."""
 
 import asyncio
 
@@ -9,12 +9,14 @@
 from finchladder.cluster.types.beats import OrderBody, Report, report_decoder
 from finchladder.cluster.types.errors import PeerUnreachable
 
+HEALTH_PATH = "/healthz"
+INSTANCE_ID = "X-Finchladder-Instance-Id"
 TIMEOUT_S = 0.8
 KEEPALIVE_S = 2.0
 
 
 class WorkerClient:
-    """One for the placer."""
+    """One for each core process."""
 
     def __init__(self) -> None:
         self._session = make_session(keepalive_s=KEEPALIVE_S)
@@ -39,6 +41,17 @@
         except msgspec.DecodeError as error:
             raise PeerUnreachable("report", address, f"unreadable: {error}") from None
 
+    async def is_there(self, address: str, instance: str) -> bool:
+        """Whether that very instance answers, whatever it says of its health."""
+        try:
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                self._session.get(f"http://{address}{HEALTH_PATH}") as response,
+            ):
+                return response.headers.get(INSTANCE_ID) == instance
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     async def _call(
         self, method: str, url: str, step: str, address: str, data: bytes | None, headers: dict[str, str]
     ) -> tuple[int, bytes]:
--- a/tests/cluster/test_sessions.py
+++ b/tests/cluster/test_sessions.py
@@ -91,9 +91,16 @@
 # --- sessions at virtual time
 
 
-def service(name: str = "core-1") -> SessionsService:
+def service(
+    name: str = "core-1", *, confirmed: bool = True, answering: tuple[str, ...] = ()
+) -> SessionsService:
+    """`answering`: instances that say that they are there."""
+
+    async def is_there(address: str, instance: str) -> bool:
+        return instance in answering
+
     return SessionsService(
-        name, Tables(f"{name}/1"), 1.2, ControlState, lambda: GENESIS, lambda: "", lambda: True
+        name, Tables(f"{name}/1"), 1.2, ControlState, lambda: GENESIS, lambda: "", lambda: confirmed, is_there
     )  # fmt: skip
 
 
@@ -188,20 +195,37 @@
     assert played(work) is Phase.GONE
 
 
-def test_a_worker_of_an_owner_that_is_silent_is_judged_by_the_others_only_after_a_while() -> None:
+def judged(after_s: tuple[float, ...], **of_the_judge: Any) -> list[Phase]:
+    """How a core holds a worker of another one from which it hears nothing."""
+
     async def work() -> list[Phase]:
-        owner, other = service("core-1"), service("core-2")
+        owner, other = service("core-1"), service("core-2", **of_the_judge)
         await owner.on_beat("i-1", beat(1))
         other.tables.merge(*owner.tables.missing({}))
-        other.expire()
-        await asyncio.sleep(6.0)
-        other.expire()
-        seen = [phase_of(other)]
-        await asyncio.sleep(2.0)
-        other.expire()
-        return [*seen, phase_of(other)]
-
-    assert played(work) == [Phase.READY, Phase.LOST]
+        await other.judge_orphans()
+        seen = []
+        for pause in after_s:
+            await asyncio.sleep(pause)
+            other.expire()
+            await other.judge_orphans()
+            seen.append(phase_of(other))
+        return seen
+
+    found: list[Phase] = played(work)
+    return found
+
+
+def test_a_worker_of_an_owner_that_is_silent_is_judged_by_the_others_only_after_a_while() -> None:
+    assert judged((6.0, 2.0)) == [Phase.READY, Phase.LOST]
+
+
+def test_a_worker_that_answers_itself_is_kept_while_its_owner_is_cut_off() -> None:
+    assert judged((8.0,) * 5, answering=("i-1",)) == [Phase.READY] * 5
+    assert judged((8.0,) * 2, answering=("i-2",)) == [Phase.LOST] * 2
+
+
+def test_a_core_that_is_cut_off_from_the_chain_judges_nobody() -> None:
+    assert judged((8.0, 8.0), confirmed=False) == [Phase.READY] * 2
 
 
 def test_records_survive_the_wire() -> None:
