--- a/benchmarks/etcd_serve.py
+++ b/benchmarks/etcd_serve.py
@@ -106,7 +106,7 @@
     folder: Path, listen: int, found: int, config: str, change: Callable[[float], Awaitable[None]],
     for_s: float,
 ) -> Seen:  # fmt: skip
-    (folder / "config.json").write_bytes((ROOT / "example/config.json").read_bytes())
+    (folder / "config.json").write_bytes((ROOT / "examples/config.json").read_bytes())
     (folder / "operator.ini").write_text(config)
     env = os.environ | {
         "NODE_NAME": "n1", "NODE_LISTEN": f"127.0.0.1:{listen}", "NODE_DISCOVERY": f"127.0.0.1:{found}",
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -73,7 +73,7 @@
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     monkeypatch.chdir(ROOT)
-    monkeypatch.setenv("NODE_CONFIG", "example/config.json")
+    monkeypatch.setenv("NODE_CONFIG", "examples/config.json")
     front.main(["config", "explain", "examples/routes.toml", "confirms"])
     told = capsys.readouterr().out.splitlines()
     shown = PAGE.partition("explain examples/routes.toml confirms\n")[2].partition("    ...")[0]
@@ -91,7 +91,7 @@
 
 
 def test_the_page_s_own_file_can_be_used() -> None:
-    facts = json.loads((ROOT / "example" / "config.json").read_text())["settings"]
+    facts = json.loads((ROOT / "examples" / "config.json").read_text())["settings"]
     block = "    [defaults]\n" + PAGE.partition("    [defaults]\n")[2].partition("\n\n[examples")[0]
     text = re.sub("^    ", "", block, flags=re.MULTILINE)
     assert isinstance(load(text, "a.toml", read_settings(json.dumps(facts))), Loaded)
@@ -130,7 +130,7 @@
 def test_convert_prints_toml_and_refuses_what_is_none_or_unusable(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setenv("NODE_CONFIG", str(ROOT / "example" / "config.json"))
+    monkeypatch.setenv("NODE_CONFIG", str(ROOT / "examples" / "config.json"))
     deployed = str(ROOT / "deploy" / "operator.ini")
     front.main(["config", "convert", deployed])
     text = capsys.readouterr().out
--- a/tests/etcd/test_tool.py
+++ b/tests/etcd/test_tool.py
@@ -118,7 +118,7 @@
 def test_import_takes_a_platform_s_list() -> None:
     async def work() -> None:
         async with etcd() as e:
-            command = f"{RUN} etcd --endpoint {e.servers[0].url} import example/config.json"
+            command = f"{RUN} etcd --endpoint {e.servers[0].url} import examples/config.json"
             status, out, _ = await shell(command)
             assert status == 0 and out == f"{len(there(e))} real servers listed\n"
 
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -17,7 +17,7 @@
 ENV = {
     "NODE_LISTEN": "127.0.0.1:1",
     "NODE_DISCOVERY": "127.0.0.1:1",
-    "NODE_CONFIG": str(ROOT / "example" / "config.json"),
+    "NODE_CONFIG": str(ROOT / "examples" / "config.json"),
 }
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -358,7 +358,7 @@
 
 
 def test_the_example_is_a_configuration() -> None:
-    config = str(ROOT / "example" / "config.json")
+    config = str(ROOT / "examples" / "config.json")
     listen = {"NODE_LISTEN": "127.0.0.1:1", "NODE_DISCOVERY": "[::1]:2", "NODE_CONFIG": config}
     setup = read_setup(listen)
     assert (setup.caps.connect_timeout_s, setup.settings.classes[1].worth) == (0.12, 10.0)
--- a/tests/test_unlike_settings.py
+++ b/tests/test_unlike_settings.py
@@ -203,7 +203,7 @@
 
 def test_no_name_of_a_deployment_stands_in_what_run_uses() -> None:
     """Those of the variants that are kept beside the program, and of its example."""
-    example = json.loads((ROOT / "example" / "config.json").read_text())["settings"]
+    example = json.loads((ROOT / "examples" / "config.json").read_text())["settings"]
     names = {example["az"], *example["zones"], *example["flavors"], *(s["name"] for s in example["services"])}
     sites = sorted((ROOT / "deploy" / "sites").glob("*/*.toml"))
     assert len(sites) >= 2
