--- a/finchladder/lab/cluster/hunt.py
+++ b/finchladder/lab/cluster/hunt.py
@@ -23,6 +23,7 @@
     count: int = 3
     losses: int = 1
     faults: int = 6
+    freezes: bool = False
 
 
 @frozen
@@ -41,7 +42,7 @@
 
 def play(case: Case) -> Finding | None:
     """Plays one case; None if all rules were kept."""
-    world = World(case.seed, case.count, case.losses)
+    world = World(case.seed, case.count, case.losses, case.freezes)
     try:
         run(_play(world, case.faults))
     except (Violation, TimeoutError) as error:
--- a/finchladder/lab/cluster/network.py
+++ b/finchladder/lab/cluster/network.py
@@ -1,8 +1,9 @@
 """A network at virtual time: delay, loss of requests and of replies, cuts of one or both directions."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
+from typing import Any
 
 from attrs import define, field
 
@@ -18,7 +19,7 @@
 
 DELAY_S = (0.0003, 0.004)
 Handler = Callable[[Request], Awaitable[Reply]]
-Spawner = Callable[[Awaitable[Reply]], "asyncio.Task[Reply]"]
+Spawner = Callable[[Coroutine[Any, Any, Reply]], "asyncio.Task[Reply]"]
 
 
 @define
--- a/finchladder/lab/cluster/virtual.py
+++ b/finchladder/lab/cluster/virtual.py
@@ -1,11 +1,18 @@
-"""An asyncio loop whose clock jumps to the next timer: hours of waiting take no time, and no test sleeps."""
+"""An asyncio loop whose clock jumps to the next timer: hours of waiting take no time, and no test sleeps.
+
+Tasks may belong to a simulated process, by the context that they run in. While a process is frozen nothing of
+it runs: what falls due is put off, in its order, to the moment at which it wakes. The clock goes on
+meanwhile, as a machine's steady clock does.
+"""
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from contextvars import Context, ContextVar, copy_context
 from typing import Any, TypeVar
 
 T = TypeVar("T")
+PROCESS: ContextVar[str] = ContextVar("PROCESS", default="")  # the simulated process that code belongs to
 SMALLEST_STEP_S = 1e-6
 
 
@@ -30,12 +37,72 @@
 
     def __init__(self) -> None:
         self._jumping = JumpingSelector()
+        self._frozen_until: dict[str, float] = {}
         super().__init__(self._jumping)
 
     def time(self) -> float:
         """Seconds of virtual time."""
         return self._jumping.now
 
+    def freeze(self, process: str, until: float) -> None:
+        """Nothing of that process runs before `until`, in seconds of virtual time."""
+        self._frozen_until[process] = until
+
+    def spawn(self, process: str, work: Coroutine[Any, Any, T]) -> "asyncio.Task[T]":
+        """Runs something as part of that process."""
+        context = copy_context()
+        context.run(PROCESS.set, process)
+        return self.create_task(work, context=context)
+
+    def call_soon(  # type: ignore[override]  # the base class names its arguments' types one by one
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        """As the standard loop's, but for frozen processes."""
+        held = _Held(self, callback, args, context)
+        held.handle = super().call_soon(held, context=context)
+        return held.handle
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        """As the standard loop's, but for frozen processes."""
+        held = _Held(self, callback, args, context)
+        handle = super().call_at(when, held, context=context)
+        held.handle = handle
+        return handle
+
+    def wakes_at(self, process: str) -> float:
+        """When that process runs again; a moment of the past if it is not frozen."""
+        return self._frozen_until.get(process, 0.0)
+
+    def put_off(self, when: float, held: "_Held") -> None:
+        """Runs a callback of a frozen process later; those put off to one moment keep their order."""
+        super().call_at(when, held, context=held.context)
+
+
+class _Held:
+    """A callback that is put off while its process is frozen. `handle`: what its owner may cancel."""
+
+    def __init__(
+        self,
+        loop: VirtualClockLoop,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+        context: Context | None,
+    ) -> None:
+        self._loop, self._callback, self._args = loop, callback, args
+        self.context = copy_context() if context is None else context
+        self.handle: asyncio.Handle | None = None
+
+    def __call__(self) -> None:
+        if self.handle is not None and self.handle.cancelled():
+            return
+        wakes_at = self._loop.wakes_at(self.context.get(PROCESS, ""))
+        if wakes_at > self._loop.time():
+            self._loop.put_off(wakes_at, self)
+            return
+        self._callback(*self._args)
+
 
 def run(main: Coroutine[Any, Any, T]) -> T:
     """Runs a coroutine at virtual time."""
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
 from typing import Any
 
@@ -14,6 +14,7 @@
 from finchladder.lab.cluster.disk import Platter, SimulatedDisk
 from finchladder.lab.cluster.network import Host, Network, SimulatedPeers
 from finchladder.lab.cluster.oracle import Change, Oracle, Violation
+from finchladder.lab.cluster.virtual import VirtualClockLoop
 
 TURN_S = 3.0
 CATCH_UP_S = 4.0
@@ -21,6 +22,7 @@
 QUIET_S = 8.0  # within it a change must be taken once all is calm
 PAUSE_S = (0.1, 0.6)
 WATCH_S = 0.02
+FREEZE_WEIGHT = 4  # of freezes among the kinds of faults
 
 
 @define
@@ -39,11 +41,12 @@
 
 @define
 class World:
-    """Runs machines, operators and faults; an oracle looks on."""
+    """Runs machines, operators and faults; an oracle looks on. `freezes`: processes stand still at times."""
 
     seed: int
     count: int = 3
     losses: int = 1
+    freezes: bool = False
     random: Random = field(init=False)
     network: Network = field(init=False)
     machines: dict[str, Machine] = field(factory=dict)
@@ -102,8 +105,8 @@
         present = [m.address for m in self.machines.values() if not m.gone]
         return tuple(present[:3])
 
-    def _spawn(self, machine: Machine, work: Awaitable[Any]) -> asyncio.Task[Any]:
-        task = asyncio.ensure_future(work)
+    def _spawn(self, machine: Machine, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = _loop().spawn(machine.name, work)
         machine.tasks[task] = None
         task.add_done_callback(lambda ended: machine.tasks.pop(ended, None))
         return task
@@ -250,6 +253,8 @@
             self._all_killed,
             self._late_wipe,
         ]
+        if self.freezes:
+            faults += [self._frozen] * FREEZE_WEIGHT
         await self.random.choice(faults)()
         await asyncio.sleep(CATCH_UP_S * self.random.uniform(1.0, 1.3))
 
@@ -309,6 +314,13 @@
         machine.disk.stalled_until = asyncio.get_running_loop().time() + stall_s
         await asyncio.sleep(stall_s)
 
+    async def _frozen(self) -> None:
+        machine = self._victim()
+        freeze_s = self.random.choice([0.3, 1.0, 2.0, 4.0, 7.0]) * self.random.uniform(0.8, 1.2)
+        self.note(f"{machine.name} is frozen for {freeze_s:.2f} s")
+        _loop().freeze(machine.name, _loop().time() + freeze_s)
+        await asyncio.sleep(freeze_s)
+
     async def _refusing(self) -> None:
         machine = self._victim()
         assert machine.disk is not None
@@ -374,5 +386,11 @@
                 return
 
 
+def _loop() -> VirtualClockLoop:
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualClockLoop)
+    return loop
+
+
 def _number(document: bytes) -> int:
     return int(json.loads(document)["number"]) if document else 0
--- a/tests/cluster/test_control_world.py
+++ b/tests/cluster/test_control_world.py
@@ -26,6 +26,11 @@
     run(World(1000 + seed, count=5, losses=2).play(FAULTS))
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_machines_keep_the_rules_while_processes_stand_still(seed: int) -> None:
+    run(World(2000 + seed, count=3, losses=1, freezes=True).play(FAULTS))
+
+
 def test_a_seed_gives_the_same_run_again() -> None:
     first, second = World(7), World(7)
     run(first.play(2))
