--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -28,6 +28,7 @@
 KEYED_SHARE = 0.2  # of a worker's slots in use, above which the least loaded is looked for
 REPORT_S = 0.4
 REPORT_TIMEOUT_S = 0.6
+LOADS_FORGOTTEN_S = 2.0  # after which the loads that others had count no more
 TOGETHER_S = 0.01  # what is waited for within this time is told at once
 WORKER_KEEPALIVE_S = 20.0  # less where the workers say so
 START_WITHOUT_CONFIRMATION_S = 4.0
@@ -51,6 +52,7 @@
     waited_for: Signal = field(factory=Signal)
     started_at: float = field(factory=steady)
     coming: dict[str, tuple[PoolKey, float]] = field(factory=dict)  # by instance
+    loads_heard_at: float = 0.0  # when the placer last told what the others have in flight
     fresh: bool = False
     stopping: bool = False
 
@@ -133,6 +135,7 @@
             await self.waited_for.wait(interval)
             await asyncio.sleep(TOGETHER_S)
             now = steady()
+            self._forget_old_loads(now, interval)
             if not self.puller.placer:
                 continue
             loads = self.router.pools.own_loads()
@@ -144,8 +147,14 @@
                 continue
             if isinstance(reply, DemandReply):
                 interval = reply.interval_ms / 1000
+                self.loads_heard_at = steady()
                 self.router.pools.hear_loads(reply.loads)
 
+    def _forget_old_loads(self, now: float, interval_s: float) -> None:
+        """Without a placer only the own requests count: those of the others would soon be all wrong."""
+        if now - self.loads_heard_at > interval_s + LOADS_FORGOTTEN_S:
+            self.router.pools.hear_loads({})
+
     # --- life ---------------------------------------------------------------------------------------------
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/tests/cluster/test_edge_node.py
+++ b/tests/cluster/test_edge_node.py
@@ -13,7 +13,7 @@
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import Chooser
+from finchladder.cluster.routing.pools import Backend, Chooser, Holder, Pools
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 
@@ -66,3 +66,16 @@
             await work()
 
     asyncio.run(bounded())
+
+
+def test_loads_of_others_are_forgotten_when_nobody_tells_them_any_more() -> None:
+    node = EdgeNode(cast(Settings, SimpleNamespace()))
+    worker = Backend("a", "llm", "a:1", "z", 64)
+    node.router = cast(Router, SimpleNamespace(pools=Pools().changed({"a": Holder(worker)})))
+    worker.begin()
+    node.router.pools.hear_loads({"a": 7})
+    node.loads_heard_at = 10.0
+    node._forget_old_loads(12.3, interval_s=0.4)
+    assert worker.load == 8
+    node._forget_old_loads(12.5, interval_s=0.4)
+    assert worker.load == 1
--- /dev/null
+++ b/tests/cluster/test_placer.py
@@ -0,0 +1,67 @@
+"""What the placer does after a worker has refused an order, at virtual time."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from finchladder.cluster.placement.planner import WorkerState
+from finchladder.cluster.process.placer import LONGEST_EVICT_S, QUICK_S, Managed, Placer
+from finchladder.cluster.process.tasks import Tasks
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.beats import Report
+from finchladder.lab.cluster.virtual import run
+
+REVISION = 4  # orders that the worker has taken, the eviction under way being the last
+
+
+class Worker:
+    """A worker that says something else at each look, the last of it for ever."""
+
+    def __init__(self, *reports: Report) -> None:
+        self.reports = list(reports)
+        self.looks = 0
+
+    async def report(self, address: str, instance: str) -> Report:
+        self.looks += 1
+        return self.reports[min(self.looks, len(self.reports)) - 1]
+
+
+def asked_again(worker: Worker, began_before_s: float) -> tuple[bool, float]:
+    """Whether the placer gives its order again, and after how long."""
+    nothing = cast(Any, SimpleNamespace())
+    placer = Placer(nothing, nothing, cast(Any, worker), Tasks(), 5.0, 1.1, 3.0)
+    state = WorkerState("i-1", "llm", "a:1", "z", False, False)
+
+    async def work() -> tuple[bool, float]:
+        before = steady()
+        again = await placer._still_busy(Managed(state, revision=REVISION), before - began_before_s)
+        return again, steady() - before
+
+    return run(work())
+
+
+def test_most_evictions_are_over_soon_so_that_nobody_is_asked() -> None:
+    worker = Worker()
+    again, waited_s = asked_again(worker, 0.0)
+    assert again
+    assert waited_s == pytest.approx(QUICK_S / 2)
+    assert worker.looks == 0
+
+
+def test_an_order_waits_until_the_eviction_before_it_has_ended() -> None:
+    old = Report(sequence=REVISION - 1, busy=False)
+    busy = Report(sequence=REVISION, busy=True)
+    again, waited_s = asked_again(Worker(old, busy, busy, busy, Report(sequence=REVISION)), 0.2)
+    assert again
+    assert waited_s == pytest.approx(0.5)
+
+
+def test_a_worker_that_took_an_order_of_another_holder_gets_no_more() -> None:
+    assert not asked_again(Worker(Report(sequence=REVISION + 1)), 0.2)[0]
+
+
+def test_an_eviction_without_an_end_is_given_up() -> None:
+    again, waited_s = asked_again(Worker(Report(sequence=REVISION, busy=True)), 0.2)
+    assert not again
+    assert waited_s == pytest.approx(LONGEST_EVICT_S - 0.2, abs=0.15)
