--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -337,21 +337,13 @@
         return False
 
     async def _still_busy(self, managed: Managed, began: float) -> bool:
-        """After a refusal: whether the order before was what the worker was busy with; waits for its end.
-
-        A model that is evicted goes once its last request has ended.
-        """
+        """After a refusal: whether the order before is still being carried out."""
         if steady() - began < QUICK_S:
             await asyncio.sleep(QUICK_S / 2)
             return True
-        while steady() - began < LONGEST_EVICT_S:
-            await asyncio.sleep(POLL_S)
-            report = await self.client.report(managed.state.address, managed.state.instance)
-            if report.sequence > managed.revision:
-                return False
-            if report.sequence == managed.revision and not report.busy:
-                return True
-        return False
+        await asyncio.sleep(POLL_S)
+        report = await self.client.report(managed.state.address, managed.state.instance)
+        return report.sequence <= managed.revision and steady() - began < LONGEST_EVICT_S
 
     async def _await_done(self, managed: Managed, expected_s: float) -> None:
         """Asks first when the order should be done, then again and again."""
