--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -4,7 +4,9 @@
 
 import click
 
+from finchladder.lab.cluster import agreement_model
 from finchladder.lab.cluster.hunt import Case, hunt
+from finchladder.lab.cluster.search import explore
 
 
 @click.group()
@@ -34,5 +36,20 @@
     sys.exit(1 if found else 0)
 
 
+@main.command("search")
+@click.option("--voters", default=3, show_default=True, help="Members that vote on the view.")
+@click.option("--ballots", default=2, show_default=True, help="Proposals, each of another proposer.")
+@click.option("--states", default=1_000_000, show_default=True, help="How many states are visited at most.")
+def search_agreement(voters: int, ballots: int, states: int) -> None:
+    """Visit every state of the agreement on one view; status 1 if two views can be decided."""
+    start = agreement_model.start(voters, ballots)
+    found = explore(start, agreement_model.steps, agreement_model.one_view_is_decided, states)
+    extent = "all of them" if found.complete else "not all"
+    click.echo(f"{found.states} states, {extent}, up to {found.depth} steps away")
+    if found.broken is not None:
+        click.echo("two views are decided after:\n" + "\n".join(found.broken))
+    sys.exit(0 if found.broken is None else 1)
+
+
 if __name__ == "__main__":
     main()
--- a/tests/cluster/test_edge_node.py
+++ b/tests/cluster/test_edge_node.py
@@ -1,4 +1,4 @@
-"""The end of a dispatcher's life, on real sockets."""
+"""A dispatcher's reports at virtual time, and the end of its life on real sockets."""
 
 import asyncio
 from types import SimpleNamespace
@@ -9,6 +9,7 @@
 
 from finchladder.cluster.process import edge_node
 from finchladder.cluster.process.edge_node import EdgeNode
+from finchladder.cluster.process.pulling import Puller
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.routing.budget import RetryBudget
@@ -16,6 +17,9 @@
 from finchladder.cluster.routing.pools import Backend, Chooser, Holder, Pools
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
+from finchladder.cluster.transport.peers import PeerClient
+from finchladder.cluster.types.messages import DemandReply, DemandReport, Reply, Request
+from finchladder.lab.cluster.virtual import run
 
 ANSWER_S = 1.0  # longer than what is left for last answers
 
@@ -79,3 +83,30 @@
     assert worker.load == 8
     node._forget_old_loads(12.5, interval_s=0.4)
     assert worker.load == 1
+
+
+def test_a_dispatcher_tells_its_requests_in_flight_and_takes_over_those_of_the_others() -> None:
+    reports: list[DemandReport] = []
+
+    class Peers:
+        async def call(self, address: str, request: Request, timeout_s: float) -> Reply:
+            assert isinstance(request, DemandReport)
+            reports.append(request)
+            return DemandReply(1000, True, {"b": 5})
+
+    async def work() -> None:
+        node = EdgeNode(cast(Settings, SimpleNamespace(node_name="edge-1")))
+        one, two = (Backend(name, "llm", f"{name}:1", "z", 64) for name in "ab")
+        pools = Pools().changed({"a": Holder(one), "b": Holder(two)})
+        node.router = cast(Router, SimpleNamespace(pools=pools))
+        node.puller = cast(Puller, SimpleNamespace(placer="core-1:1"))
+        node.peers = cast(PeerClient, Peers())
+        one.begin()
+        node.tasks.repeat(node._report, "demand")
+        await asyncio.sleep(0.6)
+        assert [(r.sender, r.loads) for r in reports] == [("edge-1", {"a": 1})]
+        assert (one.load, two.load) == (1, 5)
+        await asyncio.sleep(2.0)
+        assert len(reports) == 3, "as often as the placer asks for"
+
+    run(work())
--- a/tests/cluster/test_placement.py
+++ b/tests/cluster/test_placement.py
@@ -230,18 +230,15 @@
 
 
 def test_a_copy_that_is_still_on_its_way_does_not_stand_in_for_one_that_goes() -> None:
-    """m0 is busy: its only copy stays though another is being loaded."""
+    """The only copy of m0, the busiest, stays while another is being loaded; one that is there frees it."""
     book = DemandBook()
-    asked(book, "m0", 20)
+    for model, times in (("m0", 20), ("m6", 8), ("m7", 8)):
+        asked(book, model, times)
     asked(book, "m5", 1, waiting=1)
-    (action,) = plan(book, worker("a", "m0", "m1", "m2"), worker("b", busy=True), loading={"m0": 1})
-    assert (action.model, ("m0", "") in action.victims) == ("m5", False)
-    full = worker("a", "m0", "m6", "m7")
-    asked(book, "m6", 8)
-    asked(book, "m7", 8)
-    assert all(
-        ("m0", "") not in a.victims for a in plan(book, full, worker("b", busy=True), loading={"m0": 1})
-    )
+    full, other = worker("a", "m0", "m6", "m7"), worker("b", busy=True)
+    assert plan(book, full, other, loading={"m0": 1}) == []
+    (action,) = plan(book, full, worker("b", "m0", busy=True))
+    assert (action.model, action.victims) == ("m5", (("m0", ""),))
 
 
 def test_loads_from_the_store_leave_workers_free() -> None:
--- a/tests/cluster/test_placer.py
+++ b/tests/cluster/test_placer.py
@@ -1,4 +1,4 @@
-"""What the placer does after a worker has refused an order, at virtual time."""
+"""What the placer tells dispatchers, and what it does after a refused order; at virtual time."""
 
 from types import SimpleNamespace
 from typing import Any, cast
@@ -10,6 +10,7 @@
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.beats import Report
+from finchladder.cluster.types.messages import DemandReply, DemandReport
 from finchladder.lab.cluster.virtual import run
 
 REVISION = 4  # orders that the worker has taken, the eviction under way being the last
@@ -62,3 +63,24 @@
 def test_an_eviction_without_an_end_is_given_up() -> None:
     again, _ = asked_again(Worker(Report(sequence=REVISION, busy=True)), LONGEST_EVICT_S)
     assert not again
+
+
+def test_a_dispatcher_is_told_what_all_others_have_in_flight() -> None:
+    sessions = SimpleNamespace(edges=lambda: 300)
+    placer = Placer(
+        cast(Any, SimpleNamespace(holds=lambda: True)),
+        cast(Any, sessions),
+        cast(Any, None),
+        Tasks(),
+        5.0,
+        1.1,
+        3.0,
+    )
+
+    async def work() -> DemandReply:
+        placer.on_demand(DemandReport("one", 0.4, (), {"a": 1, "b": 2}))
+        return placer.on_demand(DemandReport("two", 0.4, (), {"a": 4}))
+
+    told = run(work())
+    assert told.loads == {"a": 1, "b": 2}
+    assert told.interval_ms == 2000, "300 dispatchers may report 150 times a second together"
--- a/tests/cluster/test_role.py
+++ b/tests/cluster/test_role.py
@@ -27,13 +27,19 @@
             await asyncio.sleep(0.02)
 
 
+async def settled(world: World) -> tuple[Machine, int]:
+    """The first holder of the role, some seconds after it was given it, and its fencing token."""
+    machine = await started(world)
+    assert machine.plane is not None
+    token = machine.plane.role.lease.token
+    await asyncio.sleep(3.0)
+    return machine, token
+
+
 def test_a_placer_that_restarts_has_its_role_again_at_once_with_a_new_token() -> None:
     async def work() -> None:
         world = World(1)
-        machine = await started(world)
-        assert machine.plane is not None
-        token = machine.plane.role.lease.token
-        await asyncio.sleep(3.0)
+        machine, token = await settled(world)
         world.kill(machine, power=False)
         await asyncio.sleep(1.0)
         world.start(machine)
@@ -63,13 +69,11 @@
 def test_a_placer_keeps_its_token_over_a_change_of_view() -> None:
     async def work() -> None:
         world = World(3)
-        machine = await started(world)
-        assert machine.plane is not None
-        token = machine.plane.role.lease.token
-        await asyncio.sleep(3.0)
+        machine, token = await settled(world)
         other = next(m for m in world.running() if m is not machine)
         world.kill(other, power=True)
         await asyncio.sleep(4.0)
+        assert machine.plane is not None
         assert machine.plane.role.holds() and machine.plane.role.lease.token == token
 
     run(work())
--- a/tests/cluster/test_search.py
+++ b/tests/cluster/test_search.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterable
 
 import pytest
+from click.testing import CliRunner
 
 from finchladder.cluster.replication import agreement
 from finchladder.cluster.types.members import View
 from finchladder.cluster.types.messages import Accept, Promise
 from finchladder.lab.cluster import agreement_model
+from finchladder.lab.cluster.__main__ import main
 from finchladder.lab.cluster.search import Explored, explore
 
 ALL, SOME = 1_000_000, 15_000  # states
@@ -27,7 +29,7 @@
 
 @pytest.mark.parametrize(("voters", "ballots"), [(3, 3), (5, 2)])
 def test_larger_rounds_are_searched_as_far_as_a_test_may_take(voters: int, ballots: int) -> None:
-    """Five voters and two ballots have 324,096 states up to 22 steps away: all were searched, in 15 s."""
+    """All of them: `python -m finchladder.lab.cluster search --voters 5`."""
     found = searched(voters, ballots, most=SOME)
     assert found.broken is None
     assert found.states == SOME
@@ -53,6 +55,18 @@
     assert searched(3, 2).broken is not None
 
 
+def test_the_command_tells_what_it_saw_and_fails_where_two_views_are_decided(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    result = CliRunner().invoke(main, ["search"])
+    assert (result.exit_code, result.output) == (0, "1696 states, all of them, up to 14 steps away\n")
+    assert "not all" in CliRunner().invoke(main, ["search", "--states", "50"]).output
+    monkeypatch.setattr(agreement, "bound_value", lambda promises: None)
+    result = CliRunner().invoke(main, ["search"])
+    assert result.exit_code == 1
+    assert "two views are decided after:" in result.output
+
+
 def test_the_search_tells_the_shortest_way_and_whether_it_saw_all() -> None:
     def steps(number: int) -> Iterable[tuple[str, int]]:
         return [(f"+{step}", number + step) for step in (1, 2) if number + step <= 6]
