--- a/finchladder/cluster/placement/demand.py
+++ b/finchladder/cluster/placement/demand.py
@@ -112,6 +112,10 @@
         """Requests that wait for it anywhere."""
         return self.total.waiting[item]
 
+    def waited_for(self) -> list[Item]:
+        """Items for which requests wait anywhere."""
+        return list(self.total.waiting)
+
     def running(self, item: Item) -> float:
         """Requests of it that run anywhere, smoothed."""
         figure = self.figures.get(item)
--- a/finchladder/cluster/process/control_plane.py
+++ b/finchladder/cluster/process/control_plane.py
@@ -75,9 +75,12 @@
         losses: int,
         seeds: tuple[str, ...],
         turn_s: float,
+        fenced: bool,
         random: Random,
     ) -> "ControlPlane":
-        """`seeds`: peer addresses; `turn_s`: no two holders of the role may both act within so long."""
+        """`seeds`: peer addresses; `turn_s`: no two holders of the role may both act within so long;
+        `fenced`: whether workers refuse orders of former holders.
+        """
         voting = Voting(
             me,
             store,
@@ -90,7 +93,7 @@
             random,
         )
         lease_s = turn_s * LEASE_SHARE
-        chain = ChainService(voting, GrantedLease(lease_s, turn_s))
+        chain = ChainService(voting, GrantedLease(lease_s, turn_s, fenced=fenced))
         return cls(voting, chain, Changes(chain), EndedWorkers(chain), RoleService(chain, HeldLease(lease_s)))
 
     async def answer(self, request: Request) -> Reply:
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -63,6 +63,7 @@
             losses=settings.losses,
             seeds=seeds,
             turn_s=settings.bounds.lease_s,
+            fenced=settings.bounds.fencing,
             random=self.random,
         )
         bounds = settings.bounds
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from finchladder.cluster.configuration.routing import EMPTY, Engine, Snapshot, build
-from finchladder.cluster.placement.demand import DemandBook
+from finchladder.cluster.placement.demand import DemandBook, Item
 from finchladder.cluster.placement.disks import KnownDisks
 from finchladder.cluster.placement.durations import EVICT_S, Durations
 from finchladder.cluster.placement.ledger import LoadLedger
@@ -73,6 +73,7 @@
     durations: dict[str, Durations] = field(factory=dict)
     disks: KnownDisks = field(factory=KnownDisks)
     waited_for: Signal = field(factory=Signal)
+    waiting_since: dict[Item, float] = field(factory=dict)  # what is waited for that nobody holds
     snapshot: Snapshot = EMPTY
     term: int = 0
     was_own: bool = False  # the holder before was a former life of this process
@@ -82,11 +83,17 @@
         """A dispatcher's report."""
         self.demand.take(steady(), report)
         if any(d.waiting for d in report.demands):
+            self._note_waiting()
             self.waited_for.fire()
         edges = max(1, self.sessions.edges())
         interval = max(REPORT_INTERVAL_MS, 1000 * edges // REPORTS_A_SECOND)
         return DemandReply(interval, self.role.holds(), self.demand.loads_of_others(report.sender))
 
+    def _note_waiting(self) -> None:
+        """Keeps since when each item is waited for, as long as it is."""
+        now, items = steady(), self.demand.waited_for()
+        self.waiting_since = {item: self.waiting_since.get(item, now) for item in items}
+
     async def run(self) -> None:
         """Plans again and again while it holds the role."""
         while True:
@@ -304,7 +311,15 @@
             store_s = durations.expected_s(load_s, adapter=False, warm=False)
             warm = self.disks.learn(managed.state.instance, took_s, store_s)
         durations.learn(load_s, bool(action.adapter), warm, took_s)
-        event("placer.loaded", model=action.model, adapter=action.adapter, warm=warm, took_s=round(took_s, 2))
+        now, item = steady(), Item(managed.state.service, action.model, action.adapter)
+        event(
+            "placer.loaded",
+            model=action.model,
+            adapter=action.adapter,
+            warm=warm,
+            took_s=round(took_s, 2),
+            waited_s=round(now - self.waiting_since.get(item, now), 2),
+        )
 
     async def _give(self, managed: Managed, operation: str, model: str, adapter: str) -> bool:
         """Gives one order; False if it was not taken.
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -33,6 +33,7 @@
 HOLD_SHARE = 0.8  # of the time that a client waits: what needs longer is refused
 UNKNOWN_SHARE = 0.4  # of that time a request waits for something of which nobody says when it comes
 LAST_SEND_S = 0.05
+DOUBTFUL, ENDING, ABSENT, FULL = "doubtful", "ending", "absent", "full"  # why a request is refused
 LATE_S = 1.5  # by which what is being loaded may come later than was told
 LOOK_AGAIN_S = 0.03
 REST_FULL_S = 0.1
@@ -95,7 +96,7 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.snapshot.version or self.is_doubtful():
-            return self._refuse(RETRY_AFTER_ABSENT_S)
+            return self._refuse(RETRY_AFTER_ABSENT_S, DOUBTFUL)
         host = request.headers.get("Host", "").partition(":")[0]
         route = self.snapshot.match(host, request.raw_path.partition("?")[0])
         if route is None:
@@ -106,7 +107,7 @@
         if body is None:
             return self._plain(413, "the body is too large")
         if wanted.arrived >= self.whole_only_from and wanted.until > self.holds_end:
-            return self._refuse(RETRY_AFTER_FULL_S)
+            return self._refuse(RETRY_AFTER_FULL_S, ENDING, wanted)
         return await self._serve(request, route, wanted, body)
 
     async def _body(self, request: web.BaseRequest) -> bytes | None:
@@ -137,9 +138,10 @@
         while True:
             backend = await self._find(wanted, sent)
             if backend is None:
-                return self._refuse(self._retry_after(wanted))
+                has_holders = bool(self.pools.pool(wanted.key).backends)
+                return self._refuse(self._retry_after(wanted), FULL if has_holders else ABSENT, wanted)
             if sent and not budget.spend(steady(), self.dispatchers()):
-                return self._refuse(RETRY_AFTER_FULL_S)
+                return self._refuse(RETRY_AFTER_FULL_S, FULL, wanted)
             with Running(self.demand, wanted, backend):
                 outcome = await self._send(sending, backend)
                 if isinstance(outcome, Answered):
@@ -149,12 +151,12 @@
             if isinstance(outcome, NotSent):
                 connect_failures += 1
                 if connect_failures >= MOST_CONNECT_FAILURES or steady() >= wanted.until:
-                    return self._refuse(RETRY_AFTER_FULL_S)
+                    return self._refuse(RETRY_AFTER_FULL_S, FULL, wanted)
                 continue
             sent |= {backend.instance}
             if isinstance(outcome, NotExecuted):
                 if len(sent) >= route.most_workers:
-                    return self._refuse(max(outcome.retry_after_s, RETRY_AFTER_FULL_S))
+                    return self._refuse(max(outcome.retry_after_s, RETRY_AFTER_FULL_S), FULL, wanted)
                 continue
             if isinstance(outcome, Broken) and route.may_repeat and len(sent) < route.most_workers:
                 continue
@@ -339,8 +341,12 @@
             return None
         return backend, outcome.response
 
-    def _refuse(self, retry_after_s: float) -> web.StreamResponse:
+    def _refuse(self, retry_after_s: float, reason: str, wanted: Need | None = None) -> web.StreamResponse:
         """Not run: the client may come again."""
+        waited_s = 0.0 if wanted is None else round(steady() - wanted.arrived, 2)
+        event(
+            "request.refused", reason=reason, key="" if wanted is None else wanted.key.name, waited_s=waited_s
+        )
         response = web.Response(status=503, text="no worker can take it now\n")
         response.headers["Retry-After"] = f"{retry_after_s:.2f}"
         return self._finished(response)
--- a/finchladder/cluster/replication/lease.py
+++ b/finchladder/cluster/replication/lease.py
@@ -23,6 +23,7 @@
     lease_s: float  # how long a holder may act after it asked
     turn_s: float  # how long no two holders may both have acted
     renewed_at: float | None = None  # None: not confirmed yet in this view
+    fenced: bool = False  # whether workers refuse orders with a fencing token below one that they have seen
 
     def confirm(self, now: float) -> None:
         """The chain has confirmed the head for the first time in its view."""
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -28,7 +28,7 @@
 class World:
     """Runs machines, operators and faults; an oracle looks on. `freezes`: processes stand still at times;
     `overlaps`: faults come together, and as many disks are lost at once as may be, whatever else is wrong.
-    `edges`: dispatchers that pull; with them there are workers, too.
+    `edges`: dispatchers that pull; with them there are workers, too. `fenced`: workers check fencing tokens.
     """
 
     seed: int
@@ -37,6 +37,7 @@
     freezes: bool = False
     overlaps: bool = False
     edges: int = 0
+    fenced: bool = False
     random: Random = field(init=False)
     network: Network = field(init=False)
     machines: dict[str, Machine] = field(factory=dict)
@@ -46,6 +47,7 @@
     drains: bool = True  # workers drain from time to time
     fleet: FleetOracle = field(factory=lambda: FleetOracle(APPLY_S, DRAIN_S))
     contact: Contact = field(factory=lambda: Contact(CONTACT_S))
+    core_contact: Contact = field(factory=lambda: Contact(CONTACT_S))  # watched from the first start on
     trace: list[str] = field(factory=list)
     violation: Violation | None = None
     numbers: int = 0
@@ -92,6 +94,7 @@
             losses=self.losses,
             seeds=self._seeds(),
             turn_s=TURN_S,
+            fenced=self.fenced,
             random=Random(self.random.getrandbits(64)),
         )
         machine.plane, machine.disk = plane, disk
--- /dev/null
+++ b/tests/cluster/stand_in_workers.py
@@ -0,0 +1,112 @@
+"""Model workers at virtual time that take orders as the protocol page says; their reports are old."""
+
+import asyncio
+
+from attrs import define, field
+
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.errors import PeerUnreachable
+from finchladder.cluster.types.worker_api import ModelReport, OrderBody, Report
+
+DONE, TAKEN, BUSY, STALE_FENCE = 200, 202, 409, 412
+
+
+@define
+class StandInWorker:
+    """One worker. `log`: when each order came, with its answer; `past`: reports by when they were true."""
+
+    models: set[str] = field(factory=set)
+    load_s: float = 0.8
+    evict_s: float = 0.01
+    report_lag_s: float = 0.2
+    call_s: float = 0.003
+    sequence: int = 0
+    fence: int = 0
+    busy_until: float = 0.0
+    underway: OrderBody | None = None
+    adapters: dict[str, set[str]] = field(factory=dict)
+    log: list[tuple[float, OrderBody, int]] = field(factory=list)
+    past: list[tuple[float, Report]] = field(factory=list)
+    dark: bool = False
+
+    def settle(self) -> None:
+        """Brings what it holds to the present moment."""
+        order = self.underway
+        if order is None or steady() < self.busy_until:
+            return
+        self.underway = None
+        self._finish(order)
+        self._note(self.busy_until)
+
+    def _finish(self, order: OrderBody) -> None:
+        held = self.adapters.setdefault(order.model, set())
+        if order.adapter is not None:
+            (held.add if order.operation == "load" else held.discard)(order.adapter)
+        elif order.operation == "load":
+            self.models.add(order.model)
+        else:
+            self.models.discard(order.model)
+            held.clear()
+
+    def _note(self, at: float) -> None:
+        models = [ModelReport(m, 1, sorted(self.adapters.get(m, ()))) for m in sorted(self.models)]
+        self.past.append((at, Report(self.sequence, self.underway is not None, models)))
+
+    def _holds(self, order: OrderBody) -> bool:
+        if order.adapter is not None:
+            return order.adapter in self.adapters.get(order.model, ())
+        return order.model in self.models
+
+    def take(self, order: OrderBody) -> int:
+        """The status of the answer to an order."""
+        self.settle()
+        if order.fence_token < self.fence:
+            return STALE_FENCE
+        self.fence = order.fence_token
+        if self.underway is not None or order.if_revision not in (None, self.sequence):
+            return BUSY
+        if self._holds(order) == (order.operation == "load"):
+            return DONE
+        self.sequence += 1
+        self.underway = order
+        self.busy_until = steady() + (self.load_s if order.operation == "load" else self.evict_s)
+        self._note(steady())
+        return TAKEN
+
+    def reported(self) -> Report:
+        """What it says of itself: as it was some time ago."""
+        self.settle()
+        if not self.past:
+            self._note(-1e9)
+        moment = steady() - self.report_lag_s
+        seen = [report for at, report in self.past if at <= moment]
+        return seen[-1] if seen else self.past[0][1]
+
+
+@define
+class StandInClient:
+    """In place of the client that calls workers; `workers` by address."""
+
+    workers: dict[str, StandInWorker]
+
+    async def order(self, address: str, instance: str, body: OrderBody, timeout_s: float) -> int:
+        """As of `WorkerClient`."""
+        worker = await self._reach(address, "order", timeout_s)
+        status = worker.take(body)
+        worker.log.append((steady(), body, status))
+        await asyncio.sleep(worker.call_s / 2)
+        return status
+
+    async def report(self, address: str, instance: str) -> Report:
+        """As of `WorkerClient`."""
+        worker = await self._reach(address, "report", 0.8)
+        report = worker.reported()
+        await asyncio.sleep(worker.call_s / 2)
+        return report
+
+    async def _reach(self, address: str, step: str, timeout_s: float) -> StandInWorker:
+        worker = self.workers[address]
+        await asyncio.sleep(timeout_s if worker.dark else worker.call_s / 2)
+        if worker.dark:
+            raise PeerUnreachable(step, address, "no answer")
+        return worker
--- a/tests/cluster/test_role.py
+++ b/tests/cluster/test_role.py
@@ -96,3 +96,24 @@
     granted.confirm(10.0)
     granted.resign(11.0, idle_s=2.0)
     assert granted.wait_s(11.0) == pytest.approx(1.0)
+
+
+SUSPECTED_S = 1.0  # until a silent machine is out of the chain
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_where_workers_check_fences_a_lost_placer_is_followed_when_its_lease_is_over(seed: int) -> None:
+    """Its orders are refused by then; what was waited for longer was nothing but time without a placer."""
+
+    async def work() -> None:
+        world, loop = World(seed, fenced=True), asyncio.get_running_loop()
+        machine, token = await settled(world)
+        lease_s = machine.plane.role.lease.lease_s if machine.plane is not None else 0.0
+        world.kill(machine, power=True)
+        died = loop.time()
+        other = await holder(world, 8.0, machine.name)
+        assert other.plane is not None and other.plane.role.lease.token > token
+        assert loop.time() - died <= SUSPECTED_S + lease_s + 2 * CLOCK_MARGIN_S
+        assert world.violation is None
+
+    run(work())
