A lost placer is followed when its lease is over, where workers check fences

Cause: a successor waited until the last possible order was a whole turn of lease_ms old, counted from when the new chain was confirmed; and the head went on waiting for an answer of the member that had left the chain. For 5 s and more nothing was loaded. Change: a holder that the view leaves out is followed after its lease; the turn stays between members of one chain and where fences are not checked. A new head counts the lease from when it learned of its view, if it had stored the state in the one before. A call to a member that left is given up, and the new chain is confirmed at once. Candidates look again when the view changes.

--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -1,6 +1,7 @@
 """A core process's part in the chain: stores what comes down; as head takes writes and confirms the view."""
 
 import asyncio
+from typing import Any
 
 from attrs import define, field
 
@@ -21,6 +22,7 @@
     ReadState,
     Replicate,
     Replicated,
+    Reply,
     StateReply,
 )  # fmt: skip
 from finchladder.cluster.types.operations import ControlState, Operation, SetConfiguration
@@ -46,6 +48,8 @@
     confirmed_view: int = 0  # as head: the view that its chain has confirmed
     last_problem: str = ""
     confirmed_at: float = -1e9  # when a confirmation began that went through, here or above
+    begun_view: int = 0  # as head: the view that it last began, and until when the lease was renewable before
+    renewable_until: float | None = None
 
     @property
     def view(self) -> View:
@@ -101,14 +105,30 @@
 
     async def _send(self, successor: Member, request: Replicate) -> Replicated:
         timeout_s = LINK_TIMEOUT_S + _bytes_in(request) / BYTES_A_SECOND
+        call = asyncio.ensure_future(self.voting.peers.call(successor.peer_address, request, timeout_s))
         try:
-            reply = await self.voting.peers.call(successor.peer_address, request, timeout_s)
+            await self._while_in_chain(successor, call)
+            if not call.done():
+                return Replicated(False, self.view, problem=f"{successor.name} has left the chain")
+            reply = call.result()
         except ClusterError as error:
             return Replicated(False, self.view, problem=str(error))
         if not isinstance(reply, Replicated):
             return Replicated(False, self.view, problem=f"unexpected {type(reply).__name__}")
         return reply
 
+    async def _while_in_chain(self, member: Member, call: "asyncio.Future[Reply]") -> None:
+        """Waits for the answer of a member, or until the view leaves it out: then none is of use any more."""
+        try:
+            while not call.done() and self.view.position(member.disk_id) is not None:
+                change = asyncio.ensure_future(self.voting.changed.wait(LINK_TIMEOUT_S))
+                both: set[asyncio.Future[Any]] = {call, change}
+                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+                change.cancel()
+        finally:
+            if not call.done():
+                call.cancel()
+
     def _acknowledge(self, replica: Replica, view: View, began: float) -> None:
         """All members from here to the tail hold it, and those before sent it on after storing it."""
         self.confirmed_at = max(self.confirmed_at, began)
@@ -131,6 +151,8 @@
         view = voting.view
         if not self.is_head:
             return False
+        if self.begun_view != view.number:
+            self.begun_view, self.renewable_until = view.number, self._renewable_until(view)
         beginning = await self._beginning(view)
         async with voting.lock:
             if not self.is_head or voting.view.number != view.number or beginning is None:
@@ -147,10 +169,23 @@
         self._acknowledge(replica, view, began)
         if self.confirmed_view != view.number:
             self.confirmed_view = view.number
-            self.lease.confirm(steady())
+            self.lease.confirm(steady() if self.renewable_until is None else self.renewable_until)
             event("chain.confirmed", view=view.number, sequence=replica.state.sequence)
         return self.view.number == view.number
 
+    def _renewable_until(self, view: View) -> float | None:
+        """The last moment at which the placer's lease can have been renewed before this view, before the head
+        stores the state in it; None: unknown. Only a head renews, and only as the whole chain of its view
+        confirms it: one that was the head before knows when, and a member that had stored the state in that
+        view has confirmed nothing since it learned of this one.
+        """
+        before = view.number - 1
+        if self.confirmed_view == before and self.lease.renewed_at is not None:
+            return self.lease.renewed_at
+        if self.voting.replica.state_view == before and self.voting.adopted_at > self.voting.started_at:
+            return self.voting.adopted_at
+        return None
+
     async def _beginning(self, view: View) -> Replica | None:
         """What the head of a view begins with: its own replica, or the newest of all members' where there are
         no survivors; None if that can't be had.
@@ -207,12 +242,14 @@
     async def drive(self) -> None:
         """As head: confirms the chain again and again, at once when the view has changed."""
         while True:
+            view = self.view
             if self.is_head and self.voting.healthy():
                 try:
                     await self.confirm()
                 except ClusterError as error:
                     event("chain.failed", problem=str(error))
-            await self.voting.changed.wait(CONFIRM_S)
+            if self.view.number == view.number:
+                await self.voting.changed.wait(CONFIRM_S)
 
     # --- as tail ------------------------------------------------------------------------------------------
 
--- a/finchladder/cluster/process/role.py
+++ b/finchladder/cluster/process/role.py
@@ -55,8 +55,7 @@
             state = await self.chain.ready_to_write()
             if state is None:
                 return REFUSED
-            is_holder = state.placer == request.holder
-            wait_s = self._wait_s(is_holder or not state.placer)
+            wait_s = self._wait_s(state.placer, request.holder)
             if wait_s is None or wait_s > 0 or request.token != state.fence_token:
                 return Granted(False, state.fence_token, int((wait_s or 0) * 1000))
             if not await self.chain.write(ClaimPlacer(request.holder, state.fence_token)):
@@ -64,10 +63,12 @@
             self.chain.lease.renew(steady())
             return Granted(True, state.fence_token + 1)
 
-    def _wait_s(self, is_free: bool) -> float | None:
-        """How long a claim has to wait; None: unknown. `is_free`: nobody else has the role."""
-        wait_s = self.chain.lease.wait_s(steady())
-        return 0.0 if is_free and wait_s is not None else wait_s
+    def _wait_s(self, holder: str, claimant: str) -> float | None:
+        """How long a claim has to wait; None: unknown. The role is free where nobody else has it."""
+        chain = self.chain.view.chain
+        holder_left = all(member.name != holder for member in chain)
+        wait_s = self.chain.lease.wait_s(steady(), holder_left=holder_left)
+        return 0.0 if holder in ("", claimant) and wait_s is not None else wait_s
 
     async def on_resign(self, request: Resign) -> Granted:
         """The holder ends; others need wait only until its last order is old enough."""
@@ -129,7 +130,7 @@
             self.lease.extend(asked_at, granted.token)
             event("placer.elected", token=granted.token)
         elif granted.wait_ms:
-            await asyncio.sleep(granted.wait_ms / 1000)
+            await self.chain.voting.changed.wait(granted.wait_ms / 1000)  # another view may shorten it
 
     def _is_candidate(self) -> bool:
         """The last members of the chain claim first, so that head and placer are mostly two machines."""
--- a/finchladder/cluster/replication/lease.py
+++ b/finchladder/cluster/replication/lease.py
@@ -1,9 +1,13 @@
 """The lease of a singleton role, on both sides; times are seconds of the own steady clock, passed in.
 
 The head grants it, the holder acts under it. The head renews only after the whole chain has confirmed the
-view, so a head that was replaced can't renew. A new head takes the lease as renewed at the moment its chain
-is confirmed first. The holder counts from the moment it asked; the head from the moment it answered; the
-successor waits besides until the last holder's orders are `turn_s` old.
+view, so a head that was replaced can't renew. A new head, once its chain has confirmed it, takes the lease as
+renewed at the last moment at which a head before it can have done so. The holder counts from the moment it
+asked; the head from the moment it answered.
+
+The successor waits besides until the last holder's orders are `turn_s` old. Where workers refuse orders with
+a fencing token below one that they have seen, that is needed only between members of one chain, which may
+both be well. A holder that the view leaves out is lost or cut off; what it may still have sent is refused.
 
     head                          renew by holder        claim, lease runs      claim, lease over
     unconfirmed                   refuse                 refuse                 refuse
@@ -25,9 +29,11 @@
     renewed_at: float | None = None  # None: not confirmed yet in this view
     fenced: bool = False  # whether workers refuse orders with a fencing token below one that they have seen
 
-    def confirm(self, now: float) -> None:
-        """The chain has confirmed the head for the first time in its view."""
-        self.renewed_at = now
+    def confirm(self, since: float) -> None:
+        """The chain has confirmed the head for the first time in its view; no other head has renewed since
+        `since`.
+        """
+        self.renewed_at = since
 
     def renew(self, now: float) -> None:
         """The holder was heard and the chain has confirmed the view since."""
@@ -39,11 +45,14 @@
         if self.renewed_at is not None:
             self.renewed_at = now - idle_s - self.lease_s - CLOCK_MARGIN_S
 
-    def wait_s(self, now: float) -> float | None:
-        """How long a claim of another member has to wait; 0: it may be granted; None: unknown."""
+    def wait_s(self, now: float, *, holder_left: bool = False) -> float | None:
+        """How long a claim of another member has to wait; 0: it may be granted; None: unknown. `holder_left`:
+        the holder is not in the chain.
+        """
         if self.renewed_at is None:
             return None
-        return max(0.0, self.renewed_at + self.lease_s + self.turn_s + CLOCK_MARGIN_S - now)
+        turn_s = 0.0 if self.fenced and holder_left else self.turn_s
+        return max(0.0, self.renewed_at + self.lease_s + turn_s + CLOCK_MARGIN_S - now)
 
 
 @define
--- a/finchladder/lab/cluster/lease_model.py
+++ b/finchladder/lab/cluster/lease_model.py
@@ -4,8 +4,11 @@
 Time goes in ticks and is counted from the present moment, so that the states are finitely many however long
 it lasts: what is so old that its age makes no difference counts as just that old. Messages may take any time
 or get lost. A head grants and renews only while it is the present one, since it asks its chain first; one
-that follows knows nothing of the lease but who has the role. Whoever holds a lease counts as acting at each
-tick.
+that follows knows nothing of the lease but who has the role, and since when no other head can have renewed
+it. Whoever holds a lease counts as acting at each tick.
+
+With `fenced`, workers refuse orders of former holders: the view may leave the holder out and let it in again,
+and no two members may hold a lease at the same moment.
 """
 
 from collections.abc import Iterator
@@ -71,10 +74,14 @@
     renewed_at: float | None = 0.0
     messages: frozenset[Message] = frozenset()
     heads_left: int = 1
+    replaced_at: float = FREE  # of the head that waits for its chain: when the one before ceased to renew
+    fenced: bool = False
+    holder_left: bool = False  # the view leaves the holder out
+    views_left: int = 0  # changes of that
 
     def granted(self) -> GrantedLease:
         """The head's side."""
-        return GrantedLease(LEASE_TICKS, TURN_TICKS, self.renewed_at)
+        return GrantedLease(LEASE_TICKS, TURN_TICKS, self.renewed_at, fenced=self.fenced)
 
     def with_candidate(self, changed: Candidate) -> "System":
         """The same with one member changed."""
@@ -82,21 +89,28 @@
         return evolve(self, candidates=others)
 
 
-def start(requests: int, heads: int) -> System:
-    """Two members, nobody has the role yet. `requests`: calls that each may make; `heads`: replacements."""
+def start(requests: int, heads: int, *, fenced: bool = False, views: int = 0) -> System:
+    """Two members, nobody has the role yet. `requests`: calls that each may make; `heads`: replacements;
+    `views`: changes of whether the view leaves the holder out.
+    """
     members = tuple(Candidate(name, requests_left=requests) for name in ("a", "b"))
-    return System(members, heads_left=heads)
+    return System(members, heads_left=heads, fenced=fenced, views_left=views)
 
 
 def steps(system: System) -> Iterator[tuple[str, System]]:
     """All that may happen next."""
     yield "a tick passes", _tick(system)
     if system.heads_left:
-        yield "the head is replaced", evolve(system, renewed_at=None, heads_left=system.heads_left - 1)
+        replaced = evolve(system, renewed_at=None, replaced_at=NOW, heads_left=system.heads_left - 1)
+        yield "the head is replaced", replaced
     if system.renewed_at is None:
         lease = system.granted()
-        lease.confirm(NOW)
-        yield "the chain confirms the head", evolve(system, renewed_at=lease.renewed_at)
+        lease.confirm(system.replaced_at)
+        confirmed = evolve(system, renewed_at=lease.renewed_at, replaced_at=FREE)
+        yield "the chain confirms the head", confirmed
+    if system.views_left:
+        changed = evolve(system, holder_left=not system.holder_left, views_left=system.views_left - 1)
+        yield "the view leaves the holder out, or lets it in", changed
     for candidate in system.candidates:
         if candidate.requests_left:
             yield from _requests(system, candidate)
@@ -113,7 +127,14 @@
         members.append(evolve(later, acted_at=NOW) if later.holds() else later)
     renewed_at = None if system.renewed_at is None else _older(system.renewed_at, FREE)
     messages = frozenset(evolve(m, sent_at=_older(m.sent_at, USELESS)) for m in system.messages)
-    return evolve(system, candidates=tuple(members), renewed_at=renewed_at, messages=messages)
+    replaced_at = _older(system.replaced_at, FREE)
+    return evolve(
+        system,
+        candidates=tuple(members),
+        renewed_at=renewed_at,
+        messages=messages,
+        replaced_at=replaced_at,
+    )
 
 
 def _older(moment: float, oldest: float) -> float:
@@ -170,7 +191,7 @@
 
 def _claimed(system: System, request: Message) -> System:
     lease = system.granted()
-    wait = lease.wait_s(NOW)
+    wait = lease.wait_s(NOW, holder_left=system.holder_left)
     if wait is not None and system.holder in ("", request.member):
         wait = 0.0
     if wait is None or wait > 0 or request.token != system.token:
@@ -183,6 +204,7 @@
         token=system.token + 1,
         renewed_at=lease.renewed_at,
         messages=system.messages | {grant},
+        holder_left=False,
     )
 
 
@@ -202,3 +224,8 @@
         if one.acted_at == NOW and any(NOW - at < TURN_TICKS for at in others):
             return False
     return True
+
+
+def no_two_hold_at_once(system: System) -> bool:
+    """The rule where workers refuse the orders of former holders."""
+    return sum(candidate.holds() for candidate in system.candidates) <= 1
--- a/finchladder/lab/cluster/planted_faults.py
+++ b/finchladder/lab/cluster/planted_faults.py
@@ -26,7 +26,7 @@
 _QUALIFIED = "if place < view.survivors or status.state_view == view.number:"
 _IS_TAIL = "if tail is None or tail.disk_id != voting.me.disk_id or replica.state_view != view.number:"
 _CHAIN_ANSWER = "if problem:\n            return Replicated(False, voting.view, problem=problem)"
-_LEASE_WAIT = "return max(0.0, self.renewed_at + self.lease_s + self.turn_s + CLOCK_MARGIN_S - now)"
+_LEASE_WAIT = "return max(0.0, self.renewed_at + self.lease_s + turn_s + CLOCK_MARGIN_S - now)"
 _EXTEND = (
     "if granted.granted:\n            self.lease.extend(asked_at, granted.token)\n        elif granted.token:"
 )
@@ -133,14 +133,14 @@
         "turn not waited for",
         1,
         "replication.lease",
-        "self.lease_s + self.turn_s + CLOCK",
-        "self.lease_s + CLOCK",
+        "turn_s = 0.0 if self.fenced and holder_left else self.turn_s",
+        "turn_s = 0.0",
     ),
     Mutant(
         "new head takes the lease for old",
         1,
         "process.chain_service",
-        "self.lease.confirm(steady())",
+        "self.lease.confirm(steady() if self.renewable_until is None else self.renewable_until)",
         "self.lease.confirm(steady() - 100)",
     ),
     Mutant(
--- a/tests/cluster/test_role.py
+++ b/tests/cluster/test_role.py
@@ -99,6 +99,35 @@
 
 
 SUSPECTED_S = 1.0  # until a silent machine is out of the chain
+CALLS_S = 0.3  # for some calls within the chain
+
+
+@pytest.mark.parametrize("place", [1, 2])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_head_does_not_wait_for_the_answer_of_a_member_that_has_left_the_chain(
+    seed: int, place: int
+) -> None:
+    """Whatever it was asking it: there is no write, refusal or lease until the new view is confirmed."""
+
+    async def work() -> None:
+        world, loop = World(seed), asyncio.get_running_loop()
+        await settled(world)
+        plane = world.running()[0].plane
+        assert plane is not None
+        chain = [world.machines[member.name] for member in plane.voting.view.chain]
+        head = chain[0].plane
+        assert head is not None
+        world.kill(chain[place], power=True)
+        async with asyncio.timeout(3.0):
+            while len(head.voting.view.chain) == len(chain):
+                await asyncio.sleep(0.01)
+        left_at = loop.time()
+        async with asyncio.timeout(3.0):
+            while head.chain.confirmed_view != head.voting.view.number:
+                await asyncio.sleep(0.01)
+        assert loop.time() - left_at <= CALLS_S
+
+    run(work())
 
 
 @pytest.mark.parametrize("seed", range(4))
