The end of a load is asked of the worker; a successor knows the loads before it

Cause: the placer read the end of an order from reports that are some hundred ms old, so a load of 0.8 s was told after 1.18 s and an adapter of 0.02 s kept its worker for 0.24 s. A new placer took the store's window for full, and one whose lease ran out for a moment during a change of view forgot what it had begun and what was under way. Change: a load that was taken is given again from when it should be done; 200 says that it holds. Placement records tell loads begun and orders announced; a successor counts those, and each order that workers took beyond them. A lease that has only run out ends no term. Orders stand in worker_orders.py.

--- a/finchladder/cluster/placement/durations.py
+++ b/finchladder/cluster/placement/durations.py
@@ -4,7 +4,7 @@
 
 STEP = 0.3  # weight of a new observation
 FIRST_WARM_SHARE = 0.25
-FIRST_ADAPTER_S = 0.12  # reports are about as old
+FIRST_ADAPTER_S = 0.02
 EVICT_S = 0.05
 
 
--- a/finchladder/cluster/placement/ledger.py
+++ b/finchladder/cluster/placement/ledger.py
@@ -1,13 +1,17 @@
 """How many loads from the weight store may still begin; times are passed in.
 
 A placer begins at most `rate_s` x `window_s` loads in any window. The rule allows `overage` times as many and
-a few more; a new placer does not know what the one before it began, counts with the most that it may have
-begun, and uses what the rule leaves beyond that.
+a few more; until a new placer knows what the one before it began, it counts with the most that this may have
+been, and uses what the rule leaves beyond. It learns it from two sides: placement records tell the loads that
+were announced, and what workers have taken beyond their records counts as loads of this moment.
 """
 
 from collections import deque
+from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
+
+from finchladder.cluster.types.workers import PlacementRecord
 
 RULE_SLACK = 3  # loads that the rule allows beyond the rate
 
@@ -27,6 +31,12 @@
         self.began = deque([until] * self.most)
         self.unknown_until = until + self.window_s
 
+    def know(self, began: Iterable[float]) -> None:
+        """What others began lately is known, unless it is more than one placer begins."""
+        self.began = deque(sorted(began)[-self.most :])
+        if len(self.began) < self.most:
+            self.unknown_until = 0.0
+
     @property
     def most(self) -> int:
         """Loads that one window may hold."""
@@ -51,3 +61,46 @@
     def note(self, now: float) -> None:
         """A load may have begun."""
         self.began.append(now)
+
+
+@frozen
+class Announced:
+    """What one placement record tells: when loads from the store began at the worker."""
+
+    serial: int
+    began: tuple[float, ...]
+
+
+@define
+class ObservedLoads:
+    """Loads from the store that placers announced, as any member of the core sees them. A record is older
+    than the moment at which it is seen, so a load counts for no shorter than it should.
+    """
+
+    window_s: float
+    by_worker: dict[tuple[str, int], Announced] = field(factory=dict)  # by instance and fencing token
+
+    def note(self, now: float, records: Iterable[PlacementRecord]) -> None:
+        """These records are known now. O(records)."""
+        for record in records:
+            key = record.instance, record.token
+            known = self.by_worker.get(key)
+            if record.load_ages_ms and (known is None or known.serial < record.serial):
+                began = tuple(now - age_ms / 1000 for age_ms in record.load_ages_ms)
+                self.by_worker[key] = Announced(record.serial, began)
+
+    def forget(self, now: float) -> None:
+        """Drops what lies before the window."""
+        since = now - self.window_s
+        self.by_worker = {key: a for key, a in self.by_worker.items() if max(a.began) > since}
+
+    def within(self, now: float, instances: Iterable[str]) -> list[float]:
+        """When loads at these workers began, as far as that lies in the window."""
+        wanted, since = set(instances), now - self.window_s
+        return [
+            at
+            for (instance, _), announced in self.by_worker.items()
+            if instance in wanted
+            for at in announced.began
+            if at > since
+        ]
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -17,6 +17,7 @@
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.worker_client import WorkerClient
+from finchladder.cluster.process.worker_orders import WorkerOrders
 from finchladder.cluster.storage.lmdb_store import Identity, Store
 from finchladder.cluster.transport.http_server import Listener
 from finchladder.cluster.transport.peers import PeerClient, peer_handler
@@ -79,7 +80,7 @@
         self.placer = Placer(
             self.control.role,
             self.sessions,
-            self.workers,
+            WorkerOrders(self.control.role, self.workers),
             self.tasks,
             bounds.ceiling_window_s,
             bounds.ceiling_overage,
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 from attrs import define, field
 
@@ -10,50 +11,23 @@
 from finchladder.cluster.placement.demand import DemandBook, Item
 from finchladder.cluster.placement.disks import KnownDisks
 from finchladder.cluster.placement.durations import EVICT_S, Durations
-from finchladder.cluster.placement.ledger import LoadLedger
+from finchladder.cluster.placement.ledger import LoadLedger, ObservedLoads
 from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, store_loads_at_once, used_mb
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.sessions_service import SessionsService
 from finchladder.cluster.process.tasks import Signal, Tasks
-from finchladder.cluster.process.worker_client import WorkerClient
+from finchladder.cluster.process.worker_orders import SETTLE_S, Managed, WorkerOrders
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import PeerUnreachable
 from finchladder.cluster.types.messages import DemandReply, DemandReport
-from finchladder.cluster.types.worker_api import OrderBody, Report
+from finchladder.cluster.types.worker_api import Report
 from finchladder.cluster.types.workers import Holding, PendingLoad, Phase, PlacementRecord, WorkerRecord
 
 TICK_S = 0.1
 HIDE_S = 0.05  # from telling the dispatchers that a model goes until the order goes out
-POLL_S = 0.1
-POLL_SHARE = 0.1  # of what an order should take, between two looks at whether it is done
-TAKEN = 202
-BUSY = 409
-STALE_FENCE = 412
-QUICK_S = 0.1  # most evictions end within it
-LONGEST_EVICT_S = 10.0
 REPORT_INTERVAL_MS = 400
 REPORTS_A_SECOND = 150  # that the placer is ready to read
-MOST_LOADING_SHARE = (
-    0.34  # of the workers may load from the store at once: meanwhile they take no other order
-)
-SETTLE_S = 0.5  # a worker that could not be asked is asked again after this
-
-
-@define
-class Managed:
-    """A worker under this placer. `report`: the last one; None: not asked yet."""
-
-    state: WorkerState
-    report: Report | None = None
-    revision: int = 0  # orders that the worker has taken
-    serial: int = 0
-    hidden: set[tuple[str, str]] = field(factory=set)
-    task: asyncio.Task[None] | None = None
-    retry_at: float = 0.0
-    action: Load | None = None
-    pending_load: PendingLoad | None = None
-    told: tuple[tuple[Holding, ...], PendingLoad | None] | None = None
 
 
 @define
@@ -62,7 +36,7 @@
 
     role: RoleService
     sessions: SessionsService
-    client: WorkerClient
+    orders: WorkerOrders
     tasks: Tasks
     window_s: float
     overage: float
@@ -72,12 +46,17 @@
     ledgers: dict[str, LoadLedger] = field(factory=dict)
     durations: dict[str, Durations] = field(factory=dict)
     disks: KnownDisks = field(factory=KnownDisks)
+    observed: ObservedLoads = field(init=False)
     waited_for: Signal = field(factory=Signal)
     waiting_since: dict[Item, float] = field(factory=dict)  # what is waited for that nobody holds
     snapshot: Snapshot = EMPTY
     term: int = 0
     was_own: bool = False  # the holder before was a former life of this process
     term_began: float = 0.0
+    survey: asyncio.Task[None] | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.observed = ObservedLoads(self.window_s)
 
     def on_demand(self, report: DemandReport) -> DemandReply:
         """A dispatcher's report."""
@@ -97,19 +76,24 @@
     async def run(self) -> None:
         """Plans again and again while it holds the role."""
         while True:
+            self._observe()
             if self.role.holds():
                 self._begin_term()
                 self._tick()
-            elif self.managed:
+            elif self.term and self.role.lease.is_dropped:
                 self._end_term()
-            else:
-                self._note_held()
             await self.waited_for.wait(TICK_S)
 
-    def _note_held(self) -> None:
-        """What workers have held is on their disks; known to whoever may become placer."""
-        for record in self.sessions.tables.live():
-            self.disks.note(record.instance, record.address, (h.model for h in record.holdings))
+    def _observe(self) -> None:
+        """What whoever may become placer has to know: which models workers have held, as these are on their
+        disks, and which loads began lately.
+        """
+        now, tables = steady(), self.sessions.tables
+        if not self.term:
+            for record in tables.live():
+                self.disks.note(record.instance, record.address, (h.model for h in record.holdings))
+        self.observed.note(now, (p.record for p in tables.placements.values()))
+        self.observed.forget(now)
 
     def _begin_term(self) -> None:
         token = self.role.lease.token
@@ -119,6 +103,38 @@
         self.term, self.term_began = token, steady()
         self.was_own = self.role.was_own
         self.ledgers = {}
+        self._follow_workers()
+        if token > 1:
+            self.survey = self.tasks.spawn(self._survey(token), "survey of the workers")
+
+    async def _survey(self, term: int) -> None:
+        """Asks all workers what they hold, and so learns how many loads the last placer may have begun. One
+        that was not there to see what was announced does not know.
+        """
+        await asyncio.gather(*(self._look_at(managed) for managed in self.managed.values()))
+        now = steady()
+        if self.term != term or now - self.sessions.started_at < self.window_s:
+            return
+        self._observe()
+        for name, service in self.snapshot.services.items():
+            if service.engine is not None:
+                self._take_over(now, name, service.engine)
+
+    async def _look_at(self, managed: Managed) -> None:
+        with suppress(PeerUnreachable):
+            report = await self.orders.ask(managed)
+            if managed.report is None and managed.taken_before is None:
+                managed.taken_before = report.sequence
+                if managed.task is None and not report.busy:
+                    self._know(managed, report)
+
+    def _take_over(self, now: float, service: str, engine: Engine) -> None:
+        """Counts the loads that were announced, and each order that was not as a load of this moment."""
+        workers = [m for m in self.managed.values() if m.state.service == service]
+        began = self.observed.within(now, (m.state.instance for m in workers))
+        unknown = sum(managed.orders_unheard() for managed in workers)
+        self._ledger(service, engine).know([*began, *[now] * unknown])
+        event("placer.taken_over", service=service, loads_lately=len(began), orders_unheard=unknown)
 
     def _end_term(self) -> None:
         for managed in self.managed.values():
@@ -161,7 +177,9 @@
         state = WorkerState(
             record.instance, record.service, record.address, record.zone, False, False, models
         )
-        return Managed(state)
+        placement = self.sessions.tables.placements.get(record.instance)
+        announced = 0 if placement is None else placement.record.orders
+        return Managed(state, self.term, announced_before=announced)
 
     def _plan(self, now: float, service: str, engine: Engine) -> None:
         workers = [m for m in self.managed.values() if m.state.service == service]
@@ -199,7 +217,7 @@
     async def _carry_out(self, managed: Managed, action: Load, engine: Engine, ledger: LoadLedger) -> None:
         try:
             if managed.report is None:
-                await self._learn(managed)
+                self._know(managed, await self.orders.learn(managed))
             if await self._make_room(managed, action) and self._still_fits(managed, action, engine):
                 await self._load(managed, action, engine, ledger)
         except PeerUnreachable as error:
@@ -208,22 +226,15 @@
             event("placer.worker_unheard", problem=str(error))
         finally:
             managed.task, managed.action, managed.pending_load = None, None, None
+            managed.announced = 0
             managed.hidden.clear()
             if managed.report is not None and managed.state.instance in self.managed:
                 self._publish(managed)
 
-    async def _learn(self, managed: Managed) -> None:
-        """Asks the worker what it holds, and waits while an order is under way there."""
-        state = managed.state
-        while True:
-            report = await self.client.report(state.address, state.instance)
-            if not report.busy:
-                break
-            await asyncio.sleep(POLL_S)
-        self._know(managed, report)
-
     def _know(self, managed: Managed, report: Report) -> None:
         managed.report, managed.revision = report, report.sequence
+        if managed.taken_before is None:
+            managed.taken_before = report.sequence
         managed.state.models = {m.name: set(m.adapters) for m in report.models}
         self.disks.note(managed.state.instance, managed.state.address, managed.state.models)
 
@@ -234,12 +245,15 @@
             if (model, "") not in managed.hidden:
                 adapters = tuple(a for a in sorted(held) if (model, a) not in managed.hidden)
                 usable.append(Holding(model, adapters))
-        told = tuple(usable), managed.pending_load
+        since = steady() - self.window_s
+        managed.store_loads = [at for at in managed.store_loads if at > since]
+        told = tuple(usable), managed.pending_load, managed.revision + managed.announced
         if told == managed.told:
             return
         managed.told = told
         managed.serial += 1
-        record = PlacementRecord(managed.state.instance, self.term, managed.serial, *told)
+        ages_ms = tuple(int(1000 * (steady() - at)) for at in managed.store_loads)
+        record = PlacementRecord(managed.state.instance, self.term, managed.serial, *told, ages_ms)
         self.sessions.tables.put_placement(record)
         self.sessions.changed.fire()
 
@@ -261,6 +275,7 @@
         if service is None or service.engine is None or action.model not in service.engine.models:
             return False
         managed.hidden.update(action.victims)
+        managed.announced = len(action.victims) + 1
         hide_s = HIDE_S + self.sessions.spacing_s()
         evictions_s = EVICT_S * len(action.victims)
         expected_s = self._expected_s(managed, action, service.engine) + evictions_s + hide_s
@@ -268,7 +283,7 @@
         self._publish(managed)
         await asyncio.sleep(hide_s)
         for model, adapter in action.victims:
-            if not await self._give(managed, "evict", model, adapter):
+            if not await self.orders.give(managed, "evict", model, adapter):
                 return False
             _remove(managed.state, model, adapter)
             await asyncio.sleep(EVICT_S)
@@ -294,14 +309,17 @@
             if not ledger.allows(steady()):
                 return
             ledger.note(steady())
+            managed.store_loads.append(steady())
+        managed.announced = 1
         expected_s = self._expected_s(managed, action, engine)
         managed.pending_load = PendingLoad(action.model, action.adapter, int(1000 * expected_s))
         self._publish(managed)
-        if not await self._give(managed, "load", action.model, action.adapter):
+        if not await self.orders.give(managed, "load", action.model, action.adapter):
             return
         began = steady()
-        await self._await_done(managed, expected_s)
-        self._learn_duration(managed, action, engine, warm, steady() - began)
+        if await self.orders.await_loaded(managed, action.model, action.adapter, expected_s):
+            _add(managed.state, action.model, action.adapter)
+            self._learn_duration(managed, action, engine, warm, steady() - began)
 
     def _learn_duration(
         self, managed: Managed, action: Load, engine: Engine, warm: bool, took_s: float
@@ -321,62 +339,12 @@
             waited_s=round(now - self.waiting_since.get(item, now), 2),
         )
 
-    async def _give(self, managed: Managed, operation: str, model: str, adapter: str) -> bool:
-        """Gives one order; False if it was not taken.
 
-        The worker takes it only if it has taken all orders before it and no other, and has ended them: so
-        what it holds then is what this placer counts with.
-        """
-        began = steady()
-        while managed.report is not None and self.role.holds() and self.role.lease.token == self.term:
-            body = OrderBody(
-                operation=operation,
-                model=model,
-                adapter=adapter or None,
-                holder=self.role.me.name,
-                fence_token=self.term,
-                if_revision=managed.revision,
-            )
-            self.role.last_order_at = steady()
-            status = await self._send(managed, body)
-            event("placer.order", body=body, worker=managed.state.address, status=status)
-            if status == TAKEN:
-                managed.revision += 1
-                return True
-            if status == STALE_FENCE:
-                self.role.lease.drop()
-            if status != BUSY or not await self._still_busy(managed, began):
-                break
-        managed.report = None
-        managed.retry_at = steady() + SETTLE_S
-        return False
-
-    async def _send(self, managed: Managed, body: OrderBody) -> int:
-        """Sends an order as long as the lease lasts; it counts as given until its call has ended."""
-        left_s = self.role.lease.until - steady()
-        try:
-            return await self.client.order(managed.state.address, managed.state.instance, body, left_s)
-        finally:
-            self.role.last_order_at = steady()
-
-    async def _still_busy(self, managed: Managed, began: float) -> bool:
-        """After a refusal: whether the order before is still being carried out."""
-        if steady() - began < QUICK_S:
-            await asyncio.sleep(QUICK_S / 2)
-            return True
-        await asyncio.sleep(POLL_S)
-        report = await self.client.report(managed.state.address, managed.state.instance)
-        return report.sequence <= managed.revision and steady() - began < LONGEST_EVICT_S
-
-    async def _await_done(self, managed: Managed, expected_s: float) -> None:
-        """Asks first when the order should be done, then again and again."""
-        await asyncio.sleep(expected_s)
-        while True:
-            report = await self.client.report(managed.state.address, managed.state.instance)
-            if report.sequence >= managed.revision and not report.busy:
-                break
-            await asyncio.sleep(POLL_S + POLL_SHARE * expected_s)
-        self._know(managed, report)
+def _add(state: WorkerState, model: str, adapter: str) -> None:
+    """Adds a model or an adapter to what a worker is known to hold."""
+    held = state.models.setdefault(model, set())
+    if adapter:
+        held.add(adapter)
 
 
 def _remove(state: WorkerState, model: str, adapter: str) -> None:
--- /dev/null
+++ b/finchladder/cluster/process/worker_orders.py
@@ -0,0 +1,150 @@
+"""Orders to one worker at a time: given under the placer's lease, until the worker says that they are done.
+
+A worker's report is some hundred ms old, its answer to an order is not: it answers a load that it is given
+again with 200 as soon as it holds what is to be loaded. So that is how the end of a load is learned.
+"""
+
+import asyncio
+
+from attrs import define, field
+
+from finchladder.cluster.placement.planner import Load, WorkerState
+from finchladder.cluster.process.log import event
+from finchladder.cluster.process.role import RoleService
+from finchladder.cluster.process.worker_client import WorkerClient
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.worker_api import OrderBody, Report
+from finchladder.cluster.types.workers import Holding, PendingLoad
+
+DONE, TAKEN, BUSY, STALE_FENCE = 200, 202, 409, 412
+POLL_S = 0.1
+LEAST_POLL_S = 0.02
+POLL_SHARE = 0.1  # of the time that a load has taken so far, between two looks at whether it is done
+QUICK_S = 0.1  # most evictions end within it
+LONGEST_EVICT_S = 10.0
+OVERDUE_S = 0.5  # by which a load is late before the worker's report is looked at
+SETTLE_S = 0.5  # a worker that could not be asked is asked again after this
+
+
+@define
+class Managed:
+    """A worker under the placer of one term. `report`: the last one; None: not asked yet."""
+
+    state: WorkerState
+    term: int = 0
+    report: Report | None = None
+    revision: int = 0  # orders that the worker has taken
+    announced: int = 0  # orders of the action under way that it has not taken yet
+    serial: int = 0
+    hidden: set[tuple[str, str]] = field(factory=set)
+    task: asyncio.Task[None] | None = None
+    retry_at: float = 0.0
+    action: Load | None = None
+    pending_load: PendingLoad | None = None
+    told: tuple[tuple[Holding, ...], PendingLoad | None, int] | None = None
+    announced_before: int = 0  # orders that placers had announced when this term began
+    taken_before: int | None = None  # those that the worker had taken then; None: not known
+    store_loads: list[float] = field(factory=list)  # when loads from the store began here, in this term
+
+    def orders_unheard(self) -> int:
+        """Orders that the worker took before this term and no placement record announced; one where it does
+        not say.
+        """
+        return 1 if self.taken_before is None else max(0, self.taken_before - self.announced_before)
+
+    def order(self, operation: str, model: str, adapter: str, holder: str) -> OrderBody:
+        """An order that the worker takes only if it has taken all before it and no other, and has ended them:
+        so what it holds then is what the placer counts with.
+        """
+        return OrderBody(operation, model, holder, self.term, adapter or None, self.revision)
+
+
+@define
+class WorkerOrders:
+    """Gives orders while the process holds the role."""
+
+    role: RoleService
+    client: WorkerClient
+
+    async def ask(self, managed: Managed) -> Report:
+        """What a worker says of itself now."""
+        return await self.client.report(managed.state.address, managed.state.instance)
+
+    async def learn(self, managed: Managed) -> Report:
+        """What a worker holds, once no order is under way there."""
+        while True:
+            report = await self.ask(managed)
+            if not report.busy:
+                return report
+            await asyncio.sleep(POLL_S)
+
+    async def give(self, managed: Managed, operation: str, model: str, adapter: str) -> bool:
+        """Gives one order; False if it was not taken."""
+        began = steady()
+        while managed.report is not None and self._is_in_term(managed) and self.role.holds():
+            status = await self._send(managed, operation, model, adapter)
+            if status == TAKEN:
+                managed.revision += 1
+                managed.announced = max(0, managed.announced - 1)
+                return True
+            if status != BUSY or not await self._still_busy(managed, began):
+                break
+        self._lose_track(managed)
+        return False
+
+    async def await_loaded(self, managed: Managed, model: str, adapter: str, expected_s: float) -> bool:
+        """Gives a load that was taken again from when it should be done, until the worker has it; False if it
+        has not, or nothing is known of it.
+        """
+        began = steady()
+        await asyncio.sleep(expected_s)
+        while self._is_in_term(managed):
+            if not self.role.holds():
+                await asyncio.sleep(LEAST_POLL_S)  # a lease that has run out may go on
+                continue
+            status = await self._send(managed, "load", model, adapter)
+            if status == DONE:
+                return True
+            took_s = steady() - began
+            if status != BUSY or (took_s > expected_s + OVERDUE_S and not await self._is_loading(managed)):
+                break
+            await asyncio.sleep(min(POLL_S, max(LEAST_POLL_S, POLL_SHARE * took_s)))
+        self._lose_track(managed)
+        return False
+
+    def _is_in_term(self, managed: Managed) -> bool:
+        lease = self.role.lease
+        return lease.token == managed.term and not lease.is_dropped
+
+    def _lose_track(self, managed: Managed) -> None:
+        """The worker is to be asked what it holds before it gets another order."""
+        managed.report = None
+        managed.retry_at = steady() + SETTLE_S
+
+    async def _send(self, managed: Managed, operation: str, model: str, adapter: str) -> int:
+        """Sends an order as long as the lease lasts; it counts as given until its call has ended."""
+        body = managed.order(operation, model, adapter, self.role.me.name)
+        state, left_s = managed.state, self.role.lease.until - steady()
+        self.role.last_order_at = steady()
+        try:
+            status = await self.client.order(state.address, state.instance, body, left_s)
+        finally:
+            self.role.last_order_at = steady()
+        event("placer.order", body=body, worker=state.address, status=status)
+        if status == STALE_FENCE:
+            self.role.lease.drop()
+        return status
+
+    async def _still_busy(self, managed: Managed, began: float) -> bool:
+        """After a refusal: whether the order before is still being carried out."""
+        if steady() - began < QUICK_S:
+            await asyncio.sleep(QUICK_S / 2)
+            return True
+        await asyncio.sleep(POLL_S)
+        report = await self.ask(managed)
+        return report.sequence <= managed.revision and steady() - began < LONGEST_EVICT_S
+
+    async def _is_loading(self, managed: Managed) -> bool:
+        """Whether the worker's report says that the last order is still being carried out."""
+        report = await self.ask(managed)
+        return report.sequence == managed.revision and report.busy
--- a/finchladder/cluster/replication/lease.py
+++ b/finchladder/cluster/replication/lease.py
@@ -72,6 +72,11 @@
         """The role is somebody else's."""
         self.until = 0.0
 
+    @property
+    def is_dropped(self) -> bool:
+        """Whether the role is known to be vacant or another's; a lease that has only run out may go on."""
+        return self.until == 0.0
+
     def holds(self, now: float) -> bool:
         """Whether the holder may act at this moment."""
         return now < self.until
--- a/finchladder/cluster/types/workers.py
+++ b/finchladder/cluster/types/workers.py
@@ -56,13 +56,19 @@
 
 
 class PlacementRecord(msgspec.Struct, frozen=True, array_like=True):
-    """What the placer lets be used at a worker. A higher (token, serial) replaces a lower one."""
+    """What the placer lets be used at a worker. A higher (token, serial) replaces a lower one.
+
+    `orders`: that the worker will have taken when the action under way has ended; `load_ages_ms`: of the
+    loads from the store that this placer began there lately, so that a successor keeps within their rate.
+    """
 
     instance: str
     token: int
     serial: int
     holdings: tuple[Holding, ...]
     pending_load: PendingLoad | None = None
+    orders: int = 0
+    load_ages_ms: tuple[int, ...] = ()
 
 
 class StampedWorker(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/cluster/test_load_delays.py
+++ b/tests/cluster/test_load_delays.py
@@ -1,76 +1,12 @@
 """How long it takes from what is waited for until dispatchers are told that a worker holds it."""
 
 import asyncio
-from types import SimpleNamespace
-from typing import Any, cast
 
 import pytest
 
-from finchladder.cluster.configuration.routing import Engine, Model, Service, Snapshot
-from finchladder.cluster.process.placer import Placer
-from finchladder.cluster.process.tasks import Signal, Tasks
-from finchladder.cluster.replication.lease import HeldLease
-from finchladder.cluster.sessions.table import Tables
-from finchladder.cluster.transport.peers import steady
-from finchladder.cluster.types.members import Member
-from finchladder.cluster.types.messages import Demand, DemandReport
-from finchladder.cluster.types.operations import ControlState
-from finchladder.cluster.types.workers import Holding, Phase, WorkerRecord
 from finchladder.lab.cluster.virtual import run
-from tests.cluster.stand_in_workers import StandInClient, StandInWorker
-
-LOAD_S = 0.8
-MODELS = {f"m{n}": Model(f"m{n}", 70.0, LOAD_S, 4, 1.0) for n in range(8)}
-ENGINE = Engine(64, 1000, 200.0, 4, 2.1, MODELS)
-SNAPSHOT = Snapshot(1, {}, {"llm": Service("llm", 10, "/healthz", ENGINE)}, 15.0, 1 << 20, 1 << 14)
-
-
-class Scene:
-    """A placer with the role, over stand-in workers; `told` is what dispatchers were told, and when."""
-
-    def __init__(self, **workers: StandInWorker) -> None:
-        self.tables = Tables("core-1/1")
-        self.told: list[tuple[float, str, str, str]] = []
-        for name, worker in workers.items():
-            holdings = tuple(Holding(m, ()) for m in sorted(worker.models))
-            record = WorkerRecord(name, "llm", f"{name}:1", "z", 64, Phase.READY, 1, "core-1/1", holdings)
-            self.tables.put_worker(record)
-        sessions = SimpleNamespace(
-            tables=self.tables,
-            changed=Signal(),
-            edges=lambda: 1,
-            spacing_s=lambda: 0.001,
-            state=lambda: ControlState(),
-        )
-        lease = HeldLease(1e9, token=1, until=1e9)
-        me = Member("core-1", "d", "z", "core-1:1", "core-1:2")
-        role = SimpleNamespace(
-            lease=lease, me=me, was_own=False, last_order_at=0.0, holds=lambda: lease.holds(steady())
-        )
-        self.tasks = Tasks()
-        client = StandInClient({f"{name}:1": worker for name, worker in workers.items()})
-        self.placer = Placer(
-            cast(Any, role), cast(Any, sessions), cast(Any, client), self.tasks, 5.0, 1.1, 3.0
-        )
-        self.placer.snapshot = SNAPSHOT
-
-    def ask(self, model: str, adapter: str = "") -> None:
-        """A dispatcher has a request waiting."""
-        demand = Demand("llm", model, adapter, 1, 1, 0, 10)
-        self.placer.on_demand(DemandReport(f"edge {model} {adapter}", 0.1, (demand,)))
-
-    async def until_usable(self, model: str, adapter: str = "") -> float:
-        """Seconds until dispatchers may use it somewhere."""
-        began = steady()
-        async with asyncio.timeout(20.0):
-            while not self.is_usable(model, adapter):
-                await asyncio.sleep(0.001)
-        return steady() - began
-
-    def is_usable(self, model: str, adapter: str) -> bool:
-        placements = [p.record for p in self.tables.placements.values()]
-        held = [h for record in placements for h in record.holdings if h.model == model]
-        return any(not adapter or adapter in h.adapters for h in held)
+from tests.cluster.placer_scene import LOAD_S, Scene
+from tests.cluster.stand_in_workers import StandInWorker
 
 
 def delay(scene: Scene, model: str, adapter: str = "") -> float:
--- a/tests/cluster/test_placer.py
+++ b/tests/cluster/test_placer.py
@@ -8,8 +8,16 @@
 import pytest
 
 from finchladder.cluster.placement.planner import WorkerState
-from finchladder.cluster.process.placer import LONGEST_EVICT_S, POLL_S, QUICK_S, TAKEN, Managed, Placer
+from finchladder.cluster.process.placer import Placer
 from finchladder.cluster.process.tasks import Tasks
+from finchladder.cluster.process.worker_orders import (
+    LONGEST_EVICT_S,
+    POLL_S,
+    QUICK_S,
+    TAKEN,
+    Managed,
+    WorkerOrders,
+)
 from finchladder.cluster.replication.lease import HeldLease
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import PeerUnreachable
@@ -36,12 +44,12 @@
 def asked_again(worker: Worker, began_before_s: float) -> tuple[bool, float]:
     """Whether the placer gives its order again, and after how long."""
     nothing = cast(Any, SimpleNamespace())
-    placer = Placer(nothing, nothing, cast(Any, worker), Tasks(), 5.0, 1.1, 3.0)
+    orders = WorkerOrders(nothing, cast(Any, worker))
     state = WorkerState("i-1", "llm", "a:1", "z", False, False)
 
     async def work() -> tuple[bool, float]:
         before = steady()
-        again = await placer._still_busy(Managed(state, revision=REVISION), before - began_before_s)
+        again = await orders._still_busy(Managed(state, revision=REVISION), before - began_before_s)
         return again, steady() - before
 
     return run(work())
@@ -118,10 +126,10 @@
         me = Member("core-1", "d", "z", "core-1:1", "core-1:2")
         role = SimpleNamespace(lease=lease, me=me, last_order_at=began, holds=lambda: lease.holds(steady()))
         worker = SlowWorker(takes_s)
-        placer = Placer(cast(Any, role), cast(Any, None), cast(Any, worker), Tasks(), 5.0, 1.1, 3.0, term=7)
-        managed = Managed(WorkerState("i-1", "llm", "a:1", "z", False, False), report=Report())
+        orders = WorkerOrders(cast(Any, role), cast(Any, worker))
+        managed = Managed(WorkerState("i-1", "llm", "a:1", "z", False, False), 7, report=Report())
         with suppress(PeerUnreachable):
-            await placer._give(managed, "load", "m", "")
+            await orders.give(managed, "load", "m", "")
         return worker.limits_s[0], role.last_order_at - began, steady() - began
 
     limit_s, idle_from_s, lasted_s = run(work())
@@ -138,9 +146,9 @@
         me = Member("core-1", "d", "z", "core-1:1", "core-1:2")
         role = SimpleNamespace(lease=lease, me=me, last_order_at=began, holds=lambda: lease.holds(steady()))
         worker = SlowWorker(0.01)
-        placer = Placer(cast(Any, role), cast(Any, None), cast(Any, worker), Tasks(), 5.0, 1.1, 3.0, term=7)
-        managed = Managed(WorkerState("i-1", "llm", "a:1", "z", False, False), report=Report())
+        orders = WorkerOrders(cast(Any, role), cast(Any, worker))
+        managed = Managed(WorkerState("i-1", "llm", "a:1", "z", False, False), 7, report=Report())
         await asyncio.sleep(0.02)
-        return await placer._give(managed, "evict", "m", ""), worker.limits_s
+        return await orders.give(managed, "evict", "m", ""), worker.limits_s
 
     assert run(work()) == (False, [])
--- /dev/null
+++ b/tests/cluster/test_takeover.py
@@ -0,0 +1,112 @@
+"""What a placer that takes the role over knows of the loads that the one before began."""
+
+import asyncio
+
+import pytest
+
+from finchladder.cluster.placement.ledger import LoadLedger, ObservedLoads
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.workers import PlacementRecord
+from finchladder.lab.cluster.virtual import run
+from tests.cluster.placer_scene import ENGINE, Scene
+from tests.cluster.stand_in_workers import StandInWorker
+
+WINDOW_S = 5.0
+MOST = int(ENGINE.load_rate_s * WINDOW_S)
+
+
+def record(instance: str, serial: int, *ages_ms: int, token: int = 1, orders: int = 0) -> PlacementRecord:
+    return PlacementRecord(instance, token, serial, (), None, orders, ages_ms)
+
+
+def test_loads_count_from_when_their_record_is_first_seen_at_the_latest() -> None:
+    observed = ObservedLoads(WINDOW_S)
+    observed.note(10.0, [record("w1", 1, 400, 1500)])
+    observed.note(12.0, [record("w1", 1, 400, 1500)])
+    assert sorted(observed.within(12.0, ["w1"])) == pytest.approx([8.5, 9.6])
+    observed.note(12.0, [record("w1", 2, 100, 2300)])
+    assert sorted(observed.within(12.0, ["w1"])) == pytest.approx([9.7, 11.9])
+
+
+def test_loads_of_several_placers_at_one_worker_are_all_counted() -> None:
+    observed = ObservedLoads(WINDOW_S)
+    observed.note(10.0, [record("w1", 3, 100)])
+    observed.note(10.5, [record("w1", 1, 0, token=2)])
+    assert sorted(observed.within(11.0, ["w1"])) == pytest.approx([9.9, 10.5])
+    assert observed.within(11.0, ["w2"]) == []
+
+
+def test_what_lies_before_the_window_is_forgotten() -> None:
+    observed = ObservedLoads(WINDOW_S)
+    observed.note(10.0, [record("w1", 1, 100), record("w2", 1, 4000)])
+    observed.forget(12.0)
+    assert list(observed.by_worker) == [("w1", 1)]
+    assert observed.within(15.5, ["w1"]) == []
+
+
+def test_a_ledger_that_knows_of_fewer_loads_than_may_be_allows_the_rest() -> None:
+    ledger = LoadLedger(2.1, WINDOW_S, 1.1)
+    ledger.assume_full(10.0)
+    ledger.know([9.0, 8.0, 9.5])
+    assert ledger.left(10.0) == MOST - 3
+
+
+def test_a_ledger_that_knows_of_more_loads_than_one_placer_begins_allows_what_the_rule_leaves() -> None:
+    ledger = LoadLedger(2.1, WINDOW_S, 1.1)
+    ledger.assume_full(10.0)
+    ledger.know([10.0] * 40)
+    assert ledger.left(10.0) == ledger.hard_most - MOST
+
+
+def left_after_takeover(scene: Scene) -> int:
+    """How many loads a new placer allows once it has asked the workers."""
+
+    async def work() -> int:
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(1.0)
+        ledger = scene.placer.ledgers["llm"]
+        await scene.tasks.stop()
+        return ledger.left(steady())
+
+    return run(work())
+
+
+def test_announced_loads_and_orders_that_were_not_announced_are_counted() -> None:
+    scene = Scene(token=2, w1=StandInWorker({"m0"}, sequence=4), w2=StandInWorker({"m1"}, sequence=6))
+    scene.tables.put_placement(record("w1", 5, 200, 1500, orders=4))
+    scene.tables.put_placement(record("w2", 5, 700, orders=3))
+    assert left_after_takeover(scene) == MOST - 3 - 3
+
+
+def test_a_worker_that_says_nothing_may_have_taken_one_order() -> None:
+    scene = Scene(token=2, w1=StandInWorker({"m0"}), w2=StandInWorker({"m1"}, dark=True))
+    assert left_after_takeover(scene) == MOST - 1
+
+
+def test_a_process_that_has_just_started_knows_nothing() -> None:
+    scene = Scene(token=2, w1=StandInWorker({"m0"}))
+    scene.sessions.started_at = 0.0
+    hard_most = LoadLedger(ENGINE.load_rate_s, WINDOW_S, 1.1).hard_most
+    assert left_after_takeover(scene) == hard_most - MOST
+
+
+def test_a_lease_that_runs_out_and_goes_on_leaves_what_is_known_and_under_way() -> None:
+    """As during a change of view: the loads begun before still count, and the one under way is told."""
+    scene = Scene(w1=StandInWorker({"m0"}))
+
+    async def work() -> tuple[int, float]:
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(0.05)
+        scene.ask("m1")
+        await asyncio.sleep(0.3)
+        scene.lease.until = steady()
+        await asyncio.sleep(1.0)
+        scene.lease.until = 1e9
+        told_s = await scene.until_usable("m1")
+        left = scene.placer.ledgers["llm"].left(steady())
+        await scene.tasks.stop()
+        return left, told_s
+
+    left, told_s = run(work())
+    assert left == MOST - 1
+    assert told_s <= 0.2
