--- a/finchladder/cluster/process/worker_orders.py
+++ b/finchladder/cluster/process/worker_orders.py
@@ -1,7 +1,8 @@
 """Orders to one worker at a time: given under the placer's lease, until the worker says that they are done.
 
 A worker's report is some hundred ms old, its answer to an order is not: it answers a load that it is given
-again with 200 as soon as it holds what is to be loaded. So that is how the end of a load is learned.
+again with 202 while it carries it out and with 200 as soon as it holds what is to be loaded, and counts
+neither as another order. So that is how the end of a load is learned.
 """
 
 import asyncio
@@ -106,7 +107,9 @@
             if status == DONE:
                 return True
             took_s = steady() - began
-            if status != BUSY or (took_s > expected_s + OVERDUE_S and not await self._is_loading(managed)):
+            if status not in (TAKEN, BUSY) or (
+                took_s > expected_s + OVERDUE_S and not await self._is_loading(managed)
+            ):
                 break
             await asyncio.sleep(min(POLL_S, max(LEAST_POLL_S, POLL_SHARE * took_s)))
         self._lose_track(managed)
--- a/tests/cluster/stand_in_workers.py
+++ b/tests/cluster/stand_in_workers.py
@@ -52,6 +52,14 @@
         models = [ModelReport(m, 1, sorted(self.adapters.get(m, ()))) for m in sorted(self.models)]
         self.past.append((at, Report(self.sequence, self.underway is not None, models)))
 
+    def _is_underway(self, order: OrderBody) -> bool:
+        underway = self.underway
+        return underway is not None and (underway.operation, underway.model, underway.adapter) == (
+            order.operation,
+            order.model,
+            order.adapter,
+        )
+
     def _holds(self, order: OrderBody) -> bool:
         if order.adapter is not None:
             return order.adapter in self.adapters.get(order.model, ())
@@ -63,6 +71,8 @@
         if order.fence_token < self.fence:
             return STALE_FENCE
         self.fence = order.fence_token
+        if self.underway is not None and self._is_underway(order):
+            return TAKEN
         if self.underway is not None or order.if_revision not in (None, self.sequence):
             return BUSY
         if self._holds(order) == (order.operation == "load"):
