A new head counts the placer's lease from when it was last asked to confirm

Cause: a head that had been a member before counted the lease from when it learned of its view, 0.6 s after the holder was lost; and the lease was 1.05 s, longer than a silent machine takes to be left out. Change: a member keeps when its predecessor last asked it to confirm; no lease can have been renewed later in that view. The lease is a quarter of lease_ms.

--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -48,6 +48,8 @@
     confirmed_view: int = 0  # as head: the view that its chain has confirmed
     last_problem: str = ""
     confirmed_at: float = -1e9  # when a confirmation began that went through, here or above
+    asked_view: int = 0  # as member: the view in which the predecessor last asked, and when
+    asked_at: float = -1e9
     begun_view: int = 0  # as head: the view that it last began, and until when the lease was renewable before
     renewable_until: float | None = None
 
@@ -72,6 +74,8 @@
             view = voting.view
             if view.position(voting.me.disk_id) is None:
                 return Replicated(False, view, problem=f"{voting.me.name} is not in the chain")
+            if request.view == view.number:
+                self.asked_view, self.asked_at = view.number, began
             outcome = chain.receive(voting.replica, view.number, request)
             if isinstance(outcome, Refuse):
                 return Replicated(False, view, problem=f"{voting.me.name}: {outcome.problem}")
@@ -176,15 +180,15 @@
     def _renewable_until(self, view: View) -> float | None:
         """The last moment at which the placer's lease can have been renewed before this view, before the head
         stores the state in it; None: unknown. Only a head renews, and only as the whole chain of its view
-        confirms it: one that was the head before knows when, and a member that had stored the state in that
-        view has confirmed nothing since it learned of this one.
+        confirms it: one that was the head before knows when; a member that had stored the state in that view
+        knows when it was last asked, and has confirmed nothing since it learned of this one.
         """
         before = view.number - 1
         if self.confirmed_view == before and self.lease.renewed_at is not None:
             return self.lease.renewed_at
-        if self.voting.replica.state_view == before and self.voting.adopted_at > self.voting.started_at:
-            return self.voting.adopted_at
-        return None
+        if self.voting.replica.state_view != before or self.voting.adopted_at < self.voting.started_at:
+            return None
+        return self.asked_at if self.asked_view == before else self.voting.adopted_at
 
     async def _beginning(self, view: View) -> Replica | None:
         """What the head of a view begins with: its own replica, or the newest of all members' where there are
--- a/finchladder/cluster/process/control_plane.py
+++ b/finchladder/cluster/process/control_plane.py
@@ -41,7 +41,7 @@
     Submit,
 )
 
-LEASE_SHARE = 0.35  # of the bound within which two holders must not both act
+LEASE_SHARE = 0.25  # of the bound within which two holders must not both act
 PROBE_S = 1.0
 
 
--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -35,6 +35,7 @@
 @click.option("--freezes/--no-freezes", default=True, show_default=True, help="Processes stand still, too.")
 @click.option("--overlaps/--no-overlaps", default=False, show_default=True, help="Several faults at once.")
 @click.option("--edges", default=0, show_default=True, help="Dispatchers, each with a worker beside it.")
+@click.option("--fenced/--not-fenced", default=False, show_default=True, help="Workers check fences.")
 @click.option("--jobs", default=1, show_default=True, help="Processes.")
 def hunt_seeds(
     first: int,
@@ -45,11 +46,12 @@
     freezes: bool,
     overlaps: bool,
     edges: int,
+    fenced: bool,
     jobs: int,
 ) -> None:
     """Look for seeds that break a rule, shrink and print them with their traces; status 1 if there is one."""
     numbers = range(first, first + seeds)
-    cases = [Case(seed, machines, losses, faults, freezes, overlaps, edges) for seed in numbers]
+    cases = [Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced) for seed in numbers]
     found = 0
     for finding in hunt(cases, jobs):
         found += 1
--- a/finchladder/lab/cluster/hunt.py
+++ b/finchladder/lab/cluster/hunt.py
@@ -27,6 +27,7 @@
     freezes: bool = False
     overlaps: bool = False  # each fault is an episode of several at once
     edges: int = 0  # dispatchers; with them there are workers, too
+    fenced: bool = False  # workers check fencing tokens
 
 
 @frozen
@@ -45,7 +46,9 @@
 
 def play(case: Case) -> Finding | None:
     """Plays one case; None if all rules were kept."""
-    world = World(case.seed, case.count, case.losses, case.freezes, case.overlaps, case.edges)
+    world = World(
+        case.seed, case.count, case.losses, case.freezes, case.overlaps, case.edges, fenced=case.fenced
+    )
     try:
         run(_play(world, case.faults))
     except (Violation, TimeoutError) as error:
--- a/tests/cluster/test_control_world.py
+++ b/tests/cluster/test_control_world.py
@@ -52,6 +52,11 @@
     run(play_overlapping(World(4000 + seed, count=5, losses=2, overlaps=True), 3))
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_three_machines_whose_workers_check_fences_keep_the_rules(seed: int) -> None:
+    run(play_overlapping(World(7000 + seed, count=3, losses=1, freezes=True, overlaps=True, fenced=True), 4))
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_dispatchers_know_in_time_what_was_acknowledged(seed: int) -> None:
     run(play_overlapping(World(5000 + seed, count=3, losses=1, overlaps=True, edges=4), 4))
--- a/tests/cluster/test_role.py
+++ b/tests/cluster/test_role.py
@@ -130,19 +130,18 @@
     run(work())
 
 
-@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("seed", range(12))
 def test_where_workers_check_fences_a_lost_placer_is_followed_when_its_lease_is_over(seed: int) -> None:
     """Its orders are refused by then; what was waited for longer was nothing but time without a placer."""
 
     async def work() -> None:
         world, loop = World(seed, fenced=True), asyncio.get_running_loop()
         machine, token = await settled(world)
-        lease_s = machine.plane.role.lease.lease_s if machine.plane is not None else 0.0
         world.kill(machine, power=True)
         died = loop.time()
         other = await holder(world, 8.0, machine.name)
         assert other.plane is not None and other.plane.role.lease.token > token
-        assert loop.time() - died <= SUSPECTED_S + lease_s + 2 * CLOCK_MARGIN_S
+        assert loop.time() - died <= SUSPECTED_S + CALLS_S, "the lease is over by the time that it is missed"
         assert world.violation is None
 
     run(work())
--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -42,7 +42,7 @@
 ANSWER_S = 0.9
 CUT_S = 20.0
 RECOVERY_S = 8.0
-LEASE_S = 1.05  # of the placer's role in the world
+LEASE_S = 0.75  # of the placer's role in the world
 A, B, C, D, E = (member(name) for name in "abcde")
 ONE, TWO = Limits(losses=1), Limits(losses=2)
 
