Rare models have places: evictions of what nobody uses, first copies before more

They count until they may be back, and wait for 0.48 of it. - A claim of the role, a change or a drain that was sent to a head that died hung for up to 1 s; calls to a member end when the view leaves it out. - A lease renewal and what runs without lately being asked are seen (items()).

--- a/finchladder/cluster/placement/demand.py
+++ b/finchladder/cluster/placement/demand.py
@@ -47,6 +47,14 @@
         self.at = now
 
 
+@define(frozen=True)
+class Place:
+    """A model at a worker."""
+
+    instance: str
+    model: str
+
+
 @define
 class ReportedDemand:
     """The last report of one dispatcher."""
@@ -55,6 +63,7 @@
     waiting: Counter[Item] = field(factory=Counter)
     running: Counter[Item] = field(factory=Counter)
     loads: Counter[str] = field(factory=Counter)  # requests in flight by worker instance
+    uses: Counter[Place] = field(factory=Counter)  # those of one model, its adapters included
 
 
 @define
@@ -67,12 +76,13 @@
 
     def take(self, now: float, report: DemandReport) -> None:
         """A dispatcher's report."""
-        reported = ReportedDemand(now, loads=Counter(report.loads))
+        uses = Counter({Place(use.instance, use.model): use.requests for use in report.uses})
+        reported = ReportedDemand(now, loads=Counter(report.loads), uses=uses)
         for demand in report.demands:
             item = Item(demand.service, demand.model, demand.adapter)
             if demand.asked:
                 figure = self.figures.setdefault(item, Figure(at=now))
-                figure.decay(now, self._running_now(item))
+                figure.decay(now, self.running_now(item))
                 figure.rate += demand.asked / TIME_CONSTANT_S
                 figure.tokens += demand.tokens / TIME_CONSTANT_S
                 figure.asked_at = now
@@ -85,6 +95,7 @@
         self.total.waiting.update(reported.waiting)
         self.total.running.update(reported.running)
         self.total.loads.update(reported.loads)
+        self.total.uses.update(reported.uses)
 
     def _withdraw(self, sender: str) -> None:
         """Takes a dispatcher's last report out of the sums."""
@@ -93,13 +104,14 @@
             _subtract(self.total.waiting, reported.waiting)
             _subtract(self.total.running, reported.running)
             _subtract(self.total.loads, reported.loads)
+            _subtract(self.total.uses, reported.uses)
 
     def settle(self, now: float) -> None:
         """Decays all figures and forgets idle items and silent dispatchers."""
         for sender in [s for s, reported in self.reported.items() if now - reported.at > REPORT_FORGOTTEN_S]:
             self._withdraw(sender)
         for item, figure in list(self.figures.items()):
-            figure.decay(now, self._running_now(item))
+            figure.decay(now, self.running_now(item))
             if figure.rate < LEAST_RATE and now - figure.asked_at > 10 * TIME_CONSTANT_S:
                 del self.figures[item]
 
@@ -121,9 +133,14 @@
         figure = self.figures.get(item)
         return 0.0 if figure is None else figure.running
 
-    def _running_now(self, item: Item) -> int:
+    def running_now(self, item: Item) -> int:
+        """Requests of it that run anywhere, as last reported."""
         return self.total.running[item]
 
+    def uses(self, instance: str, model: str) -> int:
+        """Requests of that model in flight at that worker, as last reported."""
+        return self.total.uses[Place(instance, model)]
+
     def loads_of_others(self, sender: str) -> dict[str, int]:
         """Requests in flight by worker instance that all but one dispatcher have reported of."""
         others = Counter(self.total.loads)
@@ -132,8 +149,8 @@
         return dict(others)
 
     def items(self) -> set[Item]:
-        """All that is asked for or waited for."""
-        return set(self.figures) | set(self.total.waiting)
+        """All that is asked for, waited for or running."""
+        return set(self.figures) | set(self.total.waiting) | set(self.total.running)
 
 
 def _subtract(sums: Counter[Key], part: Counter[Key]) -> None:
--- a/finchladder/cluster/placement/durations.py
+++ b/finchladder/cluster/placement/durations.py
@@ -1,11 +1,13 @@
 """How long orders take, learned from those that were carried out; seconds."""
 
+from math import exp
+
 from attrs import define
 
 STEP = 0.3  # weight of a new observation
 FIRST_WARM_SHARE = 0.25
 FIRST_ADAPTER_S = 0.02
-EVICT_S = 0.05
+EVICT_S = 0.03
 
 
 @define
@@ -30,3 +32,26 @@
             self.warm_share += STEP * (took_s / load_s - self.warm_share)
         elif load_s > 0:
             self.cold_share += STEP * (took_s / load_s - self.cold_share)
+
+
+CHANGE_S = 10.0  # time constant with which the places that first copies take are averaged
+USE_S = 1.0  # for which a place is in use once its model is there
+
+
+@define
+class FirstCopies:
+    """Loads of models of which there was no copy: how many places they take at once, on average."""
+
+    place_seconds: float = 0.0  # a second, decayed
+    at: float = 0.0
+
+    def begin(self, now: float, load_s: float) -> None:
+        """One begins."""
+        self.at_once(now)
+        self.place_seconds += (load_s + USE_S) / CHANGE_S
+
+    def at_once(self, now: float) -> float:
+        """Places taken on average lately."""
+        self.place_seconds *= exp(-(now - self.at) / CHANGE_S)
+        self.at = now
+        return self.place_seconds
--- a/finchladder/cluster/placement/ledger.py
+++ b/finchladder/cluster/placement/ledger.py
@@ -62,6 +62,11 @@
         """A load may have begun."""
         self.began.append(now)
 
+    def withdraw(self, at: float) -> None:
+        """The load that was noted at that moment has not begun."""
+        if at in self.began:
+            self.began.remove(at)
+
 
 @frozen
 class Announced:
--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -4,8 +4,11 @@
 little for balance, and more once the running requests of a copy pass a share of its slots, but no more than
 it takes off the other copies, which falls with the square of their number. A copy is loaded
 where it is worth more than what gives way, by a margin that keeps models from being exchanged to and fro; a
-worker that has the model on its own disk is preferred by the time that this saves. Where loads from the store
-are slow, workers with nothing to do load models that nobody has on disk yet, in place of idle ones.
+worker that has the model on its own disk is preferred by the time that this saves. Further copies that are
+not overloaded leave places to what is asked for rarely: as many as first copies lately took at once, or each
+of these would push out a copy of a busy model, wait for its requests, and be pushed out again. Where loads
+from the store are slow, workers with nothing to do load models that nobody has on disk yet, in place of idle
+ones.
 """
 
 from collections import Counter
@@ -22,8 +25,10 @@
 OVERLOAD_WORTH = 0.3  # of a further copy of a model whose copies are all busy, for each request a second
 RELIEF_WORTH = 5.0  # of the load that a further copy takes off each other one, for each request a second
 BUSY_SHARE = 0.15  # of a worker's slots: so many running requests make a copy busy
-WAITING_WORTH = 0.5  # of each request that waits for a model that nobody holds
-RUNNING_WORTH = 0.2  # of each request that runs at a copy: evicting it would wait for them
+WAITING_WORTH = 1.5  # of each request that waits for a model that nobody holds
+USE_COST = 0.5  # of each request that runs at a copy: who evicts it waits, and does nothing else meanwhile
+IDLE_RATE = 0.5  # requests a second: what is asked for less, and not in use, gives its place to others
+MOST_RESERVED = 0.4  # of all places
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
 LEAST_WORTH = 0.02  # a first copy that is worth less is not loaded
 LEAST_COPY_WORTH = 0.1  # the same for a further one
@@ -31,7 +36,8 @@
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
 LONG_LOAD_S = 2.0  # loads that are quicker need not be prepared, and may go on at all workers at once
-KEPT_FREE = 1.6  # times the root of the workers: so many carry out no long load, and take other orders
+KEPT_FREE = 0.8  # times the root of the workers: so many carry out no long load, and take other orders
+KEPT_FREE_BY_PREPARING = 1.6  # the same, while there is demand, of loads that nobody waits for
 
 
 @define
@@ -73,7 +79,9 @@
     workers: Sequence[WorkerState]
     demand: DemandBook
     loads_allowed: int  # that may begin from the store now
+    preparing_allowed: int  # of them, for models that nobody waits for
     warm_share: float
+    first_copies: float = 0.0  # on their way or just in use, on average: as many places change hands at once
 
 
 def used_mb(engine: Engine, models: Mapping[str, Iterable[str]]) -> float:
@@ -87,7 +95,7 @@
     return total
 
 
-def store_loads_at_once(engine: Engine, workers: int) -> int:
+def store_loads_at_once(engine: Engine, workers: int, kept_free: float = KEPT_FREE) -> int:
     """As many loads from the store as its rate keeps under way, as more would only make each take longer; and
     where they are long no more than leaves workers free for quicker orders, such as adapters. What has to be
     free for the peaks grows with the root of the fleet (source: Halfin and Whitt, "Heavy-Traffic Limits for
@@ -97,7 +105,7 @@
     kept_under_way = max(1, ceil(engine.load_rate_s * longest_s))
     if longest_s < LONG_LOAD_S:
         return kept_under_way
-    return max(1, min(kept_under_way, workers - ceil(KEPT_FREE * sqrt(workers))))
+    return max(1, min(kept_under_way, workers - ceil(kept_free * sqrt(workers))))
 
 
 @define
@@ -107,6 +115,15 @@
     rate: float = 0.0
     waiting: int = 0
     running: float = 0.0
+    running_now: int = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether a copy may go without anybody waiting for it."""
+        return not self.waiting and not self.running_now and self.rate < IDLE_RATE
+
+
+NO_DEMAND = ModelDemand()
 
 
 def by_model(demand: DemandBook, service: str, engine: Engine) -> dict[str, ModelDemand]:
@@ -118,9 +135,17 @@
             of_model.rate += demand.rate(item)
             of_model.waiting += demand.waiting(item)
             of_model.running += demand.running(item)
+            of_model.running_now += demand.running_now(item)
     return found
 
 
+def places_for_first_copies(at_once: float, places: int) -> int:
+    """How many places are kept for models of which there is no copy, where first copies take `at_once` on
+    average: what has to be free for the peaks grows with the root (source: Halfin and Whitt).
+    """
+    return min(int(MOST_RESERVED * places), ceil(at_once + sqrt(at_once)))
+
+
 @frozen
 class Room:
     """The models that a worker has to give up for another one, and what they are worth together."""
@@ -145,14 +170,22 @@
         self.order = {name: place for place, name in enumerate(plan.engine.models)}
         self.present = Counter(model for worker in self.workers for model in worker.models)
         self.copies = self.present + Counter(loading)
+        held = [model for worker in self.workers for model in worker.models]
+        empty = sum(self._empty_places(worker) for worker in self.workers)
+        self.replaceable = empty + sum(self._is_idle(model) for model in held)
+        self.reserved = places_for_first_copies(plan.first_copies, empty + len(held))
+
+    def _empty_places(self, worker: WorkerState) -> int:
+        """So many of the largest model would still fit."""
+        largest = max((model.weights_mb for model in self.engine.models.values()), default=0.0)
+        room = self.engine.weights_mb - used_mb(self.engine, worker.models)
+        return int(max(0.0, room) // largest) if largest else 0
 
     def copy_worth(self, model: str, copies: int) -> float:
         """What the copy with that number, 1 for the first, is worth."""
-        demand = self.demand.get(model, ModelDemand())
+        demand = self.demand.get(model, NO_DEMAND)
         if copies <= 1:
-            return (
-                demand.rate + self.even_rate + WAITING_WORTH * demand.waiting + RUNNING_WORTH * demand.running
-            )
+            return demand.rate + self.even_rate + WAITING_WORTH * demand.waiting
         needed = demand.running / max(1.0, BUSY_SHARE * self.engine.slots)
         busy = needed / (copies - 1)
         balance = BALANCE_WORTH + OVERLOAD_WORTH * min(1.0, max(0.0, busy - 1.0))
@@ -175,9 +208,11 @@
         worker = self.free.pop(action.instance)
         if not action.adapter:
             self.copies[action.model] += 1
+            self.replaceable -= not action.victims
             for model, _ in action.victims:
                 self.copies[model] -= 1
                 self.present[model] -= 1
+                self.replaceable -= self._is_idle(model)
             if action.model not in worker.on_disk:
                 self.loads_left -= 1
         return action
@@ -197,6 +232,9 @@
         worth = self.copy_worth(model, copies + 1)
         if worth < (LEAST_COPY_WORTH if copies else LEAST_WORTH):
             return None
+        is_kept = self.reserved and self.replaceable <= self.reserved
+        if copies and is_kept and not self._is_overloaded(model):
+            return None
         choices: list[tuple[float, str, tuple[str, ...]]] = []
         for worker in self.free.values():
             if model in worker.models or (model not in worker.on_disk and self.loads_left <= 0):
@@ -212,6 +250,11 @@
         _, instance, victims = min(choices)
         return self._take(Load(instance, model, "", tuple((victim, "") for victim in victims)))
 
+    def _is_overloaded(self, model: str) -> bool:
+        """Whether its copies are all busy, those on their way included."""
+        busy = BUSY_SHARE * self.engine.slots * self.copies.get(model, 0)
+        return self.demand[model].running > max(1.0, busy)
+
     def _load_s(self, worker: WorkerState, model: str) -> float:
         share = self.plan.warm_share if model in worker.on_disk else 1.0
         return share * self.engine.models[model].load_s
@@ -231,17 +274,22 @@
     def _make_room(self, worker: WorkerState, need: float) -> Room | None:
         room = self.engine.weights_mb - used_mb(self.engine, worker.models)
         cost, victims = 0.0, []
-        for held in sorted(worker.models, key=self._standing):
+        for held in sorted(worker.models, key=lambda model: self._standing(worker, model)):
             if room >= need:
                 break
-            cost += self.copy_worth(held, self.present[held])
+            cost += self._cost(worker, held)
             victims.append(held)
             room += used_mb(self.engine, {held: worker.models[held]})
         return Room(cost, tuple(victims)) if room >= need else None
 
-    def _standing(self, model: str) -> tuple[float, int]:
+    def _standing(self, worker: WorkerState, model: str) -> tuple[float, int]:
         """Who goes first: the least worth, among equals the last of the configuration's list."""
-        return self.copy_worth(model, self.present[model]), -self.order.get(model, 0)
+        return self._cost(worker, model), -self.order.get(model, 0)
+
+    def _cost(self, worker: WorkerState, model: str) -> float:
+        """What is lost with a copy that is evicted, and by waiting for what runs there."""
+        uses = self.plan.demand.uses(worker.instance, model)
+        return self.copy_worth(model, self.present[model]) + USE_COST * uses
 
     def _busyness(self, worker: WorkerState) -> float:
         """Requests a second that fall to a worker, if copies share evenly."""
@@ -261,7 +309,10 @@
         ]
         found: list[Load] = []
         for model in missing:
-            if model.load_s < LONG_LOAD_S or self.loads_left <= 0:
+            if (
+                model.load_s < LONG_LOAD_S
+                or min(self.loads_left, self.plan.preparing_allowed - len(found)) <= 0
+            ):
                 continue
             action = self._prefetch(model.name)
             if action is None:  # nor is there room for the next one
@@ -272,13 +323,16 @@
     def _prefetch(self, model: str) -> Load | None:
         for worker in sorted(self.free.values(), key=lambda w: (len(w.on_disk), w.instance)):
             room = self._room(worker, model)
-            if room is not None and all(self._is_idle(victim) for victim in room.victims):
+            if room is not None and all(self._is_unused(victim) for victim in room.victims):
                 return self._take(Load(worker.instance, model, "", tuple((v, "") for v in room.victims)))
         return None
 
+    def _is_unused(self, model: str) -> bool:
+        demand = self.demand.get(model, NO_DEMAND)
+        return demand.is_idle and demand.rate < LEAST_WORTH
+
     def _is_idle(self, model: str) -> bool:
-        demand = self.demand.get(model)
-        return demand is None or (demand.rate < LEAST_WORTH and not demand.waiting and not demand.running)
+        return self.demand.get(model, NO_DEMAND).is_idle
 
     # --- adapters -----------------------------------------------------------------------------------------
 
@@ -311,7 +365,8 @@
         if not held:
             return None
 
-        def rate(pair: tuple[str, str]) -> float:
-            return self.plan.demand.rate(Item(self.plan.service, *pair))
+        def use(pair: tuple[str, str]) -> tuple[int, float]:
+            item = Item(self.plan.service, *pair)
+            return self.plan.demand.running_now(item), self.plan.demand.rate(item)
 
-        return min(held, key=lambda pair: (rate(pair), pair))
+        return min(held, key=lambda pair: (use(pair), pair))
--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -1,7 +1,6 @@
 """A core process's part in the chain: stores what comes down; as head takes writes and confirms the view."""
 
 import asyncio
-from typing import Any
 
 from attrs import define, field
 
@@ -22,7 +21,6 @@
     ReadState,
     Replicate,
     Replicated,
-    Reply,
     StateReply,
 )  # fmt: skip
 from finchladder.cluster.types.operations import ControlState, Operation, SetConfiguration
@@ -109,30 +107,14 @@
 
     async def _send(self, successor: Member, request: Replicate) -> Replicated:
         timeout_s = LINK_TIMEOUT_S + _bytes_in(request) / BYTES_A_SECOND
-        call = asyncio.ensure_future(self.voting.peers.call(successor.peer_address, request, timeout_s))
         try:
-            await self._while_in_chain(successor, call)
-            if not call.done():
-                return Replicated(False, self.view, problem=f"{successor.name} has left the chain")
-            reply = call.result()
+            reply = await self.voting.call_member(successor, request, timeout_s)
         except ClusterError as error:
             return Replicated(False, self.view, problem=str(error))
         if not isinstance(reply, Replicated):
             return Replicated(False, self.view, problem=f"unexpected {type(reply).__name__}")
         return reply
 
-    async def _while_in_chain(self, member: Member, call: "asyncio.Future[Reply]") -> None:
-        """Waits for the answer of a member, or until the view leaves it out: then none is of use any more."""
-        try:
-            while not call.done() and self.view.position(member.disk_id) is not None:
-                change = asyncio.ensure_future(self.voting.changed.wait(LINK_TIMEOUT_S))
-                both: set[asyncio.Future[Any]] = {call, change}
-                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-                change.cancel()
-        finally:
-            if not call.done():
-                call.cancel()
-
     def _acknowledge(self, replica: Replica, view: View, began: float) -> None:
         """All members from here to the tail hold it, and those before sent it on after storing it."""
         self.confirmed_at = max(self.confirmed_at, began)
@@ -293,7 +275,7 @@
         if tail.disk_id == self.voting.me.disk_id:
             reply = await self.on_read(ReadState())
         else:
-            answer = await self.voting.peers.call(tail.peer_address, ReadState(), 2 * READ_TIMEOUT_S)
+            answer = await self.voting.call_member(tail, ReadState(), 2 * READ_TIMEOUT_S)
             reply = answer if isinstance(answer, StateReply) else StateReply(None, "unexpected reply")
         if reply.state is None:
             raise PeerRefused("ReadState", tail.name, reply.problem)
--- a/finchladder/cluster/process/changes.py
+++ b/finchladder/cluster/process/changes.py
@@ -38,7 +38,7 @@
             return unclear("there is no chain")
         request = Submit(base, patch, body, int((deadline_s - FORWARD_MARGIN_S) * 1000))
         try:
-            reply = await self.chain.voting.peers.call(head.peer_address, request, deadline_s)
+            reply = await self.chain.voting.call_member(head, request, deadline_s)
         except ClusterError as error:
             return unclear(str(error))
         return reply if isinstance(reply, Submitted) else unclear("unexpected reply")
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -142,7 +142,8 @@
             if not self.puller.placer:
                 continue
             loads = self.router.pools.own_loads()
-            report = DemandReport(self.settings.node_name, now - told_at, self.demand.take(), loads)
+            demands, uses = self.demand.take(now), self.demand.uses()
+            report = DemandReport(self.settings.node_name, now - told_at, demands, loads, uses)
             told_at = now
             try:
                 reply = await self.peers.call(self.puller.placer, report, REPORT_TIMEOUT_S)
--- a/finchladder/cluster/process/ended_workers.py
+++ b/finchladder/cluster/process/ended_workers.py
@@ -36,7 +36,7 @@
         if head is None:
             return False
         try:
-            reply = await self.chain.voting.peers.call(head.peer_address, EndWorker(end), RECORD_S)
+            reply = await self.chain.voting.call_member(head, EndWorker(end), RECORD_S)
         except ClusterError as error:
             event("worker.end_unheard", instance=end.instance, problem=str(error))
             return False
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -5,19 +5,29 @@
 import asyncio
 from contextlib import suppress
 
+import msgspec
 from attrs import define, field
 
 from finchladder.cluster.configuration.routing import EMPTY, Engine, Snapshot, build
 from finchladder.cluster.placement.demand import DemandBook, Item
 from finchladder.cluster.placement.disks import KnownDisks
-from finchladder.cluster.placement.durations import EVICT_S, Durations
+from finchladder.cluster.placement.durations import EVICT_S, Durations, FirstCopies
 from finchladder.cluster.placement.ledger import LoadLedger, ObservedLoads
-from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, store_loads_at_once, used_mb
+from finchladder.cluster.placement.planner import (
+    KEPT_FREE,
+    KEPT_FREE_BY_PREPARING,
+    Load,
+    Plan,
+    Round,
+    WorkerState,
+    store_loads_at_once,
+    used_mb,
+)
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.sessions_service import SessionsService
 from finchladder.cluster.process.tasks import Signal, Tasks
-from finchladder.cluster.process.worker_orders import SETTLE_S, Managed, WorkerOrders
+from finchladder.cluster.process.worker_orders import SETTLE_S, Managed, StoreLoad, WorkerOrders
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import PeerUnreachable
 from finchladder.cluster.types.messages import DemandReply, DemandReport
@@ -26,6 +36,7 @@
 
 TICK_S = 0.1
 HIDE_S = 0.05  # from telling the dispatchers that a model goes until the order goes out
+IDLE_REQUESTS = 0.02  # expected within that time: what is asked for less is evicted at once
 REPORT_INTERVAL_MS = 400
 REPORTS_A_SECOND = 150  # that the placer is ready to read
 
@@ -45,6 +56,7 @@
     managed: dict[str, Managed] = field(factory=dict)
     ledgers: dict[str, LoadLedger] = field(factory=dict)
     durations: dict[str, Durations] = field(factory=dict)
+    first_copies: dict[str, FirstCopies] = field(factory=dict)  # by service
     disks: KnownDisks = field(factory=KnownDisks)
     observed: ObservedLoads = field(init=False)
     waited_for: Signal = field(factory=Signal)
@@ -190,19 +202,50 @@
             managed.state.on_disk = self.disks.of(managed.state.instance)
             if managed.action is not None and not managed.action.adapter:
                 loading[managed.action.model] = loading.get(managed.action.model, 0) + 1
-        at_once = store_loads_at_once(engine, len(workers))
-        left = min(ledger.left(now), at_once - self._loading_cold(workers))
+        left = self._store_loads_left(now, workers, engine, ledger, KEPT_FREE)
+        has_demand = any(self.demand.rate(item) for item in self.demand.items() if item.service == service)
+        kept_free = KEPT_FREE_BY_PREPARING if has_demand else KEPT_FREE
+        preparing = self._store_loads_left(now, workers, engine, ledger, kept_free)
         durations = self.durations.setdefault(service, Durations())
-        plan = Plan(service, engine, [m.state for m in workers], self.demand, left, durations.warm_share)
+        first_copies = self.first_copies.setdefault(service, FirstCopies())
+        plan = Plan(
+            service,
+            engine,
+            [m.state for m in workers],
+            self.demand,
+            left,
+            preparing,
+            durations.warm_share,
+            first_copies.at_once(now),
+        )
+        held = {model for m in workers for model in m.state.models} | set(loading)
         for action in Round(plan, loading).actions():
+            if not action.adapter and action.model not in held:
+                first_copies.begin(
+                    now, durations.expected_s(engine.models[action.model].load_s, False, False)
+                )
             managed = self.managed[action.instance]
             managed.action = action
             work = self._carry_out(managed, action, engine, ledger)
             managed.task = self.tasks.spawn(work, f"order {action}")
 
-    def _loading_cold(self, workers: list[Managed]) -> int:
-        loads = [(m, m.action) for m in workers if m.action is not None and not m.action.adapter]
-        return sum(not self._is_warm(managed, action.model) for managed, action in loads)
+    def _store_loads_left(
+        self, now: float, workers: list[Managed], engine: Engine, ledger: LoadLedger, kept_free: float
+    ) -> int:
+        """How many more loads from the store may be begun. Those that still wait for an eviction take nothing
+        of what the store can do at once, but each of them will.
+        """
+        at_once = store_loads_at_once(engine, len(workers), kept_free)
+        loading = sum(managed.loads_from_store for managed in workers)
+        waiting = sum(self._waits_to_load(managed) for managed in workers)
+        return min(ledger.left(now) - waiting, at_once - loading, 2 * at_once - loading - waiting)
+
+    def _waits_to_load(self, managed: Managed) -> bool:
+        """Whether it will load from the store once there is room."""
+        action = managed.action
+        if action is None or action.adapter or managed.loads_from_store:
+            return False
+        return not self._is_warm(managed, action.model)
 
     def _ledger(self, service: str, engine: Engine) -> LoadLedger:
         ledger = self.ledgers.get(service)
@@ -226,7 +269,7 @@
             event("placer.worker_unheard", problem=str(error))
         finally:
             managed.task, managed.action, managed.pending_load = None, None, None
-            managed.announced = 0
+            managed.announced, managed.loads_from_store = 0, False
             managed.hidden.clear()
             if managed.report is not None and managed.state.instance in self.managed:
                 self._publish(managed)
@@ -245,15 +288,19 @@
             if (model, "") not in managed.hidden:
                 adapters = tuple(a for a in sorted(held) if (model, a) not in managed.hidden)
                 usable.append(Holding(model, adapters))
-        since = steady() - self.window_s
-        managed.store_loads = [at for at in managed.store_loads if at > since]
-        told = tuple(usable), managed.pending_load, managed.revision + managed.announced
-        if told == managed.told:
+        record = PlacementRecord(
+            managed.state.instance,
+            self.term,
+            managed.serial,
+            tuple(usable),
+            managed.pending_load,
+            managed.revision + managed.announced,
+            managed.load_ages_ms(steady(), self.window_s),
+        )
+        if record == managed.told:
             return
-        managed.told = told
         managed.serial += 1
-        ages_ms = tuple(int(1000 * (steady() - at)) for at in managed.store_loads)
-        record = PlacementRecord(managed.state.instance, self.term, managed.serial, *told, ages_ms)
+        record = managed.told = msgspec.structs.replace(record, serial=managed.serial)
         self.sessions.tables.put_placement(record)
         self.sessions.changed.fire()
 
@@ -276,7 +323,8 @@
             return False
         managed.hidden.update(action.victims)
         managed.announced = len(action.victims) + 1
-        hide_s = HIDE_S + self.sessions.spacing_s()
+        is_idle = all(self._is_idle(managed.state.service, *victim) for victim in action.victims)
+        hide_s = 0.0 if is_idle else HIDE_S + self.sessions.spacing_s()
         evictions_s = EVICT_S * len(action.victims)
         expected_s = self._expected_s(managed, action, service.engine) + evictions_s + hide_s
         managed.pending_load = PendingLoad(action.model, action.adapter, int(1000 * expected_s))
@@ -289,6 +337,15 @@
             await asyncio.sleep(EVICT_S)
         return True
 
+    def _is_idle(self, service: str, model: str, adapter: str) -> bool:
+        """Whether nobody uses it, and hardly anybody will while the dispatchers learn that it goes."""
+        demand = self.demand
+        items = [item for item in demand.items() if (item.service, item.model) == (service, model)]
+        if adapter:
+            items = [item for item in items if item.adapter == adapter]
+        in_use = any(demand.waiting(item) or demand.running_now(item) for item in items)
+        return not in_use and sum(map(demand.rate, items)) * HIDE_S < IDLE_REQUESTS
+
     def _still_fits(self, managed: Managed, action: Load, engine: Engine) -> bool:
         """Checks a load against what the worker says it holds: too much would end it."""
         state = managed.state
@@ -305,19 +362,19 @@
 
     async def _load(self, managed: Managed, action: Load, engine: Engine, ledger: LoadLedger) -> None:
         warm = self._is_warm(managed, action.model)
-        if not action.adapter and not warm:
-            if not ledger.allows(steady()):
-                return
-            ledger.note(steady())
-            managed.store_loads.append(steady())
-        managed.announced = 1
+        from_store = None if action.adapter or warm else StoreLoad(ledger, managed)
         expected_s = self._expected_s(managed, action, engine)
         managed.pending_load = PendingLoad(action.model, action.adapter, int(1000 * expected_s))
+        managed.announced = 1
+        if from_store is not None:
+            managed.store_loads.append(steady())
         self._publish(managed)
-        if not await self.orders.give(managed, "load", action.model, action.adapter):
-            return
+        taken = await self.orders.give(managed, "load", action.model, action.adapter, from_store)
         began = steady()
-        if await self.orders.await_loaded(managed, action.model, action.adapter, expected_s):
+        if from_store is not None:
+            managed.store_loads[-1:] = [began] if taken else []
+            self._publish(managed)
+        if taken and await self.orders.await_loaded(managed, action.model, action.adapter, expected_s):
             _add(managed.state, action.model, action.adapter)
             self._learn_duration(managed, action, engine, warm, steady() - began)
 
--- a/finchladder/cluster/process/role.py
+++ b/finchladder/cluster/process/role.py
@@ -85,7 +85,7 @@
             return REFUSED
         if head.disk_id == self.me.disk_id:
             return await self._here(request)
-        reply = await self.chain.voting.peers.call(head.peer_address, request, RENEW_TIMEOUT_S)
+        reply = await self.chain.voting.call_member(head, request, RENEW_TIMEOUT_S)
         return reply if isinstance(reply, Granted) else REFUSED
 
     async def _here(self, request: Request) -> Granted:
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -31,7 +31,8 @@
 from finchladder.cluster.transport.peers import steady
 
 HOLD_SHARE = 0.8  # of the time that a client waits: what needs longer is refused
-UNKNOWN_SHARE = 0.4  # of that time a request waits for something of which nobody says when it comes
+UNKNOWN_SHARE = 0.6  # of that time a request waits for something of which nobody says when it comes
+RETURN_S = 0.5  # after the time that a refused client is told to wait, it is back or has given up
 LAST_SEND_S = 0.05
 DOUBTFUL, ENDING, ABSENT, FULL = "doubtful", "ending", "absent", "full"  # why a request is refused
 LATE_S = 1.5  # by which what is being loaded may come later than was told
@@ -138,8 +139,7 @@
         while True:
             backend = await self._find(wanted, sent)
             if backend is None:
-                has_holders = bool(self.pools.pool(wanted.key).backends)
-                return self._refuse(self._retry_after(wanted), FULL if has_holders else ABSENT, wanted)
+                return self._refuse_unplaced(wanted)
             if sent and not budget.spend(steady(), self.dispatchers()):
                 return self._refuse(RETRY_AFTER_FULL_S, FULL, wanted)
             with Running(self.demand, wanted, backend):
@@ -341,6 +341,16 @@
             return None
         return backend, outcome.response
 
+    def _refuse_unplaced(self, wanted: Need) -> web.StreamResponse:
+        """No worker could take it in time. Where nobody holds what it needs, it counts as waiting until the
+        client may be back: else that would be loaded for nobody, or not at all.
+        """
+        retry_after_s = self._retry_after(wanted)
+        if self.pools.pool(wanted.key).backends:
+            return self._refuse(retry_after_s, FULL, wanted)
+        self.demand.comes_back(wanted.key, steady() + retry_after_s + RETURN_S)
+        return self._refuse(retry_after_s, ABSENT, wanted)
+
     def _refuse(self, retry_after_s: float, reason: str, wanted: Need | None = None) -> web.StreamResponse:
         """Not run: the client may come again."""
         waited_s = 0.0 if wanted is None else round(steady() - wanted.arrived, 2)
@@ -368,11 +378,11 @@
 
     def __enter__(self) -> None:
         self._backend.begin()
-        self._demand.runs(self._wanted.key, 1)
+        self._demand.runs(self._wanted.key, self._backend.instance, 1)
 
     def __exit__(self, *_: object) -> None:
         self._backend.end()
-        self._demand.runs(self._wanted.key, -1)
+        self._demand.runs(self._wanted.key, self._backend.instance, -1)
 
 
 def _abort(request: web.BaseRequest) -> None:
--- a/finchladder/cluster/process/voting.py
+++ b/finchladder/cluster/process/voting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from random import Random
+from typing import Any
 
 from attrs import define, field
 
@@ -14,7 +15,7 @@
 from finchladder.cluster.storage.interface import DurableStore
 from finchladder.cluster.transport.interface import Peers
 from finchladder.cluster.transport.peers import all_of, steady
-from finchladder.cluster.types.errors import ClusterError
+from finchladder.cluster.types.errors import ClusterError, PeerUnreachable
 from finchladder.cluster.types.members import Ballot, Member, View
 from finchladder.cluster.types.messages import (
     Accept,
@@ -25,6 +26,7 @@
     Prepare,
     Promise,
     Reply,
+    Request,
 )  # fmt: skip
 
 PING_S = 0.2
@@ -227,6 +229,24 @@
         voting = sum(voter.disk_id in answering for voter in self.view.voters)
         return 2 * len(names) > len(self.view.voters) > 0 and voting < self.view.quorum
 
+    async def call_member(self, member: Member, request: Request, timeout_s: float) -> Reply:
+        """Calls a member of the chain; ClusterError without an answer, and as soon as the view leaves it out:
+        whatever it answered then would be of no use.
+        """
+        call = asyncio.ensure_future(self.peers.call(member.peer_address, request, timeout_s))
+        try:
+            while not call.done() and self.view.position(member.disk_id) is not None:
+                change = asyncio.ensure_future(self.changed.wait(timeout_s))
+                both: set[asyncio.Future[Any]] = {call, change}
+                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+                change.cancel()
+            if call.done():
+                return call.result()
+            raise PeerUnreachable(type(request).__name__, member.name, "it has left the chain")
+        finally:
+            if not call.done():
+                call.cancel()
+
     async def leave(self, patience_s: float) -> bool:
         """Has the others go on without this process, which is about to end; True if they do in time."""
         if len(self.view.chain) <= self.limits.shortest_chain:
--- a/finchladder/cluster/process/worker_orders.py
+++ b/finchladder/cluster/process/worker_orders.py
@@ -9,19 +9,20 @@
 
 from attrs import define, field
 
+from finchladder.cluster.placement.ledger import LoadLedger
 from finchladder.cluster.placement.planner import Load, WorkerState
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.worker_client import WorkerClient
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.worker_api import OrderBody, Report
-from finchladder.cluster.types.workers import Holding, PendingLoad
+from finchladder.cluster.types.workers import PendingLoad, PlacementRecord
 
 DONE, TAKEN, BUSY, STALE_FENCE = 200, 202, 409, 412
 POLL_S = 0.1
 LEAST_POLL_S = 0.02
 POLL_SHARE = 0.1  # of the time that a load has taken so far, between two looks at whether it is done
-QUICK_S = 0.1  # most evictions end within it
+QUICK_S = 0.06  # most evictions end within it
 LONGEST_EVICT_S = 10.0
 OVERDUE_S = 0.5  # by which a load is late before the worker's report is looked at
 SETTLE_S = 0.5  # a worker that could not be asked is asked again after this
@@ -42,11 +43,17 @@
     retry_at: float = 0.0
     action: Load | None = None
     pending_load: PendingLoad | None = None
-    told: tuple[tuple[Holding, ...], PendingLoad | None, int] | None = None
+    told: PlacementRecord | None = None
+    loads_from_store: bool = False  # now
     announced_before: int = 0  # orders that placers had announced when this term began
     taken_before: int | None = None  # those that the worker had taken then; None: not known
     store_loads: list[float] = field(factory=list)  # when loads from the store began here, in this term
 
+    def load_ages_ms(self, now: float, window_s: float) -> tuple[int, ...]:
+        """Of the loads from the store that began here within the window."""
+        self.store_loads = [at for at in self.store_loads if at > now - window_s]
+        return tuple(int(1000 * (now - at)) for at in self.store_loads)
+
     def orders_unheard(self) -> int:
         """Orders that the worker took before this term and no placement record announced; one where it does
         not say.
@@ -60,6 +67,30 @@
         return OrderBody(operation, model, holder, self.term, adapter or None, self.revision)
 
 
+@define
+class StoreLoad:
+    """A load from the store that a worker is about to begin. It counts from when its order is sent, unless
+    the worker refuses it: that may be long after it was planned, if what gives way is still in use.
+    """
+
+    ledger: LoadLedger
+    managed: Managed
+    at: float = 0.0
+
+    def begins(self, now: float) -> bool:
+        """Counts the load, if the store's rate allows it."""
+        if not self.ledger.allows(now):
+            return False
+        self.ledger.note(now)
+        self.at, self.managed.loads_from_store = now, True
+        return True
+
+    def was_refused(self) -> None:
+        """It has not begun."""
+        self.ledger.withdraw(self.at)
+        self.managed.loads_from_store = False
+
+
 @define
 class WorkerOrders:
     """Gives orders while the process holds the role."""
@@ -79,15 +110,27 @@
                 return report
             await asyncio.sleep(POLL_S)
 
-    async def give(self, managed: Managed, operation: str, model: str, adapter: str) -> bool:
-        """Gives one order; False if it was not taken."""
+    async def give(
+        self,
+        managed: Managed,
+        operation: str,
+        model: str,
+        adapter: str,
+        store_load: StoreLoad | None = None,
+    ) -> bool:
+        """Gives one order; False if it was not taken. `store_load`: what a load from the store counts as."""
         began = steady()
         while managed.report is not None and self._is_in_term(managed) and self.role.holds():
+            if store_load is not None and not store_load.begins(steady()):
+                await asyncio.sleep(LEAST_POLL_S)
+                continue
             status = await self._send(managed, operation, model, adapter)
             if status == TAKEN:
                 managed.revision += 1
                 managed.announced = max(0, managed.announced - 1)
                 return True
+            if store_load is not None:
+                store_load.was_refused()
             if status != BUSY or not await self._still_busy(managed, began):
                 break
         self._lose_track(managed)
--- a/finchladder/cluster/routing/demand.py
+++ b/finchladder/cluster/routing/demand.py
@@ -1,12 +1,13 @@
 """What this dispatcher was asked for, by model and adapter, since it last told the placer."""
 
+from collections import Counter, deque
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from finchladder.cluster.routing.pools import PoolKey
 from finchladder.cluster.routing.requests import Need
-from finchladder.cluster.types.messages import Demand
+from finchladder.cluster.types.messages import Demand, ModelUse
 
 
 @define
@@ -19,11 +20,29 @@
     running: int = 0
 
 
+@frozen
+class Place:
+    """A model at a worker."""
+
+    instance: str
+    model: str
+
+
+@frozen
+class Returning:
+    """A refused request that counts as waiting until its client may have come back. `until`: seconds."""
+
+    key: PoolKey
+    until: float
+
+
 @define
 class DemandCounter:
-    """`on_wait` is called when something begins to be waited for that nobody holds."""
+    """Times are passed in. `on_wait` is called when something begins to be waited for that nobody holds."""
 
     counts: dict[PoolKey, Count] = field(factory=dict)
+    in_flight: Counter[Place] = field(factory=Counter)
+    returning: deque[Returning] = field(factory=deque)
     on_wait: Callable[[], None] = lambda: None
 
     def _of(self, key: PoolKey) -> Count:
@@ -43,16 +62,34 @@
             if step > 0:
                 self.on_wait()
 
-    def runs(self, key: PoolKey, step: int) -> None:
-        """A request begins (1) or ceases (-1) to run at a worker."""
+    def comes_back(self, key: PoolKey, until: float) -> None:
+        """A request was refused since nobody holds what it needs; its client was told when to come back."""
         if key.model:
-            self._of(key).running += step
+            self.returning.append(Returning(key, until))
+
+    def runs(self, key: PoolKey, instance: str, step: int) -> None:
+        """A request begins (1) or ceases (-1) to run at a worker."""
+        if not key.model:
+            return
+        self._of(key).running += step
+        place = Place(instance, key.model)
+        self.in_flight[place] += step
+        if not self.in_flight[place]:
+            del self.in_flight[place]
+
+    def uses(self) -> tuple[ModelUse, ...]:
+        """What runs where now. O(models in use at workers)."""
+        return tuple(ModelUse(p.instance, p.model, requests) for p, requests in self.in_flight.items())
 
-    def take(self) -> tuple[Demand, ...]:
-        """What is to be told; counts begin anew. O(keys in use)."""
+    def take(self, now: float) -> tuple[Demand, ...]:
+        """What is to be told; counts begin anew. O(keys in use + refused requests that may come back)."""
+        self.returning = deque(one for one in self.returning if one.until > now)
+        returning = Counter(one.key for one in self.returning)
+        for key in returning:
+            self._of(key)
         told = []
         for key, count in list(self.counts.items()):
-            figures = count.asked, count.waiting, count.running, count.tokens
+            figures = count.asked, count.waiting + returning[key], count.running, count.tokens
             told.append(Demand(key.service, key.model, key.adapter, *figures))
             count.asked = count.tokens = 0
             if not count.waiting and not count.running:
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -87,6 +87,14 @@
     tokens: int  # prompt and output tokens asked for
 
 
+class ModelUse(Message, frozen=True):
+    """Requests of one model, its adapters included, that a dispatcher has in flight at one worker."""
+
+    instance: str
+    model: str
+    requests: int
+
+
 class DemandReport(Message, frozen=True, tag=9):
     """From a dispatcher to the placer."""
 
@@ -94,6 +102,7 @@
     seconds: float  # since the report before
     demands: tuple[Demand, ...]
     loads: dict[str, int] = {}  # requests in flight by worker instance
+    uses: tuple[ModelUse, ...] = ()
 
 
 class RenewPlacer(Message, frozen=True, tag=10):
--- a/tests/cluster/test_load_delays.py
+++ b/tests/cluster/test_load_delays.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from finchladder.cluster.process.placer import HIDE_S
+from finchladder.cluster.transport.peers import steady
 from finchladder.lab.cluster.virtual import run
 from tests.cluster.placer_scene import LOAD_S, Scene
-from tests.cluster.stand_in_workers import StandInWorker
+from tests.cluster.stand_in_workers import TAKEN, StandInWorker
 
 
 def delay(scene: Scene, model: str, adapter: str = "") -> float:
@@ -42,3 +44,67 @@
     took_s = delay(Scene(w1=worker), "m1")
     assert takes_s <= took_s <= takes_s + 0.15
     assert worker.sequence == 1
+
+
+def test_loads_that_wait_for_an_eviction_keep_no_other_from_the_store() -> None:
+    """The store does two at once; two workers wait for what runs at the models that give way."""
+    workers = {
+        "w1": StandInWorker({"m0", "m1"}, evict_s=6.0),
+        "w2": StandInWorker({"m2", "m3"}, evict_s=6.0),
+        "w3": StandInWorker({"m4", "m5"}),
+    }
+    scene = Scene(1, **workers)
+
+    async def work() -> float:
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(0.05)
+        for model in ("m6", "m7", "m8"):
+            scene.ask(model)
+        took_s = await scene.until_usable("m8")
+        await scene.tasks.stop()
+        return took_s
+
+    assert run(work()) <= LOAD_S + 0.5
+
+
+def test_a_load_counts_towards_the_stores_rate_from_when_it_begins() -> None:
+    """Not from when it was planned: the eviction before it may wait for longer than the window."""
+    worker = StandInWorker({"m0", "m1"}, evict_s=6.0)
+    scene = Scene(1, w1=worker)
+
+    async def work() -> list[float]:
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(0.05)
+        scene.ask("m6")
+        await scene.until_usable("m6")
+        await scene.tasks.stop()
+        return list(scene.placer.ledgers["llm"].began)
+
+    (counted_at,) = run(work())
+    (taken_at,) = [at for at, order, status in worker.log if (order.operation, status) == ("load", TAKEN)]
+    assert taken_at > 6.0 and counted_at == pytest.approx(taken_at, abs=0.01)
+    (placement,) = scene.tables.placements.values()
+    (age_ms,) = placement.record.load_ages_ms
+    assert age_ms == pytest.approx(1000 * LOAD_S, abs=50)
+
+
+@pytest.mark.parametrize("running", [0, 1])
+def test_dispatchers_are_told_before_a_model_goes_that_they_may_be_sending_to(running: int) -> None:
+    worker = StandInWorker({"m0", "m1"})
+    scene = Scene(1, w1=worker)
+
+    async def work() -> tuple[float, float]:
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(0.05)
+        for model in ("m0", "m1"):
+            scene.ask(model, waiting=0, running=running)
+        scene.ask("m5")
+        hidden_s = await scene.until_hidden("m0", "m1")
+        began = steady() - hidden_s
+        await scene.until_usable("m5")
+        await scene.tasks.stop()
+        return hidden_s, worker.log[0][0] - began
+
+    hidden_s, evicted_s = run(work())
+    assert evicted_s - hidden_s >= (HIDE_S if running else 0.0)
+    assert running or evicted_s - hidden_s < HIDE_S / 2, "nobody is sending to what nobody asks for"
--- a/tests/cluster/test_role.py
+++ b/tests/cluster/test_role.py
@@ -137,6 +137,7 @@
     async def work() -> None:
         world, loop = World(seed, fenced=True), asyncio.get_running_loop()
         machine, token = await settled(world)
+        await asyncio.sleep(0.37 * seed)  # the others were last told to wait some time ago
         world.kill(machine, power=True)
         died = loop.time()
         other = await holder(world, 8.0, machine.name)
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -12,12 +12,14 @@
 from yarl import URL
 
 from finchladder.cluster.configuration.routing import build
-from finchladder.cluster.process.router import Router
+from finchladder.cluster.process.router import RETURN_S, Router
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.pools import Backend, Chooser, Holder, Pools
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
+from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.workers import Holding
 
 ID = "X-Finchladder-Request-Id"
 STAMP = "X-Finchladder-Response-Signature"
@@ -251,6 +253,42 @@
     played(work)
 
 
+def test_a_refused_client_counts_as_waiting_until_it_may_be_back() -> None:
+    """Else what it needs is loaded for nobody, or not at all, and its next try is refused as well."""
+
+    async def work() -> None:
+        async with bench(Worker(plain)) as it:
+            waiting = {"X-Finchladder-Model": "m9", "X-Finchladder-Deadline-Ms": "100"}
+            async with it.send("/once/x", b"{}", **waiting) as response:
+                assert response.status == 503
+                back_s = float(response.headers["Retry-After"])
+            now = steady()
+            assert [(d.model, d.waiting) for d in it.router.demand.take(now)] == [("m9", 1)]
+            assert [(d.model, d.waiting) for d in it.router.demand.take(now + back_s)] == [("m9", 1)]
+            assert it.router.demand.take(now + back_s + RETURN_S) == ()
+
+    played(work)
+
+
+def test_what_runs_where_is_told_while_it_runs() -> None:
+    async def work() -> None:
+        seen: list[tuple[str, int]] = []
+
+        async def looked_at(request: web.BaseRequest) -> web.StreamResponse:
+            seen.extend((use.model, use.requests) for use in it.router.demand.uses())
+            return answer(request)
+
+        async with bench(Worker(looked_at)) as it:
+            holder = next(iter(it.router.pools.holders.values()))
+            it.router.pools = Pools().changed({"i-0": Holder(holder.backend, (Holding("m1", ("a1",)),))})
+            async with it.send("/once/x", b"{}", **{"X-Finchladder-Model": "m1/a1"}) as response:
+                assert response.status == 200
+            assert seen == [("m1", 1)]
+            assert it.router.demand.uses() == ()
+
+    played(work)
+
+
 def test_a_worker_that_cannot_be_reached_costs_no_attempt() -> None:
     async def work() -> None:
         one, two = Worker(plain), Worker(plain)
