The placer's parts in smaller modules; what gives way and what loads are typed

Change: placement/plan.py, model_demand.py and process/managed_worker.py; Victim and LoadUnderWay in place of tuples. No change of behaviour.

--- /dev/null
+++ b/finchladder/cluster/placement/model_demand.py
@@ -0,0 +1,39 @@
+"""Demand by model, its adapters included; no I/O and no clock."""
+
+from attrs import define
+
+from finchladder.cluster.configuration.routing import Engine
+from finchladder.cluster.placement.demand import DemandBook
+
+IDLE_RATE = 0.5  # requests a second: what is asked for less, and not in use, gives its place to others
+
+
+@define
+class ModelDemand:
+    """What is asked of a model, its adapters included."""
+
+    rate: float = 0.0
+    waiting: int = 0
+    running: float = 0.0
+    running_now: int = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether a copy may go without anybody waiting for it."""
+        return not self.waiting and not self.running_now and self.rate < IDLE_RATE
+
+
+NO_DEMAND = ModelDemand()
+
+
+def by_model(demand: DemandBook, service: str, engine: Engine) -> dict[str, ModelDemand]:
+    """Demand of each model of the service that is asked for."""
+    found: dict[str, ModelDemand] = {}
+    for item in demand.items():
+        if item.service == service and item.model in engine.models:
+            of_model = found.setdefault(item.model, ModelDemand())
+            of_model.rate += demand.rate(item)
+            of_model.waiting += demand.waiting(item)
+            of_model.running += demand.running(item)
+            of_model.running_now += demand.running_now(item)
+    return found
--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -12,14 +12,21 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
-from math import ceil, sqrt
-
-from attrs import define, field, frozen
-
-from finchladder.cluster.configuration.routing import Engine
-from finchladder.cluster.placement.demand import DemandBook, Item
+from collections.abc import Mapping
+
+from attrs import frozen
+
+from finchladder.cluster.placement.demand import Item
+from finchladder.cluster.placement.model_demand import NO_DEMAND, by_model
+from finchladder.cluster.placement.plan import (
+    LONG_LOAD_S,
+    Load,
+    Plan,
+    Victim,
+    WorkerState,
+    places_for_first_copies,
+    used_mb,
+)
 
 BALANCE_WORTH = 0.15  # of a further copy, for each request a second
 OVERLOAD_WORTH = 0.3  # of a further copy of a model whose copies are all busy, for each request a second
@@ -27,123 +34,12 @@
 BUSY_SHARE = 0.15  # of a worker's slots: so many running requests make a copy busy
 WAITING_WORTH = 1.5  # of each request that waits for a model that nobody holds
 USE_COST = 0.5  # of each request that runs at a copy: who evicts it waits, and does nothing else meanwhile
-IDLE_RATE = 0.5  # requests a second: what is asked for less, and not in use, gives its place to others
-MOST_RESERVED = 0.4  # of all places
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
 LEAST_WORTH = 0.02  # a first copy that is worth less is not loaded
 LEAST_COPY_WORTH = 0.1  # the same for a further one
 EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
-LONG_LOAD_S = 2.0  # loads that are quicker need not be prepared, and may go on at all workers at once
-KEPT_FREE = 0.8  # times the root of the workers: so many carry out no long load, and take other orders
-KEPT_FREE_BY_PREPARING = 1.6  # the same, while there is demand, of loads that nobody waits for
-
-
-@define
-class WorkerState:
-    """A worker as the placer knows it. `models`: what is in its memory, with adapters."""
-
-    instance: str
-    service: str
-    address: str
-    zone: str
-    busy: bool  # an order is under way
-    leaving: bool
-    models: dict[str, set[str]] = field(factory=dict)
-    on_disk: frozenset[str] = frozenset()  # models that it has held before
-
-    def adapters(self) -> int:
-        """Adapters in its memory."""
-        return sum(len(adapters) for adapters in self.models.values())
-
-
-@dataclass(frozen=True)
-class Load:
-    """Load a model, or an adapter of one that is there, after evicting `victims`: (model, adapter or "")."""
-
-    instance: str
-    model: str
-    adapter: str = ""
-    victims: tuple[tuple[str, str], ...] = ()
-
-
-@frozen
-class Plan:
-    """Inputs of one round of planning for one service. `warm_share`: a load from the own disk over one from
-    the store, in time.
-    """
-
-    service: str
-    engine: Engine
-    workers: Sequence[WorkerState]
-    demand: DemandBook
-    loads_allowed: int  # that may begin from the store now
-    preparing_allowed: int  # of them, for models that nobody waits for
-    warm_share: float
-    first_copies: float = 0.0  # on their way or just in use, on average: as many places change hands at once
-
-
-def used_mb(engine: Engine, models: Mapping[str, Iterable[str]]) -> float:
-    """Memory that models and their adapters take; infinite if one of them is unknown."""
-    total = 0.0
-    for name, adapters in models.items():
-        model = engine.models.get(name)
-        if model is None:
-            return float("inf")
-        total += model.weights_mb + model.adapter_size_mb * len(list(adapters))
-    return total
-
-
-def store_loads_at_once(engine: Engine, workers: int, kept_free: float = KEPT_FREE) -> int:
-    """As many loads from the store as its rate keeps under way, as more would only make each take longer; and
-    where they are long no more than leaves workers free for quicker orders, such as adapters. What has to be
-    free for the peaks grows with the root of the fleet (source: Halfin and Whitt, "Heavy-Traffic Limits for
-    Queues with Many Exponential Servers").
-    """
-    longest_s = max((model.load_s for model in engine.models.values()), default=0.0)
-    kept_under_way = max(1, ceil(engine.load_rate_s * longest_s))
-    if longest_s < LONG_LOAD_S:
-        return kept_under_way
-    return max(1, min(kept_under_way, workers - ceil(kept_free * sqrt(workers))))
-
-
-@define
-class ModelDemand:
-    """What is asked of a model, its adapters included."""
-
-    rate: float = 0.0
-    waiting: int = 0
-    running: float = 0.0
-    running_now: int = 0
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether a copy may go without anybody waiting for it."""
-        return not self.waiting and not self.running_now and self.rate < IDLE_RATE
-
-
-NO_DEMAND = ModelDemand()
-
-
-def by_model(demand: DemandBook, service: str, engine: Engine) -> dict[str, ModelDemand]:
-    """Demand of each model of the service that is asked for."""
-    found: dict[str, ModelDemand] = {}
-    for item in demand.items():
-        if item.service == service and item.model in engine.models:
-            of_model = found.setdefault(item.model, ModelDemand())
-            of_model.rate += demand.rate(item)
-            of_model.waiting += demand.waiting(item)
-            of_model.running += demand.running(item)
-            of_model.running_now += demand.running_now(item)
-    return found
-
-
-def places_for_first_copies(at_once: float, places: int) -> int:
-    """How many places are kept for models of which there is no copy, where first copies take `at_once` on
-    average: what has to be free for the peaks grows with the root (source: Halfin and Whitt).
-    """
-    return min(int(MOST_RESERVED * places), ceil(at_once + sqrt(at_once)))
 
 
 @frozen
@@ -209,10 +105,10 @@
         if not action.adapter:
             self.copies[action.model] += 1
             self.replaceable -= not action.victims
-            for model, _ in action.victims:
-                self.copies[model] -= 1
-                self.present[model] -= 1
-                self.replaceable -= self._is_idle(model)
+            for victim in action.victims:
+                self.copies[victim.model] -= 1
+                self.present[victim.model] -= 1
+                self.replaceable -= self._is_idle(victim.model)
             if action.model not in worker.on_disk:
                 self.loads_left -= 1
         return action
@@ -248,7 +144,7 @@
         if not choices:
             return None
         _, instance, victims = min(choices)
-        return self._take(Load(instance, model, "", tuple((victim, "") for victim in victims)))
+        return self._take(Load(instance, model, "", tuple(map(Victim, victims))))
 
     def _is_overloaded(self, model: str) -> bool:
         """Whether its copies are all busy, those on their way included."""
@@ -324,7 +220,7 @@
         for worker in sorted(self.free.values(), key=lambda w: (len(w.on_disk), w.instance)):
             room = self._room(worker, model)
             if room is not None and all(self._is_unused(victim) for victim in room.victims):
-                return self._take(Load(worker.instance, model, "", tuple((v, "") for v in room.victims)))
+                return self._take(Load(worker.instance, model, "", tuple(map(Victim, room.victims))))
         return None
 
     def _is_unused(self, model: str) -> bool:
@@ -360,13 +256,11 @@
         victim = self._idlest_adapter(worker)
         return None if victim is None else Load(worker.instance, item.model, item.adapter, (victim,))
 
-    def _idlest_adapter(self, worker: WorkerState) -> tuple[str, str] | None:
-        held = [(model, adapter) for model, adapters in worker.models.items() for adapter in adapters]
-        if not held:
-            return None
+    def _idlest_adapter(self, worker: WorkerState) -> Victim | None:
+        held = [Victim(model, adapter) for model, adapters in worker.models.items() for adapter in adapters]
 
-        def use(pair: tuple[str, str]) -> tuple[int, float]:
-            item = Item(self.plan.service, *pair)
-            return self.plan.demand.running_now(item), self.plan.demand.rate(item)
+        def use(victim: Victim) -> tuple[int, float, Victim]:
+            item = Item(self.plan.service, victim.model, victim.adapter)
+            return self.plan.demand.running_now(item), self.plan.demand.rate(item), victim
 
-        return min(held, key=lambda pair: (use(pair), pair))
+        return min(held, key=use, default=None)
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -16,7 +16,7 @@
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.pools import Chooser, PoolKey, holder_of
+from finchladder.cluster.routing.pools import Chooser, LoadUnderWay, PoolKey, holder_of
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
@@ -51,7 +51,7 @@
     demand: DemandCounter = field(factory=DemandCounter)
     waited_for: Signal = field(factory=Signal)
     started_at: float = field(factory=steady)
-    pending_loads: dict[str, tuple[PoolKey, float]] = field(factory=dict)  # by instance
+    pending_loads: dict[str, LoadUnderWay] = field(factory=dict)  # by instance
     loads_heard_at: float = 0.0  # when the placer last told what the others have in flight
     fresh: bool = False
     stopping: bool = False
@@ -103,7 +103,7 @@
                 continue
             pending = placement.record.pending_load
             key = PoolKey(worker.record.service, pending.model, pending.adapter)
-            self.pending_loads[instance] = key, now + pending.left_ms / 1000
+            self.pending_loads[instance] = LoadUnderWay(key, now + pending.left_ms / 1000)
 
     def _update_pools(self, changed: list[str]) -> None:
         tables, router = self.puller.tables, self.router
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -13,26 +13,28 @@
 from finchladder.cluster.placement.disks import KnownDisks
 from finchladder.cluster.placement.durations import EVICT_S, Durations, FirstCopies
 from finchladder.cluster.placement.ledger import LoadLedger, ObservedLoads
-from finchladder.cluster.placement.planner import (
+from finchladder.cluster.placement.plan import (
     KEPT_FREE,
     KEPT_FREE_BY_PREPARING,
     Load,
     Plan,
-    Round,
+    Victim,
     WorkerState,
     store_loads_at_once,
     used_mb,
 )
+from finchladder.cluster.placement.planner import Round
 from finchladder.cluster.process.log import event
+from finchladder.cluster.process.managed_worker import Managed, StoreLoad
 from finchladder.cluster.process.role import RoleService
 from finchladder.cluster.process.sessions_service import SessionsService
 from finchladder.cluster.process.tasks import Signal, Tasks
-from finchladder.cluster.process.worker_orders import SETTLE_S, Managed, StoreLoad, WorkerOrders
+from finchladder.cluster.process.worker_orders import SETTLE_S, WorkerOrders
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import PeerUnreachable
 from finchladder.cluster.types.messages import DemandReply, DemandReport
 from finchladder.cluster.types.worker_api import Report
-from finchladder.cluster.types.workers import Holding, PendingLoad, Phase, PlacementRecord, WorkerRecord
+from finchladder.cluster.types.workers import PendingLoad, Phase, WorkerRecord
 
 TICK_S = 0.1
 HIDE_S = 0.05  # from telling the dispatchers that a model goes until the order goes out
@@ -283,20 +285,7 @@
 
     def _publish(self, managed: Managed) -> None:
         """Tells the dispatchers what may be used at the worker and what is being loaded; changes only."""
-        usable = []
-        for model, held in sorted(managed.state.models.items()):
-            if (model, "") not in managed.hidden:
-                adapters = tuple(a for a in sorted(held) if (model, a) not in managed.hidden)
-                usable.append(Holding(model, adapters))
-        record = PlacementRecord(
-            managed.state.instance,
-            self.term,
-            managed.serial,
-            tuple(usable),
-            managed.pending_load,
-            managed.revision + managed.announced,
-            managed.load_ages_ms(steady(), self.window_s),
-        )
+        record = managed.placement(steady(), self.window_s)
         if record == managed.told:
             return
         managed.serial += 1
@@ -323,26 +312,26 @@
             return False
         managed.hidden.update(action.victims)
         managed.announced = len(action.victims) + 1
-        is_idle = all(self._is_idle(managed.state.service, *victim) for victim in action.victims)
+        is_idle = all(self._is_idle(managed.state.service, victim) for victim in action.victims)
         hide_s = 0.0 if is_idle else HIDE_S + self.sessions.spacing_s()
         evictions_s = EVICT_S * len(action.victims)
         expected_s = self._expected_s(managed, action, service.engine) + evictions_s + hide_s
         managed.pending_load = PendingLoad(action.model, action.adapter, int(1000 * expected_s))
         self._publish(managed)
         await asyncio.sleep(hide_s)
-        for model, adapter in action.victims:
-            if not await self.orders.give(managed, "evict", model, adapter):
+        for victim in action.victims:
+            if not await self.orders.give(managed, "evict", victim.model, victim.adapter):
                 return False
-            _remove(managed.state, model, adapter)
+            _remove(managed.state, victim)
             await asyncio.sleep(EVICT_S)
         return True
 
-    def _is_idle(self, service: str, model: str, adapter: str) -> bool:
+    def _is_idle(self, service: str, victim: Victim) -> bool:
         """Whether nobody uses it, and hardly anybody will while the dispatchers learn that it goes."""
         demand = self.demand
-        items = [item for item in demand.items() if (item.service, item.model) == (service, model)]
-        if adapter:
-            items = [item for item in items if item.adapter == adapter]
+        items = [item for item in demand.items() if (item.service, item.model) == (service, victim.model)]
+        if victim.adapter:
+            items = [item for item in items if item.adapter == victim.adapter]
         in_use = any(demand.waiting(item) or demand.running_now(item) for item in items)
         return not in_use and sum(map(demand.rate, items)) * HIDE_S < IDLE_REQUESTS
 
@@ -404,9 +393,9 @@
         held.add(adapter)
 
 
-def _remove(state: WorkerState, model: str, adapter: str) -> None:
+def _remove(state: WorkerState, victim: Victim) -> None:
     """Takes a model or an adapter out of what a worker is known to hold."""
-    if adapter:
-        state.models.get(model, set()).discard(adapter)
+    if victim.adapter:
+        state.models.get(victim.model, set()).discard(victim.adapter)
     else:
-        state.models.pop(model, None)
+        state.models.pop(victim.model, None)
--- a/finchladder/cluster/routing/pools.py
+++ b/finchladder/cluster/routing/pools.py
@@ -175,6 +175,14 @@
                 yield PoolKey(service, holding.model, adapter)
 
 
+@frozen
+class LoadUnderWay:
+    """What is being loaded, and when it will be there: seconds of the steady clock."""
+
+    key: PoolKey
+    ready_at: float
+
+
 @frozen
 class Pools:
     """All pools of one moment. A change makes another one, which shares what has not changed; a pool is built
@@ -188,7 +196,7 @@
     _pools: dict[PoolKey, Pool] = field(factory=dict)
 
     def changed(
-        self, news: Mapping[str, Holder | None], pending_loads: Iterable[tuple[PoolKey, float]] = ()
+        self, news: Mapping[str, Holder | None], pending_loads: Iterable[LoadUnderWay] = ()
     ) -> "Pools":
         """With the workers that have come, changed or gone (None). O(what changed and the number of keys)."""
         holders, members, pools = dict(self.holders), dict(self._members), dict(self._pools)
@@ -205,8 +213,8 @@
                 )
                 pools.pop(key, None)
         earliest: dict[PoolKey, float] = {}
-        for key, ready_at in pending_loads:
-            earliest[key] = min(ready_at, earliest.get(key, ready_at))
+        for load in pending_loads:
+            earliest[load.key] = min(load.ready_at, earliest.get(load.key, load.ready_at))
         return Pools(holders, earliest, members, pools)
 
     def hear_loads(self, others: Mapping[str, int]) -> None:
--- a/tests/cluster/test_placement.py
+++ b/tests/cluster/test_placement.py
@@ -11,16 +11,17 @@
 from finchladder.cluster.placement.disks import MOST_DISKS, KnownDisks
 from finchladder.cluster.placement.durations import Durations
 from finchladder.cluster.placement.ledger import RULE_SLACK, LoadLedger
-from finchladder.cluster.placement.planner import (
+from finchladder.cluster.placement.plan import (
     KEPT_FREE,
     KEPT_FREE_BY_PREPARING,
     Load,
     Plan,
-    Round,
+    Victim,
     WorkerState,
     store_loads_at_once,
     used_mb,
 )
+from finchladder.cluster.placement.planner import Round
 from finchladder.cluster.types.messages import Demand, DemandReport
 
 MODELS = {f"m{n}": Model(f"m{n}", 70.0, 5.0, 4, 1.0) for n in range(8)}
@@ -51,7 +52,7 @@
     asked(book, "m5", 1, waiting=1)
     asked(book, "m0", 9)
     (action,) = plan(book, worker("a", "m0", "m1", "m2"))
-    assert (action.model, action.victims) == ("m5", (("m2", ""),))
+    assert (action.model, action.victims) == ("m5", (Victim("m2"),))
 
 
 def test_what_is_waited_for_and_nowhere_comes_before_another_copy_of_the_busy() -> None:
@@ -90,12 +91,12 @@
     holder = worker("a", "m0", "m1")
     holder.models["m0"] = {"a1", "a2"}
     (action,) = plan(book, holder, worker("b", "m2", busy=True))
-    assert action == Load("a", "m0", "a3", (("m0", "a2"),))
+    assert action == Load("a", "m0", "a3", (Victim("m0", "a2"),))
 
 
 def test_workers_with_nothing_to_do_prepare_models_that_nobody_has_on_disk() -> None:
     actions = plan(DemandBook(), worker("a", "m0", "m1", "m2"))
-    assert [(a.model, a.victims) for a in actions] == [("m3", (("m2", ""),))]
+    assert [(a.model, a.victims) for a in actions] == [("m3", (Victim("m2"),))]
 
 
 @given(
@@ -116,7 +117,7 @@
     assert sum(a.model not in by_name[a.instance].on_disk for a in actions) <= loads
     for action in actions:
         models = {m: set(a) for m, a in by_name[action.instance].models.items()}
-        for victim, _ in action.victims:
+        for victim in (gone.model for gone in action.victims):
             del models[victim]
         assert action.model not in models
         assert used_mb(ENGINE, {**models, action.model: set()}) <= ENGINE.weights_mb
@@ -198,7 +199,7 @@
         actions = Round(Plan("llm", engine, workers, book, 99, 99, 0.25), {}).actions()
         for action in actions:
             state = next(w for w in workers if w.instance == action.instance)
-            for victim, _ in action.victims:
+            for victim in (gone.model for gone in action.victims):
                 del state.models[victim]
             state.models[action.model] = set()
         if not actions:
@@ -247,7 +248,7 @@
     full, other = worker("a", "m0", "m6", "m7"), worker("b", busy=True)
     assert plan(book, full, other, loading={"m0": 1}) == []
     (action,) = plan(book, full, worker("b", "m0", busy=True))
-    assert (action.model, action.victims) == ("m5", (("m0", ""),))
+    assert (action.model, action.victims) == ("m5", (Victim("m0"),))
 
 
 def test_loads_from_the_store_leave_workers_free() -> None:
--- a/tests/cluster/test_placer.py
+++ b/tests/cluster/test_placer.py
@@ -7,17 +7,11 @@
 
 import pytest
 
-from finchladder.cluster.placement.planner import WorkerState
+from finchladder.cluster.placement.plan import WorkerState
+from finchladder.cluster.process.managed_worker import Managed
 from finchladder.cluster.process.placer import Placer
 from finchladder.cluster.process.tasks import Tasks
-from finchladder.cluster.process.worker_orders import (
-    LONGEST_EVICT_S,
-    POLL_S,
-    QUICK_S,
-    TAKEN,
-    Managed,
-    WorkerOrders,
-)
+from finchladder.cluster.process.worker_orders import LONGEST_EVICT_S, POLL_S, QUICK_S, TAKEN, WorkerOrders
 from finchladder.cluster.replication.lease import HeldLease
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import PeerUnreachable
--- a/tests/cluster/test_rare_models.py
+++ b/tests/cluster/test_rare_models.py
@@ -7,7 +7,8 @@
 from finchladder.cluster.configuration.routing import Engine, Model
 from finchladder.cluster.placement.demand import DemandBook
 from finchladder.cluster.placement.durations import CHANGE_S, USE_S, FirstCopies
-from finchladder.cluster.placement.planner import Load, Plan, Round, WorkerState, places_for_first_copies
+from finchladder.cluster.placement.plan import Load, Plan, Victim, WorkerState, places_for_first_copies
+from finchladder.cluster.placement.planner import Round
 from finchladder.cluster.types.messages import Demand, DemandReport, ModelUse
 
 MODELS = {f"m{n}": Model(f"m{n}", 70.0, 0.8, 4, 1.0) for n in range(12)}
@@ -52,7 +53,7 @@
         fleet.used(name, model, 2)
     fleet.asked("m5", waiting=1)
     actions = [action for action in fleet.plan() if action.model == "m5"]
-    assert [(a.instance, a.victims) for a in actions] == [("w2", (("m1", ""),))]
+    assert [(a.instance, a.victims) for a in actions] == [("w2", (Victim("m1"),))]
 
 
 def test_of_two_idle_models_the_one_that_still_runs_somewhere_stays() -> None:
@@ -62,7 +63,7 @@
     fleet.asked("m4", rate=0.25)
     fleet.asked("m5", waiting=1)
     (action,) = fleet.plan()
-    assert action.victims == (("m4", ""),)
+    assert action.victims == (Victim("m4"),)
 
 
 def test_an_adapter_in_use_does_not_give_way_to_another() -> None:
@@ -74,7 +75,7 @@
         fleet.asked("m0", rate=1.0, adapter=adapter)
     fleet.asked("m0", waiting=1, adapter="a9")
     (action,) = [a for a in fleet.plan() if a.adapter]
-    assert action.victims == (("m0", "a2"),)
+    assert action.victims == (Victim("m0", "a2"),)
 
 
 @pytest.mark.parametrize(("first_copies", "copied"), [(0.0, True), (0.2, True), (1.0, False), (5.0, False)])
--- a/tests/cluster/test_routing.py
+++ b/tests/cluster/test_routing.py
@@ -15,6 +15,7 @@
     Backend,
     Chooser,
     Holder,
+    LoadUnderWay,
     Pool,
     PoolKey,
     Pools,
@@ -84,7 +85,7 @@
     a, b, c = (backend(name) for name in "abc")
     pools = Pools().changed(
         {"a": Holder(a, (Holding("m0", ("a1",)),)), "b": Holder(b, (Holding("m0"),)), "c": Holder(c)},
-        [(PoolKey("llm", "m9", ""), 8.0), (PoolKey("llm", "m9", ""), 7.0)],
+        [LoadUnderWay(PoolKey("llm", "m9", ""), 8.0), LoadUnderWay(PoolKey("llm", "m9", ""), 7.0)],
     )
     assert pools.pool(PoolKey("llm", "m0", "")).backends == (a, b)
     assert pools.pool(PoolKey("llm", "m0", "a1")).backends == (a,)
