A placer tells what workers hold: after a takeover, and after a worker's return

Found by the control world, which has model workers, placers and clients now: - A new placer knew from the workers what they hold and told nobody. Change: every worker that is not known is asked, and told of where dispatchers go by something else; serials go on; `placer.outranked` is logged.

--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -84,7 +84,7 @@
             self.tasks,
             bounds.ceiling_window_s,
             bounds.ceiling_overage,
-            bounds.lease_s,
+            0.0 if bounds.fencing else bounds.lease_s,
         )
 
     async def answer(self, request: Request) -> Reply:
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -30,6 +30,7 @@
 from finchladder.cluster.process.sessions_service import SessionsService
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.process.worker_orders import SETTLE_S, WorkerOrders
+from finchladder.cluster.routing.pools import effective_holdings
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import PeerUnreachable
 from finchladder.cluster.types.messages import DemandReply, DemandReport
@@ -53,7 +54,7 @@
     tasks: Tasks
     window_s: float
     overage: float
-    turn_s: float  # the last holder's orders are at least so old when the role is granted to another one
+    idle_s: float  # the last holder's orders are at least so old when the role is granted to another one
     demand: DemandBook = field(factory=DemandBook)
     managed: dict[str, Managed] = field(factory=dict)
     ledgers: dict[str, LoadLedger] = field(factory=dict)
@@ -142,6 +143,18 @@
                 if managed.task is None and not report.busy:
                     self._know(managed, report)
 
+    async def _get_to_know(self, managed: Managed) -> None:
+        """Learns what a worker holds, once what it is doing has ended, and tells the dispatchers: what they
+        were told last may be of a placer that was lost in the middle of an action.
+        """
+        try:
+            self._know(managed, await self.orders.learn(managed))
+        except PeerUnreachable as error:
+            managed.retry_at = steady() + SETTLE_S
+            event("placer.worker_unheard", problem=str(error))
+        finally:
+            managed.task = None
+
     def _take_over(self, now: float, service: str, engine: Engine) -> None:
         """Counts the loads that were announced, and each order that was not as a load of this moment."""
         workers = [m for m in self.managed.values() if m.state.service == service]
@@ -192,14 +205,19 @@
             record.instance, record.service, record.address, record.zone, False, False, models
         )
         placement = self.sessions.tables.placements.get(record.instance)
-        announced = 0 if placement is None else placement.record.orders
-        return Managed(state, self.term, announced_before=announced)
+        if placement is None:
+            return Managed(state, self.term)
+        told = placement.record
+        serial = told.serial if told.token == self.term else 0  # it may have been lost, and be back
+        return Managed(state, self.term, serial=serial, announced_before=told.orders)
 
     def _plan(self, now: float, service: str, engine: Engine) -> None:
         workers = [m for m in self.managed.values() if m.state.service == service]
         ledger = self._ledger(service, engine)
         loading: dict[str, int] = {}
         for managed in workers:
+            if managed.report is None and managed.task is None and now >= managed.retry_at:
+                managed.task = self.tasks.spawn(self._get_to_know(managed), "getting to know a worker")
             managed.state.busy = managed.task is not None or now < managed.retry_at
             managed.state.on_disk = self.disks.of(managed.state.instance)
             if managed.action is not None and not managed.action.adapter:
@@ -254,15 +272,13 @@
         if ledger is None:
             ledger = self.ledgers[service] = LoadLedger(engine.load_rate_s, self.window_s, self.overage)
             if self.term > 1:
-                ledger.assume_full(self.term_began - (0.0 if self.was_own else self.turn_s))
+                ledger.assume_full(self.term_began - (0.0 if self.was_own else self.idle_s))
         return ledger
 
     # --- orders -------------------------------------------------------------------------------------------
 
     async def _carry_out(self, managed: Managed, action: Load, engine: Engine, ledger: LoadLedger) -> None:
         try:
-            if managed.report is None:
-                self._know(managed, await self.orders.learn(managed))
             if await self._make_room(managed, action) and self._still_fits(managed, action, engine):
                 await self._load(managed, action, engine, ledger)
         except PeerUnreachable as error:
@@ -282,6 +298,18 @@
             managed.taken_before = report.sequence
         managed.state.models = {m.name: set(m.adapters) for m in report.models}
         self.disks.note(managed.state.instance, managed.state.address, managed.state.models)
+        if self._is_told_otherwise(managed):
+            self._publish(managed)
+
+    def _is_told_otherwise(self, managed: Managed) -> bool:
+        """Whether dispatchers go by something else than what the worker holds."""
+        tables, instance = self.sessions.tables, managed.state.instance
+        worker, placement = tables.workers.get(instance), tables.placements.get(instance)
+        if worker is None:
+            return False
+        told = effective_holdings(worker.record, None if placement is None else placement.record)
+        is_loading = placement is not None and placement.record.pending_load is not None
+        return is_loading or told != managed.placement(steady(), self.window_s).holdings
 
     def _publish(self, managed: Managed) -> None:
         """Tells the dispatchers what may be used at the worker and what is being loaded; changes only."""
@@ -290,7 +318,8 @@
             return
         managed.serial += 1
         record = managed.told = msgspec.structs.replace(record, serial=managed.serial)
-        self.sessions.tables.put_placement(record)
+        if not self.sessions.tables.put_placement(record):
+            event("placer.outranked", instance=record.instance, token=record.token, serial=record.serial)
         self.sessions.changed.fire()
 
     def _is_warm(self, managed: Managed, model: str) -> bool:
--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -36,6 +36,7 @@
 @click.option("--overlaps/--no-overlaps", default=False, show_default=True, help="Several faults at once.")
 @click.option("--edges", default=0, show_default=True, help="Dispatchers, each with a worker beside it.")
 @click.option("--fenced/--not-fenced", default=False, show_default=True, help="Workers check fences.")
+@click.option("--places/--no-places", default=False, show_default=True, help="Models are placed, too.")
 @click.option("--jobs", default=1, show_default=True, help="Processes.")
 def hunt_seeds(
     first: int,
@@ -47,11 +48,16 @@
     overlaps: bool,
     edges: int,
     fenced: bool,
+    places: bool,
     jobs: int,
 ) -> None:
     """Look for seeds that break a rule, shrink and print them with their traces; status 1 if there is one."""
     numbers = range(first, first + seeds)
-    cases = [Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced) for seed in numbers]
+    if places and not edges:
+        raise click.UsageError("--places needs --edges: dispatchers tell what is asked for")
+    cases = [
+        Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced, places) for seed in numbers
+    ]
     found = 0
     for finding in hunt(cases, jobs):
         found += 1
--- a/finchladder/lab/cluster/hunt.py
+++ b/finchladder/lab/cluster/hunt.py
@@ -28,6 +28,7 @@
     overlaps: bool = False  # each fault is an episode of several at once
     edges: int = 0  # dispatchers; with them there are workers, too
     fenced: bool = False  # workers check fencing tokens
+    places: bool = False  # there are model workers, and core processes place models
 
 
 @frozen
@@ -47,7 +48,14 @@
 def play(case: Case) -> Finding | None:
     """Plays one case; None if all rules were kept."""
     world = World(
-        case.seed, case.count, case.losses, case.freezes, case.overlaps, case.edges, fenced=case.fenced
+        case.seed,
+        case.count,
+        case.losses,
+        case.freezes,
+        case.overlaps,
+        case.edges,
+        fenced=case.fenced,
+        places=case.places,
     )
     try:
         run(_play(world, case.faults))
--- a/finchladder/lab/cluster/machine.py
+++ b/finchladder/lab/cluster/machine.py
@@ -4,7 +4,8 @@
 
 from finchladder.cluster.process.control_plane import ControlPlane
 from finchladder.cluster.process.core_sessions import CoreSessions
-from finchladder.cluster.types.messages import Pull, Reply, Request
+from finchladder.cluster.process.placer import Placer
+from finchladder.cluster.types.messages import DemandReport, Pull, Reply, Request
 from finchladder.lab.cluster.contact import Process
 from finchladder.lab.cluster.disk import Platter, SimulatedDisk
 from finchladder.lab.cluster.virtual import running_loop
@@ -20,6 +21,7 @@
     plane: ControlPlane | None = None
     disk: SimulatedDisk | None = None
     sessions: CoreSessions | None = None
+    placer: Placer | None = None
     lives: int = 0
     gone: bool = False
 
@@ -36,4 +38,6 @@
         assert self.plane is not None
         if isinstance(request, Pull) and self.sessions is not None:
             return await self.sessions.sessions.on_pull(request)
+        if isinstance(request, DemandReport) and self.placer is not None:
+            return self.placer.on_demand(request)
         return await self.plane.answer(request)
--- a/tests/cluster/stand_in_workers.py
+++ b/finchladder/lab/cluster/model_workers.py
@@ -1,6 +1,7 @@
 """Model workers at virtual time that take orders as the protocol page says; their reports are old."""
 
 import asyncio
+from collections import Counter
 
 from attrs import define, field
 
@@ -13,7 +14,9 @@
 
 @define
 class StandInWorker:
-    """One worker. `log`: when each order came, with its answer; `past`: reports by when they were true."""
+    """One worker. `log`: when each order came, with its answer; `past`: reports by when they were true;
+    `in_use`: requests that run, by model: an eviction waits for them.
+    """
 
     models: set[str] = field(factory=set)
     load_s: float = 0.8
@@ -28,22 +31,31 @@
     log: list[tuple[float, OrderBody, int]] = field(factory=list)
     past: list[tuple[float, Report]] = field(factory=list)
     dark: bool = False
+    in_use: Counter[str] = field(factory=Counter)
+    on_disk: set[str] = field(factory=set)  # models that it has held
 
     def settle(self) -> None:
         """Brings what it holds to the present moment."""
         order = self.underway
-        if order is None or steady() < self.busy_until:
+        if order is None or steady() < self.busy_until or self._waits_for_requests(order):
             return
         self.underway = None
         self._finish(order)
         self._note(self.busy_until)
 
+    def _waits_for_requests(self, order: OrderBody) -> bool:
+        if order.operation == "load" or not self.in_use[order.model]:
+            return False
+        self.busy_until = steady()
+        return True
+
     def _finish(self, order: OrderBody) -> None:
         held = self.adapters.setdefault(order.model, set())
         if order.adapter is not None:
             (held.add if order.operation == "load" else held.discard)(order.adapter)
         elif order.operation == "load":
             self.models.add(order.model)
+            self.on_disk.add(order.model)
         else:
             self.models.discard(order.model)
             held.clear()
@@ -83,6 +95,13 @@
         self._note(steady())
         return TAKEN
 
+    def holds(self, model: str) -> bool:
+        """Whether a request for that model would run now."""
+        self.settle()
+        order = self.underway
+        goes = order is not None and order.operation == "evict" and order.model == model
+        return model in self.models and not goes
+
     def reported(self) -> Report:
         """What it says of itself: as it was some time ago."""
         self.settle()
--- a/finchladder/lab/cluster/operators.py
+++ b/finchladder/lab/cluster/operators.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from finchladder.cluster.types.messages import Submitted
+from finchladder.lab.cluster.engine import services
 from finchladder.lab.cluster.oracle import CONFLICT, INVALID, TAKEN, Change
 
 if TYPE_CHECKING:
@@ -49,7 +50,12 @@
         world = self.world
         world.numbers += 1
         version = base + world.random.randint(1, 4)
-        fields = {"version": version, "routes": [], "services": [], "number": world.numbers}
+        fields = {
+            "version": version,
+            "routes": [],
+            "services": services() if world.places else [],
+            "number": world.numbers,
+        }
         change = Change(world.numbers, base, version, json.dumps(fields).encode())
         world.oracle.changes[change.number] = change
         return change
--- a/finchladder/lab/cluster/plays.py
+++ b/finchladder/lab/cluster/plays.py
@@ -50,6 +50,8 @@
     world.drivers = [asyncio.ensure_future(Operator(world).work()) for _ in range(operators)]
     world.begin_dataplane()
     await _must_take(world, "at the start")
+    if world.placement is not None:
+        world.placement.begin()
     world.network.loss = world.random.choice(LOSSES)
 
 
@@ -60,6 +62,8 @@
         await _must_take(world, "after the faults")
     for driver in world.drivers:
         driver.cancel()
+    if world.placement is not None:
+        world.placement.end()
     if world.violation is None:
         await _read_last(world)
     world.judge(world.oracle.check_history)
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -16,6 +16,7 @@
 from finchladder.lab.cluster.machine import Machine
 from finchladder.lab.cluster.network import Host, Network, SimulatedPeers
 from finchladder.lab.cluster.oracle import Oracle, Violation
+from finchladder.lab.cluster.placement import PlacementPlay
 from finchladder.lab.cluster.virtual import running_loop
 from finchladder.lab.cluster.watching import TURN_S, watch_core, watch_dispatchers
 
@@ -29,6 +30,7 @@
     """Runs machines, operators and faults; an oracle looks on. `freezes`: processes stand still at times;
     `overlaps`: faults come together, and as many disks are lost at once as may be, whatever else is wrong.
     `edges`: dispatchers that pull; with them there are workers, too. `fenced`: workers check fencing tokens.
+    `places`: there are model workers, and core processes place models; needs dispatchers.
     """
 
     seed: int
@@ -38,6 +40,7 @@
     overlaps: bool = False
     edges: int = 0
     fenced: bool = False
+    places: bool = False
     random: Random = field(init=False)
     network: Network = field(init=False)
     machines: dict[str, Machine] = field(factory=dict)
@@ -50,6 +53,7 @@
     core_contact: Contact = field(factory=lambda: Contact(CONTACT_S))  # watched from the first start on
     trace: list[str] = field(factory=list)
     violation: Violation | None = None
+    placement: PlacementPlay | None = None
     numbers: int = 0
     taken: int = 0
     sent_at: float = 0.0  # when the last change was sent
@@ -60,6 +64,8 @@
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
         self.network = Network(Random(self.random.getrandbits(64)))
+        if self.places:
+            self.placement = PlacementPlay(self, Random(self.random.getrandbits(64)))
 
     # --- machines -----------------------------------------------------------------------------------------
 
@@ -102,6 +108,8 @@
         if self.edges:
             machine.sessions = start_sessions(self, machine)
             loops |= machine.sessions.loops()
+        if self.placement is not None:
+            loops |= self.placement.start(machine)
         for name, loop in loops.items():
             self._spawn(machine, self._forever(machine, name, loop))
         self._spawn(machine, watch_core(self, machine, plane))
@@ -133,7 +141,7 @@
         if machine.disk is not None:
             machine.disk.powered = False
         running_loop().end_process(machine.name)
-        machine.plane = machine.disk = machine.sessions = None
+        machine.plane = machine.disk = machine.sessions = machine.placer = None
 
     def wipe(self, machine: Machine) -> None:
         """Its disk is lost; it must not run."""
--- a/tests/cluster/placer_scene.py
+++ b/tests/cluster/placer_scene.py
@@ -4,18 +4,21 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import msgspec
+
 from finchladder.cluster.configuration.routing import Engine, Model, Service, Snapshot
 from finchladder.cluster.process.placer import Placer
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.process.worker_orders import WorkerOrders
 from finchladder.cluster.replication.lease import HeldLease
+from finchladder.cluster.routing.pools import effective_holdings
 from finchladder.cluster.sessions.table import Tables
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.members import Member
 from finchladder.cluster.types.messages import Demand, DemandReport
 from finchladder.cluster.types.operations import ControlState
 from finchladder.cluster.types.workers import Holding, Phase, WorkerRecord
-from tests.cluster.stand_in_workers import StandInClient, StandInWorker
+from finchladder.lab.cluster.model_workers import StandInClient, StandInWorker
 
 LOAD_S = 0.8
 MODELS = {f"m{n}": Model(f"m{n}", 70.0, LOAD_S, 4, 1.0) for n in range(9)}
@@ -80,6 +83,25 @@
                 await asyncio.sleep(0.001)
         return steady() - began
 
+    def lose(self, name: str) -> None:
+        """Its heartbeats have stopped."""
+        self._put(name, Phase.LOST)
+
+    def bring_back(self, name: str) -> None:
+        """It is heard again, as the same instance."""
+        self._put(name, Phase.READY)
+
+    def _put(self, name: str, phase: Phase) -> None:
+        record = self.tables.workers[name].record
+        changed = msgspec.structs.replace(record, phase=phase, sequence=record.sequence + 1)
+        assert self.tables.put_worker(changed)
+
+    def usable_at(self, name: str) -> list[str]:
+        """Models that dispatchers may use at that worker."""
+        worker, placement = self.tables.workers[name], self.tables.placements.get(name)
+        told = effective_holdings(worker.record, None if placement is None else placement.record)
+        return [holding.model for holding in told]
+
     def is_usable(self, model: str, adapter: str) -> bool:
         placements = [p.record for p in self.tables.placements.values()]
         held = [h for record in placements for h in record.holdings if h.model == model]
--- a/tests/cluster/test_control_world.py
+++ b/tests/cluster/test_control_world.py
@@ -57,6 +57,14 @@
     run(play_overlapping(World(7000 + seed, count=3, losses=1, freezes=True, overlaps=True, fenced=True), 4))
 
 
+@pytest.mark.parametrize("fenced", [True, False])
+@pytest.mark.parametrize("seed", range(4))
+def test_models_are_placed_in_time_and_within_the_stores_rate(seed: int, fenced: bool) -> None:
+    world = World(8000 + seed, freezes=True, overlaps=True, edges=3, fenced=fenced, places=True)
+    run(play_overlapping(world, 3))
+    assert world.placement is not None and world.placement.waits, "there were requests for rare models"
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_dispatchers_know_in_time_what_was_acknowledged(seed: int) -> None:
     run(play_overlapping(World(5000 + seed, count=3, losses=1, overlaps=True, edges=4), 4))
--- a/tests/cluster/test_load_delays.py
+++ b/tests/cluster/test_load_delays.py
@@ -6,9 +6,9 @@
 
 from finchladder.cluster.process.placer import HIDE_S
 from finchladder.cluster.transport.peers import steady
+from finchladder.lab.cluster.model_workers import TAKEN, StandInWorker
 from finchladder.lab.cluster.virtual import run
 from tests.cluster.placer_scene import LOAD_S, Scene
-from tests.cluster.stand_in_workers import TAKEN, StandInWorker
 
 
 def delay(scene: Scene, model: str, adapter: str = "") -> float:
--- a/tests/cluster/test_takeover.py
+++ b/tests/cluster/test_takeover.py
@@ -6,10 +6,11 @@
 
 from finchladder.cluster.placement.ledger import LoadLedger, ObservedLoads
 from finchladder.cluster.transport.peers import steady
-from finchladder.cluster.types.workers import PlacementRecord
+from finchladder.cluster.types.worker_api import OrderBody
+from finchladder.cluster.types.workers import Holding, PendingLoad, PlacementRecord
+from finchladder.lab.cluster.model_workers import TAKEN, StandInWorker
 from finchladder.lab.cluster.virtual import run
 from tests.cluster.placer_scene import ENGINE, Scene
-from tests.cluster.stand_in_workers import StandInWorker
 
 WINDOW_S = 5.0
 MOST = int(ENGINE.load_rate_s * WINDOW_S)
@@ -110,3 +111,62 @@
     left, told_s = run(work())
     assert left == MOST - 1
     assert told_s <= 0.2
+
+
+def told_after_takeover(scene: Scene, worker: StandInWorker, underway: OrderBody | None = None) -> list[str]:
+    """Models that dispatchers may use at `w1` once a new placer has asked it; `underway`: its last order."""
+
+    async def work() -> list[str]:
+        assert underway is None or worker.take(underway) == TAKEN
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(0.5)
+        await scene.tasks.stop()
+        return scene.usable_at("w1")
+
+    return run(work())
+
+
+def test_what_a_lost_placer_told_last_is_put_right_by_the_next_one() -> None:
+    """It had hidden a model and announced a load that ended after its loss: both are there, nobody knew."""
+    worker = StandInWorker({"m0", "m1"})
+    scene = Scene(token=2, w1=worker)
+    pending = PendingLoad("m0", "", 800)
+    scene.tables.put_placement(PlacementRecord("w1", 1, 7, (Holding("m3"),), pending, 2))
+    assert told_after_takeover(scene, worker) == ["m0", "m1"]
+
+
+def test_a_worker_whose_last_order_goes_on_is_told_of_when_it_has_ended() -> None:
+    worker = StandInWorker({"m1"}, load_s=0.2, report_lag_s=0.02)
+    scene = Scene(token=2, w1=worker)
+    scene.tables.put_placement(PlacementRecord("w1", 1, 7, (Holding("m1"),), PendingLoad("m0", "", 200), 1))
+    underway = OrderBody("load", "m0", "core-2", 1)
+    assert told_after_takeover(scene, worker, underway) == ["m0", "m1"]
+
+
+def test_a_new_placer_says_nothing_of_workers_that_hold_what_dispatchers_know() -> None:
+    worker = StandInWorker({"m0", "m1"})
+    scene = Scene(token=2, w1=worker)
+    record_before = PlacementRecord("w1", 1, 7, (Holding("m0"), Holding("m1")), None, 2)
+    scene.tables.put_placement(record_before)
+    assert told_after_takeover(scene, worker) == ["m0", "m1"]
+    assert scene.tables.placements["w1"].record is record_before
+
+
+def test_a_worker_that_was_lost_for_a_moment_is_told_of_again() -> None:
+    """Within one term, where records of before its loss must not outrank those of after it."""
+    scene = Scene(1, w1=StandInWorker({"m0"}))
+
+    async def work() -> None:
+        scene.tasks.spawn(scene.placer.run(), "placer")
+        await asyncio.sleep(0.05)
+        for model in ("m1", "m2", "m3"):
+            scene.ask(model)
+            await scene.until_usable(model)
+        scene.lose("w1")
+        await asyncio.sleep(0.5)
+        scene.bring_back("w1")
+        scene.ask("m4")
+        assert await scene.until_usable("m4") < 2.0
+        await scene.tasks.stop()
+
+    run(work())
