Copies by utilization of engines, loads in prompt tokens; finding a worker is a module

Cause: engines read one prompt after the other, so what makes requests late is how much of its time an engine reads. The choice and the planner counted requests: a copy was busy from 9.6 of them, 0.9 s of reading where the aim is 0.6 s, and two busy models at one engine were not seen at all.

Change: dispatchers learn how long a token of a prompt is read (a low quantile over first events of requests that met no others) and tell the placer; utilization by engine gives what a copy takes off the others, brings to its worker and is worth where it is. The placer looks ahead by a short average beside the long one. The load of an engine is the prompt tokens before a new request, less what it has read since others were heard of; the threshold of a key's pair is a time; where there are many dispatchers each has its own pair.

--- a/finchladder/cluster/placement/demand.py
+++ b/finchladder/cluster/placement/demand.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Hashable
 from math import exp
+from statistics import median
 from typing import TypeVar
 
 from attrs import define, field
@@ -12,6 +13,8 @@
 from finchladder.cluster.types.messages import DemandReport
 
 TIME_CONSTANT_S = 4.0
+RECENT_S = 1.0  # the same, of what tells where demand goes
+TREND = 0.5  # of what a figure has lately gained over its average, it is expected to gain again
 REPORT_FORGOTTEN_S = 3.0
 LEAST_RATE = 0.003  # below this a model counts as idle
 
@@ -32,7 +35,9 @@
     """Of one item. `rate`: requests a second, decayed; `waiting` and `running` as last reported."""
 
     rate: float = 0.0
+    recent_rate: float = 0.0  # the same, over a shorter time
     tokens: float = 0.0  # a second
+    recent_tokens: float = 0.0
     at: float = 0.0
     running: float = 0.0  # smoothed
     asked_at: float = -1e9
@@ -42,11 +47,27 @@
         factor = exp(-(now - self.at) / TIME_CONSTANT_S)
         self.rate *= factor
         self.tokens *= factor
+        recent_factor = exp(-(now - self.at) / RECENT_S)
+        self.recent_rate *= recent_factor
+        self.recent_tokens *= recent_factor
         if running is not None:
             self.running += (1 - factor) * (running - self.running)
         self.at = now
 
 
+@define(frozen=True)
+class Expected:
+    """Requests and prompt tokens a second."""
+
+    rate: float
+    tokens: float
+
+
+def _ahead(average: float, recent: float) -> float:
+    """Where a figure that rises will be when a load that begins now has ended; no lower than it was."""
+    return max(average, recent + TREND * max(0.0, recent - average))
+
+
 @define(frozen=True)
 class Place:
     """A model at a worker."""
@@ -73,6 +94,7 @@
     figures: dict[Item, Figure] = field(factory=dict)
     reported: dict[str, ReportedDemand] = field(factory=dict)
     total: ReportedDemand = field(factory=lambda: ReportedDemand(0.0))
+    paces: dict[str, dict[str, float]] = field(factory=dict)  # seconds a token, by service and dispatcher
 
     def take(self, now: float, report: DemandReport) -> None:
         """A dispatcher's report."""
@@ -85,11 +107,15 @@
                 figure.decay(now, self.running_now(item))
                 figure.rate += demand.asked / TIME_CONSTANT_S
                 figure.tokens += demand.tokens / TIME_CONSTANT_S
+                figure.recent_rate += demand.asked / RECENT_S
+                figure.recent_tokens += demand.tokens / RECENT_S
                 figure.asked_at = now
             if demand.waiting:
                 reported.waiting[item] = demand.waiting
             if demand.running:
                 reported.running[item] = demand.running
+        for service, s_per_token in report.s_per_token.items():
+            self.paces.setdefault(service, {})[report.sender] = s_per_token
         self._withdraw(report.sender)
         self.reported[report.sender] = reported
         self.total.waiting.update(reported.waiting)
@@ -120,6 +146,18 @@
         figure = self.figures.get(item)
         return 0.0 if figure is None else figure.rate
 
+    def expected(self, item: Item) -> "Expected":
+        """What is asked for soon."""
+        figure = self.figures.get(item)
+        if figure is None:
+            return Expected(0.0, 0.0)
+        return Expected(_ahead(figure.rate, figure.recent_rate), _ahead(figure.tokens, figure.recent_tokens))
+
+    def s_per_token(self, service: str) -> float:
+        """Seconds that an engine reads at one token of a prompt; 0: nobody knows."""
+        known = self.paces.get(service)
+        return median(known.values()) if known else 0.0
+
     def waiting(self, item: Item) -> int:
         """Requests that wait for it anywhere."""
         return self.total.waiting[item]
--- a/finchladder/cluster/placement/model_demand.py
+++ b/finchladder/cluster/placement/model_demand.py
@@ -16,6 +16,8 @@
     waiting: int = 0
     running: float = 0.0
     running_now: int = 0
+    expected_rate: float = 0.0
+    expected_tokens: float = 0.0  # a second
 
     @property
     def is_idle(self) -> bool:
@@ -36,4 +38,7 @@
             of_model.waiting += demand.waiting(item)
             of_model.running += demand.running(item)
             of_model.running_now += demand.running_now(item)
+            expected = demand.expected(item)
+            of_model.expected_rate += expected.rate
+            of_model.expected_tokens += expected.tokens
     return found
--- a/finchladder/cluster/placement/plan.py
+++ b/finchladder/cluster/placement/plan.py
@@ -28,6 +28,7 @@
     leaving: bool
     models: dict[str, set[str]] = field(factory=dict)
     on_disk: frozenset[str] = frozenset()  # models that it has held before
+    loading: str = ""  # the model that is on its way
 
     def adapters(self) -> int:
         """Adapters in its memory."""
--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -17,7 +17,7 @@
 from attrs import frozen
 
 from finchladder.cluster.placement.demand import Item
-from finchladder.cluster.placement.model_demand import NO_DEMAND, by_model
+from finchladder.cluster.placement.model_demand import NO_DEMAND, ModelDemand, by_model
 from finchladder.cluster.placement.plan import (
     LONG_LOAD_S,
     Load,
@@ -27,16 +27,15 @@
     places_for_first_copies,
     used_mb,
 )
+from finchladder.cluster.placement.utilization import ExpectedLoad, Utilization
 
-BALANCE_WORTH = 0.15  # of a further copy, for each request a second
-OVERLOAD_WORTH = 0.3  # of a further copy of a model whose copies are all busy, for each request a second
-RELIEF_WORTH = 5.0  # of the load that a further copy takes off each other one, for each request a second
-BUSY_SHARE = 0.15  # of a worker's slots: so many running requests make a copy busy
+BUSY_SHARE = 0.15  # of a worker's slots: so many running requests are its full use, where no pace is known
 WAITING_WORTH = 1.5  # of each request that waits for a model that nobody holds
 USE_COST = 0.5  # of each request that runs at a copy: who evicts it waits, and does nothing else meanwhile
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
 LEAST_WORTH = 0.02  # a first copy that is worth less is not loaded
-LEAST_COPY_WORTH = 0.1  # the same for a further one
+LEAST_COPY_WORTH = 0.2  # the same for a further one
+OVERLOADED = 0.5  # utilization of each copy of a model whose next copy may take a kept place
 EVEN_SHARE = 0.15  # of the demand is expected to fall evenly on all models
 HORIZON_S = 10.0  # for which a copy is wanted: a load that takes a tenth of it longer is worth a tenth less
 BUSYNESS_WORTH = 0.05
@@ -67,26 +66,34 @@
         self.present = Counter(model for worker in self.workers for model in worker.models)
         self.copies = self.present + Counter(loading)
         held = [model for worker in self.workers for model in worker.models]
-        empty = sum(self._empty_places(worker) for worker in self.workers)
+        largest_mb = max((model.weights_mb for model in self.engine.models.values()), default=0.0)
+        empty = sum(self._empty_places(worker, largest_mb) for worker in self.workers)
         self.replaceable = empty + sum(self._is_idle(model) for model in held)
         self.reserved = places_for_first_copies(plan.first_copies, empty + len(held))
+        on_the_way = {w.instance: {w.loading} - {""} for w in self.workers}
+        there = {w.instance: {*w.models, *on_the_way[w.instance]} for w in self.workers}
+        self.utilization = Utilization(there, {m: self._expected(d) for m, d in self.demand.items()})
 
-    def _empty_places(self, worker: WorkerState) -> int:
+    def _empty_places(self, worker: WorkerState, largest_mb: float) -> int:
         """So many of the largest model would still fit."""
-        largest = max((model.weights_mb for model in self.engine.models.values()), default=0.0)
         room = self.engine.weights_mb - used_mb(self.engine, worker.models)
-        return int(max(0.0, room) // largest) if largest else 0
+        return int(max(0.0, room) // largest_mb) if largest_mb else 0
 
-    def copy_worth(self, model: str, copies: int) -> float:
-        """What the copy with that number, 1 for the first, is worth."""
+    def _expected(self, demand: ModelDemand) -> ExpectedLoad:
+        s_per_token = self.plan.demand.s_per_token(self.plan.service)
+        work = demand.expected_tokens * s_per_token
+        if not s_per_token:
+            work = demand.running / max(1.0, BUSY_SHARE * self.engine.slots)
+        return ExpectedLoad(work, demand.expected_rate)
+
+    def next_copy_worth(self, model: str) -> float:
+        """What another copy is worth, the first one included."""
+        return self.utilization.relief(model) if self.copies.get(model, 0) else self.first_copy_worth(model)
+
+    def first_copy_worth(self, model: str) -> float:
+        """What the only copy is worth."""
         demand = self.demand.get(model, NO_DEMAND)
-        if copies <= 1:
-            return demand.rate + self.even_rate + WAITING_WORTH * demand.waiting
-        needed = demand.running / max(1.0, BUSY_SHARE * self.engine.slots)
-        busy = needed / (copies - 1)
-        balance = BALANCE_WORTH + OVERLOAD_WORTH * min(1.0, max(0.0, busy - 1.0))
-        relief = RELIEF_WORTH * needed / (copies * (copies - 1))
-        return demand.rate * min(balance, relief)
+        return demand.rate + self.even_rate + WAITING_WORTH * demand.waiting
 
     def actions(self) -> list[Load]:
         """What to order now."""
@@ -103,9 +110,11 @@
         """Counts an action as done."""
         worker = self.free.pop(action.instance)
         if not action.adapter:
+            self.utilization.add(action.instance, action.model)
             self.copies[action.model] += 1
             self.replaceable -= not action.victims
             for victim in action.victims:
+                self.utilization.remove(action.instance, victim.model)
                 self.copies[victim.model] -= 1
                 self.present[victim.model] -= 1
                 self.replaceable -= self._is_idle(victim.model)
@@ -115,18 +124,19 @@
 
     def _candidates(self) -> list[str]:
         """Models that are waited for and nowhere, then all by what their next copy is worth."""
+        worths = {model: self.next_copy_worth(model) for model in self.demand}
 
         def urgency(model: str) -> tuple[bool, float, str]:
-            copies = self.copies.get(model, 0)
-            is_missed = copies == 0 and self.demand[model].waiting > 0
-            return not is_missed, -self.copy_worth(model, copies + 1), model
+            is_missed = self.copies.get(model, 0) == 0 and self.demand[model].waiting > 0
+            return not is_missed, -worths[model], model
 
-        return sorted(self.demand, key=urgency)
+        return sorted(worths, key=urgency)
 
     def _place(self, model: str) -> Load | None:
         copies = self.copies.get(model, 0)
-        worth = self.copy_worth(model, copies + 1)
-        if worth < (LEAST_COPY_WORTH if copies else LEAST_WORTH):
+        worth = self.next_copy_worth(model)
+        least = LEAST_COPY_WORTH if copies else LEAST_WORTH
+        if worth < least:
             return None
         is_kept = self.reserved and self.replaceable <= self.reserved
         if copies and is_kept and not self._is_overloaded(model):
@@ -136,10 +146,13 @@
             if model in worker.models or (model not in worker.on_disk and self.loads_left <= 0):
                 continue
             room = self._room(worker, model)
-            if room is None or worth < MARGIN * room.cost:
+            if room is None:
+                continue
+            burden = self.utilization.burden(worker.instance, model) if copies else 0.0
+            if worth - burden < max(least, MARGIN * room.cost):
                 continue
             delay = worth * self._load_s(worker, model) / HORIZON_S
-            rank = room.cost + delay + BUSYNESS_WORTH * self._busyness(worker)
+            rank = room.cost + burden + delay + BUSYNESS_WORTH * self._busyness(worker)
             choices.append((rank, worker.instance, room.victims))
         if not choices:
             return None
@@ -148,8 +161,7 @@
 
     def _is_overloaded(self, model: str) -> bool:
         """Whether its copies are all busy, those on their way included."""
-        busy = BUSY_SHARE * self.engine.slots * self.copies.get(model, 0)
-        return self.demand[model].running > max(1.0, busy)
+        return self.utilization.least_used(model) > OVERLOADED
 
     def _load_s(self, worker: WorkerState, model: str) -> float:
         share = self.plan.warm_share if model in worker.on_disk else 1.0
@@ -185,7 +197,9 @@
     def _cost(self, worker: WorkerState, model: str) -> float:
         """What is lost with a copy that is evicted, and by waiting for what runs there."""
         uses = self.plan.demand.uses(worker.instance, model)
-        return self.copy_worth(model, self.present[model]) + USE_COST * uses
+        is_only = self.present[model] <= 1
+        worth = self.first_copy_worth(model) if is_only else self.utilization.loss(worker.instance, model)
+        return worth + USE_COST * uses
 
     def _busyness(self, worker: WorkerState) -> float:
         """Requests a second that fall to a worker, if copies share evenly."""
--- a/finchladder/cluster/process/edge_node.py
+++ b/finchladder/cluster/process/edge_node.py
@@ -144,7 +144,8 @@
                 continue
             loads = self.router.pools.own_loads()
             demands, uses = self.demand.take(now), self.demand.uses()
-            report = DemandReport(self.settings.node_name, now - told_at, demands, loads, uses)
+            paces = self.demand.seconds_per_token()
+            report = DemandReport(self.settings.node_name, now - told_at, demands, loads, uses, paces)
             told_at = now
             try:
                 reply = await self.peers.call(self.puller.placer, report, REPORT_TIMEOUT_S)
@@ -153,12 +154,12 @@
             if isinstance(reply, DemandReply):
                 interval = reply.interval_ms / 1000
                 self.loads_heard_at = steady()
-                self.router.pools.hear_loads(reply.loads)
+                self.router.pools.hear_loads(self.loads_heard_at, reply.loads)
 
     def _forget_old_loads(self, now: float, interval_s: float) -> None:
         """Without a placer only the own requests count: those of the others would soon be all wrong."""
         if now - self.loads_heard_at > interval_s + LOADS_FORGOTTEN_S:
-            self.router.pools.hear_loads({})
+            self.router.pools.hear_loads(now, {})
 
     # --- life ---------------------------------------------------------------------------------------------
 
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -220,7 +220,9 @@
                 managed.task = self.tasks.spawn(self._get_to_know(managed), "getting to know a worker")
             managed.state.busy = managed.task is not None or now < managed.retry_at
             managed.state.on_disk = self.disks.of(managed.state.instance)
+            managed.state.loading = ""
             if managed.action is not None and not managed.action.adapter:
+                managed.state.loading = managed.action.model
                 loading[managed.action.model] = loading.get(managed.action.model, 0) + 1
         left = self._store_loads_left(now, workers, engine, ledger, KEPT_FREE)
         has_demand = any(self.demand.rate(item) for item in self.demand.items() if item.service == service)
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 from math import inf
 
 import aiohttp
@@ -11,7 +12,6 @@
 
 from finchladder.cluster.configuration.routing import EMPTY, Kind, Route, Snapshot
 from finchladder.cluster.process.attempt import (
-    MISDIRECTED,
     Answered,
     Broken,
     NotExecuted,
@@ -21,28 +21,19 @@
     TimedOut,
     send,
 )  # fmt: skip
+from finchladder.cluster.process.finding import RETRY_AFTER_ABSENT_S, RETRY_AFTER_FULL_S, WorkerFinder
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.tasks import Signal
 from finchladder.cluster.routing.budget import RetryBudget
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.events import EventCutter
-from finchladder.cluster.routing.pools import Backend, Chooser, Pool, Pools
+from finchladder.cluster.routing.pools import RUNNING_LOAD, Backend, Chooser, Pools
 from finchladder.cluster.routing.requests import HOP_BY_HOP, LAST_EVENT_ID, Need, need, onward_headers
 from finchladder.cluster.transport.peers import steady
 
-HOLD_SHARE = 0.8  # of the time that a client waits: what needs longer is refused
-UNKNOWN_SHARE = 0.6  # of that time a request waits for something of which nobody says when it comes
 RETURN_S = 0.5  # after the time that a refused client is told to wait, it is back or has given up
 LAST_SEND_S = 0.05
 DOUBTFUL, ENDING, ABSENT, FULL = "doubtful", "ending", "absent", "full"  # why a request is refused
-LATE_S = 1.5  # by which what is being loaded may come later than was told
-LOOK_AGAIN_S = 0.03
-REST_FULL_S = 0.1
-REST_UNREACHABLE_S = 0.5
-LONGEST_REST_S = 4.0
-ABSENT_S = 0.4
-RETRY_AFTER_FULL_S = 0.3
-RETRY_AFTER_ABSENT_S = 1.0
 MOST_CONNECT_FAILURES = 4
 CHUNK_HEADERS = HOP_BY_HOP | {"content-length"}
 
@@ -62,20 +53,35 @@
     demand: DemandCounter
     is_doubtful: Callable[[], bool] = lambda: False  # whether a newer configuration may be in force
     snapshot: Snapshot = EMPTY
-    pools: Pools = field(factory=Pools)
-    changed: Signal = field(factory=Signal)
+    finder: WorkerFinder = field(init=False)
     draining: bool = False
-    holds_end: float = inf  # while it drains: what has found no worker by then is refused
     whole_only_from: float = inf  # what comes later is taken only if it ends before `holds_end`
     attempts: set[asyncio.Timeout] = field(factory=set)
     open_requests: int = 0
     budgets: dict[str, RetryBudget] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.finder = WorkerFinder(self.chooser, self.dispatchers, self.demand)
+
+    @property
+    def pools(self) -> Pools:
+        """The workers by what they hold."""
+        return self.finder.pools
+
+    @pools.setter
+    def pools(self, pools: Pools) -> None:
+        self.finder.pools = pools
+
+    @property
+    def changed(self) -> Signal:
+        """Fires when there are other pools."""
+        return self.finder.changed
+
     def drain(self, whole_only_from: float, holds_end: float) -> None:
         """Connections end with their next answer; nothing waits for a worker after `holds_end`. What comes
         after `whole_only_from` and may last longer is refused: it would be cut off by the end of the process.
         """
-        self.draining, self.whole_only_from, self.holds_end = True, whole_only_from, holds_end
+        self.draining, self.whole_only_from, self.finder.holds_end = True, whole_only_from, holds_end
 
     def end_attempts(self) -> None:
         """The process ends: what still runs gets its last answer now."""
@@ -107,7 +113,7 @@
         body = await self._body(request)
         if body is None:
             return self._plain(413, "the body is too large")
-        if wanted.arrived >= self.whole_only_from and wanted.until > self.holds_end:
+        if wanted.arrived >= self.whole_only_from and wanted.until > self.finder.holds_end:
             return self._refuse(RETRY_AFTER_FULL_S, ENDING, wanted)
         return await self._serve(request, route, wanted, body)
 
@@ -137,17 +143,19 @@
         sent: frozenset[str] = frozenset()
         connect_failures = 0
         while True:
-            backend = await self._find(wanted, sent)
+            backend = await self.finder.find(wanted, sent)
             if backend is None:
                 return self._refuse_unplaced(wanted)
             if sent and not budget.spend(steady(), self.dispatchers()):
                 return self._refuse(RETRY_AFTER_FULL_S, FULL, wanted)
-            with Running(self.demand, wanted, backend):
+            with Running(self.demand, wanted, backend) as running:
                 outcome = await self._send(sending, backend)
                 if isinstance(outcome, Answered):
+                    if outcome.response.status == HTTPStatus.OK:
+                        running.has_begun()
                     backend.failures = 0
                     return await self._pass_on(route, wanted, sending, backend, outcome.response)
-            self._note(backend, wanted, outcome)
+            self.finder.note(backend, wanted, outcome)
             if isinstance(outcome, NotSent):
                 connect_failures += 1
                 if connect_failures >= MOST_CONNECT_FAILURES or steady() >= wanted.until:
@@ -173,7 +181,7 @@
                 self.attempts.discard(timeout)
 
     async def _send(self, sending: Sending, backend: Backend, last_event_id: str = "") -> Outcome:
-        if steady() >= min(sending.until, self.holds_end + LAST_SEND_S):
+        if steady() >= min(sending.until, self.finder.holds_end + LAST_SEND_S):
             return NotSent("its time is over")
         try:
             async with self._limit(sending.until):
@@ -181,70 +189,12 @@
         except TimeoutError:
             return TimedOut()
 
-    async def _find(self, wanted: Need, sent: frozenset[str]) -> Backend | None:
-        """A worker for the request; waits while there is none and it can still be in time."""
-        waiting = False
-        try:
-            while True:
-                now = steady()
-                pool = self.pools.pool(wanted.key)
-                backend = self._choose(pool, sent)
-                if backend is not None:
-                    return backend
-                hold_until = min(self.holds_end, self._hold_until(wanted, bool(pool.backends)))
-                if now >= hold_until or (sent and not pool.backends):
-                    return None
-                if not waiting and not pool.backends:
-                    waiting = True
-                    self.demand.waits(wanted.key, 1)
-                wait_s = hold_until - now if not pool.backends else LOOK_AGAIN_S
-                await self.changed.wait(min(wait_s, hold_until - now))
-        finally:
-            if waiting:
-                self.demand.waits(wanted.key, -1)
-
-    def _choose(self, pool: Pool, sent: frozenset[str]) -> Backend | None:
-        self.chooser.dispatchers = self.dispatchers()
-        return pool.choose(steady(), self.chooser, sent)
-
-    def _hold_until(self, wanted: Need, has_holders: bool) -> float:
-        """How long a request may wait: longer only if what it needs is known to come in time."""
-        limit = wanted.arrived + HOLD_SHARE * min(wanted.patience_s, wanted.until - wanted.arrived)
-        ready_at = self.pools.ready_at(wanted.key)
-        if not has_holders and ready_at is not None and ready_at <= limit:
-            return min(limit, max(ready_at, steady()) + LATE_S)
-        return wanted.arrived + UNKNOWN_SHARE * (limit - wanted.arrived)
-
-    def _note(
-        self, backend: Backend, wanted: Need, outcome: NotSent | NotExecuted | Broken | TimedOut
-    ) -> None:
-        """What an attempt that brought no answer says of the worker."""
-        now = steady()
-        if isinstance(outcome, NotExecuted):
-            if outcome.status == MISDIRECTED or wanted.key.model:
-                backend.absent[wanted.key.name] = now + (
-                    ABSENT_S if outcome.status == MISDIRECTED else REST_FULL_S
-                )
-            else:
-                backend.rests_until = now + max(REST_FULL_S, min(outcome.retry_after_s, 1.0))
-            return
-        backend.failures += 1
-        rest = min(LONGEST_REST_S, REST_UNREACHABLE_S * 2 ** (backend.failures - 1))
-        backend.rests_until = now + rest
-        event("attempt.failed", instance=backend.instance, address=backend.address, outcome=repr(outcome))
-
     def _budget(self, service: str) -> RetryBudget:
         found = self.budgets.get(service)
         if found is None:
             found = self.budgets[service] = self.budget()
         return found
 
-    def _retry_after(self, wanted: Need) -> float:
-        if self.pools.pool(wanted.key).backends:
-            return RETRY_AFTER_FULL_S
-        ready_at = self.pools.ready_at(wanted.key)
-        return RETRY_AFTER_ABSENT_S if ready_at is None else max(RETRY_AFTER_FULL_S, ready_at - steady())
-
     # --- answers ------------------------------------------------------------------------------------------
 
     async def _pass_on(
@@ -331,7 +281,7 @@
         self, wanted: Need, sending: Sending, sent: frozenset[str], last_event_id: str
     ) -> tuple[Backend, aiohttp.ClientResponse] | None:
         """Another worker that goes on with the stream after that event."""
-        backend = await self._find(wanted, sent)
+        backend = await self.finder.find(wanted, sent)
         if backend is None or not self._budget(wanted.key.service).spend(steady(), self.dispatchers()):
             return None
         outcome = await self._send(sending, backend, last_event_id)
@@ -345,7 +295,7 @@
         """No worker could take it in time. Where nobody holds what it needs, it counts as waiting until the
         client may be back: else that would be loaded for nobody, or not at all.
         """
-        retry_after_s = self._retry_after(wanted)
+        retry_after_s = self.finder.retry_after_s(wanted)
         if self.pools.pool(wanted.key).backends:
             return self._refuse(retry_after_s, FULL, wanted)
         self.demand.comes_back(wanted.key, steady() + retry_after_s + RETURN_S)
@@ -375,13 +325,26 @@
 
     def __init__(self, demand: DemandCounter, wanted: Need, backend: Backend) -> None:
         self._demand, self._wanted, self._backend = demand, wanted, backend
+        self._load = demand.sized(wanted).load
 
-    def __enter__(self) -> None:
-        self._backend.begin()
+    def __enter__(self) -> "Running":
+        self._is_alone, self._began = self._backend.load <= 0, steady()
+        self._backend.add(self._load)
         self._demand.runs(self._wanted.key, self._backend.instance, 1)
+        return self
+
+    def has_begun(self) -> None:
+        """Its prompt has been read: the head of a model's answer comes with the first token."""
+        if not self._wanted.key.model:
+            return
+        if self._is_alone:
+            self._demand.began(self._wanted, steady() - self._began)
+        left = RUNNING_LOAD * self._load
+        self._backend.add(left - self._load)
+        self._load = left
 
     def __exit__(self, *_: object) -> None:
-        self._backend.end()
+        self._backend.add(-self._load)
         self._demand.runs(self._wanted.key, self._backend.instance, -1)
 
 
--- a/finchladder/cluster/routing/demand.py
+++ b/finchladder/cluster/routing/demand.py
@@ -5,10 +5,13 @@
 
 from attrs import define, field, frozen
 
-from finchladder.cluster.routing.pools import PoolKey
+from finchladder.cluster.routing.pace import ReadingPace
+from finchladder.cluster.routing.pools import ONE_REQUEST, PoolKey, Sized
 from finchladder.cluster.routing.requests import Need
 from finchladder.cluster.types.messages import Demand, ModelUse
 
+USUAL_TOKENS = 1000  # of a prompt whose request does not tell its size
+
 
 @define
 class Count:
@@ -43,6 +46,7 @@
     counts: dict[PoolKey, Count] = field(factory=dict)
     in_flight: Counter[Place] = field(factory=Counter)
     returning: deque[Returning] = field(factory=deque)
+    paces: dict[str, ReadingPace] = field(factory=dict)  # by service
     on_wait: Callable[[], None] = lambda: None
 
     def _of(self, key: PoolKey) -> Count:
@@ -77,6 +81,22 @@
         if not self.in_flight[place]:
             del self.in_flight[place]
 
+    def began(self, wanted: Need, first_event_s: float) -> None:
+        """A request had its first event after so long, at a worker where nothing else was known to run."""
+        if wanted.tokens:
+            self.paces.setdefault(wanted.key.service, ReadingPace()).learn(wanted.tokens, first_event_s)
+
+    def seconds_per_token(self) -> dict[str, float]:
+        """How long engines read at a prompt token, by service."""
+        return {service: pace.s_per_token for service, pace in self.paces.items()}
+
+    def sized(self, wanted: Need) -> Sized:
+        """What a request adds to a worker's load."""
+        if not wanted.key.model:
+            return ONE_REQUEST
+        pace = self.paces.get(wanted.key.service)
+        return Sized(float(wanted.tokens or USUAL_TOKENS), 0.0 if pace is None else pace.s_per_token)
+
     def uses(self) -> tuple[ModelUse, ...]:
         """What runs where now. O(models in use at workers)."""
         return tuple(ModelUse(p.instance, p.model, requests) for p, requests in self.in_flight.items())
--- a/finchladder/cluster/routing/pools.py
+++ b/finchladder/cluster/routing/pools.py
@@ -2,12 +2,15 @@
 
 The choice is the one of `finchladder.core`: of the key's two candidates the one with lower load, under the
 threshold; else the least loaded of the pool. Whoever rests (it was full, or can't be reached) is passed over.
-Loads are the own requests in flight and those that the other dispatchers last told of. As these are some
-hundred ms old, many dispatchers that all took the least loaded worker would take the same one: so the more
-there are, the fewer workers each compares (deterministic subsetting; source: Beyer and others, "Site
-Reliability Engineering", chapter 20), and the smaller the part of a busy model's requests for its two
-candidates. A dispatcher's subset is ranked by a hash of both names, those of its own zone first, so that it
-stays the same from request to request and over all models, and connections are used again.
+
+An engine reads one prompt after the other, so its load is what lies ahead of a new request there: the prompt
+tokens that it has yet to read; elsewhere it is the requests in flight. Both are the own ones and those that
+the other dispatchers last told of. As these are some hundred ms old, an engine has read on since: what it
+reads in that time is taken off. Many dispatchers that all took the least loaded worker would take the same
+one: so the more there are, the fewer workers each compares (deterministic subsetting; source: Beyer and
+others, "Site Reliability Engineering", chapter 20), and each has two candidates of its own for a key. A
+dispatcher's subset is ranked by a hash of both names, those of its own zone first, so that it stays the same
+from request to request and over all models, and connections are used again.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -23,15 +26,20 @@
 
 FULL_VIEW = 16  # so many dispatchers may all compare all workers of a pool
 LEAST_COMPARED = 3
+KEYED_WAIT_S = 0.1
 FAR_COMPARED = 1  # at least so many of them are of another zone
 MOST_RANKS = 4096  # kept, of workers that there were
 ZONE_LOAD = 0.5  # requests by which a worker of another zone counts as more loaded: decides between equals
+RUNNING_LOAD = 0.02  # of a request's load that remains once its prompt is read: decides between equals
+TOLD_AGE_S = 0.2  # so old is what the others have in flight when a dispatcher is told of it
+WORKED_OFF = 0.7  # of what an engine can read in a time it gets on with so much: new prompts come meanwhile
 
 
 @define(eq=False)
 class Backend:
-    """One worker incarnation at this dispatcher; only its loads and rests change. `load`: requests in flight,
-    of all dispatchers as far as known; `own`: those of this one.
+    """One worker incarnation at this dispatcher; only its loads and rests change. `load`: what lies ahead of
+    a new request, of all dispatchers as far as known; `own`: that of this one, `others`: that of the others
+    when they were heard of. In prompt tokens where a model is asked for, else in requests.
     """
 
     instance: str
@@ -40,25 +48,29 @@
     zone: str
     slots: int
     load: float = 0.0
-    own: int = 0
+    own: float = 0.0
+    others: float = 0.0
+    heard_at: float = 0.0
     rests_until: float = 0.0
     failures: int = 0
     absent: dict[str, float] = field(factory=dict)  # until when a model or adapter is known not to be there
 
-    def begin(self) -> None:
-        """A request is sent to it."""
-        self.own += 1
-        self.load += 1
-
-    def end(self) -> None:
-        """A request has ended there."""
-        self.own -= 1
-        self.load -= 1
+    def add(self, load: float) -> None:
+        """So much has been sent to it, or is over, where it is negative."""
+        self.own += load
+        self.load += load
 
-    def hear(self, others: int) -> None:
-        """The other dispatchers have so many requests in flight there."""
+    def hear(self, now: float, others: float) -> None:
+        """The other dispatchers have so much in flight there."""
+        self.others, self.heard_at = others, now
         self.load = self.own + others
 
+    def work_off(self, now: float, read_s: float) -> None:
+        """Takes off what an engine has read since the others told of it; `read_s`: of a token, 0: unknown."""
+        if read_s and self.others:
+            age_s = now - self.heard_at + TOLD_AGE_S
+            self.load = self.own + max(0.0, self.others - WORKED_OFF * age_s / read_s)
+
     def usable(self, now: float, key: str) -> bool:
         """Whether it may get requests of that key at all."""
         return now >= self.rests_until and now >= self.absent.get(key, 0.0)
@@ -67,7 +79,8 @@
 @define
 class Chooser:
     """How this dispatcher, `name`, chooses. `keyed_share`: of a worker's slots, up to which a key's two
-    candidates are preferred; `dispatchers`: how many choose at once.
+    candidates are preferred; `keyed_wait_s`: the same at engines, as the time that they read; `dispatchers`:
+    how many choose at once.
     """
 
     name: str
@@ -75,19 +88,24 @@
     keyed_share: float
     random: Random = field(factory=Random, eq=False)
     dispatchers: int = 1
+    keyed_wait_s: float = KEYED_WAIT_S
     _ranks: dict[str, bytes] = field(factory=dict)  # by worker instance
 
-    def prefers_pair(self, pair: Sequence[Backend], pool: Sequence[Backend]) -> bool:
-        """Whether a request goes to its key's two candidates if these take it."""
-        if self.dispatchers <= FULL_VIEW:
-            return True
-        limit = self.keyed_share * sum(backend.slots for backend in pair)
-        total = sum(backend.load for backend in pool)
-        return self.random.random() * total < limit
+    @property
+    def salt(self) -> str:
+        """What makes the two candidates of a key this dispatcher's own, where there are many."""
+        return self.name if self.dispatchers > FULL_VIEW else ""
+
+    def limit(self, backend: Backend, request: "Sized") -> float:
+        """The load from which a candidate gets no more of its key's requests."""
+        if not request.read_s:
+            return self.keyed_share * backend.slots * request.load
+        return self.keyed_wait_s / request.read_s
 
-    def compared(self, able: Sequence[Backend]) -> list[Backend]:
+    def compared(self, able: Sequence[Backend], request: "Sized") -> list[Backend]:
         """Those of which the least loaded is taken, in the order of their loads."""
-        return sorted(self._subset(able), key=lambda b: b.load + (ZONE_LOAD if b.zone != self.zone else 0.0))
+        far = ZONE_LOAD * request.load
+        return sorted(self._subset(able), key=lambda b: b.load + (far if b.zone != self.zone else 0.0))
 
     def _subset(self, able: Sequence[Backend]) -> Sequence[Backend]:
         count = max(LEAST_COMPARED, ceil(len(able) * FULL_VIEW / max(1, self.dispatchers)))
@@ -108,6 +126,19 @@
         return rank
 
 
+@frozen
+class Sized:
+    """What a request adds to a worker's load, and how long an engine reads at a token; 0: not known, or there
+    is no engine.
+    """
+
+    load: float = 1.0
+    read_s: float = 0.0
+
+
+ONE_REQUEST = Sized()
+
+
 @define(frozen=True)
 class PoolKey:
     """What a request needs. `model` is empty for services without models."""
@@ -128,10 +159,17 @@
     def __init__(self, name: str, backends: Iterable[Backend]) -> None:
         self.name = name
         self.backends = tuple(sorted(backends, key=lambda b: b.instance))
-        self.pair: tuple[Backend, ...] = self._owners() if name and self.backends else ()
+        self._pairs: dict[str, tuple[Backend, ...]] = {}
+
+    def pair(self, salt: str = "") -> tuple[Backend, ...]:
+        """The key's two candidates, for dispatchers with that salt; fewer where there are no two."""
+        found = self._pairs.get(salt)
+        if found is None:
+            found = self._pairs[salt] = self._owners(salt) if self.name and self.backends else ()
+        return found
 
-    def _owners(self) -> tuple[Backend, ...]:
-        key = int.from_bytes(self.name.encode(), "big")
+    def _owners(self, salt: str) -> tuple[Backend, ...]:
+        key = int.from_bytes((salt + self.name).encode(), "big")
         owners: list[Backend] = []
         for number, point in enumerate(key_hashes(key)):
             ring: Ring[Backend] = Ring()
@@ -142,20 +180,22 @@
                 owners.append(owner)
         return tuple(owners)
 
-    def choose(self, now: float, chooser: Chooser, avoid: frozenset[str]) -> Backend | None:
+    def choose(
+        self, now: float, chooser: Chooser, avoid: frozenset[str], request: Sized = ONE_REQUEST
+    ) -> Backend | None:
         """The worker for the next request; `avoid`: instances that it was already sent to."""
+        for backend in self.backends:
+            backend.work_off(now, request.read_s)
 
         def able(backend: Backend) -> bool:
             return backend.usable(now, self.name) and backend.instance not in avoid
 
         def takes(backend: Backend) -> bool:
-            return backend.load < chooser.keyed_share * backend.slots and able(backend)
+            return backend.load < chooser.limit(backend, request) and able(backend)
 
-        chosen = None
-        if chooser.prefers_pair(self.pair, self.backends):
-            chosen = winner(self.pair, takes)
+        chosen = winner(self.pair(chooser.salt), takes)
         if chosen is None:
-            chosen, _ = overflow(chooser.compared([b for b in self.backends if able(b)]), able)
+            chosen, _ = overflow(chooser.compared([b for b in self.backends if able(b)], request), able)
         return chosen
 
 
@@ -217,15 +257,15 @@
             earliest[load.key] = min(load.ready_at, earliest.get(load.key, load.ready_at))
         return Pools(holders, earliest, members, pools)
 
-    def hear_loads(self, others: Mapping[str, int]) -> None:
+    def hear_loads(self, now: float, others: Mapping[str, int]) -> None:
         """What the other dispatchers have in flight at each worker; 0 where nothing is said."""
         for instance, holder in self.holders.items():
-            holder.backend.hear(others.get(instance, 0))
+            holder.backend.hear(now, others.get(instance, 0))
 
     def own_loads(self) -> dict[str, int]:
-        """Own requests in flight by instance, where there are any."""
+        """What the own requests add to workers' loads by instance, where there are any."""
         backends = (holder.backend for holder in self.holders.values())
-        return {b.instance: b.own for b in backends if b.own}
+        return {b.instance: round(b.own) for b in backends if b.own >= 1}
 
     def ready_at(self, key: PoolKey) -> float | None:
         """When somebody will hold what the key needs; None if nobody loads it."""
--- a/finchladder/cluster/routing/requests.py
+++ b/finchladder/cluster/routing/requests.py
@@ -26,9 +26,7 @@
 
 @frozen
 class Need:
-    """What one request needs and how long it may take. `until`: steady seconds; `tokens`: prompt and most
-    out.
-    """
+    """What one request needs and how long it may take. `until`: steady seconds; `tokens`: of the prompt."""
 
     request_id: str
     key: PoolKey
@@ -48,7 +46,7 @@
 
 def _tokens(text: str | None) -> int:
     try:
-        return sum(int(part) for part in text.split(",")) if text else 0
+        return int(text.split(",")[0]) if text else 0
     except ValueError:
         return 0
 
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -84,7 +84,7 @@
     asked: int
     waiting: int  # requests held because nobody holds it
     running: int
-    tokens: int  # prompt and output tokens asked for
+    tokens: int  # of the prompts asked for
 
 
 class ModelUse(Message, frozen=True):
@@ -101,8 +101,9 @@
     sender: str
     seconds: float  # since the report before
     demands: tuple[Demand, ...]
-    loads: dict[str, int] = {}  # requests in flight by worker instance
+    loads: dict[str, int] = {}  # by worker instance, in prompt tokens to be read; in requests without a model
     uses: tuple[ModelUse, ...] = ()
+    s_per_token: dict[str, float] = {}  # of reading prompts, by service, where anything is known
 
 
 class RenewPlacer(Message, frozen=True, tag=10):
@@ -233,7 +234,7 @@
 
     interval_ms: int
     is_placer: bool
-    loads: dict[str, int] = {}  # requests of all other dispatchers in flight, by worker instance
+    loads: dict[str, int] = {}  # of all other dispatchers, by worker instance, as they reported them
 
 
 class Failure(Message, frozen=True, tag=60):
