--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -1,11 +1,13 @@
 """Command line of the control world: `python -m finchladder.lab.cluster hunt --help`."""
 
 import sys
+from pathlib import Path
 from typing import Any, NoReturn
 
 import click
 
-from finchladder.lab.cluster import agreement_model, chain_model, gaps, lease_model
+from finchladder.lab.cluster import agreement_model, chain_model, comparing, gaps, lease_model
+from finchladder.lab.cluster.emulator import days
 from finchladder.lab.cluster.hunt import Case, hunt
 from finchladder.lab.cluster.mutants import play_all
 from finchladder.lab.cluster.planted_faults import MUTANTS
@@ -131,5 +133,53 @@
     sys.exit(1 if survivors else 0)
 
 
+@main.command("compare")
+@click.option("--before", multiple=True, required=True, type=click.Path(exists=True, path_type=Path))
+@click.option("--after", multiple=True, required=True, type=click.Path(exists=True, path_type=Path))
+@click.option("--plot", type=click.Path(path_type=Path), help="Also draw the differences of figures, as PNG.")
+def compare_variants(before: tuple[Path, ...], after: tuple[Path, ...], plot: Path | None) -> None:
+    """Compare two variants of the program by entries of the bench's journal, or folders of them.
+
+    Days with the same site, name and seed are pairs. Status 1 if a day of either did not pass, 2 for a file
+    that is no entry.
+    """
+    try:
+        one, two = comparing.read_variant(before), comparing.read_variant(after)
+    except comparing.EntryUnusable as error:
+        click.echo(f"finchladder: {error}", err=True)
+        sys.exit(2)
+    differences = comparing.compare(one, two)
+    click.echo("\n".join(comparing.lines(differences)) or "no day was played with both")
+    broken = [f"{name}: {line}" for name, days in (("before", one), ("after", two))
+              for line in comparing.broken_days(days)]  # fmt: skip
+    for line in broken:
+        click.echo(f"broken, {line}")
+    if plot is not None:
+        from finchladder.lab.cluster.comparison_plot import draw
+
+        draw(differences, plot)
+    sys.exit(1 if broken else 0)
+
+
+@main.command("emulate")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", default=4, show_default=True, help="How many days are played.")
+@click.option("--workers", default=20, show_default=True, help="Engines; dispatchers are as many.")
+@click.option("--rate", default=84.0, show_default=True, help="Requests a second.")
+@click.option("--busy", default=33, show_default=True, help="Models that come into demand in turn.")
+@click.option("--rare", default=92, show_default=True, help="Models that are asked for rarely.")
+@click.option("--bound/--no-bound", default=False, show_default=True, help="Every worker holds every model.")
+@click.option("--jobs", default=1, show_default=True, help="Processes.")
+def emulate_days(
+    first: int, seeds: int, workers: int, rate: float, busy: int, rare: int, bound: bool, jobs: int
+) -> None:
+    """Play days of emulated engines under the real placer and the real choice of workers."""
+    numbers = range(first, first + seeds)
+    results = days.play_all(days.Size(workers, rate, busy, rare), numbers, all_held=bound, jobs=jobs)
+    for result in results:
+        click.echo(result.line())
+    click.echo(days.mean_line(results))
+
+
 if __name__ == "__main__":
     main()
