A further copy takes the place of another model's last copy only for more

Change: the last copy of another model counts 0.5 late requests a second more against a further copy.

--- a/finchladder/cluster/placement/planner.py
+++ b/finchladder/cluster/placement/planner.py
@@ -33,6 +33,7 @@
 WAITING_WORTH = 1.5  # of each request that waits for a model that nobody holds
 USE_COST = 0.5  # of each request that runs at a copy: who evicts it waits, and does nothing else meanwhile
 MARGIN = 1.5  # by which a new copy must be worth more than what gives way
+LAST_COPY_COST = 0.5  # more, where the last copy of a model would give way to a further one of another
 LEAST_WORTH = 0.02  # a first copy that is worth less is not loaded
 LEAST_COPY_WORTH = 0.2  # the same for a further one
 OVERLOADED = 0.5  # utilization of each copy of a model whose next copy may take a kept place
@@ -149,7 +150,7 @@
             if room is None:
                 continue
             burden = self.utilization.burden(worker.instance, model) if copies else 0.0
-            if worth - burden < max(least, MARGIN * room.cost):
+            if worth - burden < max(least, MARGIN * self._cost_to(copies, room)):
                 continue
             delay = worth * self._load_s(worker, model) / HORIZON_S
             rank = room.cost + burden + delay + BUSYNESS_WORTH * self._busyness(worker)
@@ -159,6 +160,11 @@
         _, instance, victims = min(choices)
         return self._take(Load(instance, model, "", tuple(map(Victim, victims))))
 
+    def _cost_to(self, copies: int, room: Room) -> float:
+        """What the room costs a model with so many copies: models that would be nowhere count more."""
+        only = sum(self.present[victim] <= 1 for victim in room.victims) if copies else 0
+        return room.cost + LAST_COPY_COST * only
+
     def _is_overloaded(self, model: str) -> bool:
         """Whether its copies are all busy, those on their way included."""
         return self.utilization.least_used(model) > OVERLOADED
--- a/tests/cluster/test_utilization.py
+++ b/tests/cluster/test_utilization.py
@@ -148,3 +148,13 @@
         book.take(1.0, DemandReport(name, 0.4, (), s_per_token={"llm": pace}))
     assert book.s_per_token("llm") == 0.00005
     assert book.s_per_token("other") == 0.0
+
+
+def test_a_further_copy_takes_no_place_from_the_last_copy_of_another_model_for_little() -> None:
+    """m4 is asked for now and then; m0 gains less by a copy than m4 would lose if it were nowhere."""
+    fleet = Fleet(w1="m0 m1", w2="m4 m5")
+    fleet.asked(12.0, m0=4.5, m1=2.5, m4=0.0, m5=0.0)
+    assert not [action for action in fleet.plan() if action.model == "m0"]
+    fleet = Fleet(w1="m0 m1", w2="m4 m5")
+    fleet.asked(12.0, m0=9.0, m1=2.5, m4=0.0, m5=0.0)
+    assert [action for action in fleet.plan() if action.model == "m0"]
