A test that fails where the last copy of a model counts no more than others

Now a further copy is refused in place of a last one, and taken where another copy of that model is left, or for more.

--- a/tests/cluster/test_utilization.py
+++ b/tests/cluster/test_utilization.py
@@ -151,10 +151,13 @@
 
 
 def test_a_further_copy_takes_no_place_from_the_last_copy_of_another_model_for_little() -> None:
-    """m4 is asked for now and then; m0 gains less by a copy than m4 would lose if it were nowhere."""
+    """m4 and m5 are nowhere else, and m0 gains less by a copy than either may lose."""
     fleet = Fleet(w1="m0 m1", w2="m4 m5")
-    fleet.asked(12.0, m0=4.5, m1=2.5, m4=0.0, m5=0.0)
+    fleet.asked(12.0, m0=3.5, m1=2.0)
     assert not [action for action in fleet.plan() if action.model == "m0"]
-    fleet = Fleet(w1="m0 m1", w2="m4 m5")
-    fleet.asked(12.0, m0=9.0, m1=2.5, m4=0.0, m5=0.0)
-    assert [action for action in fleet.plan() if action.model == "m0"]
+    spare = Fleet(w1="m0 m1", w2="m4 m5", w3="m4 m5")
+    spare.asked(12.0, m0=3.5, m1=2.0)
+    assert [action for action in spare.plan() if action.model == "m0"], "where another copy of m4 is left"
+    pressed = Fleet(w1="m0 m1", w2="m4 m5")
+    pressed.asked(12.0, m0=9.0, m1=2.5)
+    assert [action for action in pressed.plan() if action.model == "m0"]
