--- a/finchladder/lab/cluster/comparing.py
+++ b/finchladder/lab/cluster/comparing.py
@@ -25,13 +25,17 @@
 
 @frozen
 class DayKey:
-    """Which day it was; two plays of it with one key are a pair."""
+    """Which day it was; two plays of it with one key are a pair. `seed`: None for the day's own."""
 
     site: str
     name: str
-    seed: int
+    seed: int | None
     is_small: bool
 
+    def __str__(self) -> str:
+        seed = "" if self.seed is None else f" --seed {self.seed}"
+        return f"{self.site} {self.name}{seed}{' --small' if self.is_small else ''}"
+
 
 @frozen
 class PlayedDay:
@@ -91,9 +95,8 @@
     fault = [str(played["fault"])] if played.get("fault") else []
     problems = (*broken, *fault, *map(str, played.get("short") or []))
     name = str(played["name"]).split(" --seed", maxsplit=1)[0]
-    return PlayedDay(
-        DayKey(site, name, int(played["seed"]), is_small), str(played["slot"]), measures, problems
-    )
+    seed = None if played["seed"] is None else int(played["seed"])
+    return PlayedDay(DayKey(site, name, seed, is_small), str(played["slot"]), measures, problems)
 
 
 def read_variant(paths: Iterable[Path]) -> dict[DayKey, list[PlayedDay]]:
@@ -162,7 +165,7 @@
 def broken_days(days: Mapping[DayKey, list[PlayedDay]]) -> list[str]:
     """A line for each day that did not pass."""
     return [
-        f"{day.key.site} {day.key.name} --seed {day.key.seed}: {'; '.join(day.problems)}"
+        f"{day.key}: {'; '.join(day.problems)}"
         for plays in days.values()
         for day in plays
         if day.problems
--- a/tests/cluster/test_comparing.py
+++ b/tests/cluster/test_comparing.py
@@ -81,6 +81,13 @@
     assert bootstrap(wide).high - bootstrap(wide).low > 10 * (bootstrap(narrow).high - bootstrap(narrow).low)
 
 
+def test_a_standard_day_is_its_own_seed(tmp_path: Path) -> None:
+    before = read_variant([write(tmp_path / "a", [0.6], name="quiet-1", seed=None)])
+    after = read_variant([write(tmp_path / "b", [0.7], name="quiet-1", seed=None)])
+    assert [str(key) for key in before] == ["s quiet-1"]
+    assert {d.pairs for d in compare(before, after)} == {1}
+
+
 def test_days_that_did_not_pass_are_told(tmp_path: Path) -> None:
     days = read_variant([write(tmp_path / "a", [0.0], rules={"CONFIG": 38}, fault="too slow")])
     assert broken_days(days) == ["s mix --seed 0: CONFIG broken 38 times; too slow"]
