A resumed stream is closed and counted like any attempt; late loads get one allowance

Cause: the response of a worker that resumed a stream was neither closed when the client left nor counted in load and demand, while the first worker kept the load; the allowance for a late load began anew at each moment, so a request waited past what was announced. Change: WorkerStream holds a response with its accounting, and the relay closes whichever is relayed on return, error and cancellation. A failed resume backs its worker off. The allowance counts from the announced end of the load or the request's arrival, whichever is later, and gives no less than an unknown load does.

--- a/finchladder/cluster/process/attempt_sender.py
+++ b/finchladder/cluster/process/attempt_sender.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from http import HTTPStatus
 
 import aiohttp
-from attrs import define, field, frozen
+from attrs import define, field
 
 from finchladder.cluster.process.attempt import (
     DEADLINE_PASSED,
@@ -17,7 +17,11 @@
     TimedOut,
     send,
 )
+from finchladder.cluster.process.in_flight import InFlightRequest
+from finchladder.cluster.process.worker_backoff import record_failure
 from finchladder.cluster.process.worker_selection import RequestQueue
+from finchladder.cluster.process.worker_stream import WorkerStream
+from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.retry_budget import RetryBudgets
 from finchladder.cluster.routing.workers import Worker
 from finchladder.cluster.transport.peers import steady
@@ -25,14 +29,6 @@
 SEND_AFTER_QUEUE_CLOSED_S = 0.05  # for requests that got a worker just before the queue closed
 
 
-@frozen
-class ResumedStream:
-    """A stream that another worker continues after the last complete event."""
-
-    worker: Worker
-    response: aiohttp.ClientResponse
-
-
 @define
 class AttemptSender:
     """Sends the attempts of all requests, and times them out."""
@@ -40,6 +36,7 @@
     session: aiohttp.ClientSession
     queue: RequestQueue
     retry_budgets: RetryBudgets
+    demand: DemandCounter
     _open_timeouts: set[asyncio.Timeout] = field(factory=set)
 
     async def send(self, outgoing: OutgoingRequest, worker: Worker, last_event_id: str = "") -> Outcome:
@@ -54,20 +51,28 @@
 
     async def resume(
         self, request: AdmittedRequest, attempted: frozenset[str], last_event_id: str
-    ) -> ResumedStream | None:
-        """Continues a stream after that event at another worker; None if that is not possible."""
+    ) -> WorkerStream | None:
+        """Continues a stream after that event at another worker; None if that is not possible.
+
+        The caller closes the stream.
+        """
         worker = await self.queue.select_worker(request.classified, attempted)
         if worker is None:
             return None
         if not self.retry_budgets.try_withdraw(request.classified.key.service, steady()):
             return None
-        outcome = await self.send(request.outgoing, worker, last_event_id)
-        if not isinstance(outcome, Responded):
-            return None
-        if outcome.response.status != HTTPStatus.OK:
-            outcome.response.close()
-            return None
-        return ResumedStream(worker, outcome.response)
+        with ExitStack() as attempt:
+            in_flight = attempt.enter_context(InFlightRequest(self.demand, request.classified, worker))
+            outcome = await self.send(request.outgoing, worker, last_event_id)
+            if not isinstance(outcome, Responded):
+                record_failure(worker, request.classified, outcome)
+                return None
+            if outcome.response.status != HTTPStatus.OK:
+                outcome.response.close()
+                return None
+            in_flight.record_first_token()
+            attempt.pop_all()  # the stream ends the attempt
+            return WorkerStream(worker, outcome.response, in_flight)
 
     @asynccontextmanager
     async def timeout_at(self, deadline: float) -> AsyncIterator[None]:
--- a/finchladder/cluster/process/in_flight.py
+++ b/finchladder/cluster/process/in_flight.py
@@ -7,7 +7,10 @@
 
 
 class InFlightRequest:
-    """Context manager that adds a request to a worker's load and to the demand while an attempt runs."""
+    """Context manager that adds a request to a worker's load and to the demand while an attempt runs.
+
+    An attempt may end earlier than its context: a stream that is cut off goes on at another worker.
+    """
 
     def __init__(self, demand: DemandCounter, request: ClassifiedRequest, worker: Worker) -> None:
         """Prepares the accounting; nothing is counted before the context is entered."""
@@ -15,11 +18,13 @@
         self._request = request
         self._worker = worker
         self._load = demand.request_cost(request).load
+        self._is_running = False
 
     def __enter__(self) -> "InFlightRequest":
         """Adds the request to the worker's load and to the demand."""
         self._was_idle = self._worker.load <= 0
         self._started_at = steady()
+        self._is_running = True
         self._worker.add_load(self._load)
         self._demand.add_in_flight(self._request.key, self._worker.instance, 1)
         return self
@@ -35,6 +40,13 @@
         self._load = decode_load
 
     def __exit__(self, *_: object) -> None:
-        """Removes what is left of the request's load."""
+        """Ends the attempt."""
+        self.end()
+
+    def end(self) -> None:
+        """Removes what is left of the request's load; does nothing if the attempt has ended already."""
+        if not self._is_running:
+            return
+        self._is_running = False
         self._worker.add_load(-self._load)
         self._demand.add_in_flight(self._request.key, self._worker.instance, -1)
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -40,6 +40,7 @@
     RETRY_AFTER_NO_REPLICA_S,
     RequestQueue,
 )
+from finchladder.cluster.process.worker_stream import WorkerStream
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.headers import HOST_HEADER, forwarded_headers
 from finchladder.cluster.routing.pools import Pools
@@ -98,7 +99,7 @@
         """Makes the parts that share what this router was given."""
         self.queue = RequestQueue(self.selector, self.dispatcher_count, self.demand)
         self.retry_budgets = RetryBudgets(self.make_retry_budget, self.dispatcher_count)
-        self.sender = AttemptSender(self.session, self.queue, self.retry_budgets)
+        self.sender = AttemptSender(self.session, self.queue, self.retry_budgets, self.demand)
 
     @property
     def pools(self) -> Pools:
@@ -216,7 +217,7 @@
                     if outcome.response.status == HTTPStatus.OK:
                         in_flight.record_first_token()
                     worker.consecutive_failures = 0
-                    return await self._relay(request, worker, outcome.response)
+                    return await self._relay(request, WorkerStream(worker, outcome.response, in_flight))
             record_failure(worker, request.classified, outcome)
             history.record(worker, outcome)
             response = self._response_unless_retried(request, history, outcome)
@@ -249,16 +250,14 @@
 
     # --- respond ------------------------------------------------------------------------------------------
 
-    async def _relay(
-        self, request: AdmittedRequest, worker: Worker, response: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
+    async def _relay(self, request: AdmittedRequest, stream: WorkerStream) -> web.StreamResponse:
         """Passes a worker's response on."""
         try:
-            if request.route.kind is RequestKind.STREAMING and response.status == HTTPStatus.OK:
-                return await StreamRelay(request, self.sender, self.responses).relay(worker, response)
-            return await self._relay_complete(request, response)
+            if request.route.kind is RequestKind.STREAMING and stream.response.status == HTTPStatus.OK:
+                return await StreamRelay(request, self.sender, self.responses).relay(stream)
+            return await self._relay_complete(request, stream.response)
         finally:
-            response.close()
+            stream.close()
 
     async def _relay_complete(
         self, request: AdmittedRequest, response: aiohttp.ClientResponse
--- a/finchladder/cluster/process/stream_relay.py
+++ b/finchladder/cluster/process/stream_relay.py
@@ -5,19 +5,19 @@
 from attrs import define, field
 
 from finchladder.cluster.process.attempt import AdmittedRequest
-from finchladder.cluster.process.attempt_sender import AttemptSender, ResumedStream
+from finchladder.cluster.process.attempt_sender import AttemptSender
 from finchladder.cluster.process.client_responses import (
     ClientDisconnectedError,
     ClientResponses,
     abort_connection,
 )
+from finchladder.cluster.process.worker_stream import WorkerStream
 from finchladder.cluster.routing.event_stream import EventBuffer
 from finchladder.cluster.routing.headers import (
     CONTENT_LENGTH_HEADER,
     LAST_EVENT_ID_HEADER,
     forwarded_headers,
 )
-from finchladder.cluster.routing.workers import Worker
 
 
 @define
@@ -33,24 +33,28 @@
         """Buffers events only if the stream can be resumed."""
         self.events = EventBuffer() if self.request.route.resumable else None
 
-    async def relay(self, worker: Worker, response: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def relay(self, stream: WorkerStream) -> web.StreamResponse:
         """Passes the stream on until its end; a stream that can't be resumed ends by an aborted connection.
 
+        All of its attempts are closed when this returns, raises or is cancelled.
+
         Raises:
             ClientDisconnectedError: The client's connection is lost.
         """
-        client_response = self._client_response(response)
-        await client_response.prepare(self.request.outgoing.client_request)
-        attempted = frozenset({worker.instance})
-        while not await self._copy(response, client_response):
-            resumed = await self._resume(attempted)
-            if resumed is None:
-                abort_connection(self.request.outgoing.client_request)
-                return client_response
-            response.close()
-            response = resumed.response
-            attempted |= {resumed.worker.instance}
-        response.close()
+        client_response = self._client_response(stream.response)
+        attempted: frozenset[str] = frozenset()
+        try:
+            await client_response.prepare(self.request.outgoing.client_request)
+            while not await self._copy(stream.response, client_response):
+                stream.close()
+                attempted |= {stream.worker.instance}
+                resumed = await self._resume(attempted)
+                if resumed is None:
+                    abort_connection(self.request.outgoing.client_request)
+                    return client_response
+                stream = resumed
+        finally:
+            stream.close()
         await client_response.write_eof()
         return client_response
 
@@ -77,7 +81,7 @@
             return False
         return self.events is None or not self.events.has_incomplete
 
-    async def _resume(self, attempted: frozenset[str]) -> ResumedStream | None:
+    async def _resume(self, attempted: frozenset[str]) -> WorkerStream | None:
         """Continues after the last complete event; None if the stream can't be resumed."""
         if self.events is None or len(attempted) >= self.request.route.max_attempts:
             return None
--- a/finchladder/cluster/process/worker_selection.py
+++ b/finchladder/cluster/process/worker_selection.py
@@ -74,13 +74,18 @@
                 self.demand.add_queued(request.key, -1)
 
     def _queue_deadline(self, request: ClassifiedRequest, has_replicas: bool) -> float:
-        """Until when a request may be queued: longer if a replica is known to be usable in time."""
+        """Until when a request may be queued: longer if a replica is known to be usable in time.
+
+        A load that is overdue when the request arrives gets the allowance once, from then on.
+        """
         client_s = min(request.client_stall_timeout_s, request.deadline - request.arrived_at)
         latest = request.arrived_at + MAX_QUEUE_TIME_SHARE * client_s
+        without_load = request.arrived_at + UNKNOWN_LOAD_QUEUE_TIME_SHARE * (latest - request.arrived_at)
         ready_at = self.pools.ready_at(request.key)
-        if not has_replicas and ready_at is not None and ready_at <= latest:
-            return min(latest, max(ready_at, steady()) + LOAD_DELAY_ALLOWANCE_S)
-        return request.arrived_at + UNKNOWN_LOAD_QUEUE_TIME_SHARE * (latest - request.arrived_at)
+        if has_replicas or ready_at is None or ready_at > latest:
+            return without_load
+        expected_by = max(ready_at, request.arrived_at) + LOAD_DELAY_ALLOWANCE_S
+        return max(without_load, min(latest, expected_by))
 
     def retry_after_s(self, request: ClassifiedRequest) -> float:
         """Seconds after which a rejected client should retry."""
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -393,6 +393,91 @@
     run_with_timeout(work)
 
 
+class ResumingWorker:
+    """A stand-in that resumes a stream, sends one event more and goes on until its caller leaves."""
+
+    def __init__(self) -> None:
+        self.has_request = asyncio.Event()
+        self.is_left = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.has_request.set()
+        try:
+            response = await stream_events(request, 3, 3, None)
+            while True:
+                await response.write(b": still at work\n\n")
+                await asyncio.sleep(0.01)
+        finally:
+            self.is_left.set()
+
+
+async def own_loads_are(harness: RouterHarness, expected: list[float]) -> bool:
+    """Whether the workers, in order, come to have these loads of the dispatcher's own requests in time."""
+    workers = [member.worker for _, member in sorted(harness.router.pools.members.items())]
+    for _ in range(100):
+        if [worker.own_load for worker in workers] == expected:
+            return True
+        await asyncio.sleep(0.01)
+    return False
+
+
+def test_a_resumed_stream_is_load_of_its_present_worker_alone_and_ends_when_the_client_leaves() -> None:
+    async def work() -> None:
+        breaks = asyncio.Event()
+
+        async def breaks_later(request: web.BaseRequest) -> web.StreamResponse:
+            await stream_events(request, 1, 2, None)
+            await breaks.wait()
+            return await abort(request)
+
+        resuming = ResumingWorker()
+        first_worker, second_worker = StandInWorker(breaks_later), StandInWorker(resuming.handle)
+        async with router_harness(first_worker, second_worker) as harness:
+            async with harness.send("/resumed/") as response:
+                await response.content.readuntil(b"id: 2\n")
+                assert await own_loads_are(harness, [1.0, 0.0])
+                breaks.set()
+                await response.content.readuntil(b"id: 3\n")
+                assert await own_loads_are(harness, [0.0, 1.0])
+                response.close()
+            await asyncio.wait_for(resuming.is_left.wait(), 1.0)
+            assert await own_loads_are(harness, [0.0, 0.0])
+            assert harness.router.open_requests == 0
+
+    run_with_timeout(work)
+
+
+@pytest.mark.parametrize("steps", range(8))
+def test_a_client_that_leaves_as_a_resume_begins_leaves_no_request_behind(steps: int) -> None:
+    """Some steps of the event loop after the first worker's break, each of which is another await."""
+
+    async def work() -> None:
+        first_requests: list[web.BaseRequest] = []
+
+        async def keeps_open(request: web.BaseRequest) -> web.StreamResponse:
+            first_requests.append(request)
+            response = await stream_events(request, 1, 2, None)
+            await asyncio.sleep(5.0)
+            return response
+
+        resuming = ResumingWorker()
+        first_worker, second_worker = StandInWorker(keeps_open), StandInWorker(resuming.handle)
+        async with router_harness(first_worker, second_worker) as harness:
+            response = await harness.send("/resumed/")
+            await response.content.readuntil(b"id: 2\n")
+            assert first_requests[0].transport is not None
+            first_requests[0].transport.abort()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            response.close()
+            assert await own_loads_are(harness, [0.0, 0.0])
+            if second_worker.requests:
+                await asyncio.wait_for(resuming.is_left.wait(), 1.0)
+            assert harness.router.open_requests == 0
+
+    run_with_timeout(work)
+
+
 def test_a_draining_dispatcher_closes_idle_connections_and_responds_on_the_others() -> None:
     async def work() -> None:
         began = asyncio.Event()
