Surplus bytes of a worker spoil no answer, however they arrive

Cause: bytes behind a whole answer made it a 502: in one piece with the head the parser raised before it had delivered the answer, and as a piece of their own they cleared the queue in which the answer was still unread. Change: the parser is given the head alone, then the rest; a discard keeps what was received before.

--- a/finchladder/cluster/transport/exchange.py
+++ b/finchladder/cluster/transport/exchange.py
@@ -12,8 +12,9 @@
     head, chunks, the last    complete            complete            complete; connection not reused
     head, body without length complete            error               part of the body
 
-Surplus bytes that arrive before the response was read may make it an error; they never become a part of it.
-An error is raised to the reader of the body, also when bytes of it are still unread. A final response that
+Surplus bytes never become a part of the response, nor do they make it an error, also where they come in one
+piece with it: the parser gets the head alone, so that it has delivered it before it meets what follows. An
+error is raised to the reader of the body, also when bytes of it are still unread. A final response that
 arrives while a part of the request is unsent is delivered, and the connection is not reused: the next request
 would follow an incomplete one.
 """
@@ -25,6 +26,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 FIRST_FINAL_STATUS = 200
+END_OF_HEAD = b"\r\n\r\n"
 SWITCHING_PROTOCOLS = 101
 
 
@@ -32,16 +34,25 @@
     """One connection to a server; at most one exchange at a time."""
 
     _final_responses = 0  # heads of final responses since the exchange began
+    _head_tail = b""  # the last bytes of an incomplete head
 
     def set_response_params(self, **parameters: Any) -> None:
         """Begins an exchange; bytes received before it belong to none and end the connection."""
         if self._tail or self._buffer:
+            self._buffer.clear()
             self._discard()
         self._final_responses = 0
+        self._head_tail = b""
         super().set_response_params(**parameters)
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser; empty data resumes reading after a pause."""
+        while data and self._parser is not None and self._final_responses == 0:
+            head_length = self._head_length(data)
+            super().data_received(data[:head_length])
+            data = data[head_length:]
+            if not data:
+                return
         if not data:
             super().data_received(data)
         elif self._parser is None or self._is_complete():
@@ -49,6 +60,17 @@
         else:
             super().data_received(data)
 
+    def _head_length(self, data: bytes) -> int:
+        """How many of the received bytes belong to the head that is being received, which may go on."""
+        before = len(self._head_tail)
+        received = self._head_tail + data
+        end = received.find(END_OF_HEAD)
+        if end < 0:
+            self._head_tail = received[-(len(END_OF_HEAD) - 1) :]
+            return len(data)
+        self._head_tail = b""
+        return end + len(END_OF_HEAD) - before
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues a parsed head for the reader, unless the exchange already has its final response."""
         message, _ = data
@@ -84,9 +106,11 @@
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def _discard(self) -> None:
-        """Drops bytes that belong to no exchange, and closes the connection."""
+        """Drops bytes that belong to no exchange, and closes the connection.
+
+        A response that was received before them is kept for its reader.
+        """
         self._tail = b""
-        self._buffer.clear()
         self.force_close()
         if self.transport is not None:
             self.transport.close()
--- a/tests/cluster/test_exchange.py
+++ b/tests/cluster/test_exchange.py
@@ -131,8 +131,7 @@
         if is_all and framing is not UNFRAMED:
             if transport.closed:
                 handler.connection_lost(None)  # as a real transport does
-            # surplus bytes that come before it was read may spoil it: an error, never another body
-            assert await body_of(handler) in ([BODY, None] if surplus else [BODY])
+            assert await body_of(handler) == BODY
             assert (not handler.should_close and not transport.closed) == (not surplus)
             return
         handler.connection_lost(None if ending == FIN else ConnectionResetError(104, "reset"))
@@ -152,6 +151,32 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize("framing", [COUNTED, CHUNKED, AFTER_INTERIM], ids=lambda f: f.name)
+@pytest.mark.parametrize("surplus", [NO_HTTP, COUNTED.whole], ids=["no answer", "another answer"])
+def test_surplus_in_one_piece_with_an_answer_does_not_spoil_it(framing: Framing, surplus: bytes) -> None:
+    """As a client has it, whose answer is sent together with the bytes that belong to no request."""
+    script = Script(framing.whole + surplus, "keep")
+
+    async def check(b: RouterHarness) -> None:
+        assert await outcome(b, "/once/") == (200, BODY)
+
+    run_with_timeout(lambda: with_scripted(script, [], check))
+    assert script.requests == 1
+
+
+@pytest.mark.parametrize("cut", range(len(HEAD) + 60))
+def test_a_head_that_comes_in_two_pieces_at_any_place_is_kept_apart_from_surplus(cut: int) -> None:
+    async def work() -> None:
+        handler, _ = connection()
+        data = AFTER_INTERIM.whole + NO_HTTP
+        begin = len(CONTINUE) + len(EARLY_HINTS)
+        handler.data_received(data[: begin + cut])
+        handler.data_received(data[begin + cut :])
+        assert await body_of(handler) == BODY
+
+    run_with_timeout(work)
+
+
 def test_bytes_that_come_while_a_connection_rests_end_it() -> None:
     async def work() -> None:
         handler, transport = connection()
