Links between dispatchers are tested by what was sent while the fault lay on them

Cause, shown by 40 traced plays beside a load of 20: processes talk from their own starts on, 0.5 to 0.9 s before the fault begins there, and every one of the 31 to 37 datagrams that came through a link which loses all had been sent before it. The test compared that count with the other way's, which shrinks under load. Change: datagrams and lines carry the time of their sending, the process that carries the links out records when a trouble begins and ends there, and the tests count between the two. Where the count had to be less than half of another it now has to be nothing; the stall and the split are held so, too.

--- a/finchladder/lab/chatter.py
+++ b/finchladder/lab/chatter.py
@@ -1,42 +1,47 @@
 """A stand-in that talks with its peers and does nothing else: links between dispatchers are tested with it.
 
 `python -m finchladder.lab.chatter`, told by NODE_NAME, NODE_LISTEN and LAB_PEERS. Each EVERY_S it sends every
-peer a numbered datagram, and a line on a kept connection. After SIGTERM it writes beside LAB_PEERS what it
-heard of whom (`heard-NAME.json`): datagrams, different ones, those that came after a later one, lines, lost
-connections.
+peer a numbered datagram, and a line on a kept connection, both with the time of their sending (seconds of the
+machine's monotonic clock). After SIGTERM it writes what it heard of whom beside LAB_PEERS: `heard-NAME.json`
+holds a `Heard` for each sender.
 """
 
 import asyncio
-import json
 import os
 import signal
 import sys
+import time
 from collections import defaultdict
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 EVERY_S = 0.02
 AGAIN_S = 0.1  # until a connection that was lost is tried again
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
-class Heard:
-    def __init__(self) -> None:
-        self.numbers: list[int] = []
-        self.lines = self.lost = 0
+class Datagram(msgspec.Struct):
+    """What one process sends another. `sent_at`: monotonic seconds."""
+
+    sender: str
+    number: int
+    sent_at: float
+
+
+class Heard(msgspec.Struct):
+    """What a process received of one peer, in the order in which it came.
+
+    Attributes:
+        datagrams: All datagrams, also those that came twice.
+        lines: When each line was sent, monotonic seconds.
+        lost: Connections that broke.
+    """
 
-    def told(self) -> dict[str, int]:
-        latest, behind = -1, 0
-        for n in self.numbers:
-            behind += n < latest
-            latest = max(latest, n)
-        return {
-            "datagrams": len(self.numbers),
-            "different": len(set(self.numbers)),
-            "behind": behind,
-            "lines": self.lines,
-            "lost": self.lost,
-        }
+    datagrams: list[Datagram] = msgspec.field(default_factory=list)
+    lines: list[float] = msgspec.field(default_factory=list)
+    lost: int = 0
 
 
 class Chatter(asyncio.DatagramProtocol):
@@ -47,9 +52,9 @@
         self.heard: dict[str, Heard] = defaultdict(Heard)
 
     def datagram_received(self, data: bytes, source: tuple[str | Any, int]) -> None:
-        said = json.loads(data)
-        if self.by_host.get(source[0]) == said["from"]:
-            self.heard[said["from"]].numbers.append(said["n"])
+        datagram = msgspec.json.decode(data, type=Datagram)
+        if self.by_host.get(source[0]) == datagram.sender:
+            self.heard[datagram.sender].datagrams.append(datagram)
 
     async def edge(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """A client's connection or a peer's: each line of a peer is counted, each request answered."""
@@ -57,7 +62,7 @@
         try:
             while line := await reader.readline():
                 if peer is not None:
-                    self.heard[peer].lines += 1
+                    self.heard[peer].lines.append(float(line))
                 elif line == b"\r\n":
                     writer.write(OK)
         except OSError:
@@ -67,12 +72,13 @@
             writer.close()
 
     async def talk(self, host: str, transport: asyncio.DatagramTransport) -> None:
-        n = 0
+        number = 0
         while True:
+            datagram = msgspec.json.encode(Datagram(self.name, number, time.monotonic()))
             for peer, address in self.peers.items():
                 if peer != self.name:
-                    transport.sendto(json.dumps({"from": self.name, "n": n}).encode(), address)
-            n += 1
+                    transport.sendto(datagram, address)
+            number += 1
             await asyncio.sleep(EVERY_S)
 
     async def line(self, host: str, peer: str) -> None:
@@ -80,7 +86,7 @@
             try:
                 _, writer = await asyncio.open_connection(*self.peers[peer], local_addr=(host, 0))
                 while not writer.is_closing():
-                    writer.write(b"line\n")
+                    writer.write(f"{time.monotonic()}\n".encode())
                     await writer.drain()
                     await asyncio.sleep(EVERY_S)
             except OSError:
@@ -91,7 +97,7 @@
 async def serve() -> None:
     name, folder = os.environ["NODE_NAME"], Path(os.environ["LAB_PEERS"]).parent
     host, _, port = os.environ["NODE_LISTEN"].rpartition(":")
-    chatter = Chatter(name, json.loads(Path(os.environ["LAB_PEERS"]).read_text()))
+    chatter = Chatter(name, msgspec.json.decode(Path(os.environ["LAB_PEERS"]).read_bytes()))
     loop = asyncio.get_running_loop()
     over = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, over.set)
@@ -102,8 +108,7 @@
     await over.wait()
     for task in talks:
         task.cancel()
-    told = {peer: heard.told() for peer, heard in chatter.heard.items()}
-    (folder / f"heard-{name}.json").write_text(json.dumps(told))
+    (folder / f"heard-{name}.json").write_bytes(msgspec.json.encode(chatter.heard))
     server.close()
     transport.close()
 
--- a/finchladder/lab/drivers/peers.py
+++ b/finchladder/lab/drivers/peers.py
@@ -19,6 +19,7 @@
 from finchladder.lab.drivers.sockets import Alarm, Listener, reset, split
 from finchladder.lab.experiment import Fault
 from finchladder.lab.models.mesh import Mesh, Trouble
+from finchladder.lab.records import Struck
 
 MOST_LATE = 100_000
 MOST_DATAGRAM = 65_507
@@ -208,9 +209,11 @@
         if order.data.get("end"):
             if (trouble := self.troubles.pop(key, None)) is not None:
                 self.mesh.end(trouble)
+                self._record(fault.kind, targets, "end")
         else:
             trouble = self.troubles[key] = Trouble(cast(Any, fault.kind), targets, fault.way, size)
             self.mesh.begin(trouble)
+            self._record(fault.kind, targets)
         for link in list(self.links):
             if self.mesh.cut(link.near.sender, link.receiver):
                 link.reset()
@@ -218,6 +221,10 @@
                 link.near.pump()
                 link.far.pump()
 
+    def _record(self, kind: str, targets: frozenset[str], detail: str = "") -> None:
+        """When a trouble began or ended on the links, which is later than it was ordered."""
+        self.process.put(Struck(time.monotonic(), kind, ",".join(sorted(targets)), detail))
+
     async def finish(self) -> dict[str, int]:
         mesh = self.mesh
         return {"sent": mesh.sent, "lost": mesh.lost, "doubled": mesh.doubled, "strange": self.strange}
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -1,12 +1,17 @@
 """Links between dispatchers: the fates by rule, and eight processes that talk over them while they fail."""
 
-import json
 import random
 from collections.abc import Callable
+from itertools import accumulate
+from math import inf
 from pathlib import Path
+from typing import NamedTuple
 
+import msgspec
 import pytest
 
+from finchladder.lab import records
+from finchladder.lab.chatter import Heard
 from finchladder.lab.check import findings
 from finchladder.lab.experiment import Experiment, Fault, Load, Network, Phase, Pool
 from finchladder.lab.models.mesh import LATENCY_S, MOST_COPIES, Mesh, Trouble
@@ -125,54 +130,107 @@
 for_s = 2.0
 rate = 5.0
 """
-SOON = "at_s=0.0, target='dispatchers:1-3'"  # for the whole of the run: no verdict hangs on when it began
+WHOLE_RUN = "at_s=0.0, target='dispatchers:1-3'"
 
 
-def heard(folder: Path, faults: list[str]) -> dict[tuple[str, str], dict[str, int]]:
-    """By (sender, receiver): what the receiver counted."""
+class Span(NamedTuple):
+    """While all faults of a run lay on the links, by the process that carries the links out; monotonic."""
+
+    begin: float
+    end: float
+
+    def holds(self, at: float) -> bool:
+        return self.begin < at < self.end
+
+
+class Counts(NamedTuple):
+    """What one process received of another, of what was sent in a span."""
+
+    datagrams: int
+    different: int
+    behind: int  # came after one that was sent later
+    lines: int
+    lost: int  # connections, over the whole run
+
+
+def counts(heard: Heard, span: Span) -> Counts:
+    numbers = [d.number for d in heard.datagrams if span.holds(d.sent_at)]
+    latest = list(accumulate(numbers, max))
+    behind = sum(number < highest for number, highest in zip(numbers, latest, strict=True))
+    lines = sum(span.holds(at) for at in heard.lines)
+    return Counts(len(numbers), len(set(numbers)), behind, lines, heard.lost)
+
+
+def span_of_faults(ledger: Path) -> Span:
+    """While all troubles lay on the links; the whole run, if there are none."""
+    struck = [r for r in records.read(ledger / "peers.log") if isinstance(r, records.Struck)]
+    begins = [r.at for r in struck if not r.detail]
+    ends = [r.at for r in struck if r.detail == "end"]
+    return Span(max(begins, default=0.0), min(ends, default=inf))
+
+
+def play(folder: Path, faults: list[str]) -> dict[tuple[str, str], Counts]:
+    """By (sender, receiver): what came of what was sent while all faults lay on the links.
+
+    A process talks from its own start on, at a loaded machine some seconds before the last one has started
+    and the faults begin: what was sent before shows nothing of them.
+    """
     out = played(folder, EIGHT, f"fault=[{', '.join(faults)}]")
-    told = {name: json.loads((out / "config" / f"heard-{name}.json").read_text()) for name in NAMES}
-    return {(sender, name): of for name, by in told.items() for sender, of in by.items()}
+    span = span_of_faults(out / "ledger")
+    assert span.begin > 0.0 or not faults
+    silent = Heard()
+    told = {
+        name: msgspec.json.decode((out / "config" / f"heard-{name}.json").read_bytes(), type=dict[str, Heard])
+        for name in NAMES
+    }
+    pairs = [(sender, receiver) for sender in NAMES for receiver in NAMES if sender != receiver]
+    return {
+        (sender, receiver): counts(told[receiver].get(sender, silent), span) for sender, receiver in pairs
+    }
 
 
 def test_eight_processes_hear_each_other_over_links_that_do_no_harm(tmp_path: Path) -> None:
-    found = heard(tmp_path, [])
-    assert set(found) == {(a, b) for a in NAMES for b in NAMES if a != b}
-    assert all(f["datagrams"] == f["different"] > 5 and not f["behind"] for f in found.values())
-    assert all(f["lines"] > 5 for f in found.values())
+    found = play(tmp_path, [])
+    assert all(f.datagrams == f.different > 5 and not f.behind for f in found.values())
+    assert all(f.lines > 5 for f in found.values())
 
 
 def test_eight_processes_in_a_split_hear_their_own_side_alone(tmp_path: Path) -> None:
-    """What was said before the split began is heard: so the two sides are set against each other."""
-    found = heard(tmp_path, [f"{{kind='peer_cut', {SOON}}}"])
+    found = play(tmp_path, [f"{{kind='peer_cut', {WHOLE_RUN}}}"])
     across = [f for (a, b), f in found.items() if (a in LEFT) != (b in LEFT)]
     within = [f for (a, b), f in found.items() if (a in LEFT) == (b in LEFT)]
-    assert min(f["datagrams"] for f in within) > 2 * max((f["datagrams"] for f in across), default=0)
-    assert min(f["lines"] for f in within) > 2 * max((f["lines"] for f in across), default=0)
+    assert not any(f.datagrams or f.lines for f in across)
+    assert all(f.datagrams > 5 for f in within)
+    assert all(f.lines > 5 for f in within)
 
 
 def test_eight_processes_on_links_that_lose_double_and_shuffle(tmp_path: Path) -> None:
-    found = heard(
+    found = play(
         tmp_path,
         [
-            f"{{kind='peer_loss', {SOON}, way='out', size=1.0}}",
-            f"{{kind='peer_double', {SOON}, way='within', size=1.0}}",
+            f"{{kind='peer_loss', {WHOLE_RUN}, way='out', size=1.0}}",
+            f"{{kind='peer_double', {WHOLE_RUN}, way='within', size=1.0}}",
             "{kind='peer_shuffle', at_s=0.0, target='dispatchers:4-8', way='within', size=0.3}",
         ],
     )
-    one_way = [found.get((a, b), {"datagrams": 0})["datagrams"] for a in LEFT for b in NAMES if b not in LEFT]
-    other_way = [found[b, a]["datagrams"] for a in LEFT for b in NAMES if b not in LEFT]
-    assert min(other_way) > 2 * max(one_way)
-    assert all(found[a, b]["datagrams"] > found[a, b]["different"] for a in LEFT for b in LEFT if a != b)
-    shuffled = [found[a, b]["behind"] for a in NAMES[3:] for b in NAMES[3:] if a != b]
-    assert sum(n > 0 for n in shuffled) > 0.8 * len(shuffled)
-    assert all(f["lines"] > 5 for f in found.values())  # none of these is felt by a connection
+    one_way = [found[a, b].datagrams for a in LEFT for b in NAMES if b not in LEFT]
+    other_way = [found[b, a].datagrams for a in LEFT for b in NAMES if b not in LEFT]
+    doubled = [found[a, b] for a in LEFT for b in LEFT if a != b]
+    shuffled = [found[a, b] for a in NAMES[3:] for b in NAMES[3:] if a != b]
+    assert not any(one_way)
+    assert min(other_way) > 5
+    assert all(f.different > 5 for f in doubled)
+    assert all(f.datagrams > 1.5 * f.different for f in doubled)
+    assert sum(f.behind > 0 for f in shuffled) > 0.8 * len(shuffled)
+    assert all(f.lines > 5 for f in found.values())  # none of these is felt by a connection
 
 
 def test_a_stall_closes_nothing_and_what_waited_comes_when_it_ends(tmp_path: Path) -> None:
-    found = heard(tmp_path, ["{kind='peer_stall', at_s=0.3, for_s=0.8, target='dispatchers:1-3'}"])
+    found = play(tmp_path, ["{kind='peer_stall', at_s=0.3, for_s=0.8, target='dispatchers:1-3'}"])
     across = [f for (a, b), f in found.items() if (a in LEFT) != (b in LEFT)]
     within = [f for (a, b), f in found.items() if (a in LEFT) == (b in LEFT)]
-    assert all(not f["lost"] for f in found.values())
-    assert min(f["lines"] for f in across) > 0.8 * min(f["lines"] for f in within)
-    assert max(f["datagrams"] for f in across) < 0.9 * min(f["datagrams"] for f in within)
+    assert all(not f.lost for f in found.values())
+    assert not any(f.datagrams for f in across)
+    assert all(f.datagrams for f in within)
+    assert all(f.lines for f in found.values())
+    assert min(f.lines for f in across) > 0.8 * min(f.lines for f in within)
