Doubt of dispatchers and confirmations of the chain follow from contact_ms

Cause: a dispatcher was in doubt 3 s after the chain's last confirmation whatever contact_ms said, so where it is shorter it went on in touch with an old configuration for the difference. Change: ContactTimeouts derives the validity of a confirmation, the doubt, the interval of confirmations and the length of a long poll from the bound; the values at 3 s are those of before. A contact_ms below the heartbeat's period is refused at the start with both values; the wait for readiness to spread is at most 0.4 of grace_s.

--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -28,7 +28,6 @@
 REPLICATE_TIMEOUT_S = 1.2  # until all successors have stored an operation
 MIN_BYTES_PER_S = 1_000_000  # extends that timeout by the size of the message
 FETCH_TIMEOUT_S = 1.0
-CONFIRM_INTERVAL_S = 0.3
 READ_TIMEOUT_S = 0.4
 
 
@@ -37,6 +36,7 @@
     """Chain replication in one control process.
 
     Attributes:
+        confirm_interval_s: Between two confirmations by the head.
         acknowledged: The newest state that all members of a chain are known to hold; only this one is visible
             outside of the chain.
         write_lock: Held by the head from the check of an operation to its end.
@@ -50,6 +50,7 @@
 
     agreement: ViewAgreement
     lease: GrantedLease
+    confirm_interval_s: float
     acknowledged: ControlState = field(factory=ControlState)
     changed: Signal = field(factory=Signal)
     write_lock: asyncio.Lock = field(factory=asyncio.Lock)
@@ -269,7 +270,7 @@
                 except ClusterError as error:
                     event("chain.storage_failed", problem=str(error))
             if self.view.number == view.number:
-                await self.agreement.changed.wait(CONFIRM_INTERVAL_S)
+                await self.agreement.changed.wait(self.confirm_interval_s)
 
     # --- as tail ------------------------------------------------------------------------------------------
 
--- a/finchladder/cluster/process/control_plane.py
+++ b/finchladder/cluster/process/control_plane.py
@@ -84,6 +84,7 @@
         seeds: tuple[str, ...],
         exclusion_window_s: float,
         fenced: bool,
+        confirm_interval_s: float,
         random: Random,
     ) -> "ControlPlane":
         """Creates the services; none of them runs yet.
@@ -97,6 +98,7 @@
             seeds: Peer addresses of the processes that form the first view.
             exclusion_window_s: No two lease holders may both act within this time.
             fenced: Whether workers reject orders of former lease holders.
+            confirm_interval_s: Seconds between two confirmations of the chain by its head.
             random: Source of the proposers' backoff.
         """
         agreement = ViewAgreement(
@@ -112,7 +114,8 @@
         proposer = ViewProposer(agreement, detector, peers, random)
         agreement.adoption_listeners += [proposer.reset_turn, detector.forget_former_members]
         lease_s = exclusion_window_s * LEASE_FRACTION
-        chain = ChainService(agreement, GrantedLease(lease_s, exclusion_window_s, fenced=fenced))
+        lease = GrantedLease(lease_s, exclusion_window_s, fenced=fenced)
+        chain = ChainService(agreement, lease, confirm_interval_s)
         return cls(
             agreement,
             detector,
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -48,6 +48,7 @@
         self.core_sessions = CoreSessions.build(
             self.control,
             heartbeat_s=settings.heartbeat_s,
+            timeouts=settings.bounds.contact_timeouts,
             peers=self.peers,
             tasks=self.tasks,
             random=self.random,
@@ -84,6 +85,7 @@
             seeds=tuple(settings.peer_address_of(seed) for seed in settings.seeds),
             exclusion_window_s=settings.bounds.lease_s,
             fenced=settings.bounds.fencing,
+            confirm_interval_s=settings.bounds.contact_timeouts.confirm_interval_s,
             random=self.random,
         )
 
--- a/finchladder/cluster/process/core_sessions.py
+++ b/finchladder/cluster/process/core_sessions.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 
+from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.control_plane import ControlPlane
 from finchladder.cluster.process.retirement_propagation import RetirementPropagation
 from finchladder.cluster.process.tasks import Tasks
@@ -21,7 +22,6 @@
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.messages import Update
 
-CONFIRMATION_VALIDITY_S = 2.0  # of the chain's last confirmation
 ANNOUNCE_INTERVAL_S = 1.0  # subscribers are woken at least so often
 ANY_VERSION = 1 << 60  # a control process has its configuration from the chain and pulls none
 
@@ -44,6 +44,7 @@
         control: ControlPlane,
         *,
         heartbeat_s: float,
+        timeouts: ContactTimeouts,
         peers: Peers,
         tasks: Tasks,
         random: Random,
@@ -54,6 +55,7 @@
         Args:
             control: The control state of this process.
             heartbeat_s: Seconds between two heartbeats of a worker.
+            timeouts: How soon a loss of contact is noticed.
             peers: Sends requests to other processes.
             tasks: Owns the background tasks.
             random: Source of the origin's name and of the pulls' jitter.
@@ -63,7 +65,7 @@
         tables = ReplicatedTables(f"{me.name}/{random.getrandbits(32):x}")
 
         def is_chain_confirmed() -> bool:
-            return steady() - control.chain.confirmed_at < CONFIRMATION_VALIDITY_S
+            return steady() - control.chain.confirmed_at < timeouts.confirmation_validity_s
 
         updates = UpdateServer(
             tables=tables,
@@ -103,6 +105,7 @@
             seeds=control.failure_detector.seeds,
             configuration_version=lambda: ANY_VERSION,
             on_update=on_update,
+            timeouts=timeouts,
         )
         return cls(control, updates, sessions, expiry, puller)
 
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -31,6 +31,7 @@
 
 # Phases of a graceful shutdown
 READINESS_PROPAGATION_S = 2.5  # until the platform sends no new connections
+MAX_READINESS_GRACE_SHARE = 0.4  # of the grace that the platform gives, if that is short
 SHUTDOWN_POLL_S = 0.05
 FINAL_RESPONSES_S = 0.3  # for responses to requests that were timed out
 EXIT_MARGIN_S = 0.6  # between the last response and the platform's kill
@@ -75,6 +76,7 @@
             seeds=tuple(settings.peer_address_of(seed) for seed in settings.seeds),
             configuration_version=lambda: self.router.snapshot.version,
             on_update=self._apply_update,
+            timeouts=settings.bounds.contact_timeouts,
         )
         self.pool_updater = PoolUpdater(tables)
         self.demand_reporter = DemandReporter(
@@ -153,8 +155,9 @@
         Requests that arrive before the listening socket closes get a response, too.
         """
         began_at = steady()
-        drain_deadline = began_at + self.settings.bounds.grace_s - EXIT_MARGIN_S - FINAL_RESPONSES_S
-        unready_known_at = began_at + READINESS_PROPAGATION_S
+        grace_s = self.settings.bounds.grace_s
+        drain_deadline = began_at + grace_s - EXIT_MARGIN_S - FINAL_RESPONSES_S
+        unready_known_at = began_at + min(READINESS_PROPAGATION_S, MAX_READINESS_GRACE_SHARE * grace_s)
         self.stopping = True
         self.router.drain(unready_known_at, drain_deadline)
         await self._wait_for_open_requests(frontend, unready_known_at, drain_deadline)
--- a/finchladder/cluster/process/settings.py
+++ b/finchladder/cluster/process/settings.py
@@ -9,6 +9,7 @@
 from jsonschema import Draft202012Validator
 
 from finchladder.cluster.configuration.schema import first_problem
+from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.types.errors import InvalidSettingsError
 
 FILE_VARIABLE = "FINCHLADDER_NODE_FILE"
@@ -33,6 +34,7 @@
         "fault_tolerance": {"type": "object", "properties": {"nodes": {"type": "integer", "minimum": 0}}},
     },
 }
+DEFAULT_HEARTBEAT_MS = 1000
 validator = Draft202012Validator(SCHEMA)
 
 
@@ -52,6 +54,12 @@
     ceiling_window_s: float
     ceiling_overage: float
     fencing: bool
+    contact_s: float
+
+    @property
+    def contact_timeouts(self) -> ContactTimeouts:
+        """How soon a loss of contact is noticed."""
+        return ContactTimeouts(self.contact_s)
 
 
 @frozen
@@ -102,6 +110,7 @@
         ceiling_window_s=float(value.get("ceiling_window_s", 5)),
         ceiling_overage=float(value.get("ceiling_overage", 1.0)),
         fencing=bool(value.get("fencing", False)),
+        contact_s=seconds("contact_ms", 3000),
     )
 
 
@@ -123,6 +132,11 @@
     if problem:
         raise InvalidSettingsError("check settings", source, problem)
     listen = value["listen"]
+    bounds = _bounds(value.get("bounds", {}))
+    heartbeat_s = float(value.get("heartbeat_ms", DEFAULT_HEARTBEAT_MS)) / 1000
+    problem = _contradiction(bounds, heartbeat_s)
+    if problem:
+        raise InvalidSettingsError("check settings", source, problem)
     return Settings(
         node_name=value["node_name"],
         ip=value["ip"],
@@ -132,17 +146,25 @@
         seeds=tuple(value.get("seeds", ())),
         bootstrap=value.get("bootstrap", False),
         serves=frozenset(value.get("serves", ())),
-        heartbeat_s=float(value.get("heartbeat_ms", 1000)) / 1000,
+        heartbeat_s=heartbeat_s,
         data_dir=value.get("data_dir", ""),
         disk_bytes=int(value.get("limits", {}).get("disk_mb", 0)) << 20,
         tolerated_losses=value.get("fault_tolerance", {}).get("nodes", 0),
         frontend=listen.get("frontend", ""),
         readiness=listen.get("readiness", ""),
         control=listen.get("control_plane", ""),
-        bounds=_bounds(value.get("bounds", {})),
+        bounds=bounds,
     )
 
 
+def _contradiction(bounds: Bounds, heartbeat_s: float) -> str:
+    """What makes the bounds impossible to keep together; empty if nothing does."""
+    if bounds.contact_s < heartbeat_s:
+        contact_ms, heartbeat_ms = bounds.contact_s * 1000, heartbeat_s * 1000
+        return f"bounds.contact_ms {contact_ms:g} is shorter than heartbeat_ms {heartbeat_ms:g}"
+    return ""
+
+
 def load_settings() -> Settings:
     """Settings from the file named by the environment.
 
--- a/finchladder/cluster/process/update_puller.py
+++ b/finchladder/cluster/process/update_puller.py
@@ -12,6 +12,7 @@
 
 from attrs import define, field
 
+from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.transport.interface import Peers
@@ -20,15 +21,12 @@
 from finchladder.cluster.types.members import GENESIS, Member, View
 from finchladder.cluster.types.messages import PullUpdates, Update
 
-LONG_POLL_MS = 1000
 PULL_TIMEOUT_S = 1.8
 RETRY_INTERVAL_S = 0.2
 SOURCE_UPDATE_INTERVAL_S = 0.2
 MAX_SOURCES = 5  # control processes that one puller polls
-STATUS_VALIDITY_S = 3.0  # of what a source has reported
 SOURCE_TIMEOUT_S = 2.0  # without an update, after which another source becomes the primary
 EXPIRY_INTERVAL_S = 5.0
-UNCONFIRMED_TIMEOUT_S = 1.0  # without a confirmation, while the core has lost its quorum
 POLL_INTERVAL_S = 0.5  # of a dispatcher, at sources that it does not long-poll
 NEVER = -1e9
 
@@ -70,6 +68,7 @@
     seeds: tuple[str, ...]
     configuration_version: Callable[[], int]
     on_update: Callable[[Update, list[str]], None]
+    timeouts: ContactTimeouts
     view: View = GENESIS
     sources: dict[str, UpdateSource] = field(factory=dict)  # by peer address
     primary: str = ""  # address of the source that a dispatcher long-polls; empty: there is none
@@ -112,7 +111,7 @@
         with what it has.
         """
         since = max(self.confirmed_at, self.quorum_lost_at)
-        return self._is_quorum_loss_reported() and steady() - since > UNCONFIRMED_TIMEOUT_S
+        return self._is_quorum_loss_reported() and steady() - since > self.timeouts.unconfirmed_timeout_s
 
     def poll_interval_s(self) -> float:
         """Seconds between two polls of the same source."""
@@ -138,11 +137,13 @@
 
     def _has_valid_status(self) -> bool:
         now = steady()
-        return any(now - source.received_at < STATUS_VALIDITY_S for source in self.sources.values())
+        validity_s = self.timeouts.status_validity_s
+        return any(now - source.received_at < validity_s for source in self.sources.values())
 
     def _is_quorum_loss_reported(self) -> bool:
         now = steady()
-        return any(s.quorum_lost and now - s.received_at < STATUS_VALIDITY_S for s in self.sources.values())
+        validity_s = self.timeouts.status_validity_s
+        return any(s.quorum_lost and now - s.received_at < validity_s for s in self.sources.values())
 
     def _long_polls(self, address: str) -> bool:
         """Whether that source is long-polled; a dispatcher without a primary long-polls all."""
@@ -160,7 +161,8 @@
         while True:
             source = self.sources[address]
             is_long_poll = self._long_polls(address)
-            pull = self._pull(dict(self.tables.vector), LONG_POLL_MS if is_long_poll else 0)
+            wait_ms = int(1000 * self.timeouts.long_poll_s) if is_long_poll else 0
+            pull = self._pull(dict(self.tables.vector), wait_ms)
             try:
                 reply = await self.peers.call(address, pull, PULL_TIMEOUT_S)
             except ClusterError:
--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -39,6 +39,7 @@
 @click.option("--edges", default=0, show_default=True, help="Dispatchers, each with a worker beside it.")
 @click.option("--fenced/--not-fenced", default=False, show_default=True, help="Workers check fences.")
 @click.option("--places/--no-places", default=False, show_default=True, help="Models are placed, too.")
+@click.option("--scale", default=1.0, show_default=True, help="Factor of all bounds of the rules.")
 @click.option("--jobs", default=1, show_default=True, help="Processes.")
 def hunt_seeds(
     first: int,
@@ -51,6 +52,7 @@
     edges: int,
     fenced: bool,
     places: bool,
+    scale: float,
     jobs: int,
 ) -> None:
     """Look for seeds that break a rule, shrink and print them with their traces; status 1 if there is one."""
@@ -58,7 +60,8 @@
     if places and not edges:
         raise click.UsageError("--places needs --edges: dispatchers tell what is asked for")
     cases = [
-        Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced, places) for seed in numbers
+        Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced, places, scale)
+        for seed in numbers
     ]
     found = 0
     for finding in hunt(cases, jobs):
--- a/finchladder/lab/cluster/dataplane.py
+++ b/finchladder/lab/cluster/dataplane.py
@@ -77,6 +77,7 @@
             seeds=seeds,
             configuration_version=lambda: self.version,
             on_update=take,
+            timeouts=world.timeouts,
         )
         running_loop().spawn(self.name, self._keep(self.puller))
         world.note(f"{self.name} starts, life {self.lives}")
@@ -126,7 +127,7 @@
             acknowledged = await self._call_until_heard()
             if acknowledged and self.ready_since is None:
                 self.ready_since = running_loop().time()
-            await asyncio.sleep(HEARTBEAT_S * self.random.uniform(0.9, 1.1))
+            await asyncio.sleep(HEARTBEAT_S * self.world.scale * self.random.uniform(0.9, 1.1))
             lot = self.random.random()
             if lot < CRASH_SHARE:
                 return
@@ -140,7 +141,7 @@
             self._note_drained()
         until = running_loop().time() + self.random.uniform(*SERVE_ON_S)
         while running_loop().time() < until:
-            await asyncio.sleep(HEARTBEAT_S * self.random.uniform(0.9, 1.1))
+            await asyncio.sleep(HEARTBEAT_S * self.world.scale * self.random.uniform(0.9, 1.1))
             await self._call_until_heard()
         for _ in range(LEAVE_TRIES):
             machine = self._control_process()
@@ -186,7 +187,8 @@
 
     return CoreSessions.build(
         machine.plane,
-        heartbeat_s=HEARTBEAT_S,
+        heartbeat_s=HEARTBEAT_S * world.scale,
+        timeouts=world.timeouts,
         peers=SimulatedPeers(world.network, machine.address),
         tasks=Tasks(),
         random=random,
--- a/finchladder/lab/cluster/hunt.py
+++ b/finchladder/lab/cluster/hunt.py
@@ -29,6 +29,7 @@
     edges: int = 0  # dispatchers; with them there are workers, too
     fenced: bool = False  # workers check fencing tokens
     places: bool = False  # there are model workers, and core processes place models
+    scale: float = 1.0  # of all bounds of the rules
 
 
 @frozen
@@ -56,6 +57,7 @@
         case.edges,
         fenced=case.fenced,
         places=case.places,
+        scale=case.scale,
     )
     try:
         run(_play(world, case.faults))
--- a/finchladder/lab/cluster/placement.py
+++ b/finchladder/lab/cluster/placement.py
@@ -28,7 +28,6 @@
 from finchladder.lab.cluster.engine import BUSY, LOAD_S, MEMORY_MB, RARE, RATE_S, SERVICE, WEIGHTS_MB
 from finchladder.lab.cluster.model_workers import TAKEN, StandInClient, StandInWorker
 from finchladder.lab.cluster.network import SimulatedPeers
-from finchladder.lab.cluster.watching import TURN_S
 
 if TYPE_CHECKING:
     from finchladder.lab.cluster.machine import Machine
@@ -199,7 +198,7 @@
             Tasks(),
             WINDOW_S,
             OVERAGE,
-            0.0 if self.world.fenced else TURN_S,
+            0.0 if self.world.fenced else self.world.turn_s,
         )
         return {"placer": machine.placer.run}
 
--- a/finchladder/lab/cluster/planted_faults.py
+++ b/finchladder/lab/cluster/planted_faults.py
@@ -98,7 +98,7 @@
         "dispatcher goes on while the core has lost its quorum",
         1,
         "process.update_puller",
-        "return self._is_quorum_loss_reported() and steady() - since > UNCONFIRMED_TIMEOUT_S",
+        "return self._is_quorum_loss_reported() and steady() - since > self.timeouts.unconfirmed_timeout_s",
         "return False",
         machines=5,
         edges=6,
--- a/finchladder/lab/cluster/watching.py
+++ b/finchladder/lab/cluster/watching.py
@@ -74,7 +74,7 @@
 
 def _judge_acting(world: "World", name: str, token: int, counts: bool) -> None:
     now = asyncio.get_running_loop().time()
-    world.judge(lambda: world.oracle.acts(name, token, now, TURN_S, counts=counts))
+    world.judge(lambda: world.oracle.acts(name, token, now, world.turn_s, counts=counts))
 
 
 def _judge_shown(world: "World", life: str, state: ControlState) -> None:
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.control_plane import ControlPlane, RecoveredState
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.members import GENESIS, Member
@@ -30,7 +31,8 @@
     """Runs machines, operators and faults; an oracle looks on. `freezes`: processes stand still at times;
     `overlaps`: faults come together, and as many disks are lost at once as may be, whatever else is wrong.
     `edges`: dispatchers that pull; with them there are workers, too. `fenced`: workers check fencing tokens.
-    `places`: there are model workers, and core processes place models; needs dispatchers.
+    `places`: there are model workers, and core processes place models; needs dispatchers. `scale`: factor of
+    all bounds of the rules.
     """
 
     seed: int
@@ -41,6 +43,7 @@
     edges: int = 0
     fenced: bool = False
     places: bool = False
+    scale: float = 1.0
     random: Random = field(init=False)
     network: Network = field(init=False)
     machines: dict[str, Machine] = field(factory=dict)
@@ -48,9 +51,9 @@
     dispatchers: list[Dispatcher] = field(factory=list)
     workers: list[Worker] = field(factory=list)
     drains: bool = True  # workers drain from time to time
-    fleet: FleetOracle = field(factory=lambda: FleetOracle(APPLY_S, DRAIN_S))
-    contact: Contact = field(factory=lambda: Contact(CONTACT_S))
-    core_contact: Contact = field(factory=lambda: Contact(CONTACT_S))  # watched from the first start on
+    fleet: FleetOracle = field(init=False)
+    contact: Contact = field(init=False)
+    core_contact: Contact = field(init=False)  # watched from the first start on
     trace: list[str] = field(factory=list)
     violation: Violation | None = None
     placement: PlacementPlay | None = None
@@ -63,10 +66,23 @@
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
+        self.fleet = FleetOracle(APPLY_S * self.scale, DRAIN_S * self.scale)
+        self.contact = Contact(CONTACT_S * self.scale)
+        self.core_contact = Contact(CONTACT_S * self.scale)
         self.network = Network(Random(self.random.getrandbits(64)))
         if self.places:
             self.placement = PlacementPlay(self, Random(self.random.getrandbits(64)))
 
+    @property
+    def timeouts(self) -> ContactTimeouts:
+        """How soon processes notice a loss of contact."""
+        return ContactTimeouts(CONTACT_S * self.scale)
+
+    @property
+    def turn_s(self) -> float:
+        """No two holders of the placer's role may both act within it."""
+        return TURN_S * self.scale
+
     # --- machines -----------------------------------------------------------------------------------------
 
     def note(self, text: str) -> None:
@@ -99,8 +115,9 @@
             RecoveredState(machine.platter.founder, acceptor, replica),
             tolerated_losses=self.losses,
             seeds=self._seeds(),
-            exclusion_window_s=TURN_S,
+            exclusion_window_s=self.turn_s,
             fenced=self.fenced,
+            confirm_interval_s=self.timeouts.confirm_interval_s,
             random=Random(self.random.getrandbits(64)),
         )
         machine.plane, machine.disk = plane, disk
--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -39,3 +39,9 @@
 def test_a_settings_file_that_cannot_be_used_says_where(change: tuple[str, str], named: str) -> None:
     with pytest.raises(InvalidSettingsError, match=named):
         parse_settings(SETTINGS.replace(*change), "boot.toml")
+
+
+def test_a_bound_on_contact_that_no_heartbeat_can_keep_is_refused_with_both_values() -> None:
+    text = SETTINGS.replace('zone = "z"', 'zone = "z"\nheartbeat_ms = 1200') + "contact_ms = 900\n"
+    with pytest.raises(InvalidSettingsError, match=r"contact_ms 900 .* heartbeat_ms 1200"):
+        parse_settings(text, "boot.toml")
--- a/tests/cluster/test_update_puller.py
+++ b/tests/cluster/test_update_puller.py
@@ -7,8 +7,9 @@
 import pytest
 from attrs import define, field
 
+from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.tasks import Tasks
-from finchladder.cluster.process.update_puller import LONG_POLL_MS, POLL_INTERVAL_S, UpdatePuller
+from finchladder.cluster.process.update_puller import POLL_INTERVAL_S, UpdatePuller
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.types.errors import PeerUnreachableError
 from finchladder.cluster.types.members import Member, View
@@ -20,6 +21,9 @@
 VIEW = View(1, MEMBERS, MEMBERS[:3], 3)
 
 
+TIMEOUTS = ContactTimeouts(3.0)
+
+
 @define
 class Cores:
     """Control processes that answer pulls; some are cut off from the dispatcher or from the other cores."""
@@ -73,6 +77,7 @@
         seeds=("core-0:1",),
         configuration_version=lambda: 0,
         on_update=lambda update, changed: None,
+        timeouts=TIMEOUTS,
     )
 
 
@@ -107,7 +112,7 @@
         cores = Cores()
         puller = await started_puller(cores)
         cores.unconfirmed.add("core-2:1")
-        await asyncio.sleep(LONG_POLL_MS / 1000 + 0.5)
+        await asyncio.sleep(1000 * TIMEOUTS.long_poll_s / 1000 + 0.5)
         assert puller.primary not in ("", "core-2:1")
         assert puller.primary in {m.peer_address for m in MEMBERS}
 
@@ -129,7 +134,7 @@
         cores = Cores()
         puller = await started_puller(cores)
         cores.unreachable.add("core-2:1")
-        await asyncio.sleep(LONG_POLL_MS / 1000 + 2.5)
+        await asyncio.sleep(1000 * TIMEOUTS.long_poll_s / 1000 + 2.5)
         assert puller.primary not in ("", "core-2:1")
         cores.reset_counts()
         await asyncio.sleep(10.0)
