Own votes, stalled disks, surplus responses to reports, and processes that stood still

Cause: a proposer that had its quorum cancelled its own vote in the middle of the write, and the disk then counted as idle although the write was still pending; a waiter of call_member outlived its cancelled caller; orders shared connections with reports, whose surplus response has the status of a load that is done; a core process that went on after a standstill called its own workers lost. Change: the own vote is not cancelled, a write counts as pending until the thread has ended it, the waiter is cancelled, orders have connections of their own, and after a standstill workers get the whole timeout. Measured: new tests in test_lmdb_store, test_worker_client and test_worker_expiry.

--- a/finchladder/cluster/process/view_agreement.py
+++ b/finchladder/cluster/process/view_agreement.py
@@ -136,6 +136,7 @@
             ClusterError: the member sent no reply, refused, or is no longer in the chain.
         """
         call = asyncio.ensure_future(self.peers.call(member.peer_address, request, timeout_s))
+        change: asyncio.Future[bool] | None = None
         try:
             while not call.done() and self.view.position(member.disk_id) is not None:
                 change = asyncio.ensure_future(self.changed.wait(timeout_s))
@@ -146,6 +147,8 @@
                 return call.result()
             raise PeerUnreachableError(type(request).__name__, member.name, "it has left the chain")
         finally:
+            if change is not None:
+                change.cancel()
             if not call.done():
                 call.cancel()
 
--- a/finchladder/cluster/process/view_proposer.py
+++ b/finchladder/cluster/process/view_proposer.py
@@ -150,8 +150,15 @@
     async def _request_votes(
         self, addresses: list[str], request: Prepare | Accept, quorum: int
     ) -> list[Reply]:
-        """The replies of all voters, or of those that have answered once a quorum has granted the request."""
-        tasks = [asyncio.create_task(self._request_vote(address, request)) for address in addresses]
+        """The replies of all voters, or of those that have answered once a quorum has granted the request.
+
+        Calls that are still open then are cancelled, but not the own vote, which is a write to the own disk.
+        """
+        own_address = self.agreement.me.peer_address
+        by_address = {
+            address: asyncio.create_task(self._request_vote(address, request)) for address in addresses
+        }
+        tasks = list(by_address.values())
         try:
             while True:
                 finished = [task.result() for task in tasks if task.done()]
@@ -162,8 +169,9 @@
                     return replies
                 await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in tasks:
-                task.cancel()
+            for address, task in by_address.items():
+                if address != own_address:
+                    task.cancel()
 
     async def _request_vote(self, address: str, request: Prepare | Accept) -> Reply | None:
         try:
--- a/finchladder/cluster/process/worker_client.py
+++ b/finchladder/cluster/process/worker_client.py
@@ -31,11 +31,16 @@
 
 
 class WorkerClient:
-    """Calls workers over kept connections; a control process has one."""
+    """Calls workers over kept connections; a control process has one.
+
+    Responses name no call. Orders have connections of their own, so that a surplus response to a call for a
+    report, which has status 200, can't be taken for that to a load.
+    """
 
     def __init__(self) -> None:
         """Opens no connection yet; needs a running event loop."""
         self._session = make_session(keepalive_s=KEEPALIVE_S)
+        self._order_session = make_session(keepalive_s=KEEPALIVE_S)
 
     async def order(self, address: str, instance: str, body: OrderRequest, timeout_s: float) -> int:
         """Sends an order; no byte of it leaves after `timeout_s`.
@@ -48,6 +53,7 @@
         """
         headers = {"Content-Type": "application/json", EXPECTED_INSTANCE_HEADER: instance}
         response = await self._call(
+            self._order_session,
             ORDER_STEP,
             address,
             hdrs.METH_POST,
@@ -65,7 +71,7 @@
             PeerUnreachableError: There was no readable report.
         """
         headers = {EXPECTED_INSTANCE_HEADER: instance}
-        response = await self._call(REPORT_STEP, address, hdrs.METH_GET, REPORT_PATH, headers)
+        response = await self._call(self._session, REPORT_STEP, address, hdrs.METH_GET, REPORT_PATH, headers)
         if response.status != HTTPStatus.OK:
             raise PeerUnreachableError(REPORT_STEP, address, f"status {response.status}")
         try:
@@ -86,6 +92,7 @@
 
     async def _call(
         self,
+        session: aiohttp.ClientSession,
         step: str,
         address: str,
         method: str,
@@ -99,7 +106,7 @@
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._session.request(method, url, data=data, headers=headers) as response,
+                session.request(method, url, data=data, headers=headers) as response,
             ):
                 return WorkerResponse(response.status, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -108,3 +115,4 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
+        await self._order_session.close()
--- a/finchladder/cluster/process/worker_expiry.py
+++ b/finchladder/cluster/process/worker_expiry.py
@@ -15,9 +15,11 @@
 from finchladder.cluster.types.workers import SessionPhase, WorkerRecord
 
 CHECK_INTERVAL_S = 0.25
+MAX_CHECK_DELAY_S = 0.5  # a check that is later shows that the process stood still, not its workers
 CLEANUP_INTERVAL_S = 5.0
 OWNER_TIMEOUT_S = 4.0  # without an update from an owner, before others judge its workers
 OWNER_RETENTION_S = 60.0
+NEVER = -1e9
 
 LIVE_PHASES = (SessionPhase.READY, SessionPhase.DRAINING)
 FINAL_PHASES = (SessionPhase.LOST, SessionPhase.DEREGISTERED)
@@ -40,6 +42,8 @@
     owners_seen_at: dict[str, float] = field(factory=dict)  # by origin of another control process
     workers_answered_at: dict[str, float] = field(factory=dict)  # by instance, of unreachable owners
     _cleaned_up_at: float = field(factory=steady, init=False)
+    _checked_at: float = field(factory=steady, init=False)
+    _resumed_at: float = field(default=NEVER, init=False)  # when this process last went on after a standstill
 
     async def run(self) -> None:
         """Checks all workers again and again."""
@@ -53,15 +57,24 @@
         self.owners_seen_at[origin] = steady()
 
     def expire_own_workers(self) -> None:
-        """Declares own workers lost that sent no heartbeat for too long, and drops expired entries."""
+        """Declares own workers lost that sent no heartbeat for too long, and drops expired entries.
+
+        Heartbeats that came while this process stood still may not have been read: its workers get the whole
+        timeout once it goes on.
+        """
         now = steady()
+        if now - self._checked_at > CHECK_INTERVAL_S + MAX_CHECK_DELAY_S:
+            self._resumed_at = now
+        self._checked_at = now
         self._clean_up(now)
         timeout_s = loss_timeout_s(self.heartbeat_s)
         for instance, worker in list(self.tables.workers.items()):
             record = worker.record
             if record.phase in LIVE_PHASES and record.owner == self.tables.origin:
                 heartbeat = self.sessions.last_heartbeats.get(instance)
-                if heartbeat is not None and now - heartbeat.received_at > timeout_s:
+                if heartbeat is None:
+                    continue
+                if now - max(heartbeat.received_at, self._resumed_at) > timeout_s:
                     self._declare_lost(record, heartbeat.sequence)
 
     async def expire_orphans(self) -> None:
--- a/finchladder/cluster/storage/lmdb_store.py
+++ b/finchladder/cluster/storage/lmdb_store.py
@@ -155,17 +155,20 @@
         await self._write_in_thread({b"probe": b"\x00"})
 
     async def _write_in_thread(self, values: dict[bytes, bytes]) -> None:
+        """Writes in the order of the calls; a caller that is cancelled does not stop its write."""
         self._serial += 1
         serial = self._serial
         self._pending[serial] = self._clock()
+        write = asyncio.get_running_loop().run_in_executor(self._executor, self._write, values)
+        write.add_done_callback(lambda done: self._on_written(serial, done))
         try:
-            await asyncio.get_running_loop().run_in_executor(self._executor, self._write, values)
-            self._failed = False
+            await asyncio.shield(write)
         except (lmdb.Error, OSError) as error:
-            self._failed = True
             raise StorageError("store", "disk", str(error)) from error
-        finally:
-            del self._pending[serial]
+
+    def _on_written(self, serial: int, write: "asyncio.Future[None]") -> None:
+        del self._pending[serial]
+        self._failed = write.cancelled() or write.exception() is not None
 
     def close(self) -> None:
         """Stops the thread and closes the file."""
--- a/tests/cluster/test_lmdb_store.py
+++ b/tests/cluster/test_lmdb_store.py
@@ -1,6 +1,7 @@
 """The durable store of a control process: recovery, failed writes, corrupted values."""
 
 import asyncio
+import threading
 from pathlib import Path
 
 import lmdb
@@ -41,6 +42,27 @@
     assert again.load(lambda: identity("second")) == (identity("first"), ACCEPTOR, REPLICA)
 
 
+def test_a_write_whose_caller_is_cancelled_counts_as_pending_until_it_is_on_the_disk(tmp_path: Path) -> None:
+    async def work() -> None:
+        store = LmdbStore(str(tmp_path), DISK_BYTES)
+        store.load(lambda: identity("first"))
+        may_write = threading.Event()
+        write = store._write
+        store._write = lambda values: (may_write.wait(5.0), write(values))[1]  # type: ignore[method-assign]
+        saving = asyncio.create_task(store.save(acceptor=ACCEPTOR))
+        await asyncio.sleep(0.05)
+        saving.cancel()
+        await asyncio.sleep(0.05)
+        assert store.stalled_s() > 0.05
+        may_write.set()
+        await store.probe()
+        assert store.stalled_s() == 0.0
+        assert store.load(lambda: identity("second"))[1] == ACCEPTOR
+        store.close()
+
+    asyncio.run(work())
+
+
 class PanickedEnvironment:
     """What LMDB leaves after it could not write the page that names a transaction: it refuses everything."""
 
--- a/tests/cluster/test_worker_client.py
+++ b/tests/cluster/test_worker_client.py
@@ -1,6 +1,7 @@
 """The client of control processes to workers, on real sockets."""
 
 import asyncio
+import time
 
 import pytest
 from aiohttp import web
@@ -68,3 +69,35 @@
             await work()
 
     asyncio.run(bounded())
+
+
+def test_a_surplus_response_to_a_report_is_not_taken_for_that_to_an_order() -> None:
+    """A worker that answers each report twice, the second time just before the order comes."""
+
+    async def work() -> int:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                if head.startswith(b"GET"):
+                    report = b'{"models":[],"busy":false,"sequence":0}'
+                    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(report), report)
+                    writer.write(response)
+                    await asyncio.sleep(0.05)
+                    writer.write(response)
+                    continue
+                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = WorkerClient()
+        await client.report(f"{host}:{port}", "i-1")
+        time.sleep(0.1)
+        status = await client.order(f"{host}:{port}", "i-1", OrderRequest("load", "m", "core-1", 7), 1.0)
+        await client.close()
+        server.close()
+        return status
+
+    async def bounded() -> int:
+        async with asyncio.timeout(20):
+            return await work()
+
+    assert asyncio.run(bounded()) == 202
--- a/tests/cluster/test_worker_expiry.py
+++ b/tests/cluster/test_worker_expiry.py
@@ -3,23 +3,22 @@
 import asyncio
 from typing import Any
 
-from finchladder.cluster.types.workers import (
-    SessionPhase,
-)
+from finchladder.cluster.process.worker_expiry import CHECK_INTERVAL_S
+from finchladder.cluster.types.workers import SessionPhase
 from tests.cluster.session_scene import SessionScene, heartbeat, phase_of, pull, run_virtual, session_scene
 
 
 def test_a_worker_without_heartbeats_is_lost_until_its_next_one() -> None:
     async def work() -> list[SessionPhase]:
         scene = session_scene()
+        began_at = asyncio.get_running_loop().time()
         await scene.sessions.on_heartbeat("i-1", heartbeat(1))
         seen = []
-        await asyncio.sleep(3.0)
-        scene.expiry.expire_own_workers()
-        seen.append(phase_of(scene))
-        await asyncio.sleep(1.0)
-        scene.expiry.expire_own_workers()
-        seen.append(phase_of(scene))
+        for until_s in (3.0, 4.0):
+            while asyncio.get_running_loop().time() < began_at + until_s:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                scene.expiry.expire_own_workers()
+            seen.append(phase_of(scene))
         await scene.sessions.on_heartbeat("i-1", heartbeat(2))
         seen.append(phase_of(scene))
         return seen
@@ -27,6 +26,28 @@
     assert run_virtual(work) == [SessionPhase.READY, SessionPhase.LOST, SessionPhase.READY]
 
 
+def test_a_control_process_that_wakes_from_a_standstill_waits_for_the_next_heartbeats() -> None:
+    """Nobody's heartbeats could be read meanwhile; whose do not come after it either is lost."""
+
+    async def work() -> list[SessionPhase]:
+        scene = session_scene()
+        await scene.sessions.on_heartbeat("i-1", heartbeat(1))
+        scene.expiry.expire_own_workers()
+        seen = []
+        for _ in range(2):
+            await asyncio.sleep(5.0)
+            scene.expiry.expire_own_workers()
+            seen.append(phase_of(scene))
+            for _ in range(20):
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                scene.expiry.expire_own_workers()
+            seen.append(phase_of(scene))
+            await scene.sessions.on_heartbeat("i-1", heartbeat(2))
+        return seen
+
+    assert run_virtual(work) == [SessionPhase.READY, SessionPhase.LOST] * 2
+
+
 def phases_at_a_peer(after_s: tuple[float, ...], **scene_options: Any) -> list[SessionPhase]:
     """The phases of a worker at a control process that cannot reach its owner."""
 
