Who would be condemned is weighed beside the others of its kind and zone first

The fleet's own rate, by which endings are weighed, follows some seconds later, and fewer than three were far enough for a mass. Delays of the machine only bunch the words; they are no evidence in it. Change: for MASS_S from when one would be condemned its endings are weighed once more by the rate at which the others of its kind and zone fail by the same words; links do not count in that. Measured: the new test fails with the code before; tests/core/judging passes.

--- a/finchladder/core/health/detection/aggregation.py
+++ b/finchladder/core/health/detection/aggregation.py
@@ -35,9 +35,12 @@
 
 
 class Sum(NamedTuple):
+    """What all words of one subject say together."""
+
     score: float  # logarithm of how much likelier it is that the subject is bad
     tellers: int  # that speak against it, by what each weighs
     good: float  # endings
+    bad: float = 0.0  # endings of work, not of links
 
 
 NOTHING = Sum(0.0, 0, 0.0)
@@ -59,7 +62,7 @@
 def weigh(words: Iterable[Word], zone: int, zones: int, bad: float, good: float) -> Sum:
     """`zone`: one's own. `zones`: how many there are. `bad`, `good`: what an ending adds."""
     most = MOST_EACH * bad
-    score, tellers, goods = 0.0, 0, 0.0
+    score, tellers, goods, bads = 0.0, 0, 0.0, 0.0
     links: dict[int, float] = {}
     for w in words:
         if w.age_s >= SILENT_S:
@@ -76,8 +79,9 @@
         score += own
         tellers += own > COUNTS * bad
         goods += fresh * w.said.good
+        bads += fresh * w.said.bad
     if zones > 1:
         for link in links.values():
             score += min(most, link)
             tellers += link > COUNTS * bad
-    return Sum(score, tellers, goods)
+    return Sum(score, tellers, goods, bads)
--- a/finchladder/core/health/detection/detector.py
+++ b/finchladder/core/health/detection/detector.py
@@ -17,6 +17,10 @@
 zone: where most are alike, who goes must be far worse. Who is in doubt about itself (it was late, has just
 started, or over half of the real servers that it hears of look bad to it alone) tells nothing.
 
+The fleet's own rate of bad endings follows what happens by some seconds. Where many begin to fail alike, one
+of them may look bad by chance before that: so for MASS_S from when one would be condemned its endings are
+weighed once more, against the rate at which all others of its kind and zone fail by the same words.
+
 O(1) for each ending; a look at open cases O(words told of them), at most each LOOK_S. Memory: a case for each
 real server and class at the most, words of MOST_SAYS subjects from each other dispatcher.
 """
@@ -42,7 +46,16 @@
     subject,
     zone_number,
 )
-from finchladder.core.health.detection.verdicts import LONGEST_S, SHARES, Facts, State, Verdict, condemn, step
+from finchladder.core.health.detection.verdicts import (
+    CONDEMNED_FROM,
+    LONGEST_S,
+    SHARES,
+    Facts,
+    State,
+    Verdict,
+    condemn,
+    step,
+)
 from finchladder.core.health.outlier_ejection import (
     MAX_DOUBLINGS,
     MAX_EJECTED_SHARE,
@@ -117,6 +130,7 @@
         "index_at",
         "strange",
         "purge_at",
+        "questioned_at",
     )
 
     def __init__(
@@ -152,6 +166,7 @@
         self.last: dict[str, tuple[float, bool]] = {}
         self.mass_at: dict[tuple[str, str], float] = {}  # by kind and zone: since when a mass looks bad
         self.orders: dict[str, Order] = {}
+        self.questioned_at: dict[str, float] = {}  # when it would have been condemned but for the others
         self.untold = False
         self.ready: dict[tuple[str, str], int] = {}  # by kind and zone
         self.ready_at = now
@@ -435,6 +450,7 @@
         needed = 2 if self.alive < 6 else 3
         order = self._order(now, w.address)
         plain = {name: s.score for name, s in of.items()}
+        worst_class = max(plain, key=plain.__getitem__, default="")
         for name in [c.name for c in self.settings.classes]:
             s, v = of.get(name, NOTHING), held.get(name)
             if s is NOTHING and v is None and order is None and not of:
@@ -447,12 +463,12 @@
             if order is not None:
                 self._obey(now, v, order, room)
             else:
-                step(
-                    v,
-                    now,
-                    Facts(s.score - self.usual_score.get(group, 0.0), s.tellers, s.good, needed, room, mass),
-                    self.rules.term_s,
-                )
+                score = s.score - self.usual_score.get(group, 0.0)
+                if v.state in (State.CLEAR, State.SUSPECTED) and score >= CONDEMNED_FROM and room:
+                    score = self._score_beside_others(now, w, name, score, fleet)
+                elif name == worst_class:
+                    self.questioned_at.pop(w.address, None)
+                step(v, now, Facts(score, s.tellers, s.good, needed, room, mass), self.rules.term_s)
                 if v.state in (State.CLEAR, State.SUSPECTED) and room:
                     self._believe(now, v, w, name, needed)
             if v.state is State.CLEAR:
@@ -474,6 +490,44 @@
                 self.cases.pop(w.address, None)
         self._mark(now, w, plain, fleet)
 
+    def _score_beside_others(
+        self, now: float, w: Worker, job_class: str, score: float, fleet: WorkerIndex
+    ) -> float:
+        """The score of a class, weighed by the rate at which the others of its kind and zone fail now.
+
+        A mass that was recognised is judged by its median instead. O(words of the kind and zone).
+        """
+        questioned_at = self.questioned_at.setdefault(w.address, now)
+        if self._group(w) in self.mass_at or now >= questioned_at + MASS_S:
+            return score
+        elsewhere = self._rate_elsewhere(now, w, job_class, fleet)
+        if elsewhere <= self._rate():
+            return score
+        bad, good = weights(elsewhere)
+        scores = self._scores(now, w, bad, good, self.doubtful(now))
+        return min(score, scores.get(job_class, NOTHING).score)
+
+    def _rate_elsewhere(self, now: float, w: Worker, job_class: str, fleet: WorkerIndex) -> float:
+        """Bad endings at the other ready ones of its kind and zone that are not out, as a share.
+
+        Of one without bad endings nothing is told, so each counts as having had as many endings as this one.
+        """
+        group, doubtful = self._group(w), self.doubtful(now)
+        bad, good = weights(self._rate())
+        own = self._scores(now, w, bad, good, doubtful).get(job_class, NOTHING)
+        endings = own.bad + own.good
+        held_out = set(self._out(group, fleet))
+        in_question = dict.fromkeys(self.cases) | dict.fromkeys(a for a, _ in self.subjects.values())
+        bad_elsewhere = 0.0
+        for address in in_question:
+            other = fleet.workers.get(address)
+            if other is None or other is w or self._group(other) != group or address in held_out:
+                continue
+            of_other = self._scores(now, other, bad, good, doubtful).get(job_class, NOTHING)
+            bad_elsewhere += min(of_other.bad, endings)
+        others = self.ready.get(group, 0) - len(held_out) - 1
+        return bad_elsewhere / (endings * others) if endings and others > 0 else 0.0
+
     def _believe(self, now: float, v: Verdict, w: Worker, job_class: str, needed: int) -> None:
         """Enough others hold it out already: who has just started need not be hurt first."""
         left = sorted(
@@ -555,7 +609,7 @@
         self._forget(w.address)
 
     def _forget(self, address: str) -> None:
-        for table in (self.cases, self.verdicts, self.alone, self.last):
+        for table in (self.cases, self.verdicts, self.alone, self.last, self.questioned_at):
             table.pop(address, None)
 
     # --- the operator
--- a/tests/core/judging/test_judging.py
+++ b/tests/core/judging/test_judging.py
@@ -358,3 +358,18 @@
     b.feed(api.OperatorOverrides({"w3": (False, 60.0, "")}))
     fail(b, "w3", 4, "safe")
     assert "w3" in sent_to(b, "safe", 300)
+
+
+def test_where_all_begin_to_fail_alike_the_unluckiest_is_not_condemned() -> None:
+    """Each of ten fails three jobs in ten, one more by chance; the fleet's rate has not followed yet."""
+    b, j, _ = bench(workers(10))
+    unlucky = told("w3", "safe", 1.0, 0.25)
+    others = [told(f"w{k}", "safe", 0.2, 0.6) for k in range(10) if k != 3]
+    hear(b, {f"n{n}": (unlucky, *others) for n in range(2, 8)})
+    assert state(j, "w3") is not State.CONDEMNED
+
+
+def test_one_that_fails_among_others_that_do_not_is_condemned_by_the_same_words() -> None:
+    b, j, _ = bench(workers(10))
+    hear(b, {f"n{n}": (told("w3", "safe", 1.0, 0.25),) for n in range(2, 8)})
+    assert state(j, "w3") is State.CONDEMNED
