--- a/finchladder/cluster/process/update_puller.py
+++ b/finchladder/cluster/process/update_puller.py
@@ -21,13 +21,8 @@
 from finchladder.cluster.types.members import GENESIS, Member, View
 from finchladder.cluster.types.messages import PullUpdates, Update
 
-PULL_TIMEOUT_S = 1.8
-RETRY_INTERVAL_S = 0.2
-SOURCE_UPDATE_INTERVAL_S = 0.2
 MAX_SOURCES = 5  # control processes that one puller polls
-SOURCE_TIMEOUT_S = 2.0  # without an update, after which another source becomes the primary
 EXPIRY_INTERVAL_S = 5.0
-POLL_INTERVAL_S = 0.5  # of a dispatcher, at sources that it does not long-poll
 NEVER = -1e9
 
 
@@ -84,7 +79,7 @@
         while True:
             self.update_sources()
             self._expire_tables()
-            await asyncio.sleep(SOURCE_UPDATE_INTERVAL_S)
+            await asyncio.sleep(self.timeouts.source_update_interval_s)
 
     def update_sources(self) -> None:
         """Starts and stops pulls: from the members of the view, and from the seeds while none answers."""
@@ -117,8 +112,8 @@
         """Seconds between two polls of the same source."""
         primary = self.sources.get(self.primary)
         if primary is None or not primary.is_confirmed():
-            return POLL_INTERVAL_S
-        return POLL_INTERVAL_S * max(1, len(self.sources) - 1)
+            return self.timeouts.poll_interval_s
+        return self.timeouts.poll_interval_s * max(1, len(self.sources) - 1)
 
     def _choose_primary(self, members: tuple[Member, ...]) -> str:
         """Address of a live member: confirmed and in the own zone if possible, drawn by rendezvous hash."""
@@ -133,7 +128,7 @@
     def _is_live(self, address: str) -> bool:
         """Whether the last pull that was due has been answered, or is still within its timeout."""
         since_due_s = 0.0 if self._long_polls(address) else self.poll_interval_s()
-        return steady() - self.sources[address].received_at < SOURCE_TIMEOUT_S + since_due_s
+        return steady() - self.sources[address].received_at < self.timeouts.source_timeout_s + since_due_s
 
     def _has_valid_status(self) -> bool:
         now = steady()
@@ -164,10 +159,10 @@
             wait_ms = int(1000 * self.timeouts.long_poll_s) if is_long_poll else 0
             pull = self._pull(dict(self.tables.vector), wait_ms)
             try:
-                reply = await self.peers.call(address, pull, PULL_TIMEOUT_S)
+                reply = await self.peers.call(address, pull, self.timeouts.pull_timeout_s)
             except ClusterError:
                 self._on_call_failed(source)
-                await asyncio.sleep(RETRY_INTERVAL_S * self.random.uniform(0.5, 1.5))
+                await asyncio.sleep(self.timeouts.retry_interval_s * self.random.uniform(0.5, 1.5))
                 continue
             source.last_call_failed = False
             if isinstance(reply, Update):
@@ -229,7 +224,7 @@
     async def _resynchronize(self, source: UpdateSource) -> None:
         """Drops the workers that a control process which knows all workers does not know."""
         try:
-            reply = await self.peers.call(source.address, self._pull({}, 0), PULL_TIMEOUT_S)
+            reply = await self.peers.call(source.address, self._pull({}, 0), self.timeouts.pull_timeout_s)
         except ClusterError:
             source.knows_all_workers = False
             return
--- a/finchladder/cluster/process/worker_retirement.py
+++ b/finchladder/cluster/process/worker_retirement.py
@@ -12,11 +12,20 @@
 from finchladder.cluster.process.chain_service import ChainService
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.tasks import result_within
+from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.messages import RetireWorker, RetireWorkerReply
-from finchladder.cluster.types.operations import RecordRetirements, WorkerRetirement, is_retired
+from finchladder.cluster.types.operations import (
+    ControlState,
+    RecordRetirements,
+    WorkerRetirement,
+    is_retired,
+)
 
 RECORD_TIMEOUT_S = 0.7  # less than the second after which a worker calls the next control process
+# How long the chain keeps a retirement: twice as long as tables keep an ended worker, within which every
+# dispatcher that is in touch has learned of it, and one that restarts finds no record of the worker.
+RETENTION_S = 120.0
 
 
 @define
@@ -25,6 +34,7 @@
 
     chain: ChainService
     pending: dict[str, WorkerRetirement] = field(factory=dict)  # by instance: not stored yet
+    _seen_at: dict[str, float] = field(factory=dict, init=False)  # by instance, when this head first saw it
 
     async def record(self, retirement: WorkerRetirement) -> bool:
         """Has the chain store a retirement; True once it has."""
@@ -65,11 +75,20 @@
                 self._discard_pending({retirement.instance: retirement})
                 return True
             batch = dict(self.pending)
-            if not await self.chain.write(RecordRetirements(tuple(batch.values()))):
+            forgotten = tuple(self._expired(state) - batch.keys())
+            if not await self.chain.write(RecordRetirements(tuple(batch.values()), forgotten)):
                 return False
+            self._seen_at |= dict.fromkeys(batch, steady())
             self._discard_pending(batch)
             return True
 
+    def _expired(self, state: ControlState) -> set[str]:
+        """Instances that were retired long ago; a new head counts from its first look at each."""
+        now = steady()
+        seen_at = self._seen_at
+        self._seen_at = {r.instance: seen_at.get(r.instance, now) for r in state.retirements}
+        return {instance for instance, at in self._seen_at.items() if now - at > RETENTION_S}
+
     def _discard_pending(self, stored: dict[str, WorkerRetirement]) -> None:
         self.pending = {
             instance: retirement
--- a/finchladder/cluster/replication/membership.py
+++ b/finchladder/cluster/replication/membership.py
@@ -29,7 +29,9 @@
 
 
 NO_STORED_VIEWS: Mapping[str, int] = MappingProxyType({})
-MAX_STATE_SOURCES = 8  # groups of one view; with more, the next view waits for a survivor
+# Groups of one view; with more, the next view waits for a survivor. Each is of a view that lost its only
+# survivor before it had stored the state: 64 of five members are 40 KB of each message that holds the view.
+MAX_STATE_SOURCES = 64
 
 
 @frozen
@@ -152,8 +154,7 @@
 
 def _collecting_view(view: View, alive: Mapping[str, MemberStatus], limits: ReplicationLimits) -> View | None:
     """A view without survivors, whose members hold the state together; None if too few answer."""
-    other_sources = (group for group in view.source_groups if set(group) != set(view.chain))
-    groups = (view.chain, *other_sources)
+    groups = _required_groups((view.chain, *view.source_groups))
     answering = [[member for member in group if _is_healthy(member, alive)] for group in groups]
     if not all(answering) or len(groups) > MAX_STATE_SOURCES:
         return None
@@ -163,6 +164,18 @@
     return _checked_view(view, alive, chain, 0, groups, limits)
 
 
+def _required_groups(groups: Sequence[tuple[Member, ...]]) -> tuple[tuple[Member, ...], ...]:
+    """The groups without those that contain another: one member of each is needed, so they need no more."""
+    required: list[tuple[Member, ...]] = []
+    for group in groups:
+        members = set(group)
+        if any(set(other) <= members for other in required):
+            continue
+        required = [other for other in required if not members < set(other)]
+        required.append(group)
+    return tuple(required)
+
+
 def _is_healthy(member: Member, alive: Mapping[str, MemberStatus]) -> bool:
     status = alive.get(member.disk_id)
     return status is not None and status.healthy and not status.shutting_down
--- a/finchladder/cluster/types/operations.py
+++ b/finchladder/cluster/types/operations.py
@@ -47,14 +47,16 @@
 
 
 class RecordRetirements(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Records workers that are draining or deregistered."""
+    """Records workers that are draining or deregistered, and forgets instances that ended long ago."""
 
     retirements: tuple[WorkerRetirement, ...]
+    forgotten: tuple[str, ...] = ()
 
 
 Operation = SetConfiguration | ClaimPlacer | RecordRetirements
 MAX_REVISIONS = 1024
-MAX_RETIREMENTS = 1024  # a worker has stopped long before so many others retire
+# Retirements are forgotten by their age; this bounds the state if they come faster than 100 a second.
+MAX_RETIREMENTS = 16_384
 
 
 def apply(state: ControlState, operation: Operation) -> ControlState:
@@ -72,7 +74,9 @@
         return msgspec.structs.replace(
             state,
             sequence=state.sequence + 1,
-            retirements=_merge_retirements(state.retirements, operation.retirements),
+            retirements=_merge_retirements(
+                state.retirements, operation.retirements, frozenset(operation.forgotten)
+            ),
         )
     return msgspec.structs.replace(
         state,
@@ -91,10 +95,14 @@
 
 
 def _merge_retirements(
-    known: tuple[WorkerRetirement, ...], retirements: tuple[WorkerRetirement, ...]
+    known: tuple[WorkerRetirement, ...],
+    retirements: tuple[WorkerRetirement, ...],
+    forgotten: frozenset[str],
 ) -> tuple[WorkerRetirement, ...]:
-    """Both sets, each instance once; deregistered supersedes draining."""
-    by_instance = {retirement.instance: retirement for retirement in known}
+    """Both sets without the forgotten ones, each instance once; deregistered supersedes draining."""
+    by_instance = {
+        retirement.instance: retirement for retirement in known if retirement.instance not in forgotten
+    }
     for retirement in retirements:
         former = by_instance.pop(retirement.instance, retirement)
         by_instance[retirement.instance] = former if former.deregistered else retirement
--- a/finchladder/lab/cluster/planted_faults.py
+++ b/finchladder/lab/cluster/planted_faults.py
@@ -289,14 +289,14 @@
         "collection without the present chain",
         3,
         "replication.membership",
-        "groups = (view.chain, *other_sources)",
-        "groups = (*other_sources,)",
+        "groups = _required_groups((view.chain, *view.source_groups))",
+        "groups = _required_groups(view.source_groups)",
     ),
     Mutant(
         "collection without the sources",
         3,
         "replication.membership",
-        "groups = (view.chain, *other_sources)",
+        "groups = _required_groups((view.chain, *view.source_groups))",
         "groups = (view.chain,)",
     ),
     Mutant(
--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -812,6 +812,25 @@
         assert (following.survivors, following.state_sources) == (0, ((A, C), (A, B)))
 
 
+def test_more_than_eight_unfinished_views_are_followed_by_another() -> None:
+    """Each lost its only survivor before the joiner had the state; one member of each group answers."""
+    groups = tuple((member(f"a{number}"), member(f"b{number}")) for number in range(12))
+    view = View(20, (A, B, C), (A, C), 1, groups)
+    there = {group[1].disk_id: status(group[1], 1) for group in groups}
+    there |= alive(b=3, c=1)
+    following = next_view(view, there, [], ONE)
+    assert following is not None
+    assert following.survivors == 0
+    assert set(following.state_sources) == {(A, C), *groups}
+
+
+def test_a_group_of_sources_that_contains_another_asks_for_nothing_more() -> None:
+    view = View(4, (A, B, C), (A, C), 1, ((A, B, C), (A, B)))
+    following = next_view(view, alive(b=3, c=1), [], ONE)
+    assert following is not None
+    assert following.state_sources == ((A, C), (A, B))
+
+
 def test_the_newest_of_several_replicas_is_of_the_latest_view_and_there_the_longest() -> None:
     replicas = [Replica(v, ControlState(sequence=s)) for v, s in ((2, 9), (3, 4), (3, 5), (1, 20))]
     Random(1).shuffle(replicas)
