Design note: tenants, keys and quotas, with the messages and the arithmetic they use

The decision and its bound are written down first.

Change: docs/design/tenancy.md; a package for what is pure; two messages (tags 15 and 63, appended to the unions); the three bounds of the settings.

--- a/finchladder/cluster/process/settings.py
+++ b/finchladder/cluster/process/settings.py
@@ -10,6 +10,7 @@
 
 from finchladder.cluster.configuration.schema import first_problem
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
+from finchladder.cluster.tenancy.quota_rule import QuotaRule
 from finchladder.cluster.types.errors import InvalidSettingsError
 
 FILE_VARIABLE = "FINCHLADDER_NODE_FILE"
@@ -55,6 +56,7 @@
     ceiling_overage: float
     fencing: bool
     contact_s: float
+    quota: QuotaRule
 
     @property
     def contact_timeouts(self) -> ContactTimeouts:
@@ -111,6 +113,11 @@
         ceiling_overage=float(value.get("ceiling_overage", 1.0)),
         fencing=bool(value.get("fencing", False)),
         contact_s=seconds("contact_ms", 3000),
+        quota=QuotaRule(
+            window_s=float(value.get("quota_window_s", 8)),
+            overage=float(value.get("quota_overage", 0)),
+            slack=float(value.get("quota_slack", 0)),
+        ),
     )
 
 
--- /dev/null
+++ b/finchladder/cluster/tenancy/tenants.py
@@ -0,0 +1,62 @@
+"""Tenants as the operator configures them, and what a request costs of a tenant's quota."""
+
+from collections.abc import Mapping
+from enum import Enum
+from typing import Any
+
+from attrs import frozen
+
+DEFAULT_RAW_TOKENS = 1
+
+
+class QuotaUnit(str, Enum):
+    """What a quota counts."""
+
+    TOKENS = "token_count"
+    REQUESTS = "requests"
+
+
+@frozen
+class Tenant:
+    """A tenant of the configuration.
+
+    Attributes:
+        name: Its name, as workers are told it.
+        priority: Takes the place of the route's; None: not set.
+        unit: What `rate_per_s` and `burst` count.
+        raw_tokens: What a request without a token count costs, where tokens are counted.
+        rate_per_s: Units a second of all dispatchers together; 0: no limit.
+        burst: Units that may come on top of the rate.
+    """
+
+    name: str
+    priority: int | None = None
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    raw_tokens: int = DEFAULT_RAW_TOKENS
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether its requests count against a quota."""
+        return self.rate_per_s > 0
+
+    def cost(self, token_count: int | None) -> int:
+        """Units that one request costs; `token_count`: of prompt and output together, None if not told."""
+        if self.unit is QuotaUnit.REQUESTS:
+            return 1
+        return self.raw_tokens if token_count is None else token_count
+
+
+def parse_tenant(item: Mapping[str, Any]) -> Tenant:
+    """A tenant of a valid configuration; an unknown unit counts requests."""
+    unit = QuotaUnit.TOKENS if item.get("unit") == QuotaUnit.TOKENS.value else QuotaUnit.REQUESTS
+    priority = item.get("priority")
+    return Tenant(
+        name=item["name"],
+        priority=None if priority is None else int(priority),
+        unit=unit,
+        raw_tokens=int(item.get("raw_tokens", DEFAULT_RAW_TOKENS)),
+        rate_per_s=float(item.get("rate_per_s") or 0),
+        burst=float(item.get("burst") or 0),
+    )
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -141,6 +141,29 @@
     retirement: WorkerRetirement
 
 
+class QuotaNeed(Message, frozen=True):
+    """Requests of one tenant that wait for quota at one dispatcher: their costs, in order of arrival."""
+
+    tenant: str
+    costs: tuple[int, ...]
+
+
+class QuotaReturn(Message, frozen=True):
+    """Quota of one tenant that was granted and neither spent nor will be."""
+
+    tenant: str
+    units: int
+
+
+class ReserveQuota(Message, frozen=True, tag=15):
+    """From a dispatcher to the holder of the quota account: needs, and what it returns of earlier grants."""
+
+    sender: str
+    needs: tuple[QuotaNeed, ...]
+    returns: tuple[QuotaReturn, ...] = ()
+    returned_term: int = 0  # of the account that granted what is returned
+
+
 Request = (
     Ping
     | Prepare
@@ -156,6 +179,7 @@
     | ReleaseLease
     | FetchReplica
     | RetireWorker
+    | ReserveQuota
 )
 
 # --- replies ----------------------------------------------------------------------------------------------
@@ -271,6 +295,22 @@
     stored: bool
 
 
+class QuotaGrant(Message, frozen=True):
+    """Answer to one `QuotaNeed`: for each of its costs whether it is granted."""
+
+    tenant: str
+    granted: tuple[bool, ...]
+    retry_after_ms: int = 0  # until the first cost that was not granted could be
+
+
+class QuotaReply(Message, frozen=True, tag=63):
+    """Answer to ReserveQuota: grants in the order of the needs; none where the sender is not the holder."""
+
+    is_holder: bool
+    term: int = 0  # of the account
+    grants: tuple[QuotaGrant, ...] = ()
+
+
 Reply = (
     Pong
     | Promise
@@ -285,6 +325,7 @@
     | Failure
     | ReplicaReply
     | RetireWorkerReply
+    | QuotaReply
 )
 
 encoder = msgspec.msgpack.Encoder()
