--- /dev/null
+++ b/tests/cluster/test_incident_quota.py
@@ -0,0 +1,205 @@
+"""The incident of quotas: dispatchers that keep no count together serve a tenant more than its limit.
+
+Real sockets; several dispatchers before one worker. What the worker sees is judged by `quota_oracle`, which
+is told tenant and cost of a request by the id that its client gave it, not by what dispatchers say of it.
+"""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any, NamedTuple
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.process.router import Router
+from finchladder.cluster.routing.demand import DemandCounter
+from finchladder.cluster.routing.pools import PoolMember, Pools
+from finchladder.cluster.routing.retry_budget import RetryBudget
+from finchladder.cluster.routing.selection import WorkerSelector
+from finchladder.cluster.routing.workers import Worker
+from finchladder.cluster.transport.http_client import make_session
+from finchladder.cluster.transport.http_server import Listener
+from finchladder.cluster.transport.peers import steady
+from tests.cluster.quota_oracle import QuotaOracle
+from tests.cluster.test_router import (
+    DOCUMENT,
+    REQUEST_ID_HEADER,
+    RouterHarness,
+    StandInWorker,
+    run_with_timeout,
+    worker_response,
+)
+
+TENANT = "t1"
+KEY = "key-of-t1"
+CLIENTS = 8
+PAUSE_S = 0.02  # of a client, between an answer and its next request
+
+WINDOW_S = 1.0
+OVERAGE = 0.1
+SLACK = 0.0
+FLOOD_S = 1.2
+LEAST_SERVED_S = 0.4  # of its rate is served to a tenant that floods for `FLOOD_S`, also by an empty account
+
+TOKEN_COUNT = {"X-Finchladder-Token-Count": "300,100"}
+TOKENS = 400
+LIMITED: dict[str, Any] = {"unit": "token_count", "rate_per_s": 1000, "burst": 1000}
+
+
+class Answer(NamedTuple):
+    """What a client got."""
+
+    status: int
+    retry_after: str | None
+
+
+class Scene:
+    """Dispatchers, and the oracle of what reaches their worker."""
+
+    def __init__(self, dispatchers: list[RouterHarness], oracle: QuotaOracle) -> None:
+        self.dispatchers, self.oracle = dispatchers, oracle
+
+    async def flood(self, for_s: float, headers: dict[str, str], asked: int | None = None) -> list[Answer]:
+        """All answers to clients of the tenant that ask the first `asked` dispatchers again and again."""
+        dispatchers = self.dispatchers[:asked]
+        answers: list[Answer] = []
+        ends = steady() + for_s
+
+        async def ask(number: int) -> None:
+            dispatcher = dispatchers[number % len(dispatchers)]
+            while steady() < ends:
+                sent = {REQUEST_ID_HEADER: f"{TENANT}-{number}", "Authorization": f"Token {KEY}", **headers}
+                async with dispatcher.send("/once/x", b"{}", **sent) as response:
+                    answers.append(Answer(response.status, response.headers.get("Retry-After")))
+                await asyncio.sleep(PAUSE_S)
+
+        await asyncio.gather(*(ask(number) for number in range(CLIENTS)))
+        return answers
+
+    def excess(self, rate: float, burst: float) -> float:
+        return self.oracle.worst_excess(
+            TENANT, window_s=WINDOW_S, rate=rate, burst=burst, overage=OVERAGE, slack=SLACK
+        )
+
+
+def make_router(session: aiohttp.ClientSession, dispatcher_count: int) -> Router:
+    """A dispatcher's router; a client of the account of quotas belongs here once there is one."""
+    return Router(
+        session,
+        WorkerSelector("edge", "z", 0.5),
+        lambda: RetryBudget(0.2, 50, 10),
+        lambda: dispatcher_count,
+        DemandCounter(),
+    )
+
+
+@asynccontextmanager
+async def scene_of(cost: int, *, dispatcher_count: int = 2, **tenant: Any) -> AsyncIterator[Scene]:
+    """Dispatchers with one worker and one tenant. `cost`: what a request of its costs by the rule."""
+    oracle = QuotaOracle()
+
+    async def respond(request: web.BaseRequest) -> web.StreamResponse:
+        oracle.record(steady(), request.headers[REQUEST_ID_HEADER].partition("-")[0], cost)
+        return worker_response(request)
+
+    document = {**DOCUMENT, "tenants": [{"name": TENANT, "api_keys": [KEY], **tenant}]}
+    snapshot = build_snapshot(json.dumps(document).encode())
+    async with AsyncExitStack() as stack:
+        worker = Listener(StandInWorker(respond).handle, "127.0.0.1:0")
+        await worker.start()
+        stack.push_async_callback(worker.stop)
+        client = await stack.enter_async_context(aiohttp.ClientSession())
+        dispatchers = []
+        for _ in range(dispatcher_count):
+            session = make_session(keepalive_s=5)
+            stack.push_async_callback(session.close)
+            router = make_router(session, dispatcher_count)
+            router.snapshot = snapshot
+            member = PoolMember(Worker("i-0", "s", worker.bound_address, "z", 64, 0.0))
+            router.pools = Pools().with_changes({"i-0": member})
+            frontend = Listener(router.handle, "127.0.0.1:0", cancel_on_disconnect=True)
+            await frontend.start()
+            stack.push_async_callback(frontend.stop)
+            dispatchers.append(RouterHarness(router, frontend, client))
+        yield Scene(dispatchers, oracle)
+
+
+def assert_limit_is_kept_and_used(
+    cost: int,
+    rate: float,
+    burst: float,
+    headers: dict[str, str],
+    dispatcher_count: int = 2,
+    asked: int | None = None,
+    **tenant: Any,
+) -> None:
+    """No window has an excess; and something is served, as refusing everybody is no way to keep a limit."""
+
+    async def work() -> None:
+        limits = {"rate_per_s": rate, "burst": burst, **tenant}
+        async with scene_of(cost, dispatcher_count=dispatcher_count, **limits) as scene:
+            await scene.flood(FLOOD_S, headers, asked)
+            assert scene.oracle.total(TENANT) >= LEAST_SERVED_S * rate
+            assert scene.excess(rate, burst) <= 0
+
+    run_with_timeout(work)
+
+
+@pytest.mark.parametrize("dispatcher_count", [2, 8])
+def test_dispatchers_together_serve_no_more_than_a_tenants_limit(dispatcher_count: int) -> None:
+    """With 8, counts that each keeps alone are over the limit even if they are careful and begin at none."""
+    assert_limit_is_kept_and_used(
+        TOKENS, 1000, 1000, TOKEN_COUNT, dispatcher_count=dispatcher_count, unit="token_count"
+    )
+
+
+def test_a_tenant_that_asks_one_dispatcher_of_many_is_not_held_to_a_share_of_its_limit() -> None:
+    assert_limit_is_kept_and_used(
+        TOKENS, 1000, 1000, TOKEN_COUNT, dispatcher_count=8, asked=1, unit="token_count"
+    )
+
+
+@pytest.mark.parametrize("counts", ["10,390", "390,10"])
+def test_both_numbers_of_a_token_count_count(counts: str) -> None:
+    headers = {"X-Finchladder-Token-Count": counts}
+    assert_limit_is_kept_and_used(TOKENS, 1000, 1000, headers, unit="token_count")
+
+
+def test_a_request_over_the_limit_gets_429_with_retry_after_and_not_503() -> None:
+    async def work() -> None:
+        async with scene_of(TOKENS, **LIMITED) as scene:
+            answers = await scene.flood(0.5, TOKEN_COUNT)
+        statuses = Counter(answer.status for answer in answers)
+        assert statuses.keys() <= {200, 429}
+        assert statuses[429] > 0
+        for answer in answers:
+            if answer.status == 429:
+                assert answer.retry_after is not None
+                assert float(answer.retry_after) > 0
+
+    run_with_timeout(work)
+
+
+def test_a_request_without_token_count_counts_raw_tokens() -> None:
+    assert_limit_is_kept_and_used(100, 1000, 1000, {}, unit="token_count", raw_tokens=100)
+
+
+@pytest.mark.parametrize("unit", [{"unit": "requests"}, {"unit": "other"}, {}])
+def test_a_unit_other_than_token_count_counts_requests(unit: dict[str, Any]) -> None:
+    assert_limit_is_kept_and_used(1, 10, 10, TOKEN_COUNT, **unit)
+
+
+@pytest.mark.parametrize("rate", [{"rate_per_s": 0, "burst": 0}, {}])
+def test_a_tenant_without_rate_is_not_limited(rate: dict[str, int]) -> None:
+    async def work() -> None:
+        async with scene_of(TOKENS, unit="token_count", **rate) as scene:
+            answers = await scene.flood(0.5, TOKEN_COUNT)
+        assert {answer.status for answer in answers} == {200}
+        assert scene.excess(1000, 1000) > 0
+
+    run_with_timeout(work)
