--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -11,6 +11,7 @@
 from finchladder.cluster.process.core_sessions import CoreSessions
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.placer import Placer
+from finchladder.cluster.process.quota_service import QuotaService
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.worker_client import WorkerClient
@@ -20,7 +21,7 @@
 from finchladder.cluster.transport.peers import PeerClient, peer_handler
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.members import Member
-from finchladder.cluster.types.messages import DemandReport, PullUpdates, Reply, Request
+from finchladder.cluster.types.messages import DemandReport, PullUpdates, Reply, Request, ReserveQuota
 
 SHUTDOWN_LINGER_S = 0.3  # peers may still fetch updates before the listeners close
 LEAVE_CHAIN_TIMEOUT_S = 1.5  # until the others have adopted a view without this process
@@ -37,6 +38,7 @@
     control: ControlPlane = field(init=False)
     core_sessions: CoreSessions = field(init=False)
     placer: Placer = field(init=False)
+    quotas: QuotaService = field(init=False)
     workers: WorkerClient = field(init=False)
 
     def _build(self) -> None:
@@ -63,6 +65,7 @@
             bounds.ceiling_overage,
             0.0 if bounds.fencing else bounds.lease_s,
         )
+        self.quotas = QuotaService.build(self.control.placer_lease, bounds.quota)
 
     def _build_control_plane(self) -> ControlPlane:
         """Opens the disk and creates the control plane from what it holds."""
@@ -96,6 +99,8 @@
                 return await self.core_sessions.updates.on_pull(request)
             case DemandReport():
                 return self.placer.on_demand(request)
+            case ReserveQuota():
+                return self.quotas.on_reserve(request)
         return await self.control.handle(request)
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/finchladder/cluster/process/placer_lease.py
+++ b/finchladder/cluster/process/placer_lease.py
@@ -28,6 +28,7 @@
         last_order_at: When this process last sent an order to a worker.
         latest_token: The highest fencing token that this process has received.
         reacquired: Whether the lease belonged to a former incarnation of this process when it was granted.
+        elected_at: When this process was last elected; no former holder acted after that.
     """
 
     chain: ChainService
@@ -35,6 +36,7 @@
     last_order_at: float = field(factory=steady)
     latest_token: int = 0
     reacquired: bool = False
+    elected_at: float = 0.0
 
     @property
     def me(self) -> Member:
@@ -138,6 +140,7 @@
         self.latest_token = max(self.latest_token, reply.token)
         if reply.granted:
             self.reacquired = reacquired
+            self.elected_at = steady()
             self.lease.extend(requested_at, reply.token)
             event("placer.elected", token=reply.token)
         elif reply.retry_after_ms:
--- /dev/null
+++ b/finchladder/cluster/tenancy/tenant_limits.py
@@ -0,0 +1,27 @@
+"""The tenants of the newest configuration by name, parsed once for each document."""
+
+import json
+
+from attrs import define, field
+
+from finchladder.cluster.tenancy.tenants import Tenant, parse_tenant
+
+
+@define
+class TenantLimits:
+    """Tenants of one document. Documents are compared by identity: a replica keeps each as one object."""
+
+    _document: bytes = b""
+    _by_name: dict[str, Tenant] = field(factory=dict)
+
+    def tenant(self, document: bytes, name: str) -> Tenant | None:
+        """The tenant with that name; None if the document has none. CPU: O(size) for another document."""
+        if document is not self._document:
+            self._by_name = _parse(document)
+            self._document = document
+        return self._by_name.get(name)
+
+
+def _parse(document: bytes) -> dict[str, Tenant]:
+    items = json.loads(document).get("tenants", []) if document else []
+    return {item["name"]: parse_tenant(item) for item in items}
