Dispatchers learn of a new placer at once; the account's grants keep the rule

Cause: the placer holds the quota account, and a dispatcher learned of a new one only with the next change of workers or at the end of a long poll of up to 2 s. Change: the fencing token travels with pulls and updates (fields appended), a newer one answers a long poll, and a source that is behind no longer brings back a former placer.

--- a/finchladder/cluster/process/update_puller.py
+++ b/finchladder/cluster/process/update_puller.py
@@ -68,6 +68,7 @@
     sources: dict[str, UpdateSource] = field(factory=dict)  # by peer address
     primary: str = ""  # address of the source that a dispatcher long-polls; empty: there is none
     placer: str = ""  # peer address of the placer; empty: unknown
+    placer_term: int = 0  # its fencing token
     dispatcher_count: int = 0
     confirmed_at: float = NEVER  # when a source last reported a confirmation by the chain
     quorum_lost_at: float = NEVER  # when a source first reported the loss, after none did
@@ -178,6 +179,7 @@
             view=self.view.number,
             wait_ms=wait_ms,
             is_dispatcher=self.is_dispatcher,
+            placer_term=self.placer_term if self.is_dispatcher else 0,
         )
 
     def _on_call_failed(self, source: UpdateSource) -> None:
@@ -217,10 +219,16 @@
         self.tables.advance_vector(update.vector)
         if update.view is not None and update.view.number > self.view.number:
             self.view = update.view
-        self.placer = update.placer or self.placer
+        self._note_placer(update)
         self.dispatcher_count = update.dispatchers or self.dispatcher_count
         self.on_update(update, changed)
 
+    def _note_placer(self, update: Update) -> None:
+        """Adopts the placer that the update names, unless a source that is ahead has named a later one."""
+        if update.placer and update.placer_term >= self.placer_term:
+            self.placer = update.placer
+            self.placer_term = update.placer_term
+
     async def _resynchronize(self, source: UpdateSource) -> None:
         """Drops the workers that a control process which knows all workers does not know."""
         try:
--- a/finchladder/cluster/process/update_server.py
+++ b/finchladder/cluster/process/update_server.py
@@ -150,14 +150,19 @@
         return self._has_newer_control_state(pull) or self.tables.is_ahead(pull.vector)
 
     def _has_urgent_changes(self, pull: PullUpdates) -> bool:
-        """Whether there is a newer configuration or view, or a worker that is no longer ready."""
+        """Whether there is a newer configuration, view or placer, or a worker that is no longer ready."""
         if self._has_newer_control_state(pull):
             return True
         workers = self.tables.records_after(pull.vector).workers
         return any(worker.record.phase is not SessionPhase.READY for worker in workers)
 
     def _has_newer_control_state(self, pull: PullUpdates) -> bool:
-        return self.state().version > pull.version or self.view().number > pull.view
+        is_newer = self.state().version > pull.version or self.view().number > pull.view
+        return is_newer or self._has_newer_placer(pull)
+
+    def _has_newer_placer(self, pull: PullUpdates) -> bool:
+        is_newer = 0 < pull.placer_term < self.state().fence_token
+        return is_newer and bool(self.placer_address())
 
     def _update(self, pull: PullUpdates) -> Update:
         state = self.state()
@@ -178,4 +183,5 @@
             dispatchers=self.dispatcher_count(),
             chain_confirmed=self.is_chain_confirmed(),
             quorum_lost=self.is_quorum_lost(),
+            placer_term=state.fence_token,
         )
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -73,6 +73,7 @@
     view: int
     wait_ms: int
     is_dispatcher: bool
+    placer_term: int = 0  # fencing token of the placer that the sender knows; 0: it knows none
 
 
 class Demand(Message, frozen=True):
@@ -256,6 +257,7 @@
     dispatchers: int  # number of those that pull from the sender
     chain_confirmed: bool  # the chain has confirmed the sender lately
     quorum_lost: bool = False  # most control processes answer the sender, and too few voters
+    placer_term: int = 0  # fencing token of `placer`; 0: unknown
 
 
 class LeaseReply(Message, frozen=True, tag=58):
--- /dev/null
+++ b/tests/cluster/test_quota_account.py
@@ -0,0 +1,163 @@
+"""The quota account: what it grants in any span, over takeovers, lowered limits and returns."""
+
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchladder.cluster.tenancy.quota_account import QuotaAccount
+from finchladder.cluster.tenancy.quota_rule import ARRIVAL_DELAY_S, GRANT_VALIDITY_S, QuotaRule
+from finchladder.cluster.tenancy.tenants import QuotaUnit, Tenant
+
+RULE = QuotaRule(window_s=8.0, overage=0.1, slack=17_000)
+SMALL = Tenant("small", unit=QuotaUnit.TOKENS, rate_per_s=4_200, burst=4_200)
+LARGE = Tenant("large", unit=QuotaUnit.TOKENS, rate_per_s=155_000, burst=155_000)
+
+
+@dataclass
+class Arrivals:
+    """What arrived at workers: times and units."""
+
+    times: list[tuple[float, int]] = field(default_factory=list)
+
+    def worst(self, window_s: float) -> int:
+        """The largest sum within any closed span of that length."""
+        times = sorted(self.times)
+        return max(
+            (sum(u for t, u in times if start <= t <= start + window_s) for start, _ in times), default=0
+        )
+
+
+def bound(tenant: Tenant, rule: QuotaRule = RULE) -> float:
+    return (tenant.rate_per_s * rule.window_s + tenant.burst) * (1 + rule.overage) + rule.slack
+
+
+def full_account(tenant: Tenant) -> QuotaAccount:
+    account = QuotaAccount(RULE)
+    account.begin_term(1, -100.0)
+    account.reserve(tenant, (), 0.0)
+    return account
+
+
+@pytest.mark.parametrize("tenant", [SMALL, LARGE])
+def test_the_capacity_holds_the_burst_that_is_owed_and_the_refill_is_the_rate(tenant: Tenant) -> None:
+    limits = RULE.bucket_limits(tenant.rate_per_s, tenant.burst)
+    assert limits.capacity >= tenant.burst
+    assert limits.refill_per_s == tenant.rate_per_s
+
+
+def test_without_overage_and_slack_the_refill_gives_way_and_the_burst_stays() -> None:
+    limits = QuotaRule(8.0, 0.0, 0.0).bucket_limits(100.0, 50.0)
+    assert limits.capacity == pytest.approx(50.0)
+    assert limits.refill_per_s < 100.0
+
+
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.floats(0.0, 2.0),  # seconds since the step before
+            st.integers(1, 9_000),  # cost
+            st.floats(0.0, GRANT_VALIDITY_S + ARRIVAL_DELAY_S),  # until it arrives
+            st.sampled_from(["ask", "ask", "ask", "take over", "return"]),
+        ),
+        max_size=80,
+    ),
+    tenant=st.sampled_from([SMALL, LARGE]),
+    burst_of_asks=st.integers(1, 60),
+)
+def test_what_arrives_in_any_window_keeps_the_rule(
+    steps: list[tuple[float, int, float, str]], tenant: Tenant, burst_of_asks: int
+) -> None:
+    account = full_account(tenant)
+    arrivals = Arrivals()
+    now = 0.0
+    returnable: list[tuple[int, int]] = []
+    for gap_s, cost, delay_s, step in steps:
+        now += gap_s
+        if step == "take over":
+            account = QuotaAccount(RULE)
+            account.begin_term(int(now * 1000) + 2, now)
+        elif step == "return" and returnable:
+            units, term = returnable.pop()
+            account.give_back(tenant, units, term, now)
+        else:
+            granted = account.reserve(tenant, (cost,) * burst_of_asks, now)
+            arrivals.times += [(now + delay_s, cost) for is_granted in granted if is_granted]
+            if account.reserve(tenant, (cost,), now) == (True,):
+                returnable.append((cost, account.term))
+    assert arrivals.worst(RULE.window_s) <= bound(tenant)
+
+
+def test_a_new_term_begins_empty_and_refills() -> None:
+    account = full_account(SMALL)
+    account.begin_term(2, 10.0)
+    assert account.reserve(SMALL, (1,), 10.0) == (False,)
+    assert account.reserve(SMALL, (4_200, 1), 11.0) == (True, False)
+
+
+def test_a_term_that_goes_on_keeps_what_was_spent() -> None:
+    account = full_account(SMALL)
+    account.reserve(SMALL, (4_200,) * 10, 0.0)
+    account.begin_term(1, 0.0)
+    assert account.reserve(SMALL, (4_200,), 0.0) == (False,)
+
+
+def test_returns_of_a_former_term_are_not_taken_back() -> None:
+    account = full_account(SMALL)
+    account.begin_term(2, 10.0)
+    account.give_back(SMALL, 4_000, 1, 10.0)
+    assert account.reserve(SMALL, (4_000,), 10.0) == (False,)
+    account.give_back(SMALL, 4_000, 2, 10.0)
+    assert account.reserve(SMALL, (4_000,), 10.0) == (True,)
+
+
+def test_a_lowered_limit_cuts_what_has_gathered() -> None:
+    account = full_account(LARGE)
+    lowered = Tenant("large", unit=QuotaUnit.TOKENS, rate_per_s=1_000, burst=1_000)
+    limits = RULE.bucket_limits(1_000, 1_000)
+    granted = account.reserve(lowered, (1_000,) * 200, 0.0)
+    assert sum(granted) * 1_000 <= limits.capacity
+
+
+def test_a_tenant_that_was_removed_and_put_back_keeps_what_it_has_spent() -> None:
+    account = full_account(SMALL)
+    account.reserve(SMALL, (4_000,) * 10, 0.0)
+    account.reserve(LARGE, (1,), 0.1)  # a configuration without the small one is in force meanwhile
+    assert account.reserve(SMALL, (5_000,), 0.2) == (False,)
+
+
+def test_a_request_above_the_capacity_is_granted_once_the_bucket_is_full() -> None:
+    account = full_account(SMALL)
+    capacity = RULE.bucket_limits(SMALL.rate_per_s, SMALL.burst).capacity
+    cost = int(capacity) + 5_000
+    assert account.reserve(SMALL, (cost, 1), 0.0) == (True, False)
+    assert account.retry_after_ms(SMALL, 1, 0.0) == pytest.approx(5_000 / 4.2, abs=2)
+
+
+def test_refused_costs_do_not_hold_up_smaller_ones() -> None:
+    account = full_account(SMALL)
+    account.reserve(SMALL, (4_000,) * 4, 0.0)
+    assert account.reserve(SMALL, (9_000, 100), 0.0) == (False, True)
+
+
+def test_retry_after_is_when_the_cost_is_there() -> None:
+    account = full_account(SMALL)
+    while account.reserve(SMALL, (2_400,), 0.0) == (True,):
+        pass
+    wait_s = account.retry_after_ms(SMALL, 2_400, 0.0) / 1000
+    assert account.reserve(SMALL, (2_400,), wait_s - 0.01) == (False,)
+    assert account.reserve(SMALL, (2_400,), wait_s) == (True,)
+
+
+def test_a_tenant_without_a_limit_is_granted_everything() -> None:
+    account = full_account(SMALL)
+    free = Tenant("free")
+    assert account.reserve(free, (10**9,) * 3, 0.0) == (True, True, True)
+    assert account.retry_after_ms(free, 10**9, 0.0) == 0
+
+
+def test_requests_are_counted_where_the_unit_is_no_tokens() -> None:
+    assert Tenant("a", unit=QuotaUnit.REQUESTS).cost(5_000) == 1
+    assert Tenant("a", unit=QuotaUnit.TOKENS, raw_tokens=200).cost(None) == 200
+    assert Tenant("a", unit=QuotaUnit.TOKENS, raw_tokens=200).cost(2_400) == 2_400
