Tenants and API keys in the configuration: schema, patches, a table of salted digests

Cause: the configuration may hold tenants; keys were neither validated nor looked up. Change: `tenants` has a schema; two tenants with a key, or one name twice, are invalid; problems name paths, keywords and tenants, never a value that may hold a key (no message quotes an object or a list any more). Removing tenants from a configuration without a list makes none.

--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -75,8 +75,9 @@
     result = dict(document)
     result["version"] = change["version"]
     for kind, names in change.get("remove", {}).items():
-        removed = set(names)
-        result[kind] = [item for item in result.get(kind, []) if item["name"] not in removed]
+        if kind in result:  # else an empty list of tenants would come to be, which makes routes private
+            removed = set(names)
+            result[kind] = [item for item in result[kind] if item["name"] not in removed]
     for kind, items in change.get("upsert", {}).items():
         if not isinstance(items, list):
             result[kind] = items
@@ -99,7 +100,7 @@
         problem = _route_problem(route, services, earlier)
         if problem:
             return f"route {route['name']}: {problem}"
-    return ""
+    return _tenants_problem(document.get("tenants", []))
 
 
 @dataclass
@@ -126,3 +127,19 @@
     if split and sum(part["weight"] for part in split) <= 0:
         return "its weights add up to 0"
     return ""
+
+
+def _tenants_problem(tenants: list[Document]) -> str:
+    """Checks that no name is used twice and no key is shared; a problem names tenants, never a key."""
+    names: set[str] = set()
+    holder_by_key: dict[str, str] = {}
+    for tenant in tenants:
+        name = tenant["name"]
+        if name in names:
+            return f"tenant {name}: its name is used twice"
+        names.add(name)
+        for key in tenant["api_keys"]:
+            holder = holder_by_key.setdefault(key, name)
+            if holder != name:
+                return f"tenants {holder} and {name} share an API key"
+    return ""
--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -6,9 +6,10 @@
 
 from typing import Any
 
-from jsonschema import Draft202012Validator
+from jsonschema import Draft202012Validator, ValidationError
 
 MAX_MESSAGE_CHARS = 200  # a message quotes the value, which may be large
+TENANTS = "tenants"
 
 NAME_SCHEMA = {"type": "string", "minLength": 1}
 POSITIVE_SCHEMA = {"type": "number", "exclusiveMinimum": 0}
@@ -27,6 +28,7 @@
         "gap_aim_ms": NON_NEGATIVE_SCHEMA,
         "priority": {"type": "integer"},
         "retries": {"type": "integer", "minimum": 0},
+        "public": {"type": "boolean"},
         "service": NAME_SCHEMA,
         "traffic_split": {
             "type": "array",
@@ -55,10 +57,26 @@
         "engine": {"type": "object", "properties": {"models": {"type": "array", "items": MODEL_SCHEMA}}},
     },
 }
+# a tenant's name is written in a header
+TENANT_NAME_SCHEMA: dict[str, Any] = {**NAME_SCHEMA, "not": {"pattern": r"[\x00-\x1f\x7f]"}}
+TENANT_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "required": ["name", "api_keys"],
+    "properties": {
+        "name": TENANT_NAME_SCHEMA,
+        "api_keys": {"type": "array", "items": NAME_SCHEMA},
+        "priority": {"type": "integer"},
+        "unit": {"type": "string"},
+        "raw_tokens": NON_NEGATIVE_SCHEMA,
+        "rate_per_s": NON_NEGATIVE_SCHEMA,
+        "burst": NON_NEGATIVE_SCHEMA,
+    },
+}
 LIMITS_SCHEMA: dict[str, Any] = {"type": "object"}
 ITEM_PROPERTIES = {
     "routes": {"type": "array", "items": ROUTE_SCHEMA},
     "services": {"type": "array", "items": SERVICE_SCHEMA},
+    TENANTS: {"type": "array", "items": TENANT_SCHEMA},
 }
 DOCUMENT_SCHEMA: dict[str, Any] = {
     "type": "object",
@@ -83,5 +101,12 @@
     """Path and text of the first violation, the text cut to a bound; empty if there is none."""
     for error in validator.iter_errors(value):
         path = "/".join(str(part) for part in error.absolute_path)
-        return f"{path or 'configuration'}: {error.message[:MAX_MESSAGE_CHARS]}"
+        return f"{path or 'configuration'}: {_description(error)[:MAX_MESSAGE_CHARS]}"
     return ""
+
+
+def _description(error: ValidationError) -> str:
+    """What is wrong; it never quotes a value that may hold an API key."""
+    names_only_property = error.validator == "required"
+    may_hold_key = TENANTS in error.absolute_path or isinstance(error.instance, dict | list)
+    return f"violates `{error.validator}`" if may_hold_key and not names_only_property else error.message
--- a/finchladder/cluster/configuration/snapshot.py
+++ b/finchladder/cluster/configuration/snapshot.py
@@ -8,6 +8,9 @@
 
 from attrs import frozen
 
+from finchladder.cluster.tenancy.api_keys import KeyTable, build_key_table
+from finchladder.cluster.tenancy.tenants import Tenant, parse_tenant
+
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 DEFAULT_MAX_BODY_BYTES = 4 << 20
@@ -76,7 +79,8 @@
     """A route.
 
     `latency_target_s`: within which an answer has its full value; `max_event_gap_s`: longest pause between
-    events of a stream, 0 if none is set; `max_attempts`: workers that one request may be sent to.
+    events of a stream, 0 if none is set; `max_attempts`: workers that one request may be sent to;
+    `is_public`: whether it needs no API key where the configuration has tenants.
     """
 
     name: str
@@ -89,6 +93,7 @@
     priority: int
     max_attempts: int
     resumable: bool
+    is_public: bool
     weighted_services: tuple[WeightedService, ...]
 
     def service_at(self, point: float) -> str:
@@ -106,7 +111,10 @@
 
 @frozen
 class ConfigurationSnapshot:
-    """One version of the configuration, ready for routing."""
+    """One version of the configuration, ready for routing.
+
+    `tenants`: by name; `keys`: tenants by their API keys, None if the configuration has no list of tenants.
+    """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]  # the longest prefix first
@@ -114,6 +122,8 @@
     idle_timeout_s: float
     max_body_bytes: int
     max_header_bytes: int
+    tenants: Mapping[str, Tenant] = MappingProxyType({})
+    keys: KeyTable | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of that host with the longest prefix of the path."""
@@ -133,8 +143,11 @@
 )
 
 
-def build_snapshot(document: bytes) -> ConfigurationSnapshot:
-    """Builds a snapshot of a valid configuration (JSON). CPU: O(routes log routes)."""
+def build_snapshot(document: bytes, key_salt: bytes = b"") -> ConfigurationSnapshot:
+    """Builds a snapshot of a valid configuration (JSON). CPU: O(routes log routes + API keys).
+
+    `key_salt`: random bytes of this process for the digests of API keys, `KEY_SALT_BYTES` at most.
+    """
     value: dict[str, Any] = json.loads(document)
     limits = value.get("limits") or {}
     by_host: dict[str, list[Route]] = {}
@@ -146,6 +159,7 @@
         for host, routes in by_host.items()
     }
     services = {item["name"]: _service(item) for item in value.get("services", [])}
+    tenants = [(parse_tenant(item), item["api_keys"]) for item in value.get("tenants", [])]
     return ConfigurationSnapshot(
         version=value["version"],
         routes_by_host=MappingProxyType(routes_by_host),
@@ -153,6 +167,8 @@
         idle_timeout_s=float(limits.get("idle_timeout_ms", DEFAULT_IDLE_TIMEOUT_MS)) / 1000,
         max_body_bytes=int(limits.get("max_body_bytes", DEFAULT_MAX_BODY_BYTES)),
         max_header_bytes=int(limits.get("max_header_bytes", DEFAULT_MAX_HEADER_BYTES)),
+        tenants=MappingProxyType({tenant.name: tenant for tenant, _ in tenants}),
+        keys=build_key_table(key_salt, tenants) if "tenants" in value else None,
     )
 
 
@@ -169,6 +185,7 @@
         priority=int(item.get("priority", 0)),
         max_attempts=max(1, int(item.get("retries", 1))),
         resumable=bool(item.get("resumable", False)),
+        is_public=bool(item.get("public", False)),
         weighted_services=_weighted_services(item),
     )
 
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -66,6 +66,7 @@
         with_route(service="unknown"),
         with_route(timeout_ms=0),
         with_route(path_prefix="x"),
+        with_route(public="false"),
         with_route(traffic_split=[{"service": "s1", "weight": 0}]),
         with_route(traffic_split=[{"service": "s1", "weight": 1}, {"service": "s2", "weight": 1}]),
         changed(routes=[ROUTE, {**ROUTE, "name": "r2"}]),
@@ -116,6 +117,109 @@
     assert change_digest(1, True, b"a") == change_digest(1, True, b"a")
 
 
+# --- tenants
+
+TENANTS = [
+    {"name": "north", "api_keys": ["secret-1", "secret-1", "secret-2"], "priority": 1, "more": {"k": 1}},
+    {"name": "south", "api_keys": ["secret-3"], "unit": "token_count", "raw_tokens": 0, "rate_per_s": 0.5},
+]
+
+
+def test_a_configuration_with_tenants_stays_as_it_was_sent() -> None:
+    for tenants in (TENANTS, [], [{"name": "north", "api_keys": []}]):
+        assert document(put(changed(tenants=tenants)))["tenants"] == tenants
+
+
+def with_tenant(**fields: Any) -> dict[str, Any]:
+    return changed(tenants=[{"name": "north", "api_keys": ["secret-1"], **fields}])
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        changed(tenants={"secret-1": 1}),
+        changed(tenants=None),
+        changed(tenants=["secret-1"]),
+        changed(tenants=[{"api_keys": ["secret-1"]}]),
+        changed(tenants=[{"name": "north"}]),
+        with_tenant(name=""),
+        with_tenant(name="north\r\nsecret-1: 1"),
+        with_tenant(api_keys="secret-1"),
+        with_tenant(api_keys=["secret-1", ""]),
+        with_tenant(api_keys=["secret-1", 5]),
+        with_tenant(api_keys={"secret-1": 1}),
+        with_tenant(priority=1.5),
+        with_tenant(priority="secret-1"),
+        with_tenant(unit=["secret-1"]),
+        with_tenant(raw_tokens=-1),
+        with_tenant(rate_per_s=-0.1),
+        with_tenant(burst=-1),
+        with_tenant(burst="secret-1"),
+        changed(tenants=[*TENANTS, {"name": "north", "api_keys": []}]),
+        changed(tenants=[*TENANTS, {"name": "west", "api_keys": ["secret-2"]}]),
+        changed(routes=[{"name": "west", "api_keys": ["secret-2"]}]),
+        changed(limits=["secret-1"]),
+    ],
+)
+def test_invalid_tenants_are_rejected_without_quoting_a_key(value: object) -> None:
+    outcome = put(value)
+    assert isinstance(outcome, InvalidChange)
+    assert outcome.problem
+    assert "secret" not in outcome.problem
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"upsert": {"tenants": {"name": "west", "api_keys": ["secret-9"]}}},
+        {"upsert": [{"name": "west", "api_keys": ["secret-9"]}]},
+        {"remove": {"tenants": [{"name": "west", "api_keys": ["secret-9"]}]}},
+        {"remove": [{"name": "west", "api_keys": ["secret-9"]}]},
+    ],
+)
+def test_a_patch_with_misplaced_tenants_is_rejected_without_quoting_a_key(change: dict[str, Any]) -> None:
+    outcome = patch({"version": 7, **change})
+    assert isinstance(outcome, InvalidChange)
+    assert outcome.problem and "secret" not in outcome.problem
+
+
+def test_a_problem_of_a_tenant_names_the_place() -> None:
+    outcome = put(with_tenant(api_keys=["secret-1", ""]))
+    assert isinstance(outcome, InvalidChange)
+    assert outcome.problem.startswith("tenants/0/api_keys/1: ")
+    assert "minLength" in outcome.problem
+
+
+def test_tenants_that_share_a_key_are_both_named() -> None:
+    shared = {"name": "west", "api_keys": ["secret-2"]}
+    current = json.dumps(changed(tenants=TENANTS)).encode()
+    change = {"version": 7, "upsert": {"tenants": [shared]}}
+    for outcome in (
+        put(changed(tenants=[*TENANTS, shared])),
+        validate_change(current, 5, True, json.dumps(change).encode()),
+    ):
+        assert outcome == InvalidChange("tenants north and west share an API key")
+
+
+def test_a_patch_moves_a_key_to_another_tenant() -> None:
+    current = json.dumps(changed(tenants=TENANTS)).encode()
+    north, south = ({"name": "north", "api_keys": ["secret-3"]}, {"name": "south", "api_keys": ["secret-1"]})
+    change = {"version": 7, "upsert": {"tenants": [south, north]}}
+    outcome = validate_change(current, 5, True, json.dumps(change).encode())
+    assert document(outcome)["tenants"] == [north, south]
+
+
+def test_a_patch_removes_tenants_but_makes_no_list_of_them() -> None:
+    """An empty list makes all routes private that are not public."""
+    change = json.dumps({"version": 7, "remove": {"tenants": ["north", "absent"]}}).encode()
+    with_list, without_list = (
+        document(validate_change(json.dumps(current).encode(), 5, True, change))
+        for current in (changed(tenants=TENANTS[:1]), DOCUMENT)
+    )
+    assert with_list["tenants"] == []
+    assert "tenants" not in without_list
+
+
 # --- compression
 
 
