A dispatcher can pull its configuration at once, beside its long poll

Cause: 401 claims that no configuration in force has a key; a dispatcher that is behind can't claim that. The update server goes on to count a subscriber as long-polling while its long poll is open: else an acknowledged drain would not have waited for it.

--- a/finchladder/cluster/process/update_puller.py
+++ b/finchladder/cluster/process/update_puller.py
@@ -171,6 +171,24 @@
             if not is_long_poll:
                 await self.poll_now.wait(self.poll_interval_s() * self.random.uniform(0.9, 1.1))
 
+    async def pull_once(self, timeout_s: float) -> bool:
+        """Pulls from the primary now; whether it answered in time and the chain has confirmed it lately.
+
+        The source's status stays as the regular pulls leave it: they resynchronise by it, and their timeout
+        is longer.
+        """
+        if not self.primary:
+            return False
+        pull = self._pull(dict(self.tables.vector), 0)
+        try:
+            reply = await self.peers.call(self.primary, pull, timeout_s)
+        except ClusterError:
+            return False
+        if not isinstance(reply, Update):
+            return False
+        self._merge(reply)
+        return reply.chain_confirmed
+
     def _pull(self, vector: dict[str, int], wait_ms: int) -> PullUpdates:
         return PullUpdates(
             sender=self.name,
--- a/finchladder/cluster/process/update_server.py
+++ b/finchladder/cluster/process/update_server.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import sleep
+from collections import Counter
 from collections.abc import Callable
 
 from attrs import define, field
@@ -70,12 +71,12 @@
     _compressor: DocumentCompressor = field(factory=DocumentCompressor, init=False)
     _dispatcher_count: int = field(default=0, init=False)
     _dispatchers_counted_at: float = field(default=NEVER, init=False)
+    _open_long_polls: Counter[str] = field(factory=Counter, init=False)  # by subscriber
 
     async def on_pull(self, pull: PullUpdates) -> Update:
         """Answers at once if the subscriber lacks anything, else after a change or the end of its poll."""
         self._register(pull)
-        await self._wait_for_change(pull)
-        await self._wait_for_batch(pull)
+        await self._wait(pull)
         subscriber = self._register(pull)
         if self._has_changes(pull):
             subscriber.last_update_at = steady()
@@ -122,12 +123,25 @@
             vector=pull.vector,
             last_pull_at=steady(),
             is_dispatcher=pull.is_dispatcher,
-            long_polls=pull.wait_ms > 0,
+            # a dispatcher that refreshes its configuration goes on to long-poll
+            long_polls=pull.wait_ms > 0 or pull.sender in self._open_long_polls,
             last_update_at=NEVER if known is None else known.last_update_at,
         )
         self.subscribers[pull.sender] = subscriber
         return subscriber
 
+    async def _wait(self, pull: PullUpdates) -> None:
+        if not pull.wait_ms:
+            return
+        self._open_long_polls[pull.sender] += 1
+        try:
+            await self._wait_for_change(pull)
+            await self._wait_for_batch(pull)
+        finally:
+            self._open_long_polls[pull.sender] -= 1
+            if not self._open_long_polls[pull.sender]:
+                del self._open_long_polls[pull.sender]
+
     async def _wait_for_change(self, pull: PullUpdates) -> None:
         deadline = steady() + min(pull.wait_ms / 1000, MAX_LONG_POLL_S)
         while not self._has_changes(pull):
@@ -137,7 +151,7 @@
 
     async def _wait_for_batch(self, pull: PullUpdates) -> None:
         """Delays changes that follow the last update closely, unless one is urgent."""
-        if not pull.is_dispatcher or not pull.wait_ms:
+        if not pull.is_dispatcher:
             return
         due_at = self.subscribers[pull.sender].last_update_at + self.batch_interval_s()
         while True:
--- a/tests/cluster/test_update_puller.py
+++ b/tests/cluster/test_update_puller.py
@@ -186,3 +186,32 @@
         assert puller.has_core_lost_quorum()
 
     run(work())
+
+
+@pytest.mark.parametrize(
+    ("unconfirmed", "unreachable", "is_confirmed"),
+    [(set(), set(), True), ({"core-2:1"}, set(), False), (set(), {"core-2:1"}, False)],
+    ids=["confirmed", "unconfirmed", "unreachable"],
+)
+def test_a_pull_beside_the_regular_ones_says_whether_the_primary_is_confirmed(
+    unconfirmed: set[str], unreachable: set[str], is_confirmed: bool
+) -> None:
+    async def work() -> None:
+        cores = Cores()
+        puller = await started_puller(cores)
+        cores.unconfirmed, cores.unreachable = unconfirmed, unreachable
+        began_at = asyncio.get_running_loop().time()
+        assert await puller.pull_once(0.2) is is_confirmed
+        assert asyncio.get_running_loop().time() - began_at <= 0.2
+        assert puller.primary == "core-2:1"
+
+    run(work())
+
+
+def test_a_pull_without_a_primary_confirms_nothing() -> None:
+    async def work() -> None:
+        cores = Cores()
+        assert not await new_puller(cores, Tasks()).pull_once(0.2)
+        assert not cores.calls
+
+    run(work())
--- a/tests/cluster/test_update_server.py
+++ b/tests/cluster/test_update_server.py
@@ -60,3 +60,20 @@
         return await update_count(scene, 200, lambda n: put_draining(scene, n))
 
     assert run_virtual(work) == 100
+
+
+def test_a_poll_beside_a_long_poll_leaves_its_subscriber_a_long_polling_one() -> None:
+    """Who acknowledges a drain waits for those that long-poll."""
+
+    async def work() -> list[bool]:
+        scene = session_scene()
+        seen = []
+        task = asyncio.create_task(scene.updates.on_pull(pull({}, 1000)))
+        await asyncio.sleep(0.1)
+        for _ in range(2):
+            await scene.updates.on_pull(pull({}))
+            seen.append(scene.updates.subscribers["edge-1"].long_polls)
+            await task
+        return seen
+
+    assert run_virtual(work) == [True, False]
