Requests need a tenant's key on private routes; workers are told the tenant, never the key

Unknown keys are looked up again after a refresh: 401, or 503 if the chain did not confirm the source. A tenant's priority goes before the route's. Event `request.unauthorized`.

--- a/finchladder/cluster/process/attempt.py
+++ b/finchladder/cluster/process/attempt.py
@@ -8,11 +8,13 @@
 from yarl import URL
 
 from finchladder.cluster.configuration.snapshot import Route
+from finchladder.cluster.routing.authorization import Authorized
 from finchladder.cluster.routing.headers import (
     DEADLINE_HEADER,
     EXPECTED_INSTANCE_HEADER,
     HOP_BY_HOP_HEADERS,
     HOST_HEADER,
+    IDENTITY_HEADERS,
     KEEP_ALIVE_HEADER,
     LAST_EVENT_ID_HEADER,
     NOT_EXECUTED_HEADER,
@@ -20,6 +22,7 @@
     REQUEST_ID_HEADER,
     RESPONSE_SIGNATURE_HEADER,
     RETRY_AFTER_HEADER,
+    TENANT_HEADER,
     forwarded_headers,
 )
 from finchladder.cluster.routing.requests import ClassifiedRequest
@@ -74,30 +77,40 @@
 
 @dataclass(frozen=True)
 class OutgoingRequest:
-    """What each attempt of one request sends. `deadline`: monotonic seconds."""
+    """What each attempt of one request sends.
+
+    Attributes:
+        priority: Replaces the client's; None: the client's is forwarded.
+        deadline: Monotonic seconds.
+        hides_identity: Whether the client's API key and what it says of its tenant are withheld.
+        tenant_name: The tenant that the worker is told; None: none.
+    """
 
     client_request: web.BaseRequest
     body: bytes
     request_id: str
     priority: int | None
     deadline: float
+    hides_identity: bool = False
+    tenant_name: str | None = None
 
     def headers(self, worker: Worker, last_event_id: str) -> list[tuple[str, str]]:
         """Headers for that worker, in wire order; `last_event_id` resumes a stream, if not empty."""
-        replaced = {DEADLINE_HEADER.lower(), EXPECTED_INSTANCE_HEADER.lower()}
-        if last_event_id:
-            replaced.add(LAST_EVENT_ID_HEADER.lower())
-        if self.priority is not None:
-            replaced.add(PRIORITY_HEADER.lower())
-        headers = [(HOST_HEADER, self.client_request.headers.get(HOST_HEADER, ""))]
-        headers += forwarded_headers(self.client_request.headers, HOP_BY_HOP_HEADERS | replaced)
-        headers.append((DEADLINE_HEADER, str(self._remaining_ms())))
-        headers.append((EXPECTED_INSTANCE_HEADER, worker.instance))
+        written = [
+            (DEADLINE_HEADER, str(self._remaining_ms())),
+            (EXPECTED_INSTANCE_HEADER, worker.instance),
+        ]
         if last_event_id:
-            headers.append((LAST_EVENT_ID_HEADER, last_event_id))
+            written.append((LAST_EVENT_ID_HEADER, last_event_id))
         if self.priority is not None:
-            headers.append((PRIORITY_HEADER, str(self.priority)))
-        return headers
+            written.append((PRIORITY_HEADER, str(self.priority)))
+        if self.tenant_name is not None:
+            written.append((TENANT_HEADER, self.tenant_name))
+        dropped = HOP_BY_HOP_HEADERS | {name.lower() for name, _ in written}
+        if self.hides_identity:
+            dropped |= IDENTITY_HEADERS
+        host = (HOST_HEADER, self.client_request.headers.get(HOST_HEADER, ""))
+        return [host, *forwarded_headers(self.client_request.headers, dropped), *written]
 
     def _remaining_ms(self) -> int:
         return max(1, int((self.deadline - steady()) * 1000))
@@ -105,12 +118,17 @@
 
 @dataclass(frozen=True)
 class AdmittedRequest:
-    """A client's request that is sent to workers, with its route and what each attempt sends."""
+    """A client's request that is sent to workers: what allows it, and what each attempt sends."""
 
-    route: Route
+    authorized: Authorized
     classified: ClassifiedRequest
     outgoing: OutgoingRequest
 
+    @property
+    def route(self) -> Route:
+        """Its route."""
+        return self.authorized.route
+
 
 async def send(
     session: aiohttp.ClientSession, outgoing: OutgoingRequest, worker: Worker, last_event_id: str = ""
--- a/finchladder/cluster/process/attempt_sender.py
+++ b/finchladder/cluster/process/attempt_sender.py
@@ -1,7 +1,7 @@
 """Sends attempts within their deadlines and this dispatcher's retry budgets."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import ExitStack, asynccontextmanager
 from http import HTTPStatus
 
@@ -31,12 +31,16 @@
 
 @define
 class AttemptSender:
-    """Sends the attempts of all requests, and times them out."""
+    """Sends the attempts of all requests, and times them out.
+
+    `may_send`: whether the newest configuration still allows a request.
+    """
 
     session: aiohttp.ClientSession
     queue: RequestQueue
     retry_budgets: RetryBudgets
     demand: DemandCounter
+    may_send: Callable[[AdmittedRequest], bool]
     _open_timeouts: set[asyncio.Timeout] = field(factory=set)
 
     async def send(self, outgoing: OutgoingRequest, worker: Worker, last_event_id: str = "") -> Outcome:
@@ -57,7 +61,7 @@
         The caller closes the stream.
         """
         worker = await self.queue.select_worker(request.classified, attempted)
-        if worker is None:
+        if worker is None or not self.may_send(request):
             return None
         if not self.retry_budgets.try_withdraw(request.classified.key.service, steady()):
             return None
--- a/finchladder/cluster/process/client_responses.py
+++ b/finchladder/cluster/process/client_responses.py
@@ -7,7 +7,8 @@
 from attrs import define
 
 from finchladder.cluster.process.log import event
-from finchladder.cluster.routing.headers import RETRY_AFTER_HEADER
+from finchladder.cluster.routing.authorization import UnauthorizedReason
+from finchladder.cluster.routing.headers import AUTHENTICATE_HEADER, RETRY_AFTER_HEADER
 from finchladder.cluster.routing.requests import ClassifiedRequest
 from finchladder.cluster.transport.peers import steady
 
@@ -16,11 +17,15 @@
     """Why a request is rejected with 503; the values stand in the log event `request.refused`."""
 
     CONFIGURATION_STALE = "doubtful"
+    CONFIGURATION_UNCONFIRMED = "unconfirmed"
     SHUTTING_DOWN = "ending"
     NO_REPLICA = "absent"
     NO_CAPACITY = "full"
 
 
+AUTHENTICATION_CHALLENGE = "Token"  # the scheme that `Authorization` must have
+
+
 class ClientDisconnectedError(Exception):
     """The client's connection is lost; there is nobody to respond to."""
 
@@ -45,6 +50,13 @@
         response.headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.2f}"
         return self.finish(response)
 
+    def unauthorized(self, reason: UnauthorizedReason) -> web.StreamResponse:
+        """A 401: no configuration in force has the request's key."""
+        event("request.unauthorized", reason=reason.value)
+        response = web.Response(status=HTTPStatus.UNAUTHORIZED, text="no valid API key\n")
+        response.headers[AUTHENTICATE_HEADER] = AUTHENTICATION_CHALLENGE
+        return self.finish(response)
+
     def error(self, status: HTTPStatus, text: str) -> web.StreamResponse:
         """A response with that status and one line of text."""
         return self.finish(web.Response(status=status, text=text + "\n"))
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -1,6 +1,7 @@
 """A dispatcher process: wiring, configuration and pool updates, readiness, graceful shutdown."""
 
 import asyncio
+import secrets
 from http import HTTPStatus
 from random import Random
 
@@ -9,6 +10,7 @@
 
 from finchladder.cluster.configuration import snapshot
 from finchladder.cluster.configuration.compression import decompress
+from finchladder.cluster.process.configuration_refresher import ConfigurationRefresher
 from finchladder.cluster.process.demand_reporter import DemandReporter
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.pool_updater import PoolUpdater
@@ -20,6 +22,7 @@
 from finchladder.cluster.routing.retry_budget import RetryBudget
 from finchladder.cluster.routing.selection import AFFINITY_SLOT_SHARE, WorkerSelector
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
+from finchladder.cluster.tenancy.api_keys import KEY_SALT_BYTES
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 from finchladder.cluster.transport.peers import PeerClient, steady
@@ -44,6 +47,7 @@
     Attributes:
         has_confirmed_state: Whether a state that the chain confirmed was received.
         stopping: Whether a graceful shutdown has begun.
+        key_salt: Salt of the digests of API keys in this process.
     """
 
     settings: Settings
@@ -57,6 +61,7 @@
     started_at: float = field(factory=steady)
     has_confirmed_state: bool = False
     stopping: bool = False
+    key_salt: bytes = field(factory=lambda: secrets.token_bytes(KEY_SALT_BYTES), repr=False)
 
     def _build_components(self) -> None:
         settings = self.settings
@@ -78,6 +83,7 @@
             on_update=self._apply_update,
             timeouts=settings.bounds.contact_timeouts,
         )
+        self.router.refresh_configuration = ConfigurationRefresher(self.puller.pull_once, self.tasks).refresh
         self.pool_updater = PoolUpdater(tables)
         self.demand_reporter = DemandReporter(
             node_name=settings.node_name,
@@ -107,7 +113,7 @@
     def _apply_update(self, update: Update, changed_instances: list[str]) -> None:
         """Activates a newer configuration and updates the pools."""
         if update.document and update.version > self.router.snapshot.version:
-            self.router.snapshot = snapshot.build_snapshot(decompress(update.document))
+            self.router.snapshot = snapshot.build_snapshot(decompress(update.document), self.key_salt)
             event("configuration.activated", version=update.version)
         if changed_instances:
             self.router.pools = self.pool_updater.updated_pools(self.router.pools, changed_instances)
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -1,5 +1,7 @@
 """The placer: while a control process holds its lease, it decides which worker loads which model."""
 
+import secrets
+
 from attrs import define, field
 
 from finchladder.cluster.configuration.snapshot import EMPTY_SNAPSHOT, ConfigurationSnapshot, build_snapshot
@@ -14,6 +16,7 @@
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_server import UpdateServer
 from finchladder.cluster.process.worker_orders import WorkerOrders
+from finchladder.cluster.tenancy.api_keys import KEY_SALT_BYTES
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.messages import DemandReply, DemandReport
 
@@ -92,7 +95,7 @@
         now = steady()
         state = self.updates.state()
         if state.version != self.snapshot.version and state.document:
-            self.snapshot = build_snapshot(state.document)
+            self.snapshot = build_snapshot(state.document, secrets.token_bytes(KEY_SALT_BYTES))
         self.demand.tracker.decay(now)
         self.workers.follow_sessions(self.snapshot)
         for name, service in self.snapshot.services.items():
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -1,6 +1,6 @@
 """The life of a request on the data plane: classify, admit, select a worker, attempt, retry, respond."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from math import inf
 
@@ -12,7 +12,6 @@
     EMPTY_SNAPSHOT,
     ConfigurationSnapshot,
     RequestKind,
-    Route,
 )
 from finchladder.cluster.process.attempt import (
     AdmittedRequest,
@@ -41,8 +40,17 @@
     RequestQueue,
 )
 from finchladder.cluster.process.worker_stream import WorkerStream
+from finchladder.cluster.routing.authorization import (
+    AuthorizationDecision,
+    Authorized,
+    NoRoute,
+    Unauthorized,
+    UnauthorizedReason,
+    authorize,
+    is_still_authorized,
+)
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.headers import HOST_HEADER, forwarded_headers
+from finchladder.cluster.routing.headers import AUTHORIZATION_HEADER, HOST_HEADER, forwarded_headers
 from finchladder.cluster.routing.pools import Pools
 from finchladder.cluster.routing.requests import ClassifiedRequest, classify
 from finchladder.cluster.routing.retry_budget import RetryBudget, RetryBudgets
@@ -56,10 +64,14 @@
 
 @define
 class AttemptHistory:
-    """Attempts of one request. `attempted`: instances that may have received it."""
+    """Attempts of one request.
+
+    `attempted`: instances that may have received it; `may_have_run`: whether one of them may have run it.
+    """
 
     attempted: frozenset[str] = frozenset()
     connect_failures: int = 0
+    may_have_run: bool = False
 
     def record(self, worker: Worker, failure: FailedAttempt) -> None:
         """Adds an attempt that failed."""
@@ -67,6 +79,20 @@
             self.connect_failures += 1
         else:
             self.attempted |= {worker.instance}
+            self.may_have_run |= not isinstance(failure, NotExecuted)
+
+
+async def _confirm_configuration() -> bool:
+    """For a router whose configuration has no source to pull from."""
+    return True
+
+
+def _authorize(client_request: web.BaseRequest, snapshot: ConfigurationSnapshot) -> AuthorizationDecision:
+    """What one configuration says of a request."""
+    headers = client_request.headers
+    host = headers.get(HOST_HEADER, "").partition(":")[0]
+    path = client_request.raw_path.partition("?")[0]
+    return authorize(snapshot, host, path, headers.getall(AUTHORIZATION_HEADER, []))
 
 
 @define
@@ -77,6 +103,8 @@
         make_retry_budget: Makes the retry budget of a service.
         dispatcher_count: How many dispatchers there are; 0: unknown.
         is_configuration_stale: Whether a newer configuration may be in force.
+        refresh_configuration: Replaces `snapshot` if a newer configuration can be had at once; whether the
+            chain has confirmed its source lately.
         reject_unfinishable_from: Requests that arrive later are rejected if they may outlast the process.
         open_requests: Requests without a complete response.
     """
@@ -87,6 +115,7 @@
     dispatcher_count: Callable[[], int]
     demand: DemandCounter
     is_configuration_stale: Callable[[], bool] = lambda: False
+    refresh_configuration: Callable[[], Awaitable[bool]] = _confirm_configuration
     snapshot: ConfigurationSnapshot = EMPTY_SNAPSHOT
     queue: RequestQueue = field(init=False)
     retry_budgets: RetryBudgets = field(init=False)
@@ -99,7 +128,7 @@
         """Makes the parts that share what this router was given."""
         self.queue = RequestQueue(self.selector, self.dispatcher_count, self.demand)
         self.retry_budgets = RetryBudgets(self.make_retry_budget, self.dispatcher_count)
-        self.sender = AttemptSender(self.session, self.queue, self.retry_budgets, self.demand)
+        self.sender = AttemptSender(self.session, self.queue, self.retry_budgets, self.demand, self._may_send)
 
     @property
     def pools(self) -> Pools:
@@ -148,26 +177,48 @@
         """Classifies and admits a request, and serves it; the response to one that is not admitted."""
         if not self.snapshot.version or self.is_configuration_stale():
             return self.responses.reject(RETRY_AFTER_NO_REPLICA_S, RejectReason.CONFIGURATION_STALE)
-        route = self._match_route(client_request)
-        if route is None:
-            await client_request.content.read()
-            return self.responses.error(HTTPStatus.NOT_FOUND, "no route")
-        classified = classify(client_request.headers, route, steady())
-        body = await self._read_body(client_request)
+        arrived_at = steady()
+        snapshot = self.snapshot  # for the request's whole life, but for `_may_send`
+        decision = _authorize(client_request, snapshot)
+        is_confirmed = True
+        if isinstance(decision, Unauthorized):
+            is_confirmed = await self.refresh_configuration()
+            snapshot = self.snapshot
+            decision = _authorize(client_request, snapshot)
+        match decision:
+            case NoRoute():
+                await client_request.content.read()
+                return self.responses.error(HTTPStatus.NOT_FOUND, "no route")
+            case Unauthorized(reason):
+                await self._read_body(client_request, snapshot.max_body_bytes)
+                return self._reject_unauthorized(reason, is_confirmed)
+            case Authorized():
+                return await self._admit_and_serve(client_request, snapshot, decision, arrived_at)
+
+    def _reject_unauthorized(self, reason: UnauthorizedReason, is_confirmed: bool) -> web.StreamResponse:
+        """A 401 claims that no configuration in force has the key: only a confirmed one allows that."""
+        if is_confirmed:
+            return self.responses.unauthorized(reason)
+        return self.responses.reject(RETRY_AFTER_NO_REPLICA_S, RejectReason.CONFIGURATION_UNCONFIRMED)
+
+    async def _admit_and_serve(
+        self,
+        client_request: web.BaseRequest,
+        snapshot: ConfigurationSnapshot,
+        authorized: Authorized,
+        arrived_at: float,
+    ) -> web.StreamResponse:
+        """Serves a request that the snapshot allows, if it can still be served."""
+        classified = classify(client_request.headers, authorized.route, arrived_at)
+        body = await self._read_body(client_request, snapshot.max_body_bytes)
         if body is None:
             return self.responses.error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
         if self._may_outlast_process(classified):
             return self.responses.reject(RETRY_AFTER_BUSY_S, RejectReason.SHUTTING_DOWN, classified)
-        return await self._serve(self._admit(client_request, route, classified, body))
-
-    def _match_route(self, client_request: web.BaseRequest) -> Route | None:
-        host = client_request.headers.get(HOST_HEADER, "").partition(":")[0]
-        path = client_request.raw_path.partition("?")[0]
-        return self.snapshot.match(host, path)
+        return await self._serve(self._admit(client_request, snapshot, authorized, classified, body))
 
-    async def _read_body(self, client_request: web.BaseRequest) -> bytes | None:
-        """The body; None if it exceeds the limit of the configuration."""
-        max_bytes = self.snapshot.max_body_bytes
+    async def _read_body(self, client_request: web.BaseRequest, max_bytes: int) -> bytes | None:
+        """The body; None if it exceeds the limit."""
         chunks = []
         size = 0
         try:
@@ -185,20 +236,27 @@
         return is_late and classified.deadline > self.queue.closes_at
 
     def _admit(
-        self, client_request: web.BaseRequest, route: Route, classified: ClassifiedRequest, body: bytes
+        self,
+        client_request: web.BaseRequest,
+        snapshot: ConfigurationSnapshot,
+        authorized: Authorized,
+        classified: ClassifiedRequest,
+        body: bytes,
     ) -> AdmittedRequest:
-        service = self.snapshot.services.get(classified.key.service)
+        service = snapshot.services.get(classified.key.service)
         has_engine = service is not None and service.engine is not None
         outgoing = OutgoingRequest(
             client_request=client_request,
             body=body,
             request_id=classified.request_id,
-            priority=route.priority if has_engine else None,
+            priority=authorized.priority if has_engine else None,
             deadline=classified.deadline,
+            hides_identity=authorized.has_tenants,
+            tenant_name=None if authorized.tenant is None else authorized.tenant.name,
         )
         self.retry_budgets.record_request(classified.key.service, steady())
         self.demand.record_request(classified)
-        return AdmittedRequest(route, classified, outgoing)
+        return AdmittedRequest(authorized, classified, outgoing)
 
     # --- select, attempt, retry ---------------------------------------------------------------------------
 
@@ -209,6 +267,8 @@
             worker = await self.queue.select_worker(request.classified, history.attempted)
             if worker is None:
                 return self._reject_without_worker(request.classified)
+            if not self._may_send(request):
+                return self._reject_revoked(history)
             if history.attempted and not self._withdraw_retry(request):
                 return self._reject_no_capacity(request)
             with InFlightRequest(self.demand, request.classified, worker) as in_flight:
@@ -224,6 +284,15 @@
             if response is not None:
                 return response
 
+    def _may_send(self, request: AdmittedRequest) -> bool:
+        """Whether the newest configuration still has the request's key, at the same tenant."""
+        return is_still_authorized(request.authorized, self.snapshot)
+
+    def _reject_revoked(self, history: AttemptHistory) -> web.StreamResponse:
+        if history.may_have_run:
+            return self.responses.error(HTTPStatus.BAD_GATEWAY, "the worker gave no answer")
+        return self.responses.unauthorized(UnauthorizedReason.REVOKED)
+
     def _withdraw_retry(self, request: AdmittedRequest) -> bool:
         """Withdraws a retry from the budget of the request's service."""
         return self.retry_budgets.try_withdraw(request.classified.key.service, steady())
--- a/finchladder/cluster/routing/headers.py
+++ b/finchladder/cluster/routing/headers.py
@@ -17,6 +17,9 @@
 CONTENT_LENGTH_HEADER = "Content-Length"
 KEEP_ALIVE_HEADER = "Keep-Alive"
 RETRY_AFTER_HEADER = "Retry-After"
+TENANT_HEADER = "X-Finchladder-Tenant"
+AUTHORIZATION_HEADER = "Authorization"
+AUTHENTICATE_HEADER = "WWW-Authenticate"
 
 # Of one connection only; `Content-Length`, `Host` and `Expect` are written anew for each connection.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -37,6 +40,10 @@
 )
 
 
+# Of a client, where the configuration has tenants: the key stays here, and the tenant is ours to name.
+IDENTITY_HEADERS = frozenset({AUTHORIZATION_HEADER.lower(), TENANT_HEADER.lower()})
+
+
 def forwarded_headers(
     headers: Mapping[str, str], dropped: frozenset[str] = HOP_BY_HOP_HEADERS
 ) -> list[tuple[str, str]]:
--- a/tests/cluster/test_dispatcher_node.py
+++ b/tests/cluster/test_dispatcher_node.py
@@ -1,21 +1,26 @@
 """Graceful shutdown of a dispatcher on real sockets."""
 
 import asyncio
+import json
 from types import SimpleNamespace
 from typing import cast
 
 import pytest
 from aiohttp import web
 
+from finchladder.cluster.configuration.compression import DocumentCompressor
 from finchladder.cluster.process import dispatcher_node
+from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.dispatcher_node import DispatcherNode
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.retry_budget import RetryBudget
 from finchladder.cluster.routing.selection import WorkerSelector
+from finchladder.cluster.tenancy.api_keys import ApiKey
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
+from finchladder.cluster.types.messages import PullUpdates, Reply, Request, Update
 
 RESPONSE_S = 1.0  # longer than `FINAL_RESPONSES_S`
 
@@ -70,3 +75,43 @@
             await work()
 
     asyncio.run(bounded())
+
+
+def test_an_unknown_key_is_looked_up_in_the_configuration_of_the_primary() -> None:
+    document = {
+        "version": 2,
+        "routes": [{"name": "r", "host": "a", "path_prefix": "/", "service": "s"}],
+        "services": [{"name": "s"}],
+        "tenants": [{"name": "north", "api_keys": ["secret-1"]}],
+    }
+
+    class Primary:
+        """Knows the newer configuration, but the chain has not confirmed it."""
+
+        async def call(self, address: str, request: Request, timeout_s: float) -> Reply:
+            assert address == "core-1:1"
+            assert isinstance(request, PullUpdates) and request.version == 0
+            compressed = DocumentCompressor().compress(json.dumps(document).encode())
+            return Update("core-1/1", {}, None, (), (), 2, compressed, False, False, "", 1, False)
+
+    async def work() -> None:
+        bounds = SimpleNamespace(
+            contact_timeouts=ContactTimeouts(3.0), retry_ratio=0.2, retry_slack=50, retry_window_s=10
+        )
+        settings = SimpleNamespace(
+            node_name="edge-1", zone="z", peer_address="edge-1:1", seeds=(), bounds=bounds
+        )
+        node = DispatcherNode(cast(Settings, settings))
+        node._build_components()
+        node.puller.peers, node.puller.primary = Primary(), "core-1:1"
+        assert not await node.router.refresh_configuration()
+        keys = node.router.snapshot.keys
+        assert keys is not None
+        tenant = keys.tenant_of(ApiKey("secret-1"))
+        assert tenant is not None and tenant.name == "north"
+        assert keys._salt == node.key_salt and len(set(node.key_salt)) > 1
+        assert "secret" not in repr(node) and repr(node.key_salt) not in repr(node)
+        await node.router.session.close()
+        await node.peers.close()
+
+    asyncio.run(work())
