Requests reserve quota before they are queued and before each send

Change: the router reserves a request's cost at the account before it admits it, and again before a send where the reservation has lapsed or was spent; 429 with Retry-After over the limit, 503 without an account in reach.

--- a/finchladder/cluster/process/attempt.py
+++ b/finchladder/cluster/process/attempt.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from finchladder.cluster.configuration.snapshot import Route
+from finchladder.cluster.process.request_quota import RequestQuota
 from finchladder.cluster.routing.authorization import Authorized
 from finchladder.cluster.routing.headers import (
     DEADLINE_HEADER,
@@ -118,11 +119,12 @@
 
 @dataclass(frozen=True)
 class AdmittedRequest:
-    """A client's request that is sent to workers: what allows it, and what each attempt sends."""
+    """A client's request that is sent to workers: what allows it, what it costs, what each attempt sends."""
 
     authorized: Authorized
     classified: ClassifiedRequest
     outgoing: OutgoingRequest
+    quota: RequestQuota
 
     @property
     def route(self) -> Route:
--- a/finchladder/cluster/process/attempt_sender.py
+++ b/finchladder/cluster/process/attempt_sender.py
@@ -60,11 +60,14 @@
 
         The caller closes the stream.
         """
+        if await request.quota.reserve() is not None:
+            return None
         worker = await self.queue.select_worker(request.classified, attempted)
-        if worker is None or not self.may_send(request):
+        if worker is None or not self.may_send(request) or not request.quota.is_reserved():
             return None
         if not self.retry_budgets.try_withdraw(request.classified.key.service, steady()):
             return None
+        request.quota.spend()
         with ExitStack() as attempt:
             in_flight = attempt.enter_context(InFlightRequest(self.demand, request.classified, worker))
             outcome = await self.send(request.outgoing, worker, last_event_id)
--- a/finchladder/cluster/process/client_responses.py
+++ b/finchladder/cluster/process/client_responses.py
@@ -21,6 +21,7 @@
     SHUTTING_DOWN = "ending"
     NO_REPLICA = "absent"
     NO_CAPACITY = "full"
+    QUOTA_UNAVAILABLE = "quota"
 
 
 AUTHENTICATION_CHALLENGE = "Token"  # the scheme that `Authorization` must have
@@ -57,6 +58,12 @@
         response.headers[AUTHENTICATE_HEADER] = AUTHENTICATION_CHALLENGE
         return self.finish(response)
 
+    def over_quota(self, retry_after_s: float) -> web.StreamResponse:
+        """A 429 with `Retry-After`: the request was not executed, its tenant has used up its quota."""
+        response = web.Response(status=HTTPStatus.TOO_MANY_REQUESTS, text="the tenant's quota is used up\n")
+        response.headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.2f}"
+        return self.finish(response)
+
     def error(self, status: HTTPStatus, text: str) -> web.StreamResponse:
         """A response with that status and one line of text."""
         return self.finish(web.Response(status=status, text=text + "\n"))
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -14,6 +14,7 @@
 from finchladder.cluster.process.demand_reporter import DemandReporter
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.pool_updater import PoolUpdater
+from finchladder.cluster.process.quota_client import QuotaClient
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
@@ -58,6 +59,7 @@
     router: Router = field(init=False)
     pool_updater: PoolUpdater = field(init=False)
     demand_reporter: DemandReporter = field(init=False)
+    quotas: QuotaClient = field(init=False)
     started_at: float = field(factory=steady)
     has_confirmed_state: bool = False
     stopping: bool = False
@@ -83,6 +85,8 @@
             on_update=self._apply_update,
             timeouts=settings.bounds.contact_timeouts,
         )
+        self.quotas = QuotaClient(settings.node_name, self.peers, lambda: self.puller.placer)
+        self.router.quotas = self.quotas
         self.router.refresh_configuration = ConfigurationRefresher(self.puller.pull_once, self.tasks).refresh
         self.pool_updater = PoolUpdater(tables)
         self.demand_reporter = DemandReporter(
@@ -146,6 +150,7 @@
         await frontend.start()
         self.tasks.repeat(self.puller.run, "sources")
         self.tasks.repeat(self.demand_reporter.run, "demand")
+        self.tasks.repeat(self.quotas.run, "quota")
         event("node.started", role="edge", address=self.settings.frontend)
         await stop.wait()
         await self._graceful_shutdown(frontend)
--- a/finchladder/cluster/process/request_quota.py
+++ b/finchladder/cluster/process/request_quota.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from finchladder.cluster.tenancy.reservations import QuotaRefusal, Reservation
+from finchladder.cluster.tenancy.reservations import QuotaRefusal, QuotaUnavailable, Reservation
 from finchladder.cluster.tenancy.tenants import Tenant
 from finchladder.cluster.transport.peers import steady
 
@@ -23,6 +23,19 @@
         ...
 
 
+class NoAccount:
+    """Source of a dispatcher that has no account to ask: nothing is granted."""
+
+    async def reserve(
+        self, tenant: Tenant, cost: int, give_up_at: float, replaced: Reservation | None = None
+    ) -> Reservation | QuotaRefusal:
+        """No reservation."""
+        return QuotaUnavailable()
+
+    def give_back(self, reservation: Reservation) -> None:
+        """There is none to return."""
+
+
 @define
 class RequestQuota:
     """The reservation of one request. Without a tenant, or without a limit, nothing is reserved.
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -31,6 +31,7 @@
     abort_connection,
 )
 from finchladder.cluster.process.in_flight import InFlightRequest
+from finchladder.cluster.process.request_quota import NoAccount, QuotaSource, RequestQuota
 from finchladder.cluster.process.stream_relay import StreamRelay
 from finchladder.cluster.process.tasks import Signal
 from finchladder.cluster.process.worker_backoff import record_failure
@@ -56,10 +57,15 @@
 from finchladder.cluster.routing.retry_budget import RetryBudget, RetryBudgets
 from finchladder.cluster.routing.selection import WorkerSelector
 from finchladder.cluster.routing.workers import Worker
+from finchladder.cluster.tenancy.reservations import QuotaExhausted, QuotaRefusal, QuotaUnavailable
 from finchladder.cluster.transport.peers import steady
 
 CLIENT_RETRY_GRACE_S = 0.5  # after its `Retry-After` a rejected client has retried or given up
 MAX_CONNECT_FAILURES = 4  # of one request
+QUOTA_WAIT_SHARE = 0.25  # of the latency target, after which a refusal costs its value
+MIN_QUOTA_WAIT_S = 0.05
+RETRY_AFTER_NO_ACCOUNT_S = 0.5
+NO_ANSWER = "the worker gave no answer"
 
 
 @define
@@ -105,6 +111,7 @@
         is_configuration_stale: Whether a newer configuration may be in force.
         refresh_configuration: Replaces `snapshot` if a newer configuration can be had at once; whether the
             chain has confirmed its source lately.
+        quotas: Grants the quota of tenants that have a limit.
         reject_unfinishable_from: Requests that arrive later are rejected if they may outlast the process.
         open_requests: Requests without a complete response.
     """
@@ -116,6 +123,7 @@
     demand: DemandCounter
     is_configuration_stale: Callable[[], bool] = lambda: False
     refresh_configuration: Callable[[], Awaitable[bool]] = _confirm_configuration
+    quotas: QuotaSource = field(factory=NoAccount)
     snapshot: ConfigurationSnapshot = EMPTY_SNAPSHOT
     queue: RequestQueue = field(init=False)
     retry_budgets: RetryBudgets = field(init=False)
@@ -215,7 +223,35 @@
             return self.responses.error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
         if self._may_outlast_process(classified):
             return self.responses.reject(RETRY_AFTER_BUSY_S, RejectReason.SHUTTING_DOWN, classified)
-        return await self._serve(self._admit(client_request, snapshot, authorized, classified, body))
+        quota = self._quota(authorized, classified)
+        try:
+            refusal = await quota.reserve()
+            if refusal is not None:
+                return self._reject_without_quota(refusal, classified)
+            return await self._serve(
+                self._admit(client_request, snapshot, authorized, classified, body, quota)
+            )
+        finally:
+            quota.release()
+
+    def _quota(self, authorized: Authorized, classified: ClassifiedRequest) -> RequestQuota:
+        """What the request costs of its tenant's quota; nothing is reserved yet."""
+        tenant = authorized.tenant
+        cost = 0 if tenant is None else tenant.cost(classified.total_tokens)
+        max_wait_s = max(MIN_QUOTA_WAIT_S, QUOTA_WAIT_SHARE * classified.latency_target_s)
+        return RequestQuota(self.quotas, tenant, cost, max_wait_s)
+
+    def _reject_without_quota(
+        self, refusal: QuotaRefusal, classified: ClassifiedRequest
+    ) -> web.StreamResponse:
+        """The response to a request that no worker may have run."""
+        match refusal:
+            case QuotaExhausted(retry_after_s):
+                return self.responses.over_quota(retry_after_s)
+            case QuotaUnavailable():
+                return self.responses.reject(
+                    RETRY_AFTER_NO_ACCOUNT_S, RejectReason.QUOTA_UNAVAILABLE, classified
+                )
 
     async def _read_body(self, client_request: web.BaseRequest, max_bytes: int) -> bytes | None:
         """The body; None if it exceeds the limit."""
@@ -242,6 +278,7 @@
         authorized: Authorized,
         classified: ClassifiedRequest,
         body: bytes,
+        quota: RequestQuota,
     ) -> AdmittedRequest:
         service = snapshot.services.get(classified.key.service)
         has_engine = service is not None and service.engine is not None
@@ -256,7 +293,7 @@
         )
         self.retry_budgets.record_request(classified.key.service, steady())
         self.demand.record_request(classified)
-        return AdmittedRequest(authorized, classified, outgoing)
+        return AdmittedRequest(authorized, classified, outgoing, quota)
 
     # --- select, attempt, retry ---------------------------------------------------------------------------
 
@@ -264,13 +301,10 @@
         """Attempts the request at one worker after the other until there is a response."""
         history = AttemptHistory()
         while True:
-            worker = await self.queue.select_worker(request.classified, history.attempted)
-            if worker is None:
-                return self._reject_without_worker(request.classified)
-            if not self._may_send(request):
-                return self._reject_revoked(history)
-            if history.attempted and not self._withdraw_retry(request):
-                return self._reject_no_capacity(request)
+            worker = await self._next_worker(request, history)
+            if not isinstance(worker, Worker):
+                return worker
+            request.quota.spend()
             with InFlightRequest(self.demand, request.classified, worker) as in_flight:
                 outcome = await self.sender.send(request.outgoing, worker)
                 if isinstance(outcome, Responded):
@@ -278,19 +312,42 @@
                         in_flight.record_first_token()
                     worker.consecutive_failures = 0
                     return await self._relay(request, WorkerStream(worker, outcome.response, in_flight))
+            if isinstance(outcome, NotSent | NotExecuted):
+                request.quota.restore()
             record_failure(worker, request.classified, outcome)
             history.record(worker, outcome)
             response = self._response_unless_retried(request, history, outcome)
             if response is not None:
                 return response
 
+    async def _next_worker(
+        self, request: AdmittedRequest, history: AttemptHistory
+    ) -> Worker | web.StreamResponse:
+        """The worker that the next attempt may be sent to now, or the response if there is none."""
+        while True:
+            worker = await self.queue.select_worker(request.classified, history.attempted)
+            if worker is None:
+                return self._reject_without_worker(request.classified)
+            if not self._may_send(request):
+                return self._reject_revoked(history)
+            if request.quota.is_reserved():
+                break
+            refusal = await request.quota.reserve()
+            if refusal is not None and history.may_have_run:
+                return self.responses.error(HTTPStatus.BAD_GATEWAY, NO_ANSWER)
+            if refusal is not None:
+                return self._reject_without_quota(refusal, request.classified)
+        if history.attempted and not self._withdraw_retry(request):
+            return self._reject_no_capacity(request)
+        return worker
+
     def _may_send(self, request: AdmittedRequest) -> bool:
         """Whether the newest configuration still has the request's key, at the same tenant."""
         return is_still_authorized(request.authorized, self.snapshot)
 
     def _reject_revoked(self, history: AttemptHistory) -> web.StreamResponse:
         if history.may_have_run:
-            return self.responses.error(HTTPStatus.BAD_GATEWAY, "the worker gave no answer")
+            return self.responses.error(HTTPStatus.BAD_GATEWAY, NO_ANSWER)
         return self.responses.unauthorized(UnauthorizedReason.REVOKED)
 
     def _withdraw_retry(self, request: AdmittedRequest) -> bool:
@@ -313,9 +370,9 @@
             case Broken():
                 if may_retry and request.route.is_idempotent:
                     return None
-                return self.responses.error(HTTPStatus.BAD_GATEWAY, "the worker gave no answer")
+                return self.responses.error(HTTPStatus.BAD_GATEWAY, NO_ANSWER)
             case TimedOut():
-                return self.responses.error(HTTPStatus.GATEWAY_TIMEOUT, "the worker gave no answer")
+                return self.responses.error(HTTPStatus.GATEWAY_TIMEOUT, NO_ANSWER)
 
     # --- respond ------------------------------------------------------------------------------------------
 
--- a/finchladder/cluster/routing/requests.py
+++ b/finchladder/cluster/routing/requests.py
@@ -28,6 +28,7 @@
         deadline: When the client, or the route, gives up.
         prompt_tokens: 0 if unknown.
         client_stall_timeout_s: A client gives up a response that is silent for so long.
+        total_tokens: Of the prompt and the most that is put out; None if the client does not tell.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     prompt_tokens: int
     latency_target_s: float
     client_stall_timeout_s: float
+    total_tokens: int | None = None
 
 
 def classify(headers: Mapping[str, str], route: Route, now: float) -> ClassifiedRequest:
@@ -45,12 +47,14 @@
     deadline_ms = _parse_number(headers.get(DEADLINE_HEADER))
     client_timeout_s = route.timeout_s if deadline_ms is None else deadline_ms / 1000
     model, _, adapter = headers.get(MODEL_HEADER, "").partition("/")
+    token_counts = _parse_token_counts(headers.get(TOKEN_COUNT_HEADER))
     return ClassifiedRequest(
         request_id=request_id,
         key=PoolKey(route.service_at(_split_point(request_id)), model, adapter),
         arrived_at=now,
         deadline=now + min(client_timeout_s, route.timeout_s),
-        prompt_tokens=_parse_token_count(headers.get(TOKEN_COUNT_HEADER)),
+        prompt_tokens=token_counts[0] if token_counts else 0,
+        total_tokens=sum(token_counts) if token_counts else None,
         latency_target_s=route.latency_target_s,
         client_stall_timeout_s=_client_stall_timeout_s(route, client_timeout_s),
     )
@@ -80,8 +84,9 @@
         return None
 
 
-def _parse_token_count(text: str | None) -> int:
+def _parse_token_counts(text: str | None) -> tuple[int, ...]:
+    """Tokens of the prompt and the most that is put out; empty if they can't be parsed."""
     try:
-        return int(text.split(",")[0]) if text else 0
+        return tuple(max(0, int(part)) for part in text.split(",")) if text else ()
     except ValueError:
-        return 0
+        return ()
