--- a/finchladder/cluster/process/quota_service.py
+++ b/finchladder/cluster/process/quota_service.py
@@ -1,6 +1,8 @@
 """Serves the quota account at the holder of the placer's lease."""
 
-from attrs import define, field
+from collections.abc import Callable
+
+from attrs import define, field, frozen
 
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.placer_lease import PlacerLeaseService
@@ -14,30 +16,45 @@
 NOT_THE_HOLDER = QuotaReply(is_holder=False)
 
 
+@frozen
+class Term:
+    """A term of the account: one election of its holder. `began_at`: monotonic seconds of this process."""
+
+    number: int
+    began_at: float
+
+
 @define
 class QuotaService:
-    """Grants quota while this process holds the lease; the lease is looked at in the step that grants.
+    """Grants quota while this process holds the account, which is looked at in the step that grants.
 
     Attributes:
-        role: The lease; its fencing token is the term of the account.
+        current_term: The term while this process holds the account; None while it does not.
+        document: The newest acknowledged configuration, JSON; empty if there is none.
         account: The buckets of the present term, or of the last one that this process held.
     """
 
-    role: PlacerLeaseService
+    current_term: Callable[[], Term | None]
+    document: Callable[[], bytes]
     account: QuotaAccount
     _limits: TenantLimits = field(factory=TenantLimits)
 
     @classmethod
     def build(cls, role: PlacerLeaseService, rule: QuotaRule) -> "QuotaService":
-        """A service without a term; the first one begins with the first election of this process."""
-        return cls(role, QuotaAccount(rule))
+        """A service whose terms are the elections of the placer."""
+
+        def current_term() -> Term | None:
+            return Term(role.lease.token, role.elected_at) if role.is_held() else None
+
+        return cls(current_term, lambda: role.chain.acknowledged.document, QuotaAccount(rule))
 
     def on_reserve(self, request: ReserveQuota) -> QuotaReply:
         """Takes back what the dispatcher returns, then grants what it needs and there is."""
         now = steady()
-        if not self.role.is_held():
+        term = self.current_term()
+        if term is None:
             return NOT_THE_HOLDER
-        self._begin_term()
+        self._begin(term)
         for returned in request.returns:
             tenant = self._tenant(returned.tenant)
             if tenant is not None:
@@ -45,14 +62,14 @@
         grants = tuple(self._grant(need, now) for need in request.needs)
         return QuotaReply(is_holder=True, term=self.account.term, grants=grants)
 
-    def _begin_term(self) -> None:
-        """Begins a new account at the moment of the election: the former holder granted until then."""
-        if self.account.term != self.role.lease.token:
-            self.account.begin_term(self.role.lease.token, self.role.elected_at)
-            event("quota.term_began", term=self.account.term)
+    def _begin(self, term: Term) -> None:
+        """Begins a term with an empty account at the election: the former holder granted until then."""
+        if self.account.term != term.number:
+            self.account.begin_term(term.number, term.began_at)
+            event("quota.term_began", term=term.number)
 
     def _tenant(self, name: str) -> Tenant | None:
-        return self._limits.tenant(self.role.chain.acknowledged.document, name)
+        return self._limits.tenant(self.document(), name)
 
     def _grant(self, need: QuotaNeed, now: float) -> QuotaGrant:
         """Grants in order; a tenant that this process does not know yet gets nothing for the moment."""
--- a/tests/cluster/test_incident_quota.py
+++ b/tests/cluster/test_incident_quota.py
@@ -16,16 +16,20 @@
 from aiohttp import web
 
 from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.process.quota_client import QuotaClient
 from finchladder.cluster.process.router import Router
+from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.pools import PoolMember, Pools
 from finchladder.cluster.routing.retry_budget import RetryBudget
 from finchladder.cluster.routing.selection import WorkerSelector
 from finchladder.cluster.routing.workers import Worker
+from finchladder.cluster.tenancy.quota_rule import QuotaRule
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 from finchladder.cluster.transport.peers import steady
 from tests.cluster.quota_oracle import QuotaOracle
+from tests.cluster.quota_scene import AccountHolder
 from tests.cluster.test_router import (
     DOCUMENT,
     REQUEST_ID_HEADER,
@@ -87,14 +91,15 @@
         )
 
 
-def make_router(session: aiohttp.ClientSession, dispatcher_count: int) -> Router:
-    """A dispatcher's router; a client of the account of quotas belongs here once there is one."""
+def make_router(session: aiohttp.ClientSession, dispatcher_count: int, quotas: QuotaClient) -> Router:
+    """A dispatcher's router."""
     return Router(
         session,
         WorkerSelector("edge", "z", 0.5),
         lambda: RetryBudget(0.2, 50, 10),
         lambda: dispatcher_count,
         DemandCounter(),
+        quotas=quotas,
     )
 
 
@@ -114,11 +119,16 @@
         await worker.start()
         stack.push_async_callback(worker.stop)
         client = await stack.enter_async_context(aiohttp.ClientSession())
+        holder = AccountHolder.of(QuotaRule(WINDOW_S, OVERAGE, SLACK), document)
+        tasks = Tasks()
+        stack.push_async_callback(tasks.stop)
         dispatchers = []
         for _ in range(dispatcher_count):
             session = make_session(keepalive_s=5)
             stack.push_async_callback(session.close)
-            router = make_router(session, dispatcher_count)
+            quotas = QuotaClient("edge", holder, lambda: "core-1:1")
+            tasks.repeat(quotas.run, "quota")
+            router = make_router(session, dispatcher_count, quotas)
             router.snapshot = snapshot
             member = PoolMember(Worker("i-0", "s", worker.bound_address, "z", 64, 0.0))
             router.pools = Pools().with_changes({"i-0": member})
