Test: a queued request on a public route is sent though its key was revoked

Cause: no test failed without the exception for public routes in `is_still_authorized`. Change: a case of the test of queued requests, which fails without it (trial on a scratch copy).

--- a/tests/cluster/test_tenant_requests.py
+++ b/tests/cluster/test_tenant_requests.py
@@ -359,18 +359,24 @@
 
 
 @pytest.mark.parametrize(
-    ("newer", "status"),
-    [(WITHOUT_KEY, 401), (MOVED_KEY, 401), (STILL_THERE, 200), (snapshot(2), 200)],
-    ids=["revoked", "moved", "still there", "no tenants"],
+    ("path", "newer", "status"),
+    [
+        ("/once/", WITHOUT_KEY, 401),
+        ("/once/", MOVED_KEY, 401),
+        ("/once/", STILL_THERE, 200),
+        ("/once/", snapshot(2), 200),
+        ("/public/", WITHOUT_KEY, 200),
+    ],
+    ids=["revoked", "moved", "still there", "no tenants", "revoked, on a public route"],
 )
 def test_a_key_is_looked_up_again_before_a_queued_request_is_sent(
-    newer: ConfigurationSnapshot, status: int
+    path: str, newer: ConfigurationSnapshot, status: int
 ) -> None:
     async def work() -> None:
         worker = StandInWorker(respond)
         async with tenant_harness(worker) as harness:
             headers = {**key("north-1"), "X-Finchladder-Model": "m9"}
-            sending = asyncio.create_task(harness.send("/once/", b"{}", **headers).__aenter__())
+            sending = asyncio.create_task(harness.send(path, b"{}", **headers).__aenter__())
             while not harness.router.demand.collect(0.0):
                 await asyncio.sleep(0.01)
             harness.router.snapshot = newer
