The lease is claimed sooner after two losses, and the account refills from its vacancy

Cause: a head that its chain never confirmed forgot, with the next view, when a former holder could last have renewed, and began the wait anew; the account counted from the election, not from the end of the former lease. Change: the head keeps that moment over views that it never confirmed; a grant of the lease tells for how long it was certainly vacant, and the buckets refill since. Without an account clients are told to wait 1.5 s. A document that an earlier version stored may hold tenants without keys.

--- a/finchladder/cluster/configuration/snapshot.py
+++ b/finchladder/cluster/configuration/snapshot.py
@@ -159,7 +159,8 @@
         for host, routes in by_host.items()
     }
     services = {item["name"]: _service(item) for item in value.get("services", [])}
-    tenants = [(parse_tenant(item), item["api_keys"]) for item in value.get("tenants", [])]
+    # a document that an earlier version stored may hold tenants that were never validated
+    tenants = [(parse_tenant(item), item.get("api_keys", ())) for item in value.get("tenants", [])]
     return ConfigurationSnapshot(
         version=value["version"],
         routes_by_host=MappingProxyType(routes_by_host),
--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -185,13 +185,15 @@
         """The latest moment at which a former head can have renewed the placer's lease; None: unknown.
 
         Called before the head stores the state in the new view. Only a head renews, and only after the whole
-        chain of its view has confirmed it. The former head itself knows when. A member that had stored the
-        state in the former view knows when its predecessor last asked it to confirm; since it learned of the
-        new view it has confirmed nothing.
+        chain of its view has confirmed it. The former head itself knows when; where its own view was never
+        confirmed, nobody renewed in it. A member that had stored the state in the former view knows when its
+        predecessor last asked it to confirm; since it learned of the new view it has confirmed nothing.
         """
         before = view.number - 1
         if self.confirmed_view == before and self.lease.renewed_at is not None:
             return self.lease.renewed_at
+        if self.started_view == before and self.confirmed_view < before:
+            return self.renewable_until
         agreement = self.agreement
         if agreement.replica.state_view != before or agreement.adopted_at < agreement.started_at:
             return None
--- a/finchladder/cluster/process/placer_lease.py
+++ b/finchladder/cluster/process/placer_lease.py
@@ -28,7 +28,7 @@
         last_order_at: When this process last sent an order to a worker.
         latest_token: The highest fencing token that this process has received.
         reacquired: Whether the lease belonged to a former incarnation of this process when it was granted.
-        elected_at: When this process was last elected; no former holder acted after that.
+        vacant_since: Before this process was last elected, a moment after which no former holder acted.
     """
 
     chain: ChainService
@@ -36,7 +36,7 @@
     last_order_at: float = field(factory=steady)
     latest_token: int = 0
     reacquired: bool = False
-    elected_at: float = 0.0
+    vacant_since: float = 0.0
 
     @property
     def me(self) -> Member:
@@ -68,10 +68,11 @@
             wait_s = self._claim_wait_s(state.placer, request.holder)
             if wait_s is None or wait_s > 0 or request.token != state.fence_token:
                 return LeaseReply(False, state.fence_token, int((wait_s or 0) * 1000))
+            vacant_s = self.chain.lease.vacant_s(steady())
             if not await self.chain.write(ClaimPlacer(request.holder, state.fence_token)):
                 return REJECTED
             self.chain.lease.renew(steady())
-            return LeaseReply(True, state.fence_token + 1)
+            return LeaseReply(True, state.fence_token + 1, vacant_ms=int(vacant_s * 1000))
 
     def _claim_wait_s(self, holder: str, claimant: str) -> float | None:
         """Seconds until the claim may be granted; None: unknown. Without another holder the lease is free."""
@@ -140,7 +141,7 @@
         self.latest_token = max(self.latest_token, reply.token)
         if reply.granted:
             self.reacquired = reacquired
-            self.elected_at = steady()
+            self.vacant_since = steady() - reply.vacant_ms / 1000
             self.lease.extend(requested_at, reply.token)
             event("placer.elected", token=reply.token)
         elif reply.retry_after_ms:
--- a/finchladder/cluster/process/quota_service.py
+++ b/finchladder/cluster/process/quota_service.py
@@ -18,7 +18,10 @@
 
 @frozen
 class Term:
-    """A term of the account: one election of its holder. `began_at`: monotonic seconds of this process."""
+    """A term of the account: one election of its holder.
+
+    `began_at`: a moment after which no former holder granted anything (monotonic seconds of this process).
+    """
 
     number: int
     began_at: float
@@ -44,7 +47,7 @@
         """A service whose terms are the elections of the placer."""
 
         def current_term() -> Term | None:
-            return Term(role.lease.token, role.elected_at) if role.is_held() else None
+            return Term(role.lease.token, role.vacant_since) if role.is_held() else None
 
         return cls(current_term, lambda: role.chain.acknowledged.document, QuotaAccount(rule))
 
@@ -63,7 +66,7 @@
         return QuotaReply(is_holder=True, term=self.account.term, grants=grants)
 
     def _begin(self, term: Term) -> None:
-        """Begins a term with an empty account at the election: the former holder granted until then."""
+        """Begins a term with an account that was empty when the former holder ended, and refills since."""
         if self.account.term != term.number:
             self.account.begin_term(term.number, term.began_at)
             event("quota.term_began", term=term.number)
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -64,7 +64,7 @@
 MAX_CONNECT_FAILURES = 4  # of one request
 QUOTA_WAIT_SHARE = 0.25  # of the latency target, after which a refusal costs its value
 MIN_QUOTA_WAIT_S = 0.05
-RETRY_AFTER_NO_ACCOUNT_S = 0.5
+RETRY_AFTER_NO_ACCOUNT_S = 1.5  # a new holder is there by then; clients retry once or twice
 NO_ANSWER = "the worker gave no answer"
 
 
--- a/finchladder/cluster/replication/lease.py
+++ b/finchladder/cluster/replication/lease.py
@@ -15,6 +15,8 @@
     confirmed                     renew                  reply with the wait    grant with the next token
 """
 
+from math import inf
+
 from attrs import define
 
 RENEWALS_PER_LEASE = 3  # so that two lost renewals do not end it
@@ -30,12 +32,14 @@
         exclusion_window_s: No two lease holders may both act within this time.
         renewed_at: When the lease may last have been renewed; None: the head is not confirmed yet.
         fenced: Whether workers reject orders with a fencing token below one that they have seen.
+        released_at: When a holder last released the lease.
     """
 
     lease_s: float
     exclusion_window_s: float
     renewed_at: float | None = None
     fenced: bool = False
+    released_at: float = -inf
 
     def confirm(self, since: float) -> None:
         """Records the head's first confirmation in its view; no former head renewed after `since`."""
@@ -50,6 +54,14 @@
         """Releases the lease; the holder last acted `idle_s` ago and will not act again."""
         if self.renewed_at is not None:
             self.renewed_at = now - idle_s - self.lease_s - CLOCK_MARGIN_S
+            self.released_at = now
+
+    def vacant_s(self, now: float) -> float:
+        """Seconds for which certainly nobody has held the lease; 0 if it is not known."""
+        if self.renewed_at is None:
+            return 0.0
+        ended_at = max(self.released_at, self.renewed_at + self.lease_s + CLOCK_MARGIN_S)
+        return max(0.0, now - ended_at)
 
     def wait_s(self, now: float, *, holder_left: bool = False) -> float | None:
         """Seconds until a claim of another member may be granted; None: unknown.
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -266,6 +266,7 @@
     granted: bool
     token: int
     retry_after_ms: int = 0
+    vacant_ms: int = 0  # for which certainly nobody had held a lease that is granted
 
 
 class DemandReply(Message, frozen=True, tag=59):
--- a/tests/cluster/test_placer_lease.py
+++ b/tests/cluster/test_placer_lease.py
@@ -154,3 +154,45 @@
         assert world.violation is None
 
     run(work())
+
+
+def test_a_second_loss_before_the_new_head_is_confirmed_does_not_begin_the_wait_anew() -> None:
+    async def work() -> None:
+        world, loop = World(7, losses=2, fenced=True), asyncio.get_running_loop()
+        for _ in range(5):
+            world.start(world.add(True))
+        first = await wait_for_holder(world, 6.0)
+        await asyncio.sleep(3.0)
+        others = [machine for machine in world.running() if machine is not first]
+        number = others[0].plane.agreement.view.number if others[0].plane else 0
+        world.kill(first, power=True)
+        async with asyncio.timeout(3.0):
+            while not all(m.plane and m.plane.agreement.view.number > number for m in others):
+                await asyncio.sleep(0.001)
+        assert others[0].plane is not None
+        chain = others[0].plane.agreement.view.chain
+        world.kill(world.machines[chain[1].name], power=True)
+        second_loss_at = loop.time()
+        other = await wait_for_holder(world, 8.0, first.name)
+        adopted_s = max(m.plane.agreement.adopted_at for m in world.running() if m.plane) - second_loss_at
+        elected_s = loop.time() - second_loss_at
+        assert elected_s - adopted_s < 0.5
+        assert other.plane is not None
+        vacant_s = loop.time() - other.plane.placer_lease.vacant_since
+        assert 0.0 < vacant_s < elected_s + 1.0
+        assert world.violation is None
+
+    run(work())
+
+
+def test_a_lease_is_vacant_from_its_end_or_its_release_and_never_before() -> None:
+    granted = GrantedLease(1.0, 3.0, fenced=True)
+    assert granted.vacant_s(100.0) == 0.0
+    granted.confirm(0.0)
+    ended_at = 1.0 + CLOCK_MARGIN_S
+    assert granted.vacant_s(ended_at - 0.1) == 0.0
+    assert granted.vacant_s(ended_at + 0.5) == pytest.approx(0.5)
+    granted.renew(10.0)
+    granted.release(10.5, idle_s=9.0)
+    assert granted.vacant_s(10.5) == 0.0
+    assert granted.vacant_s(11.0) == pytest.approx(0.5)
