Nothing that was sent stands in a response to a malformed request nor in a log

Cause: errors of parsers quote what they refuse. aiohttp put its parser's text into the 400 and, with a traceback, into its own log, past ours. The same cause elsewhere: `attempt.failed` held repr() of aiohttp's ClientResponseError, which lists all headers sent, the client's key among them where there are no tenants; the operator's 400 quoted scalars and names in the wrong place; heartbeats, peers' messages and stored records put msgspec's text, `task.failed` repr() of any error (that of UnicodeDecodeError holds the whole document). A heartbeat or a peer's message with invalid UTF-8 got 500, since msgspec raises UnicodeDecodeError, which is no DecodeError.

Change: connections of a listener answer with fixed texts and report the kind of problem alone: `request.malformed` (400, connection closed; also where a handler meets a malformed body) and `request.failed` (500, with module and line). What any library logs becomes `library.logged`, without its text, within the limit of lines. Errors enter logs and responses by kind (`error_kind`), the operator's problems are in words of the schema: place, rule and its limit.

--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -8,8 +8,9 @@
 
 from jsonschema import Draft202012Validator, ValidationError
 
-MAX_MESSAGE_CHARS = 200  # a message quotes the value, which may be large
 TENANTS = "tenants"
+REMOVE = "remove"  # of a patch
+HIDDEN = "..."  # in place of a name that the sender chose
 
 NAME_SCHEMA = {"type": "string", "minLength": 1}
 POSITIVE_SCHEMA = {"type": "number", "exclusiveMinimum": 0}
@@ -89,7 +90,7 @@
     "properties": {
         "version": {"type": "integer", "minimum": 1},
         "upsert": {"type": "object", "properties": ITEM_PROPERTIES},
-        "remove": {"type": "object", "additionalProperties": {"type": "array", "items": NAME_SCHEMA}},
+        REMOVE: {"type": "object", "additionalProperties": {"type": "array", "items": NAME_SCHEMA}},
     },
 }
 
@@ -98,15 +99,24 @@
 
 
 def first_problem(validator: Draft202012Validator, value: object) -> str:
-    """Path and text of the first violation, the text cut to a bound; empty if there is none."""
+    """Path and text of the first violation; empty if there is none."""
     for error in validator.iter_errors(value):
-        path = "/".join(str(part) for part in error.absolute_path)
-        return f"{path or 'configuration'}: {_description(error)[:MAX_MESSAGE_CHARS]}"
+        return f"{_path(error) or 'configuration'}: {_description(error)}"
     return ""
 
 
+def _path(error: ValidationError) -> str:
+    """Where the violation stands; a name that the schema does not know may be a misplaced API key."""
+    parts = list(error.absolute_path)
+    if "additionalProperties" in error.absolute_schema_path:
+        known = {REMOVE, *ITEM_PROPERTIES}
+        parts = [part if isinstance(part, int) or part in known else HIDDEN for part in parts]
+    return "/".join(str(part) for part in parts)
+
+
 def _description(error: ValidationError) -> str:
-    """What is wrong; it never quotes a value that may hold an API key."""
-    names_only_property = error.validator == "required"
-    may_hold_key = TENANTS in error.absolute_path or isinstance(error.instance, dict | list)
-    return f"violates `{error.validator}`" if may_hold_key and not names_only_property else error.message
+    """What is wrong, in words of the schema: any value may be an API key in the wrong place."""
+    if error.validator == "required":
+        return error.message  # quotes the name that is missing
+    limit = error.validator_value
+    return f"violates `{error.validator}`" + (f" {limit}" if isinstance(limit, str | int | float) else "")
--- a/finchladder/cluster/process/attempt.py
+++ b/finchladder/cluster/process/attempt.py
@@ -31,6 +31,7 @@
 from finchladder.cluster.transport.exchange import FIRST_FINAL_STATUS
 from finchladder.cluster.transport.http_client import KeepAliveConnector
 from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.errors import error_kind
 
 CONNECT_TIMEOUT_S = 0.6
 FIRST_REDIRECTION_STATUS = 300  # the first status that is no success
@@ -151,9 +152,9 @@
             timeout=timeout,
         )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        return NotSent(repr(error))
+        return NotSent(error_kind(error))
     except (aiohttp.ClientError, OSError, ValueError) as error:
-        return Broken(repr(error))
+        return Broken(error_kind(error))
     _apply_keep_alive(session, response)
     return _classify_response(response, outgoing)
 
--- a/finchladder/cluster/process/control_api.py
+++ b/finchladder/cluster/process/control_api.py
@@ -14,7 +14,7 @@
 )
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.worker_sessions import WorkerSessions
-from finchladder.cluster.types.errors import ClusterError
+from finchladder.cluster.types.errors import DECODE_ERRORS, ClusterError, error_kind
 from finchladder.cluster.types.worker_api import heartbeat_decoder
 
 CONFIG_PATH = "/api/config"
@@ -103,8 +103,8 @@
             return await self._acknowledge_heartbeat(self._sessions.on_deregister(instance))
         try:
             heartbeat = heartbeat_decoder.decode(body)
-        except msgspec.DecodeError as error:
-            return _json(400, ProblemResponse(str(error)))
+        except DECODE_ERRORS as error:
+            return _json(400, ProblemResponse(f"malformed heartbeat: {error_kind(error)}"))
         return await self._acknowledge_heartbeat(self._sessions.on_heartbeat(instance, heartbeat))
 
     async def _acknowledge_heartbeat(self, work: Awaitable[bool]) -> web.StreamResponse:
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -12,6 +12,7 @@
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.placer import Placer
 from finchladder.cluster.process.quota_service import QuotaService
+from finchladder.cluster.process.request_failures import log_request_failure
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.worker_client import WorkerClient
@@ -110,8 +111,10 @@
             self.control.changes, self.control.chain, self.core_sessions.sessions, self.settings.control
         )
         listeners = [
-            Listener(peer_handler(self.handle), self.settings.peer_address),
-            Listener(control.handle, self.settings.control),
+            Listener(
+                peer_handler(self.handle), self.settings.peer_address, report_failure=log_request_failure
+            ),
+            Listener(control.handle, self.settings.control, report_failure=log_request_failure),
         ]
         for listener in listeners:
             await listener.start()
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -15,6 +15,7 @@
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.pool_updater import PoolUpdater
 from finchladder.cluster.process.quota_client import QuotaClient
+from finchladder.cluster.process.request_failures import log_request_failure
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
@@ -144,8 +145,15 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set; returns after a graceful shutdown."""
         self._build_components()
-        frontend = Listener(self.router.handle, self.settings.frontend, cancel_on_disconnect=True)
-        readiness = Listener(self._handle_readiness, self.settings.readiness)
+        frontend = Listener(
+            self.router.handle,
+            self.settings.frontend,
+            cancel_on_disconnect=True,
+            report_failure=log_request_failure,
+        )
+        readiness = Listener(
+            self._handle_readiness, self.settings.readiness, report_failure=log_request_failure
+        )
         await readiness.start()
         await frontend.start()
         self.tasks.repeat(self.puller.run, "sources")
--- a/finchladder/cluster/process/log.py
+++ b/finchladder/cluster/process/log.py
@@ -1,6 +1,7 @@
 """Structured logs by eliot: one JSON object per line on standard error, at a bounded rate."""
 
 import json
+import logging
 import sys
 import time
 from typing import Any
@@ -8,6 +9,8 @@
 import eliot
 from eliot import log_message
 
+from finchladder.cluster.types.errors import error_kind, error_place
+
 BURST_LINES = 200  # capacity of the token bucket
 LINES_PER_S = 20.0
 
@@ -45,6 +48,7 @@
         print(json.dumps(message, default=str), file=sys.stderr, flush=True)
 
     eliot.add_destinations(write)
+    logging.getLogger().addHandler(LibraryHandler(logging.WARNING))
 
 
 def event(kind: str, **fields: Any) -> None:
@@ -55,3 +59,19 @@
     if dropped:
         fields["dropped_before"] = dropped
     log_message(message_type=kind, **fields)
+
+
+class LibraryHandler(logging.Handler):
+    """Logs what libraries log as events; their texts may quote requests and are left out."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs one event without the text."""
+        error = record.exc_info[1] if record.exc_info else None
+        event(
+            "library.logged",
+            logger=record.name,
+            level=record.levelname,
+            function=record.funcName,
+            error="" if error is None else error_kind(error),
+            place="" if error is None else error_place(error),
+        )
--- a/finchladder/cluster/process/tasks.py
+++ b/finchladder/cluster/process/tasks.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from finchladder.cluster.process.log import event
+from finchladder.cluster.types.errors import error_kind, error_place
 
 RESTART_DELAY_S = 0.1
 
@@ -34,15 +35,16 @@
                     await work()
                 # any error: a process without one of its loops would be half dead
                 except Exception as error:  # noqa: BLE001
-                    event("task.failed", task=name, error=repr(error))
+                    event("task.failed", task=name, error=error_kind(error), place=error_place(error))
                 await asyncio.sleep(RESTART_DELAY_S)
 
         return self.spawn(guarded(), name)
 
     def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            event("task.failed", task=task.get_name(), error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            event("task.failed", task=task.get_name(), error=error_kind(error), place=error_place(error))
 
     async def stop(self) -> None:
         """Cancels all tasks and waits until they have ended."""
--- a/finchladder/cluster/process/worker_client.py
+++ b/finchladder/cluster/process/worker_client.py
@@ -10,7 +10,7 @@
 
 from finchladder.cluster.routing.headers import EXPECTED_INSTANCE_HEADER, INSTANCE_ID_HEADER
 from finchladder.cluster.transport.http_client import make_session
-from finchladder.cluster.types.errors import PeerUnreachableError
+from finchladder.cluster.types.errors import DECODE_ERRORS, PeerUnreachableError, error_kind
 from finchladder.cluster.types.worker_api import OrderRequest, WorkerReport, report_decoder
 
 HEALTH_PATH = "/healthz"
@@ -76,8 +76,8 @@
             raise PeerUnreachableError(REPORT_STEP, address, f"status {response.status}")
         try:
             return report_decoder.decode(response.body)
-        except msgspec.DecodeError as error:
-            raise PeerUnreachableError(REPORT_STEP, address, f"unreadable: {error}") from None
+        except DECODE_ERRORS as error:
+            raise PeerUnreachableError(REPORT_STEP, address, f"unreadable: {error_kind(error)}") from None
 
     async def is_running(self, address: str, instance: str) -> bool:
         """Whether that instance responds at the address, whatever its health."""
@@ -110,7 +110,7 @@
             ):
                 return WorkerResponse(response.status, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PeerUnreachableError(step, address, repr(error)) from None
+            raise PeerUnreachableError(step, address, error_kind(error)) from None
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/finchladder/cluster/storage/lmdb_store.py
+++ b/finchladder/cluster/storage/lmdb_store.py
@@ -19,7 +19,7 @@
 
 from finchladder.cluster.replication.agreement import Acceptor
 from finchladder.cluster.replication.chain import Replica
-from finchladder.cluster.types.errors import StorageError
+from finchladder.cluster.types.errors import DECODE_ERRORS, StorageError, error_kind
 
 FORMAT_VERSION = 1
 CHECKSUM_BYTES = 8
@@ -58,8 +58,8 @@
         raise StorageCorruptedError("checksum or format differs")
     try:
         return msgspec.msgpack.decode(payload, type=kind)
-    except msgspec.DecodeError as error:
-        raise StorageCorruptedError(str(error)) from None
+    except DECODE_ERRORS as error:
+        raise StorageCorruptedError(error_kind(error)) from None
 
 
 class LmdbStore:
--- a/finchladder/cluster/transport/http_server.py
+++ b/finchladder/cluster/transport/http_server.py
@@ -1,18 +1,32 @@
 """HTTP listeners on aiohttp's low-level server: one handler for all paths, responses sent unchanged."""
 
-from collections.abc import Awaitable, Callable
-
 from aiohttp import web
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+from finchladder.cluster.transport.http_connection import (
+    FailureReporter,
+    RequestFailure,
+    RequestHandler,
+    SilentServer,
+)
+
 BACKLOG = 1024
 
 
+def _ignore_failure(_: RequestFailure) -> None:
+    """For listeners that log nothing."""
+
+
 class Listener:
     """One listening address."""
 
     def __init__(
-        self, handler: Handler, address: str, *, keepalive_s: float = 75.0, cancel_on_disconnect: bool = False
+        self,
+        handler: RequestHandler,
+        address: str,
+        *,
+        keepalive_s: float = 75.0,
+        cancel_on_disconnect: bool = False,
+        report_failure: FailureReporter = _ignore_failure,
     ) -> None:
         """Creates a listener that is not started.
 
@@ -21,9 +35,11 @@
             address: `host:port` to listen on.
             keepalive_s: How long idle connections stay open.
             cancel_on_disconnect: Whether a client that disconnects cancels its handler.
+            report_failure: Called for each request that is malformed or whose handler fails.
         """
-        self._server = web.Server(
+        self._server = SilentServer(
             handler,
+            report_failure,
             handler_cancellation=cancel_on_disconnect,
             access_log=None,
             keepalive_timeout=keepalive_s,
--- a/finchladder/cluster/transport/peers.py
+++ b/finchladder/cluster/transport/peers.py
@@ -5,11 +5,16 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 import aiohttp
-import msgspec
 from aiohttp import web
 
 from finchladder.cluster.transport.http_client import make_session
-from finchladder.cluster.types.errors import ClusterError, PeerRefusedError, PeerUnreachableError
+from finchladder.cluster.types.errors import (
+    DECODE_ERRORS,
+    ClusterError,
+    PeerRefusedError,
+    PeerUnreachableError,
+    error_kind,
+)
 from finchladder.cluster.types.messages import (
     Failure,
     Reply,
@@ -50,11 +55,11 @@
                 if response.status != 200:
                     raise PeerRefusedError(step, address, f"status {response.status}")
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PeerUnreachableError(step, address, repr(error)) from None
+            raise PeerUnreachableError(step, address, error_kind(error)) from None
         try:
             reply = reply_decoder.decode(body)
-        except msgspec.DecodeError as error:
-            raise PeerRefusedError(step, address, f"unreadable reply: {error}") from None
+        except DECODE_ERRORS as error:
+            raise PeerRefusedError(step, address, f"unreadable reply: {error_kind(error)}") from None
         if isinstance(reply, Failure):
             raise PeerRefusedError(reply.step, address, reply.problem)
         return reply
@@ -72,8 +77,8 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         try:
             message = request_decoder.decode(await request.content.read())
-        except msgspec.DecodeError as error:
-            return web.Response(status=400, text=f"unreadable: {error}\n")
+        except DECODE_ERRORS as error:
+            return web.Response(status=400, text=f"unreadable: {error_kind(error)}\n")
         try:
             reply: Reply = await handle_request(message)
         except ClusterError as error:
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -159,6 +159,10 @@
         changed(tenants=[*TENANTS, {"name": "west", "api_keys": ["secret-2"]}]),
         changed(routes=[{"name": "west", "api_keys": ["secret-2"]}]),
         changed(limits=["secret-1"]),
+        changed(version="secret-1"),
+        with_route(timeout_ms="secret-1"),
+        with_route(path_prefix="secret-1"),
+        with_route(public="secret-1"),
     ],
 )
 def test_invalid_tenants_are_rejected_without_quoting_a_key(value: object) -> None:
@@ -175,6 +179,8 @@
         {"upsert": [{"name": "west", "api_keys": ["secret-9"]}]},
         {"remove": {"tenants": [{"name": "west", "api_keys": ["secret-9"]}]}},
         {"remove": [{"name": "west", "api_keys": ["secret-9"]}]},
+        {"remove": {"secret-9": ["west"], "secret-8": "west"}},
+        {"remove": {"routes": "secret-9"}},
     ],
 )
 def test_a_patch_with_misplaced_tenants_is_rejected_without_quoting_a_key(change: dict[str, Any]) -> None:
@@ -183,6 +189,30 @@
     assert outcome.problem and "secret" not in outcome.problem
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"secret-1",
+        b'"secret-1"',
+        b'["secret-1"]',
+        b'{"api_keys": ["secret-1]}',
+        b'{"api_keys": ["secret-1\x01"]}',
+        b'{"api_keys": ["\\secret-1"]}',
+        b'{"api_keys": ["secret-1\xff"]}',
+        b'{"version": Infinity, "api_keys": ["secret-1"]}',
+    ],
+)
+def test_a_body_that_is_not_json_is_rejected_without_quoting_it(body: bytes) -> None:
+    outcome = validate_change(b"", 0, False, body)
+    assert isinstance(outcome, InvalidChange)
+    assert outcome.problem and "secret" not in outcome.problem
+
+
+def test_a_problem_tells_the_place_and_the_limit() -> None:
+    outcome = put(with_route(timeout_ms=0))
+    assert outcome == InvalidChange("routes/0/timeout_ms: violates `exclusiveMinimum` 0")
+
+
 def test_a_problem_of_a_tenant_names_the_place() -> None:
     outcome = put(with_tenant(api_keys=["secret-1", ""]))
     assert isinstance(outcome, InvalidChange)
