Events tell rejected changes, what a dispatcher activated, and whose request was refused

Cause: in the incident no log told how many tenants a dispatcher knew, that a change was rejected, or whose requests got 503.

Change: `configuration.rejected` at the head, with base, version in place, status and problem (200 characters at most), once the chain has confirmed the head; a retry that finds its own change is accepted and logs none. `configuration.activated` counts tenants, API keys and public routes, null without a list of tenants. `request.refused` has the tenant's name where the key is known. The table of keys counts by a property: with a length, an empty table would be false, as if there was none.

--- a/finchladder/cluster/configuration/snapshot.py
+++ b/finchladder/cluster/configuration/snapshot.py
@@ -125,6 +125,11 @@
     tenants: Mapping[str, Tenant] = MappingProxyType({})
     keys: KeyTable | None = None
 
+    @property
+    def public_route_count(self) -> int:
+        """Number of routes that are declared public. CPU: O(routes)."""
+        return sum(route.is_public for routes in self.routes_by_host.values() for route in routes)
+
     def match(self, host: str, path: str) -> Route | None:
         """The route of that host with the longest prefix of the path."""
         for route in self.routes_by_host.get(host.lower(), ()):
--- a/finchladder/cluster/process/client_responses.py
+++ b/finchladder/cluster/process/client_responses.py
@@ -38,13 +38,18 @@
     draining: bool = False
 
     def reject(
-        self, retry_after_s: float, reason: RejectReason, request: ClassifiedRequest | None = None
+        self,
+        retry_after_s: float,
+        reason: RejectReason,
+        request: ClassifiedRequest | None = None,
+        tenant_name: str | None = None,
     ) -> web.StreamResponse:
         """A 503 with `Retry-After`: the request was not executed, the client may retry it."""
         event(
             "request.refused",
             reason=reason.value,
             key="" if request is None else request.key.name,
+            tenant=tenant_name or "",
             waited_s=0.0 if request is None else round(steady() - request.arrived_at, 2),
         )
         response = web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, text="no worker can take it now\n")
--- a/finchladder/cluster/process/configuration_changes.py
+++ b/finchladder/cluster/process/configuration_changes.py
@@ -19,6 +19,7 @@
 CONFLICT = 412
 OUTCOME_UNKNOWN = 503
 FORWARD_MARGIN_S = 0.05  # of the deadline, for the way to the head and back
+MAX_LOGGED_PROBLEM_CHARS = 200  # it names routes, services and tenants, whose names have no bound
 LARGE_BODY_BYTES = 64 << 10  # larger ones are validated in a thread
 
 
@@ -27,6 +28,16 @@
     return Submitted(OUTCOME_UNKNOWN, 0, problem)
 
 
+def _log_rejection(base: int, outcome: Submitted) -> None:
+    event(
+        "configuration.rejected",
+        base=base,
+        version=outcome.version,
+        status=outcome.status,
+        problem=outcome.problem[:MAX_LOGGED_PROBLEM_CHARS],
+    )
+
+
 @define
 class ConfigurationChanges:
     """Validates, stores and acknowledges the operator's changes."""
@@ -88,19 +99,20 @@
                 return Submitted(ACCEPTED, revision.version)
         if base != state.version:
             problem = f"version {state.version} is in place"
-            return await self._confirmed_rejection(Submitted(CONFLICT, state.version, problem))
+            return await self._confirmed_rejection(base, Submitted(CONFLICT, state.version, problem))
         candidate = await self._validate(state, patch, body)
         if isinstance(candidate, changes.InvalidChange):
-            return await self._confirmed_rejection(Submitted(INVALID, state.version, candidate.problem))
+            return await self._confirmed_rejection(base, Submitted(INVALID, state.version, candidate.problem))
         operation = SetConfiguration(base, candidate.version, digest, candidate.document)
         if not await self.chain.write(operation):
             return outcome_unknown("the chain did not store it in time")
         event("configuration.committed", version=candidate.version, base=base, bytes=len(candidate.document))
         return Submitted(ACCEPTED, candidate.version)
 
-    async def _confirmed_rejection(self, outcome: Submitted) -> Submitted:
+    async def _confirmed_rejection(self, base: int, outcome: Submitted) -> Submitted:
         """The rejection, if the chain confirms this head: a replaced head rejects by an outdated state."""
         if await self.chain.confirm_locked():
+            _log_rejection(base, outcome)
             return outcome
         return outcome_unknown("the chain does not confirm this head")
 
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -118,14 +118,25 @@
     def _apply_update(self, update: Update, changed_instances: list[str]) -> None:
         """Activates a newer configuration and updates the pools."""
         if update.document and update.version > self.router.snapshot.version:
-            self.router.snapshot = snapshot.build_snapshot(decompress(update.document), self.key_salt)
-            event("configuration.activated", version=update.version)
+            self._activate(snapshot.build_snapshot(decompress(update.document), self.key_salt))
         if changed_instances:
             self.router.pools = self.pool_updater.updated_pools(self.router.pools, changed_instances)
             self.router.pools_changed.fire()
         if update.chain_confirmed and update.version > 0:
             self.has_confirmed_state = True
 
+    def _activate(self, newer: snapshot.ConfigurationSnapshot) -> None:
+        """Routes by that configuration from now on."""
+        self.router.snapshot = newer
+        keys = newer.keys
+        event(
+            "configuration.activated",
+            version=newer.version,
+            tenants=None if keys is None else len(newer.tenants),
+            keys=None if keys is None else keys.key_count,
+            public_routes=newer.public_route_count,
+        )
+
     # --- readiness ----------------------------------------------------------------------------------------
 
     def is_ready(self) -> bool:
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -222,12 +222,14 @@
         if body is None:
             return self.responses.error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
         if self._may_outlast_process(classified):
-            return self.responses.reject(RETRY_AFTER_BUSY_S, RejectReason.SHUTTING_DOWN, classified)
+            return self.responses.reject(
+                RETRY_AFTER_BUSY_S, RejectReason.SHUTTING_DOWN, classified, authorized.tenant_name
+            )
         quota = self._quota(authorized, classified)
         try:
             refusal = await quota.reserve()
             if refusal is not None:
-                return self._reject_without_quota(refusal, classified)
+                return self._reject_without_quota(refusal, classified, authorized.tenant_name)
             return await self._serve(
                 self._admit(client_request, snapshot, authorized, classified, body, quota)
             )
@@ -242,7 +244,7 @@
         return RequestQuota(self.quotas, tenant, cost, max_wait_s)
 
     def _reject_without_quota(
-        self, refusal: QuotaRefusal, classified: ClassifiedRequest
+        self, refusal: QuotaRefusal, classified: ClassifiedRequest, tenant_name: str | None
     ) -> web.StreamResponse:
         """The response to a request that no worker may have run."""
         match refusal:
@@ -250,7 +252,7 @@
                 return self.responses.over_quota(retry_after_s)
             case QuotaUnavailable():
                 return self.responses.reject(
-                    RETRY_AFTER_NO_ACCOUNT_S, RejectReason.QUOTA_UNAVAILABLE, classified
+                    RETRY_AFTER_NO_ACCOUNT_S, RejectReason.QUOTA_UNAVAILABLE, classified, tenant_name
                 )
 
     async def _read_body(self, client_request: web.BaseRequest, max_bytes: int) -> bytes | None:
@@ -289,7 +291,7 @@
             priority=authorized.priority if has_engine else None,
             deadline=classified.deadline,
             hides_identity=authorized.has_tenants,
-            tenant_name=None if authorized.tenant is None else authorized.tenant.name,
+            tenant_name=authorized.tenant_name,
         )
         self.retry_budgets.record_request(classified.key.service, steady())
         self.demand.record_request(classified)
@@ -327,7 +329,7 @@
         while True:
             worker = await self.queue.select_worker(request.classified, history.attempted)
             if worker is None:
-                return self._reject_without_worker(request.classified)
+                return self._reject_without_worker(request)
             if not self._may_send(request):
                 return self._reject_revoked(history)
             if request.quota.is_reserved():
@@ -336,7 +338,7 @@
             if refusal is not None and history.may_have_run:
                 return self.responses.error(HTTPStatus.BAD_GATEWAY, NO_ANSWER)
             if refusal is not None:
-                return self._reject_without_quota(refusal, request.classified)
+                return self._reject_without_quota(refusal, request.classified, request.authorized.tenant_name)
         if history.attempted and not self._withdraw_retry(request):
             return self._reject_no_capacity(request)
         return worker
@@ -407,17 +409,21 @@
 
     def _reject_no_capacity(self, request: AdmittedRequest, retry_after_s: float = 0.0) -> web.StreamResponse:
         return self.responses.reject(
-            max(retry_after_s, RETRY_AFTER_BUSY_S), RejectReason.NO_CAPACITY, request.classified
+            max(retry_after_s, RETRY_AFTER_BUSY_S),
+            RejectReason.NO_CAPACITY,
+            request.classified,
+            request.authorized.tenant_name,
         )
 
-    def _reject_without_worker(self, classified: ClassifiedRequest) -> web.StreamResponse:
+    def _reject_without_worker(self, request: AdmittedRequest) -> web.StreamResponse:
         """Rejects a request that found no worker in time.
 
         Without a replica it counts as queued until its client may have retried: else the placer would load
         the model for nobody, or not at all.
         """
+        classified, tenant_name = request.classified, request.authorized.tenant_name
         retry_after_s = self.queue.retry_after_s(classified)
         if self.pools.pool(classified.key).workers:
-            return self.responses.reject(retry_after_s, RejectReason.NO_CAPACITY, classified)
+            return self.responses.reject(retry_after_s, RejectReason.NO_CAPACITY, classified, tenant_name)
         self.demand.expect_client_retry(classified.key, steady() + retry_after_s + CLIENT_RETRY_GRACE_S)
-        return self.responses.reject(retry_after_s, RejectReason.NO_REPLICA, classified)
+        return self.responses.reject(retry_after_s, RejectReason.NO_REPLICA, classified, tenant_name)
--- a/finchladder/cluster/routing/authorization.py
+++ b/finchladder/cluster/routing/authorization.py
@@ -43,6 +43,11 @@
     key: ApiKey | None
     has_tenants: bool
 
+    @property
+    def tenant_name(self) -> str | None:
+        """Name of the tenant; None: it is nobody's request."""
+        return None if self.tenant is None else self.tenant.name
+
     @property
     def priority(self) -> int:
         """The tenant's priority where it is set, else the route's."""
--- a/finchladder/cluster/tenancy/api_keys.py
+++ b/finchladder/cluster/tenancy/api_keys.py
@@ -60,6 +60,11 @@
     _salt: bytes = field(repr=False)
     _tenants_by_digest: Mapping[bytes, Tenant] = field(repr=False)
 
+    @property
+    def key_count(self) -> int:
+        """Number of keys; no `__len__`, by which an empty table would be false, as if there was none."""
+        return len(self._tenants_by_digest)
+
     def tenant_of(self, key: ApiKey) -> Tenant | None:
         """The tenant that holds the key; None if nobody does. CPU: O(1)."""
         return self._tenants_by_digest.get(_digest(key.text, self._salt))
--- a/tests/cluster/test_configuration_changes.py
+++ b/tests/cluster/test_configuration_changes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+from typing import Any
 
 import pytest
 
+from finchladder.cluster.process import configuration_changes
 from finchladder.cluster.process.configuration_changes import ACCEPTED, CONFLICT, INVALID, OUTCOME_UNKNOWN
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.lab.cluster.machine import Machine
@@ -12,6 +14,7 @@
 from finchladder.lab.cluster.world import World
 
 ANSWER_S = 0.9
+KEY = "secret-1"
 
 
 def body(version: int) -> bytes:
@@ -84,3 +87,48 @@
             await tail.plane.chain.read()
 
     run(work())
+
+
+def test_a_rejected_change_is_logged_once_at_the_head_without_a_key_and_a_retry_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    events: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(configuration_changes, "event", lambda kind, **fields: events.append((kind, fields)))
+    shared = {
+        **json.loads(body(4)),
+        "tenants": [{"name": name, "api_keys": [KEY]} for name in ("north", "south")],
+    }
+
+    async def work() -> None:
+        _, middle, tail = await settled(World(4))
+        assert middle.plane is not None
+        assert await submitted(middle, 0, 3) == ACCEPTED
+        assert await submitted(tail, 0, 3) == ACCEPTED
+        assert await submitted(tail, 0, 4) == CONFLICT
+        invalid = await middle.plane.changes.submit(3, False, json.dumps(shared).encode(), ANSWER_S)
+        assert invalid.status == INVALID
+
+    run(work())
+    assert [kind for kind, _ in events] == ["configuration.committed", *2 * ["configuration.rejected"]]
+    assert [fields for kind, fields in events if kind == "configuration.rejected"] == [
+        {"base": 0, "version": 3, "status": CONFLICT, "problem": "version 3 is in place"},
+        {"base": 3, "version": 3, "status": INVALID, "problem": "tenants north and south share an API key"},
+    ]
+
+
+def test_the_problem_of_a_rejected_change_is_logged_up_to_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    problems: list[str] = []
+    monkeypatch.setattr(
+        configuration_changes, "event", lambda kind, **fields: problems.append(fields["problem"])
+    )
+    route = {"name": "r" * 10_000, "host": "a", "path_prefix": "/", "service": "unknown"}
+    change = {**json.loads(body(1)), "routes": [route]}
+
+    async def work() -> None:
+        head, _, _ = await settled(World(5))
+        assert head.plane is not None
+        outcome = await head.plane.changes.submit(0, False, json.dumps(change).encode(), ANSWER_S)
+        assert outcome.status == INVALID
+
+    run(work())
+    assert [len(problem) for problem in problems] == [configuration_changes.MAX_LOGGED_PROBLEM_CHARS]
--- a/tests/cluster/test_dispatcher_node.py
+++ b/tests/cluster/test_dispatcher_node.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from types import SimpleNamespace
-from typing import cast
+from typing import Any, cast
 
 import pytest
 from aiohttp import web
@@ -77,12 +77,19 @@
     asyncio.run(bounded())
 
 
-def test_an_unknown_key_is_looked_up_in_the_configuration_of_the_primary() -> None:
+def test_an_unknown_key_is_looked_up_in_the_configuration_of_the_primary(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    events: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(dispatcher_node, "event", lambda kind, **fields: events.append((kind, fields)))
     document = {
         "version": 2,
-        "routes": [{"name": "r", "host": "a", "path_prefix": "/", "service": "s"}],
+        "routes": [
+            {"name": "r", "host": "a", "path_prefix": "/", "service": "s"},
+            {"name": "p", "host": "a", "path_prefix": "/p/", "service": "s", "public": True},
+        ],
         "services": [{"name": "s"}],
-        "tenants": [{"name": "north", "api_keys": ["secret-1"]}],
+        "tenants": [{"name": "north", "api_keys": ["secret-1", "secret-2"]}],
     }
 
     class Primary:
@@ -115,3 +122,5 @@
         await node.peers.close()
 
     asyncio.run(work())
+    counts = {"version": 2, "tenants": 1, "keys": 2, "public_routes": 1}
+    assert events == [("configuration.activated", counts)]
--- a/tests/cluster/test_tenant_requests.py
+++ b/tests/cluster/test_tenant_requests.py
@@ -336,6 +336,36 @@
     assert reasons == [RejectReason.CONFIGURATION_UNCONFIRMED.value]
 
 
+@pytest.mark.parametrize(
+    ("path", "headers", "tenant"),
+    [
+        ("/once/", key("north-2"), "north"),
+        ("/public/", key("south-1"), "south"),
+        ("/public/", key("nobody"), ""),
+        ("/public/", {}, ""),
+    ],
+)
+@pytest.mark.parametrize("model", ["", "absent"])
+def test_a_refused_request_is_logged_with_its_tenant(
+    path: str, headers: dict[str, str], tenant: str, model: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The worker refuses it, or nobody has its model."""
+    events: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(
+        "finchladder.cluster.process.client_responses.event",
+        lambda kind, **fields: events.append((kind, fields)),
+    )
+
+    async def work() -> None:
+        async with tenant_harness(StandInWorker(not_executed(503))) as harness:
+            sent = {**headers, "X-Finchladder-Deadline-Ms": "300", "X-Finchladder-Model": model}
+            async with harness.send(path, b"", **sent) as response:
+                assert response.status == 503
+
+    run_with_timeout(work)
+    assert [(kind, fields["tenant"]) for kind, fields in events] == [("request.refused", tenant)]
+
+
 def test_a_known_key_is_not_refreshed() -> None:
     async def work() -> None:
         async def refresh() -> bool:
