Quota: late returns are dropped, large requests are served, one bad count harms nobody

Three tests of the account and two of the client asserted what was wrong (a lapsed grant is exchanged, larger costs are refused first); those in their place are named for what holds now. The property test returns all that it may.

--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -143,7 +143,7 @@
         """Whether the platform should send clients here."""
         if self.stopping or not self.router.snapshot.version or not self.router.pools.members:
             return False
-        if self.puller.has_core_lost_quorum():
+        if self.puller.has_core_lost_quorum() or self.quotas.is_unreachable():
             return False
         return self.has_confirmed_state or steady() - self.started_at > UNCONFIRMED_READY_AFTER_S
 
--- a/finchladder/cluster/process/quota_service.py
+++ b/finchladder/cluster/process/quota_service.py
@@ -83,4 +83,5 @@
         refused = [cost for cost, is_granted in zip(need.costs, granted, strict=True) if not is_granted]
         if not refused:
             return QuotaGrant(need.tenant, granted)
-        return QuotaGrant(need.tenant, granted, self.account.retry_after_ms(tenant, min(refused), now))
+        retry_after_ms = self.account.retry_after_ms(tenant, min(refused), now)
+        return QuotaGrant(need.tenant, granted, retry_after_ms, self.account.is_exhausted(tenant, now))
--- a/finchladder/cluster/process/request_quota.py
+++ b/finchladder/cluster/process/request_quota.py
@@ -12,9 +12,7 @@
 class QuotaSource(Protocol):
     """Grants quota."""
 
-    async def reserve(
-        self, tenant: Tenant, cost: int, give_up_at: float, replaced: Reservation | None = None
-    ) -> Reservation | QuotaRefusal:
+    async def reserve(self, tenant: Tenant, cost: int, give_up_at: float) -> Reservation | QuotaRefusal:
         """A reservation for one request, or why there is none."""
         ...
 
@@ -26,9 +24,7 @@
 class NoAccount:
     """Source of a dispatcher that has no account to ask: nothing is granted."""
 
-    async def reserve(
-        self, tenant: Tenant, cost: int, give_up_at: float, replaced: Reservation | None = None
-    ) -> Reservation | QuotaRefusal:
+    async def reserve(self, tenant: Tenant, cost: int, give_up_at: float) -> Reservation | QuotaRefusal:
         """No reservation."""
         return QuotaUnavailable()
 
@@ -63,11 +59,11 @@
         return self._reservation is not None and self._reservation.is_valid(steady())
 
     async def reserve(self) -> QuotaRefusal | None:
-        """Reserves quota for the next attempt; a reservation that has lapsed is replaced."""
+        """Reserves quota for the next attempt; one that has lapsed is lost, and its cost counts twice."""
         if self.tenant is None or self.is_reserved():
             return None
-        lapsed, self._reservation = self._reservation, None
-        outcome = await self.source.reserve(self.tenant, self.cost, steady() + self.max_wait_s, lapsed)
+        self._reservation = None
+        outcome = await self.source.reserve(self.tenant, self.cost, steady() + self.max_wait_s)
         if not isinstance(outcome, Reservation):
             return outcome
         self._reservation = outcome
--- a/finchladder/cluster/routing/requests.py
+++ b/finchladder/cluster/routing/requests.py
@@ -19,6 +19,8 @@
 STREAM_STALL_LATENCY_TARGETS = 4.0
 STREAM_STALL_EVENT_GAPS = 8.0
 
+MAX_TOKEN_COUNT = 10**7  # beyond what any worker's memory holds
+
 
 @frozen
 class ClassifiedRequest:
@@ -84,9 +86,13 @@
         return None
 
 
+def _clamp_token_count(count: int) -> int:
+    return max(0, min(count, MAX_TOKEN_COUNT))
+
+
 def _parse_token_counts(text: str | None) -> tuple[int, ...]:
     """Tokens of the prompt and the most that is put out; empty if they can't be parsed."""
     try:
-        return tuple(max(0, int(part)) for part in text.split(",")) if text else ()
+        return tuple(_clamp_token_count(int(part)) for part in text.split(",")) if text else ()
     except ValueError:
         return ()
--- a/finchladder/cluster/tenancy/quota_account.py
+++ b/finchladder/cluster/tenancy/quota_account.py
@@ -6,12 +6,12 @@
 """
 
 from collections.abc import Iterable
-from math import ceil
+from math import ceil, inf
 
 from attrs import define, field
 
 from finchladder.cluster.tenancy.quota_rule import BucketLimits, QuotaRule
-from finchladder.cluster.tenancy.tenants import Tenant
+from finchladder.cluster.tenancy.tenants import QuotaUnit, Tenant
 
 MS_PER_S = 1000
 MAX_RETRY_AFTER_MS = 10_000  # a client has given up by then
@@ -19,7 +19,11 @@
 
 @define
 class TokenBucket:
-    """Quota of one tenant that can be granted. `level`: units, below zero after one large request."""
+    """Quota of one tenant that can be granted. `level`: units, below zero by `max_debt` at the most.
+
+    While there is anything left a request is granted whatever it costs, up to `max_debt`: else a tenant over
+    its limit would have its small requests served and hardly a large one.
+    """
 
     limits: BucketLimits
     level: float
@@ -41,16 +45,18 @@
         self.level = min(self.level, limits.capacity)
 
     def try_withdraw(self, units: float) -> bool:
-        """Withdraws the units if they are there; a request above the capacity needs a full bucket."""
-        if self.level < min(units, self.limits.capacity):
+        """Withdraws the units if something is left, and enough of it for what exceeds `max_debt`."""
+        if self.level <= 0 or self.level < units - self.limits.max_debt:
             return False
         self.level -= units
         return True
 
     def seconds_until(self, units: float) -> float:
-        """Seconds until that many units could be withdrawn, if nobody else does."""
-        missing = min(units, self.limits.capacity) - self.level
-        return max(0.0, missing / self.limits.refill_per_s)
+        """Seconds until that many units could be withdrawn, if nobody else does; inf: never."""
+        needed = max(0.0, units - self.limits.max_debt)
+        if needed > self.limits.capacity:
+            return inf
+        return max(0.0, (needed - self.level) / self.limits.refill_per_s)
 
 
 @define
@@ -66,7 +72,7 @@
     rule: QuotaRule
     term: int = 0
     started_at: float = 0.0
-    _buckets: dict[str, TokenBucket] = field(factory=dict)
+    _buckets: dict[tuple[str, QuotaUnit], TokenBucket] = field(factory=dict)
 
     def begin_term(self, term: int, now: float) -> None:
         """Begins a term with empty buckets, unless it has begun already."""
@@ -94,20 +100,27 @@
         bucket = self._bucket(tenant, now)
         if bucket is None:
             return 0
-        return min(MAX_RETRY_AFTER_MS, ceil(bucket.seconds_until(cost) * MS_PER_S))
+        return ceil(min(MAX_RETRY_AFTER_MS, bucket.seconds_until(cost) * MS_PER_S))
+
+    def is_exhausted(self, tenant: Tenant, now: float) -> bool:
+        """Whether no request would be granted now, whatever it costs."""
+        bucket = self._bucket(tenant, now)
+        return bucket is not None and bucket.level <= 0
 
     def _bucket(self, tenant: Tenant, now: float) -> TokenBucket | None:
         """The tenant's bucket, refilled, with the limits as configured now; None without a limit.
 
-        A bucket outlives its tenant's removal, so one that is put back keeps what it has spent.
+        A bucket outlives its tenant's removal, so one that is put back keeps what it has spent. Another unit
+        begins with another bucket.
         """
         if not tenant.is_limited:
             return None
         limits = self.rule.bucket_limits(tenant.rate_per_s, tenant.burst)
-        bucket = self._buckets.get(tenant.name)
+        key = (tenant.name, tenant.unit)
+        bucket = self._buckets.get(key)
         if bucket is None:
             bucket = TokenBucket(limits, 0.0, self.started_at)
-            self._buckets[tenant.name] = bucket
+            self._buckets[key] = bucket
         bucket.refill(now)
         bucket.apply_limits(limits)
         return bucket
--- a/finchladder/cluster/tenancy/quota_rule.py
+++ b/finchladder/cluster/tenancy/quota_rule.py
@@ -11,14 +11,20 @@
 GRANT_VALIDITY_S = 0.5  # after a dispatcher asked for a grant, until when it may send the request
 ARRIVAL_DELAY_S = 0.4  # between the last check of the grant and the arrival at a worker
 SLACK_SHARE = 0.9  # of the rule's slack that is used
+DEBT_SHARE = 0.5  # of what may be granted beyond the burst, for requests larger than what is left
 
 
 @frozen
 class BucketLimits:
-    """Limits of a tenant's token bucket. `refill_per_s`: units a second; `capacity`: units."""
+    """Limits of a tenant's token bucket.
+
+    `refill_per_s`: units a second; `capacity`: the highest level, in units; `max_debt`: how far one grant may
+    take the level below zero.
+    """
 
     refill_per_s: float
     capacity: float
+    max_debt: float
 
 
 @frozen
@@ -41,7 +47,12 @@
         return self.window_s + GRANT_VALIDITY_S + ARRIVAL_DELAY_S
 
     def bucket_limits(self, rate_per_s: float, burst: float) -> BucketLimits:
-        """The largest token bucket whose grants keep the rule; its capacity is the burst at least."""
+        """The largest token bucket whose grants keep the rule; its capacity is the burst at least.
+
+        A span's grants are at most `capacity + max_debt + refill_per_s * span`.
+        """
         allowed = (rate_per_s * self.window_s + burst) * (1 + self.overage) + SLACK_SHARE * self.slack
         refill_per_s = min(rate_per_s, (allowed - burst) / self.grant_span_s)
-        return BucketLimits(refill_per_s, allowed - refill_per_s * self.grant_span_s)
+        in_advance = allowed - refill_per_s * self.grant_span_s
+        max_debt = max(0.0, DEBT_SHARE * (in_advance - burst))
+        return BucketLimits(refill_per_s, in_advance - max_debt, max_debt)
--- a/finchladder/cluster/tenancy/reservations.py
+++ b/finchladder/cluster/tenancy/reservations.py
@@ -53,25 +53,28 @@
 
 @frozen
 class _Exhaustion:
-    cost: int
     until: float
     retry_at: float
 
 
 @define
 class ExhaustedTenants:
-    """Tenants that the account refused a moment ago: their requests are refused without asking."""
+    """Tenants that the account refused a moment ago: all their requests are refused without asking.
+
+    What a request costs makes no difference, or only the small ones of a tenant over its limit
+    would be served.
+    """
 
     _by_tenant: dict[str, _Exhaustion] = field(factory=dict)
 
-    def record(self, tenant: str, cost: int, retry_after_s: float, now: float) -> None:
-        """Remembers that the account refused that cost, which it may grant after `retry_after_s`."""
+    def record(self, tenant: str, retry_after_s: float, now: float) -> None:
+        """Remembers that the account refused a request, which it may grant after `retry_after_s`."""
         until = now + min(retry_after_s, MAX_EXHAUSTED_S)
-        self._by_tenant[tenant] = _Exhaustion(cost, until, now + retry_after_s)
+        self._by_tenant[tenant] = _Exhaustion(until, now + retry_after_s)
 
-    def find(self, tenant: str, cost: int, now: float) -> QuotaExhausted | None:
-        """Why a request of that cost is refused without asking; None if the account is to be asked."""
+    def find(self, tenant: str, now: float) -> QuotaExhausted | None:
+        """Why a request is refused without asking; None if the account is to be asked."""
         exhaustion = self._by_tenant.get(tenant)
-        if exhaustion is None or now >= exhaustion.until or cost < exhaustion.cost:
+        if exhaustion is None or now >= exhaustion.until:
             return None
         return QuotaExhausted(exhaustion.retry_at - now)
--- a/finchladder/cluster/types/messages.py
+++ b/finchladder/cluster/types/messages.py
@@ -304,6 +304,7 @@
     tenant: str
     granted: tuple[bool, ...]
     retry_after_ms: int = 0  # until the first cost that was not granted could be
+    is_exhausted: bool = False  # nothing is left, whatever a request costs
 
 
 class QuotaReply(Message, frozen=True, tag=63):
