Each patch gets an answer, and stored tenants that can't be read stop no dispatcher

A patch on such a configuration raised KeyError or TypeError at the head, so did patches of what is no list of named items (`upsert` of an unknown kind, `remove` of `limits`); `upsert` could set `limits` to a number and `version` to anything.

Change: a patch names items only of lists of named items; what it makes is checked by a schema of its own: all of `tenants`, and the types at the top. Routes and services were validated when they were stored or sent. The answer names the place, no value, no name that may be a key. A key that two stored tenants share is nobody's: 401.

--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -5,7 +5,14 @@
 from hashlib import blake2b
 from typing import Any
 
-from finchladder.cluster.configuration.schema import DOCUMENT_VALIDATOR, PATCH_VALIDATOR, first_problem
+from finchladder.cluster.configuration.schema import (
+    DOCUMENT_VALIDATOR,
+    HIDDEN,
+    ITEM_PROPERTIES,
+    PATCH_VALIDATOR,
+    PATCHED_VALIDATOR,
+    first_problem,
+)
 
 Document = dict[str, Any]  # a configuration or a patch, as parsed JSON
 
@@ -63,31 +70,72 @@
         return InvalidChange(problem)
     if change["version"] <= current_version:
         return InvalidChange(f"version {change['version']} is not above {current_version}")
-    document = _apply_patch(json.loads(current or b"{}"), change) if is_patch else change
+    document = _patched(json.loads(current or b"{}"), change) if is_patch else change
+    if isinstance(document, InvalidChange):
+        return document
     problem = semantic_problem(document)
     if problem:
         return InvalidChange(problem)
-    return ValidChange(change["version"], json.dumps(document, separators=(",", ":")).encode())
+    try:
+        encoded = json.dumps(document, separators=(",", ":")).encode()
+    except RecursionError:
+        return InvalidChange("configuration: is nested too deeply")
+    return ValidChange(change["version"], encoded)
+
+
+def _patched(current: Document, change: Document) -> Document | InvalidChange:
+    """Applies a patch, and checks what neither its own schema nor that of the stored rest has checked."""
+    try:
+        document = _apply_patch(current, change)
+    except _UnnamedItemsError as error:
+        return InvalidChange(str(error))
+    problem = first_problem(PATCHED_VALIDATOR, document)
+    if problem:
+        return InvalidChange(problem)
+    if document["version"] != change["version"]:
+        return InvalidChange("upsert/version: is not that of the patch")
+    return document
+
+
+class _UnnamedItemsError(Exception):
+    """A patch names items of what is no list of named items."""
+
+    def __init__(self, kind: str) -> None:
+        # an unknown kind may be an API key in the wrong place
+        super().__init__(f"{kind if kind in ITEM_PROPERTIES else HIDDEN}: is no list of items with names")
 
 
 def _apply_patch(document: Document, change: Document) -> Document:
-    """Applies `remove`, then `upsert`, by item name; a replaced item keeps its index."""
+    """Applies `remove`, then `upsert`, by item name; a replaced item keeps its index.
+
+    Raises:
+        _UnnamedItemsError: What the patch names, or what is stored, is no list of named items.
+    """
     result = dict(document)
     result["version"] = change["version"]
     for kind, names in change.get("remove", {}).items():
         if kind in result:  # else an empty list of tenants would come to be, which makes routes private
             removed = set(names)
-            result[kind] = [item for item in result[kind] if item["name"] not in removed]
+            result[kind] = [item for item in _named(kind, result[kind]) if item["name"] not in removed]
     for kind, items in change.get("upsert", {}).items():
-        if not isinstance(items, list):
+        if isinstance(items, list):
+            merged = [*_named(kind, result.get(kind, [])), *_named(kind, items)]
+            result[kind] = list({item["name"]: item for item in merged}.values())
+        else:
             result[kind] = items
-            continue
-        by_name = {item["name"]: item for item in result.get(kind, [])}
-        by_name.update({item["name"]: item for item in items})
-        result[kind] = list(by_name.values())
     return result
 
 
+def _named(kind: str, items: object) -> list[Document]:
+    if not isinstance(items, list) or not all(_has_name(item) for item in items):
+        raise _UnnamedItemsError(kind)
+    return items
+
+
+def _has_name(item: object) -> bool:
+    return isinstance(item, dict) and isinstance(item.get("name"), str)
+
+
 def semantic_problem(document: Document) -> str:
     """Checks what the schema can't express: references, uniqueness, sums of weights.
 
--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -93,9 +93,20 @@
         REMOVE: {"type": "object", "additionalProperties": {"type": "array", "items": NAME_SCHEMA}},
     },
 }
+# Of a configuration that a patch made: its routes and services were validated when they were stored or sent.
+# Tenants of a version that knew none were not, and `upsert` can replace whatever stands at the top.
+PATCHED_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "properties": {
+        **DOCUMENT_SCHEMA["properties"],
+        "routes": {"type": "array"},
+        "services": {"type": "array"},
+    },
+}
 
 DOCUMENT_VALIDATOR = Draft202012Validator(DOCUMENT_SCHEMA)
 PATCH_VALIDATOR = Draft202012Validator(PATCH_SCHEMA)
+PATCHED_VALIDATOR = Draft202012Validator(PATCHED_SCHEMA)
 
 
 def first_problem(validator: Draft202012Validator, value: object) -> str:
--- a/finchladder/cluster/configuration/snapshot.py
+++ b/finchladder/cluster/configuration/snapshot.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from finchladder.cluster.tenancy.api_keys import KeyTable, build_key_table
-from finchladder.cluster.tenancy.tenants import Tenant, parse_tenant
+from finchladder.cluster.tenancy.tenants import Tenant, read_tenants
 
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
@@ -151,6 +151,9 @@
 def build_snapshot(document: bytes, key_salt: bytes = b"") -> ConfigurationSnapshot:
     """Builds a snapshot of a valid configuration (JSON). CPU: O(routes log routes + API keys).
 
+    A version that knew no tenants stored what it was sent: tenants that can't be read are left out, and a key
+    that two tenants share is nobody's. A request with such a key gets 401, and the rest is served.
+
     `key_salt`: random bytes of this process for the digests of API keys, `KEY_SALT_BYTES` at most.
     """
     value: dict[str, Any] = json.loads(document)
@@ -164,8 +167,7 @@
         for host, routes in by_host.items()
     }
     services = {item["name"]: _service(item) for item in value.get("services", [])}
-    # a document that an earlier version stored may hold tenants that were never validated
-    tenants = [(parse_tenant(item), item.get("api_keys", ())) for item in value.get("tenants", [])]
+    tenants = read_tenants(value.get("tenants", []))
     return ConfigurationSnapshot(
         version=value["version"],
         routes_by_host=MappingProxyType(routes_by_host),
--- a/finchladder/cluster/tenancy/api_keys.py
+++ b/finchladder/cluster/tenancy/api_keys.py
@@ -75,10 +75,18 @@
 
     Args:
         salt: Random bytes of this process, `KEY_SALT_BYTES` at most.
-        keys_by_tenant: Each tenant with its keys; no two tenants share a key.
+        keys_by_tenant: Each tenant with its keys. A key that two tenants share, which no valid configuration
+            has, is left out: nobody can tell whose request it is.
     """
-    digests = {_digest(key, salt): tenant for tenant, keys in keys_by_tenant for key in keys}
-    return KeyTable(salt, MappingProxyType(digests))
+    holders: dict[bytes, Tenant] = {}
+    shared: set[bytes] = set()
+    for tenant, keys in keys_by_tenant:
+        for key in keys:
+            digest = _digest(key, salt)
+            if holders.setdefault(digest, tenant).name != tenant.name:
+                shared.add(digest)
+    held = {digest: tenant for digest, tenant in holders.items() if digest not in shared}
+    return KeyTable(salt, MappingProxyType(held))
 
 
 def _digest(key: str, salt: bytes) -> bytes:
--- a/finchladder/cluster/tenancy/tenant_limits.py
+++ b/finchladder/cluster/tenancy/tenant_limits.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from finchladder.cluster.tenancy.tenants import Tenant, parse_tenant
+from finchladder.cluster.tenancy.tenants import Tenant, read_tenants
 
 
 @define
@@ -24,4 +24,4 @@
 
 def _parse(document: bytes) -> dict[str, Tenant]:
     items = json.loads(document).get("tenants", []) if document else []
-    return {item["name"]: parse_tenant(item) for item in items}
+    return {tenant.name: tenant for tenant, _ in read_tenants(items)}
--- a/finchladder/cluster/tenancy/tenants.py
+++ b/finchladder/cluster/tenancy/tenants.py
@@ -1,12 +1,15 @@
 """Tenants as the operator configures them, and what a request costs of a tenant's quota."""
 
+import re
 from collections.abc import Mapping
 from enum import Enum
+from math import isfinite
 from typing import Any
 
 from attrs import frozen
 
 DEFAULT_RAW_TOKENS = 1
+CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 
 
 class QuotaUnit(str, Enum):
@@ -60,3 +63,29 @@
         rate_per_s=float(item.get("rate_per_s") or 0),
         burst=float(item.get("burst") or 0),
     )
+
+
+def read_tenants(items: object) -> list[tuple[Tenant, list[str]]]:
+    """The tenants, each with its keys, of a configuration whose `tenants` may never have been validated.
+
+    What can't be read is left out.
+    """
+    if not isinstance(items, list):
+        return []
+    return [(tenant, item["api_keys"]) for item in items if (tenant := _readable_tenant(item)) is not None]
+
+
+def _readable_tenant(item: object) -> Tenant | None:
+    if not isinstance(item, dict) or not _has_name_and_keys(item):
+        return None
+    try:
+        tenant = parse_tenant(item)
+    except (TypeError, ValueError, OverflowError):
+        return None
+    return tenant if isfinite(tenant.rate_per_s) and isfinite(tenant.burst) else None
+
+
+def _has_name_and_keys(item: Mapping[str, Any]) -> bool:
+    name, keys = item.get("name"), item.get("api_keys")
+    is_name = isinstance(name, str) and name != "" and CONTROL_CHARACTERS.search(name) is None
+    return is_name and isinstance(keys, list) and all(isinstance(key, str) for key in keys)
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from finchladder.cluster.configuration.changes import (
     InvalidChange,
@@ -250,6 +252,97 @@
     assert "tenants" not in without_list
 
 
+# --- patches of anything, and on anything that an older version stored
+
+
+@pytest.mark.parametrize(
+    ("change", "problem"),
+    [
+        ({"upsert": {"secret-kind": [1]}}, "...: is no list of items with names"),
+        ({"upsert": {"secret-kind": [{"name": []}]}}, "...: is no list of items with names"),
+        ({"upsert": {"more": [{"name": "a"}]}}, "...: is no list of items with names"),
+        ({"upsert": {"limits": [{"name": "a"}]}}, "...: is no list of items with names"),
+        ({"upsert": {"limits": 5}}, "limits: violates `type` object"),
+        ({"upsert": {"version": 9}}, "upsert/version: is not that of the patch"),
+        ({"upsert": {"version": "secret"}}, "version: violates `type` integer"),
+        ({"remove": {"limits": ["a"]}}, "...: is no list of items with names"),
+        ({"remove": {"more": ["a"]}}, "...: is no list of items with names"),
+        ({"remove": {"version": ["a"]}}, "...: is no list of items with names"),
+    ],
+)
+def test_a_patch_of_what_is_no_list_of_named_items_is_rejected(change: dict[str, Any], problem: str) -> None:
+    assert patch({"version": 7, **change}) == InvalidChange(problem)
+
+
+@pytest.mark.parametrize(
+    ("tenants", "problem"),
+    [
+        ([{"name": "a"}], "tenants/0: 'api_keys' is a required property"),
+        ([{"api_keys": []}], "tenants/0: 'name' is a required property"),
+        ({"secret-1": {}}, "tenants: violates `type` array"),
+        (None, "tenants: violates `type` array"),
+        ([{"name": "a", "api_keys": "secret-1"}], "tenants/0/api_keys: violates `type` array"),
+    ],
+)
+def test_a_patch_on_tenants_that_were_never_validated_names_the_place(tenants: object, problem: str) -> None:
+    stored = json.dumps(changed(tenants=tenants)).encode()
+    change = json.dumps({"version": 7, "upsert": {"routes": []}}).encode()
+    assert validate_change(stored, 5, True, change) == InvalidChange(problem)
+
+
+def test_a_patch_can_repair_tenants_that_were_never_validated() -> None:
+    stored = json.dumps(changed(tenants=[{"name": "north"}, {"name": "west"}])).encode()
+    change = {"version": 7, "remove": {"tenants": ["west"]}, "upsert": {"tenants": TENANTS}}
+    assert document(validate_change(stored, 5, True, json.dumps(change).encode()))["tenants"] == TENANTS
+
+
+def test_a_patch_replaces_what_has_no_items() -> None:
+    outcome = patch({"version": 7, "upsert": {"limits": {"max_body_bytes": 11}, "kind": [{"name": "a"}]}})
+    assert (document(outcome)["limits"], document(outcome)["kind"]) == (
+        {"max_body_bytes": 11},
+        [{"name": "a"}],
+    )
+
+
+KINDS = st.sampled_from(["routes", "services", "tenants", "limits", "version", "more", "other", ""])
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-2, 9) | st.floats() | st.sampled_from(["r1", "s1", "north"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["name", "api_keys", "service", "x"]), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+ITEMS = st.sampled_from([ROUTE, SERVICE, *TENANTS]) | VALUES
+PART = st.dictionaries(KINDS, st.lists(ITEMS, max_size=3) | VALUES, max_size=3)
+
+
+@given(
+    change=st.fixed_dictionaries({"version": st.just(7)}, optional={"upsert": PART, "remove": PART}) | VALUES,
+    names=st.dictionaries(KINDS, st.lists(st.sampled_from(["r1", "s1", "north"]), max_size=2), max_size=2),
+    tenants=VALUES | st.just(TENANTS),
+)
+def test_no_patch_raises_whatever_it_holds_and_whatever_tenants_are_stored(
+    change: Any, names: dict[str, list[str]], tenants: object
+) -> None:
+    stored = json.dumps(changed(tenants=tenants)).encode()
+    changes = [change, {"version": 7, "remove": names}]
+    if isinstance(change, dict):
+        changes.append({**change, "remove": names})
+    for each in changes:
+        outcome = validate_change(stored, 5, True, json.dumps(each).encode())
+        assert isinstance(outcome, InvalidChange | ValidChange)
+        if isinstance(outcome, ValidChange):
+            assert json.loads(outcome.document)["version"] == outcome.version
+
+
+@pytest.mark.parametrize("depth", [10, 500, 900, 990, 5_000, 50_000])
+def test_no_depth_of_a_patch_raises(depth: int) -> None:
+    body = b'{"version": 7, "upsert": {"other": {"a":' + b"[" * depth + b"]" * depth + b"}}}"
+    outcome = validate_change(json.dumps(DOCUMENT).encode(), 5, True, body)
+    assert isinstance(outcome, InvalidChange | ValidChange)
+
+
 # --- compression
 
 
--- a/tests/cluster/test_snapshot.py
+++ b/tests/cluster/test_snapshot.py
@@ -2,8 +2,11 @@
 
 import json
 
+import pytest
+
 from finchladder.cluster.configuration.snapshot import build_snapshot
 from finchladder.cluster.tenancy.api_keys import ApiKey
+from finchladder.cluster.tenancy.tenant_limits import TenantLimits
 
 DOCUMENT = {
     "version": 3,
@@ -88,3 +91,63 @@
     snapshots.append(build_snapshot(json.dumps(DOCUMENT).encode()))
     found = [snapshot.match("a.example", "/x/1") for snapshot in snapshots]
     assert [route is not None and route.is_public for route in found] == [True, False, False]
+
+
+# --- tenants that an older version stored without a look at them
+
+READABLE = {"name": "north", "api_keys": ["north-1"]}
+
+
+@pytest.mark.parametrize(
+    "unreadable",
+    [
+        None,
+        "west",
+        {},
+        {"name": "west"},
+        {"api_keys": ["west-1"]},
+        {"name": "", "api_keys": ["west-1"]},
+        {"name": "we\r\nst", "api_keys": ["west-1"]},
+        {"name": ["west"], "api_keys": ["west-1"]},
+        {"name": "west", "api_keys": "west-1"},
+        {"name": "west", "api_keys": ["west-1", 7]},
+        {"name": "west", "api_keys": ["west-1"], "rate_per_s": "many"},
+        {"name": "west", "api_keys": ["west-1"], "rate_per_s": float("inf")},
+        {"name": "west", "api_keys": ["west-1"], "burst": float("nan")},
+        {"name": "west", "api_keys": ["west-1"], "raw_tokens": float("inf")},
+        {"name": "west", "api_keys": ["west-1"], "raw_tokens": None},
+        {"name": "west", "api_keys": ["west-1"], "priority": [1]},
+        {"name": "west", "api_keys": ["west-1"], "rate_per_s": 10**400},
+    ],
+)
+def test_a_tenant_that_can_not_be_read_is_left_out_and_the_rest_is_kept(unreadable: object) -> None:
+    document = json.dumps({"version": 3, "tenants": [unreadable, READABLE]}).encode()
+    snapshot = build_snapshot(document)
+    assert snapshot.keys is not None
+    assert snapshot.keys.tenant_of(ApiKey("west-1")) is None
+    tenant = snapshot.keys.tenant_of(ApiKey("north-1"))
+    assert tenant is not None and tenant.name == "north"
+    assert list(snapshot.tenants) == ["north"]
+    limits = TenantLimits()
+    assert limits.tenant(document, "north") == tenant
+    assert limits.tenant(document, "west") is None
+
+
+@pytest.mark.parametrize("tenants", [None, {"a": {}}, "north", 5])
+def test_tenants_that_are_no_list_leave_all_private_routes_closed(tenants: object) -> None:
+    document = json.dumps({"version": 3, "tenants": tenants}).encode()
+    snapshot = build_snapshot(document)
+    assert snapshot.keys is not None and snapshot.keys.key_count == 0
+    assert TenantLimits().tenant(document, "north") is None
+
+
+def test_a_key_that_two_stored_tenants_share_is_nobodys_and_the_others_are_kept() -> None:
+    tenants = [
+        {"name": "north", "api_keys": ["shared", "north-1", "north-1"]},
+        {"name": "south", "api_keys": ["south-1", "shared"]},
+        {"name": "west", "api_keys": ["shared"]},
+    ]
+    keys = build_snapshot(json.dumps({"version": 3, "tenants": tenants}).encode()).keys
+    assert keys is not None
+    holders = [keys.tenant_of(ApiKey(key)) for key in ("shared", "north-1", "south-1")]
+    assert [holder and holder.name for holder in holders] == [None, "north", "south"]
