--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -40,6 +40,8 @@
 @click.option("--fenced/--not-fenced", default=False, show_default=True, help="Workers check fences.")
 @click.option("--places/--no-places", default=False, show_default=True, help="Models are placed, too.")
 @click.option("--scale", default=1.0, show_default=True, help="Factor of all bounds of the rules.")
+@click.option("--quotas/--no-quotas", default=False, show_default=True, help="Requests need quota.")
+@click.option("--stalls/--no-stalls", default=False, show_default=True, help="Requests with quota wait, too.")
 @click.option("--jobs", default=1, show_default=True, help="Processes.")
 def hunt_seeds(
     first: int,
@@ -53,14 +55,20 @@
     fenced: bool,
     places: bool,
     scale: float,
+    quotas: bool,
+    stalls: bool,
     jobs: int,
 ) -> None:
     """Look for seeds that break a rule, shrink and print them with their traces; status 1 if there is one."""
     numbers = range(first, first + seeds)
     if places and not edges:
         raise click.UsageError("--places needs --edges: dispatchers tell what is asked for")
+    if quotas and not edges:
+        raise click.UsageError("--quotas needs --edges: dispatchers reserve quota")
+    if stalls and not quotas:
+        raise click.UsageError("--stalls needs --quotas: what is reserved waits")
     cases = [
-        Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced, places, scale)
+        Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced, places, scale, quotas, stalls)
         for seed in numbers
     ]
     found = 0
--- a/finchladder/lab/cluster/dataplane.py
+++ b/finchladder/lab/cluster/dataplane.py
@@ -10,6 +10,7 @@
 
 from finchladder.cluster.configuration.compression import decompress
 from finchladder.cluster.process.core_sessions import CoreSessions
+from finchladder.cluster.process.quota_client import QuotaClient
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
 from finchladder.cluster.process.worker_sessions import DRAINING_STATE
@@ -39,7 +40,7 @@
 @define
 class Dispatcher:
     """One dispatcher; `puller` is None while its process does not run. `version` and `number`: of the
-    configuration in force at it, and of the change that made that one.
+    configuration in force at it, and of the change that made that one. `quotas`: None in worlds without.
     """
 
     name: str
@@ -48,6 +49,7 @@
     puller: UpdatePuller | None = None
     version: int = 0
     number: int = 0
+    quotas: QuotaClient | None = None
 
     def seen(self) -> Process:
         """What is to be seen of it from outside."""
@@ -79,17 +81,24 @@
             on_update=take,
             timeouts=world.timeouts,
         )
+        if world.quotas:
+            self.quotas = self._quota_client(world, self.puller)
         running_loop().spawn(self.name, self._keep(self.puller))
         world.note(f"{self.name} starts, life {self.lives}")
 
     async def _keep(self, puller: UpdatePuller) -> None:
         puller.tasks.repeat(puller.run, "sources")
+        if self.quotas is not None:
+            puller.tasks.repeat(self.quotas.run, "quota")
+
+    def _quota_client(self, world: "World", puller: UpdatePuller) -> QuotaClient:
+        return QuotaClient(self.name, SimulatedPeers(world.network, self.address), lambda: puller.placer)
 
     def kill(self, world: "World") -> None:
         """Ends its process."""
         world.note(f"{self.name} is killed")
         running_loop().end_process(self.name)
-        self.puller = None
+        self.puller = self.quotas = None
 
     def ready_workers(self) -> set[str]:
         """Instances to which it would send requests."""
--- a/finchladder/lab/cluster/hunt.py
+++ b/finchladder/lab/cluster/hunt.py
@@ -30,6 +30,8 @@
     fenced: bool = False  # workers check fencing tokens
     places: bool = False  # there are model workers, and core processes place models
     scale: float = 1.0  # of all bounds of the rules
+    quotas: bool = False  # dispatchers reserve quota for clients' requests
+    stalls: bool = False  # at times workers take no requests, which wait with what they have reserved
 
 
 @frozen
@@ -58,6 +60,8 @@
         fenced=case.fenced,
         places=case.places,
         scale=case.scale,
+        quotas=case.quotas,
+        stalls=case.stalls,
     )
     try:
         run(_play(world, case.faults))
--- a/finchladder/lab/cluster/mutants.py
+++ b/finchladder/lab/cluster/mutants.py
@@ -77,7 +77,11 @@
     losses = (mutant.machines - 1) // 2
     for number in range(seeds):
         seed, machines, edges = first + number, mutant.machines, mutant.edges
-        finding = play(Case(seed, machines, losses, EPISODES, overlaps=True, edges=edges))
+        quotas = mutant.quotas  # workers check fences there, as where quotas are in force
+        case = Case(
+            seed, machines, losses, EPISODES, overlaps=True, edges=edges, fenced=quotas, quotas=quotas
+        )
+        finding = play(case)
         if finding is not None:
             return Found(mutant, number + 1, finding.problem)
     return Found(mutant, seeds, "")
--- a/finchladder/lab/cluster/operators.py
+++ b/finchladder/lab/cluster/operators.py
@@ -56,6 +56,8 @@
             "services": services() if world.places else [],
             "number": world.numbers,
         }
+        if world.quota_play is not None:
+            fields["tenants"] = world.quota_play.tenants_of_change(world.numbers)
         change = Change(world.numbers, base, version, json.dumps(fields).encode())
         world.oracle.changes[change.number] = change
         return change
--- a/finchladder/lab/cluster/planted_faults.py
+++ b/finchladder/lab/cluster/planted_faults.py
@@ -2,11 +2,14 @@
 
 from attrs import frozen
 
+QUOTAS = 6  # point of the faults of the quota account
+
 
 @frozen
 class Mutant:
-    """`point`: which of the worst days' points its guard belongs to; `module`: below `finchladder.cluster`.
-    `machines`, `edges`: core machines and dispatchers of the world that is to find it.
+    """`point`: which of the worst days' points its guard belongs to, `QUOTAS` for the quota account;
+    `module`: below `finchladder.cluster`. `machines`, `edges`, `quotas`: core machines and dispatchers of the
+    world that is to find it, and whether these reserve quota.
     """
 
     name: str
@@ -16,6 +19,7 @@
     new: str
     machines: int = 3
     edges: int = 0
+    quotas: bool = False
 
 
 _GRANT_PROMISE = "granted = may_vote and follows and request.ballot > acceptor.promised"
@@ -407,4 +411,68 @@
         "if replica.state_view != view.number or replica.state.sequence < self.acknowledged.sequence:",
         "if False:",
     ),
+    # the quota account
+    Mutant(
+        "term begins with full buckets",
+        QUOTAS,
+        "tenancy.quota_account",
+        "TokenBucket(limits, 0.0, self.started_at)",
+        "TokenBucket(limits, limits.capacity, self.started_at)",
+        edges=3,
+        quotas=True,
+    ),
+    Mutant(
+        "returns are taken back whatever the term",
+        QUOTAS,
+        "tenancy.quota_account",
+        "if bucket is not None and term == self.term:",
+        "if bucket is not None:",
+        edges=3,
+        quotas=True,
+    ),
+    Mutant(
+        "lease is not looked at when granting",
+        QUOTAS,
+        "process.quota_service",
+        "if role.is_held() else None",
+        "if role.lease.token else None",
+        edges=3,
+        quotas=True,
+    ),
+    Mutant(
+        "validity counts from the answer",
+        QUOTAS,
+        "process.quota_client",
+        "reply.term, grant_valid_until(asked_at))",
+        "reply.term, grant_valid_until(steady()))",
+        edges=3,
+        quotas=True,
+    ),
+    Mutant(
+        "reservation is spent again after an attempt that ran",
+        QUOTAS,
+        "process.request_quota",
+        "self._spent, self._reservation = self._reservation, None",
+        "self._spent = self._reservation",
+        edges=3,
+        quotas=True,
+    ),
+    Mutant(
+        "holder does not begin a new term",
+        QUOTAS,
+        "process.quota_service",
+        "if self.account.term != term.number:",
+        "if not self.account.term:",
+        edges=3,
+        quotas=True,
+    ),
+    Mutant(
+        "lowered limit keeps the old capacity",
+        QUOTAS,
+        "tenancy.quota_account",
+        "self.limits = limits\n        self.level = min(self.level, limits.capacity)",
+        "self.limits = BucketLimits(limits.refill_per_s, self.limits.capacity)",
+        edges=3,
+        quotas=True,
+    ),
 )
--- a/finchladder/lab/cluster/plays.py
+++ b/finchladder/lab/cluster/plays.py
@@ -52,6 +52,8 @@
     await _must_take(world, "at the start")
     if world.placement is not None:
         world.placement.begin()
+    if world.quota_play is not None:
+        world.quota_play.begin()
     world.network.loss = world.random.choice(LOSSES)
 
 
@@ -60,6 +62,8 @@
     world.network.cut.clear()
     if world.violation is None:
         await _must_take(world, "after the faults")
+    if world.quota_play is not None:
+        await world.quota_play.end()
     for driver in world.drivers:
         driver.cancel()
     if world.placement is not None:
--- a/tests/cluster/quota_oracle.py
+++ b/finchladder/lab/cluster/quota_oracle.py
@@ -18,9 +18,11 @@
         self.arrivals: list[Arrival] = []
 
     def record(self, time: float, tenant: str, cost: int) -> None:
+        """A request reached a worker which runs it."""
         self.arrivals.append(Arrival(time, tenant, cost))
 
     def total(self, tenant: str) -> int:
+        """Units of a tenant that have arrived."""
         return sum(arrival.cost for arrival in self.arrivals if arrival.tenant == tenant)
 
     def worst_excess(
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -18,6 +18,7 @@
 from finchladder.lab.cluster.network import Host, Network, SimulatedPeers
 from finchladder.lab.cluster.oracle import Oracle, Violation
 from finchladder.lab.cluster.placement import PlacementPlay
+from finchladder.lab.cluster.quota_play import QuotaPlay
 from finchladder.lab.cluster.virtual import running_loop
 from finchladder.lab.cluster.watching import TURN_S, watch_core, watch_dispatchers
 
@@ -32,7 +33,8 @@
     `overlaps`: faults come together, and as many disks are lost at once as may be, whatever else is wrong.
     `edges`: dispatchers that pull; with them there are workers, too. `fenced`: workers check fencing tokens.
     `places`: there are model workers, and core processes place models; needs dispatchers. `scale`: factor of
-    all bounds of the rules.
+    all bounds of the rules. `quotas`: dispatchers reserve quota for requests; needs dispatchers, too.
+    `stalls`: at times workers take no requests, which wait with what they have reserved.
     """
 
     seed: int
@@ -44,6 +46,8 @@
     fenced: bool = False
     places: bool = False
     scale: float = 1.0
+    quotas: bool = False
+    stalls: bool = False
     random: Random = field(init=False)
     network: Network = field(init=False)
     machines: dict[str, Machine] = field(factory=dict)
@@ -57,6 +61,7 @@
     trace: list[str] = field(factory=list)
     violation: Violation | None = None
     placement: PlacementPlay | None = None
+    quota_play: QuotaPlay | None = None
     numbers: int = 0
     taken: int = 0
     sent_at: float = 0.0  # when the last change was sent
@@ -72,6 +77,8 @@
         self.network = Network(Random(self.random.getrandbits(64)))
         if self.places:
             self.placement = PlacementPlay(self, Random(self.random.getrandbits(64)))
+        if self.quotas:
+            self.quota_play = QuotaPlay(self, Random(self.random.getrandbits(64)), self.stalls)
 
     @property
     def timeouts(self) -> ContactTimeouts:
@@ -127,6 +134,8 @@
             loops |= machine.sessions.loops()
         if self.placement is not None:
             loops |= self.placement.start(machine)
+        if self.quota_play is not None:
+            self.quota_play.start(machine)
         for name, loop in loops.items():
             self._spawn(machine, self._forever(machine, name, loop))
         self._spawn(machine, watch_core(self, machine, plane))
@@ -158,7 +167,7 @@
         if machine.disk is not None:
             machine.disk.powered = False
         running_loop().end_process(machine.name)
-        machine.plane = machine.disk = machine.sessions = machine.placer = None
+        machine.plane = machine.disk = machine.sessions = machine.placer = machine.quotas = None
 
     def wipe(self, machine: Machine) -> None:
         """Its disk is lost; it must not run."""
--- a/tests/cluster/test_incident_quota.py
+++ b/tests/cluster/test_incident_quota.py
@@ -28,7 +28,7 @@
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 from finchladder.cluster.transport.peers import steady
-from tests.cluster.quota_oracle import QuotaOracle
+from finchladder.lab.cluster.quota_oracle import QuotaOracle
 from tests.cluster.quota_scene import AccountHolder
 from tests.cluster.test_router import (
     DOCUMENT,
--- a/tests/cluster/test_mutants.py
+++ b/tests/cluster/test_mutants.py
@@ -9,9 +9,9 @@
 from finchladder.lab.cluster import mutants
 from finchladder.lab.cluster.__main__ import main
 from finchladder.lab.cluster.mutants import Found, MutantNotApplied, play_all, play_here
-from finchladder.lab.cluster.planted_faults import MUTANTS, Mutant
+from finchladder.lab.cluster.planted_faults import MUTANTS, QUOTAS, Mutant
 
-POINTS = {1, 2, 3, 4}  # the fifth is the exchange with workers, which test_exchange.py judges
+POINTS = {1, 2, 3, 4, QUOTAS}  # the fifth is the exchange with workers, which test_exchange.py judges
 
 
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
--- a/tests/cluster/test_quota_oracle.py
+++ b/tests/cluster/test_quota_oracle.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.cluster.quota_oracle import QuotaOracle
+from finchladder.lab.cluster.quota_oracle import QuotaOracle
 
 TICK_S = 0.125  # times are whole ticks, so that no sum or difference is rounded
 LAST_TICK = 60
