--- a/tests/cluster/test_quota_service.py
+++ b/tests/cluster/test_quota_service.py
@@ -22,7 +22,8 @@
 
 
 def document(*names: str, rate: float = RATE) -> bytes:
-    tenants = [{"name": n, "unit": "token_count", "rate_per_s": rate, "burst": rate} for n in names]
+    limits = {"api_keys": [], "unit": "token_count", "rate_per_s": rate, "burst": rate}
+    tenants = [{"name": name, **limits} for name in names]
     return json.dumps({"tenants": tenants}).encode()
 
 
--- a/tests/cluster/test_review_quota.py
+++ b/tests/cluster/test_review_quota.py
@@ -24,7 +24,7 @@
     reply_decoder,
     request_decoder,
 )
-from tests.cluster.quota_oracle import QuotaOracle
+from finchladder.lab.cluster.quota_oracle import QuotaOracle
 from tests.cluster.quota_scene import AccountHolder
 from tests.cluster.session_scene import run_virtual
 
