--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-from finchladder.lab.cluster import agreement_model, chain_model, comparing, gaps, lease_model
+from finchladder.lab.cluster import agreement_model, chain_model, comparing, gaps, lease_model, quota_report
 from finchladder.lab.cluster.emulator import days
 from finchladder.lab.cluster.hunt import Case, hunt
 from finchladder.lab.cluster.mutants import play_all
@@ -127,6 +127,18 @@
         click.echo(f"{gap.fault or 'calm'}: median {gap.median_s:.2f} s, worst {gap.worst_s:.2f} s")
 
 
+@main.command("quotas")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--seeds", default=20, show_default=True, help="How many seeds are played.")
+@click.option("--faults", default=0, show_default=True, help="Episodes of faults in each; 0: calm.")
+@click.option("--edges", default=3, show_default=True, help="Dispatchers.")
+@click.option("--fenced/--not-fenced", default=True, show_default=True, help="Workers check fences.")
+def measure_quotas(first: int, seeds: int, faults: int, edges: int, fenced: bool) -> None:
+    """Measure what is refused below the limits, and how long nothing is granted around a takeover."""
+    report = quota_report.measure(first, seeds, faults, edges, fenced=fenced)
+    click.echo("\n".join(report.lines()))
+
+
 @main.command("mutants")
 @click.option("--first", default=0, show_default=True, help="The first seed.")
 @click.option("--seeds", default=200, show_default=True, help="How many seeds are played at most for each.")
--- a/finchladder/lab/cluster/faults.py
+++ b/finchladder/lab/cluster/faults.py
@@ -300,6 +300,31 @@
     cut_off_with_dispatchers,
 ]
 
+# --- faults of worlds with quotas
+
+
+async def holder_cut_off(world: "World") -> None:
+    """Who holds the placer's lease does not hear the rest of the core; dispatchers still reach it."""
+    holders = [m for m in world.running() if m.plane is not None and m.plane.placer_lease.is_held()]
+    if holders:
+        others = [m for m in world.machines.values() if m is not holders[0]]
+        links = {(holders[0].address, o.address) for o in others}
+        links |= {(b, a) for a, b in links}
+        world.note(f"{holders[0].name}, which holds the lease, is cut off from the core")
+        await _cut(world, links, world.random.uniform(0.8, 6.0))
+
+
+async def holder_restarted(world: "World") -> None:
+    """Who holds the placer's lease is killed and soon there again."""
+    holders = [m for m in world.running() if m.plane is not None and m.plane.placer_lease.is_held()]
+    if holders:
+        world.kill(holders[0], power=False)
+        await asyncio.sleep(world.random.uniform(0.0, 0.5))
+        world.restart(holders[0])
+
+
+QUOTA_FAULTS: list[Fault] = [holder_cut_off, holder_cut_off, holder_restarted]
+
 OVERLAPPING_FAULTS: list[Fault] = [
     *SINGLE_FAULTS,
     frozen,
@@ -323,6 +348,7 @@
             await fault(world)
 
     kinds = [*OVERLAPPING_FAULTS, *(DISPATCHER_FAULTS * 2 if world.edges else [])]
+    kinds += QUOTA_FAULTS * 2 if world.quotas else []
     drawn = [
         one(
             world.random.choice(kinds),
