core/overload in the field's terms, a module for each concern, documented and tested so

Cause: the package had names of ours (Unread, Turn, Sign, trim, kept_out_at), public parts without doc comment, and one module of 420 lines that held the queue, the costs of jobs, Retry-After and the controller. Change: OverloadController, UnreadQueue, JobCostEstimator, RetryAfterSampler and LoopLagMeter in modules of their own; tick and the interval's end split by step; doc comments with units and errors; unread wait limits, and numbers in the code, are named constants. The settings keep the names of the operators' file, State.SHEDDING its logged value "shed".

--- a/benchmarks/overload_curves.py
+++ b/benchmarks/overload_curves.py
@@ -19,7 +19,12 @@
 from typing import Protocol
 
 from finchladder.core.api import Effect, JobClass
-from finchladder.core.overload.controller import TICK_S, Overload, OverloadSettings, State
+from finchladder.core.overload.controller import (
+    TICK_INTERVAL_S,
+    OverloadController,
+    OverloadSettings,
+    State,
+)
 
 VIEW = JobClass("view", Effect.SAFE, 0.3, 5.0, 1.0, 0.3, 2.0)
 CONFIRM = JobClass("confirm", Effect.UNSAFE, 0.6, 7.5, 10.0, 0.3, 2.5)
@@ -56,8 +61,8 @@
 
 
 class Control(Protocol):
-    def judge(self, now: float, job_class: str, left_s: float) -> float | None: ...
-    def tick(self, now: float, lag_s: float, busy: float, age_s: float) -> None: ...
+    def admit(self, now: float, job_class: str, remaining_s: float) -> float | None: ...
+    def tick(self, now: float, lag_s: float, utilization: float, queue_age_s: float) -> None: ...
 
 
 class Nothing:
@@ -68,13 +73,13 @@
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
 
-    def judge(self, now: float, job_class: str, left_s: float) -> float | None:
+    def admit(self, now: float, job_class: str, remaining_s: float) -> float | None:
         return None
 
     def refuse(self) -> float:
         return self.random.uniform(0.5, 2.0)
 
-    def tick(self, now: float, lag_s: float, busy: float, age_s: float) -> None: ...
+    def tick(self, now: float, lag_s: float, utilization: float, queue_age_s: float) -> None: ...
     def drops(self, now: float, age_s: float) -> bool:
         return False
 
@@ -108,7 +113,7 @@
 
     limit, long, short = 200.0, 0.0, 0.0
 
-    def judge(self, now: float, job_class: str, left_s: float) -> float | None:
+    def admit(self, now: float, job_class: str, remaining_s: float) -> float | None:
         return self.refuse() if self.open >= self.limit else None
 
     def ended(self, rtt_s: float) -> None:
@@ -127,11 +132,11 @@
 
     share, cpu, ticks = 1.0, 0.0, 0
 
-    def judge(self, now: float, job_class: str, left_s: float) -> float | None:
+    def admit(self, now: float, job_class: str, remaining_s: float) -> float | None:
         return self.refuse() if self.random.random() >= self.share else None
 
-    def tick(self, now: float, lag_s: float, busy: float, age_s: float) -> None:
-        self.cpu, self.ticks = self.cpu + busy, self.ticks + 1
+    def tick(self, now: float, lag_s: float, utilization: float, queue_age_s: float) -> None:
+        self.cpu, self.ticks = self.cpu + utilization, self.ticks + 1
         if self.ticks == 4:
             self.share = max(0.02, self.share * 0.9) if self.cpu > 3.8 else min(1.0, self.share + 0.02)
             self.cpu, self.ticks = 0.0, 0
@@ -188,7 +193,9 @@
         self.starts: list[float] = []  # since the last tick, seconds from the reading to the send
         self.busy = self.gate_set = False
         self.rival = control if isinstance(control, Nothing) else None
-        self.chosen: Overload[Job] | None = control if isinstance(control, Overload) else None
+        self.chosen: OverloadController[Job] | None = (
+            control if isinstance(control, OverloadController) else None
+        )
         rest = costs.job_s - costs.read_s
         self.cost = {
             WAKE: costs.wake_s,
@@ -208,7 +215,7 @@
             REFUSE: self._turn_away,
             GONE: self._over,
         }
-        self.tick_due, self.tick_at, self.tick_used = TICK_S, 0.0, 0.0
+        self.tick_due, self.tick_at, self.tick_used = TICK_INTERVAL_S, 0.0, 0.0
 
     def at(self, t: float, what: Callable[[Job], None], job: Job) -> None:
         heapq.heappush(self.events, (t, next(self.serial), what, job))
@@ -216,7 +223,7 @@
     def run(self) -> Tally:
         last = sum(s for s, _ in self.load.phases)
         nobody = Job(VIEW, 0.0, 0.0, 0.0)
-        self.at(TICK_S, self._due, nobody)
+        self.at(TICK_INTERVAL_S, self._due, nobody)
         if self.load.clients:
             for _ in range(self.load.clients):
                 self._new(self.random.random())
@@ -251,7 +258,7 @@
     def _arrive(self, job: Job) -> None:
         if self.now >= job.until:
             return self._over(job)
-        if self.chosen is None or not self.chosen.gated:
+        if self.chosen is None or not self.chosen.must_enqueue:
             return self._put(READ, job)
         if self.chosen.unread.size >= self.costs.room:
             return self.at(self.now + OUTSIDE_S, self._arrive, job)
@@ -294,19 +301,19 @@
 
     def _note(self, job: Job) -> None:
         assert self.chosen is not None
-        self.chosen.turned_away(self.cost[WAKE])
-        self.chosen.put(self.now, job.cls.name, job.until - self.now, job)
+        self.chosen.record_rejection_time(self.cost[WAKE])
+        self.chosen.enqueue(self.now, job.cls.name, job.until - self.now, job)
         self._gate(job)
 
     def _turn_away(self, job: Job) -> None:
         assert self.chosen is not None
-        self._refused(job, self.chosen.refuse(self.now))
+        self._refused(job, self.chosen.reject(self.now))
 
     def _read(self, job: Job) -> None:
         if self.now >= job.until:
             return self._put(GONE, job)
         if not job.passed:
-            retry_after_s = self.control.judge(self.now, job.cls.name, job.until - self.now)
+            retry_after_s = self.control.admit(self.now, job.cls.name, job.until - self.now)
             if retry_after_s is not None:
                 return self._refused(job, retry_after_s)
         job.passed = False
@@ -357,18 +364,18 @@
     def _gate(self, job: Job) -> None:
         """Reads and refuses what waits, as far as the control lets it."""
         assert self.chosen is not None
-        while (turn := self.chosen.take(self.now)).item is not None:
-            left = self.now >= turn.item.until
-            stage = GONE if left else REFUSE if turn.worst else READ
-            if turn.worst:
-                self.chosen.turned_away(self.cost[stage])
+        while (action := self.chosen.next_action(self.now)).item is not None:
+            left = self.now >= action.item.until
+            stage = GONE if left else REFUSE if action.must_reject else READ
+            if action.must_reject:
+                self.chosen.record_rejection_time(self.cost[stage])
             else:
-                self.chosen.let_in(turn.item.cls.name)
-            turn.item.passed = not turn.worst
-            self._put(stage, turn.item)
-        if turn.wait_s > 0 and not self.gate_set:
+                self.chosen.record_admitted(action.item.cls.name)
+            action.item.passed = not action.must_reject
+            self._put(stage, action.item)
+        if action.retry_in_s > 0 and not self.gate_set:
             self.gate_set = True
-            self.at(self.now + max(turn.wait_s, 1e-3), self._gate_open, job)
+            self.at(self.now + max(action.retry_in_s, 1e-3), self._gate_open, job)
 
     def _gate_open(self, job: Job) -> None:
         self.gate_set = False
@@ -386,7 +393,7 @@
         if state is not None and (after := getattr(self.control, "state", state)) is not state:
             self.tally.shed_s.append((self.now, after))
         self.tally.worst_delay_s = max(self.tally.worst_delay_s, lag)
-        self.tick_at, self.tick_used, self.tick_due = self.now, self.used, self.now + TICK_S
+        self.tick_at, self.tick_used, self.tick_due = self.now, self.used, self.now + TICK_INTERVAL_S
         self.at(self.tick_due, self._due, Job(VIEW, 0.0, 0.0, 0.0))
 
 
@@ -408,7 +415,7 @@
         control = OverloadSettings()
     if isinstance(control, str):
         return World(CONTROLS[control](seed), load, seed, costs).run()
-    made: Overload[Job] = Overload(CLASSES, control, seed)
+    made: OverloadController[Job] = OverloadController(CLASSES, control, seed)
     return World(made, load, seed, costs).run()
 
 
--- a/finchladder/core/overload/__init__.py
+++ b/finchladder/core/overload/__init__.py
@@ -1,1 +1,1 @@
-"""Overload control: what is admitted while the event loop is late."""
+"""Overload control: which requests are admitted while the event loop is overloaded."""
--- a/finchladder/core/overload/loop_lag.py
+++ b/finchladder/core/overload/loop_lag.py
@@ -1,32 +1,45 @@
-"""How late the loop itself is, and how much of its time it was at work: all times are handed in."""
+"""Lag and utilization of the event loop. All times are passed in, in seconds."""
 
 from typing import NamedTuple
 
-STOPPED_FROM_S = 0.25  # a longer gap in which the CPU was hardly used: the process was stopped
-STOPPED_BELOW = 0.2  # of the gap
+MIN_PAUSE_S = 0.25  # a lag as long as this with hardly any CPU time used: the process was paused
+MAX_PAUSED_CPU_UTILIZATION = 0.2  # CPU time per second of the gap, below which the process counts as paused
 
 
-class Sample(NamedTuple):
-    lag_s: float  # by which the timer came late
-    busy: float  # part of the time since the last sample for which the loop did not wait for events
-    stopped: bool  # this lag is a pause of the process (SIGSTOP, a frozen machine), and no load
+class LoopSample(NamedTuple):
+    """What the event loop did between two ticks of a timer."""
 
+    lag_s: float  # how late the timer fired
+    utilization: float  # fraction of the time in which the loop did not wait for events, 0 to 1
+    is_paused: bool  # the lag is a pause of the process (SIGSTOP, a frozen machine), not load
 
-class LagMeter:
-    """Sampled by a timer that is set anew for `every_s` later each time.
 
-    Being at work is judged by the time spent waiting: a loop that never waits is used up, whoever takes its
-    CPU (other processes, a quota, another machine on the same host). CPU time tells only its own part.
+class LoopLagMeter:
+    """Measures the event loop by a timer that is set again at each tick.
+
+    Utilization follows from the time that the loop waited for events: a loop that never waits has no capacity
+    left, whoever takes its CPU (other processes, a quota, another machine on the same host). The CPU time of
+    the process would show only its own part.
     """
 
-    def __init__(self, now: float, cpu_s: float, idle_s: float, every_s: float) -> None:
-        """`cpu_s`: the process's CPU time so far; `idle_s`: for how long the loop has waited for events."""
-        self.at, self.cpu_s, self.idle_s, self.every_s = now, cpu_s, idle_s, every_s
-
-    def sample(self, now: float, cpu_s: float, idle_s: float) -> Sample:
-        span = max(now - self.at, 1e-9)
-        lag = max(0.0, span - self.every_s)
-        busy = min(1.0, max(0.0, 1 - (idle_s - self.idle_s) / span))
-        used = (cpu_s - self.cpu_s) / span
-        self.at, self.cpu_s, self.idle_s = now, cpu_s, idle_s
-        return Sample(lag, busy, lag >= STOPPED_FROM_S and used < STOPPED_BELOW)
+    def __init__(self, now: float, cpu_s: float, idle_s: float, interval_s: float) -> None:
+        """Starts a first interval.
+
+        Args:
+            now: The time in seconds of the caller's clock.
+            cpu_s: CPU time that the process has used so far.
+            idle_s: Time that the event loop has waited for events so far.
+            interval_s: How far ahead the timer is set at each tick.
+        """
+        self.sampled_at, self.cpu_s, self.idle_s, self.interval_s = now, cpu_s, idle_s, interval_s
+
+    def sample(self, now: float, cpu_s: float, idle_s: float) -> LoopSample:
+        """Returns what happened since the last call; the arguments are as for the constructor."""
+        span_s = max(now - self.sampled_at, 1e-9)
+        lag_s = max(0.0, span_s - self.interval_s)
+        utilization = min(1.0, max(0.0, 1 - (idle_s - self.idle_s) / span_s))
+        cpu_utilization = (cpu_s - self.cpu_s) / span_s
+        self.sampled_at, self.cpu_s, self.idle_s = now, cpu_s, idle_s
+        return LoopSample(
+            lag_s, utilization, lag_s >= MIN_PAUSE_S and cpu_utilization < MAX_PAUSED_CPU_UTILIZATION
+        )
--- /dev/null
+++ b/finchladder/core/overload/retry_after.py
@@ -0,0 +1,24 @@
+"""Retry-After values that spread the retries of clients that are rejected together."""
+
+from random import Random
+
+STRATA = 64  # equal parts of the range; each is drawn from once before any is drawn from again
+MIN_FRACTION = 0.25  # of the maximum: the lower end of the range
+
+
+class RetryAfterSampler:
+    """Draws from [1/4, 1] of `max_s` seconds by stratified sampling; 0, for no header, if that is 0."""
+
+    def __init__(self, max_s: float, random: Random) -> None:
+        self.max_s, self.random = max_s, random
+        self.strata: list[int] = []  # not drawn from yet in this pass over all strata
+
+    def next_s(self) -> float:
+        """Returns the next value in seconds."""
+        if not self.max_s:
+            return 0.0
+        if not self.strata:
+            self.strata = list(range(STRATA))
+            self.random.shuffle(self.strata)
+        position = (self.strata.pop() + self.random.random()) / STRATA
+        return self.max_s * (MIN_FRACTION + (1 - MIN_FRACTION) * position)
--- a/finchladder/net/admission.py
+++ b/finchladder/net/admission.py
@@ -1,6 +1,6 @@
 """The gate in front of the parser: while the loop can't keep up, jobs wait unread until they are let in.
 
-`core/overload.py` decides; this looks at sockets for it. All edge connections that wait for a message are
+`core/overload` decides; this looks at sockets for it. All edge connections that wait for a message are
 watched by an `epoll` of the gate's own, which says once what is new (edge-triggered): no connection enters or
 leaves the loop's own for a message. What came is received, and if it is one whole and plain job, it may wait
 here. Then it goes to the parser as it is, or is turned away on the raw socket, which costs a small part of
@@ -22,8 +22,13 @@
 from finchladder.core.api import JobClass
 from finchladder.core.connections.body_memory import OutOfBodyMemoryError
 from finchladder.core.connections.client_connections import ConnectionValue
-from finchladder.core.overload.controller import TICK_S, Overload, OverloadSettings, State
-from finchladder.core.overload.loop_lag import LagMeter
+from finchladder.core.overload.controller import (
+    TICK_INTERVAL_S,
+    OverloadController,
+    OverloadSettings,
+    State,
+)
+from finchladder.core.overload.loop_lag import LoopLagMeter
 from finchladder.net.client_connection import FIRST_MESSAGE_TIMEOUT_S, ClientConnection
 
 LOOK = 4096  # bytes received at once; a message that is longer goes to the parser, never turned away raw
@@ -103,8 +108,8 @@
         self.clock, self.known, self.times = clock, known, times
         classes = tuple(classes)
         self.names = {c.name.encode(): c.name for c in classes}
-        self.control: Overload[ClientConnection] = Overload(classes, settings, seed)
-        self.meter = LagMeter(clock(), times.cpu(), times.idle(), TICK_S)
+        self.control: OverloadController[ClientConnection] = OverloadController(classes, settings, seed)
+        self.meter = LoopLagMeter(clock(), times.cpu(), times.idle(), TICK_INTERVAL_S)
         self.starts: list[float] = []  # seconds that jobs took to start since the last tick
         self.poll = select.epoll()
         self.edges: dict[int, ClientConnection] = {}  # by descriptor
@@ -123,7 +128,7 @@
     def start(self) -> None:
         """Starts polling the connections and measuring the lag of the event loop."""
         asyncio.get_running_loop().add_reader(self.poll.fileno(), self._ready)
-        IOLoop.current().call_later(TICK_S, self._tick)
+        IOLoop.current().call_later(TICK_INTERVAL_S, self._tick)
 
     def started(self, took_s: float) -> None:
         """Records that a job started `took_s` seconds after it was admitted."""
@@ -134,7 +139,7 @@
         """Of a job that did not wait here, before there is a flow: Retry-After in seconds; None: let in."""
         if self.opened:
             return None
-        return self.control.judge(self.clock(), job_class, left_s)
+        return self.control.admit(self.clock(), job_class, left_s)
 
     # --- connections
 
@@ -157,19 +162,19 @@
         if self.edges.get(connection.descriptor) is connection:
             del self.edges[connection.descriptor]
         self.silent.pop(connection, None)
-        self.control.drop(connection)
+        self.control.remove(connection)
 
     def shut_down(self) -> None:
         """Admits all waiting jobs now, while there is time to answer them."""
         self.opened = True
-        for connection in list(self.control.unread.places):
-            self.control.drop(connection)
+        for connection in list(self.control.unread.positions):
+            self.control.remove(connection)
             self._let_in(connection)
 
     def make_room(self) -> None:
         """Refuses some waiting jobs, as the connection table is full and no new client can be accepted."""
         for _ in range(ROOM_MADE):
-            if (connection := self.control.worst()) is None:
+            if (connection := self.control.pop_least_valuable()) is None:
                 return
             self._turn_away(connection, self.clock())
 
@@ -189,12 +194,12 @@
                     True  # what came before is still read, unless it is a job
                 )
                 if connection.flow is not None or connection.message:
-                    self.control.drop(connection)
+                    self.control.remove(connection)
                     self.ends(connection)
-        if self.control.unread.places:
+        if self.control.unread.positions:
             self._drain()
         self.polled_at = self.clock()
-        self.control.turned_away(self.polled_at - began)
+        self.control.record_rejection_time(self.polled_at - began)
 
     def _look(self, connection: ClientConnection) -> None:
         connection.stirred, age_s = False, 0.0
@@ -215,7 +220,7 @@
         connection.came_at = now - age_s
         if not connection.opened:
             self.silent.pop(connection, None)
-        if self.opened or not self.control.gated or not self._keep(connection, data, now):
+        if self.opened or not self.control.must_enqueue or not self._keep(connection, data, now):
             self._hand_on(connection, data)
 
     def _hand_on(self, connection: ClientConnection, data: bytes) -> None:
@@ -246,7 +251,7 @@
             return False
         connection.message, connection.job_class, connection.job_id = data, name, id
         connection.table.mark_busy(connection)
-        self.control.put(now, name, left_s - (now - connection.came_at), connection)
+        self.control.enqueue(now, name, left_s - (now - connection.came_at), connection)
         return True
 
     # --- what the control says
@@ -255,18 +260,20 @@
         now = self.clock()
         sample = self.meter.sample(now, self.times.cpu(), self.times.idle())
         before = self.control.state
-        if not sample.stopped:  # a pause of the process is no load
-            self.control.tick(now, sample.lag_s, sample.busy, median(self.starts) if self.starts else 0.0)
+        if not sample.is_paused:  # a pause of the process is no load
+            self.control.tick(
+                now, sample.lag_s, sample.utilization, median(self.starts) if self.starts else 0.0
+            )
         self.starts.clear()
         if self.control.state is not before:
-            self._say(now, sample.busy)
+            self._say(now, sample.utilization)
         while self.silent and (connection := next(iter(self.silent))).since + FIRST_MESSAGE_TIMEOUT_S <= now:
             self.ends(connection)
-        IOLoop.current().call_later(TICK_S, self._tick)
+        IOLoop.current().call_later(TICK_INTERVAL_S, self._tick)
 
     def _say(self, now: float, busy: float) -> None:
         """Its begin, and then its end as well. It may come again and again: that is not said each time."""
-        shedding = self.control.state is State.SHED
+        shedding = self.control.state is State.SHEDDING
         if shedding:
             self.said = now >= self.said_at + SAID_AGAIN
         if not self.said:
@@ -276,7 +283,7 @@
             "overload: {}; queues are {:.0f} ms old, the loop at work for {:.0%} of its time, {} jobs wait"
             " unread, {} were turned away since this was last said",
             "jobs are turned away" if shedding else "over",
-            1000 * self.control.delay_s,
+            1000 * self.control.queue_delay_s,
             busy,
             self.control.unread.size,
             self.refused,
@@ -288,28 +295,28 @@
         for _ in range(AT_ONCE):
             if (wait_s := self._turn()) is not None:
                 break
-        if self.control.unread.places and not self.asks_again:
+        if self.control.unread.positions and not self.asks_again:
             self.asks_again = True
             IOLoop.current().call_later(wait_s or 0.0, self._again)
 
     def _turn(self) -> float | None:
         """Seconds after which to ask again, if nothing is to be done now."""
         now = self.clock()
-        turn = self.control.take(now)
-        if turn.item is None:
-            return turn.wait_s
-        if turn.worst:
-            self._turn_away(turn.item, now)
+        action = self.control.next_action(now)
+        if action.item is None:
+            return action.retry_in_s
+        if action.must_reject:
+            self._turn_away(action.item, now)
         else:
-            self.control.let_in(turn.item.job_class)
-            self._let_in(turn.item)
+            self.control.record_admitted(action.item.job_class)
+            self._let_in(action.item)
         return None
 
     def _again(self) -> None:
         self.asks_again = False
         began = self.clock()
         self._drain()
-        self.control.turned_away(self.clock() - began)
+        self.control.record_rejection_time(self.clock() - began)
 
     def _let_in(self, connection: ClientConnection) -> None:
         connection.passed = True
@@ -324,7 +331,7 @@
         if connection.worth is ConnectionValue.NEW:
             connection.worth = ConnectionValue.QUERIED
         connection.table.mark_idle(now, connection, connection.worth)
-        answer = refusal_bytes(self.control.refuse(now))
+        answer = refusal_bytes(self.control.reject(now))
         try:
             whole = connection.socket.send(answer) == len(answer)
         except OSError:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -54,9 +54,10 @@
             (SAFE, UNSAFE, KEYED), OverloadSettings(), 1, Clock(), flows.known, HostEnvironment()
         )
         self.control = self.gate.control
-        self.control.state, self.control.spare = State.SHED, True  # what comes late may be read as well
+        self.control.state = State.SHEDDING
+        self.control.has_spare_budget = True  # what comes late may be read as well
         for band in self.control.bands:
-            band.share = 0.0  # what does not wait is refused
+            band.admitted_fraction = 0.0  # what does not wait is refused
         self.gate._tick = lambda: None  # type: ignore[method-assign]
         self.let(0)
         controls = ControlCalls(self.intake.clock, self.intake.classes, OFF, None, self.intake.arrivals, None)
@@ -75,15 +76,15 @@
 
     def let(self, n: int) -> None:
         """So many are read, and no more."""
-        reads = self.control.reads
+        reads = self.control.read_tokens
         reads.rate = 1e-9
         for tokens in [0.0, *[1.0] * n]:
-            reads.tokens, reads.at = tokens, self.gate.clock()
+            reads.tokens, reads.updated_at = tokens, self.gate.clock()
             self.gate._drain()
 
     def turn_away(self) -> None:
         """All that wait, as if their time had come."""
-        self.control.unread.due = [(0.0, n, item) for _, n, item in self.control.unread.due]
+        self.control.unread.deadlines = [(0.0, n, item) for _, n, item in self.control.unread.deadlines]
         self.gate._drain()
 
     async def wait(self, n: int) -> None:
@@ -214,8 +215,8 @@
 def test_one_that_may_be_read_is_so_at_once_or_a_little_later(tokens: float) -> None:
     async def play() -> None:
         async with place() as p:
-            p.control.reads.rate, p.control.reads.tokens = 1e-9 if tokens else 50.0, tokens
-            p.control.reads.at = p.gate.clock()
+            p.control.read_tokens.rate, p.control.read_tokens.tokens = 1e-9 if tokens else 50.0, tokens
+            p.control.read_tokens.updated_at = p.gate.clock()
             answer = ask(p)
             await p.serve(1)
             assert (await answer).body == b"ran a1"
@@ -395,7 +396,7 @@
                 await read_message(reader)
             writer.write(JOB)
             await p.wait(1)
-            p.control.reads.tokens = 1.0  # would be let in if it still waited
+            p.control.read_tokens.tokens = 1.0  # would be let in if it still waited
             if how == "half":
                 writer.write_eof()
             elif how == "close":
@@ -488,7 +489,7 @@
         async with place() as p:
             p.bodies.free_bytes = len(JOB) - 1
             for band in p.control.bands:
-                band.share = 1.0
+                band.admitted_fraction = 1.0
             answer = ask(p)
             await p.serve(1)
             assert (await answer).status == 200
@@ -509,7 +510,7 @@
             while not p.taken:
                 await asyncio.sleep(0)
             assert p.taken[0].deadline - p.intake.clock() <= 4.7
-            p.control.state = State.SHED
+            p.control.state = State.SHEDDING
             p.let(0)
             other, writes = await asyncio.open_connection("127.0.0.1", p.port)
             writes.write(HEALTH)
@@ -517,7 +518,7 @@
             writes.write(request("a2", "/safe/k", left="5"))
             time.sleep(0.3)
             await p.wait(1)
-            [(queue, _)] = p.control.unread.places.values()
+            [(queue, _)] = p.control.unread.positions.values()
             assert p.intake.clock() - next(iter(queue.values())) >= 5.3  # since it asked, by what it has left
             p.let(1)
             while len(p.taken) < 2:
@@ -544,7 +545,7 @@
             assert len(p.gate.starts) == admission.STARTS
             p.gate.starts = p.gate.starts[:3]
             p.gate._tick()
-            p.gate.meter.at -= 2.0
+            p.gate.meter.sampled_at -= 2.0
             p.gate._tick()
             assert [args[3] for args in told] == [0.2]
             assert not p.gate.starts
@@ -558,7 +559,7 @@
             said: list[str] = []
             sink = logger.add(said.append, format="{message}")
             for now, begins in [(0, True), (1, False), (2, True), (3, False), (12, True)]:
-                p.control.state = State.SHED if begins else State.CALM
+                p.control.state = State.SHEDDING if begins else State.CALM
                 p.gate._say(now, 1.0)
             logger.remove(sink)
             assert [line.split(";")[0] for line in said] == [
