A number that no float holds makes a configuration invalid

An integer of more than 308 digits failed there too.

Change: the parser of requests refuses numbers beyond a float, wherever they stand; the result of a patch is refused where the stored part holds one.

--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from math import isinf
 from typing import Any
 
 from finchladder.cluster.configuration.schema import (
@@ -14,6 +15,8 @@
     first_problem,
 )
 
+MAX_FLOAT_DIGITS = 308  # every integer of that many digits, with its sign, is a finite float
+TOO_LARGE = "a number is too large"
 Document = dict[str, Any]  # a configuration or a patch, as parsed JSON
 
 
@@ -41,7 +44,9 @@
 def parse_object(body: bytes) -> Document | InvalidChange:
     """Parses a request body, which must be a JSON object."""
     try:
-        value = json.loads(body, parse_constant=_reject_constant)
+        value = json.loads(
+            body, parse_constant=_reject_constant, parse_float=_parse_float, parse_int=_parse_int
+        )
     except (ValueError, RecursionError) as error:
         return InvalidChange(f"not JSON: {error}")
     return value if isinstance(value, dict) else InvalidChange("not an object")
@@ -51,6 +56,21 @@
     raise ValueError(f"{name} is not JSON")
 
 
+def _parse_float(digits: str) -> float:
+    """Rejects what is valid JSON, but infinite as a float."""
+    value = float(digits)
+    if isinf(value):
+        raise ValueError(TOO_LARGE)
+    return value
+
+
+def _parse_int(digits: str) -> int:
+    """Rejects what is valid JSON, but too large for a float: dispatchers compute with floats."""
+    if len(digits) > MAX_FLOAT_DIGITS:
+        _parse_float(digits)
+    return int(digits)
+
+
 def validate_change(
     current: bytes, current_version: int, is_patch: bool, body: bytes
 ) -> ValidChange | InvalidChange:
@@ -77,9 +97,11 @@
     if problem:
         return InvalidChange(problem)
     try:
-        encoded = json.dumps(document, separators=(",", ":")).encode()
+        encoded = json.dumps(document, separators=(",", ":"), allow_nan=False).encode()
     except RecursionError:
         return InvalidChange("configuration: is nested too deeply")
+    except ValueError:  # stored by a version that took it
+        return InvalidChange(f"configuration: {TOO_LARGE}, or none")
     return ValidChange(change["version"], encoded)
 
 
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -14,6 +14,7 @@
     validate_change,
 )
 from finchladder.cluster.configuration.compression import DocumentCompressor, decompress
+from finchladder.cluster.configuration.snapshot import build_snapshot
 
 ROUTE = {
     "name": "r1",
@@ -210,6 +211,41 @@
     assert outcome.problem and "secret" not in outcome.problem
 
 
+BEYOND_ALL_BOUNDS = ["1e400", "-1e400", "1E+309", "1" + "0" * 309, "9" * 5_000, "1" + "0" * 400 + ".0"]
+
+
+@pytest.mark.parametrize("number", BEYOND_ALL_BOUNDS)
+@pytest.mark.parametrize("field", ["raw_tokens", "rate_per_s", "burst", "unknown"])
+def test_a_number_that_no_float_holds_makes_a_tenant_invalid(field: str, number: str) -> None:
+    body = json.dumps(with_tenant(**{field: 4321})).replace("4321", number).encode()
+    outcome = validate_change(b"", 0, False, body)
+    assert isinstance(outcome, InvalidChange)
+    change = b'{"version": 7, "upsert": {"tenants": [{"name": "north", "api_keys": [], "burst": %s}]}}'
+    outcome = validate_change(json.dumps(DOCUMENT).encode(), 5, True, change % number.encode())
+    assert isinstance(outcome, InvalidChange)
+
+
+@pytest.mark.parametrize("number", BEYOND_ALL_BOUNDS)
+def test_a_number_that_no_float_holds_makes_a_route_invalid(number: str) -> None:
+    body = json.dumps(with_route(timeout_ms=4321)).replace("4321", number).encode()
+    assert isinstance(validate_change(b"", 0, False, body), InvalidChange)
+
+
+@pytest.mark.parametrize("number", ["1e308", "1" + "0" * 308, "9" * 308, "1e-400", "200", "0.5"])
+def test_a_number_that_a_float_holds_is_valid_and_a_dispatcher_can_activate_it(number: str) -> None:
+    body = json.dumps(with_tenant(rate_per_s=4321, raw_tokens=4321, burst=4321)).replace("4321", number)
+    outcome = validate_change(b"", 0, False, body.encode())
+    assert isinstance(outcome, ValidChange), outcome
+    assert list(build_snapshot(outcome.document).tenants) == ["north"]
+
+
+@pytest.mark.parametrize("value", [float("inf"), float("nan")])
+def test_a_patch_on_a_stored_number_that_no_float_holds_is_rejected(value: float) -> None:
+    stored = json.dumps(with_tenant(raw_tokens=value)).encode()
+    change = b'{"version": 7, "upsert": {"routes": []}}'
+    assert isinstance(validate_change(stored, 5, True, change), InvalidChange)
+
+
 def test_a_problem_tells_the_place_and_the_limit() -> None:
     outcome = put(with_route(timeout_ms=0))
     assert outcome == InvalidChange("routes/0/timeout_ms: violates `exclusiveMinimum` 0")
