A queued request whose key moved gets 503 with Retry-After, not 401

Cause: `_reject_revoked` answered 401 to each queued request that the newest configuration does not have at the same tenant.

Change: the request is judged anew by the newest configuration; 401 where that refuses it, else 503 with Retry-After, `request.refused` with reason `changed`. After an attempt that may have run it is 502 as before. Nothing is sent in either case.

--- a/finchladder/cluster/process/client_responses.py
+++ b/finchladder/cluster/process/client_responses.py
@@ -18,6 +18,7 @@
 
     CONFIGURATION_STALE = "doubtful"
     CONFIGURATION_UNCONFIRMED = "unconfirmed"
+    TENANT_CHANGED = "changed"
     SHUTTING_DOWN = "ending"
     NO_REPLICA = "absent"
     NO_CAPACITY = "full"
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -331,7 +331,7 @@
             if worker is None:
                 return self._reject_without_worker(request)
             if not self._may_send(request):
-                return self._reject_revoked(history)
+                return self._reject_changed(request, history)
             if request.quota.is_reserved():
                 break
             refusal = await request.quota.reserve()
@@ -347,10 +347,22 @@
         """Whether the newest configuration still has the request's key, at the same tenant."""
         return is_still_authorized(request.authorized, self.snapshot)
 
-    def _reject_revoked(self, history: AttemptHistory) -> web.StreamResponse:
+    def _reject_changed(self, request: AdmittedRequest, history: AttemptHistory) -> web.StreamResponse:
+        """The response to a request that may no longer be sent as it was judged at its arrival.
+
+        Clients don't retry after 401: it is for what the newest configuration does not allow. What it allows,
+        as another tenant's request, is judged anew when the client retries.
+        """
         if history.may_have_run:
             return self.responses.error(HTTPStatus.BAD_GATEWAY, NO_ANSWER)
-        return self.responses.unauthorized(UnauthorizedReason.REVOKED)
+        if isinstance(_authorize(request.outgoing.client_request, self.snapshot), Unauthorized):
+            return self.responses.unauthorized(UnauthorizedReason.REVOKED)
+        return self.responses.reject(
+            RETRY_AFTER_BUSY_S,
+            RejectReason.TENANT_CHANGED,
+            request.classified,
+            request.authorized.tenant_name,
+        )
 
     def _withdraw_retry(self, request: AdmittedRequest) -> bool:
         """Withdraws a retry from the budget of the request's service."""
