A queued request on a public route is sent with no tenant that lost its key, and no key

Cause: `is_still_authorized` was true for each public route before the key was looked up. A request that waited there was sent under the old tenant's name after its key had moved or was revoked, and with `Authorization` and the client's own X-Finchladder-Tenant where `tenants` had appeared meanwhile.

Change: tenant and `has_tenants` are compared on public routes, too. Where they differ nothing is sent, and the answer is 503 with Retry-After (`changed`); 401 only if the newest configuration has made the route private and does not have the key. What was nobody's and still is, is sent. Private routes are as before.

Test: "revoked, on a public route" of test_a_key_is_looked_up_again_before_a_queued_request_is_sent asserted 200 under the name of a tenant that no longer had the key. It now asserts 503 with Retry-After and that no worker is asked.

--- a/finchladder/cluster/routing/authorization.py
+++ b/finchladder/cluster/routing/authorization.py
@@ -97,13 +97,19 @@
 
 
 def is_still_authorized(authorized: Authorized, newest: ConfigurationSnapshot) -> bool:
-    """Whether the request may still be sent as its tenant's, by a configuration that may be newer."""
-    if newest.version == authorized.version or newest.keys is None or authorized.route.is_public:
+    """Whether the request may still be sent as its tenant's, by a configuration that may be newer.
+
+    On a public route, too: a worker would be told a tenant that no longer has the key, or the key itself,
+    which `has_tenants` hides. On a private one a newer configuration without tenants asks for no key.
+    """
+    if newest.version == authorized.version:
         return True
-    if authorized.key is None or authorized.tenant is None:
+    if newest.keys is None:
+        return not (authorized.route.is_public and authorized.has_tenants)
+    if not authorized.has_tenants:
         return False
-    tenant = newest.keys.tenant_of(authorized.key)
-    return tenant is not None and tenant.name == authorized.tenant.name
+    tenant = None if authorized.key is None else newest.keys.tenant_of(authorized.key)
+    return authorized.tenant_name == (None if tenant is None else tenant.name)
 
 
 def _reason(credentials: Credentials) -> UnauthorizedReason:
--- a/tests/cluster/test_tenant_requests.py
+++ b/tests/cluster/test_tenant_requests.py
@@ -414,9 +414,24 @@
         ("/once/", SWAPPED_KEYS, 503),
         ("/once/", STILL_THERE, 200),
         ("/once/", snapshot(2), 200),
-        ("/public/", WITHOUT_KEY, 200),
+        ("/public/", WITHOUT_KEY, 503),
+        ("/public/", MOVED_KEY, 503),
+        ("/public/", STILL_THERE, 200),
+        ("/public/", snapshot(2), 503),
+        ("/public/", tenant_snapshot(2, SOUTH, routes=[route("/public/", public=False)]), 401),
+    ],
+    ids=[
+        "revoked",
+        "moved",
+        "swapped",
+        "still there",
+        "no tenants",
+        "revoked, on a public route",
+        "moved, on a public route",
+        "still there, on a public route",
+        "no tenants, on a public route",
+        "revoked, on a route that is no longer public",
     ],
-    ids=["revoked", "moved", "swapped", "still there", "no tenants", "revoked, on a public route"],
 )
 def test_a_key_is_looked_up_again_before_a_queued_request_is_sent(
     path: str, newer: ConfigurationSnapshot, status: int
@@ -475,6 +490,56 @@
     assert events == expected[status]
 
 
+@pytest.mark.parametrize(
+    ("headers", "newer", "status"),
+    [
+        ({}, WITHOUT_KEY, 200),
+        (key("nobody"), WITHOUT_KEY, 200),
+        ({"Authorization": "Basic abc"}, WITHOUT_KEY, 200),
+        ({}, snapshot(2), 503),
+    ],
+)
+def test_a_queued_request_of_nobody_on_a_public_route_is_sent_while_there_are_tenants(
+    headers: dict[str, str], newer: ConfigurationSnapshot, status: int
+) -> None:
+    async def work() -> None:
+        worker = StandInWorker(respond)
+        async with tenant_harness(worker) as harness:
+            response = await response_after_change_in_queue(harness, "/public/", headers, newer)
+            assert response.status == status
+            assert ("Retry-After" in response.headers) == (status == 503)
+            response.release()
+        assert len(worker.requests) == (status == 200)
+        for _, received, _ in worker.requests:
+            assert TENANT_HEADER not in received and "Authorization" not in received
+
+    run_with_timeout(work)
+
+
+@pytest.mark.parametrize(
+    "headers", [{}, key("north-1"), key("nobody"), {TENANT_HEADER: "south"}, {"Authorization": "Basic abc"}]
+)
+def test_no_key_and_no_claim_is_passed_on_from_a_public_route_when_tenants_appear(
+    headers: dict[str, str],
+) -> None:
+    async def work() -> None:
+        worker = StandInWorker(respond)
+        async with tenant_harness(worker) as harness:
+            harness.router.snapshot = snapshot(1)
+            response = await response_after_change_in_queue(harness, "/public/", headers, tenant_snapshot(2))
+            assert response.status == 503
+            assert "Retry-After" in response.headers
+            response.release()
+            assert worker.requests == []
+            async with harness.send("/public/", b"{}", **headers, **{"X-Finchladder-Model": "m9"}) as again:
+                assert again.status == 200
+        ((_, received, _),) = worker.requests
+        assert "Authorization" not in received
+        assert received.get(TENANT_HEADER) == ("north" if headers == key("north-1") else None)
+
+    run_with_timeout(work)
+
+
 def then_activate(harness_of: list[RouterHarness], newer: ConfigurationSnapshot, handler: Handler) -> Handler:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         harness_of[0].router.snapshot = newer
