--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from finchladder.cluster.process.settings import parse_settings
+from finchladder.cluster.tenancy.quota_rule import QuotaRule
 from finchladder.cluster.types.errors import InvalidSettingsError
 
 SETTINGS = """
@@ -27,6 +28,11 @@
     assert settings.bounds.drain_s == 2.0
 
 
+def test_each_figure_of_the_rule_on_quotas_is_read_by_its_own_name() -> None:
+    text = SETTINGS + "quota_window_s = 3\nquota_overage = 0.25\nquota_slack = 17\n"
+    assert parse_settings(text, "boot.toml").bounds.quota == QuotaRule(window_s=3, overage=0.25, slack=17)
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
