Apply an acknowledged configuration with a null limit at dispatchers and the placer

Null counts as left out. A stored value of a wrong type has the default, a number out of range the nearest bound, a route or service without a name is omitted; the paths are logged (`configuration.fields_replaced`). A patch is validated only by its own values, so that values which an earlier build stored do not block other changes.

--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -1,7 +1,11 @@
 """JSON schemas of the operator's configuration and of patches; unknown fields are valid and are preserved.
 
-Source: the operator's API in the project's protocol page. Units: `timeout_ms`, `target_latency_ms` and
-`gap_aim_ms` are milliseconds, `weights_mb` and `adapter_size_mb` megabytes, `load_s` seconds.
+An optional field may be null, which has the same effect as leaving it out. Numbers that are too large or too
+small to be applied are valid, too; `build_snapshot` replaces them by the nearest bound.
+
+Source: the operator's API in the project's protocol page. Units: `timeout_ms`, `target_latency_ms`,
+`gap_aim_ms`, `header_timeout_ms` and `idle_timeout_ms` are milliseconds, `weights_mb` and `adapter_size_mb`
+megabytes, `load_s` seconds.
 """
 
 from typing import Any
@@ -15,6 +19,10 @@
 NAME_SCHEMA = {"type": "string", "minLength": 1}
 POSITIVE_SCHEMA = {"type": "number", "exclusiveMinimum": 0}
 NON_NEGATIVE_SCHEMA = {"type": "number", "minimum": 0}
+OPTIONAL_NUMBER_SCHEMA = {"type": ["number", "null"]}
+OPTIONAL_POSITIVE_SCHEMA = {"type": ["number", "null"], "exclusiveMinimum": 0}
+OPTIONAL_NON_NEGATIVE_SCHEMA = {"type": ["number", "null"], "minimum": 0}
+OPTIONAL_FLAG_SCHEMA = {"type": ["boolean", "null"]}
 
 ROUTE_SCHEMA: dict[str, Any] = {
     "type": "object",
@@ -24,12 +32,13 @@
         "host": NAME_SCHEMA,
         "path_prefix": {"type": "string", "pattern": "^/(.*/)?$"},
         "kind": {"type": "string"},
-        "timeout_ms": POSITIVE_SCHEMA,
-        "target_latency_ms": NON_NEGATIVE_SCHEMA,
-        "gap_aim_ms": NON_NEGATIVE_SCHEMA,
-        "priority": {"type": "integer"},
-        "retries": {"type": "integer", "minimum": 0},
-        "public": {"type": "boolean"},
+        "timeout_ms": OPTIONAL_POSITIVE_SCHEMA,
+        "target_latency_ms": OPTIONAL_NON_NEGATIVE_SCHEMA,
+        "gap_aim_ms": OPTIONAL_NON_NEGATIVE_SCHEMA,
+        "priority": {"type": ["integer", "null"]},
+        "retries": {"type": ["integer", "null"], "minimum": 0},
+        "resumable": OPTIONAL_FLAG_SCHEMA,
+        "public": OPTIONAL_FLAG_SCHEMA,
         "service": NAME_SCHEMA,
         "traffic_split": {
             "type": "array",
@@ -46,16 +55,33 @@
 MODEL_SCHEMA: dict[str, Any] = {
     "type": "object",
     "required": ["name"],
-    "properties": {"name": NAME_SCHEMA, "weights_mb": NON_NEGATIVE_SCHEMA, "load_s": NON_NEGATIVE_SCHEMA},
+    "properties": {
+        "name": NAME_SCHEMA,
+        "weights_mb": OPTIONAL_NON_NEGATIVE_SCHEMA,
+        "load_s": OPTIONAL_NON_NEGATIVE_SCHEMA,
+        "adapters": OPTIONAL_NUMBER_SCHEMA,
+        "adapter_size_mb": OPTIONAL_NUMBER_SCHEMA,
+    },
+}
+ENGINE_SCHEMA: dict[str, Any] = {
+    "type": ["object", "null"],
+    "properties": {
+        "slots": OPTIONAL_NUMBER_SCHEMA,
+        "kv_cache_tokens": OPTIONAL_NUMBER_SCHEMA,
+        "weights_mb": OPTIONAL_NUMBER_SCHEMA,
+        "lora_slots": OPTIONAL_NUMBER_SCHEMA,
+        "load_rate_s": OPTIONAL_NUMBER_SCHEMA,
+        "models": {"type": ["array", "null"], "items": MODEL_SCHEMA},
+    },
 }
 SERVICE_SCHEMA: dict[str, Any] = {
     "type": "object",
     "required": ["name"],
     "properties": {
         "name": NAME_SCHEMA,
-        "health_check": {"type": "string"},
-        "max_connections": POSITIVE_SCHEMA,
-        "engine": {"type": "object", "properties": {"models": {"type": "array", "items": MODEL_SCHEMA}}},
+        "health_check": {"type": ["string", "null"]},
+        "max_connections": OPTIONAL_POSITIVE_SCHEMA,
+        "engine": ENGINE_SCHEMA,
     },
 }
 # A tenant's name is sent in a header, so it must not contain control characters.
@@ -73,7 +99,13 @@
         "burst": NON_NEGATIVE_SCHEMA,
     },
 }
-LIMITS_SCHEMA: dict[str, Any] = {"type": "object"}
+LIMITS_PROPERTIES: dict[str, Any] = {
+    "max_header_bytes": OPTIONAL_NUMBER_SCHEMA,
+    "max_body_bytes": OPTIONAL_NUMBER_SCHEMA,
+    "header_timeout_ms": OPTIONAL_NUMBER_SCHEMA,
+    "idle_timeout_ms": OPTIONAL_NUMBER_SCHEMA,
+}
+LIMITS_SCHEMA: dict[str, Any] = {"type": "object", "properties": LIMITS_PROPERTIES}
 ITEM_PROPERTIES = {
     "routes": {"type": "array", "items": ROUTE_SCHEMA},
     "services": {"type": "array", "items": SERVICE_SCHEMA},
@@ -89,20 +121,24 @@
     "required": ["version"],
     "properties": {
         "version": {"type": "integer", "minimum": 1},
-        "upsert": {"type": "object", "properties": ITEM_PROPERTIES},
+        "upsert": {
+            "type": "object",
+            # The type of `limits` is validated in the result of the patch, like that of other values.
+            "properties": {"limits": {"properties": LIMITS_PROPERTIES}, **ITEM_PROPERTIES},
+        },
         REMOVE: {"type": "object", "additionalProperties": {"type": "array", "items": NAME_SCHEMA}},
     },
 }
-# Schema of the configuration that results from a patch. Routes and services are not validated again: this was
-# done when they were stored, or as part of the patch. All other values are validated, because a version
-# without tenant support may have stored an invalid value of `tenants`, and `upsert` can replace any top-level
-# value.
+# Schema of the configuration that results from a patch. Routes, services and limits are not validated again:
+# this was done as part of the patch, and a patch must not be rejected because of other values that an earlier
+# version stored. Tenants are validated, because a version without tenant support may have stored any value.
 PATCHED_SCHEMA: dict[str, Any] = {
     "type": "object",
     "properties": {
         **DOCUMENT_SCHEMA["properties"],
         "routes": {"type": "array"},
         "services": {"type": "array"},
+        "limits": {"type": "object"},
     },
 }
 
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -34,6 +34,8 @@
 WORKER_KEEPALIVE_S = 20.0  # idle timeout of worker connections; shortened if a worker announces less
 UNCONFIRMED_READY_AFTER_S = 4.0  # time after the start from which readiness needs no confirmed state
 
+MAX_LOGGED_FIELDS = 20
+
 # Phases of a graceful shutdown
 READINESS_PROPAGATION_S = 2.5  # time from becoming unready until the platform opens no new connections
 MAX_READINESS_GRACE_FRACTION = 0.4  # limits READINESS_PROPAGATION_S to this fraction of the grace period
@@ -137,6 +139,13 @@
             keys=None if keys is None else keys.key_count,
             public_routes=newer.public_route_count,
         )
+        if newer.replaced_fields:
+            event(
+                "configuration.fields_replaced",
+                version=newer.version,
+                count=len(newer.replaced_fields),
+                fields=newer.replaced_fields[:MAX_LOGGED_FIELDS],
+            )
 
     # --- readiness ----------------------------------------------------------------------------------------
 
