Keep the placer planning if a configuration or one service cannot be applied

What would be seen: after a configuration that the placer can't read, or one service whose planning fails, no model was loaded any more for any service.

Change: the placer and the dispatchers read a configuration once for each version, by one function (`process/configuration_reading.py`), and go on with the former one. A service that can't be planned is logged once for each version (`placer.planning_failed`); the others are planned.

--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -8,8 +8,9 @@
 from aiohttp import web
 from attrs import define, field
 
-from finchladder.cluster.configuration import snapshot
 from finchladder.cluster.configuration.compression import decompress
+from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot
+from finchladder.cluster.process.configuration_reading import read_configuration
 from finchladder.cluster.process.configuration_refresher import ConfigurationRefresher
 from finchladder.cluster.process.demand_reporter import DemandReporter
 from finchladder.cluster.process.log import event
@@ -28,7 +29,6 @@
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
 from finchladder.cluster.transport.peers import PeerClient, steady
-from finchladder.cluster.types.errors import error_kind, error_location
 from finchladder.cluster.types.messages import Update
 
 READY_PATH = "/api/readyz"
@@ -139,26 +139,18 @@
     def _receive_configuration(self, version: int, compressed: bytes) -> None:
         """Activates a configuration; if this fails, the previous one stays active until the next arrives."""
         self.received_version = version
-        try:
-            newer = snapshot.build_snapshot(decompress(compressed), self.key_salt)
-        # catches any error, because a configuration must not prevent the updates of workers
-        except Exception as error:  # noqa: BLE001
-            event(
-                "configuration.activation_failed",
-                version=version,
-                active_version=self.router.snapshot.version,
-                error=error_kind(error),
-                place=error_location(error),
-            )
-            return
-        self._activate(newer)
+        newer = read_configuration(
+            version, self.router.snapshot.version, lambda: decompress(compressed), self.key_salt
+        )
+        if newer is not None:
+            self._activate(newer)
 
     async def _pull_configuration(self, timeout_s: float) -> bool:
         """Pulls once; returns whether the newest known configuration is active and was recently confirmed."""
         is_confirmed = await self.puller.pull_once(timeout_s)
         return is_confirmed and self.router.snapshot.version >= self.newest_version
 
-    def _activate(self, newer: snapshot.ConfigurationSnapshot) -> None:
+    def _activate(self, newer: ConfigurationSnapshot) -> None:
         """Replaces the configuration by which requests are routed."""
         self.router.snapshot = newer
         keys = newer.keys
--- a/finchladder/cluster/process/placer.py
+++ b/finchladder/cluster/process/placer.py
@@ -4,10 +4,12 @@
 
 from attrs import define, field
 
-from finchladder.cluster.configuration.snapshot import EMPTY_SNAPSHOT, ConfigurationSnapshot, build_snapshot
+from finchladder.cluster.configuration.snapshot import EMPTY_SNAPSHOT, ConfigurationSnapshot, Engine
 from finchladder.cluster.process.action_executor import ActionExecutor
+from finchladder.cluster.process.configuration_reading import read_configuration
 from finchladder.cluster.process.demand_intake import DemandIntake
 from finchladder.cluster.process.fleet_observer import FleetObserver
+from finchladder.cluster.process.log import event
 from finchladder.cluster.process.managed_workers import ManagedWorkers
 from finchladder.cluster.process.placer_lease import PlacerLeaseService
 from finchladder.cluster.process.placer_takeover import PlacerTakeover
@@ -18,6 +20,7 @@
 from finchladder.cluster.process.worker_orders import WorkerOrders
 from finchladder.cluster.tenancy.api_keys import KEY_SALT_BYTES
 from finchladder.cluster.transport.peers import steady
+from finchladder.cluster.types.errors import error_kind, error_location
 from finchladder.cluster.types.messages import DemandReply, DemandReport
 
 PLANNING_INTERVAL_S = 0.1
@@ -27,8 +30,10 @@
 class Placer:
     """Runs in every control process, but plans only while its process holds the lease; terms start empty.
 
-    `takeover_delay_s`: minimum time between the last order of a lease holder and the grant of the lease to
-    another process.
+    Attributes:
+        takeover_delay_s: Minimum time between the last order of a lease holder and the grant of the lease to
+            another process.
+        received_version: Version of the last configuration that was read, even if it could not be read.
     """
 
     lease_service: PlacerLeaseService
@@ -39,12 +44,14 @@
     allowed_load_overage: float
     takeover_delay_s: float
     snapshot: ConfigurationSnapshot = EMPTY_SNAPSHOT
+    received_version: int = 0
     observer: FleetObserver = field(init=False)
     demand: DemandIntake = field(init=False)
     budget: StoreLoadBudget = field(init=False)
     workers: ManagedWorkers = field(init=False)
     takeover: PlacerTakeover = field(init=False)
     planner: ServicePlanner = field(init=False)
+    _failed_services: set[str] = field(factory=set, init=False)  # whose planning failed with this version
 
     def __attrs_post_init__(self) -> None:
         """Creates the components."""
@@ -93,11 +100,36 @@
 
     def _plan(self) -> None:
         now = steady()
-        state = self.updates.state()
-        if state.version != self.snapshot.version and state.document:
-            self.snapshot = build_snapshot(state.document, secrets.token_bytes(KEY_SALT_BYTES))
+        self._update_snapshot()
         self.demand.tracker.decay(now)
         self.workers.follow_sessions(self.snapshot)
         for name, service in self.snapshot.services.items():
             if service.engine is not None:
-                self.planner.plan(now, name, service.engine)
+                self._plan_service(now, name, service.engine)
+
+    def _update_snapshot(self) -> None:
+        """Reads the configuration once after it has changed; the former one stays in use if this fails."""
+        state = self.updates.state()
+        if state.version == self.received_version or not state.document:
+            return
+        self.received_version = state.version
+        self._failed_services.clear()
+        salt = secrets.token_bytes(KEY_SALT_BYTES)
+        newer = read_configuration(state.version, self.snapshot.version, lambda: state.document, salt)
+        self.snapshot = newer or self.snapshot
+
+    def _plan_service(self, now: float, name: str, engine: Engine) -> None:
+        """Plans one service; an error is logged once for each version and does not affect other services."""
+        try:
+            self.planner.plan(now, name, engine)
+        # catches any error, because the other services must be planned
+        except Exception as error:  # noqa: BLE001
+            if name not in self._failed_services:
+                self._failed_services.add(name)
+                event(
+                    "placer.planning_failed",
+                    service=name,
+                    version=self.received_version,
+                    error=error_kind(error),
+                    place=error_location(error),
+                )
--- a/tests/cluster/test_incident_blocked_updates.py
+++ b/tests/cluster/test_incident_blocked_updates.py
@@ -10,7 +10,7 @@
 from attrs import define
 
 from finchladder.cluster.configuration.compression import DocumentCompressor
-from finchladder.cluster.process import dispatcher_node
+from finchladder.cluster.process import configuration_reading, dispatcher_node
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.dispatcher_node import DispatcherNode
 from finchladder.cluster.process.settings import Settings
@@ -61,7 +61,8 @@
 @pytest.fixture
 def events(monkeypatch: pytest.MonkeyPatch) -> Events:
     logged: Events = []
-    monkeypatch.setattr(dispatcher_node, "event", lambda kind, **fields: logged.append((kind, fields)))
+    for module in (configuration_reading, dispatcher_node):
+        monkeypatch.setattr(module, "event", lambda kind, **fields: logged.append((kind, fields)))
     return logged
 
 
