Store and send the version of a configuration as an integer of 64 bits

A version beyond 64 bits, or such a number in If-Match at a process that isn't the head, ended the handler with an exception.

Cause: JSON Schema counts 7.0 as an integer, and msgspec checks types only when it decodes. The head stored the float; its successor and, after a restart, the head itself could not decode it.

Change: a version becomes an int as it is validated, in the change and in the document; more than 2^63 - 1 is invalid; an If-Match beyond that stands for no version. A stored record whose checksum is right is also read if its numbers are floats of whole value.

--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -88,8 +88,10 @@
     problem = first_problem(PATCH_VALIDATOR if is_patch else DOCUMENT_VALIDATOR, change)
     if problem:
         return InvalidChange(problem)
-    if change["version"] <= current_version:
-        return InvalidChange(f"version {change['version']} must be above {current_version}")
+    version = int(change["version"])  # may be written as 7.0, and other processes can only decode an integer
+    change["version"] = version
+    if version <= current_version:
+        return InvalidChange(f"version {version} must be above {current_version}")
     document = _patched(json.loads(current or b"{}"), change) if is_patch else change
     if isinstance(document, InvalidChange):
         return document
@@ -102,7 +104,7 @@
         return InvalidChange("configuration: is nested too deeply")
     except ValueError:  # the stored configuration contains infinity or NaN, which earlier versions accepted
         return InvalidChange(f"configuration: {TOO_LARGE} or is not a number")
-    return ValidChange(change["version"], encoded)
+    return ValidChange(version, encoded)
 
 
 def _patched(current: Document, change: Document) -> Document | InvalidChange:
@@ -116,6 +118,7 @@
         return InvalidChange(problem)
     if document["version"] != change["version"]:
         return InvalidChange("upsert/version: differs from the version of the patch")
+    document["version"] = change["version"]
     return document
 
 
--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -14,6 +14,7 @@
 
 TENANTS = "tenants"
 REMOVE = "remove"  # field of a patch that lists the names of the items to remove
+MAX_VERSION = 2**63 - 1  # largest version that all messages and stored records can contain
 REDACTED = "..."  # replaces unknown names from a request in error messages; they may be misplaced API keys
 
 NAME_SCHEMA = {"type": "string", "minLength": 1}
@@ -24,6 +25,8 @@
 OPTIONAL_NON_NEGATIVE_SCHEMA = {"type": ["number", "null"], "minimum": 0}
 OPTIONAL_FLAG_SCHEMA = {"type": ["boolean", "null"]}
 
+# JSON Schema counts 7.0 as an integer.
+VERSION_SCHEMA: dict[str, Any] = {"type": "integer", "minimum": 1, "maximum": MAX_VERSION}
 ROUTE_SCHEMA: dict[str, Any] = {
     "type": "object",
     "required": ["name", "host", "path_prefix"],
@@ -114,13 +117,13 @@
 DOCUMENT_SCHEMA: dict[str, Any] = {
     "type": "object",
     "required": ["version", "routes", "services"],
-    "properties": {"version": {"type": "integer", "minimum": 1}, "limits": LIMITS_SCHEMA, **ITEM_PROPERTIES},
+    "properties": {"version": VERSION_SCHEMA, "limits": LIMITS_SCHEMA, **ITEM_PROPERTIES},
 }
 PATCH_SCHEMA: dict[str, Any] = {
     "type": "object",
     "required": ["version"],
     "properties": {
-        "version": {"type": "integer", "minimum": 1},
+        "version": VERSION_SCHEMA,
         "upsert": {
             "type": "object",
             # The type of `limits` is validated in the result of the patch, like that of other values.
--- a/finchladder/cluster/process/control_api.py
+++ b/finchladder/cluster/process/control_api.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from finchladder.cluster.configuration.schema import MAX_VERSION
 from finchladder.cluster.process.chain_service import ChainService
 from finchladder.cluster.process.configuration_changes import (
     ACCEPTED,
@@ -22,6 +23,7 @@
 RESPONSE_DEADLINE_S = 0.9  # callers send the request to another process after 1 s without a response
 MIN_BYTES_PER_S = 1_000_000  # minimum transfer rate; size / rate is added to the deadline
 MAX_BODY_BYTES = 64 << 20
+NO_VERSION = -1  # below all versions, including 0, which stands for no configuration
 
 
 def _json(status: int, value: object) -> web.Response:
@@ -47,6 +49,17 @@
     heartbeat_url: str
 
 
+def parse_base_version(text: str) -> int | None:
+    """Parses the `If-Match` header of a change; returns None if it is not a number.
+
+    A number that no configuration can have is replaced by another one, so that messages can contain it.
+    """
+    try:
+        return max(NO_VERSION, min(int(text.strip('" ')), MAX_VERSION + 1))
+    except ValueError:
+        return None
+
+
 class ControlApi:
     """HTTP handlers of the public control address."""
 
@@ -71,9 +84,8 @@
         return _json(404, ProblemResponse("unknown method or path"))
 
     async def _put_configuration(self, request: web.BaseRequest) -> web.StreamResponse:
-        try:
-            base = int(request.headers.get("If-Match", "0").strip('" '))
-        except ValueError:
+        base = parse_base_version(request.headers.get("If-Match", "0"))
+        if base is None:
             return _json(400, ProblemResponse("the If-Match header must be a version number"))
         body = await _read_body(request)
         if body is None:
--- a/finchladder/cluster/process/core_sessions.py
+++ b/finchladder/cluster/process/core_sessions.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 
+from finchladder.cluster.configuration.schema import MAX_VERSION
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.control_plane import ControlPlane
 from finchladder.cluster.process.retirement_propagation import RetirementPropagation
@@ -23,7 +24,7 @@
 from finchladder.cluster.types.messages import Update
 
 ANNOUNCE_INTERVAL_S = 1.0  # maximum time between two notifications of the subscribers
-ANY_VERSION = 1 << 60  # above all versions: a control process gets its configuration from the chain
+ANY_VERSION = MAX_VERSION + 1  # above all versions: a control process gets its configuration from the chain
 
 IsRunning = Callable[[str, str], Awaitable[bool]]
 
--- a/finchladder/cluster/storage/lmdb_store.py
+++ b/finchladder/cluster/storage/lmdb_store.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from hashlib import blake2b
 from typing import Any, TypeVar
 
@@ -55,13 +56,19 @@
 
 
 def decode_record(data: bytes, kind: type[T]) -> T:
-    """Decodes the output of `encode_record`; raises StorageCorruptedError for any other data."""
+    """Decodes the output of `encode_record`; raises StorageCorruptedError for any other data.
+
+    Earlier versions of the program stored the version of a configuration as a float if the operator wrote it
+    as 7.0. Such numbers are converted.
+    """
     payload = data[1 + CHECKSUM_BYTES :]
     checksum = blake2b(payload, digest_size=CHECKSUM_BYTES).digest()
     if data[:1] != bytes([FORMAT_VERSION]) or data[1 : 1 + CHECKSUM_BYTES] != checksum:
         raise StorageCorruptedError("format version or checksum does not match")
-    try:
+    with suppress(*DECODE_ERRORS):
         return msgspec.msgpack.decode(payload, type=kind)
+    try:
+        return msgspec.msgpack.decode(payload, type=kind, strict=False)
     except DECODE_ERRORS as error:
         raise StorageCorruptedError(error_kind(error)) from None
 
