Search the configurations that are accepted for values that no part can apply

What would be seen: a service, model or tenant whose name holds a lone surrogate is acknowledged; reserving quota for all tenants of a dispatcher, or reporting its demand, then ends with an exception, as does the answer to an invalid change that names a route so. A tenant with a rate of 1e18 gets nothing. A body nested nearly as deep as the stack allows may be read by the head and not by others.

Cause: names are checked as JSON, but messages are UTF-8; the token bucket subtracts numbers that are too large for a float's precision; the bound on nesting was what was left of the stack.

Change: names with lone surrogates are invalid (keys, hosts and prefixes are only compared and stay valid); problems, and names that are stored already, have them replaced. Rates and bursts count up to 1e12. A body is at most 100 levels deep.

--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -16,6 +16,7 @@
 )
 
 MAX_FLOAT_DIGITS = 308  # every integer of at most this length, including the sign, is a finite float
+MAX_NESTING = 100  # parsers of other processes may have less of the stack left; see RFC 8259, section 9
 TOO_LARGE = "a number exceeds the range of a float"
 Document = dict[str, Any]  # a configuration or a patch as parsed JSON
 
@@ -30,10 +31,14 @@
 
 @dataclass(frozen=True)
 class InvalidChange:
-    """A change that must be rejected, with the reason."""
+    """A change that must be rejected, with the reason; lone surrogates in it are replaced, for messages."""
 
     problem: str
 
+    def __post_init__(self) -> None:
+        """Replaces the characters that UTF-8 cannot encode by `?`."""
+        object.__setattr__(self, "problem", self.problem.encode(errors="replace").decode())
+
 
 def change_digest(base: int, is_patch: bool, body: bytes) -> bytes:
     """Digest of the base version, method and body of a change; a retry of the change has the same digest."""
@@ -49,7 +54,26 @@
         )
     except (ValueError, RecursionError) as error:
         return InvalidChange(f"the body is not valid JSON: {error}")
-    return value if isinstance(value, dict) else InvalidChange("the body is not a JSON object")
+    if not isinstance(value, dict):
+        return InvalidChange("the body is not a JSON object")
+    if _is_nested_deeper(value, MAX_NESTING):
+        return InvalidChange(f"the body is nested more than {MAX_NESTING} levels deep")
+    return value
+
+
+def _is_nested_deeper(value: object, max_levels: int) -> bool:
+    """Whether a JSON value contains objects or lists in more than `max_levels` levels. CPU: O(size)."""
+    level = [value]
+    for _ in range(max_levels + 1):
+        containers = [item for item in level if isinstance(item, dict | list)]
+        if not containers:
+            return False
+        level = [
+            item
+            for container in containers
+            for item in (container.values() if isinstance(container, dict) else container)
+        ]
+    return True
 
 
 def _reject_constant(name: str) -> None:
@@ -100,7 +124,7 @@
         return InvalidChange(problem)
     try:
         encoded = json.dumps(document, separators=(",", ":"), allow_nan=False).encode()
-    except RecursionError:
+    except RecursionError:  # the stored configuration is nested deeply, which earlier versions accepted
         return InvalidChange("configuration: is nested too deeply")
     except ValueError:  # the stored configuration contains infinity or NaN, which earlier versions accepted
         return InvalidChange(f"configuration: {TOO_LARGE} or is not a number")
--- a/finchladder/cluster/configuration/fields.py
+++ b/finchladder/cluster/configuration/fields.py
@@ -75,6 +75,14 @@
             return ""
         return value or ""
 
+    def name(self, name: str) -> str:
+        """Reads a text that messages contain; characters that UTF-8 cannot encode are replaced by `?`."""
+        text = self.text(name)
+        encodable = text.encode(errors="replace").decode()
+        if encodable != text:
+            self._replace(name)
+        return encodable
+
     def child(self, name: str) -> "FieldReader | None":
         """Reader of an object in a field; None if the field has none."""
         value = self._get(name)
--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -17,7 +17,9 @@
 MAX_VERSION = 2**63 - 1  # largest version that all messages and stored records can contain
 REDACTED = "..."  # replaces unknown names from a request in error messages; they may be misplaced API keys
 
-NAME_SCHEMA = {"type": "string", "minLength": 1}
+TEXT_SCHEMA: dict[str, Any] = {"type": "string", "minLength": 1}
+# Messages are encoded in UTF-8, which cannot encode the lone surrogates that JSON strings may contain.
+NAME_SCHEMA: dict[str, Any] = {**TEXT_SCHEMA, "not": {"pattern": r"[\ud800-\udfff]"}}
 POSITIVE_SCHEMA = {"type": "number", "exclusiveMinimum": 0}
 NON_NEGATIVE_SCHEMA = {"type": "number", "minimum": 0}
 OPTIONAL_NUMBER_SCHEMA = {"type": ["number", "null"]}
@@ -32,7 +34,7 @@
     "required": ["name", "host", "path_prefix"],
     "properties": {
         "name": NAME_SCHEMA,
-        "host": NAME_SCHEMA,
+        "host": TEXT_SCHEMA,
         "path_prefix": {"type": "string", "pattern": "^/(.*/)?$"},
         "kind": {"type": "string"},
         "timeout_ms": OPTIONAL_POSITIVE_SCHEMA,
@@ -87,14 +89,14 @@
         "engine": ENGINE_SCHEMA,
     },
 }
-# A tenant's name is sent in a header, so it must not contain control characters.
-TENANT_NAME_SCHEMA: dict[str, Any] = {**NAME_SCHEMA, "not": {"pattern": r"[\x00-\x1f\x7f]"}}
+# A tenant's name is also sent in a header, so it must not contain control characters.
+TENANT_NAME_SCHEMA: dict[str, Any] = {**TEXT_SCHEMA, "not": {"pattern": r"[\x00-\x1f\x7f\ud800-\udfff]"}}
 TENANT_SCHEMA: dict[str, Any] = {
     "type": "object",
     "required": ["name", "api_keys"],
     "properties": {
         "name": TENANT_NAME_SCHEMA,
-        "api_keys": {"type": "array", "items": NAME_SCHEMA},
+        "api_keys": {"type": "array", "items": TEXT_SCHEMA},
         "priority": {"type": "integer"},
         "unit": {"type": "string"},
         "raw_tokens": NON_NEGATIVE_SCHEMA,
@@ -129,7 +131,7 @@
             # The type of `limits` is validated in the result of the patch, like that of other values.
             "properties": {"limits": {"properties": LIMITS_PROPERTIES}, **ITEM_PROPERTIES},
         },
-        REMOVE: {"type": "object", "additionalProperties": {"type": "array", "items": NAME_SCHEMA}},
+        REMOVE: {"type": "object", "additionalProperties": {"type": "array", "items": TEXT_SCHEMA}},
     },
 }
 # Schema of the configuration that results from a patch. Routes, services and limits are not validated again:
--- a/finchladder/cluster/configuration/snapshot.py
+++ b/finchladder/cluster/configuration/snapshot.py
@@ -227,7 +227,7 @@
 
 def _read_route(reader: FieldReader) -> Route | None:
     """Reads a route; None if it has no name, host, path prefix or target."""
-    name, host, path_prefix = (reader.text(field) for field in ("name", "host", "path_prefix"))
+    name, host, path_prefix = reader.name("name"), reader.text("host"), reader.text("path_prefix")
     weighted_services = _read_weighted_services(reader)
     if not (name and host and path_prefix and weighted_services):
         return None
@@ -259,12 +259,12 @@
 def _read_weighted_services(reader: FieldReader) -> tuple[WeightedService, ...]:
     """Reads the traffic split of a route, or its single service; empty if it has neither."""
     weights = [
-        (target.number("weight", 0, WEIGHT), target.text("service"))
+        (target.number("weight", 0, WEIGHT), target.name("service"))
         for target in reader.children("traffic_split")
     ]
     weights = [(weight, service) for weight, service in weights if weight and service]
     if not weights:
-        service = reader.text("service")
+        service = reader.name("service")
         return (WeightedService(1.0, service),) if service else ()
     total = sum(weight for weight, _ in weights)
     weighted_services = []
@@ -278,7 +278,7 @@
 def _read_services(reader: FieldReader) -> Mapping[str, Service]:
     services = {}
     for item in reader.children("services"):
-        name = item.text("name")
+        name = item.name("name")
         if name:
             services[name] = _read_service(name, item)
         else:
@@ -310,7 +310,7 @@
 def _read_models(reader: FieldReader) -> Mapping[str, Model]:
     models = {}
     for item in reader.children("models"):
-        name = item.text("name")
+        name = item.name("name")
         if name:
             models[name] = _read_model(name, item)
         else:
--- a/finchladder/cluster/tenancy/tenants.py
+++ b/finchladder/cluster/tenancy/tenants.py
@@ -9,7 +9,11 @@
 from attrs import frozen
 
 DEFAULT_RAW_TOKENS = 1
-CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
+# Larger rates and bursts have the same effect as this one. Token buckets can compute with it without rounding
+# errors that are larger than a request.
+MAX_UNITS = 1e12
+# Control characters and lone surrogates cannot be sent in a header.
+UNSENDABLE_CHARACTERS = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
 
 
 class QuotaUnit(str, Enum):
@@ -60,11 +64,17 @@
         priority=None if priority is None else int(priority),
         unit=unit,
         raw_tokens=int(item.get("raw_tokens", DEFAULT_RAW_TOKENS)),
-        rate_per_s=float(item.get("rate_per_s") or 0),
-        burst=float(item.get("burst") or 0),
+        rate_per_s=_limit_units(item.get("rate_per_s")),
+        burst=_limit_units(item.get("burst")),
     )
 
 
+def _limit_units(value: Any) -> float:
+    """Converts a rate or burst to a float of at most MAX_UNITS, unless it is infinite."""
+    units = float(value or 0)
+    return min(units, MAX_UNITS) if isfinite(units) else units
+
+
 def read_tenants(items: object) -> list[tuple[Tenant, list[str]]]:
     """Parses the tenants and their keys from a value of `tenants` that may not have been validated.
 
@@ -89,5 +99,5 @@
 
 def _has_name_and_keys(item: Mapping[str, Any]) -> bool:
     name, keys = item.get("name"), item.get("api_keys")
-    is_valid_name = isinstance(name, str) and name != "" and CONTROL_CHARACTERS.search(name) is None
+    is_valid_name = isinstance(name, str) and name != "" and UNSENDABLE_CHARACTERS.search(name) is None
     return is_valid_name and isinstance(keys, list) and all(isinstance(key, str) for key in keys)
