Reject heartbeats and reports with numbers that no message can contain

What would be seen: after one heartbeat with a `slots` or `sequence` beyond 64 bits, or with `remaining_ms` of 1e30, acknowledged with 200, no dispatcher and no other control process gets any update from this control process, for as long as the record stands: one record holds up all others.

Cause: JSON integers have no bound, but MessagePack encodes 64 bits. The record was stored, and encoding each later update raised OverflowError. The same holds for `sequence` of a worker's report, which the placer announces.

--- a/finchladder/cluster/process/worker_sessions.py
+++ b/finchladder/cluster/process/worker_sessions.py
@@ -12,6 +12,7 @@
 from finchladder.cluster.types.worker_api import Heartbeat, loaded_models
 from finchladder.cluster.types.workers import SessionPhase, StampedWorker, WorkerRecord
 
+MAX_REMAINING_MS = 24 * 3600 * 1000  # longer times until a preemption have the same effect as this one
 DRAINING_STATE = "draining"  # value of `state` in the heartbeats of a draining worker
 
 
@@ -102,7 +103,7 @@
             sequence=heartbeat.sequence,
             owner=self.tables.origin,
             loaded_models=loaded_models(heartbeat.models),
-            remaining_ms=None if heartbeat.remaining_ms is None else int(heartbeat.remaining_ms),
+            remaining_ms=_remaining_ms(heartbeat.remaining_ms),
         )
 
     def _put(self, record: WorkerRecord, known: StampedWorker | None) -> None:
@@ -130,6 +131,11 @@
         self.changed.fire()
 
 
+def _remaining_ms(announced_ms: float | None) -> int | None:
+    """Returns the announced time until the worker is preempted, in whole milliseconds within its bounds."""
+    return None if announced_ms is None else int(min(max(announced_ms, 0.0), MAX_REMAINING_MS))
+
+
 def _unknown_worker(instance: str) -> WorkerRecord:
     """Returns a record that marks a worker as deregistered about which nothing else is known."""
     return WorkerRecord(
--- a/finchladder/cluster/types/worker_api.py
+++ b/finchladder/cluster/types/worker_api.py
@@ -1,9 +1,14 @@
 """JSON messages between workers and control processes; unknown fields are ignored."""
 
+from typing import Annotated
+
 import msgspec
 
 from finchladder.cluster.types.workers import LoadedModel
 
+# Records and messages contain these numbers, and can encode only 64 bits.
+Integer64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
 
 class ModelReport(msgspec.Struct):
     """A model in a worker's memory, as the worker reports it."""
@@ -19,9 +24,9 @@
     service: str
     address: str
     zone: str = ""
-    slots: int = 1
+    slots: Integer64 = 1
     state: str = "ready"
-    sequence: int = 0
+    sequence: Integer64 = 0
     models: list[ModelReport] = msgspec.field(default_factory=list)
     remaining_ms: float | None = None
 
@@ -29,7 +34,7 @@
 class WorkerReport(msgspec.Struct):
     """Status of a worker, up to a few hundred milliseconds old; `sequence` counts the accepted orders."""
 
-    sequence: int = 0
+    sequence: Integer64 = 0
     busy: bool = False
     models: list[ModelReport] = msgspec.field(default_factory=list)
     queued: int = 0
