Report demand for model names that are not UTF-8

What would be seen: while a request whose X-Finchladder-Model holds a byte that isn't UTF-8 waits for its model, the placer learns of no demand of this dispatcher. A request id with such a byte gets 500.

Cause: the HTTP parser decodes such bytes as lone surrogates, which MessagePack and blake2b's UTF-8 input can't contain; the loop of the demand report ended with UnicodeEncodeError.

Change: a model's name has such bytes replaced where it becomes a key; the id is hashed as the bytes that came.

--- a/finchladder/cluster/routing/requests.py
+++ b/finchladder/cluster/routing/requests.py
@@ -50,7 +50,7 @@
     request_id = headers.get(REQUEST_ID_HEADER, "")
     deadline_ms = _parse_number(headers.get(DEADLINE_HEADER))
     client_timeout_s = route.timeout_s if deadline_ms is None else deadline_ms / 1000
-    model, _, adapter = headers.get(MODEL_HEADER, "").partition("/")
+    model, _, adapter = _to_utf8(headers.get(MODEL_HEADER, "")).partition("/")
     token_counts = _parse_token_counts(headers.get(TOKEN_COUNT_HEADER))
     return ClassifiedRequest(
         request_id=request_id,
@@ -77,10 +77,17 @@
 
 def _split_point(request_id: str) -> float:
     """Position in a traffic split, from 0 to 1; the same for all requests with one request id."""
-    digest = blake2b(request_id.encode(), digest_size=8).digest()
+    digest = blake2b(request_id.encode(errors="surrogateescape"), digest_size=8).digest()
     return int.from_bytes(digest, "big") / 2**64
 
 
+def _to_utf8(text: str) -> str:
+    """Replaces bytes that are not UTF-8, which the HTTP parser decodes as lone surrogates, for messages."""
+    if text.isascii():
+        return text
+    return text.encode(errors="surrogateescape").decode(errors="replace")
+
+
 def _parse_number(text: str | None) -> float | None:
     try:
         return float(text) if text else None
