Take a deadline that is no finite number for a missing one

What would be seen: a request with X-Finchladder-Deadline-Ms: nan gets a timer at the time NaN; the event loop's heap then no longer orders the timers of other requests. Cause: float() accepts "nan" and "inf". Evidence: five cases of test_incident_header_bytes.py failed before; that other timers were late was reasoned, not shown. Result: all eleven pass.

--- a/finchladder/cluster/routing/requests.py
+++ b/finchladder/cluster/routing/requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from hashlib import blake2b
+from math import isfinite, nan
 
 from attrs import frozen
 
@@ -89,10 +90,12 @@
 
 
 def _parse_number(text: str | None) -> float | None:
+    """Parses a finite number; None for all other texts, such as `nan`, by which no timer can be ordered."""
     try:
-        return float(text) if text else None
+        number = float(text) if text else nan
     except ValueError:
         return None
+    return number if isfinite(number) else None
 
 
 def _clamp_token_count(count: int) -> int:
--- a/tests/cluster/test_incident_header_bytes.py
+++ b/tests/cluster/test_incident_header_bytes.py
@@ -1,10 +1,10 @@
-"""An incident: a header that is not UTF-8 kept a dispatcher from reporting its demand to the placer."""
+"""An incident: headers of one request that a dispatcher could not handle held up its other requests."""
 
 import pytest
 
 from finchladder.cluster.configuration.snapshot import build_snapshot
 from finchladder.cluster.routing.demand import DemandCounter
-from finchladder.cluster.routing.headers import MODEL_HEADER, REQUEST_ID_HEADER
+from finchladder.cluster.routing.headers import DEADLINE_HEADER, MODEL_HEADER, REQUEST_ID_HEADER
 from finchladder.cluster.routing.requests import ClassifiedRequest, classify
 from finchladder.cluster.types.messages import DemandReport, encoder, request_decoder
 
@@ -34,3 +34,11 @@
     assert request_decoder.decode(encoder.encode(report)) == report
     assert "m1" in {demand.model for demand in report.demands}
     assert len(report.demands) == 2
+
+
+@pytest.mark.parametrize("text", ["nan", "-nan", "inf", "-inf", "1e400", "many", ""])
+def test_a_deadline_that_is_no_finite_number_counts_as_missing(text: str) -> None:
+    # The event loop orders its timers by time, and NaN is neither before nor after any other one.
+    route = build_snapshot(DOCUMENT).match("a.example", "/")
+    assert route is not None
+    assert classify({DEADLINE_HEADER: text}, route, 10.0) == classify({}, route, 10.0)
