Keep backing off from a worker after a thousand failures in a row

What would be seen: after 1,025 failed attempts in a row at one worker (over an hour at the longest backoff), each further attempt there ends with an exception, hence 500, and the worker is not backed off from any more. Cause: 0.5 * 2**1024 exceeds a float. Evidence: four new cases of test_worker_backoff.py failed before.

--- a/finchladder/cluster/process/worker_backoff.py
+++ b/finchladder/cluster/process/worker_backoff.py
@@ -13,6 +13,7 @@
 MISDIRECTED_BACKOFF_S = 0.4  # backoff for one model or adapter that the worker has not loaded
 MIN_FAILURE_BACKOFF_S = 0.5
 MAX_FAILURE_BACKOFF_S = 4.0
+MAX_BACKOFF_DOUBLINGS = 10  # enough for the maximum; a float can't be doubled without limit
 
 
 def record_failure(worker: Worker, request: ClassifiedRequest, failure: FailedAttempt) -> None:
@@ -25,8 +26,8 @@
         _back_off_after_rejection(worker, request, failure, now)
         return
     worker.consecutive_failures += 1
-    exponential_s = MIN_FAILURE_BACKOFF_S * 2 ** (worker.consecutive_failures - 1)
-    worker.backoff_until = now + min(MAX_FAILURE_BACKOFF_S, exponential_s)
+    doublings = min(worker.consecutive_failures - 1, MAX_BACKOFF_DOUBLINGS)
+    worker.backoff_until = now + min(MAX_FAILURE_BACKOFF_S, MIN_FAILURE_BACKOFF_S * 2**doublings)
     event("attempt.failed", instance=worker.instance, address=worker.address, outcome=repr(failure))
 
 
--- a/tests/cluster/test_worker_backoff.py
+++ b/tests/cluster/test_worker_backoff.py
@@ -60,3 +60,11 @@
     worker = make_worker("a")
     found = [backoffs_s(worker, make_request(), TimedOut())[0] for _ in range(5)]
     assert found == pytest.approx([0.5, 1.0, 2.0, 4.0, MAX_FAILURE_BACKOFF_S])
+
+
+@pytest.mark.parametrize("failures", [1024, 1025, 1026, 100_000])
+def test_the_backoff_of_a_worker_that_keeps_failing_stays_at_the_maximum(failures: int) -> None:
+    # From the 1025th failure in a row on, 2 ** 1024 exceeded the range of a float, and requests got 500.
+    worker = make_worker("w1")
+    worker.consecutive_failures = failures
+    assert backoffs_s(worker, make_request(), TimedOut())[0] == pytest.approx(MAX_FAILURE_BACKOFF_S)
