--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -1,24 +1,23 @@
-"""Parses, applies and validates changes of the configuration before they are stored."""
+"""Parses and validates changes of the configuration before they are stored."""
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from hashlib import blake2b
 from math import isinf
-from typing import Any
 
+from finchladder.cluster.configuration.consistency import semantic_problem
+from finchladder.cluster.configuration.patches import UnnamedItemsError, apply_patch
 from finchladder.cluster.configuration.schema import (
     DOCUMENT_VALIDATOR,
-    ITEM_PROPERTIES,
     PATCH_VALIDATOR,
     PATCHED_VALIDATOR,
-    REDACTED,
+    Document,
     first_problem,
 )
 
 MAX_FLOAT_DIGITS = 308  # every integer of at most this length, including the sign, is a finite float
 MAX_NESTING = 100  # parsers of other processes may have less of the stack left; see RFC 8259, section 9
 TOO_LARGE = "a number exceeds the range of a float"
-Document = dict[str, Any]  # a configuration or a patch as parsed JSON
 
 
 @dataclass(frozen=True)
@@ -134,8 +133,8 @@
 def _patched(current: Document, change: Document) -> Document | InvalidChange:
     """Applies a patch, and validates the parts of the result that were not validated before."""
     try:
-        document = _apply_patch(current, change)
-    except _UnnamedItemsError as error:
+        document = apply_patch(current, change)
+    except UnnamedItemsError as error:
         return InvalidChange(str(error))
     problem = first_problem(PATCHED_VALIDATOR, document)
     if problem:
@@ -144,104 +143,3 @@
         return InvalidChange("upsert/version: differs from the version of the patch")
     document["version"] = change["version"]
     return document
-
-
-class _UnnamedItemsError(Exception):
-    """A patch refers to items by name in a value that is not a list of named items."""
-
-    def __init__(self, kind: str) -> None:
-        # An unknown kind is redacted, because it may be a misplaced API key.
-        super().__init__(f"{kind if kind in ITEM_PROPERTIES else REDACTED}: is not a list of named items")
-
-
-def _apply_patch(document: Document, change: Document) -> Document:
-    """Applies `remove`, then `upsert` by item name; a replaced item keeps its position.
-
-    Raises:
-        _UnnamedItemsError: A value of the patch or of the stored configuration is not a list of named items.
-    """
-    result = dict(document)
-    result["version"] = change["version"]
-    for kind, names in change.get("remove", {}).items():
-        if kind in result:  # otherwise an empty list of tenants would be created, which makes routes private
-            removed = set(names)
-            result[kind] = [
-                item for item in _require_named_items(kind, result[kind]) if item["name"] not in removed
-            ]
-    for kind, items in change.get("upsert", {}).items():
-        if isinstance(items, list):
-            merged = [
-                *_require_named_items(kind, result.get(kind, [])),
-                *_require_named_items(kind, items),
-            ]
-            result[kind] = list({item["name"]: item for item in merged}.values())
-        else:
-            result[kind] = items
-    return result
-
-
-def _require_named_items(kind: str, items: object) -> list[Document]:
-    if not isinstance(items, list) or not all(_has_name(item) for item in items):
-        raise _UnnamedItemsError(kind)
-    return items
-
-
-def _has_name(item: object) -> bool:
-    return isinstance(item, dict) and isinstance(item.get("name"), str)
-
-
-def semantic_problem(document: Document) -> str:
-    """Checks constraints that the schema cannot express: references, uniqueness and positive total weights.
-
-    Returns:
-        Description of the first violation; empty if there is none.
-    """
-    services = {service["name"] for service in document.get("services", [])}
-    earlier = _EarlierRoutes()
-    for route in document.get("routes", []):
-        problem = _route_problem(route, services, earlier)
-        if problem:
-            return f"route {route['name']}: {problem}"
-    return _tenants_problem(document.get("tenants", []))
-
-
-@dataclass
-class _EarlierRoutes:
-    """Names and matches of the routes checked so far, which later routes must not repeat."""
-
-    names: set[str] = field(default_factory=set)
-    matches: set[tuple[str, str]] = field(default_factory=set)  # pairs of host and path prefix
-
-
-def _route_problem(route: Document, services: set[str], earlier: _EarlierRoutes) -> str:
-    match = (route["host"].lower(), route["path_prefix"])
-    if match in earlier.matches:
-        return "another route has the same host and path prefix"
-    if route["name"] in earlier.names:
-        return "another route has the same name"
-    earlier.matches.add(match)
-    earlier.names.add(route["name"])
-    split = route.get("traffic_split")
-    targets = [target["service"] for target in split] if split else [route.get("service")]
-    unknown = [target for target in targets if target not in services]
-    if unknown:
-        return f"unknown service {unknown[0]}"
-    if split and sum(target["weight"] for target in split) <= 0:
-        return "the weights of its traffic split add up to 0"
-    return ""
-
-
-def _tenants_problem(tenants: list[Document]) -> str:
-    """Checks that tenant names are unique and no key is shared; messages contain tenant names, never keys."""
-    names: set[str] = set()
-    tenant_by_key: dict[str, str] = {}
-    for tenant in tenants:
-        name = tenant["name"]
-        if name in names:
-            return f"tenant {name}: another tenant has the same name"
-        names.add(name)
-        for key in tenant["api_keys"]:
-            other = tenant_by_key.setdefault(key, name)
-            if other != name:
-                return f"tenants {other} and {name} share an API key"
-    return ""
--- a/finchladder/cluster/configuration/schema.py
+++ b/finchladder/cluster/configuration/schema.py
@@ -12,6 +12,8 @@
 
 from jsonschema import Draft202012Validator, ValidationError
 
+Document = dict[str, Any]  # a configuration or a patch as parsed JSON
+
 TENANTS = "tenants"
 REMOVE = "remove"  # field of a patch that lists the names of the items to remove
 MAX_VERSION = 2**63 - 1  # largest version that all messages and stored records can contain
--- a/finchladder/cluster/process/configuration_reading.py
+++ b/finchladder/cluster/process/configuration_reading.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot, build_snapshot
+from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.process.log import event
 from finchladder.cluster.types.errors import error_kind, error_location
 
--- a/tests/cluster/test_acknowledged_configurations.py
+++ b/tests/cluster/test_acknowledged_configurations.py
@@ -16,7 +16,8 @@
 
 from finchladder.cluster.configuration.changes import InvalidChange, ValidChange, validate_change
 from finchladder.cluster.configuration.compression import DocumentCompressor, decompress
-from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot, Engine, build_snapshot
+from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot, Engine
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.placement.capacity import max_concurrent_store_loads
 from finchladder.cluster.placement.demand import DemandTracker
 from finchladder.cluster.placement.load_durations import LoadDurations
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -14,7 +14,7 @@
     validate_change,
 )
 from finchladder.cluster.configuration.compression import DocumentCompressor, decompress
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 
 ROUTE = {
     "name": "r1",
--- a/tests/cluster/test_incident_config.py
+++ b/tests/cluster/test_incident_config.py
@@ -7,7 +7,7 @@
 import pytest
 
 from finchladder.cluster.configuration.changes import InvalidChange, ValidChange, validate_change
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.routing.pools import PoolMember, Pools
 from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.workers import LoadedModel
--- a/tests/cluster/test_incident_float_version.py
+++ b/tests/cluster/test_incident_float_version.py
@@ -9,7 +9,7 @@
 
 from finchladder.cluster.configuration.changes import InvalidChange, ValidChange, validate_change
 from finchladder.cluster.configuration.schema import MAX_VERSION
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.process.configuration_changes import ACCEPTED, CONFLICT, INVALID
 from finchladder.cluster.process.control_api import parse_base_version
 from finchladder.cluster.process.core_sessions import ANY_VERSION
--- a/tests/cluster/test_incident_header_bytes.py
+++ b/tests/cluster/test_incident_header_bytes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.headers import DEADLINE_HEADER, MODEL_HEADER, REQUEST_ID_HEADER
 from finchladder.cluster.routing.requests import ClassifiedRequest, classify
--- a/tests/cluster/test_incident_null_limit.py
+++ b/tests/cluster/test_incident_null_limit.py
@@ -7,7 +7,8 @@
 import pytest
 
 from finchladder.cluster.configuration.changes import InvalidChange, ValidChange, validate_change
-from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot, build_snapshot
+from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 
 Document = dict[str, Any]
 
--- a/tests/cluster/test_incident_quota.py
+++ b/tests/cluster/test_incident_quota.py
@@ -15,7 +15,7 @@
 import pytest
 from aiohttp import web
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.process.quota_client import QuotaClient
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.tasks import Tasks
--- a/tests/cluster/test_incident_route.py
+++ b/tests/cluster/test_incident_route.py
@@ -9,7 +9,7 @@
 import eliot
 import pytest
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.process import log
 from tests.cluster.test_router import (
     DOCUMENT,
--- a/tests/cluster/test_incident_unasked.py
+++ b/tests/cluster/test_incident_unasked.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import web
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from tests.cluster.test_router import (
     DOCUMENT,
     REQUEST_ID_HEADER,
--- a/tests/cluster/test_requests.py
+++ b/tests/cluster/test_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.routing.requests import classify
 from tests.cluster.test_snapshot import DOCUMENT
 
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from yarl import URL
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.process.router import CLIENT_RETRY_GRACE_S, Router
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.pools import PoolMember, Pools
--- a/tests/cluster/test_snapshot.py
+++ b/tests/cluster/test_snapshot.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from finchladder.cluster.configuration.snapshot import build_snapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.tenancy.api_keys import ApiKey
 from finchladder.cluster.tenancy.tenant_lookup import TenantLookup
 
--- a/tests/cluster/test_tenant_requests.py
+++ b/tests/cluster/test_tenant_requests.py
@@ -10,7 +10,8 @@
 from aiohttp import ClientResponse, web
 from yarl import URL
 
-from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot, build_snapshot
+from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot
+from finchladder.cluster.configuration.snapshot_builder import build_snapshot
 from finchladder.cluster.process.client_responses import RejectReason
 from finchladder.cluster.routing.authorization import UnauthorizedReason
 from finchladder.cluster.routing.pools import PoolMember, Pools
