Compare weights of a traffic split one by one instead of summing them

What would be seen: a change whose weights are integers of 308 digits and a fraction gets 500: their sum exceeds a float. The new case of test_acknowledged_configurations.py raised OverflowError before and passes now.

--- a/finchladder/cluster/configuration/consistency.py
+++ b/finchladder/cluster/configuration/consistency.py
@@ -41,7 +41,7 @@
     unknown = [target for target in targets if target not in services]
     if unknown:
         return f"unknown service {unknown[0]}"
-    if split and sum(target["weight"] for target in split) <= 0:
+    if split and not any(target["weight"] > 0 for target in split):
         return "the weights of its traffic split add up to 0"
     return ""
 
--- a/tests/cluster/test_acknowledged_configurations.py
+++ b/tests/cluster/test_acknowledged_configurations.py
@@ -325,6 +325,14 @@
     assert check_applied(validate_change(b"", 0, False, json.dumps(DOCUMENT).encode()))
 
 
+def test_weights_whose_sum_exceeds_the_range_of_a_float_are_applied() -> None:
+    document = deepcopy(DOCUMENT)
+    document["routes"][0]["traffic_split"] = [
+        {"service": "llm", "weight": weight} for weight in (int("9" * 308), int("9" * 308), 0.5)
+    ]
+    assert check_applied(validate_change(b"", 0, False, json.dumps(document).encode()))
+
+
 @st.composite
 def replaced_bodies(draw: st.DrawFn) -> bytes:
     """Bodies in which up to four values are replaced, none within another one."""
