--- a/finchladder/cluster/configuration/fields.py
+++ b/finchladder/cluster/configuration/fields.py
@@ -5,26 +5,20 @@
 configuration unusable.
 """
 
-from collections.abc import Iterator, Mapping
-from math import isnan
-from typing import Any
+from collections.abc import Iterator
+from math import nan
+from typing import Any, NamedTuple
 
-from attrs import define, field, frozen
+NUMBER_TYPES = (int, float)
 
 
-@frozen
-class Bounds:
+class Bounds(NamedTuple):
     """Smallest and largest value of a number."""
 
     low: float
     high: float
 
-    def clamp(self, value: float) -> float:
-        """The number within the bounds that is nearest to `value`."""
-        return min(max(value, self.low), self.high)
 
-
-@define
 class FieldReader:
     """Reads the fields of one JSON object.
 
@@ -32,28 +26,46 @@
     bounds is replaced by the nearest bound; in both cases the path of the field is added to `replaced`.
 
     Attributes:
-        item: JSON object; any other value counts as an empty object.
-        path: Path of the object in the configuration, such as `services/0/engine`; empty for the top level.
-        replaced: Paths of all replaced fields, shared by the readers of one configuration.
+        item: JSON object.
+        replaced: Paths of all replaced fields, such as `services/0/engine/slots`; the readers of one
+            configuration share this list.
     """
 
-    item: Any
-    path: str = ""
-    replaced: list[str] = field(factory=list)
+    __slots__ = ("_index", "_name", "_parent", "item", "replaced")
+
+    def __init__(
+        self,
+        item: dict[str, Any],
+        parent: "FieldReader | None" = None,
+        name: str = "",
+        index: int | None = None,
+    ) -> None:
+        """Creates a reader.
+
+        Args:
+            item: JSON object.
+            parent: Reader of the object that contains `item`; None for the top level.
+            name: Field of the parent that contains `item`.
+            index: Position of `item` if that field is a list.
+        """
+        self.item = item
+        self.replaced: list[str] = [] if parent is None else parent.replaced
+        self._parent = parent
+        self._name = name
+        self._index = index
 
     def number(self, name: str, default: float, bounds: Bounds) -> float:
         """Reads a number; text that contains a number counts as one, as it did in earlier versions."""
-        value = self._get(name)
+        value = self.item.get(name)
         if value is None:
             return default
-        number = _to_float(value)
-        if number is None:
-            self._replace(name)
+        number = _to_number(value)
+        if bounds.low <= number <= bounds.high:
+            return float(number)
+        self._replace(name)
+        if number != number:  # only NaN differs from itself; `isnan` does not accept integers of any size
             return default
-        clamped = bounds.clamp(number)
-        if clamped != number:
-            self._replace(name)
-        return clamped
+        return bounds.low if number < bounds.low else bounds.high
 
     def integer(self, name: str, default: int, bounds: Bounds) -> int:
         """Reads a number without its fractional part."""
@@ -61,7 +73,7 @@
 
     def flag(self, name: str) -> bool:
         """Reads a truth value, which is false by default."""
-        value = self._get(name)
+        value = self.item.get(name)
         if value is not None and not isinstance(value, bool):
             self._replace(name)
             return False
@@ -69,7 +81,7 @@
 
     def text(self, name: str) -> str:
         """Reads a text, which is empty by default."""
-        value = self._get(name)
+        value = self.item.get(name)
         if value is not None and not isinstance(value, str):
             self._replace(name)
             return ""
@@ -78,6 +90,8 @@
     def name(self, name: str) -> str:
         """Reads a text that messages contain; characters that UTF-8 cannot encode are replaced by `?`."""
         text = self.text(name)
+        if text.isascii():
+            return text
         encodable = text.encode(errors="replace").decode()
         if encodable != text:
             self._replace(name)
@@ -85,47 +99,46 @@
 
     def child(self, name: str) -> "FieldReader | None":
         """Reader of an object in a field; None if the field has none."""
-        value = self._get(name)
-        if value is not None and not isinstance(value, Mapping):
+        value = self.item.get(name)
+        if value is not None and not isinstance(value, dict):
             self._replace(name)
             return None
-        return None if value is None else self._reader(value, name)
+        return None if value is None else FieldReader(value, self, name)
 
     def children(self, name: str) -> "Iterator[FieldReader]":
         """Readers of the objects in a list; none if the field contains no list."""
-        value = self._get(name)
+        value = self.item.get(name)
         if value is not None and not isinstance(value, list):
             self._replace(name)
             return
         for index, item in enumerate(value or []):
-            if isinstance(item, Mapping):
-                yield self._reader(item, f"{name}/{index}")
+            if isinstance(item, dict):
+                yield FieldReader(item, self, name, index)
             else:
                 self._replace(f"{name}/{index}")
 
     def reject(self) -> None:
         """Records that the whole object cannot be used."""
-        self.replaced.append(self.path)
-
-    def _get(self, name: str) -> Any:
-        return self.item.get(name) if isinstance(self.item, Mapping) else None
-
-    def _reader(self, item: Any, name: str) -> "FieldReader":
-        return FieldReader(item, self._path_of(name), self.replaced)
+        self.replaced.append(self._path())
 
     def _replace(self, name: str) -> None:
-        self.replaced.append(self._path_of(name))
+        path = self._path()
+        self.replaced.append(f"{path}/{name}" if path else name)
 
-    def _path_of(self, name: str) -> str:
-        return f"{self.path}/{name}" if self.path else name
+    def _path(self) -> str:
+        if self._parent is None:
+            return ""
+        segments = [self._parent._path(), self._name, "" if self._index is None else str(self._index)]
+        return "/".join(segment for segment in segments if segment)
 
 
-def _to_float(value: object) -> float | None:
-    """Converts a number, or a text that contains one; None for all other values and for NaN."""
-    if not isinstance(value, int | float | str):
-        return None
+def _to_number(value: object) -> float:
+    """Converts a number, or a text that contains one; NaN for all other values."""
+    if isinstance(value, NUMBER_TYPES):
+        return value
+    if not isinstance(value, str):
+        return nan
     try:
-        number = float(value)
-    except (ValueError, OverflowError):  # not a number, or an integer that exceeds the range of a float
-        return None
-    return None if isnan(number) else number
+        return float(value)
+    except ValueError:
+        return nan
