--- a/finchladder/cluster/configuration/snapshot_builder.py
+++ b/finchladder/cluster/configuration/snapshot_builder.py
@@ -1,8 +1,9 @@
 """Builds the snapshot for routing from a stored configuration, whose values may be invalid."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
+from typing import TypeVar
 
 from finchladder.cluster.configuration.fields import Bounds, FieldReader
 from finchladder.cluster.configuration.snapshot import (
@@ -34,6 +35,8 @@
 LOADS_PER_S = Bounds(0, 10_000)  # the placer remembers each load of a window
 WEIGHT = Bounds(0, 1e300)  # the sum of the weights of a route must be finite
 
+Item = TypeVar("Item")
+
 
 def build_snapshot(document: bytes, key_salt: bytes = b"") -> ConfigurationSnapshot:
     """Builds a snapshot of a stored configuration. CPU: O(routes log routes + models + API keys).
@@ -60,7 +63,7 @@
     return ConfigurationSnapshot(
         version=int(value["version"]),
         routes_by_host=_read_routes(reader),
-        services=_read_services(reader),
+        services=_read_named(reader, "services", _read_service),
         idle_timeout_s=limits.number("idle_timeout_ms", 1000 * DEFAULT_IDLE_TIMEOUT_S, DURATION_MS) / 1000,
         max_body_bytes=limits.integer("max_body_bytes", DEFAULT_MAX_BODY_BYTES, SIZE_BYTES),
         max_header_bytes=limits.integer("max_header_bytes", DEFAULT_MAX_HEADER_BYTES, SIZE_BYTES),
@@ -136,15 +139,18 @@
     return tuple(weighted_services)
 
 
-def _read_services(reader: FieldReader) -> Mapping[str, Service]:
-    services = {}
-    for item in reader.children("services"):
+def _read_named(
+    reader: FieldReader, field: str, read_item: Callable[[str, FieldReader], Item]
+) -> Mapping[str, Item]:
+    """Reads a list of objects by name; omits objects without a name."""
+    items = {}
+    for item in reader.children(field):
         name = item.name("name")
         if name:
-            services[name] = _read_service(name, item)
+            items[name] = read_item(name, item)
         else:
             item.reject()
-    return MappingProxyType(services)
+    return MappingProxyType(items)
 
 
 def _read_service(name: str, reader: FieldReader) -> Service:
@@ -164,21 +170,10 @@
         weights_mb=reader.number("weights_mb", 0, SIZE_MB),
         lora_slots=reader.integer("lora_slots", 0, COUNT),
         max_loads_per_s=reader.number("load_rate_s", 0, LOADS_PER_S),
-        models=_read_models(reader),
+        models=_read_named(reader, "models", _read_model),
     )
 
 
-def _read_models(reader: FieldReader) -> Mapping[str, Model]:
-    models = {}
-    for item in reader.children("models"):
-        name = item.name("name")
-        if name:
-            models[name] = _read_model(name, item)
-        else:
-            item.reject()
-    return MappingProxyType(models)
-
-
 def _read_model(name: str, reader: FieldReader) -> Model:
     return Model(
         name=name,
--- a/tests/cluster/test_dispatcher_node.py
+++ b/tests/cluster/test_dispatcher_node.py
@@ -10,7 +10,6 @@
 
 from finchladder.cluster.configuration.compression import DocumentCompressor
 from finchladder.cluster.process import dispatcher_node
-from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.dispatcher_node import DispatcherNode
 from finchladder.cluster.process.router import Router
 from finchladder.cluster.process.settings import Settings
@@ -20,7 +19,8 @@
 from finchladder.cluster.tenancy.api_keys import ApiKey
 from finchladder.cluster.transport.http_client import make_session
 from finchladder.cluster.transport.http_server import Listener
-from finchladder.cluster.types.messages import PullUpdates, Reply, Request, Update
+from finchladder.cluster.types.messages import Update
+from tests.cluster.dispatcher_scene import Primary, refresh, run_with_dispatcher
 
 RESPONSE_S = 1.0  # longer than `FINAL_RESPONSES_S`
 
@@ -93,36 +93,21 @@
         "limits": {"max_body_bytes": "many"},
     }
 
-    class Primary:
-        """A primary with the newer configuration that the chain has not confirmed."""
-
-        async def call(self, address: str, request: Request, timeout_s: float) -> Reply:
-            assert address == "core-1:1"
-            assert isinstance(request, PullUpdates) and request.version == 0
-            compressed = DocumentCompressor().compress(json.dumps(document).encode())
-            return Update("core-1/1", {}, None, (), (), 2, compressed, False, False, "", 1, False)
-
-    async def work() -> None:
-        bounds = SimpleNamespace(
-            contact_timeouts=ContactTimeouts(3.0), retry_ratio=0.2, retry_slack=50, retry_window_s=10
-        )
-        settings = SimpleNamespace(
-            node_name="edge-1", zone="z", peer_address="edge-1:1", seeds=(), bounds=bounds
-        )
-        node = DispatcherNode(cast(Settings, settings))
-        node._build_components()
-        node.puller.peers, node.puller.primary = Primary(), "core-1:1"
-        assert not await node.router.refresh_configuration()
+    async def scenario(node: DispatcherNode) -> None:
+        compressed = DocumentCompressor().compress(json.dumps(document).encode())
+        # the chain has not confirmed this configuration
+        update = Update("core-1/1", {}, None, (), (), 2, compressed, False, False, "", 1, False)
+        primary = Primary(update)
+        assert not await refresh(node, primary)
+        assert primary.last_pull is not None and primary.last_pull.version == 0
         keys = node.router.snapshot.keys
         assert keys is not None
         tenant = keys.tenant_of(ApiKey("secret-1"))
         assert tenant is not None and tenant.name == "north"
         assert keys._salt == node.key_salt and len(set(node.key_salt)) > 1
         assert "secret" not in repr(node) and repr(node.key_salt) not in repr(node)
-        await node.router.session.close()
-        await node.peers.close()
 
-    asyncio.run(work())
+    run_with_dispatcher(scenario)
     counts = {"version": 2, "tenants": 1, "keys": 2, "public_routes": 1}
     replaced = {"version": 2, "count": 1, "fields": ("limits/max_body_bytes",)}
     assert events == [("configuration.activated", counts), ("configuration.fields_replaced", replaced)]
--- a/tests/cluster/test_incident_blocked_updates.py
+++ b/tests/cluster/test_incident_blocked_updates.py
@@ -2,20 +2,17 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
-from types import SimpleNamespace
-from typing import Any, cast
+from typing import Any
 
 import pytest
-from attrs import define
 
 from finchladder.cluster.configuration.compression import DocumentCompressor
 from finchladder.cluster.process import configuration_reading, dispatcher_node
-from finchladder.cluster.process.contact_timeouts import ContactTimeouts
+from finchladder.cluster.process.configuration_refresher import MIN_PULL_INTERVAL_S
 from finchladder.cluster.process.dispatcher_node import DispatcherNode
-from finchladder.cluster.process.settings import Settings
-from finchladder.cluster.types.messages import PullUpdates, Reply, Request, Update
+from finchladder.cluster.types.messages import Update
 from finchladder.cluster.types.workers import SessionPhase, Stamp, StampedWorker, WorkerRecord
+from tests.cluster.dispatcher_scene import Primary, refresh, run_with_dispatcher
 
 ORIGIN = "core-1/1"
 ROUTE = {"name": "r", "host": "a", "path_prefix": "/", "service": "s"}
@@ -42,19 +39,6 @@
     return Update(ORIGIN, {ORIGIN: 9}, None, workers, (), version, compressed, False, False, "", 1, True)
 
 
-@define
-class Primary:
-    """A control process that replies to each pull with the same update."""
-
-    reply: Update
-    last_pull: PullUpdates | None = None
-
-    async def call(self, address: str, request: Request, timeout_s: float) -> Reply:
-        assert isinstance(request, PullUpdates)
-        self.last_pull = request
-        return self.reply
-
-
 Events = list[tuple[str, dict[str, Any]]]
 
 
@@ -66,30 +50,10 @@
     return logged
 
 
-def with_dispatcher(scenario: Callable[[DispatcherNode], Awaitable[None]]) -> None:
-    """Runs a scenario with a dispatcher without sockets."""
-
-    async def work() -> None:
-        bounds = SimpleNamespace(
-            contact_timeouts=ContactTimeouts(3.0), retry_ratio=0.2, retry_slack=50, retry_window_s=10
-        )
-        settings = SimpleNamespace(
-            node_name="edge-1", zone="z", peer_address="edge-1:1", seeds=(), bounds=bounds
-        )
-        node = DispatcherNode(cast(Settings, settings))
-        node._build_components()
-        await scenario(node)
-        await node.router.session.close()
-        await node.peers.close()
-
-    asyncio.run(work())
-
-
 async def pull(node: DispatcherNode, reply: Update) -> bool:
     """Pulls an update; returns whether the dispatcher's configuration is confirmed by it."""
-    node.puller.peers, node.puller.primary = Primary(reply), "core-1:1"
-    node.router.refresh_configuration.__self__._pulled_at = -1e9  # type: ignore[attr-defined]
-    return await node.router.refresh_configuration()
+    await asyncio.sleep(MIN_PULL_INTERVAL_S)
+    return await refresh(node, Primary(reply))
 
 
 @pytest.mark.parametrize("kind", UNUSABLE_DOCUMENTS)
@@ -110,7 +74,7 @@
         assert await pull(node, update(4, document(4)))
         assert node.router.snapshot.version == 4
 
-    with_dispatcher(scenario)
+    run_with_dispatcher(scenario)
     failed = [fields for kind, fields in events if kind == "configuration.activation_failed"]
     assert [fields["version"] for fields in failed] == [3]
 
@@ -125,7 +89,7 @@
         assert node.puller.peers.last_pull is not None
         assert node.puller.peers.last_pull.version == 3
 
-    with_dispatcher(scenario)
+    run_with_dispatcher(scenario)
     assert [kind for kind, _ in events] == ["configuration.activation_failed"]
 
 
@@ -138,7 +102,7 @@
         assert not await pull(node, update(3, b""))
         assert await pull(node, update(4, document(4)))
 
-    with_dispatcher(scenario)
+    run_with_dispatcher(scenario)
 
 
 def test_the_changes_of_an_update_that_failed_are_passed_on_with_the_next_one() -> None:
@@ -158,4 +122,4 @@
         await pull(node, update(2, b""))
         assert received == [["a"], ["a", "b"], []]
 
-    with_dispatcher(scenario)
+    run_with_dispatcher(scenario)
