Let a bucket without a burst grant requests whatever its rate

What would be seen: a tenant with a rate from about 130,000 units a second on and no burst ("0 or left out" is valid) gets 429 for every request; so does one with 1 request a second and no burst where the rule has no slack.

Cause: the refill took all that the rule allows in a grant's span beyond the burst, so the bucket's capacity was what was left: nothing. Found by the random search over acknowledged configurations (rate 1e16, burst 0).

Change: a bucket may grant at least 1 unit, half of the slack or 0.02 s of the rate at once, whichever is largest, and refills by the rest. The bound of the rule holds as before.

--- a/finchladder/cluster/tenancy/quota_rule.py
+++ b/finchladder/cluster/tenancy/quota_rule.py
@@ -11,6 +11,11 @@
 GRANT_VALIDITY_S = 0.5  # time after the reservation request within which the dispatcher may use the grant
 ARRIVAL_DELAY_S = 0.4  # maximum time from the last check of a grant to the arrival of its request at a worker
 SLACK_FRACTION = 0.9  # fraction of the rule's slack that buckets may grant
+# A bucket may grant at least the largest of these at once, but without a burst at most half of what the rule
+# allows. Otherwise a bucket with a high rate and no burst would grant nothing.
+MIN_UNITS_AT_ONCE = 1.0
+MIN_SLACK_AT_ONCE_FRACTION = 0.5  # of the slack that buckets may grant
+MIN_RATE_AT_ONCE_S = 0.02  # seconds of the rate
 DEBT_FRACTION = 0.5  # `max_debt` as a fraction of (units that may be granted at once - burst)
 
 
@@ -53,8 +58,13 @@
 
         The bucket grants at most `capacity + max_debt + refill_per_s * span` units within a span.
         """
-        allowed = (rate_per_s * self.window_s + burst) * (1 + self.overage) + SLACK_FRACTION * self.slack
-        refill_per_s = min(rate_per_s, (allowed - burst) / self.grant_span_s)
+        slack = SLACK_FRACTION * self.slack
+        allowed = (rate_per_s * self.window_s + burst) * (1 + self.overage) + slack
+        preferred_at_once = max(
+            MIN_UNITS_AT_ONCE, MIN_SLACK_AT_ONCE_FRACTION * slack, MIN_RATE_AT_ONCE_S * rate_per_s
+        )
+        min_at_once = max(burst, min(preferred_at_once, allowed / 2))
+        refill_per_s = min(rate_per_s, (allowed - min_at_once) / self.grant_span_s)
         allowed_at_once = allowed - refill_per_s * self.grant_span_s
         max_debt = max(0.0, DEBT_FRACTION * (allowed_at_once - burst))
         return BucketLimits(refill_per_s, allowed_at_once - max_debt, max_debt)
--- a/tests/cluster/test_acknowledged_configurations.py
+++ b/tests/cluster/test_acknowledged_configurations.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from finchladder.cluster.configuration.changes import InvalidChange, ValidChange, validate_change
@@ -344,6 +344,7 @@
     return with_replaced(DOCUMENT, replacements)
 
 
+@settings(max_examples=300, derandomize=True, deadline=None)
 @given(body=replaced_bodies())
 def test_a_configuration_with_several_replaced_values_is_invalid_or_applied_everywhere(body: bytes) -> None:
     check_applied(validate_change(b"", 0, False, body))
--- a/tests/cluster/test_quota_account.py
+++ b/tests/cluster/test_quota_account.py
@@ -185,3 +185,24 @@
     assert Tenant("a", unit=QuotaUnit.REQUESTS).cost(5_000) == 1
     assert Tenant("a", unit=QuotaUnit.TOKENS, raw_tokens=200).cost(None) == 200
     assert Tenant("a", unit=QuotaUnit.TOKENS, raw_tokens=200).cost(2_400) == 2_400
+
+
+@pytest.mark.parametrize("rate_per_s", [0.01, 1, 100, 4_200, 130_000, 153_000, 155_000, 1e6, 1e9, 1e12])
+@pytest.mark.parametrize("burst", [0, 1, 500])
+@pytest.mark.parametrize("slack", [17_000, 0])
+def test_a_tenant_with_a_high_rate_and_hardly_any_burst_gets_nearly_its_rate(
+    rate_per_s: float, burst: float, slack: float
+) -> None:
+    # From about 130,000 units per second on, the bucket was too small for any request, and all got 429.
+    rule = QuotaRule(8.0, 0.1, slack)
+    tenant = Tenant("a", unit=QuotaUnit.TOKENS, rate_per_s=rate_per_s, burst=burst)
+    limits = rule.bucket_limits(rate_per_s, burst)
+    assert (0.98 if rate_per_s >= 100 else 0.4) * rate_per_s <= limits.refill_per_s <= rate_per_s
+    at_once = limits.capacity + limits.max_debt
+    assert at_once + limits.refill_per_s * rule.grant_span_s <= allowed_units(tenant, rule)
+    preferred = max(burst, min(allowed_units(tenant, rule) / 2, max(1.0, 0.02 * rate_per_s, 0.45 * slack)))
+    assert at_once >= 0.999 * min(preferred, 0.9 * slack + burst + rate_per_s)
+    account = QuotaAccount(rule)
+    account.begin_term(1, -1e6)
+    cost = int(0.99 * at_once)
+    assert account.reserve(tenant, [cost], 0.0) == (True,)
