--- a/finchladder/cluster/configuration/changes.py
+++ b/finchladder/cluster/configuration/changes.py
@@ -115,7 +115,7 @@
     change["version"] = version
     if version <= current_version:
         return InvalidChange(f"version {version} must be above {current_version}")
-    document = _patched(json.loads(current or b"{}"), change) if is_patch else change
+    document = _patched(current, change) if is_patch else change
     if isinstance(document, InvalidChange):
         return document
     problem = semantic_problem(document)
@@ -130,12 +130,14 @@
     return ValidChange(version, encoded)
 
 
-def _patched(current: Document, change: Document) -> Document | InvalidChange:
+def _patched(current: bytes, change: Document) -> Document | InvalidChange:
     """Applies a patch, and validates the parts of the result that were not validated before."""
     try:
-        document = apply_patch(current, change)
+        document = apply_patch(json.loads(current or b"{}"), change)
     except UnnamedItemsError as error:
         return InvalidChange(str(error))
+    except (ValueError, RecursionError):
+        return InvalidChange("the stored configuration cannot be read; replace it by a full one")
     problem = first_problem(PATCHED_VALIDATOR, document)
     if problem:
         return InvalidChange(problem)
--- a/tests/cluster/test_incident_blocked_updates.py
+++ b/tests/cluster/test_incident_blocked_updates.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from finchladder.cluster.configuration.changes import InvalidChange, ValidChange, validate_change
 from finchladder.cluster.configuration.compression import DocumentCompressor
 from finchladder.cluster.process import configuration_reading, dispatcher_node
 from finchladder.cluster.process.configuration_refresher import MIN_PULL_INTERVAL_S
 from finchladder.cluster.process.dispatcher_node import DispatcherNode
+from finchladder.cluster.tenancy.tenant_lookup import TenantLookup
 from finchladder.cluster.types.messages import Update
 from finchladder.cluster.types.workers import SessionPhase, Stamp, StampedWorker, WorkerRecord
 from tests.cluster.dispatcher_scene import Primary, refresh, run_with_dispatcher
@@ -123,3 +125,29 @@
         assert received == [["a"], ["a", "b"], []]
 
     run_with_dispatcher(scenario)
+
+
+# --- the quota account, whose silence makes dispatchers unready, and the operator
+
+
+@pytest.mark.parametrize("unreadable", [b"{", b"[]", TOO_DEEP], ids=["not JSON", "not an object", "too deep"])
+def test_the_account_goes_on_with_the_former_tenants_after_a_document_that_cannot_be_read(
+    unreadable: bytes,
+) -> None:
+    # Each reservation ended with an exception, so dispatchers called the account unreachable.
+    readable = json.dumps({"version": 2, "tenants": [{"name": "north", "api_keys": []}]}).encode()
+    lookup = TenantLookup()
+    north = lookup.tenant(readable, "north")
+    assert north is not None
+    assert lookup.tenant(unreadable, "north") == north
+    assert lookup.tenant(unreadable, "south") is None
+    assert lookup.tenant(b'{"version": 4}', "north") is None
+
+
+@pytest.mark.parametrize("unreadable", [b"{", TOO_DEEP], ids=["not JSON", "too deep"])
+def test_a_patch_of_a_document_that_cannot_be_read_is_rejected_and_a_full_one_replaces_it(
+    unreadable: bytes,
+) -> None:
+    assert isinstance(validate_change(unreadable, 3, True, b'{"version": 4}'), InvalidChange)
+    full = b'{"version": 4, "routes": [], "services": []}'
+    assert isinstance(validate_change(unreadable, 3, False, full), ValidChange)
