Reload the operator's file only after two reads have found the same

The reload had read the file between its truncation and its writing, and an empty file is valid.

Change: a reload reads the file, in its thread, until two reads 50 ms apart agree, 20 times at most.

--- a/finchladder/cli/serve.py
+++ b/finchladder/cli/serve.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 from functools import partial
 from typing import TextIO
 
@@ -47,10 +48,10 @@
 
 def read_file(path: str, setup: DispatcherSetup) -> OperatorFile:
     """Reads the operator's TOML file, with a callable that reads it again."""
-    from finchladder.config.operator_file import read  # not loaded with an INI file
+    from finchladder.config.operator_file import read, read_unchanged  # not loaded with an INI file
 
-    again = partial(read, path, setup.settings, setup.limits.memory_mb)
-    return OperatorFile(again(), again)
+    arguments = path, setup.settings, setup.limits.memory_mb
+    return OperatorFile(read(*arguments), partial(read_unchanged, *arguments, time.sleep))
 
 
 async def serve(
--- a/finchladder/config/operator_file.py
+++ b/finchladder/config/operator_file.py
@@ -7,6 +7,7 @@
 import hashlib
 import re
 import tomllib
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from finchladder.config.findings import (
@@ -27,6 +28,8 @@
 from finchladder.core.routing.routes import MAX_ROUTES, NO_ROUTES, Routes
 
 MAX_FILE_BYTES = 1024 * 1024
+RECHECK_DELAY_S = 0.05  # time between two reads of a file that may be being written
+MAX_READS = 20
 
 _AT = re.compile(r" \(at line (\d+), column (\d+)\)")
 _AT_END = " (at end of document)"
@@ -80,13 +83,46 @@
     Raises:
         FindingsError: The file can't be read or isn't valid.
     """
+    return _checked(path, _content(path), settings, memory_mb)
+
+
+def read_unchanged(
+    path: str, settings: api.Settings | None, memory_mb: int | None, wait: Callable[[float], object]
+) -> Loaded:
+    """Reads a file that may be being written, and checks it as `load` does.
+
+    A file that is being written may be empty or end early, and be valid all the same. Therefore it is read
+    until two reads return the same content, at most `MAX_READS` times.
+
+    Args:
+        path: The file's name.
+        settings: The platform's settings.
+        memory_mb: The platform's memory limit in MB, if known.
+        wait: Waits for a number of seconds.
+
+    Raises:
+        FindingsError: The file can't be read or isn't valid.
+    """
+    data = _content(path)
+    for _ in range(MAX_READS - 1):
+        wait(RECHECK_DELAY_S)
+        previous, data = data, _content(path)
+        if data == previous:
+            break
+    return _checked(path, data, settings, memory_mb)
+
+
+def _content(path: str) -> bytes:
     try:
         with open(path, "rb") as file:
-            data = file.read(MAX_FILE_BYTES + 1)
+            return file.read(MAX_FILE_BYTES + 1)
     except (OSError, ValueError) as e:  # ValueError: an invalid file name
         collector = FindingCollector(path)
         collector.add("FL101", (), f"the file can't be read: {getattr(e, 'strerror', None) or e}")
         raise FindingsError(collector.findings.values()) from None
+
+
+def _checked(path: str, data: bytes, settings: api.Settings | None, memory_mb: int | None) -> Loaded:
     found = load(data, path, settings, memory_mb)
     if isinstance(found, FindingsError):
         raise found
--- a/tests/config/test_files.py
+++ b/tests/config/test_files.py
@@ -14,7 +14,15 @@
 
 from finchladder.cli import front
 from finchladder.config.findings import MAX_FINDINGS, REMEDIES, Finding, FindingsError
-from finchladder.config.operator_file import MAX_FILE_BYTES, Loaded, load, read
+from finchladder.config.operator_file import (
+    MAX_FILE_BYTES,
+    MAX_READS,
+    RECHECK_DELAY_S,
+    Loaded,
+    load,
+    read,
+    read_unchanged,
+)
 from finchladder.config.option_files import read_options
 from finchladder.config.positions import Position, toml_positions
 from finchladder.core.api import Effect
@@ -125,6 +133,30 @@
         assert codes(e.value) == {code}
 
 
+def test_a_file_is_read_again_until_it_has_been_written(tmp_path: Path) -> None:
+    # A reload that read the file between its truncation and its writing dropped all routes.
+    path = tmp_path / "operator.toml"
+    whole = "[route.s]\nclass = 's'\nattempts = 1\n"
+    steps = iter([whole[:10], whole[: whole.index("attempts")], whole])
+    path.write_text("")
+    found = read_unchanged(str(path), None, None, lambda delay_s: path.write_text(next(steps, whole)))
+    assert found.version == read(str(path)).version
+    assert next(steps, None) is None
+
+
+def test_a_file_that_keeps_changing_is_read_a_limited_number_of_times(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("")
+    delays_s: list[float] = []
+
+    def change(delay_s: float) -> None:
+        delays_s.append(delay_s)
+        path.write_text("#" * len(delays_s))
+
+    read_unchanged(str(path), None, None, change)
+    assert delays_s == [RECHECK_DELAY_S] * (MAX_READS - 1)
+
+
 def test_all_findings_are_reported_in_the_order_of_the_lines() -> None:
     text = """# a
 [defaults]
