Count only the reload's own message in the test of a hundred reloads

Why the check was wrong: the test waits for each of its reloads by counting "stays in use" in the log, and "the last list stays in use", a warning of the service list's watch, counts as well. From the first one on the test wrote the next file while a reload was reading, so that the reload found an empty one, a valid file.

The test now counts "version V stays in use": 100 of these, with the version in force, where any line did before. All other checks are as they were.

--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -137,7 +137,8 @@
             for turn in range(100):
                 file.write_bytes(bad[turn % len(bad)].encode("latin-1") if turn % 5 != 2 else b"x = 1")
                 n.process.send_signal(signal.SIGHUP)
-                await until(lambda turn=turn: log.read_text().count("stays in use") > turn)
+                # the log also has "the last list stays in use", of a watch that ended
+                await until(lambda turn=turn: log.read_text().count(f"version {version} stays in use") > turn)
                 assert not any(c.done() for c in clients)
             going = False
             await asyncio.gather(*clients)
