Bound a tenant's priority like a route's

What would be seen: a tenant's priority of 308 digits is acknowledged, and `Priority` with 308 digits is sent to workers; a route's was bounded already. `FieldReader.name` is named `encodable_text`, as it had the name of its own argument.

--- a/finchladder/cluster/configuration/fields.py
+++ b/finchladder/cluster/configuration/fields.py
@@ -87,7 +87,7 @@
             return ""
         return value or ""
 
-    def name(self, name: str) -> str:
+    def encodable_text(self, name: str) -> str:
         """Reads a text that messages contain; characters that UTF-8 cannot encode are replaced by `?`."""
         text = self.text(name)
         if text.isascii():
--- a/finchladder/cluster/configuration/snapshot_builder.py
+++ b/finchladder/cluster/configuration/snapshot_builder.py
@@ -19,7 +19,7 @@
     WeightedService,
 )
 from finchladder.cluster.tenancy.api_keys import build_key_table
-from finchladder.cluster.tenancy.tenants import read_tenants
+from finchladder.cluster.tenancy.tenants import MAX_PRIORITY, read_tenants
 
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_MAX_CONNECTIONS = 64
@@ -31,7 +31,7 @@
 SIZE_MB = Bounds(0, 1e12)
 SIZE_BYTES = Bounds(0, 1 << 50)
 COUNT = Bounds(0, 1e12)
-PRIORITY = Bounds(-1e9, 1e9)
+PRIORITY = Bounds(-MAX_PRIORITY, MAX_PRIORITY)
 LOADS_PER_S = Bounds(0, 10_000)  # the placer remembers each load of a window
 WEIGHT = Bounds(0, 1e300)  # the sum of the weights of a route must be finite
 
@@ -91,7 +91,7 @@
 
 def _read_route(reader: FieldReader) -> Route | None:
     """Reads a route; None if it has no name, host, path prefix or target."""
-    name, host, path_prefix = reader.name("name"), reader.text("host"), reader.text("path_prefix")
+    name, host, path_prefix = reader.encodable_text("name"), reader.text("host"), reader.text("path_prefix")
     weighted_services = _read_weighted_services(reader)
     if not (name and host and path_prefix and weighted_services):
         return None
@@ -123,12 +123,12 @@
 def _read_weighted_services(reader: FieldReader) -> tuple[WeightedService, ...]:
     """Reads the traffic split of a route, or its single service; empty if it has neither."""
     weights = [
-        (target.number("weight", 0, WEIGHT), target.name("service"))
+        (target.number("weight", 0, WEIGHT), target.encodable_text("service"))
         for target in reader.children("traffic_split")
     ]
     weights = [(weight, service) for weight, service in weights if weight and service]
     if not weights:
-        service = reader.name("service")
+        service = reader.encodable_text("service")
         return (WeightedService(1.0, service),) if service else ()
     total = sum(weight for weight, _ in weights)
     weighted_services = []
@@ -145,7 +145,7 @@
     """Reads a list of objects by name; omits objects without a name."""
     items = {}
     for item in reader.children(field):
-        name = item.name("name")
+        name = item.encodable_text("name")
         if name:
             items[name] = read_item(name, item)
         else:
--- a/finchladder/cluster/tenancy/tenants.py
+++ b/finchladder/cluster/tenancy/tenants.py
@@ -12,6 +12,7 @@
 # Larger rates and bursts have the same effect as this one. Token buckets can compute with it without rounding
 # errors that are larger than a request.
 MAX_UNITS = 1e12
+MAX_PRIORITY = 10**9  # priorities beyond this, and below its negative, have the same effect as the bound
 # Control characters and lone surrogates cannot be sent in a header.
 UNSENDABLE_CHARACTERS = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
 
@@ -61,7 +62,7 @@
     priority = item.get("priority")
     return Tenant(
         name=item["name"],
-        priority=None if priority is None else int(priority),
+        priority=None if priority is None else max(-MAX_PRIORITY, min(int(priority), MAX_PRIORITY)),
         unit=unit,
         raw_tokens=int(item.get("raw_tokens", DEFAULT_RAW_TOKENS)),
         rate_per_s=_limit_units(item.get("rate_per_s")),
--- a/tests/cluster/test_acknowledged_configurations.py
+++ b/tests/cluster/test_acknowledged_configurations.py
@@ -32,6 +32,7 @@
 from finchladder.cluster.tenancy.quota_account import QuotaAccount
 from finchladder.cluster.tenancy.quota_rule import QuotaRule
 from finchladder.cluster.tenancy.tenant_lookup import TenantLookup
+from finchladder.cluster.tenancy.tenants import MAX_PRIORITY
 from finchladder.cluster.types.messages import (
     Demand,
     DemandReport,
@@ -223,7 +224,7 @@
         request = classify({MODEL_HEADER: "m1"}, route, 1000.0)
         assert len(str(int((request.deadline - 1000.0) * 1000))) < 20
         assert isfinite(request.client_stall_timeout_s) and isfinite(request.latency_target_s)
-        assert abs(route.priority) < 1 << 63
+        assert abs(route.priority) <= MAX_PRIORITY
         key = request.key
         resent_request(DemandReport("e", 0.1, (Demand(key.service, key.model, "", 1, 0, 0, 1),)))
     return snapshot
@@ -237,6 +238,7 @@
         tenant = lookup.tenant(state.document, name)
         assert tenant == snapshot.tenants[name]
         assert tenant is not None
+        assert tenant.priority is None or abs(tenant.priority) <= MAX_PRIORITY
         cost = min(tenant.cost(None), MAX_COST)  # a dispatcher rejects a request with a higher cost
         resent_request(ReserveQuota("e", (QuotaDemand(name, (cost,)),)))
         granted = account.reserve(tenant, [cost, 1], 1.0)
