--- a/finchladder/cluster/process/chain_service.py
+++ b/finchladder/cluster/process/chain_service.py
@@ -293,6 +293,18 @@
             if self.view.number == view.number:
                 await self.agreement.changed.wait(self.confirm_interval_s)
 
+    def unconfirmed_reason(self) -> str:
+        """Returns why the chain may not have confirmed this process, as a text for the log."""
+        view, me = self.view, self.agreement.me
+        position = view.position(me.disk_id)
+        if position is None:
+            return f"{me.name} is not in the chain of view {view.number}"
+        if position == 0:
+            return self.last_confirm_problem or f"the chain of view {view.number} has not replied"
+        if self.last_request_view == view.number:
+            return f"a successor in view {view.number} has not confirmed"
+        return f"{view.chain[position - 1].name}, the predecessor in view {view.number}, has sent no request"
+
     # --- as tail ------------------------------------------------------------------------------------------
 
     async def on_read(self, _: ReadState) -> StateReply:
--- a/finchladder/cluster/process/core_sessions.py
+++ b/finchladder/cluster/process/core_sessions.py
@@ -10,6 +10,7 @@
 from attrs import define
 
 from finchladder.cluster.configuration.schema import MAX_VERSION
+from finchladder.cluster.process.confirmation_monitor import ConfirmationMonitor
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.control_plane import ControlPlane
 from finchladder.cluster.process.retirement_propagation import RetirementPropagation
@@ -20,7 +21,6 @@
 from finchladder.cluster.process.worker_sessions import WorkerSessions
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.transport.interface import Peers
-from finchladder.cluster.transport.peers import steady
 from finchladder.cluster.types.messages import Update
 
 ANNOUNCE_INTERVAL_S = 1.0  # maximum time between two notifications of the subscribers
@@ -38,6 +38,7 @@
     sessions: WorkerSessions
     expiry: WorkerExpiry
     puller: UpdatePuller
+    confirmation: ConfirmationMonitor
 
     @classmethod
     def build(
@@ -64,17 +65,14 @@
         """
         me = control.agreement.me
         tables = ReplicatedTables(f"{me.name}/{random.getrandbits(32):x}")
-
-        def is_chain_confirmed() -> bool:
-            return steady() - control.chain.confirmed_at < timeouts.confirmation_validity_s
-
+        confirmation = ConfirmationMonitor(control.chain, timeouts.confirmation_validity_s)
         updates = UpdateServer(
             tables=tables,
             heartbeat_s=heartbeat_s,
             state=lambda: control.chain.acknowledged,
             view=lambda: control.agreement.view,
             placer_address=lambda: placer_address(control),
-            is_chain_confirmed=is_chain_confirmed,
+            is_chain_confirmed=confirmation.is_confirmed,
             is_quorum_lost=control.failure_detector.is_quorum_lost,
         )
         retirements = RetirementPropagation(me.name, tables, updates, control.retirements.record)
@@ -85,7 +83,7 @@
             updates=updates,
             heartbeat_s=heartbeat_s,
             is_running=is_running,
-            is_chain_confirmed=is_chain_confirmed,
+            is_chain_confirmed=confirmation.is_confirmed,
         )
 
         def on_update(update: Update, changed: list[str]) -> None:
@@ -108,7 +106,7 @@
             on_update=on_update,
             timeouts=timeouts,
         )
-        return cls(control, updates, sessions, expiry, puller)
+        return cls(control, updates, sessions, expiry, puller, confirmation)
 
     def loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Returns the background loops, keyed by task name."""
@@ -117,6 +115,7 @@
             "announce": self._announce_state,
             "announce views": self._announce_views,
             "sources": self.puller.run,
+            "confirmation": self.confirmation.run,
         }
 
     async def _announce_state(self) -> None:
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -132,31 +132,33 @@
             self.router.pools_changed.fire()
         self.newest_version = max(self.newest_version, update.version)
         if update.document and update.version > self.received_version:
-            self._receive_configuration(update.version, update.document)
+            self._receive_configuration(update)
         if update.chain_confirmed and update.version > 0:
             self.has_confirmed_state = True
 
-    def _receive_configuration(self, version: int, compressed: bytes) -> None:
+    def _receive_configuration(self, update: Update) -> None:
         """Activates a configuration; if this fails, the previous one stays active until the next arrives."""
-        self.received_version = version
+        self.received_version = update.version
         newer = read_configuration(
-            version, self.router.snapshot.version, lambda: decompress(compressed), self.key_salt
+            update.version, self.router.snapshot.version, lambda: decompress(update.document), self.key_salt
         )
         if newer is not None:
-            self._activate(newer)
+            self._activate(newer, update)
 
     async def _pull_configuration(self, timeout_s: float) -> bool:
         """Pulls once; returns whether the newest known configuration is active and was recently confirmed."""
         is_confirmed = await self.puller.pull_once(timeout_s)
         return is_confirmed and self.router.snapshot.version >= self.newest_version
 
-    def _activate(self, newer: ConfigurationSnapshot) -> None:
-        """Replaces the configuration by which requests are routed."""
+    def _activate(self, newer: ConfigurationSnapshot, update: Update) -> None:
+        """Replaces the configuration by which requests are routed by that of an update."""
         self.router.snapshot = newer
         keys = newer.keys
         event(
             "configuration.activated",
             version=newer.version,
+            source=update.origin,
+            confirmed=update.chain_confirmed,
             tenants=None if keys is None else len(newer.tenants),
             keys=None if keys is None else keys.key_count,
             public_routes=newer.public_route_count,
--- a/finchladder/cluster/process/update_puller.py
+++ b/finchladder/cluster/process/update_puller.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
+from finchladder.cluster.process.log import event
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.transport.interface import Peers
@@ -71,6 +72,8 @@
     placer: str = ""  # peer address of the placer; empty: unknown
     placer_term: int = 0  # fencing token of the placer
     dispatcher_count: int = 0
+    updated_at: float = field(factory=steady)  # time of the last update of any source, or of the start
+    contact_lost: bool = False  # whether the log says that no source replies
     confirmed_at: float = NEVER  # time of the last update whose sender reported `chain_confirmed`
     quorum_lost_at: float = NEVER  # start of the last period in which sources reported a loss of the quorum
     expired_at: float = field(factory=steady)  # time of the last cleanup of the tables
@@ -81,6 +84,7 @@
         """Keeps the set of sources up to date."""
         while True:
             self.update_sources()
+            self._log_lost_contact()
             self._expire_tables()
             await asyncio.sleep(self.timeouts.source_update_interval_s)
 
@@ -94,6 +98,7 @@
         if primary != self.primary:
             self.primary = primary
             self.poll_now.fire()
+            self._log_primary()
         wanted = set(addresses[:MAX_SOURCES]) - {self.own_address}
         for address in sorted(wanted - set(self.sources)):
             task = self.tasks.repeat(lambda a=address: self._poll(a), f"pull {address}")  # type: ignore[misc]
@@ -147,6 +152,24 @@
         """Returns whether the source is long-polled; a dispatcher without a primary long-polls all."""
         return not self.is_dispatcher or address == self.primary or not self.primary
 
+    def _log_primary(self) -> None:
+        if self.is_dispatcher:
+            primary = self.sources.get(self.primary)
+            confirmed = primary is not None and primary.is_confirmed()
+            event("updates.primary_changed", primary=self.primary, confirmed=confirmed, view=self.view.number)
+
+    def _log_lost_contact(self) -> None:
+        silent_s = steady() - self.updated_at
+        if not self.contact_lost and silent_s > self.timeouts.contact_s:
+            self.contact_lost = True
+            event("updates.contact_lost", view=self.view.number, sources=sorted(self.sources))
+
+    def _log_restored_contact(self, source: UpdateSource) -> None:
+        if self.contact_lost:
+            self.contact_lost = False
+            silent_s = round(steady() - self.updated_at, 2)
+            event("updates.contact_restored", source=source.address, silent_s=silent_s)
+
     def _expire_tables(self) -> None:
         """Removes expired entries of a dispatcher's tables; `WorkerExpiry` does it in control processes."""
         now = steady()
@@ -223,8 +246,10 @@
 
     def _record_status(self, source: UpdateSource, update: Update) -> None:
         was_confirmed = source.is_confirmed()
+        self._log_restored_contact(source)
+        self.updated_at = steady()
         source.origin = update.origin
-        source.received_at = steady()
+        source.received_at = self.updated_at
         source.knows_all_workers = update.knows_all_workers
         source.chain_confirmed = update.chain_confirmed
         if update.quorum_lost and not self._is_quorum_loss_reported():
--- a/tests/cluster/test_dispatcher_node.py
+++ b/tests/cluster/test_dispatcher_node.py
@@ -108,6 +108,7 @@
         assert "secret" not in repr(node) and repr(node.key_salt) not in repr(node)
 
     run_with_dispatcher(scenario)
-    counts = {"version": 2, "tenants": 1, "keys": 2, "public_routes": 1}
+    counts = {"tenants": 1, "keys": 2, "public_routes": 1}
+    activated = {"version": 2, "source": "core-1/1", "confirmed": False, **counts}
     replaced = {"version": 2, "count": 1, "fields": ("limits/max_body_bytes",)}
-    assert events == [("configuration.activated", counts), ("configuration.fields_replaced", replaced)]
+    assert events == [("configuration.activated", activated), ("configuration.fields_replaced", replaced)]
--- a/tests/cluster/test_update_puller.py
+++ b/tests/cluster/test_update_puller.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections import Counter
 from random import Random
+from typing import cast
 
 import pytest
 from attrs import define, field
 
+from finchladder.cluster.process import update_puller
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
@@ -91,6 +93,30 @@
     return puller
 
 
+def test_the_log_says_when_no_source_replies_and_when_one_does_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    events: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(update_puller, "event", lambda kind, **fields: events.append((kind, fields)))
+
+    async def work() -> None:
+        cores = Cores()
+        await started_puller(cores)
+        cores.unreachable.update(member.peer_address for member in MEMBERS)
+        await asyncio.sleep(10.0)
+        cores.unreachable.clear()
+        await asyncio.sleep(3.0)
+
+    run(work())
+    kinds = [kind for kind, _ in events]
+    primaries = [fields["primary"] for kind, fields in events if kind == "updates.primary_changed"]
+    assert kinds.count("updates.contact_lost") == kinds.count("updates.contact_restored") == 1
+    lost, restored = dict(events)["updates.contact_lost"], dict(events)["updates.contact_restored"]
+    assert set(cast(list[str], lost["sources"])) == {member.peer_address for member in MEMBERS}
+    assert 10.0 < cast(float, restored["silent_s"]) < 13.0
+    assert "" in primaries and primaries[-1] == "core-2:1"
+
+
 def test_a_dispatcher_long_polls_in_its_own_zone_and_polls_the_others_in_turn() -> None:
     async def work() -> None:
         cores = Cores()
