Read the seeds again while no control process replies that its chain confirms

Cause: a dispatcher knows the control processes of its view and the seeds of its start. If all of them are replaced, one by one, while it is cut off or stands still, none of these addresses leads anywhere, and nothing told it of another one. With five or more members in the view the seeds were not even polled: the first five addresses were, seeds last. A control process that was cut off was lost in the same way, unless the others had it among their seeds.

Change: SeedList holds the seeds and reads the settings file again on SIGHUP, and each second while no source has replied for contact_ms that its chain has confirmed it. Meanwhile all members and all seeds are pulled from. UpdatePuller and FailureDetector share it; the founders of the first view stay as they were at the start, since processes with different ones could decide two first views. Only seeds are read again.

Why it works: the platform keeps the file up to date, as its page says, and it is the only thing outside of the control processes that names them. Silence and sources that are not confirmed count alike, so a core process that was left behind by the others does not hold a dispatcher.

--- a/finchladder/cluster/process/control_plane.py
+++ b/finchladder/cluster/process/control_plane.py
@@ -16,6 +16,7 @@
 from finchladder.cluster.process.failure_detection import FailureDetector
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.placer_lease import PlacerLeaseService
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.view_agreement import ViewAgreement
 from finchladder.cluster.process.view_proposer import ViewProposer
 from finchladder.cluster.process.worker_retirement import RetirementRecorder
@@ -85,7 +86,7 @@
         recovered: RecoveredState,
         *,
         tolerated_losses: int,
-        seeds: tuple[str, ...],
+        seeds: SeedList,
         exclusion_window_s: float,
         fenced: bool,
         confirm_interval_s: float,
@@ -99,7 +100,7 @@
             peers: Sends requests to other processes.
             recovered: State that was read from the disk.
             tolerated_losses: Number of disks that may be lost at once.
-            seeds: Peer addresses of the processes that form the first view.
+            seeds: The seeds, which form the first view as they are now.
             exclusion_window_s: No two lease holders may both act within this time.
             fenced: Whether workers reject orders of former lease holders.
             confirm_interval_s: Seconds between two confirmations of the chain by its head.
@@ -115,7 +116,7 @@
             recovered.replica,
         )
         detector = FailureDetector(agreement, peers, seeds)
-        proposer = ViewProposer(agreement, detector, peers, random)
+        proposer = ViewProposer(agreement, detector, peers, random, seeds.addresses)
         agreement.adoption_listeners += [proposer.reset_proposal_delay, detector.forget_former_members]
         lease_s = exclusion_window_s * LEASE_FRACTION
         lease = GrantedLease(lease_s, exclusion_window_s, fenced=fenced)
--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 from random import Random, SystemRandom
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from finchladder.cluster.process.control_api import ControlApi
 from finchladder.cluster.process.control_plane import ControlPlane, RecoveredState
@@ -13,6 +13,7 @@
 from finchladder.cluster.process.placer import Placer
 from finchladder.cluster.process.quota_service import QuotaService
 from finchladder.cluster.process.request_failures import log_request_failure
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.worker_client import WorkerClient
@@ -33,6 +34,9 @@
     """Creates, runs and shuts down the services of a control process."""
 
     settings: Settings
+    seeds: SeedList = field(
+        default=Factory(lambda self: SeedList(self.settings.seed_peer_addresses), takes_self=True)
+    )
     random: Random = field(factory=Random)
     tasks: Tasks = field(factory=Tasks)
     peers: PeerClient = field(init=False)
@@ -86,7 +90,7 @@
             self.peers,
             RecoveredState(identity.founder, acceptor, replica),
             tolerated_losses=settings.tolerated_losses,
-            seeds=tuple(settings.peer_address_of(seed) for seed in settings.seeds),
+            seeds=self.seeds,
             exclusion_window_s=settings.bounds.lease_s,
             fenced=settings.bounds.fencing,
             confirm_interval_s=settings.bounds.contact_timeouts.confirm_interval_s,
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from aiohttp import web
-from attrs import define, field
+from attrs import Factory, define, field
 
 from finchladder.cluster.configuration.compression import decompress
 from finchladder.cluster.configuration.snapshot import ConfigurationSnapshot
@@ -18,6 +18,7 @@
 from finchladder.cluster.process.quota_client import QuotaClient
 from finchladder.cluster.process.request_failures import log_request_failure
 from finchladder.cluster.process.router import Router
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
@@ -59,6 +60,9 @@
     """
 
     settings: Settings
+    seeds: SeedList = field(
+        default=Factory(lambda self: SeedList(self.settings.seed_peer_addresses), takes_self=True)
+    )
     random: Random = field(factory=Random)
     tasks: Tasks = field(factory=Tasks)
     peers: PeerClient = field(init=False)
@@ -89,7 +93,7 @@
             is_dispatcher=True,
             own_address=settings.peer_address,
             zone=settings.zone,
-            seeds=tuple(settings.peer_address_of(seed) for seed in settings.seeds),
+            seeds=self.seeds,
             configuration_version=lambda: self.received_version,
             on_update=self._apply_update,
             timeouts=settings.bounds.contact_timeouts,
--- a/finchladder/cluster/process/failure_detection.py
+++ b/finchladder/cluster/process/failure_detection.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field, frozen
 
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.view_agreement import ViewAgreement
 from finchladder.cluster.replication.membership import MemberStatus
 from finchladder.cluster.transport.interface import Peers
@@ -40,7 +41,7 @@
 
     agreement: ViewAgreement
     peers: Peers
-    seeds: tuple[str, ...]  # peer addresses
+    seeds: SeedList
     peer_statuses: dict[str, PeerStatus] = field(factory=dict)  # keyed by disk id
     join_requests: dict[str, JoinRequest] = field(factory=dict)  # keyed by disk id
 
@@ -69,7 +70,7 @@
     def ping_targets(self) -> set[str]:
         """Returns the peer addresses of members, seeds and processes that request to join."""
         addresses = {member.peer_address for member in self.agreement.view.members()}
-        addresses.update(self.seeds)
+        addresses.update(self.seeds.addresses)
         addresses.update(member.peer_address for member in self.joining_members())
         addresses.discard(self.agreement.me.peer_address)
         return addresses
--- a/finchladder/cluster/process/settings.py
+++ b/finchladder/cluster/process/settings.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from attrs import frozen
+from attrs import define, field, frozen
 from jsonschema import Draft202012Validator
 
 from finchladder.cluster.configuration.schema import first_problem
@@ -85,6 +85,11 @@
     control: str
     bounds: Bounds
 
+    @property
+    def seed_peer_addresses(self) -> tuple[str, ...]:
+        """The addresses at which the seeds are called by the internal protocol."""
+        return tuple(self.peer_address_of(seed) for seed in self.seeds)
+
     @property
     def peer_address(self) -> str:
         """The address at which other processes call this one by the internal protocol."""
@@ -172,15 +177,44 @@
     return ""
 
 
-def load_settings() -> Settings:
-    """Loads the settings from the file that the environment variable FINCHLADDER_NODE_FILE names.
+@define
+class SettingsFile:
+    """The settings file, whose content may change while the process runs.
 
-    Raises:
-        InvalidSettingsError: The file can't be read or is invalid; the message describes the first problem.
+    `path`: empty if the environment does not name a file.
     """
-    path = os.environ.get(FILE_VARIABLE, "")
-    try:
-        with open(path, encoding="utf-8") as file:
-            return parse_settings(file.read(), path)
-    except OSError as error:
-        raise InvalidSettingsError("open settings", path or FILE_VARIABLE, str(error)) from None
+
+    path: str
+    _text: str = field(default="", init=False)  # content when the file was last read
+
+    @classmethod
+    def from_environment(cls) -> "SettingsFile":
+        """Returns the file that the environment variable FINCHLADDER_NODE_FILE names."""
+        return cls(os.environ.get(FILE_VARIABLE, ""))
+
+    def load(self) -> Settings:
+        """Reads and validates the settings.
+
+        Raises:
+            InvalidSettingsError: The file can't be read or is invalid; the message describes the first
+                problem.
+        """
+        self._text = self._read()
+        return parse_settings(self._text, self.path)
+
+    def load_if_changed(self) -> Settings | None:
+        """Reads the settings again; returns None if the file has not changed since it was last read.
+
+        Raises:
+            InvalidSettingsError: As of `load`, if the file has changed.
+        """
+        former = self._text
+        self._text = self._read()
+        return None if self._text == former else parse_settings(self._text, self.path)
+
+    def _read(self) -> str:
+        try:
+            with open(self.path, encoding="utf-8") as file:
+                return file.read()
+        except (OSError, UnicodeDecodeError) as error:
+            raise InvalidSettingsError("open settings", self.path or FILE_VARIABLE, str(error)) from None
--- a/finchladder/cluster/process/update_puller.py
+++ b/finchladder/cluster/process/update_puller.py
@@ -14,6 +14,7 @@
 
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.log import event
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.tasks import Signal, Tasks
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.transport.interface import Peers
@@ -51,7 +52,7 @@
 
     `on_update`: called with each update after its records were merged, and with the instances that changed.
     If it fails, the next call contains these instances, too, because no source sends merged records again.
-    `seeds`: peer addresses that are also pulled from while no source replies.
+    `seeds`: read again and also pulled from while no source replies that the chain has confirmed.
     """
 
     name: str
@@ -62,7 +63,7 @@
     is_dispatcher: bool
     own_address: str
     zone: str
-    seeds: tuple[str, ...]
+    seeds: SeedList
     configuration_version: Callable[[], int]
     on_update: Callable[[Update, list[str]], None]
     timeouts: ContactTimeouts
@@ -89,23 +90,31 @@
             await asyncio.sleep(self.timeouts.source_update_interval_s)
 
     def update_sources(self) -> None:
-        """Starts and stops pulls from the members of the view, and from the seeds while no member replies."""
+        """Starts and stops pulls from the sources that are wanted now, and chooses the primary."""
         members = self.view.members()
-        addresses = [member.peer_address for member in members]
-        if not self._has_valid_status():
-            addresses += [seed for seed in self.seeds if seed not in addresses]
         primary = self._choose_primary(members)
         if primary != self.primary:
             self.primary = primary
             self.poll_now.fire()
             self._log_primary()
-        wanted = set(addresses[:MAX_SOURCES]) - {self.own_address}
+        wanted = self._wanted_addresses(members)
         for address in sorted(wanted - set(self.sources)):
             task = self.tasks.repeat(lambda a=address: self._poll(a), f"pull {address}")  # type: ignore[misc]
             self.sources[address] = UpdateSource(address, task)
         for address in sorted(set(self.sources) - wanted):
             self.sources.pop(address).task.cancel()
 
+    def _wanted_addresses(self, members: tuple[Member, ...]) -> set[str]:
+        """Returns some members of the view; all of them and the seeds while no confirmed source replies.
+
+        All members of the view may have been replaced while this process was out of contact.
+        """
+        addresses = [member.peer_address for member in members]
+        if self._has_confirmed_source():
+            return set(addresses[:MAX_SOURCES]) - {self.own_address}
+        self.seeds.refresh_if_due()
+        return {*addresses, *self.seeds.addresses} - {self.own_address}
+
     def has_core_lost_quorum(self) -> bool:
         """Returns whether control processes report a lost quorum, and none was confirmed recently.
 
@@ -138,10 +147,8 @@
         polling_delay_s = 0.0 if self._long_polls(address) else self.poll_interval_s()
         return steady() - self.sources[address].received_at < self.timeouts.source_timeout_s + polling_delay_s
 
-    def _has_valid_status(self) -> bool:
-        now = steady()
-        validity_s = self.timeouts.status_validity_s
-        return any(now - source.received_at < validity_s for source in self.sources.values())
+    def _has_confirmed_source(self) -> bool:
+        return steady() - self.confirmed_at < self.timeouts.contact_s
 
     def _is_quorum_loss_reported(self) -> bool:
         now = steady()
--- a/finchladder/cluster/process/view_proposer.py
+++ b/finchladder/cluster/process/view_proposer.py
@@ -28,12 +28,17 @@
 
 @define
 class ViewProposer:
-    """Proposes the next view whenever members have failed, joined or started to shut down."""
+    """Proposes the next view whenever members have failed, joined or started to shut down.
+
+    `founders`: peer addresses of the processes that form the first view. They never change, because processes
+    with different founders could decide different first views.
+    """
 
     agreement: ViewAgreement
     detector: FailureDetector
     peers: Peers
     random: Random
+    founders: tuple[str, ...]
     highest_round: int = 0  # highest round of all ballots that were sent or received
     change_needed_since: float | None = None
 
@@ -89,7 +94,7 @@
 
         All seeds are needed at first; after BOOTSTRAP_TIMEOUT_S a majority of healthy seeds suffices.
         """
-        seeds = self._seed_addresses()
+        seeds = self._founder_addresses()
         alive = self.detector.alive_members().values()
         found = [status.member for status in alive if status.healthy and status.member.peer_address in seeds]
         waited_s = steady() - self.agreement.started_at
@@ -141,12 +146,12 @@
         self.highest_round = max(self.highest_round, self.agreement.acceptor.promised.round) + 1
         return Ballot(self.highest_round, self.agreement.me.disk_id)
 
-    def _seed_addresses(self) -> set[str]:
-        return {self.agreement.me.peer_address, *self.detector.seeds}
+    def _founder_addresses(self) -> set[str]:
+        return {self.agreement.me.peer_address, *self.founders}
 
     def _voter_addresses(self) -> list[str]:
         if self.view.number == 0:
-            return sorted(self._seed_addresses())
+            return sorted(self._founder_addresses())
         return [voter.peer_address for voter in self.view.voters]
 
     async def _announce(self, view: View, former: View) -> None:
--- a/finchladder/lab/cluster/__main__.py
+++ b/finchladder/lab/cluster/__main__.py
@@ -42,6 +42,7 @@
 @click.option("--scale", default=1.0, show_default=True, help="Factor of all bounds of the rules.")
 @click.option("--quotas/--no-quotas", default=False, show_default=True, help="Requests need quota.")
 @click.option("--stalls/--no-stalls", default=False, show_default=True, help="Requests with quota wait, too.")
+@click.option("--turnovers/--no-turnovers", default=False, show_default=True, help="All cores are replaced.")
 @click.option("--jobs", default=1, show_default=True, help="Processes.")
 def hunt_seeds(
     first: int,
@@ -57,6 +58,7 @@
     scale: float,
     quotas: bool,
     stalls: bool,
+    turnovers: bool,
     jobs: int,
 ) -> None:
     """Look for seeds that break a rule, shrink and print them with their traces; status 1 if there is one."""
@@ -67,8 +69,24 @@
         raise click.UsageError("--quotas needs --edges: dispatchers reserve quota")
     if stalls and not quotas:
         raise click.UsageError("--stalls needs --quotas: what is reserved waits")
+    if turnovers and not (edges and overlaps):
+        raise click.UsageError("--turnovers needs --edges and --overlaps: a dispatcher is cut off meanwhile")
     cases = [
-        Case(seed, machines, losses, faults, freezes, overlaps, edges, fenced, places, scale, quotas, stalls)
+        Case(
+            seed,
+            machines,
+            losses,
+            faults,
+            freezes,
+            overlaps,
+            edges,
+            fenced,
+            places,
+            scale,
+            quotas,
+            stalls,
+            turnovers,
+        )
         for seed in numbers
     ]
     found = 0
--- a/finchladder/lab/cluster/dataplane.py
+++ b/finchladder/lab/cluster/dataplane.py
@@ -11,6 +11,7 @@
 from finchladder.cluster.configuration.compression import decompress
 from finchladder.cluster.process.core_sessions import CoreSessions
 from finchladder.cluster.process.quota_client import QuotaClient
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
 from finchladder.cluster.process.worker_sessions import DRAINING_STATE
@@ -57,7 +58,7 @@
         life = self.lives if self.puller is not None else 0
         return Process(self.address, life, loop.wakes_at(self.name) > loop.time())
 
-    def start(self, world: "World", seeds: tuple[str, ...]) -> None:
+    def start(self, world: "World", seeds: SeedList) -> None:
         """Starts its process, which knows nothing but the seeds."""
         self.lives += 1
         self.version = self.number = 0
--- a/finchladder/lab/cluster/faults.py
+++ b/finchladder/lab/cluster/faults.py
@@ -293,6 +293,33 @@
     await cut
 
 
+async def core_turnover(world: "World") -> None:
+    """Every core machine is replaced in turn while a dispatcher is cut off from all of them."""
+    dispatcher = world.random.choice(world.dispatchers)
+    links: set[tuple[str, str]] = set()
+
+    def cut_from(machine: "Machine") -> None:
+        links.update({(dispatcher.address, machine.address), (machine.address, dispatcher.address)})
+        world.network.cut |= links
+
+    world.note(f"{dispatcher.name} is cut off while the core is replaced")
+    for machine in world.machines.values():
+        cut_from(machine)
+    for machine in world.running():
+        if not world.may_lose_disk(machine):
+            continue
+        world.kill(machine, power=True)
+        world.remove(machine)
+        await asyncio.sleep(world.random.uniform(0.3, 2.0))
+        successor = world.add(False)
+        cut_from(successor)
+        world.start(successor)
+        await asyncio.sleep(CATCH_UP_S * world.random.uniform(1.0, 1.3))
+    world.network.cut -= links
+
+
+TURNOVER_WEIGHT = 8  # of turnovers among the kinds of faults
+
 DISPATCHER_FAULTS: list[Fault] = [
     dispatcher_killed,
     dispatcher_frozen,
@@ -349,6 +376,7 @@
 
     kinds = [*OVERLAPPING_FAULTS, *(DISPATCHER_FAULTS * 2 if world.edges else [])]
     kinds += QUOTA_FAULTS * 2 if world.quotas else []
+    kinds += [core_turnover] * TURNOVER_WEIGHT if world.turnovers else []
     drawn = [
         one(
             world.random.choice(kinds),
--- a/finchladder/lab/cluster/hunt.py
+++ b/finchladder/lab/cluster/hunt.py
@@ -32,6 +32,7 @@
     scale: float = 1.0  # of all bounds of the rules
     quotas: bool = False  # dispatchers reserve quota for clients' requests
     stalls: bool = False  # at times workers take no requests, which wait with what they have reserved
+    turnovers: bool = False  # at times all machines are replaced while a dispatcher is cut off
 
 
 @frozen
@@ -62,6 +63,7 @@
         scale=case.scale,
         quotas=case.quotas,
         stalls=case.stalls,
+        turnovers=case.turnovers,
     )
     try:
         run(_play(world, case.faults))
--- a/finchladder/lab/cluster/watching.py
+++ b/finchladder/lab/cluster/watching.py
@@ -28,7 +28,7 @@
         for dispatcher in world.dispatchers:
             if dispatcher.puller is not None:
                 _judge_in_force(world, dispatcher, now)
-            if dispatcher.address in in_touch and _can_know(dispatcher, snapshot):
+            if dispatcher.address in in_touch and _can_know(world, dispatcher, snapshot):
                 _judge_in_time(world, dispatcher, now)
         await asyncio.sleep(WATCH_DISPATCHERS_S)
 
@@ -38,12 +38,14 @@
     world.judge(lambda: world.oracle.show(life, dispatcher.version, dispatcher.number, now))
 
 
-def _can_know(dispatcher: Dispatcher, snapshot: Snapshot) -> bool:
-    """Whether it was ever told of a core machine that reaches most of the core: one that came while the
-    dispatcher was cut off from all that it knew is none of them.
+def _can_know(world: "World", dispatcher: Dispatcher, snapshot: Snapshot) -> bool:
+    """Returns whether a control process that reaches most of the core is known to the dispatcher or a seed.
+
+    The seeds are those that the settings file names now, whenever the dispatcher has read it.
     """
     puller = dispatcher.puller
-    return puller is not None and not snapshot.in_majority().isdisjoint({*puller.sources, *puller.seeds})
+    known = set() if puller is None else {*puller.sources, *world.seed_addresses()}
+    return not snapshot.in_majority().isdisjoint(known)
 
 
 def _judge_in_time(world: "World", dispatcher: Dispatcher, now: float) -> None:
--- a/finchladder/lab/cluster/world.py
+++ b/finchladder/lab/cluster/world.py
@@ -9,6 +9,7 @@
 
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.control_plane import ControlPlane, RecoveredState
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.types.errors import ClusterError
 from finchladder.cluster.types.members import GENESIS, Member
 from finchladder.lab.cluster.contact import Contact, Snapshot
@@ -35,6 +36,7 @@
     `places`: there are model workers, and core processes place models; needs dispatchers. `scale`: factor of
     all bounds of the rules. `quotas`: dispatchers reserve quota for requests; needs dispatchers, too.
     `stalls`: at times workers take no requests, which wait with what they have reserved.
+    `turnovers`: at times all machines are replaced while a dispatcher is cut off; needs dispatchers.
     """
 
     seed: int
@@ -48,6 +50,7 @@
     scale: float = 1.0
     quotas: bool = False
     stalls: bool = False
+    turnovers: bool = False
     random: Random = field(init=False)
     network: Network = field(init=False)
     machines: dict[str, Machine] = field(factory=dict)
@@ -121,7 +124,7 @@
             SimulatedPeers(self.network, machine.address),
             RecoveredState(machine.platter.founder, acceptor, replica),
             tolerated_losses=self.losses,
-            seeds=self._seeds(),
+            seeds=self.seed_list(),
             exclusion_window_s=self.turn_s,
             fenced=self.fenced,
             confirm_interval_s=self.timeouts.confirm_interval_s,
@@ -143,7 +146,12 @@
         self.network.hosts[machine.address] = Host(machine.answer, lambda work: self._spawn(machine, work))
         self.note(f"{machine.name} starts, life {machine.lives}, disk {machine.platter.disk_id}")
 
-    def _seeds(self) -> tuple[str, ...]:
+    def seed_list(self) -> SeedList:
+        """The seeds of a process that starts now, in a settings file that the platform keeps up to date."""
+        return SeedList(self.seed_addresses(), self.seed_addresses)
+
+    def seed_addresses(self) -> tuple[str, ...]:
+        """The peer addresses of the seeds in the settings files now."""
         present = [m.address for m in self.machines.values() if not m.gone]
         return tuple(present[:3])
 
@@ -248,11 +256,11 @@
     # --- dispatchers and workers --------------------------------------------------------------------------
 
     def begin_dataplane(self, *, with_workers: bool = True) -> None:
-        """Starts all dispatchers, with the seeds of now, and workers beside them."""
+        """Starts all dispatchers, and workers beside them."""
         for number in range(1, self.edges + 1):
             dispatcher = Dispatcher(f"edge-{number}", f"edge-{number}:1")
             self.dispatchers.append(dispatcher)
-            dispatcher.start(self, self._seeds())
+            dispatcher.start(self, self.seed_list())
             if with_workers:
                 worker = Worker(self, f"worker-{number}:1", Random(self.random.getrandbits(64)))
                 self.workers.append(worker)
@@ -263,7 +271,7 @@
     def restart_dispatcher(self, dispatcher: Dispatcher) -> None:
         """Starts its process, unless another fault has done so."""
         if dispatcher.puller is None:
-            dispatcher.start(self, self._seeds())
+            dispatcher.start(self, self.seed_list())
 
     def snapshot(self) -> Snapshot:
         """What is to be seen of all machines and links now."""
--- a/tests/cluster/dispatcher_scene.py
+++ b/tests/cluster/dispatcher_scene.py
@@ -37,7 +37,7 @@
             contact_timeouts=ContactTimeouts(3.0), retry_ratio=0.2, retry_slack=50, retry_window_s=10
         )
         settings = SimpleNamespace(
-            node_name="edge-1", zone="z", peer_address="edge-1:1", seeds=(), bounds=bounds
+            node_name="edge-1", zone="z", peer_address="edge-1:1", seed_peer_addresses=(), bounds=bounds
         )
         node = DispatcherNode(cast(Settings, settings))
         node._build_components()
--- a/tests/cluster/test_dispatcher_node.py
+++ b/tests/cluster/test_dispatcher_node.py
@@ -45,7 +45,7 @@
     monkeypatch.setattr(dispatcher_node, "READINESS_PROPAGATION_S", 0.1)
 
     async def work() -> None:
-        settings = SimpleNamespace(bounds=SimpleNamespace(grace_s=5.0))
+        settings = SimpleNamespace(bounds=SimpleNamespace(grace_s=5.0), seed_peer_addresses=())
         node = DispatcherNode(cast(Settings, settings))
         session = make_session(keepalive_s=5)
         node.router = Router(
--- a/tests/cluster/test_incident_lost_sources.py
+++ b/tests/cluster/test_incident_lost_sources.py
@@ -4,9 +4,14 @@
 import signal
 from pathlib import Path
 
+import pytest
+
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.types.members import Member, View
+from finchladder.lab.cluster.faults import CATCH_UP_S
+from finchladder.lab.cluster.plays import play_overlapping
 from finchladder.lab.cluster.virtual import run
+from finchladder.lab.cluster.world import World
 from tests.cluster.node_processes import (
     CONFIG_APPLY_S,
     CONTACT_S,
@@ -16,10 +21,18 @@
 )
 from tests.cluster.test_router import run_with_timeout
 from tests.cluster.test_update_puller import TIMEOUTS, VIEW, Cores, new_puller
+from tests.cluster.test_worst_days import RECOVERY_S, plane_of, start_confirmed_chain
 
 NOT_FOUND = 404
 
 
+class WorldOfNewestSeeds(World):
+    """A world whose operator lists the newest control processes as seeds."""
+
+    def seed_addresses(self) -> tuple[str, ...]:
+        return tuple([machine.address for machine in self.machines.values() if not machine.gone][-3:])
+
+
 async def replace_all_while_frozen(cluster: ProcessCluster) -> None:
     """Replaces every control process while the dispatcher stands still."""
     cluster.dispatchers[0].send_signal(signal.SIGSTOP)
@@ -53,3 +66,46 @@
         assert puller.view == VIEW
 
     run(work())
+
+
+def test_sighup_makes_a_dispatcher_read_the_seeds_again(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with process_cluster(tmp_path) as cluster:
+            dispatcher = cluster.dispatchers[0]
+            dispatcher.write_settings([*cluster.seeds(), "127.0.1.9:1"])
+            dispatcher.send_signal(signal.SIGHUP)
+            await wait_until(lambda: any(dispatcher.events("seeds.changed")), CONTACT_S)
+            assert not any(dispatcher.events("updates.contact_lost"))
+
+    run_with_timeout(work)
+
+
+@pytest.mark.parametrize("seed", [1, 6, 9, 12])
+def test_dispatchers_keep_the_bounds_while_all_control_processes_are_replaced(seed: int) -> None:
+    run(play_overlapping(World(seed, overlaps=True, edges=4, turnovers=True), 2))
+
+
+def test_a_control_process_rejoins_after_all_others_were_replaced_while_it_was_cut_off() -> None:
+    async def work() -> None:
+        world = WorldOfNewestSeeds(78, count=5, losses=2, edges=1)
+        await start_confirmed_chain(world)
+        isolated, *others_before = list(world.machines.values())
+        links: set[tuple[str, str]] = set()
+        for former in others_before:
+            world.kill(former, power=True)
+            world.remove(former)
+            world.start(world.add(False))
+            others = [machine.address for machine in world.machines.values() if machine is not isolated]
+            links |= {(isolated.address, other) for other in others}
+            links |= {(other, isolated.address) for other in others}
+            world.network.cut |= links
+            await asyncio.sleep(CATCH_UP_S)
+        world.network.cut -= links
+        await asyncio.sleep(RECOVERY_S)
+        newest = max((plane_of(m).agreement.view for m in world.running()), key=lambda view: view.number)
+        adopted, newest_number = plane_of(isolated).agreement.view.number, newest.number
+        members = [member.name for member in newest.chain]
+        assert adopted == newest_number
+        assert isolated.name in members
+
+    run(work())
--- a/tests/cluster/test_update_puller.py
+++ b/tests/cluster/test_update_puller.py
@@ -10,6 +10,7 @@
 
 from finchladder.cluster.process import update_puller
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
@@ -76,7 +77,7 @@
         is_dispatcher=True,
         own_address="edge-1:1",
         zone="z2",
-        seeds=("core-0:1",),
+        seeds=SeedList(("core-0:1",)),
         configuration_version=lambda: 0,
         on_update=lambda update, changed: None,
         timeouts=TIMEOUTS,
--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -12,6 +12,7 @@
 from finchladder.cluster.process.configuration_changes import ACCEPTED, CONFLICT, OUTCOME_UNKNOWN
 from finchladder.cluster.process.control_plane import ControlPlane
 from finchladder.cluster.process.placer_lease import PlacerLeaseService
+from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.update_puller import UpdateSource
 from finchladder.cluster.process.view_proposer import ViewProposer
 from finchladder.cluster.replication.agreement import Acceptor, value_to_propose
@@ -179,7 +180,7 @@
         world = World(31, edges=1)
         machines = await start_confirmed_chain(world)
         dispatcher = Dispatcher("edge-1", "edge-1:1")
-        dispatcher.start(world, tuple(m.address for m in machines))
+        dispatcher.start(world, SeedList(tuple(m.address for m in machines)))
         await call_until_acknowledged(machines[1], "ready")
 
         async def is_known() -> bool:
@@ -223,7 +224,7 @@
         world.network.cut |= links
         await asyncio.sleep(2.0)
         with_head[0].kill(world)
-        with_head[0].start(world, (machines[0].address,))
+        with_head[0].start(world, SeedList((machines[0].address,)))
         for version in range(2, 40):
             await submit_until_accepted(machines[1], version - 1, version)
             await asyncio.sleep(0.4)
