Answer 404 only if a control process confirms that no route was added

Cause: a dispatcher that does not know a key pulls once and answers 503 unless its source is confirmed; one that does not know a route answered 404 at once, from whatever configuration it had. Both are final to a client, and both are claims about the newest configuration.

Change: the same look-up and the same answers for both: 404 or 401 if a confirmed source has nothing newer, 503 with Retry-After if none confirms within 0.2 s, the request itself if the newer configuration allows it. At most one pull in 0.2 s, as before.

Evidence: test_a_route_that_is_not_known_is_looked_up_in_the_newest_configuration fails in four of its six cases without the change.

--- a/finchladder/cluster/process/configuration_refresher.py
+++ b/finchladder/cluster/process/configuration_refresher.py
@@ -1,4 +1,4 @@
-"""Refreshes a dispatcher's configuration before the dispatcher rejects a request with an unknown API key."""
+"""Refreshes a dispatcher's configuration before the dispatcher rejects an unknown route or API key."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -9,7 +9,7 @@
 from finchladder.cluster.transport.peers import steady
 
 PULL_TIMEOUT_S = 0.2  # short, since a client waits for the pull
-MIN_PULL_INTERVAL_S = 0.2  # limits the pulls that clients without valid keys cause
+MIN_PULL_INTERVAL_S = 0.2  # limits the pulls that clients without valid routes or keys cause
 NEVER = -1e9
 
 
--- a/finchladder/cluster/process/router.py
+++ b/finchladder/cluster/process/router.py
@@ -193,28 +193,30 @@
         snapshot = self.snapshot  # used for the whole request, except for the check in `_may_send`
         decision = _authorize(client_request, snapshot)
         is_confirmed = True
-        if isinstance(decision, Unauthorized):
+        if not isinstance(decision, Authorized):
             is_confirmed = await self.refresh_configuration()
             snapshot = self.snapshot
             decision = _authorize(client_request, snapshot)
         match decision:
             case NoRoute():
                 await client_request.content.read()
-                return self.responses.error(HTTPStatus.NOT_FOUND, "no route matches the request")
-            case Unauthorized(reason):
+                return self._reject(decision, is_confirmed)
+            case Unauthorized():
                 await self._read_body(client_request, snapshot.max_body_bytes)
-                return self._reject_unauthorized(reason, is_confirmed)
+                return self._reject(decision, is_confirmed)
             case Authorized():
                 return await self._admit_and_serve(client_request, snapshot, decision, arrived_at)
 
-    def _reject_unauthorized(self, reason: UnauthorizedReason, is_confirmed: bool) -> web.StreamResponse:
-        """Responds with 401 only if the configuration is confirmed.
+    def _reject(self, decision: NoRoute | Unauthorized, is_confirmed: bool) -> web.StreamResponse:
+        """Responds with 404 or 401 only if the configuration is confirmed.
 
-        A client treats a 401 as final, and a newer configuration may contain the key.
+        A client treats these as final, and a newer configuration may contain the route or the key.
         """
-        if is_confirmed:
-            return self.responses.unauthorized(reason)
-        return self.responses.reject(RETRY_AFTER_NO_REPLICA_S, RejectReason.CONFIGURATION_UNCONFIRMED)
+        if not is_confirmed:
+            return self.responses.reject(RETRY_AFTER_NO_REPLICA_S, RejectReason.CONFIGURATION_UNCONFIRMED)
+        if isinstance(decision, Unauthorized):
+            return self.responses.unauthorized(decision.reason)
+        return self.responses.error(HTTPStatus.NOT_FOUND, "no route matches the request")
 
     async def _admit_and_serve(
         self,
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -240,6 +240,39 @@
     run_with_timeout(work)
 
 
+@pytest.mark.parametrize(
+    ("newer_prefix", "is_confirmed", "status"),
+    [
+        (None, False, 503),
+        (None, True, 404),
+        ("/other/", False, 503),
+        ("/other/", True, 404),
+        ("/added/", False, 200),
+        ("/added/", True, 200),
+    ],
+)
+def test_a_route_that_is_not_known_is_looked_up_in_the_newest_configuration(
+    newer_prefix: str | None, is_confirmed: bool, status: int
+) -> None:
+    async def work() -> None:
+        worker = StandInWorker(respond)
+        async with router_harness(worker) as harness:
+
+            async def refresh() -> bool:
+                if newer_prefix is not None:
+                    document = {"version": 2, "routes": [route(newer_prefix)], "services": [{"name": "s"}]}
+                    harness.router.snapshot = build_snapshot(json.dumps(document).encode())
+                return is_confirmed
+
+            harness.router.refresh_configuration = refresh
+            async with harness.send("/added/", b"{}") as response:
+                assert response.status == status
+                assert ("Retry-After" in response.headers) == (status == 503)
+        assert len(worker.requests) == (status == 200)
+
+    run_with_timeout(work)
+
+
 def test_a_request_without_route_gets_404_and_a_large_body_413() -> None:
     async def work() -> None:
         worker = StandInWorker(respond)
