--- a/finchladder/cluster/process/core_sessions.py
+++ b/finchladder/cluster/process/core_sessions.py
@@ -17,6 +17,7 @@
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
 from finchladder.cluster.process.update_server import UpdateServer
+from finchladder.cluster.process.update_sources import UpdateSources
 from finchladder.cluster.process.worker_expiry import WorkerExpiry
 from finchladder.cluster.process.worker_sessions import WorkerSessions
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
@@ -92,19 +93,22 @@
             if changed:
                 updates.changed.fire()
 
-        puller = UpdatePuller(
+        sources = UpdateSources(
             name=me.name,
-            tables=tables,
-            peers=peers,
-            tasks=tasks,
-            random=random,
             is_dispatcher=False,
             own_address=me.peer_address,
             zone=me.zone,
             seeds=control.failure_detector.seeds,
+            timeouts=timeouts,
+        )
+        puller = UpdatePuller(
+            tables=tables,
+            peers=peers,
+            tasks=tasks,
+            random=random,
+            sources=sources,
             configuration_version=lambda: ANY_VERSION,
             on_update=on_update,
-            timeouts=timeouts,
         )
         return cls(control, updates, sessions, expiry, puller, confirmation)
 
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -22,6 +22,7 @@
 from finchladder.cluster.process.settings import Settings
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
+from finchladder.cluster.process.update_sources import UpdateSources
 from finchladder.cluster.routing.demand import DemandCounter
 from finchladder.cluster.routing.retry_budget import RetryBudget
 from finchladder.cluster.routing.selection import AFFINITY_SLOT_FRACTION, WorkerSelector
@@ -84,19 +85,22 @@
         self.peers = PeerClient()
         self.router = self._make_router(demand)
         tables = ReplicatedTables(f"{settings.node_name}/{self.random.getrandbits(32):x}")
-        self.puller = UpdatePuller(
+        sources = UpdateSources(
             name=settings.node_name,
-            tables=tables,
-            peers=self.peers,
-            tasks=self.tasks,
-            random=self.random,
             is_dispatcher=True,
             own_address=settings.peer_address,
             zone=settings.zone,
             seeds=self.seeds,
+            timeouts=settings.bounds.contact_timeouts,
+        )
+        self.puller = UpdatePuller(
+            tables=tables,
+            peers=self.peers,
+            tasks=self.tasks,
+            random=self.random,
+            sources=sources,
             configuration_version=lambda: self.received_version,
             on_update=self._apply_update,
-            timeouts=settings.bounds.contact_timeouts,
         )
         self.quotas = QuotaClient(settings.node_name, self.peers, lambda: self.puller.placer)
         self.router.quotas = self.quotas
@@ -124,7 +128,7 @@
             ),
             dispatcher_count=lambda: self.puller.dispatcher_count,
             demand=demand,
-            is_configuration_stale=lambda: self.puller.has_core_lost_quorum(),
+            is_configuration_stale=lambda: self.puller.sources.has_core_lost_quorum(),
         )
 
     # --- updates ------------------------------------------------------------------------------------------
@@ -181,7 +185,7 @@
         """Returns whether the platform should send client connections to this process."""
         if self.stopping or not self.router.snapshot.version or not self.router.pools.members:
             return False
-        if self.puller.has_core_lost_quorum() or self.quotas.is_unreachable():
+        if self.puller.sources.has_core_lost_quorum() or self.quotas.is_unreachable():
             return False
         return self.has_confirmed_state or steady() - self.started_at > UNCONFIRMED_READY_AFTER_S
 
--- a/finchladder/lab/cluster/dataplane.py
+++ b/finchladder/lab/cluster/dataplane.py
@@ -14,6 +14,7 @@
 from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
+from finchladder.cluster.process.update_sources import UpdateSources
 from finchladder.cluster.process.worker_sessions import DRAINING_STATE
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.types.messages import Update
@@ -68,19 +69,22 @@
             if delta.document and delta.version > self.version:
                 self.version, self.number = delta.version, number_in(decompress(delta.document))
 
-        self.puller = UpdatePuller(
+        sources = UpdateSources(
             name=self.name,
-            tables=ReplicatedTables(f"{self.name}/{random.getrandbits(32):x}"),
-            peers=SimulatedPeers(world.network, self.address),
-            tasks=tasks,
-            random=random,
             is_dispatcher=True,
             own_address=self.address,
             zone="zone",
             seeds=seeds,
+            timeouts=world.timeouts,
+        )
+        self.puller = UpdatePuller(
+            tables=ReplicatedTables(f"{self.name}/{random.getrandbits(32):x}"),
+            peers=SimulatedPeers(world.network, self.address),
+            tasks=tasks,
+            random=random,
+            sources=sources,
             configuration_version=lambda: self.version,
             on_update=take,
-            timeouts=world.timeouts,
         )
         if world.quotas:
             self.quotas = self._quota_client(world, self.puller)
--- a/finchladder/lab/cluster/placement.py
+++ b/finchladder/lab/cluster/placement.py
@@ -213,7 +213,7 @@
     def _in_touch_since(self, dispatcher: Dispatcher, now: float) -> float:
         """Since when that dispatcher has been in touch without a break and there is a quorum, or infinite."""
         contact, snapshot = self.world.contact, self.world.snapshot()
-        if dispatcher.puller is None or dispatcher.puller.has_core_lost_quorum():
+        if dispatcher.puller is None or dispatcher.puller.sources.has_core_lost_quorum():
             return inf
         contact.watch(now, snapshot)
         return contact.in_touch(now, snapshot).get(dispatcher.address, inf) + contact.contact_s
--- a/finchladder/lab/cluster/planted_faults.py
+++ b/finchladder/lab/cluster/planted_faults.py
@@ -93,15 +93,15 @@
     Mutant(
         "dispatcher waits at a core machine that is not confirmed",
         1,
-        "process.update_puller",
-        "if self.sources[m.peer_address].is_confirmed()] or live",
+        "process.update_sources",
+        "if self.by_address[m.peer_address].is_confirmed()] or live",
         "] or live",
         edges=4,
     ),
     Mutant(
         "dispatcher goes on while the core has lost its quorum",
         1,
-        "process.update_puller",
+        "process.update_sources",
         "return self._is_quorum_loss_reported() and steady() - since > self.timeouts.unconfirmed_timeout_s",
         "return False",
         machines=5,
--- a/finchladder/lab/cluster/watching.py
+++ b/finchladder/lab/cluster/watching.py
@@ -44,12 +44,12 @@
     The seeds are those that the settings file names now, whenever the dispatcher has read it.
     """
     puller = dispatcher.puller
-    known = set() if puller is None else {*puller.sources, *world.seed_addresses()}
+    known = set() if puller is None else {*puller.sources.by_address, *world.seed_addresses()}
     return not snapshot.in_majority().isdisjoint(known)
 
 
 def _judge_in_time(world: "World", dispatcher: Dispatcher, now: float) -> None:
-    if dispatcher.puller is None or dispatcher.puller.has_core_lost_quorum():
+    if dispatcher.puller is None or dispatcher.puller.sources.has_core_lost_quorum():
         return  # it refuses all requests
     due = world.oracle.newest_taken_before(now - world.fleet.apply_s)
     if 0 < dispatcher.version < due:  # without any, it refuses all requests, which breaks no rule
--- a/tests/cluster/dispatcher_scene.py
+++ b/tests/cluster/dispatcher_scene.py
@@ -50,5 +50,5 @@
 
 async def refresh(node: DispatcherNode, primary: Primary) -> bool:
     """Refreshes the configuration from a primary; returns whether it is confirmed."""
-    node.puller.peers, node.puller.primary = primary, PRIMARY
+    node.puller.peers, node.puller.sources.primary = primary, PRIMARY
     return await node.router.refresh_configuration()
--- a/tests/cluster/test_update_puller.py
+++ b/tests/cluster/test_update_puller.py
@@ -8,11 +8,12 @@
 import pytest
 from attrs import define, field
 
-from finchladder.cluster.process import update_puller
+from finchladder.cluster.process import update_sources
 from finchladder.cluster.process.contact_timeouts import ContactTimeouts
 from finchladder.cluster.process.seed_list import SeedList
 from finchladder.cluster.process.tasks import Tasks
 from finchladder.cluster.process.update_puller import UpdatePuller
+from finchladder.cluster.process.update_sources import UpdateSources
 from finchladder.cluster.sessions.replicated_tables import ReplicatedTables
 from finchladder.cluster.types.errors import PeerUnreachableError
 from finchladder.cluster.types.members import Member, View
@@ -68,19 +69,22 @@
 
 
 def new_puller(cores: Cores, tasks: Tasks) -> UpdatePuller:
-    return UpdatePuller(
+    sources = UpdateSources(
         name="edge-1",
-        tables=ReplicatedTables("edge-1/1"),
-        peers=cores,
-        tasks=tasks,
-        random=Random(1),
         is_dispatcher=True,
         own_address="edge-1:1",
         zone="z2",
         seeds=SeedList(("core-0:1",)),
+        timeouts=TIMEOUTS,
+    )
+    return UpdatePuller(
+        tables=ReplicatedTables("edge-1/1"),
+        peers=cores,
+        tasks=tasks,
+        random=Random(1),
+        sources=sources,
         configuration_version=lambda: 0,
         on_update=lambda update, changed: None,
-        timeouts=TIMEOUTS,
     )
 
 
@@ -98,7 +102,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     events: list[tuple[str, dict[str, object]]] = []
-    monkeypatch.setattr(update_puller, "event", lambda kind, **fields: events.append((kind, fields)))
+    monkeypatch.setattr(update_sources, "event", lambda kind, **fields: events.append((kind, fields)))
 
     async def work() -> None:
         cores = Cores()
@@ -123,7 +127,7 @@
         cores = Cores()
         puller = await started_puller(cores)
         await asyncio.sleep(30.0)
-        assert puller.primary == "core-2:1"
+        assert puller.sources.primary == "core-2:1"
         assert cores.long_polls.total() == cores.long_polls["core-2:1"] >= 29
         polls = cores.calls.total() - cores.calls["core-2:1"]
         assert 0.85 * 30.0 / TIMEOUTS.poll_interval_s < polls < 1.15 * 30.0 / TIMEOUTS.poll_interval_s, (
@@ -140,8 +144,8 @@
         puller = await started_puller(cores)
         cores.unconfirmed.add("core-2:1")
         await asyncio.sleep(1000 * TIMEOUTS.long_poll_s / 1000 + 0.5)
-        assert puller.primary not in ("", "core-2:1")
-        assert puller.primary in {m.peer_address for m in MEMBERS}
+        assert puller.sources.primary not in ("", "core-2:1")
+        assert puller.sources.primary in {m.peer_address for m in MEMBERS}
 
     run(work())
 
@@ -151,7 +155,7 @@
         cores = Cores()
         cores.unconfirmed.update(m.peer_address for m in MEMBERS)
         puller = await started_puller(cores)
-        assert puller.primary == "core-2:1"
+        assert puller.sources.primary == "core-2:1"
 
     run(work())
 
@@ -162,10 +166,10 @@
         puller = await started_puller(cores)
         cores.unreachable.add("core-2:1")
         await asyncio.sleep(1000 * TIMEOUTS.long_poll_s / 1000 + 2.5)
-        assert puller.primary not in ("", "core-2:1")
+        assert puller.sources.primary not in ("", "core-2:1")
         cores.reset_counts()
         await asyncio.sleep(10.0)
-        assert cores.long_polls[puller.primary] >= 9, "the new primary is long-polled"
+        assert cores.long_polls[puller.sources.primary] >= 9, "the new primary is long-polled"
 
     run(work())
 
@@ -191,13 +195,13 @@
     async def work() -> None:
         cores = Cores()
         puller = await started_puller(cores)
-        assert not puller.has_core_lost_quorum()
+        assert not puller.sources.has_core_lost_quorum()
         cores.unconfirmed, cores.without_quorum, cores.unreachable = unconfirmed, without_quorum, unreachable
         await asyncio.sleep(6.0)
-        assert puller.has_core_lost_quorum() is is_lost
+        assert puller.sources.has_core_lost_quorum() is is_lost
         cores.unconfirmed, cores.without_quorum, cores.unreachable = set(), set(), set()
         await asyncio.sleep(3.0)
-        assert not puller.has_core_lost_quorum()
+        assert not puller.sources.has_core_lost_quorum()
 
     run(work())
 
@@ -208,9 +212,9 @@
         puller = await started_puller(cores)
         cores.without_quorum = set(ALL)
         await asyncio.sleep(0.9)
-        assert not puller.has_core_lost_quorum()
+        assert not puller.sources.has_core_lost_quorum()
         await asyncio.sleep(2.0)
-        assert puller.has_core_lost_quorum()
+        assert puller.sources.has_core_lost_quorum()
 
     run(work())
 
@@ -230,7 +234,7 @@
         began_at = asyncio.get_running_loop().time()
         assert await puller.pull_once(0.2) is is_confirmed
         assert asyncio.get_running_loop().time() - began_at <= 0.2
-        assert puller.primary == "core-2:1"
+        assert puller.sources.primary == "core-2:1"
 
     run(work())
 
--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -13,7 +13,7 @@
 from finchladder.cluster.process.control_plane import ControlPlane
 from finchladder.cluster.process.placer_lease import PlacerLeaseService
 from finchladder.cluster.process.seed_list import SeedList
-from finchladder.cluster.process.update_puller import UpdateSource
+from finchladder.cluster.process.update_sources import UpdateSource
 from finchladder.cluster.process.view_proposer import ViewProposer
 from finchladder.cluster.replication.agreement import Acceptor, value_to_propose
 from finchladder.cluster.replication.chain import Replica, newest_replica
@@ -278,13 +278,13 @@
                 world.restart(machine)
         await asyncio.sleep(CONTACT_S)
         assert dispatcher.puller is not None
-        assert dispatcher.puller.has_core_lost_quorum() is is_lost
+        assert dispatcher.puller.sources.has_core_lost_quorum() is is_lost
         for place in silent:
             world.restart(machines[place])
 
         async def has_quorum_again() -> bool:
             assert dispatcher.puller is not None
-            return not dispatcher.puller.has_core_lost_quorum()
+            return not dispatcher.puller.sources.has_core_lost_quorum()
 
         await wait_until(has_quorum_again, CONTACT_S)
         await submit_until_accepted(machines[0], 1, 2)
@@ -294,7 +294,7 @@
 
 def sources(dispatcher: Dispatcher) -> list[UpdateSource]:
     assert dispatcher.puller is not None
-    return list(dispatcher.puller.sources.values())
+    return list(dispatcher.puller.sources.by_address.values())
 
 
 def test_an_unacknowledged_change_of_a_cut_off_machine_is_never_visible() -> None:
