--- a/benchmarks/worst_days.py
+++ b/benchmarks/worst_days.py
@@ -282,6 +282,24 @@
     return day_text(name, random.getrandbits(27), plan, faults, None)
 
 
+CORE_MACHINES = 3
+REPLACEMENT_INTERVAL_S = 9.0
+
+
+def turnover_day(name: str, random: Random) -> str:
+    """Every core machine is replaced in turn while dispatchers are cut off from the core or stand still."""
+    first_at = round(random.uniform(1.0, 2.0), 1)
+    kind = random.choice(["node_cut", "node_cut", "node_freeze"])
+    how = random.choice(["", "all"]) if kind == "node_cut" else ""
+    away = {"on": "front", "count": random.choice([1, 1, 2]), "for_s": 22.0, "how": how}
+    plan = [entry("config_storm", {"gap_s": 0.9, "for_s": 32.0, "how": "route"}, 0.5, "")]
+    faults = [entry(kind, away, first_at - 0.5, "")]
+    for number in range(CORE_MACHINES):
+        replacement = {"x": round(random.uniform(0.5, 3.0), 1), "how": "oldest"}
+        faults.append(entry("replace_core", replacement, first_at + number * REPLACEMENT_INTERVAL_S, ""))
+    return day_text(name, random.getrandbits(27), plan, faults, random.choice(CLOSINGS))
+
+
 OTHER_BOUNDS = {
     "touch_ms": "4000",
     "ack_ms": "5000",
@@ -336,7 +354,10 @@
 @click.option("--singles/--no-singles", default=True, show_default=True, help="Each variant of each kind.")
 @click.option("--overlaps", default=30, show_default=True, help="Days that overlap the worst kinds.")
 @click.option("--drains", default=0, show_default=True, help="Days with drains that a cut-off side misses.")
-def write(site: Path, out: Path, seed: int, singles: bool, overlaps: int, drains: int) -> None:
+@click.option("--turnovers", default=0, show_default=True, help="Days on which the whole core is replaced.")
+def write(
+    site: Path, out: Path, seed: int, singles: bool, overlaps: int, drains: int, turnovers: int
+) -> None:
     """Write the days as TOML files."""
     random = Random(seed)
     services = [service["name"] for service in tomllib.loads(site.read_text())["services"]]
@@ -347,6 +368,9 @@
     for number in range(drains):
         name = f"drains-{seed}-{number}"
         days[name] = forgotten_drain_day(name, services, random)
+    for number in range(turnovers):
+        name = f"turnover-{seed}-{number}"
+        days[name] = turnover_day(name, random)
     out.mkdir(parents=True, exist_ok=True)
     for name, text in days.items():
         (out / f"{name}.toml").write_text(text)
