Report a bound or limit of a wrong type as invalid settings

What an operator would see: a settings file with `drain_ms = "soon"` ended a starting process with a traceback and status 1 instead of one line and status 2. Since the file is read again while no control process replies, such a file would have stopped the update of the sources there, each time that it was read.

Cause: the schema leaves `bounds` and `limits` open, and their conversion raised TypeError, ValueError or OverflowError.

Change: these become InvalidSettingsError, so SeedList keeps the former seeds and logs seeds.unreadable. Three cases of test_settings.py and one of test_seed_list.py fail without it. Found by reading the change again.

--- a/finchladder/cluster/process/settings.py
+++ b/finchladder/cluster/process/settings.py
@@ -143,6 +143,14 @@
     problem = first_problem(validator, value)
     if problem:
         raise InvalidSettingsError("check settings", source, problem)
+    try:
+        return _convert_settings(value, source)
+    except (TypeError, ValueError, OverflowError) as error:
+        raise InvalidSettingsError("convert settings", source, str(error)) from None
+
+
+def _convert_settings(value: Mapping[str, Any], source: str) -> Settings:
+    """Converts settings whose required fields were checked; a bound or limit of a wrong type raises."""
     listen = value["listen"]
     bounds = _parse_bounds(value.get("bounds", {}))
     heartbeat_s = float(value.get("heartbeat_ms", DEFAULT_HEARTBEAT_MS)) / 1000
--- a/tests/cluster/test_seed_list.py
+++ b/tests/cluster/test_seed_list.py
@@ -23,6 +23,8 @@
 [listen]
 """
 
+WRONG_BOUND = SETTINGS.format(seeds="[]").replace("[listen]", "[listen]\n[bounds]\ndrain_ms = []").encode()
+
 
 def settings_text(*hosts: str) -> str:
     return SETTINGS.format(seeds=json.dumps([f"{host}:7000" for host in hosts]))
@@ -40,7 +42,7 @@
     assert file.load_if_changed() is None
 
 
-@pytest.mark.parametrize("unusable", [None, b"", b"node_name", b"\xff", b"node_name = 1\n"])
+@pytest.mark.parametrize("unusable", [None, b"", b"node_name", b"\xff", b"node_name = 1\n", WRONG_BOUND])
 def test_an_unusable_settings_file_keeps_the_seeds_until_it_is_usable(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, unusable: bytes | None
 ) -> None:
--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -40,6 +40,9 @@
         (("[7000, 7015]", "7000"), "port_range"),
         (('seeds = ["10.0.0.1:80"', 'seeds = ["nowhere"'), "seeds"),
         (('zone = "z"', "zone = "), "read settings"),
+        (("[bounds]", '[bounds]\ndrain_ms = "soon"'), "soon"),
+        (("[bounds]", "[bounds]\ncontact_ms = []"), "convert settings"),
+        (("[bounds]", "[limits]\ndisk_mb = inf\n[bounds]"), "convert settings"),
     ],
 )
 def test_the_error_of_an_invalid_settings_file_names_the_file(change: tuple[str, str], named: str) -> None:
