--- a/tests/cluster/test_incident_lost_sources.py
+++ b/tests/cluster/test_incident_lost_sources.py
@@ -85,6 +85,19 @@
     run(play_overlapping(World(seed, overlaps=True, edges=4, turnovers=True), 2))
 
 
+def test_the_voters_on_the_first_view_stay_the_same_if_the_seeds_change_before_it() -> None:
+    async def work() -> None:
+        world = World(78)
+        founders = [world.add(True) for _ in range(world.count)]
+        world.start(founders[0])
+        plane = plane_of(founders[0])
+        plane.failure_detector.seeds.addresses = ("core-8:1", "core-9:1")
+        voters = plane.proposer._voter_addresses()
+        assert voters == [machine.address for machine in founders]
+
+    run(work())
+
+
 def test_a_control_process_rejoins_after_all_others_were_replaced_while_it_was_cut_off() -> None:
     async def work() -> None:
         world = WorldOfNewestSeeds(78, count=5, losses=2, edges=1)
