--- a/tests/cluster/node_processes.py
+++ b/tests/cluster/node_processes.py
@@ -26,6 +26,7 @@
 CORE_ADDRESS = "127.0.1.{}"
 DISPATCHER_ADDRESS = "127.0.2.{}"
 HOST = "a.example"
+MEMORY_MB = 300
 SETTINGS = """
 node_name = "{name}"
 ip = "{ip}"
@@ -39,6 +40,7 @@
 {listen}
 [limits]
 disk_mb = 64
+memory_mb = {memory_mb}
 [fault_tolerance]
 nodes = 1
 [bounds]
@@ -105,6 +107,7 @@
             bootstrap=str(bootstrap).lower(),
             data_dir=self.data_dir if self.is_core else "",
             listen=listen,
+            memory_mb=MEMORY_MB,
         )
         written = self.settings_file.with_suffix(".new")
         written.write_text(text, encoding="utf-8")
@@ -210,9 +213,13 @@
     async def add_route(self) -> str:
         """Adds a route by a change, and returns the path once it is acknowledged."""
         name = f"r-{self.version + 1}"
-        await self._submit("PATCH", {"version": self.version + 1, "upsert": {"routes": [route(name)]}})
+        await self.change({"routes": [route(name)]})
         return f"/{name}/"
 
+    async def change(self, upsert: dict[str, Any]) -> None:
+        """Adds or replaces items of the configuration, and returns once that is acknowledged."""
+        await self._submit("PATCH", {"version": self.version + 1, "upsert": upsert})
+
     async def _submit(self, method: str, change: dict[str, Any]) -> None:
         """Sends a change to one control process after the other until it is acknowledged."""
         deadline = steady() + START_TIMEOUT_S
