--- a/finchladder/cluster/process/core_node.py
+++ b/finchladder/cluster/process/core_node.py
@@ -11,6 +11,7 @@
 from finchladder.cluster.process.core_sessions import CoreSessions
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.placer import Placer
+from finchladder.cluster.process.process_monitor import ProcessMonitor
 from finchladder.cluster.process.quota_service import QuotaService
 from finchladder.cluster.process.request_failures import log_request_failure
 from finchladder.cluster.process.seed_list import SeedList
@@ -126,6 +127,7 @@
             **self.control.loops(),
             **self.core_sessions.loops(),
             "placer": self.placer.run,
+            "monitor": ProcessMonitor(self.settings.memory_bytes).run,
         }
         for name, loop in loops.items():
             self.tasks.repeat(loop, name)
--- a/finchladder/cluster/process/dispatcher_node.py
+++ b/finchladder/cluster/process/dispatcher_node.py
@@ -15,6 +15,7 @@
 from finchladder.cluster.process.demand_reporter import DemandReporter
 from finchladder.cluster.process.log import event
 from finchladder.cluster.process.pool_updater import PoolUpdater
+from finchladder.cluster.process.process_monitor import ProcessMonitor
 from finchladder.cluster.process.quota_client import QuotaClient
 from finchladder.cluster.process.request_failures import log_request_failure
 from finchladder.cluster.process.router import Router
@@ -212,6 +213,7 @@
         self.tasks.repeat(self.puller.run, "sources")
         self.tasks.repeat(self.demand_reporter.run, "demand")
         self.tasks.repeat(self.quotas.run, "quota")
+        self.tasks.repeat(ProcessMonitor(self.settings.memory_bytes).run, "monitor")
         event("node.started", role="edge", address=self.settings.frontend)
         await stop.wait()
         await self._graceful_shutdown(frontend)
--- a/finchladder/cluster/process/settings.py
+++ b/finchladder/cluster/process/settings.py
@@ -36,6 +36,7 @@
     },
 }
 DEFAULT_HEARTBEAT_MS = 1000
+BYTES_PER_MB = 10**6
 validator = Draft202012Validator(SCHEMA)
 
 
@@ -79,6 +80,7 @@
     heartbeat_s: float
     data_dir: str
     disk_bytes: int
+    memory_bytes: int  # memory at which the platform kills the process; 0 if it is unknown
     tolerated_losses: int  # number of disks that may be lost at once
     frontend: str
     readiness: str
@@ -169,6 +171,7 @@
         heartbeat_s=heartbeat_s,
         data_dir=value.get("data_dir", ""),
         disk_bytes=int(value.get("limits", {}).get("disk_mb", 0)) << 20,
+        memory_bytes=int(value.get("limits", {}).get("memory_mb", 0)) * BYTES_PER_MB,
         tolerated_losses=value.get("fault_tolerance", {}).get("nodes", 0),
         frontend=listen.get("frontend", ""),
         readiness=listen.get("readiness", ""),
