Receive at most 16 KiB of one connection in one turn of the event loop

Callers of other workers waited while one worker poured: asyncio receives 256 KiB at once, and aiohttp parses all of it in one call. Of chunks with one byte that is 46 ms for one connection and turn, and the bytes that wait in the process (512 KiB) and in the kernel (up to tcp_rmem, 32 MB here) are not counted by anybody.

All connections, of clients and servers, now receive into one buffer of 16 KiB by asyncio's BufferedProtocol; a body is paused above 64 KiB unread; the kernel's buffers of a socket are 128 KiB.

Tests: test_bounded_reads.py; without the change two of its three tests fail (turns of 256 KiB, more than 512 KiB buffered).

--- a/finchladder/cluster/transport/exchange.py
+++ b/finchladder/cluster/transport/exchange.py
@@ -26,12 +26,14 @@
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
+from finchladder.cluster.transport.bounded_reads import BoundedReads
+
 FIRST_FINAL_STATUS = 200
 END_OF_HEAD = b"\r\n\r\n"
 SWITCHING_PROTOCOLS = 101
 
 
-class StrictResponseHandler(ResponseHandler):
+class StrictResponseHandler(ResponseHandler, BoundedReads):
     """One connection to a server, with at most one exchange at a time."""
 
     _final_responses = 0  # number of final response heads in the current exchange
--- a/finchladder/cluster/transport/http_client.py
+++ b/finchladder/cluster/transport/http_client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from finchladder.cluster.transport.bounded_reads import BODY_BUFFER_BYTES, bound_socket_buffers
 from finchladder.cluster.transport.exchange import strict_protocols
 
 TCP_USER_TIMEOUT_MS = 3000  # a connection fails if the peer does not acknowledge data for this time
@@ -19,6 +20,7 @@
     connection.setblocking(False)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    bound_socket_buffers(connection)
     return connection
 
 
@@ -57,6 +59,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
         raise_for_status=False,
+        read_bufsize=BODY_BUFFER_BYTES,
     )
     # Otherwise aiohttp retries idempotent methods if the server has closed an idle connection.
     session._retry_connection = False
--- a/finchladder/cluster/transport/http_connection.py
+++ b/finchladder/cluster/transport/http_connection.py
@@ -12,6 +12,7 @@
 from aiohttp.http import HttpProcessingError
 from attrs import frozen
 
+from finchladder.cluster.transport.bounded_reads import BoundedReads
 from finchladder.cluster.types.errors import error_kind, error_location
 
 MALFORMED_TEXT = "malformed request\n"
@@ -38,7 +39,7 @@
 FailureReporter = Callable[[RequestFailure], None]
 
 
-class RedactingConnection(web.RequestHandler):
+class RedactingConnection(web.RequestHandler, BoundedReads):
     """One client connection, whose failures are passed to `report_failure` instead of aiohttp's log."""
 
     __slots__ = ("_report_failure",)
--- a/finchladder/cluster/transport/http_server.py
+++ b/finchladder/cluster/transport/http_server.py
@@ -1,7 +1,10 @@
 """HTTP listeners on aiohttp's low-level server, with one handler for all requests."""
 
+import socket
+
 from aiohttp import web
 
+from finchladder.cluster.transport.bounded_reads import BODY_BUFFER_BYTES, bound_socket_buffers
 from finchladder.cluster.transport.http_connection import (
     FailureReporter,
     RedactingServer,
@@ -45,16 +48,16 @@
             keepalive_timeout=keepalive_s,
             auto_decompress=False,
             lingering_time=0,
+            read_bufsize=BODY_BUFFER_BYTES,
         )
         self._address = address
         self._runner = web.ServerRunner(self._server, handle_signals=False, shutdown_timeout=0.1)
-        self._site: web.TCPSite | None = None
+        self._site: web.SockSite | None = None
 
     async def start(self) -> None:
         """Starts to listen; raises OSError if the address is in use."""
         await self._runner.setup()
-        host, port = split_address(self._address)
-        self._site = web.TCPSite(self._runner, host, port, backlog=BACKLOG, reuse_address=True)
+        self._site = web.SockSite(self._runner, _bind(self._address), backlog=BACKLOG)
         await self._site.start()
 
     @property
@@ -87,6 +90,20 @@
         await self._runner.cleanup()
 
 
+def _bind(address: str) -> socket.socket:
+    """Returns a socket that is bound to the address; raises OSError if it is in use."""
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setblocking(False)
+        bound_socket_buffers(listening)
+        listening.bind(split_address(address))
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits `host:port` into host and port."""
     host, _, port = address.rpartition(":")
